--- /dev/null
+++ b/magnoliarouter/daemon/entry.py
@@ -0,0 +1,208 @@
+"""Entry daemon: serves callers within their contracts."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
+from magnoliarouter.daemon.logs import log_event
+from magnoliarouter.daemon.loop import Runtime
+from magnoliarouter.daemon.metrics import Metrics
+from magnoliarouter.daemon.web import CallerGone, Exchange, WebServer, error_body
+from magnoliarouter.endpoints.client import open_session
+from magnoliarouter.pipeline.admit import LocalAdmission
+from magnoliarouter.pipeline.call import ModelCall
+from magnoliarouter.pipeline.deliver import Delivery, deliver_stream, deliver_whole
+from magnoliarouter.pipeline.dispatch import Answer, open_attempt
+from magnoliarouter.pipeline.identify import Refused, identify
+from magnoliarouter.pipeline.place import Placement
+from magnoliarouter.platform.client import PlatformClient
+from magnoliarouter.platform.feed import ObjectFeed
+from magnoliarouter.platform.objects import decode_contract, decode_object
+
+if TYPE_CHECKING:
+    from magnoliarouter.core.contract import Contract
+    from magnoliarouter.daemon.settings import EntrySettings
+    from magnoliarouter.pipeline.call import Call
+    from magnoliarouter.platform.objects import EndpointSpec
+
+__all__ = ["EntryDaemon"]
+
+STATUS_BY_FAMILY = {2: 400, 3: 429, 4: 503, 5: 502, 6: 503, 7: 409}
+REQUEST_HEADER = "x-request-id"
+
+
+class EntryDaemon:
+    """Assembles the pipeline of one entry VM.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.metrics = Metrics()
+        self.port = 0
+        self.ready = False
+        self._contracts_by_key: dict[str, Contract] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start the feeds and serve callers."""
+        self._loop = asyncio.get_running_loop()
+        self._session = open_session()
+        self._platform = PlatformClient(self.settings.platform, self._session)
+        self._open_feeds()
+        self._placement = Placement(self.settings.zone, self._endpoints.cache)
+        self._admission = LocalAdmission(1.0, self._loop.time)
+        listen = self.settings.listen
+        self._server = WebServer(
+            Runtime(self._loop),
+            (listen.host, listen.port),
+            self.handle,
+            on_reject=self._count_rejected,
+        )
+        self.port = self._server.port
+        self.ready = True
+
+    async def stop(self) -> None:
+        """Fail the readiness probe, finish what is in progress, then leave."""
+        self.ready = False
+        await asyncio.sleep(self.settings.shutdown_seconds)
+        self._server.stop_listening()
+        await self._server.wait_until_idle()
+        for task in self._tasks:
+            task.cancel()
+        await self._session.close()
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request of a caller."""
+        match exchange.request.path:
+            case "/healthz":
+                await exchange.send(200, b'{"healthy": true}')
+            case "/readyz":
+                await exchange.send(200 if self.ready else 503, b"{}")
+            case "/metrics":
+                await exchange.send(200, self.metrics.render(), {"Content-Type": "text/plain"})
+            case "/v1/models":
+                await exchange.send(200, self._list_models())
+            case _:
+                await self._serve(exchange)
+
+    def _open_feeds(self) -> None:
+        self._contracts = ObjectFeed(
+            self._platform, "contract", decode_contract, self._index_contracts
+        )
+        self._endpoints = self._open_feed("endpoint")
+        self._services = self._open_feed("service")
+        for feed in (self._contracts, self._endpoints, self._services):
+            self._tasks.append(self._loop.create_task(feed.run()))
+
+    def _open_feed(self, kind: str) -> ObjectFeed:
+        return ObjectFeed(self._platform, kind, lambda value: decode_object(kind, value))
+
+    def _index_contracts(self, name: str, contract: Contract | None) -> None:
+        contracts = self._contracts.cache.values().values()
+        self._contracts_by_key = {key: found for found in contracts for key in found.key_hashes}
+
+    def _list_models(self) -> bytes:
+        endpoints = self._endpoints.cache.values().values()
+        models = sorted({model for endpoint in endpoints for model in endpoint.models})
+        data = [{"id": model, "object": "model"} for model in models]
+        return msgspec.json.encode({"object": "list", "data": data})
+
+    async def _serve(self, exchange: Exchange) -> None:
+        call = identify(
+            exchange.request,
+            self._contracts_by_key,
+            self._services.cache.values(),
+            self._loop.time(),
+            self.settings.request_seconds,
+        )
+        if isinstance(call, Refused):
+            await self._answer_error(exchange, call.outcome, call.status)
+            return
+        permit = await self._admission.admit(call)
+        if isinstance(permit, NotRun):
+            await self._answer_error(exchange, permit, call=call)
+            return
+        tokens = 0
+        try:
+            with self.metrics.in_flight.track_inprogress():
+                tokens = await self._forward(exchange, call)
+        finally:
+            permit.settle(tokens)
+
+    async def _forward(self, exchange: Exchange, call: Call) -> int:
+        endpoint = self._placement.place(call)
+        if endpoint is None:
+            refusal = NotRun(ResultCode.NO_ENDPOINT, "no endpoint serves this now", 1.0)
+            await self._answer_error(exchange, refusal, call=call)
+            return 0
+        with self._placement.track(endpoint):
+            return await self._attempt(exchange, call, endpoint)
+
+    async def _attempt(self, exchange: Exchange, call: Call, endpoint: EndpointSpec) -> int:
+        async with open_attempt(self._session, endpoint, call, self._loop.time()) as answer:
+            if not isinstance(answer, Answer):
+                await self._answer_error(exchange, answer, call=call)
+                return 0
+            delivery = await self._deliver(exchange, call, answer)
+        self._record(delivery.outcome, call, endpoint.name)
+        return delivery.tokens
+
+    async def _deliver(self, exchange: Exchange, call: Call, answer: Answer) -> Delivery:
+        headers = {REQUEST_HEADER: call.request_id}
+        try:
+            if isinstance(call.work, ModelCall) and call.work.stream and answer.status == 200:
+                return await deliver_stream(exchange, answer, headers)
+            return await deliver_whole(exchange, answer, headers)
+        except CallerGone:
+            return Delivery(Unknown(ResultCode.CALLER_GONE, "the caller went away"), 0)
+
+    async def _answer_error(
+        self,
+        exchange: Exchange,
+        outcome: NotRun | Unknown,
+        status: int | None = None,
+        call: Call | None = None,
+    ) -> None:
+        headers = {REQUEST_HEADER: call.request_id} if call else {}
+        if isinstance(outcome, NotRun) and outcome.retry_after is not None:
+            headers["Retry-After"] = str(max(1, round(outcome.retry_after)))
+        self._record(outcome, call, "")
+        body = error_body(outcome.code, _name_outcome(outcome), outcome.reason)
+        await exchange.send(status or STATUS_BY_FAMILY[outcome.code // 100], body, headers)
+
+    def _record(self, outcome: Outcome, call: Call | None, endpoint: str) -> None:
+        code = outcome.code.name.lower()
+        kind = _name_outcome(outcome)
+        self.metrics.requests.labels(code, kind).inc()
+        if isinstance(outcome, NotRun):
+            self.metrics.refusals.labels(code).inc()
+        log_event(
+            "request",
+            request_id=call.request_id if call else "",
+            customer=call.contract.customer if call else "",
+            endpoint=endpoint,
+            code=int(outcome.code),
+            outcome=kind,
+        )
+
+    def _count_rejected(self, code: ResultCode) -> None:
+        self._record(NotRun(code, "rejected by the HTTP server"), None, "")
+
+
+def _name_outcome(outcome: Outcome) -> str:
+    match outcome:
+        case NotRun():
+            return "not_run"
+        case Completed():
+            return "completed"
+        case Unknown():
+            return "unknown"
--- /dev/null
+++ b/magnoliarouter/daemon/loop.py
@@ -0,0 +1,140 @@
+"""Runs circuits components on the process's one asyncio loop.
+
+circuits' own pollers block in their own loop. `Runtime` is a root component that dispatches its
+event queue from asyncio callbacks instead, so that circuits, gRPC and coroutines share a thread
+and a clock.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from circuits import BaseComponent, Event
+from circuits.core.pollers import BasePoller
+
+if TYPE_CHECKING:
+    from socket import socket
+
+__all__ = ["LoopPoller", "Runtime"]
+
+DISPATCH_ROUNDS = 64
+
+
+class _read(Event):  # noqa: N801 - circuits names an event by its class
+    """Socket is readable."""
+
+
+class _write(Event):  # noqa: N801
+    """Socket is writable."""
+
+
+class Runtime(BaseComponent):
+    """Root component whose events are dispatched by an asyncio loop.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop, optional
+        Loop to run on; the running one by default.
+    """
+
+    channel = "runtime"
+
+    def __init__(self, loop: asyncio.AbstractEventLoop | None = None) -> None:
+        super().__init__()
+        self.loop = loop or asyncio.get_running_loop()
+        self._scheduled = False
+        self.poller = LoopPoller(self).register(self)
+
+    def _fire(self, event: Event, channel: tuple[Any, ...], priority: int = 0) -> None:
+        self._queue.append(event, channel, priority)
+        if hasattr(self, "_scheduled"):
+            self._schedule()
+
+    def registerChild(self, component: BaseComponent) -> None:  # noqa: N802
+        """Adopt a component together with the events it has queued."""
+        super().registerChild(component)
+        if hasattr(self, "_scheduled"):
+            self._schedule()
+
+    def dispatch(self) -> None:
+        """Dispatch queued events and resume generator handlers."""
+        for _ in range(DISPATCH_ROUNDS):
+            for task in self._tasks.copy():
+                self.processTask(*task)
+            if not len(self._queue):
+                break
+            self._flush()
+        if len(self._queue) or self._tasks:
+            self._schedule()
+
+    def _schedule(self) -> None:
+        if not self._scheduled:
+            self._scheduled = True
+            self.loop.call_soon(self._run_scheduled)
+
+    def _run_scheduled(self) -> None:
+        self._scheduled = False
+        self.dispatch()
+
+
+class LoopPoller(BasePoller):
+    """Poller that learns of ready sockets from the asyncio loop.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        Root whose queue is dispatched when a socket becomes ready.
+    """
+
+    channel = "poller"
+
+    def __init__(self, runtime: Runtime) -> None:
+        super().__init__()
+        self._runtime = runtime
+
+    def _create_control_con(self) -> tuple[None, None]:
+        # The loop wakes itself, so no control pipe is needed.
+        return None, None
+
+    def resume(self) -> None:
+        """Do nothing: the loop wakes itself."""
+
+    def addReader(self, source: BaseComponent, fd: socket) -> None:  # noqa: N802
+        """Report readability of a socket to the component that owns it."""
+        super().addReader(source, fd)
+        self._runtime.loop.add_reader(fd, self._on_readable, fd)
+
+    def addWriter(self, source: BaseComponent, fd: socket) -> None:  # noqa: N802
+        """Report writability of a socket to the component that owns it."""
+        super().addWriter(source, fd)
+        self._runtime.loop.add_writer(fd, self._on_writable, fd)
+
+    def removeReader(self, fd: socket) -> None:  # noqa: N802
+        """Stop reporting readability of a socket."""
+        super().removeReader(fd)
+        self._forget(self._runtime.loop.remove_reader, fd)
+
+    def removeWriter(self, fd: socket) -> None:  # noqa: N802
+        """Stop reporting writability of a socket."""
+        super().removeWriter(fd)
+        self._forget(self._runtime.loop.remove_writer, fd)
+
+    def discard(self, fd: socket) -> None:
+        """Forget a socket that is about to be closed."""
+        super().discard(fd)
+        self._forget(self._runtime.loop.remove_reader, fd)
+        self._forget(self._runtime.loop.remove_writer, fd)
+
+    @staticmethod
+    def _forget(remove: Any, fd: socket) -> None:
+        if fd.fileno() >= 0:
+            remove(fd)
+
+    def _on_readable(self, fd: socket) -> None:
+        self._runtime.fire(_read(fd), self.getTarget(fd))
+        self._runtime.dispatch()
+
+    def _on_writable(self, fd: socket) -> None:
+        self._runtime.fire(_write(fd), self.getTarget(fd))
+        self._runtime.dispatch()
--- /dev/null
+++ b/magnoliarouter/daemon/metrics.py
@@ -0,0 +1,65 @@
+"""Prometheus metrics of a daemon."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from magnoliarouter.core.outcome import ResultCode
+
+__all__ = ["Metrics"]
+
+FIRST_TOKEN_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.0, 5.0, 10.0)
+INTER_TOKEN_BUCKETS_S = (0.005, 0.01, 0.02, 0.03, 0.043, 0.06, 0.1, 0.2, 0.5, 1.0)
+
+
+class Metrics:
+    """Metrics of one daemon in a registry of its own.
+
+    Attributes
+    ----------
+    requests : Counter
+        Requests by result code and outcome.
+    refusals : Counter
+        Requests refused as not run, by result code.
+    retries : Counter
+        Retries by the result code that caused them.
+    dropped_answers : Counter
+        Answers dropped because they belong to no attempt in progress, by reason.
+    first_token, inter_token : Histogram
+        Seconds to the first token and between tokens.
+    in_flight : Gauge
+        Requests in progress.
+    """
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = self.add_counter("requests", "Requests ended", "code", "outcome")
+        self.refusals = self.add_counter("refusals", "Requests refused as not run", "code")
+        self.retries = self.add_counter("retries", "Retries by cause", "code")
+        self.dropped_answers = self.add_counter("dropped_answers", "Answers dropped", "reason")
+        self.tokens = self.add_counter("tokens", "Tokens delivered to callers")
+        self.first_token = self.add_histogram(
+            "first_token_seconds", "Time to first token", FIRST_TOKEN_BUCKETS_S
+        )
+        self.inter_token = self.add_histogram(
+            "inter_token_seconds", "Time between tokens", INTER_TOKEN_BUCKETS_S
+        )
+        self.in_flight = self.add_gauge("in_flight", "Requests in progress")
+        for code in ResultCode:
+            self.refusals.labels(code.name.lower())
+
+    def add_counter(self, name: str, text: str, *labels: str) -> Counter:
+        """Register a counter ``magnoliarouter_<name>_total``."""
+        return Counter(f"magnoliarouter_{name}", text, labels, registry=self.registry)
+
+    def add_gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        """Register a gauge ``magnoliarouter_<name>``."""
+        return Gauge(f"magnoliarouter_{name}", text, labels, registry=self.registry)
+
+    def add_histogram(self, name: str, text: str, buckets: tuple[float, ...]) -> Histogram:
+        """Register a histogram ``magnoliarouter_<name>`` with bucket bounds in its own unit."""
+        return Histogram(f"magnoliarouter_{name}", text, buckets=buckets, registry=self.registry)
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/magnoliarouter/daemon/settings.py
@@ -0,0 +1,160 @@
+"""Settings of a daemon: one JSON file, checked before anything starts."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+__all__ = ["EndpointSettings", "EntrySettings", "Settings", "SettingsError", "load_settings"]
+
+Port = Annotated[int, Meta(ge=0, le=65_535)]
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Url = Annotated[str, Meta(pattern=r"^http://[^/]+$")]
+Seconds = Annotated[float, Meta(gt=0)]
+
+
+class SettingsError(ValueError):
+    """A settings file has a missing, unknown or invalid field."""
+
+
+class Address(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """IP number and port to listen on; port 0 takes a free one."""
+
+    host: str = "127.0.0.1"
+    port: Port = 0
+
+
+class _CommonSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    name: Name
+    zone: Name
+    region: Name = "region-1"
+    platform: Url
+    log_file: str = "-"
+    peer_key: Annotated[str, Meta(min_length=16)]
+
+
+class EntrySettings(
+    _CommonSettings,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+    tag="entry",
+    tag_field="role",
+):
+    """Settings of an entry daemon.
+
+    Parameters
+    ----------
+    name : str
+        Name of the VM, unique over all VMs.
+    zone, region : str
+        Availability zone and region of the VM.
+    platform : str
+        Base URL of the platform's object API.
+    listen : Address
+        Callers' HTTP address.
+    peers : Address
+        Address for the system's own processes.
+    zones : tuple of str
+        All availability zones, the same list in every daemon.
+    peer_key : str
+        Key shared by all of the system's processes.
+    log_file : str
+        Path of the JSON-lines log; ``"-"`` is standard output.
+    request_seconds : float
+        Longest time that a request may take when the caller names no deadline, in seconds.
+    queue_length : int
+        Requests that may wait for an endpoint in this daemon.
+    shutdown_seconds : float
+        Time between the readiness probe failing and the listener closing, in seconds.
+    """
+
+    listen: Address = Address()
+    peers: Address = Address()
+    zones: tuple[Name, ...] = ()
+    request_seconds: Seconds = 120.0
+    queue_length: Annotated[int, Meta(ge=0)] = 256
+    shutdown_seconds: Annotated[float, Meta(ge=0)] = 2.0
+
+
+class EndpointSettings(
+    _CommonSettings,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+    tag="endpoint",
+    tag_field="role",
+):
+    """Settings of an endpoint daemon, the guard in front of one endpoint.
+
+    Parameters
+    ----------
+    name : str
+        Name of the endpoint, unique over all endpoints.
+    listen : Address
+        Address that entry daemons call.
+    target : str
+        Base URL of the engine or application behind the guard.
+    kind : {"engine", "application"}
+        What stands behind the guard.
+    models, services : tuple of str
+        Models or plain services that the endpoint serves.
+    slots : int
+        Requests that the endpoint works on at once.
+    checks_fencing : bool
+        Whether the endpoint itself refuses orders with an old fencing number.
+    """
+
+    listen: Address = Address()
+    target: Url
+    kind: Literal["engine", "application"] = "engine"
+    models: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    slots: Annotated[int, Meta(ge=1)] = 8
+    checks_fencing: bool = False
+
+
+Settings = EntrySettings | EndpointSettings
+
+
+def load_settings(path: str | Path) -> Settings:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : str or Path
+        JSON file.
+
+    Returns
+    -------
+    EntrySettings or EndpointSettings
+        By the file's ``role``.
+
+    Raises
+    ------
+    SettingsError
+        The file cannot be read, is not JSON, or has a missing, unknown or invalid field; the
+        message names the field and the valid ones.
+    """
+    try:
+        raw = Path(path).read_bytes()
+    except OSError as error:
+        raise SettingsError(f"cannot read settings {path}: {error.strerror}") from error
+    try:
+        return msgspec.json.decode(raw, type=Settings)
+    except msgspec.DecodeError as error:
+        raise SettingsError(f"settings {path}: {error}{_list_fields(raw)}") from error
+
+
+def _list_fields(raw: bytes) -> str:
+    try:
+        role = msgspec.json.decode(raw).get("role")
+    except (msgspec.DecodeError, AttributeError):
+        return ""
+    for model in (EntrySettings, EndpointSettings):
+        if model.__struct_config__.tag == role:
+            return f"; valid fields: role, {', '.join(model.__struct_fields__)}"
+    return "; valid roles: entry, endpoint"
--- /dev/null
+++ b/magnoliarouter/endpoints/__init__.py
@@ -0,0 +1,5 @@
+"""Guard in front of one endpoint, and the adapters to what stands behind it."""
+
+from __future__ import annotations
+
+__all__: list[str] = []
--- /dev/null
+++ b/magnoliarouter/endpoints/client.py
@@ -0,0 +1,30 @@
+"""HTTP client sessions towards endpoints and the platform."""
+
+from __future__ import annotations
+
+import aiohttp
+
+__all__ = ["open_session"]
+
+CONNECT_TIMEOUT_S = 2.0
+KEEPALIVE_S = 5.0
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Open a session that never repeats a request by itself.
+
+    Returns
+    -------
+    aiohttp.ClientSession
+        Session without a total time limit; callers bound each request themselves.
+    """
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("User-Agent", "Accept-Encoding"),
+    )
+    # aiohttp repeats idempotent methods on a broken kept-alive connection; retries are ours.
+    session._retry_connection = False
+    return session
--- /dev/null
+++ b/magnoliarouter/pipeline/__init__.py
@@ -0,0 +1,5 @@
+"""A request's way through an entry daemon: identify, admit, place, dispatch, deliver."""
+
+from __future__ import annotations
+
+__all__: list[str] = []
--- /dev/null
+++ b/magnoliarouter/pipeline/admit.py
@@ -0,0 +1,99 @@
+"""Second filter: admits a call within its contract's limits."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol
+
+from magnoliarouter.core.outcome import NotRun, ResultCode
+from magnoliarouter.pipeline.call import ModelCall
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliarouter.pipeline.call import Call
+
+__all__ = ["Admission", "LocalAdmission", "Permit"]
+
+
+class Permit(Protocol):
+    """Right to work on one admitted call."""
+
+    def settle(self, tokens: int) -> None:
+        """End the call: return its concurrency and charge the tokens it really used."""
+
+
+class Admission(Protocol):
+    """Decides whether a call fits its customer's limits."""
+
+    async def admit(self, call: Call) -> Permit | NotRun:
+        """Return a permit, or why the call is refused and when to come back."""
+
+
+@dataclass(slots=True)
+class _Bucket:
+    """Token bucket of one daemon."""
+
+    level: float
+    updated: float
+
+    def take(self, amount: float, rate: float, burst: float, now: float) -> float:
+        """Take an amount, or return the seconds until it is there."""
+        self.level = min(burst, self.level + (now - self.updated) * rate)
+        self.updated = now
+        if self.level < amount:
+            return (amount - self.level) / rate if rate else 60.0
+        self.level -= amount
+        return 0.0
+
+
+@dataclass(slots=True)
+class _LocalPermit:
+    """Permit of `LocalAdmission`."""
+
+    admission: LocalAdmission
+    customer: str
+
+    def settle(self, tokens: int) -> None:
+        self.admission.running[self.customer] -= 1
+
+
+@dataclass(slots=True)
+class LocalAdmission:
+    """Limits enforced by one daemon alone, as static division does.
+
+    Parameters
+    ----------
+    share : float
+        Part of each contract's rates that this daemon may admit.
+    clock : callable
+        Loop time in seconds.
+    """
+
+    share: float
+    clock: Callable[[], float]
+    buckets: dict[str, _Bucket] = field(default_factory=dict)
+    running: dict[str, int] = field(default_factory=dict)
+
+    async def admit(self, call: Call) -> Permit | NotRun:
+        """Admit a call if its customer's buckets of this daemon hold enough."""
+        customer, limits = call.contract.customer, call.limits
+        if self.running.get(customer, 0) >= limits.concurrent_requests:
+            return NotRun(ResultCode.CONCURRENCY, "too many requests in progress", 1.0)
+        rate = limits.requests_per_second * self.share
+        wait = self._take(f"{customer}/requests", 1, rate, limits.burst_seconds)
+        if wait:
+            return NotRun(ResultCode.REQUEST_RATE, "request rate is used up", wait)
+        if isinstance(call.work, ModelCall):
+            rate = limits.tokens_per_second * self.share
+            amount = call.work.token_estimate
+            wait = self._take(f"{customer}/tokens", amount, rate, limits.burst_seconds)
+            if wait:
+                return NotRun(ResultCode.TOKEN_RATE, "token rate is used up", wait)
+        self.running[customer] = self.running.get(customer, 0) + 1
+        return _LocalPermit(self, customer)
+
+    def _take(self, name: str, amount: float, rate: float, burst_seconds: float) -> float:
+        burst = max(rate * burst_seconds, amount)
+        bucket = self.buckets.setdefault(name, _Bucket(burst, self.clock()))
+        return bucket.take(amount, rate, burst, self.clock())
--- /dev/null
+++ b/magnoliarouter/pipeline/identify.py
@@ -0,0 +1,186 @@
+"""First filter: turns an HTTP request into a `Call` of a known customer, or refuses it."""
+
+from __future__ import annotations
+
+import hashlib
+import re
+import uuid
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Annotated
+
+import msgspec
+from msgspec import Meta
+
+from magnoliarouter.core.contract import effective_limits
+from magnoliarouter.core.outcome import NotRun, ResultCode
+from magnoliarouter.pipeline.call import ApplicationCall, Call, ModelCall
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from magnoliarouter.core.contract import Contract, Limits
+    from magnoliarouter.daemon.web import HttpRequest
+    from magnoliarouter.platform.objects import ServiceSpec
+
+__all__ = ["Refused", "hash_key", "identify"]
+
+BYTES_PER_TOKEN = 4
+PREFIX_CHARACTERS = 256
+DEFAULT_MAX_TOKENS = 256
+MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
+REQUEST_ID = re.compile(r"^[A-Za-z0-9._-]{1,64}$")
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: str
+
+
+class _ModelBody(msgspec.Struct):
+    model: str
+    prompt: str | None = None
+    messages: list[_Message] | None = None
+    stream: bool = False
+    max_tokens: Annotated[int, Meta(ge=1)] = DEFAULT_MAX_TOKENS
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Refusal together with the HTTP status that carries it."""
+
+    status: int
+    outcome: NotRun
+
+
+def hash_key(key: str) -> str:
+    """Return the digest under which a customer's key is stored."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def identify(
+    request: HttpRequest,
+    contracts: Mapping[str, Contract],
+    services: Mapping[str, ServiceSpec],
+    now: float,
+    request_seconds: float,
+) -> Call | Refused:
+    """Find the customer of a request and what it asks for.
+
+    Parameters
+    ----------
+    request : HttpRequest
+        Request to ``/v1/...`` or ``/services/...``.
+    contracts : mapping of str to Contract
+        Contracts by key digest.
+    services : mapping of str to ServiceSpec
+        Services by name.
+    now : float
+        Loop time in seconds.
+    request_seconds : float
+        Longest time that the request may take.
+
+    Returns
+    -------
+    Call or Refused
+        The call, or why it cannot be one.
+    """
+    contract = _find_contract(request, contracts)
+    if isinstance(contract, Refused):
+        return contract
+    limits = effective_limits(contract)
+    if limits is None:
+        return _refuse(403, ResultCode.SUSPENDED, f"standing is {contract.standing!r}")
+    work = _parse_work(request, limits, services)
+    if isinstance(work, Refused):
+        return work
+    return Call(
+        request_id=_request_id(request),
+        contract=contract,
+        limits=limits,
+        method=request.method,
+        path=request.path,
+        content_type=request.headers.get("content-type", "application/json"),
+        body=request.body,
+        deadline=now + request_seconds,
+        work=work,
+    )
+
+
+def _refuse(status: int, code: ResultCode, reason: str) -> Refused:
+    return Refused(status, NotRun(code, reason))
+
+
+def _find_contract(request: HttpRequest, contracts: Mapping[str, Contract]) -> Contract | Refused:
+    scheme, _, key = request.headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not key:
+        return _refuse(401, ResultCode.KEY_MISSING, "header 'authorization' needs 'Bearer KEY'")
+    # The lookup compares digests only, so its time tells nothing about a valid key.
+    contract = contracts.get(hash_key(key.strip()))
+    if contract is None:
+        return _refuse(401, ResultCode.KEY_UNKNOWN, "key belongs to no customer")
+    return contract
+
+
+def _request_id(request: HttpRequest) -> str:
+    given = request.headers.get("x-request-id", "")
+    return given if REQUEST_ID.match(given) else uuid.uuid4().hex
+
+
+def _parse_work(
+    request: HttpRequest, limits: Limits, services: Mapping[str, ServiceSpec]
+) -> ModelCall | ApplicationCall | Refused:
+    if request.path in MODEL_PATHS:
+        return _parse_model_call(request, limits)
+    if request.path.startswith("/services/"):
+        return _parse_application_call(request, limits, services)
+    return _refuse(404, ResultCode.NOT_FOUND, f"no such path: {request.path}")
+
+
+def _parse_model_call(request: HttpRequest, limits: Limits) -> ModelCall | Refused:
+    if request.method != "POST":
+        return _refuse(405, ResultCode.METHOD_NOT_ALLOWED, "valid method: POST")
+    try:
+        body = msgspec.json.decode(request.body, type=_ModelBody)
+    except msgspec.DecodeError as error:
+        return _refuse(400, ResultCode.MALFORMED_BODY, f"body: {error}")
+    if (body.prompt is None) == (body.messages is None):
+        return _refuse(400, ResultCode.MALFORMED_BODY, "body: give one of 'prompt', 'messages'")
+    if not _allows(limits.models, body.model):
+        return _refuse(403, ResultCode.MODEL_NOT_ALLOWED, f"model {body.model!r} is not allowed")
+    prompt = body.prompt
+    if prompt is None:
+        prompt = "\n".join(f"{message.role}: {message.content}" for message in body.messages or ())
+    estimate = len(prompt.encode()) // BYTES_PER_TOKEN + body.max_tokens
+    if estimate > limits.tokens_per_request:
+        reason = f"{estimate} tokens; the contract allows {limits.tokens_per_request} a request"
+        return _refuse(400, ResultCode.TOKENS_PER_REQUEST, reason)
+    return ModelCall(body.model, body.stream, prompt[:PREFIX_CHARACTERS], estimate)
+
+
+def _parse_application_call(
+    request: HttpRequest, limits: Limits, services: Mapping[str, ServiceSpec]
+) -> ApplicationCall | Refused:
+    name, _, rest = request.path.removeprefix("/services/").partition("/")
+    service = services.get(name)
+    if service is None:
+        return _refuse(404, ResultCode.NOT_FOUND, f"no such service: {name!r}")
+    if not _allows(limits.services, name):
+        return _refuse(403, ResultCode.SERVICE_NOT_ALLOWED, f"service {name!r} is not allowed")
+    key = request.headers.get("idempotency-key", "")
+    repeatable = not _is_non_repeatable(service, request.method, f"/{rest}")
+    if not repeatable and not key:
+        reason = "this call may run only once: header 'idempotency-key' is needed"
+        return _refuse(400, ResultCode.IDEMPOTENCY_KEY_MISSING, reason)
+    return ApplicationCall(name, key, repeatable)
+
+
+def _allows(allowed: tuple[str, ...], name: str) -> bool:
+    return "*" in allowed or name in allowed
+
+
+def _is_non_repeatable(service: ServiceSpec, method: str, path: str) -> bool:
+    for rule in service.non_repeatable:
+        rule_method, _, prefix = rule.partition(" ")
+        if method == rule_method and path.startswith(prefix):
+            return True
+    return False
--- /dev/null
+++ b/magnoliarouter/standins/bench/main.py
@@ -0,0 +1,62 @@
+"""Command `magnolia-bench`: runs one experiment and prints its figures as one JSON line."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import importlib
+import sys
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from magnoliarouter.standins.bench.experiment import Experiment
+
+__all__ = ["main"]
+
+# Each module has a function `experiments()` that returns a list of `Experiment`.
+MODULES: tuple[str, ...] = ()
+
+
+def load_experiments() -> dict[str, Experiment]:
+    """Return all experiments by name."""
+    found = {}
+    for name in MODULES:
+        module = importlib.import_module(f"magnoliarouter.standins.bench.{name}")
+        for experiment in module.experiments():
+            found[experiment.name] = experiment
+    return found
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the experiment named on the command line and return 0 if it met its targets."""
+    experiments = load_experiments()
+    options = _parse(arguments, experiments)
+    if options.experiment == "list":
+        for experiment in experiments.values():
+            print(f"{experiment.name:12} {experiment.shows}")
+        return 0
+    report = asyncio.run(experiments[options.experiment].run(options))
+    line = {
+        "experiment": options.experiment,
+        "seed": options.seed,
+        **report.figures,
+        "missed": report.missed,
+        "ok": report.ok,
+    }
+    print(msgspec.json.encode(line).decode())
+    return 0 if report.ok else 1
+
+
+def _parse(arguments: list[str] | None, experiments: dict[str, Experiment]) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="magnolia-bench", description=__doc__)
+    parser.add_argument("experiment", choices=["list", *experiments])
+    parser.add_argument("--seed", type=int, default=1, help="seed of all random choices")
+    parser.add_argument("--seconds", type=float, default=None, help="length of the load")
+    parser.add_argument("--minutes", type=float, default=1.0, help="length of a soak")
+    return parser.parse_args(arguments)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/magnoliarouter/standins/demo.py
@@ -0,0 +1,99 @@
+"""Demonstration: three zones, a contract each for two customers, answers and a refusal."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import aiohttp
+
+from magnoliarouter.platform.client import PlatformClient, Written
+from magnoliarouter.standins.launch import Process, Site, contract_value
+
+__all__ = ["main"]
+
+ZONES = ("zone-1", "zone-2", "zone-3")
+MODEL = "draft"
+LIMITS = {"requests_per_second": 20, "tokens_per_second": 4000}
+LATE_LIMITS = {"requests_per_second": 1, "tokens_per_second": 100, "burst_seconds": 1}
+
+
+async def _start_zone(site: Site, platform: Process, number: int, zone: str) -> Process:
+    host = f"127.0.{number}.1"
+    engine = await site.start_standin("engine", host)
+    await site.start_daemon(
+        {
+            "role": "endpoint",
+            "name": f"engine-{number}",
+            "zone": zone,
+            "platform": platform.url,
+            "listen": {"host": host},
+            "target": engine.url,
+            "models": [MODEL],
+        }
+    )
+    return await site.start_daemon(
+        {
+            "role": "entry",
+            "name": f"entry-{number}",
+            "zone": zone,
+            "zones": list(ZONES),
+            "platform": platform.url,
+            "listen": {"host": host},
+        }
+    )
+
+
+async def _wait_for_model(session: aiohttp.ClientSession, entry: Process) -> None:
+    while True:
+        async with session.get(f"{entry.url}/v1/models") as answer:
+            if MODEL in await answer.text():
+                return
+        await asyncio.sleep(0.05)
+
+
+async def _ask(session: aiohttp.ClientSession, entry: Process, key: str, prompt: str) -> int:
+    body = {"model": MODEL, "prompt": prompt, "stream": True, "max_tokens": 8}
+    headers = {"Authorization": f"Bearer {key}"}
+    url = f"{entry.url}/v1/completions"
+    async with session.post(url, json=body, headers=headers) as answer:
+        text = (await answer.text()).strip()
+        print(f"  {entry.name} -> {answer.status}: {text.splitlines()[0][:90]} ...")
+        return answer.status
+
+
+async def _run() -> bool:
+    async with Site() as site, aiohttp.ClientSession() as session:
+        print("starting the platform's stand-in, three zones of engine, guard and entry daemon")
+        platform = await site.start_standin("platform", "127.0.0.1")
+        client = PlatformClient(platform.url, session)
+        contracts = (
+            contract_value("intake-yard", "key-intake", current=LIMITS, late=LATE_LIMITS),
+            contract_value("slow-payer", "key-slow", "late", current=LIMITS, late=LATE_LIMITS),
+        )
+        for contract in contracts:
+            written = await client.write("contract", contract["customer"], contract, expect=0)
+            assert isinstance(written, Written), written
+        entries = [
+            await _start_zone(site, platform, number, zone)
+            for number, zone in enumerate(ZONES, start=1)
+        ]
+        for entry in entries:
+            await _wait_for_model(session, entry)
+        print("a customer in standing 'current' asks each entry daemon:")
+        current = [await _ask(session, entry, "key-intake", "Batch note") for entry in entries]
+        print("a customer in standing 'late' asks four times at once:")
+        asks = (_ask(session, entries[0], "key-slow", "Draft") for _ in range(4))
+        late = await asyncio.gather(*asks)
+        return current == [200, 200, 200] and 200 in late and 429 in late
+
+
+def main() -> int:
+    """Run the demonstration and return 0 if it showed what it should."""
+    shown = asyncio.run(_run())
+    print("demonstration complete" if shown else "demonstration FAILED")
+    return 0 if shown else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/magnoliarouter/standins/launch.py
@@ -0,0 +1,159 @@
+"""Starts the system's processes and stand-ins on loopback addresses, for demos and benches."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from magnoliarouter.pipeline.identify import hash_key
+
+__all__ = ["Process", "Site", "contract_value", "find_port"]
+
+PEER_KEY = "peer-key-of-the-demonstration"
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 20.0
+
+
+@dataclass(slots=True)
+class Process:
+    """Process that was started here.
+
+    Parameters
+    ----------
+    name : str
+        Name for messages.
+    address : str
+        ``host:port`` that it listens on.
+    child : asyncio.subprocess.Process
+        The process.
+    """
+
+    name: str
+    address: str
+    child: asyncio.subprocess.Process
+
+    @property
+    def url(self) -> str:
+        """Base URL of the process."""
+        return f"http://{self.address}"
+
+    async def stop(self) -> int:
+        """Send SIGTERM, wait for the end, and return the exit code."""
+        if self.child.returncode is None:
+            self.child.terminate()
+        return await asyncio.wait_for(self.child.wait(), STOP_TIMEOUT_S)
+
+    async def kill(self) -> None:
+        """Send SIGKILL and wait for the end."""
+        if self.child.returncode is None:
+            self.child.kill()
+        await self.child.wait()
+
+    def pause(self) -> None:
+        """Send SIGSTOP."""
+        self.child.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Send SIGCONT."""
+        self.child.send_signal(signal.SIGCONT)
+
+
+def find_port(host: str) -> int:
+    """Return a port that is free on an address now."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
+
+
+def contract_value(
+    customer: str, key: str, standing: str = "current", **limits: dict[str, Any]
+) -> dict[str, Any]:
+    """Return a contract's JSON value with one limit set for each keyword."""
+    return {
+        "customer": customer,
+        "key_hashes": [hash_key(key)],
+        "standing": standing,
+        "limits": limits,
+    }
+
+
+class Site:
+    """Processes of one experiment, all ended by `close`.
+
+    Zone ``n`` uses the addresses 127.0.``n``.x.
+    """
+
+    def __init__(self) -> None:
+        self.processes: list[Process] = []
+        self._folder = tempfile.TemporaryDirectory()
+        self.folder = Path(self._folder.name)
+
+    async def __aenter__(self) -> Site:
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """End all processes, newest first."""
+        for process in reversed(self.processes):
+            if process.child.returncode is None:
+                process.resume()
+            await process.kill()
+        self._folder.cleanup()
+
+    async def start_standin(self, module: str, host: str, *options: str) -> Process:
+        """Start a stand-in module of this package and wait until it listens."""
+        port = find_port(host)
+        name = f"magnoliarouter.standins.{module}"
+        arguments = ("-m", name, "--bind", f"{host}:{port}", *options)
+        return await self._start(module, f"{host}:{port}", arguments)
+
+    async def start_daemon(self, settings: dict[str, Any]) -> Process:
+        """Start a daemon with these settings and wait until it listens."""
+        listen = dict(settings.get("listen", {}))
+        listen.setdefault("host", "127.0.0.1")
+        listen["port"] = listen.get("port") or find_port(listen["host"])
+        name = settings["name"]
+        complete = {
+            "peer_key": PEER_KEY,
+            "log_file": str(self.folder / f"{name}.log"),
+            **settings,
+            "listen": listen,
+        }
+        path = self.folder / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(complete))
+        address = f"{listen['host']}:{listen['port']}"
+        return await self._start(name, address, ("-m", "magnoliarouter.daemon.main", str(path)))
+
+    async def _start(self, name: str, address: str, arguments: tuple[str, ...]) -> Process:
+        child = await asyncio.create_subprocess_exec(
+            sys.executable, *arguments, stdout=asyncio.subprocess.DEVNULL
+        )
+        process = Process(name, address, child)
+        self.processes.append(process)
+        await _wait_until_listening(process)
+        return process
+
+
+async def _wait_until_listening(process: Process) -> None:
+    host, port = process.address.rsplit(":", 1)
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while True:
+            if process.child.returncode is not None:
+                raise RuntimeError(f"{process.name} ended with {process.child.returncode}")
+            try:
+                _, writer = await asyncio.open_connection(host, int(port))
+            except OSError:
+                await asyncio.sleep(0.02)
+                continue
+            writer.close()
+            return
--- /dev/null
+++ b/magnoliarouter/standins/platform.py
@@ -0,0 +1,197 @@
+"""Stand-in for the platform's object API, with faults that a test can switch on.
+
+``PUT /faults`` with a JSON object of `Faults` fields sets what goes wrong from then on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+
+import msgspec
+
+from magnoliarouter.daemon.web import Exchange, ServerLimits, WebServer
+from magnoliarouter.platform.objects import StoredObject, WatchBatch
+from magnoliarouter.standins.process import run_standin
+
+__all__ = ["Faults", "ObjectStore", "PlatformStandin"]
+
+HISTORY_LENGTH = 10_000
+MAX_VALUE_BYTES = 1_048_576
+SERVER_LIMITS = ServerLimits(body_bytes=2 * MAX_VALUE_BYTES, connections=100_000)
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """What goes wrong.
+
+    Parameters
+    ----------
+    down : bool
+        Every call answers 503.
+    delay : float
+        Seconds before each answer.
+    lose_answers : float
+        Share of writes whose connection is cut after the write took effect.
+    stale_reads : int
+        Number of newest changes that reads and lists do not see.
+    seed : int
+        Seed of the choice of lost answers.
+    """
+
+    down: bool = False
+    delay: float = 0.0
+    lose_answers: float = 0.0
+    stale_reads: int = 0
+    seed: int = 1
+
+
+class ObjectStore:
+    """Objects with versions, conditional writes and a bounded history."""
+
+    def __init__(self, history_length: int = HISTORY_LENGTH) -> None:
+        self.version = 0
+        self.objects: dict[tuple[str, str], StoredObject] = {}
+        self.history: list[StoredObject] = []
+        self.dropped_version = 0
+        self._history_length = history_length
+        self._changed = asyncio.Condition()
+
+    def write(self, kind: str, name: str, value: object, expect: int | None) -> StoredObject | None:
+        """Write if the version is as expected, and return the new object, else None."""
+        current = self.objects.get((kind, name))
+        if expect is not None and expect != (current.version if current else 0):
+            return None
+        self.version += 1
+        item = StoredObject(kind, name, self.version, value)
+        if value is None:
+            self.objects.pop((kind, name), None)
+        else:
+            self.objects[kind, name] = item
+        self._remember(item)
+        return item
+
+    def list(self, kind: str) -> list[StoredObject]:
+        """Return all objects of a kind."""
+        return [item for (found, _), item in self.objects.items() if found == kind]
+
+    def changes(self, kind: str, after: int) -> list[StoredObject]:
+        """Return the changes of a kind after a version."""
+        recent = []
+        for item in reversed(self.history):
+            if item.version <= after:
+                break
+            if item.kind == kind:
+                recent.append(item)
+        return recent[::-1]
+
+    async def notify(self) -> None:
+        """Wake the watches."""
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def wait_for_change(self, kind: str, after: int, wait: float) -> list[StoredObject]:
+        """Return changes of a kind after a version, waiting for one if there is none."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait), self._changed:
+                await self._changed.wait_for(lambda: self.changes(kind, after))
+        return self.changes(kind, after)
+
+    def _remember(self, item: StoredObject) -> None:
+        self.history.append(item)
+        if len(self.history) > self._history_length:
+            self.dropped_version = self.history.pop(0).version
+
+
+class PlatformStandin:
+    """Serves an `ObjectStore` over HTTP."""
+
+    def __init__(self) -> None:
+        self.store = ObjectStore()
+        self.faults = Faults()
+        self.calls = {"read": 0, "write": 0, "watch": 0}
+        self._random = random.Random(1)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one call."""
+        request = exchange.request
+        parts = request.path.strip("/").split("/")
+        match (request.method, *parts):
+            case ("PUT", "faults"):
+                self.faults = msgspec.json.decode(request.body, type=Faults)
+                self._random.seed(self.faults.seed)
+                await exchange.send(200, b"{}")
+                return
+            case ("GET", "calls"):
+                await exchange.send(200, msgspec.json.encode(self.calls))
+                return
+        if self.faults.delay:
+            await asyncio.sleep(self.faults.delay)
+        if self.faults.down:
+            await exchange.send(503, b'{"error": "unavailable"}')
+            return
+        match (request.method, *parts):
+            case ("GET", "v1", "objects", kind):
+                await self._list(exchange, kind)
+            case ("GET", "v1", "objects", kind, name):
+                await self._read(exchange, kind, name)
+            case ("GET", "v1", "watch", kind):
+                await self._watch(exchange, kind)
+            case ("PUT", "v1", "objects", kind, name):
+                await self._write(exchange, kind, name, msgspec.json.decode(request.body))
+            case ("DELETE", "v1", "objects", kind, name):
+                await self._write(exchange, kind, name, None)
+            case _:
+                await exchange.send(404, b'{"error": "no such path"}')
+
+    async def _list(self, exchange: Exchange, kind: str) -> None:
+        self.calls["read"] += 1
+        batch = WatchBatch(self.store.version, self.store.list(kind))
+        await exchange.send(200, msgspec.json.encode(batch))
+
+    async def _read(self, exchange: Exchange, kind: str, name: str) -> None:
+        self.calls["read"] += 1
+        item = self.store.objects.get((kind, name))
+        status = 200 if item else 404
+        await exchange.send(status, msgspec.json.encode(item))
+
+    async def _watch(self, exchange: Exchange, kind: str) -> None:
+        self.calls["watch"] += 1
+        after = int(exchange.request.query.get("after", "0"))
+        wait = float(exchange.request.query.get("wait", "25"))
+        if after < self.store.dropped_version:
+            await exchange.send(410, b'{"error": "version is too old"}')
+            return
+        items = await self.store.wait_for_change(kind, after, wait)
+        version = items[-1].version if items else max(after, self.store.version)
+        await exchange.send(200, msgspec.json.encode(WatchBatch(version, items)))
+
+    async def _write(self, exchange: Exchange, kind: str, name: str, value: object) -> None:
+        self.calls["write"] += 1
+        if len(exchange.request.body) > MAX_VALUE_BYTES:
+            await exchange.send(413, b'{"error": "value is too large"}')
+            return
+        item = self.store.write(kind, name, value, _expected(exchange.request.headers))
+        if item is None:
+            current = self.store.objects.get((kind, name))
+            await exchange.send(412, msgspec.json.encode(current))
+            return
+        await self.store.notify()
+        if self._random.random() < self.faults.lose_answers:
+            exchange.abort()
+            return
+        await exchange.send(200, msgspec.json.encode(item))
+
+
+def _expected(headers: dict[str, str]) -> int | None:
+    if headers.get("if-none-match") == "*":
+        return 0
+    if "if-match" in headers:
+        return int(headers["if-match"].strip('"'))
+    return None
+
+
+if __name__ == "__main__":
+    run_standin(
+        lambda runtime, bind: WebServer(runtime, bind, PlatformStandin().handle, SERVER_LIMITS)
+    )
--- /dev/null
+++ b/magnoliarouter/standins/process.py
@@ -0,0 +1,46 @@
+"""Runs a stand-in as a process of its own and starts such processes for demos and benches."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+
+from magnoliarouter.daemon.loop import Runtime
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliarouter.daemon.web import WebServer
+
+__all__ = ["run_standin"]
+
+
+def run_standin(
+    start: Callable[[Runtime, tuple[str, int]], WebServer],
+    parser: argparse.ArgumentParser | None = None,
+) -> None:
+    """Serve a stand-in until SIGTERM.
+
+    Parameters
+    ----------
+    start : callable
+        Builds the server on a runtime and an address.
+    parser : argparse.ArgumentParser, optional
+        Parser with options of the stand-in; ``--bind HOST:PORT`` is added.
+    """
+    parser = parser or argparse.ArgumentParser()
+    parser.add_argument("--bind", default="127.0.0.1:0")
+    host, port = parser.parse_args().bind.rsplit(":", 1)
+    asyncio.run(_serve(start, (host, int(port))))
+
+
+async def _serve(
+    start: Callable[[Runtime, tuple[str, int]], WebServer], bind: tuple[str, int]
+) -> None:
+    stopped = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
+    server = start(Runtime(), bind)
+    print(f"listening {server.host}:{server.port}", flush=True)
+    await stopped.wait()
--- /dev/null
+++ b/magnoliarouter/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package; ``python -m magnoliarouter.tests`` runs them all."""
--- /dev/null
+++ b/magnoliarouter/tests/builders.py
@@ -0,0 +1,43 @@
+"""Builders of test data."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from magnoliarouter.core.contract import Contract, Limits
+from magnoliarouter.daemon.web import HttpRequest
+from magnoliarouter.pipeline.identify import hash_key
+
+
+def build_limits(**changes: Any) -> Limits:
+    values: dict[str, Any] = {"requests_per_second": 10.0, "tokens_per_second": 1000.0}
+    return Limits(**{**values, **changes})
+
+
+def build_contract(
+    customer: str = "grower", standing: str = "current", **limits: Limits
+) -> Contract:
+    return Contract(
+        customer, (hash_key(customer),), standing, limits or {"current": build_limits()}
+    )
+
+
+def build_request(
+    path: str = "/v1/completions",
+    method: str = "POST",
+    key: str = "grower",
+    body: bytes = b'{"model": "draft", "prompt": "hello"}',
+    **headers: str,
+) -> HttpRequest:
+    fields = {name.replace("_", "-"): value for name, value in headers.items()}
+    return HttpRequest(method, path, {}, {"authorization": f"Bearer {key}", **fields}, body)
+
+
+def build_contract_value(**changes: Any) -> dict[str, Any]:
+    value = {
+        "customer": "grower",
+        "key_hashes": [hash_key("grower")],
+        "standing": "current",
+        "limits": {"current": {"requests_per_second": 10, "tokens_per_second": 1000}},
+    }
+    return {**value, **changes}
--- /dev/null
+++ b/magnoliarouter/tests/clock.py
@@ -0,0 +1,59 @@
+"""Event loop whose time stands still until a test advances it."""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+SETTLE_ROUNDS = 50
+
+
+class PausedLoop(asyncio.SelectorEventLoop):
+    """Loop that polls sockets without waiting and reads its time from `now`."""
+
+    def __init__(self) -> None:
+        super().__init__(_ImpatientSelector())
+        self.now = 1000.0
+
+    def time(self) -> float:
+        return self.now
+
+
+class _ImpatientSelector(selectors.DefaultSelector):
+    """Selector that never sleeps, since paused time would not pass meanwhile."""
+
+    def select(self, timeout: float | None = None) -> Any:
+        return super().select(0)
+
+
+async def advance(seconds: float) -> None:
+    """Move a `PausedLoop` forward, running every timer on the way in order."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, PausedLoop)
+    end = loop.now + seconds
+    await settle()
+    while True:
+        due = [handle.when() for handle in loop._scheduled if not handle.cancelled()]
+        step = min(due, default=end + 1)
+        if step > end:
+            break
+        loop.now = max(loop.now, step)
+        await settle()
+    loop.now = end
+    await settle()
+
+
+async def settle() -> None:
+    """Let everything run that needs no time to pass."""
+    for _ in range(SETTLE_ROUNDS):
+        await asyncio.sleep(0)
+
+
+def run_paused(main: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine on a `PausedLoop` and return its result."""
+    with asyncio.Runner(loop_factory=PausedLoop) as runner:
+        return runner.run(main)
--- /dev/null
+++ b/magnoliarouter/tests/test_cache.py
@@ -0,0 +1,21 @@
+from __future__ import annotations
+
+import unittest
+
+from magnoliarouter.core.cache import VersionedCache
+
+
+class VersionedCacheTest(unittest.TestCase):
+    def test_older_version_is_ignored(self):
+        cache = VersionedCache()
+        self.assertTrue(cache.apply("a", 5, "new"))
+        self.assertFalse(cache.apply("a", 4, "old"))
+        self.assertEqual(cache.get("a"), "new")
+
+    def test_tombstone_outlives_late_write(self):
+        cache = VersionedCache()
+        cache.apply("a", 5, "value")
+        cache.apply("a", 7, None)
+        self.assertFalse(cache.apply("a", 6, "late"))
+        self.assertIsNone(cache.get("a"))
+        self.assertEqual(cache.values(), {})
