--- /dev/null
+++ b/magnoliarouter/cli/__init__.py
@@ -0,0 +1,5 @@
+"""Command-line tool of operators."""
+
+from __future__ import annotations
+
+__all__: list[str] = []
--- a/magnoliarouter/daemon/web.py
+++ b/magnoliarouter/daemon/web.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl
@@ -21,7 +22,6 @@
 from magnoliarouter.core.outcome import ResultCode
 
 if TYPE_CHECKING:
-    import asyncio
     from collections.abc import Callable, Coroutine
     from socket import socket
 
--- /dev/null
+++ b/magnoliarouter/standins/proxy.py
@@ -0,0 +1,225 @@
+"""Fault-injecting TCP proxy between processes.
+
+Each route listens on an address and connects to a target. ``PUT /routes/NAME`` with a JSON object
+of `RouteFaults` fields sets what goes wrong on a route from then on; ``PUT /routes/*`` sets all.
+``GET /routes`` tells what was done.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+import msgspec
+
+from magnoliarouter.daemon.web import Exchange, WebServer
+from magnoliarouter.standins.process import run_standin
+
+__all__ = ["Route", "RouteFaults", "RouteProxy"]
+
+READ_BYTES = 65_536
+
+
+class RouteFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """What goes wrong on a route.
+
+    Parameters
+    ----------
+    delay, jitter : float
+        Seconds added to each block of bytes, and the most that is added at random.
+    refuse : bool
+        New connections are closed at once.
+    hold_up, hold_down : bool
+        Bytes towards the target, or back from it, stay in the proxy: a partition one way or both.
+    cut_up, cut_down : float
+        Share of blocks towards the target, or back, at which the connection is reset.
+    cut_after_up, cut_after_down : int
+        Bytes after which a connection is reset; negative for never.
+    duplicate : float
+        Share of connections whose bytes towards the target are sent a second time, on a
+        connection of their own.
+    seed : int
+        Seed of all random choices on the route.
+    """
+
+    delay: float = 0.0
+    jitter: float = 0.0
+    refuse: bool = False
+    hold_up: bool = False
+    hold_down: bool = False
+    cut_up: float = 0.0
+    cut_down: float = 0.0
+    cut_after_up: int = -1
+    cut_after_down: int = -1
+    duplicate: float = 0.0
+    seed: int = 1
+
+
+@dataclass(slots=True)
+class Route:
+    """One listening address and its target.
+
+    Parameters
+    ----------
+    name : str
+        Name of the route.
+    listen, target : tuple of (str, int)
+        Addresses.
+    """
+
+    name: str
+    listen: tuple[str, int]
+    target: tuple[str, int]
+    faults: RouteFaults = field(default_factory=RouteFaults)
+    random: random.Random = field(default_factory=lambda: random.Random(1))
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    counts: dict[str, int] = field(default_factory=lambda: dict.fromkeys(("open", "cut", "dup"), 0))
+
+    def set_faults(self, faults: RouteFaults) -> None:
+        """Replace the faults and restart the random choices."""
+        self.faults = faults
+        self.changed.set()
+        self.changed = asyncio.Event()
+        self.random = random.Random(f"{faults.seed}/{self.name}")
+
+    async def serve(self) -> asyncio.Server:
+        """Listen until the process ends."""
+        return await asyncio.start_server(self._accept, *self.listen)
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.faults.refuse:
+            writer.transport.abort()
+            return
+        try:
+            target_reader, target_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.counts["open"] += 1
+        sent = bytearray() if self.random.random() < self.faults.duplicate else None
+        pumps = (
+            asyncio.create_task(self._pump(reader, target_writer, up=True, copy=sent)),
+            asyncio.create_task(self._pump(target_reader, writer, up=False)),
+        )
+        await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        await _end_pumps(pumps)
+        writer.transport.abort() if any(map(_was_cut, pumps)) else writer.close()
+        target_writer.close()
+        if sent:
+            await self._replay(bytes(sent))
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        up: bool,
+        copy: bytearray | None = None,
+    ) -> bool:
+        """Carry bytes one way until the end, and return whether a fault cut them."""
+        carried = 0
+        while block := await reader.read(READ_BYTES):
+            await self._wait_for_release(up)
+            allowed = self._count_allowed(up, carried, len(block))
+            writer.write(block[:allowed])
+            if copy is not None:
+                copy += block[:allowed]
+            await writer.drain()
+            carried += allowed
+            if allowed < len(block):
+                self.counts["cut"] += 1
+                return True
+        return False
+
+    async def _wait_for_release(self, up: bool) -> None:
+        pause = self.faults.delay + self.random.random() * self.faults.jitter
+        if pause:
+            await asyncio.sleep(pause)
+        while self.faults.hold_up if up else self.faults.hold_down:
+            await self.changed.wait()
+
+    def _count_allowed(self, up: bool, carried: int, size: int) -> int:
+        faults = self.faults
+        share = faults.cut_up if up else faults.cut_down
+        if share and self.random.random() < share:
+            return self.random.randrange(size)
+        limit = faults.cut_after_up if up else faults.cut_after_down
+        return size if limit < 0 else min(size, max(0, limit - carried))
+
+    async def _replay(self, data: bytes) -> None:
+        self.counts["dup"] += 1
+        try:
+            reader, writer = await asyncio.open_connection(*self.target)
+            writer.write(data)
+            await reader.read(READ_BYTES)
+        except OSError:
+            return
+        writer.close()
+
+
+def _was_cut(pump: asyncio.Task[bool]) -> bool:
+    return not pump.cancelled() and pump.exception() is None and pump.result()
+
+
+async def _end_pumps(pumps: tuple[asyncio.Task[bool], ...]) -> None:
+    for pump in pumps:
+        pump.cancel()
+    await asyncio.gather(*pumps, return_exceptions=True)
+
+
+class RouteProxy:
+    """All routes of one proxy process, and their control interface."""
+
+    def __init__(self, routes: list[Route]) -> None:
+        self.routes = {route.name: route for route in routes}
+        self._servers: list[asyncio.Server] = []
+
+    async def open_routes(self) -> None:
+        """Listen on all routes."""
+        for route in self.routes.values():
+            self._servers.append(await route.serve())
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one control call."""
+        request = exchange.request
+        match (request.method, *request.path.strip("/").split("/")):
+            case ("GET", "routes"):
+                counts = {route.name: route.counts for route in self.routes.values()}
+                await exchange.send(200, msgspec.json.encode(counts))
+            case ("PUT", "routes", name) if name == "*" or name in self.routes:
+                faults = msgspec.json.decode(request.body, type=RouteFaults)
+                names = list(self.routes) if name == "*" else [name]
+                for chosen in names:
+                    self.routes[chosen].set_faults(faults)
+                await exchange.send(200, b"{}")
+            case _:
+                await exchange.send(404, b'{"error": "no such route"}')
+
+
+def _parse_route(text: str) -> Route:
+    name, listen, target = text.split("=")
+    return Route(name, _parse_address(listen), _parse_address(target))
+
+
+def _parse_address(text: str) -> tuple[str, int]:
+    host, port = text.rsplit(":", 1)
+    return host, int(port)
+
+
+def _main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--route", action="append", default=[], help="NAME=LISTEN=TARGET")
+    options, _ = parser.parse_known_args()
+    opening: list[asyncio.Task[None]] = []
+
+    def start(runtime: object, bind: tuple[str, int]) -> WebServer:
+        proxy = RouteProxy([_parse_route(text) for text in options.route])
+        opening.append(asyncio.get_running_loop().create_task(proxy.open_routes()))
+        return WebServer(runtime, bind, proxy.handle)
+
+    run_standin(start, parser)
+
+
+if __name__ == "__main__":
+    _main()
