List entry VMs and order the holders of duties

Cause: quota homes, collectors and relays all need the same list and the same order. Change: vm feed in the entry daemon, rendezvous hashing in one module, peers' port served. Conclusion: every duty derives its holders from one list without agreement.

--- a/magnoliarouter/core/placement.py
+++ b/magnoliarouter/core/placement.py
@@ -8,9 +8,9 @@
 
 from dataclasses import dataclass
 
-import xxhash
+from magnoliarouter.core.hashing import rendezvous_order
 
-__all__ = ["Candidate", "choose_endpoint", "rendezvous_order"]
+__all__ = ["Candidate", "choose_endpoint"]
 
 LOAD_BOUND = 1.25
 
@@ -34,15 +34,6 @@
     load: float
 
 
-def rendezvous_order(key: str, names: list[str]) -> list[str]:
-    """Return names by descending rendezvous weight for a key."""
-    return sorted(names, key=lambda name: _weigh(key, name), reverse=True)
-
-
-def _weigh(key: str, name: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{key}|{name}".encode())
-
-
 def choose_endpoint(prefix: str, zone: str, candidates: list[Candidate]) -> str | None:
     """Choose the endpoint that serves a request.
 
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -13,6 +13,7 @@
 from magnoliarouter.daemon.metrics import Metrics
 from magnoliarouter.daemon.web import CallerGone, Exchange, WebServer, error_body
 from magnoliarouter.endpoints.client import open_session
+from magnoliarouter.peers import PeerClient, PeerServer
 from magnoliarouter.pipeline.admit import LocalAdmission
 from magnoliarouter.pipeline.call import ModelCall
 from magnoliarouter.pipeline.deliver import Delivery, deliver_stream, deliver_whole
@@ -58,6 +59,8 @@
         self._session = open_session()
         self._platform = PlatformClient(self.settings.platform, self._session)
         self._open_feeds()
+        self.peer_client = PeerClient(self.settings.peer_key)
+        self.peer_server = PeerServer(self.settings.peer_key)
         self._placement = Placement(self.settings.zone, self._endpoints.cache)
         self._admission = LocalAdmission(1.0, self._loop.time)
         listen = self.settings.listen
@@ -68,6 +71,8 @@
             on_reject=self._count_rejected,
         )
         self.port = self._server.port
+        peers = self.settings.peers
+        await self.peer_server.start(peers.host, peers.port)
         self.ready = True
 
     async def stop(self) -> None:
@@ -78,6 +83,8 @@
         await self._server.wait_until_idle()
         for task in self._tasks:
             task.cancel()
+        await self.peer_server.stop()
+        await self.peer_client.close()
         await self._session.close()
 
     async def handle(self, exchange: Exchange) -> None:
@@ -100,7 +107,8 @@
         )
         self._endpoints = self._open_feed("endpoint")
         self._services = self._open_feed("service")
-        for feed in (self._contracts, self._endpoints, self._services):
+        self._vms = self._open_feed("vm")
+        for feed in (self._contracts, self._endpoints, self._services, self._vms):
             self._tasks.append(self._loop.create_task(feed.run()))
 
     def _open_feed(self, kind: str) -> ObjectFeed:
--- a/magnoliarouter/standins/launch.py
+++ b/magnoliarouter/standins/launch.py
@@ -13,7 +13,9 @@
 
 import msgspec
 
+from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.pipeline.identify import hash_key
+from magnoliarouter.platform.client import PlatformClient
 
 __all__ = ["Process", "Site", "contract_value", "find_port"]
 
@@ -118,7 +120,10 @@
         return await self._start(module, f"{host}:{port}", arguments)
 
     async def start_daemon(self, settings: dict[str, Any]) -> Process:
-        """Start a daemon with these settings and wait until it listens."""
+        """Start a daemon with these settings and wait until it listens.
+
+        An entry daemon is first written to the platform's list of VMs, as the platform would.
+        """
         listen = dict(settings.get("listen", {}))
         listen.setdefault("host", "127.0.0.1")
         listen["port"] = listen.get("port") or find_port(listen["host"])
@@ -129,11 +134,24 @@
             **settings,
             "listen": listen,
         }
+        if complete["role"] == "entry":
+            await self._list_entry_vm(complete)
         path = self.folder / f"{name}.json"
         path.write_bytes(msgspec.json.encode(complete))
         address = f"{listen['host']}:{listen['port']}"
         return await self._start(name, address, ("-m", "magnoliarouter.daemon.main", str(path)))
 
+    async def _list_entry_vm(self, settings: dict[str, Any]) -> None:
+        peers = dict(settings.get("peers", {}))
+        peers.setdefault("host", settings["listen"]["host"])
+        peers["port"] = peers.get("port") or find_port(peers["host"])
+        settings["peers"] = peers
+        name, zone = settings["name"], settings["zone"]
+        address = f"{peers['host']}:{peers['port']}"
+        value = {"name": name, "zone": zone, "role": "entry", "address": address}
+        async with open_session() as session:
+            await PlatformClient(settings["platform"], session).write("vm", name, value)
+
     async def _start(self, name: str, address: str, arguments: tuple[str, ...]) -> Process:
         child = await asyncio.create_subprocess_exec(
             sys.executable, *arguments, stdout=asyncio.subprocess.DEVNULL
