Refuse ambiguous HTTP and never end a broken stream cleanly

Cause: circuits.web's parser accepts two framings of one body, unescapes header values, inflates bodies and merges pipelined requests; a stream cut near its end could still look complete. Change: framing checks after parsing, idle and request timers, pipelined bytes kept in order; the last frame is passed on only after the endpoint ended its answer; tokens are metered as they pass, so that a cancelled call is charged what it used. Conclusion: parser errors of any kind answer 400 and close.

--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -8,17 +8,19 @@
 import msgspec
 
 from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
+from magnoliarouter.daemon.exchange import CallerGone, Exchange, error_body
 from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.daemon.loop import Runtime
 from magnoliarouter.daemon.metrics import Metrics
-from magnoliarouter.daemon.web import CallerGone, Exchange, WebServer, error_body
+from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.peers import PeerClient, PeerServer
 from magnoliarouter.pipeline.admit import LocalAdmission
 from magnoliarouter.pipeline.call import ModelCall
-from magnoliarouter.pipeline.deliver import Delivery, deliver_stream, deliver_whole
+from magnoliarouter.pipeline.deliver import deliver_stream, deliver_whole
 from magnoliarouter.pipeline.dispatch import Answer, open_attempt
 from magnoliarouter.pipeline.identify import Refused, identify
+from magnoliarouter.pipeline.meter import Meter
 from magnoliarouter.pipeline.place import Placement
 from magnoliarouter.platform.client import PlatformClient
 from magnoliarouter.platform.feed import ObjectFeed
@@ -139,39 +141,54 @@
         if isinstance(permit, NotRun):
             await self._answer_error(exchange, permit, call=call)
             return
-        tokens = 0
+        meter = self._open_meter()
         try:
             with self.metrics.in_flight.track_inprogress():
-                tokens = await self._forward(exchange, call)
+                await self._forward(exchange, call, meter)
         finally:
-            permit.settle(tokens)
+            permit.settle(meter.total)
 
-    async def _forward(self, exchange: Exchange, call: Call) -> int:
+    def _open_meter(self) -> Meter:
+        metrics = self.metrics
+        return Meter(
+            self._loop.time,
+            self._loop.time(),
+            metrics.first_token,
+            metrics.inter_token,
+            metrics.tokens,
+        )
+
+    async def _forward(self, exchange: Exchange, call: Call, meter: Meter) -> None:
         endpoint = self._placement.place(call)
         if endpoint is None:
             refusal = NotRun(ResultCode.NO_ENDPOINT, "no endpoint serves this now", 1.0)
             await self._answer_error(exchange, refusal, call=call)
-            return 0
+            return
         with self._placement.track(endpoint):
-            return await self._attempt(exchange, call, endpoint)
+            await self._attempt(exchange, call, endpoint, meter)
 
-    async def _attempt(self, exchange: Exchange, call: Call, endpoint: EndpointSpec) -> int:
+    async def _attempt(
+        self, exchange: Exchange, call: Call, endpoint: EndpointSpec, meter: Meter
+    ) -> None:
         async with open_attempt(self._session, endpoint, call, self._loop.time()) as answer:
             if not isinstance(answer, Answer):
                 await self._answer_error(exchange, answer, call=call)
-                return 0
-            delivery = await self._deliver(exchange, call, answer)
-        self._record(delivery.outcome, call, endpoint.name)
-        return delivery.tokens
-
-    async def _deliver(self, exchange: Exchange, call: Call, answer: Answer) -> Delivery:
+                return
+            if isinstance(call.work, ModelCall):
+                meter.prompt = call.work.prompt_tokens
+            outcome = await self._deliver(exchange, call, answer, meter)
+        self._record(outcome, call, endpoint.name)
+
+    async def _deliver(
+        self, exchange: Exchange, call: Call, answer: Answer, meter: Meter
+    ) -> Outcome:
         headers = {REQUEST_HEADER: call.request_id}
         try:
             if isinstance(call.work, ModelCall) and call.work.stream and answer.status == 200:
-                return await deliver_stream(exchange, answer, headers)
-            return await deliver_whole(exchange, answer, headers)
+                return await deliver_stream(exchange, answer, headers, meter)
+            return await deliver_whole(exchange, answer, headers, meter)
         except CallerGone:
-            return Delivery(Unknown(ResultCode.CALLER_GONE, "the caller went away"), 0)
+            return Unknown(ResultCode.CALLER_GONE, "the caller went away")
 
     async def _answer_error(
         self,
--- /dev/null
+++ b/magnoliarouter/daemon/exchange.py
@@ -0,0 +1,131 @@
+"""One HTTP request and the means to answer it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+from circuits.web.events import response, stream
+
+if TYPE_CHECKING:
+    from socket import socket
+
+    from circuits.web.wrappers import Response
+
+    from magnoliarouter.core.outcome import ResultCode
+    from magnoliarouter.daemon.web import WebServer
+
+__all__ = ["JSON_TYPE", "CallerGone", "Exchange", "HttpRequest", "error_body"]
+
+JSON_TYPE = "application/json"
+
+
+class CallerGone(Exception):
+    """The caller closed its connection before the answer was complete."""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """Request as received from a caller.
+
+    Parameters
+    ----------
+    method, path : str
+        Request line; the path is without its query.
+    query : dict of str to str
+        Query parameters; the last value of a repeated name.
+    headers : dict of str to str
+        Header fields, names in lower case.
+    body : bytes
+        Whole body.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+def error_body(code: ResultCode, outcome: str, reason: str) -> bytes:
+    """Return the JSON body of an error answer.
+
+    Parameters
+    ----------
+    code : ResultCode
+        Numbered result.
+    outcome : {"not_run", "completed", "unknown"}
+        What is known of the request's effect.
+    reason : str
+        Sentence for the caller.
+
+    Returns
+    -------
+    bytes
+        JSON object ``{"error": {"code", "name", "outcome", "reason"}}``.
+    """
+    error = {"code": int(code), "name": code.name.lower(), "outcome": outcome, "reason": reason}
+    return msgspec.json.encode({"error": error})
+
+
+class Exchange:
+    """One request and the means to answer it.
+
+    Parameters
+    ----------
+    server : WebServer
+        Server that received the request.
+    request : HttpRequest
+        The request.
+    raw : circuits.web.wrappers.Response
+        Response object prepared by circuits.web.
+    """
+
+    def __init__(self, server: WebServer, request: HttpRequest, raw: Response) -> None:
+        self.request = request
+        self.started = False
+        self.finished = False
+        self._server = server
+        self._raw = raw
+        self._sock: socket = raw.request.sock
+
+    async def send(self, status: int, body: bytes, headers: dict[str, str] | None = None) -> None:
+        """Answer with a whole body."""
+        self._set_head(status, headers or {})
+        self._raw.body = body
+        self.started = self.finished = True
+        self._server.send_event(response(self._raw))
+        await self._server.wait_for_drain(self._sock)
+
+    async def start(self, status: int, headers: dict[str, str]) -> None:
+        """Send the head of a streamed answer."""
+        self._set_head(status, headers)
+        self._raw.stream = True
+        # An empty tuple has no length that circuits.web would announce, so it picks chunks.
+        self._raw.body = ()
+        self.started = True
+        self._server.send_event(response(self._raw))
+
+    async def write(self, data: bytes) -> None:
+        """Send part of a streamed body, waiting while the caller reads slowly."""
+        if data:
+            self._server.send_event(stream(self._raw, data))
+            await self._server.wait_for_drain(self._sock)
+
+    async def finish(self) -> None:
+        """End a streamed body."""
+        self.finished = True
+        self._server.send_event(stream(self._raw, None))
+        await self._server.wait_for_drain(self._sock)
+
+    def abort(self) -> None:
+        """Close the connection at once, so that the caller sees a truncated answer."""
+        self.finished = True
+        self._server.close_connection(self._sock)
+
+    def _set_head(self, status: int, headers: dict[str, str]) -> None:
+        self._raw.status = status
+        self._raw.headers["Content-Type"] = JSON_TYPE
+        for name, value in headers.items():
+            self._raw.headers[name] = value
--- a/magnoliarouter/daemon/loop.py
+++ b/magnoliarouter/daemon/loop.py
@@ -10,7 +10,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-from circuits import BaseComponent, Event
+from circuits import BaseComponent, Event, handler
 from circuits.core.pollers import BasePoller
 
 if TYPE_CHECKING:
@@ -57,6 +57,15 @@
         if hasattr(self, "_scheduled"):
             self._schedule()
 
+    @handler("exception", channel="runtime")
+    def _on_exception(self, *error: Any, fevent: Event, **details: Any) -> None:
+        # Errors while reading are the sender's fault, and the server answers them.
+        if fevent.name == "read":
+            return
+        message = f"handler of circuits event {fevent.name!r} failed"
+        context = {"message": message, "exception": error[1]}
+        self.loop.call_exception_handler(context)
+
     def dispatch(self) -> None:
         """Dispatch queued events and resume generator handlers."""
         for _ in range(DISPATCH_ROUNDS):
--- a/magnoliarouter/daemon/web.py
+++ b/magnoliarouter/daemon/web.py
@@ -12,14 +12,20 @@
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl
 
-import msgspec
 from circuits import BaseComponent, Event, handler
 from circuits.net.events import close, read, write
 from circuits.net.sockets import TCPServer
-from circuits.web.events import response, stream
 from circuits.web.http import HTTP
 
 from magnoliarouter.core.outcome import ResultCode
+from magnoliarouter.daemon.exchange import (
+    JSON_TYPE,
+    CallerGone,
+    Exchange,
+    HttpRequest,
+    error_body,
+)
+from magnoliarouter.daemon.wellformed import find_fault, split_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -34,11 +40,6 @@
 
 WRITE_HIGH_WATER_BYTES = 65_536
 LINGER_SECONDS = 1.0
-JSON_TYPE = "application/json"
-
-
-class CallerGone(Exception):
-    """The caller closed its connection before the answer was complete."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +54,8 @@
         Largest request body.
     request_seconds : float
         Longest time from the first byte of a request to its last.
+    idle_seconds : float
+        Longest time that a connection may stay open between requests.
     connections : int
         Connections served at once; further ones are closed.
     """
@@ -60,115 +63,10 @@
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
     request_seconds: float = 10.0
+    idle_seconds: float = 75.0
     connections: int = 4_096
 
 
-@dataclass(frozen=True, slots=True)
-class HttpRequest:
-    """Request as received from a caller.
-
-    Parameters
-    ----------
-    method, path : str
-        Request line; the path is without its query.
-    query : dict of str to str
-        Query parameters; the last value of a repeated name.
-    headers : dict of str to str
-        Header fields, names in lower case.
-    body : bytes
-        Whole body.
-    """
-
-    method: str
-    path: str
-    query: dict[str, str]
-    headers: dict[str, str]
-    body: bytes
-
-
-def error_body(code: ResultCode, outcome: str, reason: str) -> bytes:
-    """Return the JSON body of an error answer.
-
-    Parameters
-    ----------
-    code : ResultCode
-        Numbered result.
-    outcome : {"not_run", "completed", "unknown"}
-        What is known of the request's effect.
-    reason : str
-        Sentence for the caller.
-
-    Returns
-    -------
-    bytes
-        JSON object ``{"error": {"code", "name", "outcome", "reason"}}``.
-    """
-    error = {"code": int(code), "name": code.name.lower(), "outcome": outcome, "reason": reason}
-    return msgspec.json.encode({"error": error})
-
-
-class Exchange:
-    """One request and the means to answer it.
-
-    Parameters
-    ----------
-    server : WebServer
-        Server that received the request.
-    request : HttpRequest
-        The request.
-    raw : circuits.web.wrappers.Response
-        Response object prepared by circuits.web.
-    """
-
-    def __init__(self, server: WebServer, request: HttpRequest, raw: Response) -> None:
-        self.request = request
-        self.started = False
-        self.finished = False
-        self._server = server
-        self._raw = raw
-        self._sock: socket = raw.request.sock
-
-    async def send(self, status: int, body: bytes, headers: dict[str, str] | None = None) -> None:
-        """Answer with a whole body."""
-        self._set_head(status, headers or {})
-        self._raw.body = body
-        self.started = self.finished = True
-        self._server.send_event(response(self._raw))
-        await self._server.wait_for_drain(self._sock)
-
-    async def start(self, status: int, headers: dict[str, str]) -> None:
-        """Send the head of a streamed answer."""
-        self._set_head(status, headers)
-        self._raw.stream = True
-        # An empty tuple has no length that circuits.web would announce, so it picks chunks.
-        self._raw.body = ()
-        self.started = True
-        self._server.send_event(response(self._raw))
-
-    async def write(self, data: bytes) -> None:
-        """Send part of a streamed body, waiting while the caller reads slowly."""
-        if data:
-            self._server.send_event(stream(self._raw, data))
-            await self._server.wait_for_drain(self._sock)
-
-    async def finish(self) -> None:
-        """End a streamed body."""
-        self.finished = True
-        self._server.send_event(stream(self._raw, None))
-        await self._server.wait_for_drain(self._sock)
-
-    def abort(self) -> None:
-        """Close the connection at once, so that the caller sees a truncated answer."""
-        self.finished = True
-        self._server.close_connection(self._sock)
-
-    def _set_head(self, status: int, headers: dict[str, str]) -> None:
-        self._raw.status = status
-        self._raw.headers["Content-Type"] = JSON_TYPE
-        for name, value in headers.items():
-            self._raw.headers[name] = value
-
-
 @dataclass(slots=True)
 class _Connection:
     """Bookkeeping of one accepted connection."""
@@ -304,7 +202,8 @@
             self._on_reject(ResultCode.QUEUE_FULL)
             self.close_connection(sock)
             return
-        self._connections[sock] = _Connection()
+        connection = self._connections[sock] = _Connection()
+        self._start_idle_timer(sock, connection)
 
     @handler("disconnect")
     def _on_disconnect(self, sock: socket) -> None:
@@ -337,11 +236,12 @@
             self.close_connection(sock)
 
     def _count(self, event: read, sock: socket, connection: _Connection, size: int) -> None:
-        connection.received += size
-        if connection.timer is None:
+        if not connection.received:
+            connection.stop_timer()
             connection.timer = self._runtime.loop.call_later(
                 self._limits.request_seconds, self._time_out, sock
             )
+        connection.received += size
         parser = self.http._buffers.get(sock)
         in_body = parser is not None and parser.is_headers_complete()
         if not in_body and connection.received - size > self._limits.header_bytes:
@@ -351,17 +251,25 @@
             event.stop()
             self._reject(sock, 413, ResultCode.BODY_TOO_LARGE, "body is too large")
 
+    def _start_idle_timer(self, sock: socket, connection: _Connection) -> None:
+        connection.stop_timer()
+        connection.timer = self._runtime.loop.call_later(
+            self._limits.idle_seconds, self.close_connection, sock
+        )
+
     def _time_out(self, sock: socket) -> None:
         self._reject(sock, 408, ResultCode.SLOW_REQUEST, "request took too long to arrive")
 
     def _reject(self, sock: socket, status: int, code: ResultCode, reason: str) -> None:
+        connection = self._connections.get(sock)
+        if connection is None or connection.rejected:
+            return
         self._on_reject(code)
         body = error_body(code, "not_run", reason)
         head = (
             f"HTTP/1.1 {status} Rejected\r\nContent-Type: {JSON_TYPE}\r\n"
             f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
         )
-        connection = self._connections[sock]
         connection.rejected = True
         connection.stop_timer()
         self.http._buffers.pop(sock, None)
@@ -376,27 +284,24 @@
     def _on_httperror(
         self, event: httperror, request: Request, raw: Response, code: int = 400, **details: Any
     ) -> None:
+        # Requests are answered by tasks, so circuits.web reports only what it could not parse.
         event.stop()
-        status = code if isinstance(code, int) and code >= 400 else 500
-        result = ResultCode.MALFORMED_HTTP if status < 500 else ResultCode.INTERNAL
-        self._on_reject(result)
         reason = details.get("description") or "request is not valid HTTP"
-        raw.status = status
-        raw.close = True
-        raw.headers["Content-Type"] = JSON_TYPE
-        raw.body = error_body(result, "not_run", reason)
-        self.fire(response(raw))
+        self._reject(request.sock, 400, ResultCode.MALFORMED_HTTP, reason)
+
+    @handler("exception", channel="runtime")
+    def _on_exception(self, *error: Any, fevent: Event, **details: Any) -> None:
+        # Malformed requests raise errors of many types within circuits.web's read handler.
+        if fevent.name == "read" and fevent.channels == (self.channel,):
+            reason = "request is not valid HTTP"
+            self._reject(fevent.args[0], 400, ResultCode.MALFORMED_HTTP, reason)
 
     @handler("redirect", priority=10)
     def _on_redirect(self, event: Any, request: Request, raw: Response, *args: Any) -> None:
         # circuits.web redirects unusual paths; an API answers them as malformed instead.
         event.stop()
-        self._on_reject(ResultCode.MALFORMED_HTTP)
-        raw.status = 400
-        raw.close = True
-        raw.headers["Content-Type"] = JSON_TYPE
-        raw.body = error_body(ResultCode.MALFORMED_HTTP, "not_run", "path is not normalized")
-        self.fire(response(raw))
+        reason = "path is not normalized"
+        self._reject(request.sock, 400, ResultCode.MALFORMED_HTTP, reason)
 
     @handler("request", priority=10)
     def _on_request(self, event: Any, request: Request, raw: Response, *args: Any) -> bool:
@@ -406,10 +311,19 @@
             return True
         connection.stop_timer()
         connection.received = 0
-        exchange = Exchange(self, _convert_request(request), raw)
-        if len(exchange.request.body) > self._limits.body_bytes:
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        fault = find_fault(request.path, headers)
+        if fault:
+            self._reject(request.sock, 400, ResultCode.MALFORMED_HTTP, fault)
+            return True
+        body, rest = split_body(request.body.read(), headers)
+        if len(body) > self._limits.body_bytes:
             self._reject(request.sock, 413, ResultCode.BODY_TOO_LARGE, "body is too large")
             return True
+        if rest:
+            connection.pending.append(rest)
+            connection.pending_bytes = len(rest)
+        exchange = Exchange(self, _convert_request(request, headers, body), raw)
         task = self._runtime.loop.create_task(self._run(exchange))
         connection.task = task
         self._tasks.add(task)
@@ -442,6 +356,7 @@
         if task.cancelled():
             self.close_connection(sock)
             return
+        self._start_idle_timer(sock, connection)
         pending, connection.pending, connection.pending_bytes = connection.pending, [], 0
         for data in pending:
             self.fire(read(sock, data))
@@ -461,11 +376,11 @@
     connection.waiters.clear()
 
 
-def _convert_request(request: Request) -> HttpRequest:
+def _convert_request(request: Request, headers: dict[str, str], body: bytes) -> HttpRequest:
     return HttpRequest(
         method=request.method,
         path=request.path,
         query=dict(parse_qsl(request.qs or "")),
-        headers={name.lower(): value for name, value in request.headers.items()},
-        body=request.body.read(),
+        headers=headers,
+        body=body,
     )
--- a/magnoliarouter/endpoints/guard.py
+++ b/magnoliarouter/endpoints/guard.py
@@ -13,7 +13,7 @@
 
 from magnoliarouter.core.attempts import AttemptTable, StartVerdict
 from magnoliarouter.core.outcome import ResultCode
-from magnoliarouter.daemon.web import error_body
+from magnoliarouter.daemon.exchange import error_body
 from magnoliarouter.pipeline.dispatch import (
     ATTEMPT_HEADER,
     INCARNATION_HEADER,
--- a/magnoliarouter/pipeline/call.py
+++ b/magnoliarouter/pipeline/call.py
@@ -23,6 +23,8 @@
         Whether the caller wants tokens as they come.
     prefix : str
         Start of the prompt, used for placement.
+    prompt_tokens : int
+        Estimate of the prompt's tokens.
     token_estimate : int
         Prompt tokens plus the most that may be generated.
     """
@@ -30,6 +32,7 @@
     model: str
     stream: bool
     prefix: str
+    prompt_tokens: int
     token_estimate: int
 
 
--- a/magnoliarouter/pipeline/deliver.py
+++ b/magnoliarouter/pipeline/deliver.py
@@ -2,70 +2,132 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import aiohttp
+import msgspec
 
 from magnoliarouter.core.outcome import Completed, Outcome, ResultCode, Unknown
-from magnoliarouter.daemon.web import error_body
+from magnoliarouter.daemon.exchange import error_body
 
 if TYPE_CHECKING:
-    from magnoliarouter.daemon.web import Exchange
+    from magnoliarouter.daemon.exchange import Exchange
     from magnoliarouter.pipeline.dispatch import Answer
+    from magnoliarouter.pipeline.meter import Meter
 
-__all__ = ["Delivery", "deliver_stream", "deliver_whole"]
+__all__ = ["FrameScanner", "deliver_stream", "deliver_whole"]
 
 EVENT_STREAM = "text/event-stream"
 LAST_FRAME = b"data: [DONE]\n\n"
-FRAME_START = b"data: "
+FRAME_END = b"\n\n"
+TRUNCATED = Unknown(ResultCode.STREAM_TRUNCATED, "the endpoint's answer broke off")
 
 
-@dataclass(frozen=True, slots=True)
-class Delivery:
-    """How an answer's delivery ended.
+class _Usage(msgspec.Struct):
+    prompt_tokens: int
+    completion_tokens: int
 
-    Parameters
-    ----------
-    outcome : Outcome
-        `Completed`, or `Unknown` for a truncated answer.
-    tokens : int
-        Generated tokens that were carried.
+
+class _WholeAnswer(msgspec.Struct):
+    usage: _Usage
+
+
+@dataclass(slots=True)
+class FrameScanner:
+    """Counts the frames of a stream of server-sent events and finds its explicit end.
+
+    Frames hold one line of JSON, so an empty line is always the end of a frame.
+
+    Examples
+    --------
+    >>> scanner = FrameScanner()
+    >>> scanner.feed(b"data: 1\\n"), scanner.feed(b"\\ndata: [DONE]\\n\\n"), scanner.ended
+    (0, 1, True)
     """
 
-    outcome: Outcome
-    tokens: int
+    _tail: bytes = field(default=b"")
+
+    def feed(self, data: bytes) -> int:
+        """Take bytes and return the number of token frames that ended in them."""
+        overlap = self._tail[-1:]
+        frames = (overlap + data).count(FRAME_END)
+        self._tail = (self._tail + data)[-len(LAST_FRAME) :]
+        return frames - self.ended
 
+    @property
+    def ended(self) -> bool:
+        """Whether the last frame has arrived and nothing after it."""
+        return self._tail == LAST_FRAME
 
-async def deliver_whole(exchange: Exchange, answer: Answer, headers: dict[str, str]) -> Delivery:
+
+async def deliver_whole(
+    exchange: Exchange, answer: Answer, headers: dict[str, str], meter: Meter
+) -> Outcome:
     """Read a whole answer, then send it, so that a truncated one never looks complete."""
     try:
         body = await answer.body.read()
     except (aiohttp.ClientError, OSError):
-        outcome = Unknown(ResultCode.STREAM_TRUNCATED, "the endpoint's answer broke off")
-        body = error_body(outcome.code, "unknown", outcome.reason)
-        await exchange.send(502, body, headers)
-        return Delivery(outcome, 0)
+        error = error_body(TRUNCATED.code, "unknown", TRUNCATED.reason)
+        await exchange.send(502, error, headers)
+        return TRUNCATED
+    _note_usage(body, meter)
     await exchange.send(answer.status, body, {**headers, "Content-Type": answer.content_type})
-    return Delivery(Completed(ResultCode.OK, answer.status), 0)
+    return Completed(ResultCode.OK, answer.status)
+
 
+async def deliver_stream(
+    exchange: Exchange, answer: Answer, headers: dict[str, str], meter: Meter
+) -> Outcome:
+    """Carry a stream of server-sent events as it comes, up to its explicit last frame.
 
-async def deliver_stream(exchange: Exchange, answer: Answer, headers: dict[str, str]) -> Delivery:
-    """Carry a stream of server-sent events as it comes, up to its explicit last frame."""
+    A stream that breaks off, or goes on after its last frame, ends in an ``error`` event and
+    without the last frame.
+    """
     await exchange.start(answer.status, {**headers, "Content-Type": EVENT_STREAM})
-    tokens, tail = 0, b""
-    try:
-        async for chunk in answer.body.iter_any():
-            tokens += chunk.count(FRAME_START)
-            tail = (tail + chunk)[-len(LAST_FRAME) :]
-            await exchange.write(chunk)
-    except (aiohttp.ClientError, OSError):
-        tail = b""
-    if tail != LAST_FRAME:
-        outcome = Unknown(ResultCode.STREAM_TRUNCATED, "the endpoint's stream broke off")
-        frame = error_body(outcome.code, "unknown", outcome.reason)
+    scanner = FrameScanner()
+    complete = await _carry(exchange, answer, scanner, meter)
+    if not complete:
+        frame = error_body(TRUNCATED.code, "unknown", TRUNCATED.reason)
         await exchange.write(b"\n\nevent: error\ndata: " + frame + b"\n\n")
         await exchange.finish()
-        return Delivery(outcome, tokens)
+        return TRUNCATED
+    await exchange.write(LAST_FRAME)
     await exchange.finish()
-    return Delivery(Completed(ResultCode.OK, answer.status), max(0, tokens - 1))
+    return Completed(ResultCode.OK, answer.status)
+
+
+async def _carry(exchange: Exchange, answer: Answer, scanner: FrameScanner, meter: Meter) -> bool:
+    """Carry all frames but the last and return whether the stream was complete."""
+    held = b""
+    try:
+        async for chunk in answer.body.iter_any():
+            meter.note_stream(scanner.feed(chunk))
+            held += chunk
+            end = held.find(LAST_FRAME)
+            if 0 <= end < len(held) - len(LAST_FRAME):
+                await exchange.write(held[:end])
+                return False
+            # The last frame is held back until the endpoint has ended its answer cleanly.
+            keep = _count_held(held)
+            await exchange.write(held[: len(held) - keep])
+            held = held[len(held) - keep :]
+    except (aiohttp.ClientError, OSError):
+        return False
+    return scanner.ended and held == LAST_FRAME
+
+
+def _count_held(data: bytes) -> int:
+    """Return the length of the longest end of `data` that could begin the last frame."""
+    for length in range(min(len(data), len(LAST_FRAME)), 0, -1):
+        if data.endswith(LAST_FRAME[:length]):
+            return length
+    return 0
+
+
+def _note_usage(body: bytes, meter: Meter) -> None:
+    try:
+        usage = msgspec.json.decode(body, type=_WholeAnswer).usage
+    except msgspec.DecodeError:
+        return
+    meter.note_usage(usage.prompt_tokens, usage.completion_tokens)
--- a/magnoliarouter/pipeline/identify.py
+++ b/magnoliarouter/pipeline/identify.py
@@ -150,11 +150,12 @@
     prompt = body.prompt
     if prompt is None:
         prompt = "\n".join(f"{message.role}: {message.content}" for message in body.messages or ())
-    estimate = len(prompt.encode()) // BYTES_PER_TOKEN + body.max_tokens
+    prompt_tokens = len(prompt.encode()) // BYTES_PER_TOKEN
+    estimate = prompt_tokens + body.max_tokens
     if estimate > limits.tokens_per_request:
         reason = f"{estimate} tokens; the contract allows {limits.tokens_per_request} a request"
         return _refuse(400, ResultCode.TOKENS_PER_REQUEST, reason)
-    return ModelCall(body.model, body.stream, prompt[:PREFIX_CHARACTERS], estimate)
+    return ModelCall(body.model, body.stream, prompt[:PREFIX_CHARACTERS], prompt_tokens, estimate)
 
 
 def _parse_application_call(
--- /dev/null
+++ b/magnoliarouter/pipeline/meter.py
@@ -0,0 +1,67 @@
+"""Meter: counts the tokens of one call and times them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from prometheus_client import Counter, Histogram
+
+__all__ = ["Meter"]
+
+
+@dataclass(slots=True)
+class Meter:
+    """Tokens that one call used, known at any moment, also when the call is cancelled.
+
+    Parameters
+    ----------
+    clock : callable
+        Loop time in seconds.
+    started : float
+        Loop time at which the call arrived.
+    first_token, inter_token : Histogram
+        Take the seconds to the first token and between tokens.
+    delivered : Counter
+        Counts tokens delivered.
+    prompt : int
+        Tokens of the prompt; 0 until an endpoint began to work.
+    generated : int
+        Tokens that were generated and carried.
+    """
+
+    clock: Callable[[], float]
+    started: float
+    first_token: Histogram
+    inter_token: Histogram
+    delivered: Counter
+    prompt: int = 0
+    generated: int = 0
+    _last: float = 0.0
+
+    @property
+    def total(self) -> int:
+        """Tokens to charge."""
+        return self.prompt + self.generated
+
+    def note_stream(self, tokens: int) -> None:
+        """Note tokens that have just arrived together."""
+        if not tokens:
+            return
+        now = self.clock()
+        if self.generated:
+            self.inter_token.observe((now - self._last) / tokens)
+        else:
+            self.first_token.observe(now - self.started)
+        self._last = now
+        self.generated += tokens
+        self.delivered.inc(tokens)
+
+    def note_usage(self, prompt: int, generated: int) -> None:
+        """Take the endpoint's own count of a whole answer."""
+        self.prompt = prompt
+        self.generated = generated
+        self.delivered.inc(generated)
--- /dev/null
+++ b/magnoliarouter/tests/test_deliver.py
@@ -0,0 +1,113 @@
+from __future__ import annotations
+
+import unittest
+
+import aiohttp
+from prometheus_client import CollectorRegistry
+
+from magnoliarouter.core.outcome import Completed, ResultCode, Unknown
+from magnoliarouter.daemon.metrics import Metrics
+from magnoliarouter.pipeline.deliver import LAST_FRAME, deliver_stream, deliver_whole
+from magnoliarouter.pipeline.dispatch import Answer
+from magnoliarouter.pipeline.meter import Meter
+
+FRAMES = [b'data: {"text": "data: a"}\n\n', b'data: {"text": "b"}\n\n', LAST_FRAME]
+WHOLE = b'{"usage": {"prompt_tokens": 3, "completion_tokens": 5}}'
+
+
+class FakeBody:
+    """Body that arrives in given parts and may end in an error."""
+
+    def __init__(self, parts: list[bytes], error: Exception | None = None):
+        self.parts = parts
+        self.error = error
+
+    async def iter_any(self):
+        for part in self.parts:
+            yield part
+        if self.error:
+            raise self.error
+
+    async def read(self) -> bytes:
+        if self.error:
+            raise self.error
+        return b"".join(self.parts)
+
+
+class FakeExchange:
+    """Exchange that records what is sent."""
+
+    def __init__(self):
+        self.status = 0
+        self.sent = b""
+        self.finished = False
+
+    async def start(self, status, headers):
+        self.status = status
+
+    async def write(self, data):
+        self.sent += data
+
+    async def finish(self):
+        self.finished = True
+
+    async def send(self, status, body, headers):
+        self.status, self.sent, self.finished = status, body, True
+
+
+def split_into(data: bytes, size: int) -> list[bytes]:
+    return [data[start : start + size] for start in range(0, len(data), size)]
+
+
+class DeliverTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        metrics = Metrics()
+        self.assertIsInstance(metrics.registry, CollectorRegistry)
+        self.meter = Meter(
+            lambda: 1.0, 0.5, metrics.first_token, metrics.inter_token, metrics.tokens
+        )
+        self.exchange = FakeExchange()
+
+    async def stream(self, parts, error=None):
+        answer = Answer(200, "text/event-stream", FakeBody(parts, error))
+        return await deliver_stream(self.exchange, answer, {}, self.meter)
+
+    async def test_stream_is_the_same_however_it_is_split(self):
+        whole = b"".join(FRAMES)
+        for size in range(1, len(whole) + 1):
+            self.exchange, self.meter.generated = FakeExchange(), 0
+            outcome = await self.stream(split_into(whole, size))
+            self.assertIsInstance(outcome, Completed)
+            self.assertEqual(self.exchange.sent, whole)
+            self.assertEqual(self.meter.generated, 2)
+
+    async def assert_truncated(self, parts, error=None):
+        outcome = await self.stream(parts, error)
+        self.assertEqual(outcome.code, ResultCode.STREAM_TRUNCATED)
+        self.assertNotIn(LAST_FRAME, self.exchange.sent)
+        self.assertIn(b"event: error", self.exchange.sent)
+        self.assertTrue(self.exchange.finished)
+
+    async def test_cut_stream_ends_in_an_error_event(self):
+        await self.assert_truncated(FRAMES[:2], aiohttp.ClientPayloadError())
+
+    async def test_clean_end_without_last_frame_is_an_error(self):
+        await self.assert_truncated(FRAMES[:2])
+
+    async def test_cut_after_last_frame_is_an_error(self):
+        await self.assert_truncated(FRAMES, aiohttp.ClientPayloadError())
+
+    async def test_frames_after_the_last_are_an_error(self):
+        await self.assert_truncated([FRAMES[0], LAST_FRAME + FRAMES[1]])
+
+    async def test_whole_answer_gives_its_usage(self):
+        answer = Answer(200, "application/json", FakeBody([WHOLE]))
+        outcome = await deliver_whole(self.exchange, answer, {}, self.meter)
+        self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+        self.assertEqual((self.exchange.sent, self.meter.total), (WHOLE, 8))
+
+    async def test_cut_whole_answer_is_an_error(self):
+        answer = Answer(200, "application/json", FakeBody([], aiohttp.ClientPayloadError()))
+        outcome = await deliver_whole(self.exchange, answer, {}, self.meter)
+        self.assertIsInstance(outcome, Unknown)
+        self.assertEqual(self.exchange.status, 502)
--- a/magnoliarouter/tests/test_identify.py
+++ b/magnoliarouter/tests/test_identify.py
@@ -23,7 +23,7 @@
     def test_model_call(self):
         call = identify_with(build_contract(), build_request())
         self.assertIsInstance(call, Call)
-        self.assertEqual(call.work, ModelCall("draft", False, "hello", 257))
+        self.assertEqual(call.work, ModelCall("draft", False, "hello", 1, 257))
         self.assertEqual(call.deadline, 35.0)
 
     def test_unknown_key(self):
--- /dev/null
+++ b/magnoliarouter/tests/test_web.py
@@ -0,0 +1,157 @@
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+import aiohttp
+
+from magnoliarouter.core.outcome import ResultCode
+from magnoliarouter.daemon.loop import Runtime
+from magnoliarouter.daemon.web import ServerLimits, WebServer
+
+LIMITS = ServerLimits(header_bytes=2000, body_bytes=4000, request_seconds=0.2, connections=50)
+GOOD = b"POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello"
+MUTANTS = 400
+FRAGMENTS = (
+    b"\r\n",
+    b"\x00",
+    b"\\r\\nX: y",
+    b"Content-Length: -1\r\n",
+    b"Content-Length: 9\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"Transfer-Encoding: gzip, chunked\r\n",
+    b"Content-Encoding: gzip\r\n",
+    b"Cookie: =;=\xff\r\n",
+    b"Host: a:b\r\n",
+    b"HTTP/9.9",
+    b" " * 50,
+    b"%00/../",
+)
+
+
+def mutate(choice: random.Random) -> bytes:
+    data = bytearray(GOOD)
+    for _ in range(choice.randint(1, 4)):
+        at = choice.randrange(len(data))
+        match choice.randrange(4):
+            case 0:
+                data[at] = choice.randrange(256)
+            case 1:
+                del data[at : at + choice.randint(1, 20)]
+            case 2:
+                data[at:at] = choice.choice(FRAGMENTS)
+            case 3:
+                data[at:at] = data[:at]
+        data = data or bytearray(b"x")
+    return bytes(data)
+
+
+class WebServerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.rejected = []
+        self.cancelled = asyncio.Event()
+        self.faults = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: self.faults.append(context))
+        self.server = WebServer(
+            Runtime(), ("127.0.0.1", 0), self.handle, LIMITS, self.rejected.append
+        )
+        self.url = f"http://127.0.0.1:{self.server.port}"
+
+    async def asyncTearDown(self):
+        self.server.stop_listening()
+        for sock in list(self.server._connections):
+            self.server.close_connection(sock)
+        self.assertEqual(self.faults, [])
+
+    async def handle(self, exchange):
+        request = exchange.request
+        if request.path == "/endless":
+            await exchange.start(200, {})
+            try:
+                while True:
+                    await exchange.write(b"x" * 1000)
+            finally:
+                self.cancelled.set()
+        await exchange.send(200, request.body, {"X-Path": request.path})
+
+    async def send_raw(self, data: bytes) -> bytes:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(data)
+        try:
+            return await reader.read(100_000)
+        except ConnectionError:
+            return b""
+        finally:
+            writer.close()
+
+    async def assert_rejected(self, data: bytes, status: bytes, code: ResultCode):
+        answer = await self.send_raw(data)
+        self.assertIn(b"HTTP/1.1 " + status, answer)
+        self.assertIn(b'"outcome":"not_run"', answer)
+        self.assertIn(code, self.rejected)
+
+    async def test_body_is_echoed(self):
+        self.assertTrue((await self.send_raw(GOOD)).endswith(b"\r\n\r\nhello"))
+
+    async def test_pipelined_requests_are_answered_in_order(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(GOOD + GOOD.replace(b"hello", b"world"))
+        first = await reader.readuntil(b"hello")
+        second = await reader.readuntil(b"world")
+        self.assertEqual((first.count(b"200 OK"), second.count(b"200 OK")), (1, 1))
+        writer.close()
+
+    async def test_large_header(self):
+        data = b"GET /a HTTP/1.1\r\nHost: a\r\nA: " + b"b" * 10_000
+        await self.assert_rejected(data, b"431", ResultCode.HEADER_TOO_LARGE)
+
+    async def test_large_body(self):
+        data = GOOD.replace(b"Content-Length: 5", b"Content-Length: 9000") + b"x" * 9000
+        await self.assert_rejected(data, b"413", ResultCode.BODY_TOO_LARGE)
+
+    async def test_slow_request(self):
+        await self.assert_rejected(GOOD[:30], b"408", ResultCode.SLOW_REQUEST)
+
+    async def test_ambiguous_framing(self):
+        for header in (b"Transfer-Encoding: chunked", b"Transfer-Encoding: gzip, chunked"):
+            data = GOOD.replace(b"Host: a", b"Host: a\r\n" + header)
+            data = data.replace(b"hello", b"0\r\n\r\n")
+            await self.assert_rejected(data, b"400", ResultCode.MALFORMED_HTTP)
+
+    async def test_escaped_line_break_in_header(self):
+        data = GOOD.replace(b"Host: a", b"Host: a\r\nX-Request-Id: a\\r\\nX-Attempt-Id: b")
+        await self.assert_rejected(data, b"400", ResultCode.MALFORMED_HTTP)
+
+    async def test_compressed_body(self):
+        data = GOOD.replace(b"Host: a", b"Host: a\r\nContent-Encoding: br")
+        await self.assert_rejected(data, b"400", ResultCode.MALFORMED_HTTP)
+
+    async def test_caller_that_goes_away_cancels_its_request(self):
+        async with aiohttp.ClientSession() as session:
+            answer = await session.get(f"{self.url}/endless")
+            await answer.content.readexactly(100)
+            answer.close()
+            await asyncio.wait_for(self.cancelled.wait(), 5)
+
+    async def test_slow_caller_holds_back_the_stream(self):
+        async with aiohttp.ClientSession() as session:
+            answer = await session.get(f"{self.url}/endless")
+            await answer.content.readexactly(100)
+            unsent = [self.server._unsent(sock) for sock in self.server._connections]
+            self.assertLess(max(unsent), 200_000)
+            answer.close()
+
+    async def test_mutated_requests_leave_the_server_unharmed(self):
+        choice = random.Random(7)
+        mutants = [mutate(choice) for _ in range(MUTANTS)]
+        for start in range(0, MUTANTS, 40):
+            answers = await asyncio.gather(
+                *(self.send_raw(mutant) for mutant in mutants[start : start + 40])
+            )
+            for mutant, answer in zip(mutants[start : start + 40], answers):
+                self.assertRegex(answer, rb"^(HTTP/1.1 (200|4\d\d) .*|)", mutant)
+                self.assertNotIn(b"HTTP/1.1 5", answer, mutant)
+        self.assertTrue((await self.send_raw(GOOD)).endswith(b"hello"))
+        self.assertEqual(self.server.active, 0)
