--- a/magnoliarouter/standins/demo.py
+++ b/magnoliarouter/standins/demo.py
@@ -10,7 +10,7 @@
 from magnoliarouter.platform.client import PlatformClient, Written
 from magnoliarouter.standins.launch import Process, Site, contract_value
 
-__all__ = ["main"]
+__all__ = ["main", "start_zone", "wait_for_model"]
 
 ZONES = ("zone-1", "zone-2", "zone-3")
 MODEL = "draft"
@@ -18,7 +18,8 @@
 LATE_LIMITS = {"requests_per_second": 1, "tokens_per_second": 100, "burst_seconds": 1}
 
 
-async def _start_zone(site: Site, platform: Process, number: int, zone: str) -> Process:
+async def start_zone(site: Site, platform: Process, number: int, zone: str) -> Process:
+    """Start an engine, its guard and an entry daemon in a zone, and return the entry daemon."""
     host = f"127.0.{number}.1"
     engine = await site.start_standin("engine", host)
     await site.start_daemon(
@@ -44,7 +45,8 @@
     )
 
 
-async def _wait_for_model(session: aiohttp.ClientSession, entry: Process) -> None:
+async def wait_for_model(session: aiohttp.ClientSession, entry: Process) -> None:
+    """Wait until an entry daemon lists the demonstration's model."""
     while True:
         async with session.get(f"{entry.url}/v1/models") as answer:
             if MODEL in await answer.text():
@@ -75,11 +77,11 @@
             written = await client.write("contract", contract["customer"], contract, expect=0)
             assert isinstance(written, Written), written
         entries = [
-            await _start_zone(site, platform, number, zone)
+            await start_zone(site, platform, number, zone)
             for number, zone in enumerate(ZONES, start=1)
         ]
         for entry in entries:
-            await _wait_for_model(session, entry)
+            await wait_for_model(session, entry)
         print("a customer in standing 'current' asks each entry daemon:")
         current = [await _ask(session, entry, "key-intake", "Batch note") for entry in entries]
         print("a customer in standing 'late' asks four times at once:")
--- /dev/null
+++ b/magnoliarouter/standins/load.py
@@ -0,0 +1,156 @@
+"""Load: model requests sent at a steady rate, and what their answers looked like."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+
+from magnoliarouter.pipeline.deliver import LAST_FRAME
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["CompletionRequest", "Result", "open_load_session", "send_completion", "send_steadily"]
+
+REQUEST_TIMEOUT_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class CompletionRequest:
+    """One model request.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of an entry daemon, or of an engine.
+    key : str
+        Key of the customer.
+    prompt : str
+        Prompt.
+    max_tokens : int
+        Tokens to generate.
+    stream : bool
+        Whether tokens are wanted as they come.
+    model : str
+        Model.
+    """
+
+    url: str
+    key: str
+    prompt: str
+    max_tokens: int = 16
+    stream: bool = True
+    model: str = "draft"
+
+
+@dataclass(slots=True)
+class Result:
+    """Answer to one request.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status; 0 when there was none.
+    sent : float
+        Loop time at which the request was sent.
+    first : float
+        Seconds to the first token, or to the whole answer.
+    total : float
+        Seconds to the end.
+    gaps : list of float
+        Seconds between pieces of the stream.
+    complete : bool
+        Whether a stream ended in its last frame and a whole answer in its length.
+    body : bytes
+        All that was received.
+    """
+
+    status: int = 0
+    sent: float = 0.0
+    first: float = 0.0
+    total: float = 0.0
+    gaps: list[float] = field(default_factory=list)
+    complete: bool = False
+    body: bytes = b""
+
+
+def open_load_session() -> aiohttp.ClientSession:
+    """Open a session without limits on connections."""
+    timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+    return aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0), timeout=timeout)
+
+
+async def send_completion(session: aiohttp.ClientSession, request: CompletionRequest) -> Result:
+    """Send one request and read its answer to the end; never raises for a failed one."""
+    clock = asyncio.get_running_loop().time
+    result = Result(sent=clock())
+    body = {
+        "model": request.model,
+        "prompt": request.prompt,
+        "max_tokens": request.max_tokens,
+        "stream": request.stream,
+    }
+    headers = {"Authorization": f"Bearer {request.key}", "Content-Type": "application/json"}
+    url = f"{request.url}/v1/completions"
+    try:
+        async with session.post(url, data=msgspec.json.encode(body), headers=headers) as answer:
+            result.status = answer.status
+            await _read_answer(answer, result, clock)
+            result.complete = not request.stream or result.body.endswith(LAST_FRAME)
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        result.complete = False
+    result.total = clock() - result.sent
+    return result
+
+
+async def _read_answer(
+    answer: aiohttp.ClientResponse, result: Result, clock: Callable[[], float]
+) -> None:
+    parts = []
+    last = 0.0
+    async for part in answer.content.iter_any():
+        now = clock()
+        if parts:
+            result.gaps.append(now - last)
+        else:
+            result.first = now - result.sent
+        last = now
+        parts.append(part)
+    result.body = b"".join(parts)
+
+
+async def send_steadily(
+    session: aiohttp.ClientSession,
+    make: Callable[[int], CompletionRequest],
+    rate: float,
+    seconds: float,
+    seed: int,
+) -> list[Result]:
+    """Send requests with exponential gaps at a mean rate and return all results.
+
+    Parameters
+    ----------
+    make : callable
+        Makes the request of an index.
+    rate : float
+        Requests per second.
+    seconds : float
+        Time over which requests are sent.
+    seed : int
+        Seed of the gaps.
+    """
+    choice = random.Random(seed)
+    clock = asyncio.get_running_loop().time
+    start = due = clock()
+    tasks = []
+    while due < start + seconds:
+        await asyncio.sleep(max(0.0, due - clock()))
+        request = make(len(tasks))
+        tasks.append(asyncio.create_task(send_completion(session, request)))
+        due += choice.expovariate(rate)
+    return list(await asyncio.gather(*tasks))
--- a/magnoliarouter/tests/test_path.py
+++ b/magnoliarouter/tests/test_path.py
@@ -6,7 +6,7 @@
 import aiohttp
 
 from magnoliarouter.platform.client import PlatformClient
-from magnoliarouter.standins.demo import MODEL, ZONES, _start_zone, _wait_for_model
+from magnoliarouter.standins.demo import MODEL, ZONES, start_zone, wait_for_model
 from magnoliarouter.standins.launch import Site, contract_value
 
 LIMITS = {"requests_per_second": 50, "tokens_per_second": 5000}
@@ -18,8 +18,8 @@
             platform = await site.start_standin("platform", "127.0.0.1")
             client = PlatformClient(platform.url, session)
             await client.write("contract", "grower", contract_value("grower", "k", current=LIMITS))
-            entry = await _start_zone(site, platform, 1, ZONES[0])
-            await _wait_for_model(session, entry)
+            entry = await start_zone(site, platform, 1, ZONES[0])
+            await wait_for_model(session, entry)
             body = {"model": MODEL, "prompt": "abc", "stream": True, "max_tokens": 4}
             headers = {"Authorization": "Bearer k", "X-Request-Id": "r1"}
             url = f"{entry.url}/v1/completions"
