Add leases over conditional updates with epochs as fencing numbers

Quota slots and group control need a single holder that survives lost answers and pauses. core/lease.py decides without reading clocks or the store; platform/leases.py keeps a lease in the platform. A holder stops a margin before its term ends, counted from before the request was sent; a candidate waits the stored duration by its own clock; a lost answer is settled by reading the record back and comparing the id of the write; a lapsed epoch never comes back.

--- /dev/null
+++ b/magnoliarouter/core/lease.py
@@ -0,0 +1,240 @@
+"""Lease over conditional updates, with epochs that serve as fencing numbers.
+
+A lease is one record in a store with conditional updates. Nobody compares clocks: a candidate
+takes the lease over once it has seen one version of the record for the record's whole duration by
+its own clock, and a holder stops a margin before the same duration has passed since before it sent
+its last successful write. `Lease` decides what to do next; the caller reads and writes the store.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from typing import TypeAlias
+
+__all__ = ["Lease", "LeaseRecord", "LeaseStep", "ReadLease", "Wait", "WriteLease"]
+
+DEFAULT_DURATION_S = 9.0
+MARGIN_SHARE = 0.15
+RENEW_SHARE = 1 / 3
+MAX_SENT_WRITES = 8
+NEVER = float("-inf")
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRecord:
+    """Lease as it is stored.
+
+    Parameters
+    ----------
+    holder : str
+        Id of one start of the holding process; never used again after a restart.
+    epoch : int
+        Fencing number; grows with each acquisition.
+    duration : float
+        Seconds for which one write keeps others away.
+    write : str
+        Id of the write, by which its sender recognizes it after a lost answer.
+    released : bool
+        Whether the holder gave the lease up; it may then be taken at once.
+    """
+
+    holder: str
+    epoch: int
+    duration: float
+    write: str
+    released: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ReadLease:
+    """Read the record and pass it to `Lease.observe`."""
+
+
+@dataclass(frozen=True, slots=True)
+class WriteLease:
+    """Write a record if the stored version is `expect`; 0 if there must be none."""
+
+    record: LeaseRecord
+    expect: int
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Do nothing before a time."""
+
+    until: float
+
+
+LeaseStep: TypeAlias = ReadLease | WriteLease | Wait
+
+
+@dataclass(slots=True)
+class Lease:
+    """One process's view of one lease.
+
+    Parameters
+    ----------
+    holder : str
+        Id of this start of the process, unique over all processes and starts.
+    duration : float
+        Seconds for which a write keeps others away.
+    margin : float, optional
+        Seconds before the lapse at which the holder stops; covers the drift between clocks.
+
+    Examples
+    --------
+    >>> lease = Lease("a", duration=9.0, margin=1.0)
+    >>> lease.observe(0, None, now=0.0)
+    >>> step = lease.next_step(now=0.0)
+    >>> lease.confirm(step.record.write, 5, now=0.5)
+    >>> lease.held_epoch(now=7.9), lease.held_epoch(now=8.0)
+    (1, None)
+    """
+
+    holder: str
+    duration: float = DEFAULT_DURATION_S
+    margin: float | None = None
+    _version: int = 0
+    _record: LeaseRecord | None = None
+    _seen_at: float = NEVER
+    _doubtful: bool = True
+    _epoch: int = 0
+    _held_until: float = NEVER
+    _acquired_at: float = NEVER
+    _inherited: bool = False
+    _highest_epoch: int = 0
+    _writes: int = 0
+    _sent: dict[str, tuple[LeaseRecord, float]] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        if self.margin is None:
+            self.margin = MARGIN_SHARE * self.duration
+
+    def held_epoch(self, now: float) -> int | None:
+        """Return the epoch while the lease is held, else None.
+
+        Ask right before each effect: a process that was paused may have lost the lease meanwhile.
+
+        Parameters
+        ----------
+        now : float
+            Clock reading in seconds.
+        """
+        return self._epoch if now < self._held_until else None
+
+    def order_epoch(self, now: float, checks_fencing: bool, delivery: float) -> int | None:
+        """Return the epoch if an order may be sent to an endpoint now, else None.
+
+        Parameters
+        ----------
+        now : float
+            Clock reading in seconds.
+        checks_fencing : bool
+            Whether the endpoint, or a guard before it, refuses older epochs.
+        delivery : float
+            Longest time in seconds that an order of the previous holder may still be on its way.
+        """
+        if not checks_fencing and self._inherited and now < self._acquired_at + delivery:
+            return None
+        return self.held_epoch(now)
+
+    def next_step(self, now: float) -> LeaseStep:
+        """Return what to do now.
+
+        Call `confirm`, `observe` or `doubt` with the result of a write, `observe` or `doubt` with
+        that of a read, then ask again.
+        """
+        if self._doubtful:
+            return ReadLease()
+        if self.held_epoch(now) is not None:
+            sent_at = self._held_until + (self.margin or 0.0) - self.duration
+            renew_at = sent_at + RENEW_SHARE * self.duration
+            return self._write(self._epoch, now) if now >= renew_at else Wait(renew_at)
+        lapse = self._lapse_time()
+        if now >= lapse:
+            return self._write(self._highest_epoch + 1, now)
+        return Wait(lapse)
+
+    def release(self, now: float) -> WriteLease | None:
+        """Stop holding the lease, and return the write that tells so, or None if not held.
+
+        Call it only after all effects under the lease have ended. The lease counts as given up
+        even if the write is lost.
+        """
+        held = self.held_epoch(now) is not None
+        self._held_until = NEVER
+        if not held or self._record is None:
+            return None
+        step = self._write(self._epoch, now)
+        del self._sent[step.record.write]
+        return replace(step, record=replace(step.record, released=True))
+
+    def confirm(self, write: str, version: int, now: float) -> None:
+        """Note that a write took effect and gave the record a version."""
+        record, _ = self._sent[write]
+        self.observe(version, record, now)
+
+    def observe(
+        self, version: int, record: LeaseRecord | None, now: float, lagging: bool = False
+    ) -> None:
+        """Take a record that was read, that refused a write, or that a write created.
+
+        Parameters
+        ----------
+        version : int
+            Version of the record; 0 if there is none.
+        record : LeaseRecord or None
+            The record.
+        now : float
+            Clock reading in seconds, taken after the answer arrived.
+        lagging : bool
+            Whether the answer may be older than what is already known, as that of a plain read.
+        """
+        self._doubtful = False
+        if lagging and version < self._version:
+            return
+        if version != self._version or self._seen_at == NEVER:
+            self._version, self._record, self._seen_at = version, record, now
+        if record is None:
+            self._held_until = NEVER
+            return
+        self._highest_epoch = max(self._highest_epoch, record.epoch)
+        if record.write in self._sent:
+            self._take(record, now)
+        elif record.holder != self.holder or record.epoch != self._epoch:
+            self._held_until = NEVER
+
+    def doubt(self) -> None:
+        """Note that the store gave no clear answer; the record has to be read back."""
+        self._doubtful = True
+
+    def _take(self, record: LeaseRecord, now: float) -> None:
+        _, sent_at = self._sent[record.write]
+        held_until = sent_at + self.duration - (self.margin or 0.0)
+        self._sent.clear()
+        renewal = record.epoch == self._epoch
+        # An epoch that has lapsed stays lapsed, also when its renewal took effect in time.
+        if now >= held_until or (renewal and self.held_epoch(now) is None):
+            self._held_until = NEVER
+            return
+        if not renewal:
+            self._acquired_at = now
+        self._epoch, self._held_until = record.epoch, held_until
+
+    def _lapse_time(self) -> float:
+        record = self._record
+        if record is None or record.released or record.holder == self.holder:
+            return NEVER
+        return self._seen_at + record.duration
+
+    def _write(self, epoch: int, now: float) -> WriteLease:
+        if epoch != self._epoch:
+            record = self._record
+            self._inherited = record is not None and not record.released
+        self._writes += 1
+        write = f"{self.holder}/{self._writes}"
+        record = LeaseRecord(self.holder, epoch, self.duration, write)
+        self._sent[write] = (record, now)
+        if len(self._sent) > MAX_SENT_WRITES:
+            del self._sent[next(iter(self._sent))]
+        return WriteLease(record, self._version)
--- /dev/null
+++ b/magnoliarouter/platform/leases.py
@@ -0,0 +1,181 @@
+"""Keeps a lease in the platform: acquires, renews and releases it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from magnoliarouter.core.lease import DEFAULT_DURATION_S, Lease, LeaseRecord, Wait, WriteLease
+from magnoliarouter.daemon.logs import log_event
+from magnoliarouter.platform.client import Conflict, Found, Missing, Written
+from magnoliarouter.platform.objects import StoredObject
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliarouter.core.lease import LeaseStep
+    from magnoliarouter.platform.client import PlatformClient, ReadOutcome, WriteOutcome
+
+__all__ = ["LEASE_KIND", "LeaseKeeper"]
+
+LEASE_KIND = "lease"
+RETRY_S = 0.3
+RELEASE_TRIES = 3
+POLL_SHARE = 1 / 3
+JITTER_SHARE = 0.2
+
+
+class LeaseKeeper:
+    """Acquires a lease whenever it is free and renews it while held.
+
+    Parameters
+    ----------
+    client : PlatformClient
+        Client to read and write with.
+    name : str
+        Name of the lease.
+    holder : str
+        Id of this start of the process, unique over all processes and starts.
+    clock : callable
+        Loop time in seconds.
+    duration : float
+        Seconds for which a write keeps others away.
+    on_change : callable, optional
+        Called with the epoch when the lease is acquired, and with None when it is found lost.
+        An effect must not rely on it: ask `epoch` right before the effect.
+
+    Examples
+    --------
+    ::
+
+        keeper = LeaseKeeper(client, "sweeper.zone-1", uuid4().hex, loop.time)
+        task = loop.create_task(keeper.run())
+        ...
+        epoch = keeper.epoch()
+        if epoch is not None:
+            send_order(epoch)
+        ...
+        task.cancel()
+        await keeper.release()
+    """
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        name: str,
+        holder: str,
+        clock: Callable[[], float],
+        duration: float = DEFAULT_DURATION_S,
+        on_change: Callable[[int | None], None] = lambda epoch: None,
+    ) -> None:
+        self.name = name
+        self.lease = Lease(holder, duration)
+        self._client = client
+        self._clock = clock
+        self._on_change = on_change
+        self._told: int | None = None
+        self._releasing = False
+
+    def epoch(self) -> int | None:
+        """Return the fencing number if the lease is held now, else None."""
+        return None if self._releasing else self.lease.held_epoch(self._clock())
+
+    def order_epoch(self, checks_fencing: bool, delivery: float) -> int | None:
+        """Return the fencing number if an order may be sent now; see `Lease.order_epoch`."""
+        if self._releasing:
+            return None
+        return self.lease.order_epoch(self._clock(), checks_fencing, delivery)
+
+    async def run(self) -> None:
+        """Acquire and renew until cancelled."""
+        while True:
+            step = self.lease.next_step(self._clock())
+            settled = await self._perform(step)
+            self._tell()
+            if not settled:
+                await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.0))
+
+    async def release(self) -> None:
+        """Give the lease up; call after `run` was cancelled and all effects have ended."""
+        self._releasing = True
+        step = self.lease.release(self._clock())
+        self._tell()
+        if step is None:
+            return
+        expect = step.expect
+        for _ in range(RELEASE_TRIES):
+            value = msgspec.to_builtins(step.record)
+            outcome = await self._client.write(LEASE_KIND, self.name, value, expect=expect)
+            match outcome:
+                case Conflict(StoredObject(version=version, value={"holder": holder})) if (
+                    holder == step.record.holder
+                ):
+                    # A renewal whose answer was lost came first.
+                    expect = version
+                case _:
+                    return
+
+    async def _perform(self, step: LeaseStep) -> bool:
+        match step:
+            case Wait(until):
+                await self._wait(until)
+                return True
+            case WriteLease(record, expect):
+                value = msgspec.to_builtins(record)
+                outcome = await self._client.write(LEASE_KIND, self.name, value, expect=expect)
+                return self._take_write(record.write, outcome)
+        return self._take_read(await self._client.read(LEASE_KIND, self.name))
+
+    async def _wait(self, until: float) -> None:
+        now = self._clock()
+        if self.lease.held_epoch(now) is not None:
+            await asyncio.sleep(max(0.0, until - now))
+            return
+        # A candidate looks at the record now and then, so that it sees each renewal.
+        poll = self.lease.duration * POLL_SHARE * random.uniform(1 - JITTER_SHARE, 1.0)
+        await asyncio.sleep(max(0.0, min(until - now, poll)))
+        self.lease.doubt()
+
+    def _take_write(self, write: str, outcome: WriteOutcome) -> bool:
+        now = self._clock()
+        match outcome:
+            case Written(version):
+                self.lease.confirm(write, version, now)
+            case Conflict(None):
+                self.lease.observe(0, None, now)
+            case Conflict(current):
+                return self._observe(current, lagging=False)
+            case _:
+                self.lease.doubt()
+                return False
+        return True
+
+    def _take_read(self, outcome: ReadOutcome) -> bool:
+        now = self._clock()
+        match outcome:
+            case Found(_, (item,)):
+                return self._observe(item, lagging=True)
+            case Missing():
+                self.lease.observe(0, None, now, lagging=True)
+                return True
+        return False
+
+    def _observe(self, item: StoredObject, lagging: bool) -> bool:
+        try:
+            record = msgspec.convert(item.value, type=LeaseRecord)
+        except msgspec.ValidationError as error:
+            # Overwriting it could start the epochs anew; an operator has to look at it.
+            log_event("lease_invalid", lease=self.name, version=item.version, error=str(error))
+            self.lease.doubt()
+            return False
+        self.lease.observe(item.version, record, self._clock(), lagging)
+        return True
+
+    def _tell(self) -> None:
+        epoch = self.epoch()
+        if epoch != self._told:
+            self._told = epoch
+            self._on_change(epoch)
