Let the guard fence attempts, bound its memory and keep answers of calls that run once

The attempt table forgot nothing while a long attempt ran at its head, could not refuse a fence when full, and a refusal while draining was not remembered, so a late copy could still start. Running and ended attempts are now kept apart, refusals are recorded in a reserve, an attempt may carry a last start time on the guard's clock, and a call marked to run once goes on when its caller goes away and its answer is kept. The guard passes the query on, relays end-to-end header fields, follows no redirect, and refuses answers whose truncation would not show. Proofs that an attempt did not run are in pipeline/proof.py.

--- a/magnoliarouter/daemon/endpoint.py
+++ b/magnoliarouter/daemon/endpoint.py
@@ -44,7 +44,11 @@
         loop = asyncio.get_running_loop()
         self._session = open_session()
         self._platform = PlatformClient(self.settings.platform, self._session)
-        guard = Guard(self.attempts, self.settings.target, self._session, loop.time)
+        self._once_session = open_session(reuse=False)
+        guard = Guard(
+            self.attempts, self.settings.target, self._session, loop.time, self._once_session
+        )
+        self._guard = guard
         listen = self.settings.listen
         self._server = WebServer(Runtime(loop), (listen.host, listen.port), guard.handle)
         self.port = self._server.port
@@ -57,7 +61,9 @@
             task.cancel()
         await self._platform.write("endpoint", self.settings.name, self._describe())
         await self._server.wait_until_idle()
+        await self._guard.wait_until_idle()
         self._server.stop_listening()
+        await self._once_session.close()
         await self._session.close()
 
     async def _register(self) -> None:
--- a/magnoliarouter/daemon/web.py
+++ b/magnoliarouter/daemon/web.py
@@ -77,6 +77,8 @@
         Header fields, names in lower case.
     body : bytes
         Whole body.
+    query_string : str
+        Query as it was received, without the question mark.
     """
 
     method: str
@@ -84,6 +86,12 @@
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    query_string: str = ""
+
+    @property
+    def target(self) -> str:
+        """Path with its query, as it goes into a request line."""
+        return f"{self.path}?{self.query_string}" if self.query_string else self.path
 
 
 def error_body(code: ResultCode, outcome: str, reason: str) -> bytes:
@@ -468,4 +476,5 @@
         query=dict(parse_qsl(request.qs or "")),
         headers={name.lower(): value for name, value in request.headers.items()},
         body=request.body.read(),
+        query_string=request.qs or "",
     )
--- a/magnoliarouter/endpoints/client.py
+++ b/magnoliarouter/endpoints/client.py
@@ -10,16 +10,24 @@
 KEEPALIVE_S = 5.0
 
 
-def open_session() -> aiohttp.ClientSession:
+def open_session(reuse: bool = True) -> aiohttp.ClientSession:
     """Open a session that never repeats a request by itself.
 
+    Redirects are followed by default in aiohttp; pass ``allow_redirects=False`` with each request.
+
+    Parameters
+    ----------
+    reuse : bool
+        Whether a connection may serve more than one request. On a fresh connection, a failure
+        to connect proves that nothing was sent.
+
     Returns
     -------
     aiohttp.ClientSession
         Session without a total time limit; callers bound each request themselves.
     """
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S),
+        connector=_open_connector(reuse),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -28,3 +36,9 @@
     # aiohttp repeats idempotent methods on a broken kept-alive connection; retries are ours.
     session._retry_connection = False
     return session
+
+
+def _open_connector(reuse: bool) -> aiohttp.TCPConnector:
+    if reuse:
+        return aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
+    return aiohttp.TCPConnector(limit=0, force_close=True)
--- a/magnoliarouter/endpoints/guard.py
+++ b/magnoliarouter/endpoints/guard.py
@@ -1,51 +1,47 @@
 """Guard: HTTP service in front of one endpoint.
 
 It starts each attempt at most once, refuses attempts made for another incarnation, and relays
-the endpoint's answer with the attempt's id on it.
+the endpoint's answer with the attempt's id on it. A call that may run only once goes on to its end
+even if the caller goes away, and its answer is kept for those who ask for it.
 """
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import aiohttp
 import msgspec
+from yarl import URL
 
 from magnoliarouter.core.attempts import AttemptTable, StartVerdict
 from magnoliarouter.core.outcome import ResultCode
 from magnoliarouter.daemon.web import error_body
-from magnoliarouter.pipeline.dispatch import (
+from magnoliarouter.endpoints.execution import Broken, Executed, NotReached, execute
+from magnoliarouter.endpoints.messages import (
     ATTEMPT_HEADER,
+    GUARD_CLOCK_HEADER,
     INCARNATION_HEADER,
+    NOT_AFTER_HEADER,
     NOT_STARTED_HEADER,
+    RUN_ONCE_HEADER,
+    VERDICT_HEADER,
+    FenceReply,
+    FenceRequest,
+    GuardStatus,
+    is_end_to_end,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from magnoliarouter.daemon.web import Exchange
 
 __all__ = ["Guard", "GuardStatus"]
 
-RELAYED_HEADERS = ("x-request-id", ATTEMPT_HEADER, "x-priority", "x-deadline-ms", "content-type")
-
-
-class GuardStatus(msgspec.Struct, frozen=True):
-    """Report of a guard on itself.
-
-    Parameters
-    ----------
-    incarnation : str
-        Id of the guard's present start.
-    running : int
-        Attempts in progress.
-    draining : bool
-        Whether new attempts are refused.
-    """
-
-    incarnation: str
-    running: int
-    draining: bool
+OWN_HEADERS = frozenset((INCARNATION_HEADER, NOT_AFTER_HEADER, RUN_ONCE_HEADER))
+UNPROVEN = (StartVerdict.ALREADY_STARTED, StartVerdict.UNRECORDED)
+EVENT_STREAM = "text/event-stream"
 
 
 class Guard:
@@ -61,6 +57,8 @@
         Session towards the endpoint.
     clock : callable
         Loop time in seconds.
+    once_session : aiohttp.ClientSession, optional
+        Session without connection reuse for calls that may run only once.
     """
 
     def __init__(
@@ -69,52 +67,154 @@
         target: str,
         session: aiohttp.ClientSession,
         clock: Callable[[], float],
+        once_session: aiohttp.ClientSession | None = None,
     ) -> None:
         self._attempts = attempts
         self._target = target
         self._session = session
+        self._once_session = once_session or session
         self._clock = clock
+        self._executions: set[asyncio.Task[Executed | NotReached | Broken]] = set()
+        self._controls: dict[str, Callable[[Exchange], Awaitable[None]]] = {
+            "/guard/status": self._tell_status,
+            "/guard/fence": self._fence,
+        }
+
+    def add_control(self, path: str, handle: Callable[[Exchange], Awaitable[None]]) -> None:
+        """Answer requests to a path under ``/guard/`` by a coroutine function."""
+        self._controls[path] = handle
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request of an entry daemon."""
-        if exchange.request.path == "/guard/status":
-            await exchange.send(200, msgspec.json.encode(self.report()))
+        control = self._controls.get(exchange.request.path)
+        if control is not None:
+            await control(exchange)
             return
         headers = exchange.request.headers
         attempt = headers.get(ATTEMPT_HEADER, "")
-        incarnation = headers.get(INCARNATION_HEADER, "")
-        verdict = self._attempts.start(attempt, incarnation, self._clock())
+        if not attempt:
+            body = error_body(
+                ResultCode.MALFORMED_HTTP, "not_run", f"header {ATTEMPT_HEADER!r} is needed"
+            )
+            await exchange.send(400, body, self._head(attempt))
+            return
+        verdict = self._attempts.start(
+            attempt,
+            headers.get(INCARNATION_HEADER, ""),
+            self._clock(),
+            _parse_time(headers.get(NOT_AFTER_HEADER)),
+        )
         if verdict is not StartVerdict.START:
             await self._refuse(exchange, attempt, verdict)
-            return
-        try:
-            await self._relay(exchange, attempt)
-        finally:
-            self._attempts.finish(attempt, self._clock())
+        elif RUN_ONCE_HEADER in headers:
+            await self._run_once(exchange, attempt)
+        else:
+            await self._run(exchange, attempt)
 
     def report(self) -> GuardStatus:
         """Return the guard's report on itself."""
         table = self._attempts
-        return GuardStatus(table.incarnation, table.running, table.draining)
+        return GuardStatus(
+            table.incarnation,
+            table.running,
+            table.draining,
+            self._clock(),
+            table.size,
+            table.answer_bytes,
+        )
+
+    async def wait_until_idle(self) -> None:
+        """Wait until no call that may run only once is in progress."""
+        while self._executions:
+            await asyncio.wait(self._executions)
+
+    async def _tell_status(self, exchange: Exchange) -> None:
+        await exchange.send(200, msgspec.json.encode(self.report()))
+
+    async def _fence(self, exchange: Exchange) -> None:
+        try:
+            request = msgspec.json.decode(exchange.request.body, type=FenceRequest)
+        except msgspec.DecodeError as error:
+            body = error_body(ResultCode.MALFORMED_BODY, "not_run", f"body: {error}")
+            await exchange.send(400, body)
+            return
+        await exchange.send(200, msgspec.json.encode(self._fence_attempt(request)))
+
+    def _fence_attempt(self, request: FenceRequest) -> FenceReply:
+        if request.incarnation != self._attempts.incarnation:
+            return FenceReply(request.attempt, "other incarnation")
+        state = self._attempts.fence(request.attempt, self._clock())
+        if state is None:
+            return FenceReply(request.attempt, "table full")
+        return FenceReply(request.attempt, state.value, self._attempts.find_answer(request.attempt))
+
+    def _head(self, attempt: str) -> dict[str, str]:
+        return {ATTEMPT_HEADER: attempt, GUARD_CLOCK_HEADER: f"{self._clock():.3f}"}
 
     async def _refuse(self, exchange: Exchange, attempt: str, verdict: StartVerdict) -> None:
-        headers = {ATTEMPT_HEADER: attempt}
-        if verdict is StartVerdict.ALREADY_STARTED:
+        headers = {**self._head(attempt), VERDICT_HEADER: verdict.value}
+        if verdict in UNPROVEN:
             body = error_body(ResultCode.IN_PROGRESS, "unknown", verdict.value)
             await exchange.send(409, body, headers)
             return
-        headers[NOT_STARTED_HEADER] = attempt
-        body = error_body(ResultCode.ENDPOINT_REFUSED, "not_run", verdict.value)
+        await self._refuse_unstarted(exchange, headers, verdict.value)
+
+    async def _refuse_unstarted(
+        self, exchange: Exchange, headers: dict[str, str], reason: str
+    ) -> None:
+        headers[NOT_STARTED_HEADER] = headers[ATTEMPT_HEADER]
+        body = error_body(ResultCode.ENDPOINT_REFUSED, "not_run", reason)
         await exchange.send(503, body, headers)
 
+    async def _run_once(self, exchange: Exchange, attempt: str) -> None:
+        task = asyncio.get_running_loop().create_task(self._execute(exchange, attempt))
+        self._executions.add(task)
+        task.add_done_callback(self._executions.discard)
+        # A caller that goes away cancels this coroutine, not the execution.
+        match await asyncio.shield(task):
+            case Executed(answer, body):
+                head = {**self._head(attempt), "Content-Type": answer.content_type}
+                await exchange.send(answer.status, body, head)
+            case NotReached(reason):
+                await self._refuse_unstarted(exchange, self._head(attempt), reason)
+            case Broken(reason):
+                failure = error_body(ResultCode.ENDPOINT_ERROR, "unknown", reason)
+                await exchange.send(502, failure, self._head(attempt))
+
+    async def _execute(self, exchange: Exchange, attempt: str) -> Executed | NotReached | Broken:
+        request = exchange.request
+        result = await execute(
+            self._once_session,
+            request.method,
+            self._url(exchange),
+            self._relayed_headers(exchange),
+            request.body,
+        )
+        now = self._clock()
+        match result:
+            case Executed(answer):
+                self._attempts.finish(attempt, now, answer)
+            case NotReached():
+                self._attempts.withdraw(attempt, now)
+            case Broken():
+                self._attempts.break_off(attempt, now)
+        return result
+
+    async def _run(self, exchange: Exchange, attempt: str) -> None:
+        try:
+            await self._relay(exchange, attempt)
+        finally:
+            self._attempts.finish(attempt, self._clock())
+
     async def _relay(self, exchange: Exchange, attempt: str) -> None:
         request = exchange.request
-        headers = {
-            name: request.headers[name] for name in RELAYED_HEADERS if name in request.headers
-        }
         try:
             async with self._session.request(
-                request.method, self._target + request.path, headers=headers, data=request.body
+                request.method,
+                self._url(exchange),
+                headers=self._relayed_headers(exchange),
+                data=request.body,
+                allow_redirects=False,
             ) as answer:
                 await self._relay_answer(exchange, attempt, answer)
         except (aiohttp.ClientError, OSError) as error:
@@ -122,13 +222,51 @@
                 exchange.abort()
                 return
             body = error_body(ResultCode.ENDPOINT_ERROR, "unknown", type(error).__name__)
-            await exchange.send(502, body, {ATTEMPT_HEADER: attempt})
+            await exchange.send(502, body, self._head(attempt))
 
     async def _relay_answer(
         self, exchange: Exchange, attempt: str, answer: aiohttp.ClientResponse
     ) -> None:
-        head = {ATTEMPT_HEADER: attempt, "Content-Type": answer.content_type}
-        await exchange.start(answer.status, head)
+        if not _shows_truncation(answer):
+            body = error_body(ResultCode.ENDPOINT_ERROR, "unknown", "answer without a length")
+            await exchange.send(502, body, self._head(attempt))
+            return
+        connection = answer.headers.get("connection", "")
+        relayed = {
+            name: value for name, value in answer.headers.items() if is_end_to_end(name, connection)
+        }
+        await exchange.start(answer.status, {**relayed, **self._head(attempt)})
         async for chunk in answer.content.iter_any():
             await exchange.write(chunk)
         await exchange.finish()
+
+    def _url(self, exchange: Exchange) -> URL:
+        return URL(self._target + exchange.request.target, encoded=True)
+
+    def _relayed_headers(self, exchange: Exchange) -> dict[str, str]:
+        headers = exchange.request.headers
+        connection = headers.get("connection", "")
+        return {
+            name: value
+            for name, value in headers.items()
+            if is_end_to_end(name, connection) and name not in OWN_HEADERS
+        }
+
+
+def _parse_time(text: str | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        return float(text)
+    except ValueError:
+        # An unreadable last start time must not widen the window.
+        return float("-inf")
+
+
+def _shows_truncation(answer: aiohttp.ClientResponse) -> bool:
+    """Return whether a cut of the endpoint's connection would be noticed."""
+    if answer.content_type == EVENT_STREAM:
+        return True
+    framed = "content-length" in answer.headers
+    chunked = "chunked" in answer.headers.get("transfer-encoding", "").lower()
+    return framed or chunked or answer.status in (204, 304) or answer.method == "HEAD"
--- /dev/null
+++ b/magnoliarouter/endpoints/messages.py
@@ -0,0 +1,112 @@
+"""Header fields and messages between entry daemons and guards."""
+
+from __future__ import annotations
+
+import msgspec
+
+from magnoliarouter.core.attempts import StoredAnswer  # noqa: TC001 - msgspec resolves it
+
+__all__ = ["FenceReply", "FenceRequest", "GuardStatus", "is_end_to_end"]
+
+ATTEMPT_HEADER = "x-attempt-id"
+REQUEST_HEADER = "x-request-id"
+INCARNATION_HEADER = "x-incarnation"
+NOT_STARTED_HEADER = "x-not-started"
+RUN_ONCE_HEADER = "x-run-once"
+NOT_AFTER_HEADER = "x-not-after"
+GUARD_CLOCK_HEADER = "x-guard-clock"
+VERDICT_HEADER = "x-start-verdict"
+IDEMPOTENCY_HEADER = "idempotency-key"
+
+# RFC 9110 section 7.6.1, and the fields by which a message is framed anew on each hop.
+HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+        "expect",
+        "date",
+        "server",
+    )
+)
+
+
+class GuardStatus(msgspec.Struct, frozen=True):
+    """Report of a guard on itself.
+
+    Parameters
+    ----------
+    incarnation : str
+        Id of the guard's present start.
+    running : int
+        Attempts in progress.
+    draining : bool
+        Whether new attempts are refused.
+    clock : float
+        Loop time of the guard in seconds.
+    attempts, answer_bytes : int
+        Attempts remembered and bytes of answers kept.
+    """
+
+    incarnation: str
+    running: int
+    draining: bool
+    clock: float = 0.0
+    attempts: int = 0
+    answer_bytes: int = 0
+
+
+class FenceRequest(msgspec.Struct, frozen=True):
+    """Asks a guard to keep an attempt from starting, or to tell what became of it.
+
+    Parameters
+    ----------
+    attempt : str
+        Attempt id.
+    incarnation : str
+        Incarnation of the guard that the attempt was made for.
+    """
+
+    attempt: str
+    incarnation: str
+
+
+class FenceReply(msgspec.Struct, frozen=True):
+    """Answer to `FenceRequest`.
+
+    Parameters
+    ----------
+    attempt : str
+        Attempt id of the request.
+    state : str
+        A value of `AttemptState`, ``"other incarnation"`` or ``"table full"``.
+    answer : StoredAnswer, optional
+        The endpoint's answer, if the attempt finished and was to run only once.
+    """
+
+    attempt: str
+    state: str
+    answer: StoredAnswer | None = None
+
+
+def is_end_to_end(name: str, connection: str = "") -> bool:
+    """Return whether a header field may be relayed.
+
+    Parameters
+    ----------
+    name : str
+        Field name.
+    connection : str
+        Value of the message's ``Connection`` field, which names further hop-by-hop fields.
+    """
+    lowered = name.lower()
+    listed = {part.strip().lower() for part in connection.split(",")}
+    return lowered not in HOP_HEADERS and lowered not in listed
--- a/magnoliarouter/pipeline/dispatch.py
+++ b/magnoliarouter/pipeline/dispatch.py
@@ -10,6 +10,8 @@
 import aiohttp
 
 from magnoliarouter.core.outcome import NotRun, ResultCode, Unknown
+from magnoliarouter.endpoints.messages import ATTEMPT_HEADER, INCARNATION_HEADER, REQUEST_HEADER
+from magnoliarouter.pipeline.proof import find_refusal, was_unsent
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -19,12 +21,8 @@
 
 __all__ = ["ATTEMPT_HEADER", "Answer", "open_attempt"]
 
-ATTEMPT_HEADER = "x-attempt-id"
-REQUEST_HEADER = "x-request-id"
-INCARNATION_HEADER = "x-incarnation"
 PRIORITY_HEADER = "x-priority"
 DEADLINE_HEADER = "x-deadline-ms"
-NOT_STARTED_HEADER = "x-not-started"
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,11 +69,13 @@
     }
     url = f"http://{endpoint.address}{call.path}"
     try:
-        response = await session.request(call.method, url, headers=headers, data=call.body)
-    except aiohttp.ClientConnectorError:
-        yield NotRun(ResultCode.ENDPOINT_UNREACHABLE, "no connection to the endpoint")
-        return
+        response = await session.request(
+            call.method, url, headers=headers, data=call.body, allow_redirects=False
+        )
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        if was_unsent(error):
+            yield NotRun(ResultCode.ENDPOINT_UNREACHABLE, "no connection to the endpoint")
+            return
         yield Unknown(ResultCode.ENDPOINT_ERROR, type(error).__name__)
         return
     async with response:
@@ -86,6 +86,7 @@
     if response.headers.get(ATTEMPT_HEADER) != attempt:
         response.close()
         return Unknown(ResultCode.WRONG_ATTEMPT, "the answer belongs to another attempt")
-    if response.headers.get(NOT_STARTED_HEADER) == attempt:
-        return NotRun(ResultCode.ENDPOINT_REFUSED, "the endpoint's guard did not start it")
+    reason = find_refusal(response.headers, attempt)
+    if reason is not None:
+        return NotRun(ResultCode.ENDPOINT_REFUSED, f"the endpoint's guard refused it: {reason}")
     return Answer(response.status, response.content_type, response.content)
--- a/magnoliarouter/pipeline/identify.py
+++ b/magnoliarouter/pipeline/identify.py
@@ -98,7 +98,7 @@
         contract=contract,
         limits=limits,
         method=request.method,
-        path=request.path,
+        path=request.target,
         content_type=request.headers.get("content-type", "application/json"),
         body=request.body,
         deadline=now + request_seconds,
