--- a/magnoliarouter/endpoints/guard.py
+++ b/magnoliarouter/endpoints/guard.py
@@ -16,7 +16,7 @@
 
 from magnoliarouter.core.attempts import AttemptTable, StartVerdict
 from magnoliarouter.core.outcome import ResultCode
-from magnoliarouter.daemon.web import error_body
+from magnoliarouter.daemon.exchange import error_body
 from magnoliarouter.endpoints.execution import Broken, Executed, NotReached, execute
 from magnoliarouter.endpoints.messages import (
     ATTEMPT_HEADER,
