--- a/magnoliarouter/daemon/web.py
+++ b/magnoliarouter/daemon/web.py
@@ -383,4 +383,5 @@
         query=dict(parse_qsl(request.qs or "")),
         headers=headers,
         body=body,
+        query_string=request.qs or "",
     )
