Lend amounts from quota homes that hold their slots by lease

Limits were enforced by each daemon alone, so that N daemons admitted N times a contract. Each customer's rate and burst now belong to a primary and a secondary home slot in every zone; homes lend amounts that daemons spend locally, and level plus outstanding never passes the home's part. Slots are leases that a holder may keep through a store outage while the one named successor promises not to take over.

--- /dev/null
+++ b/magnoliarouter/core/division.py
@@ -0,0 +1,104 @@
+"""Division of a contract's amounts over quota homes.
+
+Every availability zone has a fixed number of home slots. A customer's amounts belong to a primary
+and a secondary slot in each zone. The shares depend on the customer's name and the list of zones
+alone, never on the amounts, so that an amendment moves no share from one home to another.
+"""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from magnoliarouter.core.hashing import rendezvous_order
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+__all__ = ["SLOTS_PER_ZONE", "HomePart", "divide", "divide_permits", "name_slots"]
+
+SLOTS_PER_ZONE = 2
+PRIMARY_SHARE = 0.75
+
+
+@dataclass(frozen=True, slots=True)
+class HomePart:
+    """Part of a customer's amounts that one home slot owns.
+
+    Parameters
+    ----------
+    slot : str
+        Name of the slot.
+    zone : str
+        Availability zone of the slot.
+    share : float
+        Share of the contract's rates and bursts; the shares of a customer add up to 1.
+    """
+
+    slot: str
+    zone: str
+    share: float
+
+
+def name_slots(zone: str, count: int = SLOTS_PER_ZONE) -> list[str]:
+    """Return the names of a zone's home slots."""
+    return [f"quota.{zone}.{index}" for index in range(count)]
+
+
+def divide(
+    customer: str, zones: Sequence[str], count: int = SLOTS_PER_ZONE
+) -> tuple[HomePart, ...]:
+    """Return a customer's parts in the order common to all daemons: primaries come first.
+
+    Parameters
+    ----------
+    customer : str
+        Name of the customer.
+    zones : sequence of str
+        All availability zones.
+    count : int
+        Home slots in each zone.
+
+    Examples
+    --------
+    >>> [part.share for part in divide("grower", ["a"])]
+    [0.75, 0.25]
+    """
+    primaries, secondaries = [], []
+    for zone in rendezvous_order(f"quota/{customer}", zones):
+        slots = rendezvous_order(f"quota/{customer}", name_slots(zone, count))
+        first = PRIMARY_SHARE if len(slots) > 1 else 1.0
+        primaries.append(HomePart(slots[0], zone, first / len(zones)))
+        if len(slots) > 1:
+            secondaries.append(HomePart(slots[1], zone, (1.0 - first) / len(zones)))
+    return (*primaries, *secondaries)
+
+
+def divide_permits(permits: int, parts: Sequence[HomePart]) -> dict[str, int]:
+    """Return the concurrent requests that each slot owns.
+
+    Permits are dealt one by one to the slot with the largest quotient of share and permits, so
+    that a larger number never takes a permit from any slot.
+
+    Parameters
+    ----------
+    permits : int
+        Concurrent requests of the contract.
+    parts : sequence of HomePart
+        Parts of the customer.
+
+    Examples
+    --------
+    >>> divide_permits(4, divide("grower", ["a"]))["quota.a.0"] in (1, 3)
+    True
+    """
+    dealt = dict.fromkeys((part.slot for part in parts), 0)
+    order = [(-part.share, index) for index, part in enumerate(parts)]
+    heapq.heapify(order)
+    for _ in range(permits):
+        _, index = order[0]
+        part = parts[index]
+        dealt[part.slot] += 1
+        heapq.heapreplace(order, (-part.share / (dealt[part.slot] + 1), index))
+    return dealt
--- /dev/null
+++ b/magnoliarouter/core/quota.py
@@ -0,0 +1,362 @@
+"""Quota home: owns part of every customer's amounts and lends from it.
+
+For each customer and resource ``level + outstanding <= share * burst`` holds at all times, and the
+level grows by ``share * rate``. What was lent leaves `outstanding` when it is reported spent,
+returned, or can no longer be spent because its loan has expired. Hence all daemons together spend
+at most ``share * (burst + rate * window)`` of this home's part in any window, whatever is lost,
+repeated, delayed or restarted.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from magnoliarouter.core.quota_lines import Ask, AskLine, Grant, GrantLine, ResourceAsk
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+__all__ = ["LOAN_MARGIN_S", "LOAN_SECONDS", "Bucket", "HomeTerms", "QuotaHome"]
+
+LOAN_SECONDS = 2.0
+LOAN_MARGIN_S = 0.5
+MAX_WAIT_S = 60.0
+HEADROOM_ENTRIES = 256
+
+
+@dataclass(frozen=True, slots=True)
+class HomeTerms:
+    """What a home owns of one customer's contract.
+
+    Parameters
+    ----------
+    request_rate, request_cap : float
+        Requests a second, and most requests that may be level or outstanding.
+    token_rate, token_cap : float
+        Tokens a second, and most tokens that may be level or outstanding.
+    permits : int
+        Concurrent requests.
+    """
+
+    request_rate: float
+    request_cap: float
+    token_rate: float
+    token_cap: float
+    permits: int
+
+
+@dataclass(slots=True)
+class Bucket:
+    """Amount of one resource that a home owns.
+
+    Parameters
+    ----------
+    rate, cap : float
+        Refill a second and bound of level plus outstanding.
+    level : float
+        Amount that can be lent now.
+    updated : float
+        Loop time of the last refill.
+    outstanding : float
+        Amount lent and possibly still unspent.
+    """
+
+    rate: float
+    cap: float
+    level: float
+    updated: float
+    outstanding: float = 0.0
+    _headroom: deque[list[float]] = field(default_factory=deque)
+    _headroom_since: float = 0.0
+
+    def refill(self, now: float) -> None:
+        """Add what has accrued, as far as the cap allows."""
+        elapsed = max(0.0, now - self.updated)
+        self.updated = max(now, self.updated)
+        room = max(0.0, self.cap - self.level - self.outstanding)
+        self.level += min(self.rate * elapsed, room)
+        self._note_headroom()
+
+    def change(self, rate: float, cap: float, now: float) -> None:
+        """Apply amended terms."""
+        self.refill(now)
+        self.rate, self.cap = rate, cap
+        self.level = max(0.0, min(self.level, cap - self.outstanding))
+        self._note_headroom()
+
+    def lend(self, want: float, least: float) -> float:
+        """Move up to `want` from the level to outstanding.
+
+        Nothing moves if less than `least` is there, or less than half of the cap if that is less.
+        """
+        amount = min(want, self.level)
+        if amount <= 0 or amount < min(least, want, self.cap / 2):
+            return 0.0
+        self.level -= amount
+        self.outstanding += amount
+        return amount
+
+    def drop(self, amount: float) -> None:
+        """Remove a spent or expired amount from outstanding."""
+        self.outstanding = max(0.0, self.outstanding - amount)
+
+    def take_back(self, amount: float) -> None:
+        """Return an unspent amount from outstanding to the level."""
+        self.drop(amount)
+        self.level += max(0.0, min(amount, self.cap - self.level - self.outstanding))
+
+    def refund(self, amount: float, since: float) -> None:
+        """Credit an amount that was charged at `since` or later but not used.
+
+        The level becomes what it would be had the amount never been charged: no more than the
+        smallest headroom below the cap since the charge.
+        """
+        if since < self._headroom_since:
+            return
+        entries = [entry for entry in self._headroom if entry[0] >= since]
+        credit = min([amount, *(entry[1] for entry in entries)])
+        if credit <= 0:
+            return
+        self.level += credit
+        for entry in entries:
+            entry[1] -= credit
+
+    def wait_for(self, amount: float) -> float:
+        """Return the seconds until the level reaches an amount."""
+        if amount <= self.level:
+            return 0.0
+        if self.rate <= 0:
+            return MAX_WAIT_S
+        return min(MAX_WAIT_S, (amount - self.level) / self.rate)
+
+    def _note_headroom(self) -> None:
+        headroom = self.cap - self.level - self.outstanding
+        entries = self._headroom
+        while entries and entries[-1][1] >= headroom:
+            entries.pop()
+        entries.append([self.updated, headroom])
+        if len(entries) > HEADROOM_ENTRIES:
+            self._headroom_since = entries.popleft()[0]
+
+
+@dataclass(slots=True)
+class _Lent:
+    """One resource of one loan: outstanding amount and counters last reported."""
+
+    held: float = 0.0
+    pending: float = 0.0
+    returned: float = 0.0
+    refunded: float = 0.0
+
+
+@dataclass(slots=True)
+class _Loan:
+    """Loan of one customer's amounts to one daemon."""
+
+    number: int
+    sequence: int = 0
+    expires: float = 0.0
+    requests: _Lent = field(default_factory=_Lent)
+    tokens: _Lent = field(default_factory=_Lent)
+    permits: int = 0
+    used_until: float = 0.0
+
+
+@dataclass(slots=True)
+class _Account:
+    """What a home owns of one customer, and its loans by borrower and incarnation."""
+
+    requests: Bucket
+    tokens: Bucket
+    permits: int
+    opening: tuple[float, float] = (0.0, 0.0)
+    opens: float = 0.0
+    loans: dict[tuple[str, str], _Loan] = field(default_factory=dict)
+
+
+class QuotaHome:
+    """State of one home slot during one epoch.
+
+    Parameters
+    ----------
+    slot : str
+        Name of the slot.
+    epoch : int
+        Epoch of this tenure.
+    terms : callable
+        Returns the `HomeTerms` of a customer now, or None if it has no service.
+    now : float
+        Loop time at which the tenure was confirmed.
+    first : bool
+        Whether no tenure came before, so that nothing can be outstanding.
+    """
+
+    def __init__(
+        self,
+        slot: str,
+        epoch: int,
+        terms: Callable[[str], HomeTerms | None],
+        now: float,
+        first: bool = False,
+    ) -> None:
+        self.slot = slot
+        self.epoch = epoch
+        self._terms = terms
+        self._first = first
+        # Loans of the tenure before may be spent until then.
+        self._opens = now if first else now + LOAN_SECONDS + LOAN_MARGIN_S
+        self._accounts: dict[str, _Account] = {}
+        self._sequences: dict[tuple[str, str], int] = {}
+
+    def answer(self, ask: Ask, now: float) -> Grant:
+        """Settle what an ask reports and lend what it wants, as far as the level allows."""
+        key = (ask.borrower, ask.incarnation)
+        if ask.epoch != self.epoch or ask.sequence <= self._sequences.get(key, 0):
+            return Grant(self.epoch, False, LOAN_SECONDS)
+        self._sequences[key] = ask.sequence
+        lines = [self._answer_line(ask, line, now) for line in ask.lines]
+        return Grant(self.epoch, True, LOAN_SECONDS, now, lines)
+
+    def find_contested(self) -> set[str]:
+        """Return the borrowers that are known by more than one incarnation."""
+        names = [name for name, _ in self._sequences]
+        return {name for name in names if names.count(name) > 1}
+
+    def confirm(self, borrower: str, incarnation: str) -> None:
+        """Forget all other incarnations of a borrower, for this one was alive after they asked.
+
+        One daemon runs on a VM at a time, so the calls of the others have ended, and their
+        permits are free again.
+        """
+        for key in [key for key in self._sequences if key[0] == borrower]:
+            if key[1] != incarnation:
+                del self._sequences[key]
+                for account in self._accounts.values():
+                    _close(account, key)
+
+    def report(self, customer: str, now: float) -> _Account | None:
+        """Return a customer's account with all expired loans closed."""
+        account = self._accounts.get(customer)
+        if account is not None:
+            self._advance(account, now)
+        return account
+
+    def _answer_line(self, ask: Ask, line: AskLine, now: float) -> GrantLine:
+        account = self._open_account(line.customer, now)
+        if account is None:
+            return GrantLine(line.customer, known=False)
+        self._advance(account, now)
+        key = (ask.borrower, ask.incarnation)
+        loan = account.loans.get(key)
+        if loan is None or loan.number != line.loan:
+            if line.acked:
+                return GrantLine(line.customer, known=False)
+            _close(account, key)
+            loan = account.loans[key] = _Loan(line.loan)
+        arrived = line.acked == loan.sequence
+        loan.sequence = ask.sequence
+        loan.expires = now + LOAN_SECONDS + LOAN_MARGIN_S
+        requests = _serve(account.requests, loan.requests, line.requests, arrived)
+        tokens = _serve(account.tokens, loan.tokens, line.tokens, arrived)
+        permits = self._lend_permits(account, loan, line, now)
+        return GrantLine(
+            line.customer,
+            requests,
+            tokens,
+            permits,
+            account.requests.wait_for(line.requests.want - requests),
+            account.tokens.wait_for(line.tokens.want - tokens),
+        )
+
+    def _lend_permits(self, account: _Account, loan: _Loan, line: AskLine, now: float) -> int:
+        loan.permits = line.permits_held
+        # An idle permit may be put to use until the loan ends, and then stays in use as long.
+        loan.used_until = loan.expires + line.used_seconds
+        if now < account.opens:
+            return 0
+        free = account.permits - sum(other.permits for other in account.loans.values())
+        lent = max(0, min(free, line.permits_wanted))
+        loan.permits += lent
+        return lent
+
+    def _open_account(self, customer: str, now: float) -> _Account | None:
+        terms = self._terms(customer)
+        account = self._accounts.get(customer)
+        if terms is None:
+            return None
+        if account is None:
+            account = self._accounts[customer] = self._create_account(terms, now)
+        requests, tokens = account.requests, account.tokens
+        if (requests.rate, requests.cap) != (terms.request_rate, terms.request_cap):
+            requests.change(terms.request_rate, terms.request_cap, now)
+        if (tokens.rate, tokens.cap) != (terms.token_rate, terms.token_cap):
+            tokens.change(terms.token_rate, terms.token_cap, now)
+        account.permits = terms.permits
+        return account
+
+    def _create_account(self, terms: HomeTerms, now: float) -> _Account:
+        requests = Bucket(terms.request_rate, terms.request_cap, 0.0, now)
+        tokens = Bucket(terms.token_rate, terms.token_cap, 0.0, now)
+        account = _Account(requests, tokens, terms.permits, opens=self._opens)
+        if self._first:
+            requests.level, tokens.level = requests.cap, tokens.cap
+        elif now >= self._opens:
+            elapsed = now - self._opens
+            requests.level = min(requests.cap, elapsed * requests.rate)
+            tokens.level = min(tokens.cap, elapsed * tokens.rate)
+        else:
+            account.opening = (requests.cap, tokens.cap)
+            requests.outstanding, tokens.outstanding = account.opening
+        return account
+
+    def _advance(self, account: _Account, now: float) -> None:
+        account.requests.refill(now)
+        account.tokens.refill(now)
+        if account.opening != (0.0, 0.0) and now >= account.opens:
+            account.requests.drop(account.opening[0])
+            account.tokens.drop(account.opening[1])
+            account.opening = (0.0, 0.0)
+        for key, loan in list(account.loans.items()):
+            if now >= loan.expires:
+                _expire(account, key, loan, now)
+
+
+def _expire(account: _Account, key: tuple[str, str], loan: _Loan, now: float) -> None:
+    for bucket, lent in _pairs(account, loan):
+        bucket.drop(lent.held + lent.pending)
+    if loan.permits and now < loan.used_until:
+        # Requests may go on although their daemon is not heard.
+        account.loans[key] = _Loan(-1, expires=loan.used_until, permits=loan.permits)
+    else:
+        del account.loans[key]
+
+
+def _close(account: _Account, key: tuple[str, str]) -> None:
+    loan = account.loans.pop(key, None)
+    if loan is not None:
+        for bucket, lent in _pairs(account, loan):
+            bucket.drop(lent.held + lent.pending)
+
+
+def _pairs(account: _Account, loan: _Loan) -> Iterator[tuple[Bucket, _Lent]]:
+    yield account.requests, loan.requests
+    yield account.tokens, loan.tokens
+
+
+def _serve(bucket: Bucket, lent: _Lent, ask: ResourceAsk, arrived: bool) -> float:
+    if arrived:
+        lent.held += lent.pending
+    else:
+        # The borrower has given up on the answer that carried this amount.
+        bucket.take_back(lent.pending)
+    returned = min(max(0.0, ask.returned - lent.returned), lent.held)
+    bucket.take_back(returned)
+    held = min(ask.held, lent.held - returned)
+    bucket.drop(lent.held - returned - held)
+    if ask.refunded > lent.refunded:
+        bucket.refund(ask.refunded - lent.refunded, ask.refund_since)
+    lent.held, lent.returned, lent.refunded = held, ask.returned, ask.refunded
+    lent.pending = bucket.lend(ask.want, ask.least)
+    return lent.pending
--- /dev/null
+++ b/magnoliarouter/core/slots.py
@@ -0,0 +1,202 @@
+"""Tenure of a quota home slot: a lease in the platform, backed by its successor's promises.
+
+The holder renews a record in the platform by conditional update. While that fails it may go on as
+long as the one VM that the record names as successor keeps promising not to take over. The
+successor takes over only when it saw no renewal for a lease time and a margin, has no promise
+out, and wins the conditional update. Other VMs take over only when the holder and the successor
+are both off the platform's list of VMs, or the holder released the slot. Times are durations on
+each VM's own loop clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+__all__ = ["LEASE_MARGIN_S", "LEASE_SECONDS", "Slot", "SlotRecord", "Write"]
+
+LEASE_SECONDS = 10.0
+LEASE_MARGIN_S = 1.0
+RENEW_S = LEASE_SECONDS / 3
+
+
+@dataclass(frozen=True, slots=True)
+class SlotRecord:
+    """Lease of a slot as kept in the platform.
+
+    Parameters
+    ----------
+    epoch : int
+        Number of the tenure; grows with each take-over.
+    holder, incarnation : str
+        VM that holds the slot and the id of its daemon's start; an empty holder released it.
+    successor : str
+        VM that may take over and whose promises the holder relies on.
+    renewal : int
+        Grows with each renewal.
+    """
+
+    epoch: int
+    holder: str
+    incarnation: str
+    successor: str
+    renewal: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """Conditional update to send: the record, and the version that it replaces (0 for none)."""
+
+    record: SlotRecord
+    expect: int
+
+
+@dataclass(slots=True)
+class Slot:
+    """One slot as one VM of its zone sees it.
+
+    Parameters
+    ----------
+    name : str
+        Name of the slot.
+    vm, incarnation : str
+        This VM and its daemon's start.
+    started : float
+        Loop time of the daemon's start.
+    """
+
+    name: str
+    vm: str
+    incarnation: str
+    started: float
+    record: SlotRecord | None = None
+    version: int = 0
+    seen: float = 0.0
+    first: bool = False
+    supported_until: float = 0.0
+    promised_until: float = 0.0
+    writing: bool = False
+
+    def observe(self, record: SlotRecord | None, version: int, now: float) -> None:
+        """Take what the platform shows; an older version is ignored."""
+        if version > self.version:
+            self.record, self.version, self.seen = record, version, now
+
+    @property
+    def mine(self) -> bool:
+        """Whether the newest record names this daemon's start as holder."""
+        record = self.record
+        return record is not None and (record.holder, record.incarnation) == (
+            self.vm,
+            self.incarnation,
+        )
+
+    def may_grant(self, now: float) -> bool:
+        """Return whether the tenure is proved at this moment."""
+        return self.mine and now < self.supported_until
+
+    def plan_write(
+        self, now: float, successor: str, listed: frozenset[str], rank: int
+    ) -> Write | None:
+        """Return the update that this VM should try now, if any.
+
+        Parameters
+        ----------
+        now : float
+            Loop time in seconds.
+        successor : str
+            VM to name as successor.
+        listed : frozenset of str
+            VMs on the platform's list.
+        rank : int
+            Place of this VM among those that may hold the slot; later ones wait longer.
+        """
+        if self.writing:
+            return None
+        record = self.record
+        if record is None:
+            # Nobody has held the slot; VMs try in order of rank.
+            waited = now - self.started >= rank * LEASE_MARGIN_S
+            return Write(self._claim(1, successor), 0) if waited else None
+        if self.mine:
+            # A claim that took effect late must not break a promise given since.
+            if now - self.seen < RENEW_S or now < self.promised_until:
+                return None
+            renewed = replace(record, renewal=record.renewal + 1, successor=successor)
+            return Write(renewed, self.version)
+        if self._may_take_over(record, now, listed, rank):
+            return Write(self._claim(record.epoch + 1, successor), self.version)
+        return None
+
+    def plan_release(self) -> Write | None:
+        """Return the update that gives the slot up, and stop granting."""
+        self.supported_until = 0.0
+        if not self.mine or self.record is None:
+            return None
+        return Write(replace(self.record, holder="", incarnation=""), self.version)
+
+    def begin_write(self) -> None:
+        """Note that an update is on its way; no promise is given meanwhile."""
+        self.writing = True
+
+    def end_write(self, write: Write, version: int | None, sent: float, now: float) -> None:
+        """Note the end of an update: its new version, or None if it did not take effect.
+
+        An update whose fate is not known must be read back first; until then `writing` stays.
+        """
+        self.writing = False
+        if version is None:
+            return
+        self.first = write.expect == 0 or (self.first and self.mine)
+        self.observe(write.record, version, now)
+        if self.mine:
+            self.supported_until = max(self.supported_until, sent + LEASE_SECONDS - LEASE_MARGIN_S)
+
+    def needs_promise(self, now: float) -> bool:
+        """Return whether renewals fail so that the successor should be asked for a promise."""
+        return (
+            self.mine
+            and now < self.supported_until
+            and self.supported_until - now < LEASE_SECONDS - LEASE_MARGIN_S - 1.2 * RENEW_S
+        )
+
+    def promise(self, epoch: int, incarnation: str, now: float) -> float:
+        """Promise the holder not to take over, and return for how many seconds.
+
+        Returns
+        -------
+        float
+            0 if this VM may not promise: it is not the successor, knows another holder, or is
+            about to take over.
+        """
+        record = self.record
+        if record is None or self.writing or record.successor != self.vm:
+            return 0.0
+        if (record.epoch, record.incarnation) != (epoch, incarnation):
+            return 0.0
+        self.promised_until = max(self.promised_until, now + LEASE_SECONDS)
+        return LEASE_SECONDS
+
+    def accept_promise(self, seconds: float, sent: float, now: float) -> None:
+        """Rely on a promise that was asked for at `sent`."""
+        if seconds > 0 and self.may_grant(now):
+            self.supported_until = max(self.supported_until, sent + seconds - LEASE_MARGIN_S)
+
+    def _claim(self, epoch: int, successor: str) -> SlotRecord:
+        return SlotRecord(epoch, self.vm, self.incarnation, successor)
+
+    def _may_take_over(
+        self, record: SlotRecord, now: float, listed: frozenset[str], rank: int
+    ) -> bool:
+        if not record.holder:
+            return now - self.seen >= rank * LEASE_MARGIN_S
+        if record.holder == self.vm:
+            # One daemon runs on a VM: the incarnation that held the slot has ended.
+            return True
+        if now - self.seen < LEASE_SECONDS + LEASE_MARGIN_S:
+            return False
+        if record.successor == self.vm:
+            # A promise given before a restart of this daemon is forgotten but may still run.
+            restarted = now - self.started < LEASE_SECONDS + LEASE_MARGIN_S
+            return now >= self.promised_until and not restarted
+        gone = record.holder not in listed and record.successor not in listed
+        return gone and now - self.seen >= (2 + rank) * LEASE_SECONDS
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -12,6 +12,7 @@
 from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.daemon.loop import Runtime
 from magnoliarouter.daemon.metrics import Metrics
+from magnoliarouter.daemon.quota import QuotaDuty
 from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.peers import PeerClient, PeerServer
@@ -29,6 +30,7 @@
 if TYPE_CHECKING:
     from magnoliarouter.core.contract import Contract
     from magnoliarouter.daemon.settings import EntrySettings
+    from magnoliarouter.pipeline.admit import Admission
     from magnoliarouter.pipeline.call import Call
     from magnoliarouter.platform.objects import EndpointSpec
 
@@ -54,6 +56,7 @@
         self.ready = False
         self._contracts_by_key: dict[str, Contract] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        self._quota: QuotaDuty | None = None
 
     async def start(self) -> None:
         """Start the feeds and serve callers."""
@@ -64,7 +67,7 @@
         self.peer_client = PeerClient(self.settings.peer_key)
         self.peer_server = PeerServer(self.settings.peer_key)
         self._placement = Placement(self.settings.zone, self._endpoints.cache)
-        self._admission = LocalAdmission(1.0, self._loop.time)
+        self._open_admission()
         listen = self.settings.listen
         self._server = WebServer(
             Runtime(self._loop),
@@ -85,6 +88,8 @@
         await self._server.wait_until_idle()
         for task in self._tasks:
             task.cancel()
+        if self._quota is not None:
+            await self._quota.release()
         await self.peer_server.stop()
         await self.peer_client.close()
         await self._session.close()
@@ -103,6 +108,21 @@
             case _:
                 await self._serve(exchange)
 
+    def _open_admission(self) -> None:
+        if self.settings.admission == "static":
+            self._admission: Admission = LocalAdmission(self.settings.static_share, self._loop.time)
+            return
+        self._quota = QuotaDuty(
+            self.settings,
+            self._platform,
+            (self.peer_client, self.peer_server),
+            (self._contracts.cache, self._vms.cache),
+            self.metrics,
+            self._loop.time,
+        )
+        self._admission = self._quota.admission
+        self._tasks += [self._loop.create_task(task) for task in self._quota.tasks()]
+
     def _open_feeds(self) -> None:
         self._contracts = ObjectFeed(
             self._platform, "contract", decode_contract, self._index_contracts
@@ -146,7 +166,7 @@
             with self.metrics.in_flight.track_inprogress():
                 await self._forward(exchange, call, meter)
         finally:
-            permit.settle(meter.total)
+            permit.settle(meter.total) if meter.ran else permit.cancel()
 
     def _open_meter(self) -> Meter:
         metrics = self.metrics
@@ -170,8 +190,10 @@
     async def _attempt(
         self, exchange: Exchange, call: Call, endpoint: EndpointSpec, meter: Meter
     ) -> None:
+        meter.ran = True
         async with open_attempt(self._session, endpoint, call, self._loop.time()) as answer:
             if not isinstance(answer, Answer):
+                meter.ran, meter.exact = not isinstance(answer, NotRun), False
                 await self._answer_error(exchange, answer, call=call)
                 return
             if isinstance(call.work, ModelCall):
--- /dev/null
+++ b/magnoliarouter/daemon/quota.py
@@ -0,0 +1,356 @@
+"""Quota duty of an entry daemon: holds home slots by lease and answers borrowers."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from magnoliarouter.core.borrowing import Borrower
+from magnoliarouter.core.contract import effective_limits
+from magnoliarouter.core.division import HomePart, divide, divide_permits, name_slots
+from magnoliarouter.core.hashing import rendezvous_order
+from magnoliarouter.core.quota import HomeTerms, QuotaHome
+from magnoliarouter.core.quota_lines import Ask, Grant
+from magnoliarouter.core.slots import LEASE_SECONDS, Slot, SlotRecord, Write
+from magnoliarouter.daemon.logs import log_event
+from magnoliarouter.peers.channel import PeerError
+from magnoliarouter.peers.quota_messages import (
+    ASK_METHOD,
+    INCARNATION_METHOD,
+    PROMISE_METHOD,
+    Incarnation,
+    IncarnationAsk,
+    Promise,
+    PromiseAsk,
+)
+from magnoliarouter.pipeline.escrow import EscrowAdmission
+from magnoliarouter.platform.client import Ambiguous, Conflict, Found, Written
+from magnoliarouter.platform.feed import ObjectFeed
+from magnoliarouter.platform.objects import ObjectError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from magnoliarouter.core.cache import VersionedCache
+    from magnoliarouter.core.contract import Contract, Limits
+    from magnoliarouter.daemon.metrics import Metrics
+    from magnoliarouter.daemon.settings import EntrySettings
+    from magnoliarouter.peers import PeerClient, PeerServer
+    from magnoliarouter.platform.client import PlatformClient
+    from magnoliarouter.platform.objects import StoredObject, VmSpec
+
+__all__ = ["HomeAnnouncement", "QuotaDuty"]
+
+LEASE_KIND = "quota-lease"
+HOME_KIND = "quota-home"
+STEP_SECONDS = 0.5
+POLL_SECONDS = LEASE_SECONDS / 3
+ASK_DEADLINE_S = 0.5
+PROMISE_DEADLINE_S = 1.0
+
+
+class HomeAnnouncement(msgspec.Struct, frozen=True):
+    """Holder of a slot as announced to borrowers.
+
+    Parameters
+    ----------
+    slot : str
+        Slot.
+    epoch : int
+        Epoch of the tenure.
+    holder : str
+        VM that holds it.
+    """
+
+    slot: str
+    epoch: int
+    holder: str
+
+
+def _decode_home(value: Any) -> HomeAnnouncement:
+    try:
+        return msgspec.convert(value, type=HomeAnnouncement)
+    except msgspec.ValidationError as error:
+        raise ObjectError(f"{HOME_KIND}: {error}") from error
+
+
+class QuotaDuty:
+    """Home slots of one daemon's availability zone.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Settings of the daemon.
+    platform : PlatformClient
+        Client of the platform.
+    peers : tuple of (PeerClient, PeerServer)
+        Calls to and from other entry daemons.
+    caches : tuple of VersionedCache
+        Contracts by customer, and VMs by name.
+    metrics : Metrics
+        Metrics of the daemon.
+    clock : callable
+        Loop time in seconds.
+
+    Attributes
+    ----------
+    admission : EscrowAdmission
+        Admission from the stock that the homes lend.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        platform: PlatformClient,
+        peers: tuple[PeerClient, PeerServer],
+        caches: tuple[VersionedCache[Contract], VersionedCache[VmSpec]],
+        metrics: Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        incarnation = uuid.uuid4().hex
+        self._self = Incarnation(settings.name, incarnation)
+        self._settings = settings
+        self._zones = settings.zones or (settings.zone,)
+        self._platform = platform
+        self._peer_client, peer_server = peers
+        self._contracts, self._vms = caches
+        self._clock = clock
+        borrower = Borrower(settings.name, incarnation, settings.request_seconds)
+        self.admission = EscrowAdmission(
+            borrower, settings.zone, self._zones, self.send, self._clock
+        )
+        self._listed = False
+        self.homes: dict[str, QuotaHome] = {}
+        self.slots = {
+            name: Slot(name, settings.name, incarnation, clock())
+            for name in name_slots(settings.zone)
+        }
+        self._unresolved: dict[str, tuple[Write, float]] = {}
+        self._terms_cache: dict[str, tuple[Limits, tuple[HomePart, ...], dict[str, int]]] = {}
+        self._announced = ObjectFeed(platform, HOME_KIND, _decode_home, self._learn_home)
+        self._asks = metrics.add_counter("quota_asks", "Asks to quota homes", "result")
+        self._writes = metrics.add_counter("quota_slot_writes", "Slot lease writes", "result")
+        self._held = metrics.add_gauge("quota_slots_held", "Home slots that this daemon holds")
+        peer_server.add_method(ASK_METHOD, Ask, self._handle_ask)
+        peer_server.add_method(PROMISE_METHOD, PromiseAsk, self._handle_promise)
+        peer_server.add_method(INCARNATION_METHOD, IncarnationAsk, self._handle_incarnation)
+
+    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+        """Return the coroutines that run the duty."""
+        return [self._announced.run(), self._poll(), self._keep(), self.admission.run()]
+
+    async def send(self, ask: Ask) -> Grant | None:
+        """Send an ask to the holder of its slot, and return its answer, or None."""
+        home = self._announced.cache.get(ask.slot)
+        if home is not None and home.holder == self._settings.name:
+            return self._answer(ask)
+        vm = self._vms.get(home.holder) if home is not None else None
+        if vm is None:
+            self._asks.labels("no_holder").inc()
+            return None
+        try:
+            grant = await self._peer_client.call(vm.address, ASK_METHOD, ask, Grant, ASK_DEADLINE_S)
+        except PeerError:
+            self._asks.labels("unreachable").inc()
+            return None
+        self._asks.labels("answered" if grant.granting else "not_holder").inc()
+        return grant
+
+    async def release(self) -> None:
+        """Give up all slots, for a shutdown."""
+        for slot in self.slots.values():
+            write = slot.plan_release()
+            self.homes.pop(slot.name, None)
+            if write is not None:
+                await self._platform.write(
+                    LEASE_KIND, slot.name, msgspec.to_builtins(write.record), write.expect
+                )
+
+    async def _handle_ask(self, ask: Ask) -> Grant:
+        return self._answer(ask)
+
+    def _answer(self, ask: Ask) -> Grant:
+        # The tenure is proved at this very moment, also after a pause of the process.
+        now = self._clock()
+        slot, home = self.slots.get(ask.slot), self.homes.get(ask.slot)
+        if slot is None or home is None or not slot.may_grant(now):
+            return Grant(0, False, 0.0)
+        return home.answer(ask, now)
+
+    async def _handle_promise(self, ask: PromiseAsk) -> Promise:
+        slot = self.slots.get(ask.slot)
+        if slot is None:
+            return Promise(0.0)
+        return Promise(slot.promise(ask.epoch, ask.incarnation, self._clock()))
+
+    async def _handle_incarnation(self, ask: IncarnationAsk) -> Incarnation:
+        return self._self
+
+    async def _confirm_borrowers(self, home: QuotaHome) -> None:
+        """Ask borrowers known by several incarnations which one runs."""
+        for name in home.find_contested():
+            vm = self._vms.get(name)
+            if vm is None:
+                continue
+            try:
+                running = await self._peer_client.call(
+                    vm.address, INCARNATION_METHOD, IncarnationAsk(), Incarnation
+                )
+            except PeerError:
+                continue
+            if running.name == name:
+                home.confirm(name, running.incarnation)
+
+    async def _poll(self) -> None:
+        while True:
+            match await self._platform.list(LEASE_KIND):
+                case Found(_, items):
+                    present = {item.name: item for item in items}
+                    for slot in self.slots.values():
+                        self._observe(slot, present.get(slot.name))
+                    self._listed = True
+            await asyncio.sleep(POLL_SECONDS if self._listed else STEP_SECONDS)
+
+    def _observe(self, slot: Slot, item: StoredObject | None) -> None:
+        now = self._clock()
+        if item is None or item.value is None:
+            return
+        try:
+            record = msgspec.convert(item.value, type=SlotRecord)
+        except msgspec.ValidationError as error:
+            log_event("quota_lease_malformed", slot=slot.name, reason=str(error))
+            return
+        slot.observe(record, item.version, now)
+
+    async def _keep(self) -> None:
+        while True:
+            steps = [self._step(slot) for slot in self.slots.values()] if self._listed else []
+            await asyncio.gather(*steps)
+            self._held.set(sum(1 for slot in self.slots.values() if slot.may_grant(self._clock())))
+            await asyncio.sleep(STEP_SECONDS)
+
+    async def _step(self, slot: Slot) -> None:
+        if slot.name in self._unresolved:
+            await self._resolve(slot)
+        write = self._plan(slot)
+        if write is not None:
+            slot.begin_write()
+            await self._write(slot, write)
+        self._open_home(slot)
+        if slot.needs_promise(self._clock()):
+            await self._ask_promise(slot)
+        await self._announce(slot)
+        if slot.name in self.homes:
+            await self._confirm_borrowers(self.homes[slot.name])
+
+    def _plan(self, slot: Slot) -> Write | None:
+        vms = self._vms.values()
+        order = self._order_vms(slot.name)
+        if self._settings.name not in order:
+            return None
+        others = [name for name in order if name != self._settings.name]
+        successor = next((name for name in others if not vms[name].leaving), "")
+        rank = order.index(self._settings.name)
+        return slot.plan_write(self._clock(), successor, frozenset(vms), rank)
+
+    def _order_vms(self, slot: str) -> list[str]:
+        """Return the zone's entry VMs by preference; each slot prefers another VM."""
+        vms = self._vms.values().values()
+        names = [vm.name for vm in vms if vm.role == "entry" and vm.zone == self._settings.zone]
+        order = rendezvous_order(self._settings.zone, names)
+        shift = list(self.slots).index(slot) % max(1, len(order))
+        return order[shift:] + order[:shift]
+
+    async def _write(self, slot: Slot, write: Write) -> None:
+        sent = self._clock()
+        value = msgspec.to_builtins(write.record)
+        outcome = await self._platform.write(LEASE_KIND, slot.name, value, write.expect)
+        self._writes.labels(type(outcome).__name__.lower()).inc()
+        match outcome:
+            case Written(version):
+                slot.end_write(write, version, sent, self._clock())
+            case Conflict(current):
+                slot.end_write(write, None, sent, self._clock())
+                self._observe(slot, current)
+            case Ambiguous():
+                self._unresolved[slot.name] = (write, sent)
+            case _:
+                slot.end_write(write, None, sent, self._clock())
+
+    async def _resolve(self, slot: Slot) -> None:
+        """Read a slot back after a write whose answer was lost."""
+        write, sent = self._unresolved[slot.name]
+        outcome = await self._platform.read(LEASE_KIND, slot.name)
+        if not isinstance(outcome, Found):
+            return
+        item = outcome.items[0]
+        del self._unresolved[slot.name]
+        applied = msgspec.convert(item.value, type=SlotRecord) == write.record
+        slot.end_write(write, item.version if applied else None, sent, self._clock())
+        self._observe(slot, item)
+
+    def _open_home(self, slot: Slot) -> None:
+        now = self._clock()
+        if not slot.may_grant(now) or slot.record is None:
+            return
+        epoch = slot.record.epoch
+        known = self.homes.get(slot.name)
+        if known is None or known.epoch != epoch:
+            terms = self._terms_for(slot.name)
+            self.homes[slot.name] = QuotaHome(slot.name, epoch, terms, now, slot.first)
+            log_event("quota_home_opened", slot=slot.name, epoch=epoch)
+
+    def _terms_for(self, slot: str) -> Callable[[str], HomeTerms | None]:
+        return lambda customer: self._find_terms(slot, customer)
+
+    def _find_terms(self, slot: str, customer: str) -> HomeTerms | None:
+        contract = self._contracts.get(customer)
+        limits = effective_limits(contract) if contract is not None else None
+        if limits is None:
+            return None
+        known = self._terms_cache.get(customer)
+        if known is None or known[0] != limits:
+            parts = divide(customer, self._zones)
+            known = (limits, parts, divide_permits(limits.concurrent_requests, parts))
+            self._terms_cache[customer] = known
+        share = next((part.share for part in known[1] if part.slot == slot), 0.0)
+        return HomeTerms(
+            limits.requests_per_second * share,
+            limits.request_burst * share,
+            limits.tokens_per_second * share,
+            limits.token_burst * share,
+            known[2].get(slot, 0),
+        )
+
+    async def _ask_promise(self, slot: Slot) -> None:
+        record = slot.record
+        vm = self._vms.get(record.successor) if record is not None else None
+        if record is None or vm is None:
+            return
+        sent = self._clock()
+        ask = PromiseAsk(slot.name, record.epoch, record.incarnation)
+        try:
+            promise = await self._peer_client.call(
+                vm.address, PROMISE_METHOD, ask, Promise, PROMISE_DEADLINE_S
+            )
+        except PeerError:
+            return
+        slot.accept_promise(promise.seconds, sent, self._clock())
+
+    async def _announce(self, slot: Slot) -> None:
+        record = slot.record
+        if record is None or not slot.may_grant(self._clock()):
+            return
+        known = self._announced.cache.get(slot.name)
+        if known is not None and known.epoch >= record.epoch:
+            return
+        value = HomeAnnouncement(slot.name, record.epoch, record.holder)
+        version = self._announced.cache.version_of(slot.name)
+        await self._platform.write(HOME_KIND, slot.name, msgspec.to_builtins(value), version)
+
+    def _learn_home(self, slot: str, home: HomeAnnouncement | None) -> None:
+        if home is not None:
+            self.admission.set_home(slot, home.epoch)
--- a/magnoliarouter/daemon/settings.py
+++ b/magnoliarouter/daemon/settings.py
@@ -68,6 +68,10 @@
         Longest time that a request may take when the caller names no deadline, in seconds.
     queue_length : int
         Requests that may wait for an endpoint in this daemon.
+    admission : {"escrow", "static"}
+        How limits are shared among daemons; "static" is for comparison in benches only.
+    static_share : float
+        Part of each contract that this daemon may admit under "static".
     shutdown_seconds : float
         Time between the readiness probe failing and the listener closing, in seconds.
     """
@@ -77,6 +81,8 @@
     zones: tuple[Name, ...] = ()
     request_seconds: Seconds = 120.0
     queue_length: Annotated[int, Meta(ge=0)] = 256
+    admission: Literal["escrow", "static"] = "escrow"
+    static_share: Annotated[float, Meta(gt=0, le=1)] = 1.0
     shutdown_seconds: Annotated[float, Meta(ge=0)] = 2.0
 
 
--- a/magnoliarouter/pipeline/admit.py
+++ b/magnoliarouter/pipeline/admit.py
@@ -19,8 +19,14 @@
 class Permit(Protocol):
     """Right to work on one admitted call."""
 
-    def settle(self, tokens: int) -> None:
-        """End the call: return its concurrency and charge the tokens it really used."""
+    def settle(self, tokens: int | None) -> None:
+        """End the call: return its concurrency and charge the tokens it really used.
+
+        None charges the estimate, because nobody knows what was used.
+        """
+
+    def cancel(self) -> None:
+        """End a call that did not run: return all that it took."""
 
 
 class Admission(Protocol):
@@ -53,19 +59,24 @@
 
     admission: LocalAdmission
     customer: str
+    estimate: int
 
-    def settle(self, tokens: int) -> None:
-        self.admission.running[self.customer] -= 1
+    def settle(self, tokens: int | None) -> None:
+        unused = 0 if tokens is None else self.estimate - tokens
+        self.admission.end(self.customer, 0.0, float(unused))
+
+    def cancel(self) -> None:
+        self.admission.end(self.customer, 1.0, float(self.estimate))
 
 
 @dataclass(slots=True)
 class LocalAdmission:
-    """Limits enforced by one daemon alone, as static division does.
+    """Static division: each daemon admits a fixed share of each contract and talks to nobody.
 
     Parameters
     ----------
     share : float
-        Part of each contract's rates that this daemon may admit.
+        Part of each contract's rates, bursts and permits that this daemon may admit.
     clock : callable
         Loop time in seconds.
     """
@@ -78,22 +89,30 @@
     async def admit(self, call: Call) -> Permit | NotRun:
         """Admit a call if its customer's buckets of this daemon hold enough."""
         customer, limits = call.contract.customer, call.limits
-        if self.running.get(customer, 0) >= limits.concurrent_requests:
+        if self.running.get(customer, 0) >= int(limits.concurrent_requests * self.share):
             return NotRun(ResultCode.CONCURRENCY, "too many requests in progress", 1.0)
         rate = limits.requests_per_second * self.share
         wait = self._take(f"{customer}/requests", 1, rate, limits.burst_seconds)
         if wait:
             return NotRun(ResultCode.REQUEST_RATE, "request rate is used up", wait)
-        if isinstance(call.work, ModelCall):
+        amount = call.work.token_estimate if isinstance(call.work, ModelCall) else 0
+        if amount:
             rate = limits.tokens_per_second * self.share
-            amount = call.work.token_estimate
             wait = self._take(f"{customer}/tokens", amount, rate, limits.burst_seconds)
             if wait:
+                self.buckets[f"{customer}/requests"].level += 1
                 return NotRun(ResultCode.TOKEN_RATE, "token rate is used up", wait)
         self.running[customer] = self.running.get(customer, 0) + 1
-        return _LocalPermit(self, customer)
+        return _LocalPermit(self, customer, amount)
+
+    def end(self, customer: str, requests: float, tokens: float) -> None:
+        """End a call and give back what it did not use."""
+        self.running[customer] -= 1
+        self.buckets[f"{customer}/requests"].level += requests
+        if f"{customer}/tokens" in self.buckets:
+            self.buckets[f"{customer}/tokens"].level += tokens
 
     def _take(self, name: str, amount: float, rate: float, burst_seconds: float) -> float:
-        burst = max(rate * burst_seconds, amount)
+        burst = rate * burst_seconds
         bucket = self.buckets.setdefault(name, _Bucket(burst, self.clock()))
         return bucket.take(amount, rate, burst, self.clock())
--- a/magnoliarouter/pipeline/deliver.py
+++ b/magnoliarouter/pipeline/deliver.py
@@ -68,6 +68,7 @@
     try:
         body = await answer.body.read()
     except (aiohttp.ClientError, OSError):
+        meter.exact = False
         error = error_body(TRUNCATED.code, "unknown", TRUNCATED.reason)
         await exchange.send(502, error, headers)
         return TRUNCATED
@@ -129,5 +130,6 @@
     try:
         usage = msgspec.json.decode(body, type=_WholeAnswer).usage
     except msgspec.DecodeError:
+        meter.exact = False
         return
     meter.note_usage(usage.prompt_tokens, usage.completion_tokens)
--- /dev/null
+++ b/magnoliarouter/pipeline/escrow.py
@@ -0,0 +1,224 @@
+"""Admission from a stock that quota homes lend."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from magnoliarouter.core.borrowing import TICK_SECONDS, Borrower, Need, Shortage
+from magnoliarouter.core.division import divide
+from magnoliarouter.core.outcome import NotRun, ResultCode
+from magnoliarouter.pipeline.call import ModelCall
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from magnoliarouter.core.loans import Charge
+    from magnoliarouter.core.quota_lines import Ask, Grant
+    from magnoliarouter.pipeline.call import Call
+
+__all__ = ["EscrowAdmission"]
+
+MAX_WAIT_S = 1.0
+CALLS_PER_PART = 2
+
+REFUSALS = {
+    "requests": (ResultCode.REQUEST_RATE, "request rate is used up"),
+    "tokens": (ResultCode.TOKEN_RATE, "token rate is used up"),
+    "permits": (ResultCode.CONCURRENCY, "too many requests in progress"),
+    "homes": (ResultCode.QUOTA_UNAVAILABLE, "no quota home can be reached"),
+}
+
+
+@dataclass(slots=True)
+class _EscrowPermit:
+    """Permit of `EscrowAdmission`."""
+
+    admission: EscrowAdmission
+    charge: Charge
+
+    def settle(self, tokens: int | None) -> None:
+        used = self.charge.estimate if tokens is None else float(tokens)
+        self.admission.settle(self.charge, used)
+
+    def cancel(self) -> None:
+        self.admission.settle(self.charge, 0.0, ran=False)
+
+
+@dataclass(slots=True, eq=False)
+class _Waiter:
+    call: Call
+    need: Need
+    decided: asyncio.Future[Charge | NotRun]
+
+
+@dataclass(slots=True)
+class EscrowAdmission:
+    """Admits calls from a daemon's stock and keeps the stock filled.
+
+    Parameters
+    ----------
+    borrower : Borrower
+        Stock of this daemon.
+    zone : str
+        Availability zone of this daemon, whose homes are asked first.
+    zones : tuple of str
+        All availability zones.
+    send : callable
+        Coroutine function that sends an `Ask` to the holder of its slot and returns the `Grant`,
+        or None if none came.
+    clock : callable
+        Loop time in seconds.
+    """
+
+    borrower: Borrower
+    zone: str
+    zones: tuple[str, ...]
+    send: Callable[[Ask], Awaitable[Grant | None]]
+    clock: Callable[[], float]
+    slots: set[str] = field(default_factory=set)
+    _largest: dict[str, int] = field(default_factory=dict)
+    _waiters: dict[str, list[_Waiter]] = field(default_factory=dict)
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _scheduled: bool = False
+
+    async def admit(self, call: Call) -> _EscrowPermit | NotRun:
+        """Return a permit, or why the call is refused and when to come back."""
+        work = call.work
+        tokens = work.token_estimate if isinstance(work, ModelCall) else 0
+        if tokens > call.limits.token_burst:
+            burst = call.limits.token_burst
+            reason = f"{tokens} tokens; the contract allows {burst:g} at once"
+            return NotRun(ResultCode.TOKENS_PER_REQUEST, reason)
+        customer, need = call.contract.customer, Need(float(tokens))
+        self._set_order(call, tokens)
+        now = self.clock()
+        self.borrower.note_demand(customer, need, now)
+        # Calls that wait already are served first.
+        taken = Shortage("", 0.0, True)
+        if not self._waiters.get(customer):
+            taken = self.borrower.take(customer, need, now)
+        if isinstance(taken, Shortage):
+            taken = await self._wait(call, need) if taken.waits else _refuse(taken)
+        if isinstance(taken, NotRun):
+            return taken
+        return _EscrowPermit(self, taken)
+
+    def settle(self, charge: Charge, tokens: float, ran: bool = True) -> None:
+        """End an admitted call."""
+        self.borrower.settle(charge, tokens, self.clock(), ran)
+        self._serve_waiters(charge.customer)
+
+    def set_home(self, slot: str, epoch: int) -> None:
+        """Note that a slot has a holder with this epoch."""
+        self.slots.add(slot)
+        self.borrower.set_home(slot, epoch)
+        self._schedule()
+
+    async def run(self) -> None:
+        """Report, return and renew loans, for ever."""
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            for slot in list(self.slots):
+                self._ask(slot)
+            for customer in list(self._waiters):
+                self._serve_waiters(customer)
+
+    def _set_order(self, call: Call, tokens: int) -> None:
+        customer, limits = call.contract.customer, call.limits
+        largest = max(tokens, self._largest.get(customer, 0))
+        self._largest[customer] = largest
+        parts = divide(customer, self.zones or (self.zone,))
+        share = parts[0].share
+        pooled = (
+            limits.request_burst * share < CALLS_PER_PART
+            or limits.token_burst * share < CALLS_PER_PART * largest
+        )
+        if not pooled:
+            parts = sorted(parts, key=lambda part: part.zone != self.zone)
+        self.borrower.set_customer(customer, [part.slot for part in parts], pooled)
+
+    async def _wait(self, call: Call, need: Need) -> Charge | NotRun:
+        customer = call.contract.customer
+        waiter = _Waiter(call, need, asyncio.get_running_loop().create_future())
+        self._waiters.setdefault(customer, []).append(waiter)
+        self.borrower.wait(customer, need)
+        self._schedule()
+        seconds = max(0.0, min(MAX_WAIT_S, call.deadline - self.clock()))
+        timer = asyncio.get_running_loop().call_later(seconds, self._give_up, waiter)
+        try:
+            return await waiter.decided
+        except asyncio.CancelledError:
+            if waiter.decided.done() and not waiter.decided.cancelled():
+                decided = waiter.decided.result()
+                if not isinstance(decided, NotRun):
+                    self.settle(decided, 0.0, ran=False)
+            raise
+        finally:
+            timer.cancel()
+            self._remove(waiter)
+
+    def _give_up(self, waiter: _Waiter) -> None:
+        if not waiter.decided.done():
+            customer = waiter.call.contract.customer
+            taken = self.borrower.take(customer, waiter.need, self.clock())
+            waiter.decided.set_result(_refuse(taken) if isinstance(taken, Shortage) else taken)
+            self._remove(waiter)
+
+    def _remove(self, waiter: _Waiter) -> None:
+        customer = waiter.call.contract.customer
+        queue = self._waiters.get(customer, [])
+        if waiter in queue:
+            queue.remove(waiter)
+            self.borrower.stop_waiting(customer, waiter.need)
+        if not queue:
+            self._waiters.pop(customer, None)
+
+    def _serve_waiters(self, customer: str) -> None:
+        for waiter in list(self._waiters.get(customer, ())):
+            if waiter.decided.done():
+                continue
+            taken = self.borrower.take(customer, waiter.need, self.clock())
+            if isinstance(taken, Shortage):
+                if taken.waits:
+                    return
+                taken = _refuse(taken)
+            waiter.decided.set_result(taken)
+            self._remove(waiter)
+
+    def _schedule(self) -> None:
+        if not self._scheduled:
+            self._scheduled = True
+            asyncio.get_running_loop().call_soon(self._ask_wanted)
+
+    def _ask_wanted(self) -> None:
+        self._scheduled = False
+        for slot in self.borrower.slots_wanted(self.clock()):
+            self._ask(slot)
+
+    def _ask(self, slot: str) -> None:
+        ask = self.borrower.build_ask(slot, self.clock())
+        if ask is not None:
+            task = asyncio.get_running_loop().create_task(self._exchange(ask))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _exchange(self, ask: Ask) -> None:
+        grant = None
+        try:
+            grant = await self.send(ask)
+        finally:
+            now = self.clock()
+            if grant is None:
+                self.borrower.fail(ask, now)
+            else:
+                self.borrower.apply(ask, grant, now)
+            for line in ask.lines:
+                self._serve_waiters(line.customer)
+            self._schedule()
+
+
+def _refuse(shortage: Shortage) -> NotRun:
+    code, reason = REFUSALS[shortage.resource]
+    return NotRun(code, reason, shortage.retry_after)
--- a/magnoliarouter/pipeline/meter.py
+++ b/magnoliarouter/pipeline/meter.py
@@ -31,6 +31,10 @@
         Tokens of the prompt; 0 until an endpoint began to work.
     generated : int
         Tokens that were generated and carried.
+    ran : bool
+        Whether an endpoint may have begun the call.
+    exact : bool
+        Whether the tokens used are known; if not, the estimate is charged.
     """
 
     clock: Callable[[], float]
@@ -40,12 +44,14 @@
     delivered: Counter
     prompt: int = 0
     generated: int = 0
+    ran: bool = False
+    exact: bool = True
     _last: float = 0.0
 
     @property
-    def total(self) -> int:
-        """Tokens to charge."""
-        return self.prompt + self.generated
+    def total(self) -> int | None:
+        """Tokens to charge, or None when they are not known."""
+        return self.prompt + self.generated if self.exact else None
 
     def note_stream(self, tokens: int) -> None:
         """Note tokens that have just arrived together."""
