--- a/magnoliarouter/pipeline/escrow.py
+++ b/magnoliarouter/pipeline/escrow.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,7 @@
 __all__ = ["EscrowAdmission"]
 
 MAX_WAIT_S = 1.0
+START_WAIT_S = 5.0
 CALLS_PER_PART = 2
 
 REFUSALS = {
@@ -82,6 +84,7 @@
     _waiters: dict[str, list[_Waiter]] = field(default_factory=dict)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _scheduled: bool = False
+    _opened: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def admit(self, call: Call) -> _EscrowPermit | NotRun:
         """Return a permit, or why the call is refused and when to come back."""
@@ -91,6 +94,8 @@
             burst = call.limits.token_burst
             reason = f"{tokens} tokens; the contract allows {burst:g} at once"
             return NotRun(ResultCode.TOKENS_PER_REQUEST, reason)
+        if not await self._wait_for_homes(call):
+            return _refuse(Shortage("homes", START_WAIT_S, False))
         customer, need = call.contract.customer, Need(float(tokens))
         self._set_order(call, tokens)
         now = self.clock()
@@ -113,6 +118,7 @@
     def set_home(self, slot: str, epoch: int) -> None:
         """Note that a slot has a holder with this epoch."""
         self.slots.add(slot)
+        self._opened.set()
         self.borrower.set_home(slot, epoch)
         self._schedule()
 
@@ -125,6 +131,16 @@
             for customer in list(self._waiters):
                 self._serve_waiters(customer)
 
+    async def _wait_for_homes(self, call: Call) -> bool:
+        """Wait, after the start of the daemon, until it knows a home."""
+        if self._opened.is_set():
+            return True
+        seconds = min(START_WAIT_S, call.deadline - self.clock())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._opened.wait()
+        return self._opened.is_set()
+
     def _set_order(self, call: Call, tokens: int) -> None:
         customer, limits = call.contract.customer, call.limits
         largest = max(tokens, self._largest.get(customer, 0))
