--- a/magnoliarouter/core/borrowing.py
+++ b/magnoliarouter/core/borrowing.py
@@ -21,10 +21,11 @@
 
 __all__ = ["TICK_SECONDS", "Borrower", "Need", "Shortage"]
 
-TICK_SECONDS = 0.25
-HORIZON_S = 0.6
-REPORT_S = 0.5
+TICK_SECONDS = 0.4
+HORIZON_S = 0.9
+REPORT_S = 0.8
 REFRESH_S = LOAN_SECONDS / 2
+RETRY_LEAST_S = 0.1
 RETRY_FIRST_S = 0.2
 RETRY_LAST_S = 1.0
 DOWN_FIRST_S = 0.5
@@ -104,6 +105,10 @@
         self.loans = [loan for loan in self.loans if not loan.closed]
         return self.loans
 
+    def keeps_stock(self, now: float) -> bool:
+        """Return whether stock is worth keeping: the next call comes before a loan ends."""
+        return not self.pooled and self.requests.rate(now) * LOAN_SECONDS >= 1
+
     def close(self, loan: Loan) -> None:
         """End a loan; permits in use stay in use."""
         loan.close()
@@ -248,6 +253,9 @@
         found = set()
         for name in list(self._active):
             customer = self._customers[name]
+            if customer.pooled:
+                # Small parts accrue again only once their spending is reported.
+                found.update(loan.slot for loan in customer.loans if loan.changed)
             if customer.asking or not (customer.waiting or customer.chasing):
                 continue
             slot = self._choose_slot(customer, now)
@@ -305,8 +313,7 @@
             loan.acked, loan.stamp, loan.expires = ask.sequence, grant.stamp, expires
             _take_grant(loan, customer.permits[ask.slot], granted)
             _pay_debt(customer)
-            if _note_source(customer.sources[ask.slot], line, granted, now):
-                customer.chasing = True
+            customer.chasing = _note_source(customer.sources[ask.slot], line, granted, now)
 
     def fail(self, ask: Ask, now: float) -> None:
         """Note that no answer to an ask came in time, or that the slot was not held there."""
@@ -391,13 +398,17 @@
     ) -> AskLine | None:
         if slot not in customer.order:
             return None
+        if not customer.loans and not customer.waiting and not customer.chasing:
+            if customer.requests.rate(now) < IDLE_RATE:
+                return None
         customer.live(now)
         loan = self._find_loan(customer, slot, epoch)
         wants = self._plan_wants(customer, slot, now)
         permits = customer.permits.setdefault(slot, Permits())
         if loan is not None and not wants:
             self._return_surplus(customer, loan, permits, now)
-        if not wants and not _has_news(loan, permits, now):
+        report_age = 0.0 if customer.pooled else REPORT_S
+        if not wants and not _has_news(loan, permits, report_age, now):
             return None
         if loan is None:
             loan = Loan(slot, epoch, sequence)
@@ -405,14 +416,14 @@
         if wants and not self._links[slot].failures:
             customer.asking = slot
         loan.reported, loan.changed = now, False
-        least = (1.0, max((need.tokens for need in customer.waiting), default=0.0))
-        pooled = customer.pooled
+        # Whoever gets a fair piece from the first home gathers the rest from the others.
+        first = customer.pooled and slot == customer.order[0]
         return AskLine(
             customer.name,
             loan.number,
             loan.acked,
-            _describe(loan.requests, wants.requests, least[0] if pooled else 0.0),
-            _describe(loan.tokens, wants.tokens, least[1] if pooled else 0.0),
+            _describe(loan.requests, wants.requests, wants.requests if first else 0.0),
+            _describe(loan.tokens, wants.tokens, wants.tokens if first else 0.0),
             permits.held,
             permits.used,
             wants.permits,
@@ -423,7 +434,7 @@
         if customer.asking or self._choose_slot(customer, now) != slot:
             return _Wants()
         requests, tokens, permits = self.stock(customer.name, now)
-        ahead = 0.0 if customer.pooled else HORIZON_S
+        ahead = HORIZON_S if customer.keeps_stock(now) else 0.0
         request_ahead = customer.requests.rate(now) * ahead
         request_target = len(customer.waiting) + request_ahead
         token_target = sum(need.tokens for need in customer.waiting)
@@ -441,7 +452,7 @@
         if customer.waiting or customer.asking:
             return
         requests, tokens, idle = self.stock(customer.name, now)
-        keep = 2 * HORIZON_S * (0.0 if customer.pooled else 1.0)
+        keep = 2 * HORIZON_S if customer.keeps_stock(now) else 0.0
         request_keep = customer.requests.rate(now) * keep
         token_keep = customer.tokens.rate(now) * keep
         given = 0.0
@@ -472,16 +483,19 @@
     stock.refund_since = min(stock.refund_since, stock.refund_unsent)
     stock.refund_unsent = math.inf
     since = stock.refund_since if stock.refund_since < math.inf else 0.0
-    return ResourceAsk(stock.held, want, least, stock.returned, stock.refunded, since)
+    # A whole zero takes one byte on the way, a real one nine.
+    return ResourceAsk(
+        stock.held or 0, want or 0, least or 0, stock.returned or 0, stock.refunded or 0, since or 0
+    )
 
 
-def _has_news(loan: Loan | None, permits: Permits, now: float) -> bool:
+def _has_news(loan: Loan | None, permits: Permits, report_age: float, now: float) -> bool:
     if loan is None:
         # Permits in use are declared to the slot's new home at once.
         return permits.used > 0
     age = now - loan.reported
     holds = loan.requests.held > 0 or loan.tokens.held > 0 or permits.held > 0
-    return (loan.changed and age >= REPORT_S) or (holds and age >= REFRESH_S)
+    return (loan.changed and age >= report_age) or (holds and age >= REFRESH_S)
 
 
 def _take_grant(loan: Loan, permits: Permits, granted: GrantLine) -> None:
@@ -510,6 +524,11 @@
         source.due, source.pause = now, RETRY_FIRST_S
         return False
     nothing = granted.requests <= 0 and granted.tokens <= 0 and granted.permits <= 0
-    source.pause = min(2 * source.pause, RETRY_LAST_S) if nothing else RETRY_FIRST_S
-    source.due = now + source.pause
+    if nothing:
+        source.pause = min(2 * source.pause, RETRY_LAST_S)
+        wait = max(granted.request_wait, granted.token_wait)
+        source.due = now + max(RETRY_LEAST_S, min(source.pause, wait))
+    else:
+        source.pause = RETRY_FIRST_S
+        source.due = now + source.pause
     return True
--- a/magnoliarouter/core/quota.py
+++ b/magnoliarouter/core/quota.py
@@ -23,6 +23,7 @@
 LOAN_SECONDS = 2.0
 LOAN_MARGIN_S = 0.5
 MAX_WAIT_S = 60.0
+FAIR_PIECE = 0.25
 HEADROOM_ENTRIES = 256
 
 
@@ -89,10 +90,10 @@
     def lend(self, want: float, least: float) -> float:
         """Move up to `want` from the level to outstanding.
 
-        Nothing moves if less than `least` is there, or less than half of the cap if that is less.
+        Nothing moves if less than `least` is there, or than a fair piece of the cap if that is less.
         """
         amount = min(want, self.level)
-        if amount <= 0 or amount < min(least, want, self.cap / 2):
+        if amount <= 0 or amount < min(least, want, self.cap * FAIR_PIECE):
             return 0.0
         self.level -= amount
         self.outstanding += amount
@@ -263,11 +264,11 @@
         permits = self._lend_permits(account, loan, line, now)
         return GrantLine(
             line.customer,
-            requests,
-            tokens,
+            requests or 0,
+            tokens or 0,
             permits,
-            account.requests.wait_for(line.requests.want - requests),
-            account.tokens.wait_for(line.tokens.want - tokens),
+            account.requests.wait_for(line.requests.want - requests) or 0,
+            account.tokens.wait_for(line.tokens.want - tokens) or 0,
         )
 
     def _lend_permits(self, account: _Account, loan: _Loan, line: AskLine, now: float) -> int:
--- a/magnoliarouter/pipeline/escrow.py
+++ b/magnoliarouter/pipeline/escrow.py
@@ -108,6 +108,7 @@
             taken = await self._wait(call, need) if taken.waits else _refuse(taken)
         if isinstance(taken, NotRun):
             return taken
+        self._schedule()
         return _EscrowPermit(self, taken)
 
     def settle(self, charge: Charge, tokens: float, ran: bool = True) -> None:
--- /dev/null
+++ b/magnoliarouter/standins/bench/limits_site.py
@@ -0,0 +1,324 @@
+"""Site of the limits bench: three zones of three entry daemons, with all peers behind a proxy."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from magnoliarouter.platform.client import PlatformClient
+from magnoliarouter.standins.bench.measure import read_process
+from magnoliarouter.standins.bench.windows import Admitted
+from magnoliarouter.standins.launch import Process, Site, contract_value, find_port
+from magnoliarouter.standins.load import CompletionRequest, Result, send_completion
+
+if TYPE_CHECKING:
+    import aiohttp
+
+__all__ = ["CUSTOMERS", "DAEMONS", "Customer", "LimitsSite", "Phase"]
+
+ZONES = ("zone-1", "zone-2", "zone-3")
+ENTRIES_PER_ZONE = 3
+DAEMONS = len(ZONES) * ENTRIES_PER_ZONE
+MODEL = "draft"
+READY_TIMEOUT_S = 20.0
+READY_TRIES = 100
+WRITE_FAILED = (0, 502)
+
+
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """Customer of the bench and what bounds it.
+
+    Parameters
+    ----------
+    name : str
+        Customer, also its key.
+    requests, tokens : float
+        Contract a second.
+    burst_seconds : float
+        Burst of the contract.
+    call_tokens : int
+        Tokens that one call of it generates.
+    """
+
+    name: str
+    requests: float
+    tokens: float
+    burst_seconds: float = 2.0
+    call_tokens: int = 1
+
+    @property
+    def counts_tokens(self) -> bool:
+        """Whether tokens bound it rather than requests."""
+        return self.tokens / (self.call_tokens + 1) < self.requests
+
+    @property
+    def rate(self) -> float:
+        """Requests or tokens a second, whichever binds."""
+        return self.tokens if self.counts_tokens else self.requests
+
+    @property
+    def call_rate(self) -> float:
+        """Calls a second that the contract allows."""
+        return self.tokens / (self.call_tokens + 1) if self.counts_tokens else self.requests
+
+
+CUSTOMERS = (
+    Customer("intake", 30.0, 100_000.0),
+    Customer("cellar", 20.0, 100_000.0, burst_seconds=1.0),
+    Customer("registry", 1000.0, 400.0, call_tokens=19),
+    Customer("counsel", 1000.0, 150.0, call_tokens=14),
+    *(Customer(f"grower-{index}", 4.0, 100_000.0) for index in range(5)),
+    Customer("litigant", 2.0, 100_000.0),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Phase:
+    """Part of a run: when it was, and its share of demand for each entry daemon."""
+
+    name: str
+    start: float
+    end: float
+
+
+@dataclass(slots=True)
+class _Log:
+    admitted: list[Admitted] = field(default_factory=list)
+    statuses: dict[int, int] = field(default_factory=dict)
+
+
+class LimitsSite:
+    """Processes and callers of one run.
+
+    Parameters
+    ----------
+    site : Site
+        Owner of the processes.
+    session : aiohttp.ClientSession
+        Callers' session.
+    admission : {"escrow", "static"}
+        How the daemons share limits.
+    static_share : float
+        Part of each contract that a daemon admits under "static".
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        session: aiohttp.ClientSession,
+        admission: str,
+        static_share: float = 1 / DAEMONS,
+    ) -> None:
+        self.session = session
+        self.entries: list[Process] = []
+        self.logs = {customer.name: _Log() for customer in CUSTOMERS}
+        self.phases: list[Phase] = []
+        self._site = site
+        self._admission = admission
+        self._static_share = static_share
+        self._settings: list[dict[str, Any]] = []
+        self._clock = asyncio.get_running_loop().time
+
+    async def start(self) -> None:
+        """Start the platform, the proxy, an engine for each zone, and the entry daemons."""
+        self.platform = await self._site.start_standin("platform", "127.0.0.1")
+        self.client = PlatformClient(self.platform.url, self.session)
+        for customer in CUSTOMERS:
+            limits = {
+                "requests_per_second": customer.requests,
+                "tokens_per_second": customer.tokens,
+                "burst_seconds": customer.burst_seconds,
+                "concurrent_requests": 200,
+            }
+            value = contract_value(customer.name, customer.name, current=limits)
+            await self.client.write("contract", customer.name, value)
+        await self._start_proxy()
+        await asyncio.gather(
+            *(self._start_engine(number, zone) for number, zone in enumerate(ZONES, 1))
+        )
+        self.entries = list(
+            await asyncio.gather(*(self._site.start_daemon(each) for each in self._settings))
+        )
+        for settings, address in zip(self._settings, self._peer_routes, strict=True):
+            await self._list_vm(settings, address)
+        await self._wait_until_ready()
+
+    async def restart(self, index: int) -> None:
+        """Start an entry daemon again that has ended."""
+        process = await self._site.start_daemon(self._settings[index])
+        await self._list_vm(self._settings[index], self._peer_routes[index])
+        self.entries[index] = process
+
+    async def fault_routes(self, names: list[str], **faults: Any) -> None:
+        """Set the faults of routes named ``peer-N`` or ``store-N``; none heals them."""
+        for name in names:
+            await self._put(f"{self._proxy.url}/routes/{name}", faults)
+
+    async def fault_platform(self, **faults: Any) -> None:
+        """Set the platform's faults; none heals it."""
+        await self._put(f"{self.platform.url}/faults", faults)
+
+    async def read_traffic(self) -> dict[str, int]:
+        """Return the bytes carried so far by the routes to peers and to the store."""
+        async with self.session.get(f"{self._proxy.url}/routes") as answer:
+            counts = msgspec.json.decode(await answer.read())
+        totals = {"peer": 0, "store": 0}
+        for name, count in counts.items():
+            totals[name.partition("-")[0]] += count["up"] + count["down"]
+        return totals
+
+    async def read_platform_calls(self) -> dict[str, int]:
+        """Return the platform's calls so far by kind."""
+        async with self.session.get(f"{self.platform.url}/calls") as answer:
+            return msgspec.json.decode(await answer.read())
+
+    async def count_asks(self) -> float:
+        """Return the asks that all entry daemons have sent to homes of other daemons so far."""
+        total = 0.0
+        for entry in self.entries:
+            async with self.session.get(f"{entry.url}/metrics") as answer:
+                for line in (await answer.text()).splitlines():
+                    if line.startswith("magnoliarouter_quota_asks_total"):
+                        total += float(line.rpartition(" ")[2])
+        return total
+
+    def read_cpu(self) -> float:
+        """Return the processor seconds of all entry daemons so far."""
+        return sum(
+            read_process(entry.child.pid).cpu_seconds
+            for entry in self.entries
+            if entry.child.returncode is None
+        )
+
+    async def load(self, name: str, seconds: float, factor: float, shares: Any) -> Phase:
+        """Send every customer's calls for some time.
+
+        Parameters
+        ----------
+        name : str
+            Name of the phase.
+        seconds : float
+            Length.
+        factor : float
+            Demand as a multiple of what the contract allows.
+        shares : callable
+            Index of the entry daemon from the customer's place and the number of its call.
+        """
+        start = self._clock()
+        await asyncio.gather(
+            *(
+                self._send_calls(place, customer, start, seconds, factor, shares)
+                for place, customer in enumerate(CUSTOMERS)
+            )
+        )
+        phase = Phase(name, start, start + seconds)
+        self.phases.append(phase)
+        return phase
+
+    async def _send_calls(
+        self,
+        place: int,
+        customer: Customer,
+        start: float,
+        seconds: float,
+        factor: float,
+        shares: Any,
+    ) -> None:
+        rate = customer.call_rate * factor
+        calls = []
+        for number in itertools.count():
+            due = start + (number + place / len(CUSTOMERS)) / rate
+            if due >= start + seconds:
+                break
+            await asyncio.sleep(max(0.0, due - self._clock()))
+            entry = self.entries[shares(place, number)]
+            calls.append(asyncio.create_task(self._call(customer, entry)))
+        await asyncio.gather(*calls)
+
+    async def _call(self, customer: Customer, entry: Process) -> None:
+        request = CompletionRequest(
+            entry.url, customer.name, "note", customer.call_tokens, stream=False, model=MODEL
+        )
+        result = await send_completion(self.session, request)
+        log = self.logs[customer.name]
+        log.statuses[result.status] = log.statuses.get(result.status, 0) + 1
+        if result.status == 200 or result.status in WRITE_FAILED:
+            amount = float(customer.call_tokens + 1) if customer.counts_tokens else 1.0
+            log.admitted.append(Admitted(result.sent, _answered(result), amount))
+
+    async def _start_proxy(self) -> None:
+        options: list[str] = []
+        self._peer_routes: list[str] = []
+        host = self.platform.address
+        for index in range(DAEMONS):
+            zone = ZONES[index // ENTRIES_PER_ZONE]
+            listen = f"127.0.{index // ENTRIES_PER_ZONE + 1}.{index % ENTRIES_PER_ZONE + 1}"
+            ports = {name: find_port(listen) for name in ("peer", "target", "store")}
+            self._peer_routes.append(f"{listen}:{ports['peer']}")
+            options += [
+                "--route",
+                f"peer-{index}={listen}:{ports['peer']}={listen}:{ports['target']}",
+            ]
+            options += ["--route", f"store-{index}={listen}:{ports['store']}={host}"]
+            self._settings.append(
+                {
+                    "role": "entry",
+                    "name": f"entry-{index}",
+                    "zone": zone,
+                    "zones": list(ZONES),
+                    "platform": f"http://{listen}:{ports['store']}",
+                    "listen": {"host": listen},
+                    "peers": {"host": listen, "port": ports["target"]},
+                    "admission": self._admission,
+                    "static_share": self._static_share,
+                    "shutdown_seconds": 0.2,
+                    "request_seconds": 20.0,
+                }
+            )
+        self._proxy = await self._site.start_standin("proxy", "127.0.0.1", *options)
+
+    async def _start_engine(self, number: int, zone: str) -> None:
+        host = f"127.0.{number}.10"
+        engine = await self._site.start_standin(
+            "engine", host, "--slots", "1000", "--step-seconds", "0"
+        )
+        await self._site.start_daemon(
+            {
+                "role": "endpoint",
+                "name": f"engine-{number}",
+                "zone": zone,
+                "platform": self.platform.url,
+                "listen": {"host": host},
+                "target": engine.url,
+                "models": [MODEL],
+                "slots": 1000,
+            }
+        )
+
+    async def _list_vm(self, settings: dict[str, Any], address: str) -> None:
+        name, zone = settings["name"], settings["zone"]
+        value = {"name": name, "zone": zone, "role": "entry", "address": address}
+        await self.client.write("vm", name, value)
+
+    async def _wait_until_ready(self) -> None:
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            for entry in self.entries:
+                request = CompletionRequest(entry.url, CUSTOMERS[0].name, "note", 1, stream=False)
+                for _ in range(READY_TRIES):
+                    if (await send_completion(self.session, request)).status == 200:
+                        break
+                    await asyncio.sleep(0.2)
+
+    async def _put(self, url: str, value: dict[str, Any]) -> None:
+        async with self.session.put(url, data=msgspec.json.encode(value)) as answer:
+            if answer.status != 200:
+                raise RuntimeError(f"{url}: {answer.status} {await answer.text()}")
+
+
+def _answered(result: Result) -> float:
+    return result.sent + result.total
--- a/magnoliarouter/standins/proxy.py
+++ b/magnoliarouter/standins/proxy.py
@@ -75,7 +75,9 @@
     faults: RouteFaults = field(default_factory=RouteFaults)
     random: random.Random = field(default_factory=lambda: random.Random(1))
     changed: asyncio.Event = field(default_factory=asyncio.Event)
-    counts: dict[str, int] = field(default_factory=lambda: dict.fromkeys(("open", "cut", "dup"), 0))
+    counts: dict[str, int] = field(
+        default_factory=lambda: dict.fromkeys(("open", "cut", "dup", "up", "down"), 0)
+    )
 
     def set_faults(self, faults: RouteFaults) -> None:
         """Replace the faults and restart the random choices."""
@@ -127,6 +129,7 @@
                 copy += block[:allowed]
             await writer.drain()
             carried += allowed
+            self.counts["up" if up else "down"] += allowed
             if allowed < len(block):
                 self.counts["cut"] += 1
                 return True
