--- a/magnoliarouter/standins/bench/limits.py
+++ b/magnoliarouter/standins/bench/limits.py
@@ -70,6 +70,7 @@
             moved = await run.load("moved", 10.0, DEMAND, _skew_elsewhere)
             await run.load("quiet", 3.0, 0.1, _spread)
             await run.load("flood", 2.0, FLOOD_DEMAND, _spread)
+            await run.drain()
             _note_bound(report, run, admission, expect=admission == "escrow")
             _note_delivered(report, run, admission, steady, moved)
     control = max(0.0, cpu["escrow"] - cpu["unshared"])
@@ -146,25 +147,33 @@
         await run.start()
         await run.load("first", 5.0, DEMAND, _skew)
         for fault in (_flood, _kill, _pause, _cut_zone, _cut_all, _slow_store, _lose_answers):
-            start = asyncio.get_running_loop().time()
             await fault(run, seconds)
-            name = fault.__name__.strip("_")
-            _note_served(report, run, name, start)
         await _flood(run, seconds)
-        recovered = await run.load("recovered", 6.0, DEMAND, _skew)
-        _note_served(report, run, "recovered", recovered.start)
+        await run.load("recovered", 6.0, DEMAND, _skew)
+        await run.drain()
+        for phase in run.phases:
+            _note_served(report, run, phase)
+        await _note_started(report, run)
         _note_bound(report, run, "faults")
     return report
 
 
-def _note_served(report: Report, run: LimitsSite, name: str, start: float) -> None:
-    end = run.phases[-1].end
-    shares = []
+def _note_served(report: Report, run: LimitsSite, phase: Phase) -> None:
+    seconds = phase.end - phase.start
+    shares = {}
     for customer in CUSTOMERS:
-        amount = sum_amounts(run.logs[customer.name].admitted, start, end)
-        shares.append(amount / (customer.rate * (end - start)))
-    report.figures[f"{name}_delivered_mean"] = round(sum(shares) / len(shares), 3)
-    report.figures[f"{name}_delivered_least"] = round(min(shares), 3)
+        amount = sum_amounts(run.logs[customer.name].admitted, phase.start, phase.end)
+        shares[customer.name] = amount / (customer.rate * seconds)
+    mean = sum(shares.values()) / len(shares)
+    least = min(shares, key=lambda name: shares[name])
+    report.figures[f"delivered_{phase.name}"] = [round(mean, 2), least, round(shares[least], 2)]
+
+
+async def _note_started(report: Report, run: LimitsSite) -> None:
+    """Compare the calls that callers saw run with those that the engines began."""
+    seen = sum(len(run.logs[customer.name].admitted) for customer in CUSTOMERS)
+    report.figures["calls_seen_to_run"] = seen
+    report.figures["calls_begun_by_engines"] = await run.count_started()
 
 
 async def _flood(run: LimitsSite, seconds: float) -> None:
--- a/magnoliarouter/standins/bench/limits_site.py
+++ b/magnoliarouter/standins/bench/limits_site.py
@@ -26,7 +26,8 @@
 MODEL = "draft"
 READY_TIMEOUT_S = 20.0
 READY_TRIES = 100
-WRITE_FAILED = (0, 502)
+# Statuses of calls that reached an engine; one that broke off in an entry daemon is not known.
+RAN = (200, 502)
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,11 +117,13 @@
     ) -> None:
         self.session = session
         self.entries: list[Process] = []
+        self._engines: list[Process] = []
         self.logs = {customer.name: _Log() for customer in CUSTOMERS}
         self.phases: list[Phase] = []
         self._site = site
         self._admission = admission
         self._static_share = static_share
+        self._calls: set[asyncio.Task[None]] = set()
         self._settings: list[dict[str, Any]] = []
         self._clock = asyncio.get_running_loop().time
 
@@ -196,7 +199,7 @@
         )
 
     async def load(self, name: str, seconds: float, factor: float, shares: Any) -> Phase:
-        """Send every customer's calls for some time.
+        """Send every customer's calls for some time, without waiting for the last answers.
 
         Parameters
         ----------
@@ -220,6 +223,19 @@
         self.phases.append(phase)
         return phase
 
+    async def drain(self) -> None:
+        """Wait until all calls are answered."""
+        while self._calls:
+            await asyncio.wait(self._calls)
+
+    async def count_started(self) -> int:
+        """Return the calls that the engines began, counted by themselves."""
+        started = 0
+        for engine in self._engines:
+            async with self.session.get(f"{engine.url}/stats") as answer:
+                started += msgspec.json.decode(await answer.read())["started"]
+        return started
+
     async def _send_calls(
         self,
         place: int,
@@ -230,15 +246,15 @@
         shares: Any,
     ) -> None:
         rate = customer.call_rate * factor
-        calls = []
         for number in itertools.count():
             due = start + (number + place / len(CUSTOMERS)) / rate
             if due >= start + seconds:
                 break
             await asyncio.sleep(max(0.0, due - self._clock()))
             entry = self.entries[shares(place, number)]
-            calls.append(asyncio.create_task(self._call(customer, entry)))
-        await asyncio.gather(*calls)
+            call = asyncio.create_task(self._call(customer, entry))
+            self._calls.add(call)
+            call.add_done_callback(self._calls.discard)
 
     async def _call(self, customer: Customer, entry: Process) -> None:
         request = CompletionRequest(
@@ -247,7 +263,7 @@
         result = await send_completion(self.session, request)
         log = self.logs[customer.name]
         log.statuses[result.status] = log.statuses.get(result.status, 0) + 1
-        if result.status == 200 or result.status in WRITE_FAILED:
+        if result.status in RAN:
             amount = float(customer.call_tokens + 1) if customer.counts_tokens else 1.0
             log.admitted.append(Admitted(result.sent, _answered(result), amount))
 
@@ -287,6 +303,7 @@
         engine = await self._site.start_standin(
             "engine", host, "--slots", "1000", "--step-seconds", "0"
         )
+        self._engines.append(engine)
         await self._site.start_daemon(
             {
                 "role": "endpoint",
