--- a/magnoliarouter/core/borrowing.py
+++ b/magnoliarouter/core/borrowing.py
@@ -22,8 +22,9 @@
 __all__ = ["TICK_SECONDS", "Borrower", "Need", "Shortage"]
 
 TICK_SECONDS = 0.4
-HORIZON_S = 0.9
-REPORT_S = 0.8
+HORIZON_SHARE = 0.45
+REPORT_SHARE = 0.4
+LONGEST_PACE_S = 3.0
 REFRESH_S = LOAN_SECONDS / 2
 RETRY_LEAST_S = 0.1
 RETRY_FIRST_S = 0.2
@@ -31,6 +32,7 @@
 DOWN_FIRST_S = 0.5
 DOWN_LAST_S = 4.0
 IDLE_RATE = 0.01
+FEW_CALLS = 2
 TOLERANCE = 1e-9
 
 
@@ -80,6 +82,19 @@
         return self.requests > TOLERANCE or self.tokens > TOLERANCE or self.permits > 0
 
 
+@dataclass(frozen=True, slots=True)
+class _Targets:
+    """Stock to fill up to, and the stock below which it is filled."""
+
+    requests: float
+    tokens: float
+    low_requests: float
+    low_tokens: float
+
+
+NO_STOCK = _Targets(0.0, 0.0, 0.0, 0.0)
+
+
 @dataclass(slots=True)
 class _Customer:
     """Stock, demand and homes of one customer."""
@@ -87,6 +102,8 @@
     name: str
     order: tuple[str, ...]
     pooled: bool = False
+    pace: float = 1.0
+    spare: Need | None = None
     loans: list[Loan] = field(default_factory=list)
     permits: dict[str, Permits] = field(default_factory=dict)
     sources: dict[str, _Source] = field(default_factory=dict)
@@ -95,7 +112,6 @@
     duration: float = 0.0
     waiting: list[Need] = field(default_factory=list)
     asking: str = ""
-    chasing: bool = False
 
     def live(self, now: float) -> list[Loan]:
         """Return the loans that may be spent from, after closing those that have expired."""
@@ -105,9 +121,21 @@
         self.loans = [loan for loan in self.loans if not loan.closed]
         return self.loans
 
-    def keeps_stock(self, now: float) -> bool:
-        """Return whether stock is worth keeping: the next call comes before a loan ends."""
-        return not self.pooled and self.requests.rate(now) * LOAN_SECONDS >= 1
+    def plan_stock(self, now: float) -> _Targets:
+        """Return the stock to keep: none if few calls are expected while a loan lasts."""
+        requests, tokens = self.requests.rate(now), self.tokens.rate(now)
+        if self.pooled or requests * LOAN_SECONDS < FEW_CALLS:
+            return NO_STOCK
+        ahead = HORIZON_SHARE * self.pace
+        if self.spare is None:
+            low = ahead / 2
+            return _Targets(requests * ahead, tokens * ahead, requests * low, tokens * low)
+        return _Targets(
+            requests * ahead + 1,
+            tokens * ahead + self.spare.tokens,
+            requests * TICK_SECONDS + 1,
+            tokens * TICK_SECONDS + self.spare.tokens,
+        )
 
     def close(self, loan: Loan) -> None:
         """End a loan; permits in use stay in use."""
@@ -158,7 +186,14 @@
         self._links: dict[str, _Link] = {}
         self._active: set[str] = set()
 
-    def set_customer(self, name: str, order: Sequence[str], pooled: bool) -> None:
+    def set_customer(
+        self,
+        name: str,
+        order: Sequence[str],
+        pooled: bool,
+        burst_seconds: float = 1.0,
+        spare: Need | None = None,
+    ) -> None:
         """Set the homes of a customer in the order in which they are asked.
 
         Parameters
@@ -170,9 +205,16 @@
         pooled : bool
             Whether single homes own too little for a call, so that amounts are gathered from
             several; the order must then be the same in all daemons.
+        burst_seconds : float
+            Burst of the contract; with a longer one more is kept in stock and reported later.
+        spare : Need, optional
+            Call for which stock is kept beyond the demand, so that few calls wait for an ask;
+            for customers whose burst is many times as large.
         """
         known = self._customers.setdefault(name, _Customer(name, tuple(order)))
         known.order, known.pooled = tuple(order), pooled
+        known.pace = min(burst_seconds, LONGEST_PACE_S)
+        known.spare = spare
 
     def set_home(self, slot: str, epoch: int) -> None:
         """Note the epoch of the home that holds a slot now."""
@@ -249,18 +291,15 @@
         self._customers[name].waiting.remove(need)
 
     def slots_wanted(self, now: float) -> set[str]:
-        """Return the slots to ask now for calls that wait and for demand that is not met."""
+        """Return the slots to ask now for calls that wait, or to report to for pooled ones."""
         found = set()
         for name in list(self._active):
             customer = self._customers[name]
             if customer.pooled:
                 # Small parts accrue again only once their spending is reported.
                 found.update(loan.slot for loan in customer.loans if loan.changed)
-            if customer.asking or not (customer.waiting or customer.chasing):
-                continue
-            slot = self._choose_slot(customer, now)
-            customer.chasing = customer.chasing and bool(slot)
-            found.add(slot)
+            if customer.waiting and not customer.asking:
+                found.add(self._choose_slot(customer, now))
         return found - {""}
 
     def build_ask(self, slot: str, now: float) -> Ask | None:
@@ -313,7 +352,7 @@
             loan.acked, loan.stamp, loan.expires = ask.sequence, grant.stamp, expires
             _take_grant(loan, customer.permits[ask.slot], granted)
             _pay_debt(customer)
-            customer.chasing = _note_source(customer.sources[ask.slot], line, granted, now)
+            _note_source(customer.sources[ask.slot], line, granted, now)
 
     def fail(self, ask: Ask, now: float) -> None:
         """Note that no answer to an ask came in time, or that the slot was not held there."""
@@ -398,7 +437,7 @@
     ) -> AskLine | None:
         if slot not in customer.order:
             return None
-        if not customer.loans and not customer.waiting and not customer.chasing:
+        if not customer.loans and not customer.waiting:
             if customer.requests.rate(now) < IDLE_RATE:
                 return None
         customer.live(now)
@@ -407,7 +446,7 @@
         permits = customer.permits.setdefault(slot, Permits())
         if loan is not None and not wants:
             self._return_surplus(customer, loan, permits, now)
-        report_age = 0.0 if customer.pooled else REPORT_S
+        report_age = 0.0 if customer.pooled else REPORT_SHARE * customer.pace
         if not wants and not _has_news(loan, permits, report_age, now):
             return None
         if loan is None:
@@ -434,16 +473,13 @@
         if customer.asking or self._choose_slot(customer, now) != slot:
             return _Wants()
         requests, tokens, permits = self.stock(customer.name, now)
-        ahead = HORIZON_S if customer.keeps_stock(now) else 0.0
-        request_ahead = customer.requests.rate(now) * ahead
-        request_target = len(customer.waiting) + request_ahead
-        token_target = sum(need.tokens for need in customer.waiting)
-        token_target += customer.tokens.rate(now) * ahead
-        permit_target = len(customer.waiting) + round(request_ahead)
+        targets = customer.plan_stock(now)
+        waiting = len(customer.waiting)
+        waiting_tokens = sum(need.tokens for need in customer.waiting)
         return _Wants(
-            _lack(requests, request_target, bool(customer.waiting)),
-            _lack(tokens, token_target, bool(customer.waiting)),
-            permit_target - permits if permits < (permit_target + 1) // 2 else 0,
+            _lack(requests, waiting, targets.requests, targets.low_requests),
+            _lack(tokens, waiting_tokens, targets.tokens, targets.low_tokens),
+            int(_lack(permits, waiting, round(targets.requests), targets.low_requests / 2)),
         )
 
     def _return_surplus(
@@ -452,9 +488,8 @@
         if customer.waiting or customer.asking:
             return
         requests, tokens, idle = self.stock(customer.name, now)
-        keep = 2 * HORIZON_S if customer.keeps_stock(now) else 0.0
-        request_keep = customer.requests.rate(now) * keep
-        token_keep = customer.tokens.rate(now) * keep
+        targets = customer.plan_stock(now)
+        request_keep, token_keep = 2 * targets.requests, 2 * targets.tokens
         given = 0.0
         if requests > request_keep + TOLERANCE:
             given += loan.requests.give_back(requests - request_keep)
@@ -472,11 +507,11 @@
         return None
 
 
-def _lack(stock: float, target: float, waiting: bool) -> float:
-    """Return what is missing, once less than half of the target is there or a call waits."""
-    if stock >= target or (stock > target / 2 and not waiting):
+def _lack(stock: float, waiting: float, target: float, low: float) -> float:
+    """Return what is missing, once stock is low or less than what calls wait for."""
+    if stock >= low and stock >= waiting:
         return 0.0
-    return target - stock
+    return max(0.0, waiting + target - stock)
 
 
 def _describe(stock: Stock, want: float, least: float) -> ResourceAsk:
@@ -512,8 +547,8 @@
         demand.debt = max(0.0, demand.debt - sum(draw.amount for draw in draws))
 
 
-def _note_source(source: _Source, line: AskLine, granted: GrantLine, now: float) -> bool:
-    """Decide when a home is asked again, and return whether it lent less than was wanted."""
+def _note_source(source: _Source, line: AskLine, granted: GrantLine, now: float) -> None:
+    """Decide when a home is asked again."""
     source.request_wait, source.token_wait = granted.request_wait, granted.token_wait
     short = (
         granted.requests < line.requests.want - TOLERANCE
@@ -522,7 +557,7 @@
     )
     if not short:
         source.due, source.pause = now, RETRY_FIRST_S
-        return False
+        return
     nothing = granted.requests <= 0 and granted.tokens <= 0 and granted.permits <= 0
     if nothing:
         source.pause = min(2 * source.pause, RETRY_LAST_S)
@@ -531,4 +566,3 @@
     else:
         source.pause = RETRY_FIRST_S
         source.due = now + source.pause
-    return True
--- a/magnoliarouter/core/demand.py
+++ b/magnoliarouter/core/demand.py
@@ -7,7 +7,7 @@
 
 __all__ = ["Demand"]
 
-DECAY_SECONDS = 1.0
+DECAY_SECONDS = 2.0
 
 
 @dataclass(slots=True)
--- a/magnoliarouter/core/quota.py
+++ b/magnoliarouter/core/quota.py
@@ -20,7 +20,7 @@
 
 __all__ = ["LOAN_MARGIN_S", "LOAN_SECONDS", "Bucket", "HomeTerms", "QuotaHome"]
 
-LOAN_SECONDS = 2.0
+LOAN_SECONDS = 3.0
 LOAN_MARGIN_S = 0.5
 MAX_WAIT_S = 60.0
 FAIR_PIECE = 0.25
--- a/magnoliarouter/pipeline/escrow.py
+++ b/magnoliarouter/pipeline/escrow.py
@@ -24,6 +24,7 @@
 MAX_WAIT_S = 1.0
 START_WAIT_S = 5.0
 CALLS_PER_PART = 2
+CALLS_FOR_SPARE = 50
 
 REFUSALS = {
     "requests": (ResultCode.REQUEST_RATE, "request rate is used up"),
@@ -154,7 +155,12 @@
         )
         if not pooled:
             parts = sorted(parts, key=lambda part: part.zone != self.zone)
-        self.borrower.set_customer(customer, [part.slot for part in parts], pooled)
+        spare = None
+        if min(limits.request_burst, limits.token_burst / max(1, largest)) >= CALLS_FOR_SPARE:
+            spare = Need(float(largest))
+        self.borrower.set_customer(
+            customer, [part.slot for part in parts], pooled, limits.burst_seconds, spare
+        )
 
     async def _wait(self, call: Call, need: Need) -> Charge | NotRun:
         customer = call.contract.customer
