--- a/magnoliarouter/core/borrowing.py
+++ b/magnoliarouter/core/borrowing.py
@@ -25,6 +25,8 @@
 HORIZON_SHARE = 0.45
 REPORT_SHARE = 0.4
 LONGEST_PACE_S = 3.0
+CALM_FACTOR = 2
+SHORT_MEMORY_S = 5.0
 REFRESH_S = LOAN_SECONDS / 2
 RETRY_LEAST_S = 0.1
 RETRY_FIRST_S = 0.2
@@ -104,6 +106,7 @@
     pooled: bool = False
     pace: float = 1.0
     spare: Need | None = None
+    short_until: float = 0.0
     loans: list[Loan] = field(default_factory=list)
     permits: dict[str, Permits] = field(default_factory=dict)
     sources: dict[str, _Source] = field(default_factory=dict)
@@ -121,6 +124,12 @@
         self.loans = [loan for loan in self.loans if not loan.closed]
         return self.loans
 
+    def report_age(self, now: float) -> float:
+        """Return after how long spending is reported: later while no home is short."""
+        if self.pooled:
+            return 0.0
+        return REPORT_SHARE * self.pace * (1 if now < self.short_until else CALM_FACTOR)
+
     def plan_stock(self, now: float) -> _Targets:
         """Return the stock to keep: none if few calls are expected while a loan lasts."""
         requests, tokens = self.requests.rate(now), self.tokens.rate(now)
@@ -352,7 +361,8 @@
             loan.acked, loan.stamp, loan.expires = ask.sequence, grant.stamp, expires
             _take_grant(loan, customer.permits[ask.slot], granted)
             _pay_debt(customer)
-            _note_source(customer.sources[ask.slot], line, granted, now)
+            if _note_source(customer.sources[ask.slot], line, granted, now):
+                customer.short_until = now + SHORT_MEMORY_S
 
     def fail(self, ask: Ask, now: float) -> None:
         """Note that no answer to an ask came in time, or that the slot was not held there."""
@@ -446,7 +456,7 @@
         permits = customer.permits.setdefault(slot, Permits())
         if loan is not None and not wants:
             self._return_surplus(customer, loan, permits, now)
-        report_age = 0.0 if customer.pooled else REPORT_SHARE * customer.pace
+        report_age = customer.report_age(now)
         if not wants and not _has_news(loan, permits, report_age, now):
             return None
         if loan is None:
@@ -547,8 +557,8 @@
         demand.debt = max(0.0, demand.debt - sum(draw.amount for draw in draws))
 
 
-def _note_source(source: _Source, line: AskLine, granted: GrantLine, now: float) -> None:
-    """Decide when a home is asked again."""
+def _note_source(source: _Source, line: AskLine, granted: GrantLine, now: float) -> bool:
+    """Decide when a home is asked again, and return whether it was short."""
     source.request_wait, source.token_wait = granted.request_wait, granted.token_wait
     short = (
         granted.requests < line.requests.want - TOLERANCE
@@ -557,7 +567,7 @@
     )
     if not short:
         source.due, source.pause = now, RETRY_FIRST_S
-        return
+        return False
     nothing = granted.requests <= 0 and granted.tokens <= 0 and granted.permits <= 0
     if nothing:
         source.pause = min(2 * source.pause, RETRY_LAST_S)
@@ -566,3 +576,4 @@
     else:
         source.pause = RETRY_FIRST_S
         source.due = now + source.pause
+    return True
