Tag every failure of platform calls and settle lost answers

Cause: malformed answers of the platform raised out of the client, writes with a lost answer had to be settled by each caller, and nothing bounded the calls of a daemon. Change: results in platform/results.py with a Failure tag each, answers checked for kind, name and version and bounded in size, write_settled and delete_settled, Backoff with an injectable source of jitter, CallBudget. The stand-in gains stale reads, gaps, malformed answers and restore. Conclusion: 400 seeded malformed answers to four calls each end in a tagged result.

--- /dev/null
+++ b/magnoliarouter/platform/backoff.py
@@ -0,0 +1,77 @@
+"""Waits between calls: exponential back-off with jitter, and a budget of calls."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+__all__ = ["Backoff", "CallBudget"]
+
+
+@dataclass(slots=True)
+class Backoff:
+    """Exponential back-off with jitter.
+
+    Parameters
+    ----------
+    first, last : float
+        Shortest and longest wait in seconds, before jitter.
+    random : random.Random
+        Source of jitter; a wait is between half of its nominal length and the whole.
+
+    Examples
+    --------
+    >>> backoff = Backoff(1.0, 3.0, random.Random(1))
+    >>> [0.5 <= backoff.next_wait() / nominal <= 1.0 for nominal in (1, 2, 3, 3)]
+    [True, True, True, True]
+    """
+
+    first: float = 0.2
+    last: float = 5.0
+    random: random.Random = field(default_factory=random.Random)
+    _next: float = 0.0
+
+    def next_wait(self) -> float:
+        """Return the seconds to wait before the next try."""
+        nominal = self._next or self.first
+        self._next = min(2 * nominal, self.last)
+        return nominal * self.random.uniform(0.5, 1.0)
+
+    def reset(self) -> None:
+        """Start again at the first wait, after a success."""
+        self._next = 0.0
+
+
+@dataclass(slots=True)
+class CallBudget:
+    """Token bucket on calls.
+
+    Parameters
+    ----------
+    rate : float
+        Calls a second in the long run.
+    burst : float
+        Calls that may be made at once.
+
+    Examples
+    --------
+    >>> budget = CallBudget(rate=2.0, burst=1.0)
+    >>> budget.take(0.0), budget.take(0.0), budget.take(1.0)
+    (0.0, 0.5, 0.0)
+    """
+
+    rate: float
+    burst: float
+    _level: float | None = None
+    _updated: float = 0.0
+
+    def take(self, now: float) -> float:
+        """Take one call, or return the seconds until one is there and take none."""
+        if self._level is None:
+            self._level, self._updated = self.burst, now
+        self._level = min(self.burst, self._level + max(0.0, now - self._updated) * self.rate)
+        self._updated = max(now, self._updated)
+        if self._level < 1.0:
+            return (1.0 - self._level) / self.rate
+        self._level -= 1.0
+        return 0.0
--- a/magnoliarouter/platform/objects.py
+++ b/magnoliarouter/platform/objects.py
@@ -15,18 +15,23 @@
 __all__ = [
     "ContractSpec",
     "EndpointSpec",
+    "HistorySpec",
+    "KeySpec",
     "LimitsSpec",
     "ObjectError",
+    "RevisionSpec",
     "ServiceSpec",
     "StoredObject",
     "VmSpec",
     "WatchBatch",
+    "build_contract",
     "decode_contract",
     "decode_object",
 ]
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
-Rate = Annotated[float, Meta(ge=0)]
+Standing = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Rate = Annotated[float, Meta(ge=0, le=1e9)]
 KeyHash = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
 
 
@@ -74,21 +79,75 @@
     requests_per_second: Rate
     tokens_per_second: Rate
     burst_seconds: Annotated[float, Meta(ge=1, le=60)] = 2.0
-    concurrent_requests: Annotated[int, Meta(ge=0)] = 16
-    tokens_per_request: Annotated[int, Meta(ge=1)] = 8192
+    concurrent_requests: Annotated[int, Meta(ge=0, le=1_000_000)] = 16
+    tokens_per_request: Annotated[int, Meta(ge=1, le=1_000_000_000)] = 8192
     models: tuple[str, ...] = ("*",)
     services: tuple[str, ...] = ("*",)
     priority: Annotated[int, Meta(ge=0, le=9)] = 0
     weight: Annotated[float, Meta(gt=0, le=1000)] = 1.0
 
 
-class ContractSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Contract as an operator writes it; fields as in `core.contract.Contract`."""
+class RevisionSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Which amendment of a contract a value is.
+
+    Parameters
+    ----------
+    number : int
+        Counts the amendments of a customer's contract, also over a deletion.
+    write_id : str
+        Random id of the write, by which a lost answer is settled.
+    author : str
+        Who wrote it.
+    written_at : str
+        Time of writing in ISO 8601, by the author's clock; for display only.
+    """
+
+    number: Annotated[int, Meta(ge=1, le=2**53)]
+    write_id: Annotated[str, Meta(max_length=64)]
+    author: Annotated[str, Meta(max_length=64)] = ""
+    written_at: Annotated[str, Meta(max_length=40)] = ""
+
+
+class ContractSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+    """Contract as an operator writes it; fields as in `core.contract.Contract`.
+
+    Parameters
+    ----------
+    customer : str
+        Name of the customer; also the object's name.
+    key_hashes : tuple of str
+        Hexadecimal SHA-256 digests of the customer's keys.
+    standing : str
+        Name of the limit set in force.
+    limits : dict of str to LimitsSpec
+        Limit set for each standing.
+    revision : RevisionSpec, optional
+        Set by `magnoliactl`.
+    """
+
+    customer: Name
+    key_hashes: Annotated[tuple[KeyHash, ...], Meta(max_length=64)]
+    standing: Standing
+    limits: dict[Standing, LimitsSpec]
+    revision: RevisionSpec | None = None
+
+
+class HistorySpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Earlier revisions of one contract; the object's name is the customer's.
+
+    Parameters
+    ----------
+    revisions : list of ContractSpec
+        Oldest first, without the one in force.
+    """
+
+    revisions: list[ContractSpec]
+
+
+class KeySpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Reservation of a key digest for one customer; the object's name is the digest."""
 
     customer: Name
-    key_hashes: tuple[KeyHash, ...]
-    standing: str
-    limits: dict[str, LimitsSpec]
 
 
 class EndpointSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -163,6 +222,8 @@
 
 MODELS: dict[str, type[msgspec.Struct]] = {
     "contract": ContractSpec,
+    "contract-history": HistorySpec,
+    "contract-key": KeySpec,
     "endpoint": EndpointSpec,
     "service": ServiceSpec,
     "vm": VmSpec,
@@ -207,7 +268,20 @@
     ObjectError
         A field is invalid, or the standing has neither a limit set nor the name "suspended".
     """
-    spec = decode_object("contract", value)
+    return build_contract(decode_object("contract", value))
+
+
+def build_contract(spec: ContractSpec) -> Contract:
+    """Check what the model of a contract cannot express and return the data class.
+
+    Raises
+    ------
+    ObjectError
+        The standing has neither a limit set nor the name "suspended", or a key is listed twice.
+    """
+    if len(set(spec.key_hashes)) < len(spec.key_hashes):
+        twice = next(key for key in spec.key_hashes if spec.key_hashes.count(key) > 1)
+        raise ObjectError(f"contract: key_hashes lists {twice} twice; each may stand there once")
     if spec.standing not in spec.limits and spec.standing != "suspended":
         valid = ", ".join(sorted({*spec.limits, "suspended"}))
         raise ObjectError(f"contract: standing {spec.standing!r} has no limits; valid: {valid}")
--- /dev/null
+++ b/magnoliarouter/platform/results.py
@@ -0,0 +1,99 @@
+"""Tagged results of calls to the platform's object API."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, TypeAlias
+
+if TYPE_CHECKING:
+    from magnoliarouter.platform.objects import StoredObject, WatchBatch
+
+__all__ = [
+    "Ambiguous",
+    "Changes",
+    "Conflict",
+    "Failure",
+    "Found",
+    "Gone",
+    "Missing",
+    "ReadOutcome",
+    "Unavailable",
+    "WatchOutcome",
+    "WriteOutcome",
+    "Written",
+]
+
+
+class Failure(Enum):
+    """Why a call got no usable answer."""
+
+    BUDGET = "budget"
+    CONNECT = "connect"
+    TIMEOUT = "timeout"
+    BROKEN = "broken"
+    REFUSED = "refused"
+    STATUS = "status"
+    MALFORMED = "malformed"
+    TOO_LARGE = "too_large"
+    NOT_SENT = "not_sent"
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """Objects that were read, complete up to a version."""
+
+    version: int
+    items: tuple[StoredObject, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Missing:
+    """The object does not exist."""
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """The write took effect and gave the object this version."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """The condition of the write did not hold; nothing changed."""
+
+    current: StoredObject | None
+
+
+@dataclass(frozen=True, slots=True)
+class Ambiguous:
+    """No usable answer to a write that was sent: it may have taken effect."""
+
+    reason: str
+    failure: Failure = Failure.BROKEN
+
+
+@dataclass(frozen=True, slots=True)
+class Unavailable:
+    """The platform did not serve the call, and nothing changed."""
+
+    reason: str
+    failure: Failure = Failure.BROKEN
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Changes that a watch returned."""
+
+    batch: WatchBatch
+
+
+@dataclass(frozen=True, slots=True)
+class Gone:
+    """The watch's version is too old; list again."""
+
+
+ReadOutcome: TypeAlias = Found | Missing | Unavailable
+WriteOutcome: TypeAlias = Written | Conflict | Ambiguous | Unavailable
+WatchOutcome: TypeAlias = Changes | Gone | Unavailable
--- a/magnoliarouter/standins/platform.py
+++ b/magnoliarouter/standins/platform.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import random
+from urllib.parse import unquote
 
 import msgspec
 
@@ -35,6 +36,10 @@
         Share of writes whose connection is cut after the write took effect.
     stale_reads : int
         Number of newest changes that reads and lists do not see.
+    gap : bool
+        Every watch answers that its version is too old.
+    malformed : bool
+        Every answer with a body is cut to half of it, so that it is no JSON.
     seed : int
         Seed of the choice of lost answers.
     """
@@ -43,6 +48,8 @@
     delay: float = 0.0
     lose_answers: float = 0.0
     stale_reads: int = 0
+    gap: bool = False
+    malformed: bool = False
     seed: int = 1
 
 
@@ -85,6 +92,26 @@
                 recent.append(item)
         return recent[::-1]
 
+    def view(self, behind: int) -> ObjectStore:
+        """Return the store as a replica shows it that lacks the newest changes."""
+        if not behind or not self.history:
+            return self
+        replica = ObjectStore(self._history_length)
+        kept = self.history[:-behind]
+        replica.version = kept[-1].version if kept else self.dropped_version
+        replica.objects = {
+            key: item for key, item in self.objects.items() if item.version <= replica.version
+        }
+        for item in kept:
+            _replay(replica.objects, item)
+        return replica
+
+    def restore(self, behind: int) -> None:
+        """Go back to the state before the newest changes, as from a backup."""
+        replica = self.view(behind)
+        self.version, self.objects = replica.version, replica.objects
+        self.history = [item for item in self.history if item.version <= self.version]
+
     async def notify(self) -> None:
         """Wake the watches."""
         async with self._changed:
@@ -115,13 +142,17 @@
     async def handle(self, exchange: Exchange) -> None:
         """Answer one call."""
         request = exchange.request
-        parts = request.path.strip("/").split("/")
+        parts = [unquote(part) for part in request.path.strip("/").split("/")]
         match (request.method, *parts):
             case ("PUT", "faults"):
                 self.faults = msgspec.json.decode(request.body, type=Faults)
                 self._random.seed(self.faults.seed)
                 await exchange.send(200, b"{}")
                 return
+            case ("POST", "restore"):
+                self.store.restore(int(request.query.get("behind", "0")))
+                await exchange.send(200, b"{}")
+                return
             case ("GET", "calls"):
                 await exchange.send(200, msgspec.json.encode(self.calls))
                 return
@@ -146,25 +177,28 @@
 
     async def _list(self, exchange: Exchange, kind: str) -> None:
         self.calls["read"] += 1
-        batch = WatchBatch(self.store.version, self.store.list(kind))
-        await exchange.send(200, msgspec.json.encode(batch))
+        store = self.store.view(self.faults.stale_reads)
+        await self._send(exchange, 200, WatchBatch(store.version, store.list(kind)))
+
+    async def _send(self, exchange: Exchange, status: int, answer: object) -> None:
+        body = msgspec.json.encode(answer)
+        await exchange.send(status, body[: len(body) // 2] if self.faults.malformed else body)
 
     async def _read(self, exchange: Exchange, kind: str, name: str) -> None:
         self.calls["read"] += 1
-        item = self.store.objects.get((kind, name))
-        status = 200 if item else 404
-        await exchange.send(status, msgspec.json.encode(item))
+        item = self.store.view(self.faults.stale_reads).objects.get((kind, name))
+        await self._send(exchange, 200 if item else 404, item)
 
     async def _watch(self, exchange: Exchange, kind: str) -> None:
         self.calls["watch"] += 1
         after = int(exchange.request.query.get("after", "0"))
         wait = float(exchange.request.query.get("wait", "25"))
-        if after < self.store.dropped_version:
+        if self.faults.gap or after < self.store.dropped_version:
             await exchange.send(410, b'{"error": "version is too old"}')
             return
         items = await self.store.wait_for_change(kind, after, wait)
         version = items[-1].version if items else max(after, self.store.version)
-        await exchange.send(200, msgspec.json.encode(WatchBatch(version, items)))
+        await self._send(exchange, 200, WatchBatch(version, items))
 
     async def _write(self, exchange: Exchange, kind: str, name: str, value: object) -> None:
         self.calls["write"] += 1
@@ -174,13 +208,20 @@
         item = self.store.write(kind, name, value, _expected(exchange.request.headers))
         if item is None:
             current = self.store.objects.get((kind, name))
-            await exchange.send(412, msgspec.json.encode(current))
+            await self._send(exchange, 412, current)
             return
         await self.store.notify()
         if self._random.random() < self.faults.lose_answers:
             exchange.abort()
             return
-        await exchange.send(200, msgspec.json.encode(item))
+        await self._send(exchange, 200, item)
+
+
+def _replay(objects: dict[tuple[str, str], StoredObject], item: StoredObject) -> None:
+    if item.value is None:
+        objects.pop((item.kind, item.name), None)
+    else:
+        objects[item.kind, item.name] = item
 
 
 def _expected(headers: dict[str, str]) -> int | None:
--- /dev/null
+++ b/magnoliarouter/tests/test_client.py
@@ -0,0 +1,225 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import unittest
+from collections import Counter
+
+from magnoliarouter.daemon.loop import Runtime
+from magnoliarouter.daemon.web import WebServer
+from magnoliarouter.endpoints.client import open_session
+from magnoliarouter.platform.backoff import Backoff, CallBudget
+from magnoliarouter.platform.client import (
+    Ambiguous,
+    Changes,
+    Conflict,
+    Failure,
+    Found,
+    Gone,
+    Missing,
+    PlatformClient,
+    Unavailable,
+    Written,
+)
+from magnoliarouter.platform.settle import delete_settled, write_settled
+from magnoliarouter.standins.platform import Faults, PlatformStandin
+from magnoliarouter.tests.clock import run_paused
+
+ANSWERS = (
+    b'{"kind": "contract", "name": "grower", "version": 4, "value": {"a": 1}}',
+    b'{"version": 9, "items": [{"kind": "contract", "name": "grower", "version": 4}]}',
+    b"null",
+    b"[" * 5000,
+    b'{"kind": "contract", "name": "grower", "version": 99999999999999999999}',
+    b'{"version": -1, "items": []}',
+    b'{"version": 3, "items": [{"kind": "vm", "name": "x", "version": 1}]}',
+    b'{"kind": "contract", "name": "other", "version": 4}',
+    b"\xff\xfe\x00",
+    b'{"kind": "contract", "name": "grower", "version": "4"}',
+    b"",
+)
+
+
+class StandinTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.standin = PlatformStandin()
+        server = WebServer(Runtime(), ("127.0.0.1", 0), self.standin.handle)
+        self.addCleanup(server.stop_listening)
+        session = open_session()
+        self.addAsyncCleanup(session.close)
+        self.calls = Counter()
+        self.client = PlatformClient(
+            f"http://127.0.0.1:{server.port}",
+            session,
+            on_call=lambda operation, result: self.calls.update([(operation, result)]),
+        )
+        self.backoff = Backoff(0.001, 0.002, random.Random(1))
+
+    async def test_conditions(self):
+        written = await self.client.write("service", "a b:c", {"n": 1}, expect=0)
+        self.assertEqual(written, Written(1))
+        again = await self.client.write("service", "a b:c", {"n": 2}, expect=0)
+        self.assertEqual(again.current.value, {"n": 1})
+        self.assertEqual(await self.client.write("service", "a b:c", {"n": 2}, 1), Written(2))
+        self.assertEqual(await self.client.delete("service", "a b:c", 1), Conflict(again.current))
+        self.assertEqual(await self.client.delete("service", "a b:c", 2), Written(3))
+        self.assertEqual(await self.client.read("service", "a b:c"), Missing())
+        self.assertEqual(self.calls["write", "412"], 1)
+
+    async def test_watch_resumes_and_tells_of_gaps(self):
+        await self.client.write("service", "a", {"n": 1})
+        await self.client.write("service", "a", None)
+        changes = await self.client.watch("service", 1, wait=0.01)
+        self.assertIsInstance(changes, Changes)
+        self.assertEqual([item.version for item in changes.batch.items], [2])
+        self.standin.faults = Faults(gap=True)
+        self.assertEqual(await self.client.watch("service", 1, wait=0.01), Gone())
+
+    async def test_malformed_answer_to_write_is_ambiguous(self):
+        self.standin.faults = Faults(malformed=True)
+        outcome = await self.client.write("service", "a", {"n": 1}, expect=0)
+        self.assertIsInstance(outcome, Ambiguous)
+        self.assertEqual(outcome.failure, Failure.MALFORMED)
+        outcome = await self.client.write("service", "a", {"n": 1}, expect=0)
+        self.assertIsInstance(
+            outcome, Unavailable, "a failed condition proves that nothing changed"
+        )
+
+    async def test_value_that_is_no_json(self):
+        outcome = await self.client.write("service", "a", {"n": object()})
+        self.assertEqual(outcome.failure, Failure.NOT_SENT)
+        self.assertEqual(self.standin.calls["write"], 0)
+
+    async def test_lost_answer_is_settled_as_written(self):
+        self.standin.faults = Faults(lose_answers=1.0)
+        for number in range(5):
+            name = f"s{number}"
+            outcome = await write_settled(
+                self.client, "service", name, {"n": 1}, 0, backoff=self.backoff
+            )
+            self.assertEqual(outcome, Written(number + 1))
+        outcome = await delete_settled(self.client, "service", "s0", 1, backoff=self.backoff)
+        self.assertEqual(outcome, Written(0))
+        self.assertEqual(self.standin.store.version, 6, "nothing was written twice")
+
+    async def test_lost_answer_and_stale_read_are_settled(self):
+        self.standin.faults = Faults(lose_answers=0.5, stale_reads=50, seed=3)
+        for number in range(8):
+            outcome = await write_settled(
+                self.client, "service", f"s{number}", {"n": number}, 0, backoff=self.backoff
+            )
+            self.assertEqual(outcome, Written(number + 1))
+
+    async def test_other_writers_value_is_a_conflict(self):
+        await self.client.write("service", "a", {"n": 1})
+        self.standin.faults = Faults(lose_answers=1.0)
+        outcome = await write_settled(
+            self.client, "service", "a", {"n": 2}, 0, backoff=self.backoff
+        )
+        self.assertEqual(outcome.current.value, {"n": 1})
+
+    async def test_refused_calls(self):
+        self.standin.faults = Faults(down=True)
+        self.assertEqual((await self.client.list("service")).failure, Failure.REFUSED)
+        outcome = await write_settled(
+            self.client, "service", "a", {"n": 2}, 0, backoff=self.backoff, seconds=0.01
+        )
+        self.assertEqual(outcome.failure, Failure.REFUSED)
+
+
+class FuzzTest(unittest.IsolatedAsyncioTestCase):
+    """Answers that no platform should give: every call ends in a tagged result."""
+
+    async def asyncSetUp(self):
+        self.reply = b""
+        server = await asyncio.start_server(self.answer, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        session = open_session()
+        self.addAsyncCleanup(session.close)
+        port = server.sockets[0].getsockname()[1]
+        self.client = PlatformClient(f"http://127.0.0.1:{port}", session)
+
+    async def answer(self, reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.reply)
+            await writer.drain()
+        writer.close()
+
+    def draw(self, chooser):
+        status = chooser.choice((200, 200, 200, 404, 410, 412, 500, 503, 302, 999))
+        body = bytearray(chooser.choice(ANSWERS))
+        for _ in range(chooser.choice((0, 0, 1, 3))):
+            if body:
+                body[chooser.randrange(len(body))] = chooser.randrange(256)
+        length = len(body) + chooser.choice((0, 0, 0, 7, -1))
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n"
+        raw = bytearray(head.encode() + body)
+        if chooser.random() < 0.2:
+            raw[chooser.randrange(len(raw))] = chooser.randrange(256)
+        return bytes(raw[: chooser.randrange(len(raw))] if chooser.random() < 0.1 else raw)
+
+    async def test_no_answer_raises(self):
+        chooser = random.Random(7)
+        seen = Counter()
+        for _ in range(400):
+            self.reply = self.draw(chooser)
+            for result in (
+                await self.client.read("contract", "grower"),
+                await self.client.list("contract"),
+                await self.client.watch("contract", 1, 0.0),
+                await self.client.write("contract", "grower", {}, 1),
+            ):
+                seen[type(result)] += 1
+                if isinstance(result, Found):
+                    self.assertTrue(all(item.kind == "contract" for item in result.items))
+        expected = {Found, Missing, Unavailable, Changes, Gone, Written, Conflict, Ambiguous}
+        self.assertEqual(set(seen), expected)
+
+    async def test_huge_answer_is_cut_off(self):
+        body = b'"' + b"x" * (3 << 20) + b'"'
+        self.reply = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        self.assertEqual((await self.client.read("contract", "grower")).failure, Failure.TOO_LARGE)
+
+    async def test_nobody_listens(self):
+        session = open_session()
+        self.addAsyncCleanup(session.close)
+        client = PlatformClient("http://127.0.0.1:1", session)
+        outcome = await client.write("contract", "grower", {})
+        self.assertEqual((type(outcome), outcome.failure), (Unavailable, Failure.CONNECT))
+
+
+class WaitsTest(unittest.TestCase):
+    def test_backoff_grows_and_starts_again(self):
+        backoff = Backoff(1.0, 4.0, random.Random(2))
+        waits = [backoff.next_wait() for _ in range(5)]
+        for wait, nominal in zip(waits, (1, 2, 4, 4, 4), strict=True):
+            self.assertTrue(nominal / 2 <= wait <= nominal)
+        backoff.reset()
+        self.assertLessEqual(backoff.next_wait(), 1.0)
+
+    def test_budget_holds_in_any_window(self):
+        budget, chooser = CallBudget(5.0, 10.0), random.Random(3)
+        now, taken = 0.0, []
+        for _ in range(2000):
+            now += chooser.choice((0.0, 0.01, 0.3))
+            if budget.take(now) == 0.0:
+                taken.append(now)
+        for start in range(0, len(taken), 37):
+            for end in range(start, len(taken), 11):
+                window = taken[end] - taken[start]
+                self.assertLessEqual(end - start + 1, 5.0 * window + 10.0 + 1e-6)
+
+    def test_call_waits_for_budget(self):
+        class Session:
+            def request(self, *args, **kwargs):
+                raise ValueError("no network here")
+
+        async def main():
+            client = PlatformClient("http://x", Session(), CallBudget(0.1, 1.0))
+            first = await client.read("vm", "a")
+            second = await client.read("vm", "a")
+            return first.failure, second.failure
+
+        self.assertEqual(run_paused(main()), (Failure.BROKEN, Failure.BUDGET))
