--- a/magnoliarouter/daemon/endpoint.py
+++ b/magnoliarouter/daemon/endpoint.py
@@ -10,6 +10,7 @@
 
 from magnoliarouter.core.attempts import AttemptTable
 from magnoliarouter.daemon.loop import Runtime
+from magnoliarouter.daemon.metrics import Metrics
 from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.guard import Guard
@@ -17,6 +18,7 @@
 from magnoliarouter.platform.objects import EndpointSpec
 
 if TYPE_CHECKING:
+    from magnoliarouter.daemon.exchange import Exchange
     from magnoliarouter.daemon.settings import EndpointSettings
 
 __all__ = ["EndpointDaemon"]
@@ -36,6 +38,7 @@
     def __init__(self, settings: EndpointSettings) -> None:
         self.settings = settings
         self.attempts = AttemptTable(uuid.uuid4().hex)
+        self.metrics = Metrics()
         self.port = 0
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -46,8 +49,14 @@
         self._platform = PlatformClient(self.settings.platform, self._session)
         self._once_session = open_session(reuse=False)
         guard = Guard(
-            self.attempts, self.settings.target, self._session, loop.time, self._once_session
+            self.attempts,
+            self.settings.target,
+            self._session,
+            loop.time,
+            self._once_session,
+            on_drop=lambda reason: self.metrics.dropped_answers.labels(reason).inc(),
         )
+        guard.add_control("/metrics", self._tell_metrics)
         self._guard = guard
         listen = self.settings.listen
         self._server = WebServer(Runtime(loop), (listen.host, listen.port), guard.handle)
@@ -66,6 +75,9 @@
         await self._once_session.close()
         await self._session.close()
 
+    async def _tell_metrics(self, exchange: Exchange) -> None:
+        await exchange.send(200, self.metrics.render(), {"Content-Type": "text/plain"})
+
     async def _register(self) -> None:
         while True:
             outcome = await self._platform.write("endpoint", self.settings.name, self._describe())
@@ -78,7 +90,7 @@
         spec = EndpointSpec(
             name=settings.name,
             zone=settings.zone,
-            address=f"{settings.listen.host}:{self.port}",
+            address=settings.advertise or f"{settings.listen.host}:{self.port}",
             incarnation=self.attempts.incarnation,
             kind=settings.kind,
             models=settings.models,
--- a/magnoliarouter/daemon/settings.py
+++ b/magnoliarouter/daemon/settings.py
@@ -96,6 +96,8 @@
         Name of the endpoint, unique over all endpoints.
     listen : Address
         Address that entry daemons call.
+    advertise : str
+        ``host:port`` that entry daemons call, if it is not the one listened on.
     target : str
         Base URL of the engine or application behind the guard.
     kind : {"engine", "application"}
@@ -109,6 +111,7 @@
     """
 
     listen: Address = Address()
+    advertise: str = ""
     target: Url
     kind: Literal["engine", "application"] = "engine"
     models: tuple[str, ...] = ()
--- a/magnoliarouter/endpoints/execution.py
+++ b/magnoliarouter/endpoints/execution.py
@@ -9,13 +9,15 @@
 import aiohttp
 
 from magnoliarouter.core.attempts import StoredAnswer
+from magnoliarouter.endpoints.messages import ATTEMPT_HEADER, is_answer_of
 from magnoliarouter.pipeline.proof import was_unsent
 
 if TYPE_CHECKING:
     from yarl import URL
 
-__all__ = ["Broken", "Executed", "NotReached", "execute"]
+__all__ = ["CROSSED", "Broken", "Executed", "NotReached", "execute"]
 
+CROSSED = "the answer belongs to another attempt"
 MAX_KEPT_BYTES = 65_536
 MAX_BODY_BYTES = 4_194_304
 
@@ -66,6 +68,9 @@
         async with session.request(
             method, url, headers=headers, data=body, allow_redirects=False
         ) as answer:
+            if not is_answer_of(answer.headers, headers.get(ATTEMPT_HEADER, "")):
+                answer.close()
+                return Broken(CROSSED)
             return await _collect(answer)
     except (aiohttp.ClientError, OSError) as error:
         reason = type(error).__name__
--- a/magnoliarouter/endpoints/guard.py
+++ b/magnoliarouter/endpoints/guard.py
@@ -17,7 +17,7 @@
 from magnoliarouter.core.attempts import AttemptTable, StartVerdict
 from magnoliarouter.core.outcome import ResultCode
 from magnoliarouter.daemon.exchange import error_body
-from magnoliarouter.endpoints.execution import Broken, Executed, NotReached, execute
+from magnoliarouter.endpoints.execution import CROSSED, Broken, Executed, NotReached, execute
 from magnoliarouter.endpoints.messages import (
     ATTEMPT_HEADER,
     GUARD_CLOCK_HEADER,
@@ -29,6 +29,7 @@
     FenceReply,
     FenceRequest,
     GuardStatus,
+    is_answer_of,
     is_end_to_end,
 )
 
@@ -59,6 +60,8 @@
         Loop time in seconds.
     once_session : aiohttp.ClientSession, optional
         Session without connection reuse for calls that may run only once.
+    on_drop : callable, optional
+        Called with the reason for which an answer of the endpoint was dropped.
     """
 
     def __init__(
@@ -68,12 +71,14 @@
         session: aiohttp.ClientSession,
         clock: Callable[[], float],
         once_session: aiohttp.ClientSession | None = None,
+        on_drop: Callable[[str], None] = lambda reason: None,
     ) -> None:
         self._attempts = attempts
         self._target = target
         self._session = session
         self._once_session = once_session or session
         self._clock = clock
+        self._on_drop = on_drop
         self._executions: set[asyncio.Task[Executed | NotReached | Broken]] = set()
         self._controls: dict[str, Callable[[Exchange], Awaitable[None]]] = {
             "/guard/status": self._tell_status,
@@ -178,6 +183,8 @@
             case NotReached(reason):
                 await self._refuse_unstarted(exchange, self._head(attempt), reason)
             case Broken(reason):
+                if reason == CROSSED:
+                    self._on_drop("crossed")
                 failure = error_body(ResultCode.ENDPOINT_ERROR, "unknown", reason)
                 await exchange.send(502, failure, self._head(attempt))
 
@@ -227,6 +234,12 @@
     async def _relay_answer(
         self, exchange: Exchange, attempt: str, answer: aiohttp.ClientResponse
     ) -> None:
+        if not is_answer_of(answer.headers, attempt):
+            answer.close()
+            self._on_drop("crossed")
+            body = error_body(ResultCode.WRONG_ATTEMPT, "unknown", CROSSED)
+            await exchange.send(502, body, self._head(attempt))
+            return
         if not _shows_truncation(answer):
             body = error_body(ResultCode.ENDPOINT_ERROR, "unknown", "answer without a length")
             await exchange.send(502, body, self._head(attempt))
--- a/magnoliarouter/endpoints/messages.py
+++ b/magnoliarouter/endpoints/messages.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from magnoliarouter.core.attempts import StoredAnswer  # noqa: TC001 - msgspec resolves it
 
-__all__ = ["FenceReply", "FenceRequest", "GuardStatus", "is_end_to_end"]
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = ["FenceReply", "FenceRequest", "GuardStatus", "is_answer_of", "is_end_to_end"]
 
 ATTEMPT_HEADER = "x-attempt-id"
 REQUEST_HEADER = "x-request-id"
@@ -39,6 +44,15 @@
 )
 
 
+def is_answer_of(headers: Mapping[str, str], attempt: str) -> bool:
+    """Return whether an endpoint's answer may belong to an attempt.
+
+    An endpoint that names attempts in its answers must name this one; one that names none is
+    taken at its word, since each of its connections carries one request at a time.
+    """
+    return headers.get(ATTEMPT_HEADER, attempt) == attempt
+
+
 class GuardStatus(msgspec.Struct, frozen=True):
     """Report of a guard on itself.
 
