Add magnoliactl with contract, key and status commands

Cause: operators had no tool, and a lost answer or a race left a contract in doubt. Messages name the field, the bad value and the valid fields.

--- /dev/null
+++ b/magnoliarouter/cli/confirmation.py
@@ -0,0 +1,169 @@
+"""Asks entry daemons for their status and waits until a write is in force in all of them."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from magnoliarouter.cli.output import format_table
+from magnoliarouter.cli.result import Done, ExitCode
+from magnoliarouter.peers import PeerError
+from magnoliarouter.peers.status import STATUS_METHOD, StatusReply, StatusRequest
+from magnoliarouter.platform.client import Unavailable
+from magnoliarouter.platform.objects import ObjectError, decode_object
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from magnoliarouter.cli.desk import Desk
+    from magnoliarouter.platform.objects import StoredObject, VmSpec
+
+__all__ = ["Confirmation", "ask_daemons", "list_daemons", "report_write", "wait_until_in_force"]
+
+POLL_S = 0.1
+CALL_S = 1.0
+UNREACHABLE_TRIES = 3
+CALLS_AT_ONCE = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmation:
+    """How far a version is in force.
+
+    Parameters
+    ----------
+    confirmed : tuple of str
+        Daemons in which it is in force.
+    pending : dict of str to str
+        Other daemons, with what is known of each.
+    seconds : float
+        Time until the wait ended.
+    """
+
+    confirmed: tuple[str, ...]
+    pending: dict[str, str]
+    seconds: float
+
+
+async def list_daemons(desk: Desk) -> dict[str, str] | Unavailable:
+    """Return the peers' address of each entry daemon by name.
+
+    While the platform is down the seeds of the settings are returned under their addresses.
+    """
+    found = await desk.platform.list("vm")
+    if isinstance(found, Unavailable):
+        return {seed: seed for seed in desk.settings.seeds} or found
+    return {vm.name: vm.address for vm in _entry_vms(found.items)}
+
+
+async def ask_daemons(
+    desk: Desk, daemons: dict[str, str], request: StatusRequest
+) -> dict[str, StatusReply | PeerError]:
+    """Ask daemons for their status, a bounded number at once."""
+    gate = asyncio.Semaphore(CALLS_AT_ONCE)
+
+    async def ask(address: str) -> StatusReply | PeerError:
+        async with gate:
+            try:
+                return await desk.peers.call(
+                    address, STATUS_METHOD, request, StatusReply, deadline=CALL_S
+                )
+            except PeerError as error:
+                return error
+
+    replies = await asyncio.gather(*map(ask, daemons.values()))
+    return dict(zip(daemons, replies, strict=True))
+
+
+async def wait_until_in_force(
+    desk: Desk, kind: str, name: str, version: int, seconds: float
+) -> Confirmation | Unavailable:
+    """Wait until a version of an object, or a newer one, is in force at every reachable daemon.
+
+    Parameters
+    ----------
+    desk : Desk
+        Connections of the command.
+    kind, name : str
+        Object that was written.
+    version : int
+        Version that the write gave it.
+    seconds : float
+        Longest wait. A daemon that does not answer three times in a row is given up earlier.
+    """
+    daemons = await list_daemons(desk)
+    if isinstance(daemons, Unavailable):
+        return daemons
+    loop = asyncio.get_running_loop()
+    start = loop.time()
+    request = StatusRequest(kind, [name])
+    pending = dict.fromkeys(daemons, "not asked yet")
+    silent = dict.fromkeys(daemons, 0)
+    while loop.time() - start < seconds:
+        asked = {daemon: daemons[daemon] for daemon in pending}
+        for daemon, reply in (await ask_daemons(desk, asked, request)).items():
+            if isinstance(reply, PeerError):
+                silent[daemon] += 1
+                pending[daemon] = f"not reachable: {reply}"
+            elif reply.applied.get(name, 0) >= version:
+                del pending[daemon]
+            else:
+                silent[daemon] = 0
+                pending[daemon] = _describe(reply, kind, name)
+        if all(silent[daemon] >= UNREACHABLE_TRIES for daemon in pending):
+            break
+        await asyncio.sleep(POLL_S)
+    confirmed = tuple(daemon for daemon in daemons if daemon not in pending)
+    return Confirmation(confirmed, pending, loop.time() - start)
+
+
+def report_write(
+    text: str, value: dict[str, object], confirmation: Confirmation | Unavailable | None
+) -> Done:
+    """Return the result of a write that was accepted and perhaps waited for.
+
+    Parameters
+    ----------
+    text, value
+        What to print of the write itself.
+    confirmation : Confirmation or Unavailable, optional
+        Result of the wait; None if there was none.
+    """
+    match confirmation:
+        case None:
+            return Done(text, value)
+        case Unavailable(reason):
+            text += f"\nno daemon could be asked: the platform's list of VMs failed ({reason})"
+            return Done(text, {**value, "confirmed": [], "pending": {}}, ExitCode.NOT_CONFIRMED)
+    confirmed, pending = confirmation.confirmed, confirmation.pending
+    text += f"\nin force at {len(confirmed)} daemons after {confirmation.seconds:.1f} s"
+    if pending:
+        text += f"\n{len(pending)} daemons have not confirmed:\n"
+        text += format_table(("daemon", "state"), sorted(pending.items()))
+    wait = {
+        "confirmed": list(confirmed),
+        "pending": pending,
+        "seconds": round(confirmation.seconds, 3),
+    }
+    code = ExitCode.NOT_CONFIRMED if pending else ExitCode.OK
+    return Done(text, {**value, **wait}, code)
+
+
+def _entry_vms(items: Iterable[StoredObject]) -> list[VmSpec]:
+    found = []
+    for item in items:
+        try:
+            vm = decode_object("vm", item.value)
+        except ObjectError:
+            continue
+        if vm.role == "entry" and not vm.leaving:
+            found.append(vm)
+    return sorted(found, key=lambda vm: (vm.zone, vm.name))
+
+
+def _describe(reply: StatusReply, kind: str, name: str) -> str:
+    for status in reply.kinds:
+        if status.kind == kind and name in status.errors:
+            return f"refused: {status.errors[name]}"
+    return f"has version {reply.applied.get(name, 0)}, configuration from {reply.source}"
--- /dev/null
+++ b/magnoliarouter/cli/desk.py
@@ -0,0 +1,110 @@
+"""What an operator's command works with: settings, platform client and calls to daemons."""
+
+from __future__ import annotations
+
+import os
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated
+
+import msgspec
+from msgspec import Meta
+
+from magnoliarouter.cli.result import ExitCode, Failed
+from magnoliarouter.endpoints.client import open_session
+from magnoliarouter.peers import PeerClient
+from magnoliarouter.platform.client import PlatformClient
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    import aiohttp
+
+__all__ = ["Desk", "DeskSettings", "load_desk_settings", "open_desk"]
+
+SETTINGS_VARIABLE = "MAGNOLIACTL_SETTINGS"
+DEFAULT_PATH = "~/.config/magnoliarouter/magnoliactl.json"
+
+
+class DeskSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Settings of `magnoliactl`, one JSON file.
+
+    Parameters
+    ----------
+    platform : str
+        Base URL of the platform's object API.
+    peer_key : str
+        Key of the system's own processes, for asking daemons for their status.
+    seeds : tuple of str
+        ``host:port`` of the peers' port of entry daemons, asked while the platform is down.
+    """
+
+    platform: Annotated[str, Meta(pattern=r"^http://[^/]+$")]
+    peer_key: str = ""
+    seeds: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Desk:
+    """Connections of one command.
+
+    Parameters
+    ----------
+    settings : DeskSettings
+        Checked settings.
+    platform : PlatformClient
+        Client of the object API.
+    peers : PeerClient
+        Client of the entry daemons' peers' port.
+    session : aiohttp.ClientSession
+        HTTP session, such as for guards.
+    """
+
+    settings: DeskSettings
+    platform: PlatformClient
+    peers: PeerClient
+    session: aiohttp.ClientSession
+
+
+def load_desk_settings(path: str | None, platform: str | None) -> DeskSettings | Failed:
+    """Read the settings of a command.
+
+    Parameters
+    ----------
+    path : str, optional
+        Settings file; by default the one named by ``MAGNOLIACTL_SETTINGS``, or
+        ``~/.config/magnoliarouter/magnoliactl.json``.
+    platform : str, optional
+        Base URL that replaces the file's.
+    """
+    chosen = path or os.environ.get(SETTINGS_VARIABLE)
+    file = Path(chosen or DEFAULT_PATH).expanduser()
+    values = {}
+    if chosen or file.exists():
+        try:
+            values = msgspec.json.decode(file.read_bytes(), type=dict)
+        except (OSError, msgspec.MsgspecError, RecursionError) as error:
+            return Failed(ExitCode.USAGE, f"settings {file}: {error}")
+    if platform:
+        values["platform"] = platform
+    if "platform" not in values:
+        reason = f"no platform: give --platform, --settings or {SETTINGS_VARIABLE}"
+        return Failed(ExitCode.USAGE, reason)
+    try:
+        return msgspec.convert(values, type=DeskSettings)
+    except msgspec.ValidationError as error:
+        fields = ", ".join(DeskSettings.__struct_fields__)
+        return Failed(ExitCode.USAGE, f"settings {file}: {error}; valid fields: {fields}")
+
+
+@asynccontextmanager
+async def open_desk(settings: DeskSettings) -> AsyncIterator[Desk]:
+    """Open the connections of a command and close them at its end."""
+    session = open_session()
+    peers = PeerClient(settings.peer_key)
+    try:
+        yield Desk(settings, PlatformClient(settings.platform, session), peers, session)
+    finally:
+        await peers.close()
+        await session.close()
--- /dev/null
+++ b/magnoliarouter/cli/status.py
@@ -0,0 +1,113 @@
+"""Command ``status``: daemons, zones, and the configuration that each has in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from cleo.helpers import option
+
+from magnoliarouter.cli.confirmation import ask_daemons, list_daemons
+from magnoliarouter.cli.output import SHARED_OPTIONS, OperatorCommand, explain, format_table
+from magnoliarouter.cli.result import CommandResult, Done, ExitCode
+from magnoliarouter.cli.view import encode_value
+from magnoliarouter.peers.status import StatusReply, StatusRequest
+from magnoliarouter.platform.client import Unavailable
+
+if TYPE_CHECKING:
+    from cleo.commands.command import Command
+
+    from magnoliarouter.cli.desk import Desk
+    from magnoliarouter.peers import PeerError
+
+__all__ = ["commands"]
+
+DAEMON_HEADERS = ("daemon", "zone", "state", "source", "contracts", "version", "age s", "problems")
+
+
+class Status(OperatorCommand):
+    """Command ``status``."""
+
+    name = "status"
+    description = "Show all entry daemons and the configuration that each has in force"
+    options = [*SHARED_OPTIONS, option("daemon", None, "Show one daemon in full", flag=False)]
+
+    async def perform(self, desk: Desk) -> CommandResult:
+        """Ask every entry daemon for its status."""
+        daemons = await list_daemons(desk)
+        if isinstance(daemons, Unavailable):
+            return explain(daemons, "list of VMs")
+        if chosen := self.option("daemon"):
+            daemons = {name: address for name, address in daemons.items() if name == chosen}
+        replies = await ask_daemons(desk, daemons, StatusRequest())
+        text = _format(replies) if not chosen else _format_one(replies)
+        value = {name: _to_json(reply) for name, reply in replies.items()}
+        silent = [name for name, reply in replies.items() if not isinstance(reply, StatusReply)]
+        code = ExitCode.NOT_CONFIRMED if silent else ExitCode.OK
+        return Done(text, value, ExitCode.NOT_FOUND if chosen and not replies else code)
+
+
+def commands() -> list[Command]:
+    """Return the commands of this module."""
+    return [Status()]
+
+
+def _format(replies: dict[str, StatusReply | PeerError]) -> str:
+    rows = [_row(name, reply) for name, reply in replies.items()]
+    text = format_table(DAEMON_HEADERS, rows)
+    answering = [reply for reply in replies.values() if isinstance(reply, StatusReply)]
+    zones = sorted({reply.zone for reply in answering})
+    text += f"\n{len(answering)} of {len(replies)} daemons answer, in zones: {', '.join(zones)}"
+    problems = _collect_problems(answering)
+    return text + (
+        "\n" + format_table(("object", "problem", "daemons"), problems) if problems else ""
+    )
+
+
+def _row(name: str, reply: StatusReply | PeerError) -> tuple[Any, ...]:
+    if not isinstance(reply, StatusReply):
+        return name, "-", "not reachable", "-", "-", "-", "-", str(reply)
+    contracts = next((status for status in reply.kinds if status.kind == "contract"), None)
+    ages = [status.age_s for status in reply.kinds if status.age_s is not None]
+    problems = sum(len(status.errors) + bool(status.regressed) for status in reply.kinds)
+    return (
+        reply.name,
+        reply.zone,
+        "ready" if reply.ready else "not ready",
+        reply.source,
+        contracts.objects if contracts else "-",
+        max((status.version for status in reply.kinds), default=0),
+        f"{max(ages):.1f}" if ages else "never",
+        problems,
+    )
+
+
+def _collect_problems(replies: list[StatusReply]) -> list[tuple[str, str, int]]:
+    counts: dict[tuple[str, str], int] = {}
+    for reply in replies:
+        for status in reply.kinds:
+            found = [(f"{status.kind}/{name}", text) for name, text in status.errors.items()]
+            if status.regressed:
+                found.append((status.kind, status.regressed))
+            for problem in found:
+                counts[problem] = counts.get(problem, 0) + 1
+    return [(*problem, count) for problem, count in sorted(counts.items())]
+
+
+def _format_one(replies: dict[str, StatusReply | PeerError]) -> str:
+    lines = [_format(replies)]
+    for reply in replies.values():
+        if isinstance(reply, StatusReply):
+            rows = [
+                (status.kind, status.objects, status.version, status.age_s)
+                for status in reply.kinds
+            ]
+            lines.append(format_table(("kind", "objects", "version", "age s"), rows))
+            lines += [f"{name}: {encode_value(facts)}" for name, facts in reply.sections.items()]
+    return "\n".join(lines)
+
+
+def _to_json(reply: StatusReply | PeerError) -> Any:
+    if isinstance(reply, StatusReply):
+        return msgspec.to_builtins(reply)
+    return {"error": str(reply)}
--- /dev/null
+++ b/magnoliarouter/platform/contracts.py
@@ -0,0 +1,277 @@
+"""Contracts as operators change them: revisions, history and keys that are unique.
+
+Writing takes three steps, each a settled conditional write. New keys are reserved under
+``contract-key/DIGEST``, which only one customer can create. The revision about to be replaced is
+recorded under ``contract-history/CUSTOMER``, so that none that was ever in force is lost. Then
+the contract itself is written if it still has the version that the change was made from.
+"""
+
+from __future__ import annotations
+
+import datetime
+import uuid
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, TypeAlias
+
+import msgspec
+
+from magnoliarouter.platform.backoff import Backoff
+from magnoliarouter.platform.objects import (
+    ContractSpec,
+    HistorySpec,
+    ObjectError,
+    RevisionSpec,
+    StoredObject,
+    decode_object,
+)
+from magnoliarouter.platform.results import (
+    Ambiguous,
+    Conflict,
+    Failure,
+    Missing,
+    Unavailable,
+    Written,
+)
+from magnoliarouter.platform.settle import delete_settled, write_settled
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from magnoliarouter.platform.client import PlatformClient
+
+__all__ = ["Accepted", "ContractBook", "ContractOutcome", "KeyTaken", "to_json"]
+
+CONTRACT = "contract"
+HISTORY = "contract-history"
+KEY = "contract-key"
+HISTORY_REVISIONS = 50
+HISTORY_TRIES = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The change is in the platform.
+
+    Parameters
+    ----------
+    version : int
+        Version that daemons report once it is in force.
+    value : dict, optional
+        The contract as written; None if it was deleted.
+    """
+
+    version: int
+    value: dict[str, Any] | None
+
+
+@dataclass(frozen=True, slots=True)
+class KeyTaken:
+    """A key belongs to another customer; the contract was not written."""
+
+    key_hash: str
+    customer: str
+
+
+ContractOutcome: TypeAlias = Accepted | KeyTaken | Conflict | Ambiguous | Unavailable
+
+
+def to_json(spec: msgspec.Struct) -> Any:
+    """Return a model as the JSON value that the platform stores."""
+    return msgspec.json.decode(msgspec.json.encode(spec))
+
+
+def _write_id() -> str:
+    return uuid.uuid4().hex
+
+
+def _display_time() -> str:
+    return datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
+
+
+@dataclass(slots=True)
+class ContractBook:
+    """Writes contracts on behalf of one operator.
+
+    Parameters
+    ----------
+    client : PlatformClient
+        Client of the object API.
+    author : str
+        Operator's name, kept with each revision.
+    make_write_id, make_time : callable
+        Sources of write ids and of the time shown with a revision.
+    make_backoff : callable
+        Source of waits between tries.
+    """
+
+    client: PlatformClient
+    author: str = ""
+    make_write_id: Callable[[], str] = _write_id
+    make_time: Callable[[], str] = _display_time
+    make_backoff: Callable[[], Backoff] = field(default=Backoff)
+
+    async def create(self, spec: ContractSpec) -> ContractOutcome:
+        """Write a contract that must not exist yet."""
+        history = await self.read_history(spec.customer)
+        if isinstance(history, Unavailable):
+            return history
+        _, revisions = history
+        number = 1 + max((_number(revision) for revision in revisions), default=0)
+        return await self._write(spec, None, number)
+
+    async def amend(self, current: StoredObject, spec: ContractSpec) -> ContractOutcome:
+        """Replace a contract if it is still the one that was read."""
+        recorded = await self._record(current)
+        if not isinstance(recorded, int):
+            return recorded
+        return await self._write(spec, current, recorded + 1)
+
+    async def delete(self, current: StoredObject) -> ContractOutcome:
+        """Delete a contract if it is still the one that was read; its keys stay reserved."""
+        recorded = await self._record(current)
+        if not isinstance(recorded, int):
+            return recorded
+        outcome = await delete_settled(
+            self.client, CONTRACT, current.name, current.version, backoff=self.make_backoff()
+        )
+        if isinstance(outcome, Written):
+            return Accepted(max(outcome.version, current.version + 1), None)
+        return outcome
+
+    async def read_history(self, customer: str) -> tuple[int, list[ContractSpec]] | Unavailable:
+        """Return the version of the history and its revisions, oldest first."""
+        outcome = await self.client.read(HISTORY, customer)
+        match outcome:
+            case Unavailable():
+                return outcome
+            case Missing():
+                return 0, []
+        item = outcome.items[0]
+        try:
+            history: HistorySpec = decode_object(HISTORY, item.value)
+        except ObjectError as error:
+            return Unavailable(f"the history cannot be read: {error}")
+        return item.version, history.revisions
+
+    async def _write(
+        self, spec: ContractSpec, current: StoredObject | None, number: int
+    ) -> ContractOutcome:
+        held = _keys_of(current)
+        refused = await self._reserve(spec.customer, set(spec.key_hashes) - held)
+        if refused is not None:
+            return refused
+        write_id = self.make_write_id()
+        revision = RevisionSpec(number, write_id, self.author[:64], self.make_time())
+        value = to_json(msgspec.structs.replace(spec, revision=revision))
+        outcome = await write_settled(
+            self.client,
+            CONTRACT,
+            spec.customer,
+            value,
+            current.version if current else 0,
+            is_own=lambda found: _write_id_of(found) == write_id,
+            backoff=self.make_backoff(),
+        )
+        match outcome:
+            case Written(version):
+                return Accepted(version, value)
+            case Conflict(found) if found and await self._was_replaced(spec.customer, write_id):
+                return Accepted(found.version, value)
+        return outcome
+
+    async def _was_replaced(self, customer: str, write_id: str) -> bool:
+        """Whether this write took effect, unheard of, and was amended since."""
+        history = await self.read_history(customer)
+        if isinstance(history, Unavailable):
+            return False
+        return any(spec.revision and spec.revision.write_id == write_id for spec in history[1])
+
+    async def _reserve(
+        self, customer: str, keys: Iterable[str]
+    ) -> KeyTaken | Ambiguous | Unavailable | None:
+        wanted = sorted(keys)
+        if not wanted:
+            return None
+        listed = await self.client.list(CONTRACT)
+        if isinstance(listed, Unavailable):
+            return listed
+        for item in listed.items:
+            for key in wanted:
+                if item.name != customer and key in _keys_of(item):
+                    return KeyTaken(key, item.name)
+        for key in wanted:
+            refused = await self._reserve_one(customer, key)
+            if refused is not None:
+                return refused
+        return None
+
+    async def _reserve_one(
+        self, customer: str, key: str
+    ) -> KeyTaken | Ambiguous | Unavailable | None:
+        value = {"customer": customer}
+        outcome = await write_settled(self.client, KEY, key, value, 0, backoff=self.make_backoff())
+        match outcome:
+            case Written():
+                return None
+            case Conflict(current):
+                holder = _customer_of(current)
+                return None if holder == customer else KeyTaken(key, holder)
+        return outcome
+
+    async def _record(self, current: StoredObject) -> int | Ambiguous | Unavailable:
+        """Put a revision into the history, once, and return its number."""
+        for _ in range(HISTORY_TRIES):
+            history = await self.read_history(current.name)
+            if isinstance(history, Unavailable):
+                return history
+            version, revisions = history
+            entry = _as_revision(current, revisions)
+            if isinstance(entry, int):
+                return entry
+            kept = [*revisions, entry][-HISTORY_REVISIONS:]
+            value = to_json(HistorySpec(kept))
+            outcome = await write_settled(
+                self.client, HISTORY, current.name, value, version, backoff=self.make_backoff()
+            )
+            if isinstance(outcome, Written):
+                return _number(entry)
+            if not isinstance(outcome, Conflict):
+                return outcome
+        return Unavailable("the history is written by too many at once", Failure.REFUSED)
+
+
+def _as_revision(current: StoredObject, revisions: list[ContractSpec]) -> ContractSpec | int:
+    """Return the history entry for an object, or its number if it is there already."""
+    write_id = _write_id_of(current.value) or f"version-{current.version}"
+    for spec in revisions:
+        if spec.revision and spec.revision.write_id == write_id:
+            return spec.revision.number
+    last = max((_number(spec) for spec in revisions), default=0)
+    try:
+        spec = decode_object(CONTRACT, current.value)
+    except ObjectError:
+        # A malformed contract was never in force; the amendment mends it.
+        return last
+    if spec.revision is None:
+        return msgspec.structs.replace(spec, revision=RevisionSpec(last + 1, write_id))
+    return spec
+
+
+def _number(spec: ContractSpec) -> int:
+    return spec.revision.number if spec.revision else 0
+
+
+def _write_id_of(value: Any) -> str:
+    revision = value.get("revision") if isinstance(value, dict) else None
+    return str(revision.get("write_id", "")) if isinstance(revision, dict) else ""
+
+
+def _keys_of(item: StoredObject | None) -> set[str]:
+    value = item.value if item else None
+    keys = value.get("key_hashes") if isinstance(value, dict) else None
+    return {key for key in keys if isinstance(key, str)} if isinstance(keys, list) else set()
+
+
+def _customer_of(item: StoredObject | None) -> str:
+    value = item.value if item else None
+    return str(value.get("customer", "")) if isinstance(value, dict) else ""
--- a/magnoliarouter/platform/objects.py
+++ b/magnoliarouter/platform/objects.py
@@ -11,6 +11,7 @@
 from msgspec import Meta
 
 from magnoliarouter.core.contract import Contract, Limits
+from magnoliarouter.platform.validation import ValidationFailure, check_value
 
 __all__ = [
     "ContractSpec",
@@ -254,10 +255,9 @@
     if model is None:
         raise ObjectError(f"kind {kind!r} is not known; valid kinds: {', '.join(sorted(MODELS))}")
     try:
-        return msgspec.convert(value, type=model, strict=True)
-    except msgspec.ValidationError as error:
-        fields = ", ".join(model.__struct_fields__)
-        raise ObjectError(f"{kind}: {error}; valid fields: {fields}") from error
+        return check_value(value, model)
+    except ValidationFailure as error:
+        raise ObjectError(f"{kind}: {error}") from error
 
 
 def decode_contract(value: Any) -> Contract:
--- a/magnoliarouter/platform/settle.py
+++ b/magnoliarouter/platform/settle.py
@@ -10,10 +10,13 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
 from magnoliarouter.platform.backoff import Backoff
 from magnoliarouter.platform.results import (
     Ambiguous,
     Conflict,
+    Failure,
     Found,
     Missing,
     Unavailable,
@@ -66,7 +69,11 @@
         `Ambiguous` only when time ran out while it could not be told. `Unavailable` only when
         no copy can have taken effect.
     """
-    own = is_own or (lambda found: found == value)
+    try:
+        stored = msgspec.json.decode(msgspec.json.encode(value))
+    except (TypeError, ValueError, OverflowError, RecursionError) as error:
+        return Unavailable(f"value is not JSON: {error}", Failure.NOT_SENT)
+    own = is_own or (lambda found: found == stored)
 
     async def send() -> WriteOutcome:
         return await client.write(kind, name, value, expect)
