Describe every result code in one table

Cause: the HTTP status of a refusal stood in two places, and callers had no list of codes. Conclusion: a refusal's status follows from its code alone.

--- /dev/null
+++ b/magnoliarouter/core/codes.py
@@ -0,0 +1,140 @@
+"""Meaning of each numbered result code, its HTTP status, and what a caller may do next."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from magnoliarouter.core.outcome import ResultCode
+
+__all__ = ["DESCRIPTIONS", "CodeDescription", "render_codes", "status_of"]
+
+
+@dataclass(frozen=True, slots=True)
+class CodeDescription:
+    """What one result code tells.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the answer; 0 when no answer can be given.
+    meaning : str
+        What happened.
+    advice : str
+        What the caller may do next.
+    """
+
+    status: int
+    meaning: str
+    advice: str
+
+
+_REPAIR = "Correct the request; the same one is refused again."
+_LATER = "Ask again after `Retry-After`."
+_ELSEWHERE = "Ask again, here or at another entry VM."
+_ASK = "A repeatable call may be sent again. Otherwise send the same `Idempotency-Key` again."
+
+DESCRIPTIONS: dict[ResultCode, CodeDescription] = {
+    ResultCode.OK: CodeDescription(200, "The endpoint's whole answer.", "Nothing."),
+    ResultCode.REPLAYED: CodeDescription(
+        200, "Stored outcome of an earlier call with the same key.", "Nothing."
+    ),
+    ResultCode.MALFORMED_HTTP: CodeDescription(400, "The request is not valid HTTP.", _REPAIR),
+    ResultCode.MALFORMED_BODY: CodeDescription(400, "A field of the body is invalid.", _REPAIR),
+    ResultCode.HEADER_TOO_LARGE: CodeDescription(431, "The header section is too large.", _REPAIR),
+    ResultCode.BODY_TOO_LARGE: CodeDescription(413, "The body is too large.", _REPAIR),
+    ResultCode.SLOW_REQUEST: CodeDescription(408, "The request arrived too slowly.", _ELSEWHERE),
+    ResultCode.NOT_FOUND: CodeDescription(404, "No such path or service.", _REPAIR),
+    ResultCode.METHOD_NOT_ALLOWED: CodeDescription(405, "The path takes other methods.", _REPAIR),
+    ResultCode.KEY_MISSING: CodeDescription(401, "No bearer token was sent.", _REPAIR),
+    ResultCode.KEY_UNKNOWN: CodeDescription(401, "The key belongs to no customer.", _REPAIR),
+    ResultCode.IDEMPOTENCY_KEY_MISSING: CodeDescription(
+        400, "The call may run only once and names no key.", "Send an `Idempotency-Key`."
+    ),
+    ResultCode.CALLER_GONE: CodeDescription(0, "The caller closed its connection.", _ASK),
+    ResultCode.SUSPENDED: CodeDescription(
+        403, "The contract's standing grants no service.", "Settle the account."
+    ),
+    ResultCode.MODEL_NOT_ALLOWED: CodeDescription(
+        403, "The contract does not allow this model.", _REPAIR
+    ),
+    ResultCode.SERVICE_NOT_ALLOWED: CodeDescription(
+        403, "The contract does not allow this service.", _REPAIR
+    ),
+    ResultCode.REQUEST_RATE: CodeDescription(429, "The request rate is used up.", _LATER),
+    ResultCode.TOKEN_RATE: CodeDescription(429, "The token rate is used up.", _LATER),
+    ResultCode.CONCURRENCY: CodeDescription(429, "Too many requests in progress.", _LATER),
+    ResultCode.TOKENS_PER_REQUEST: CodeDescription(
+        400, "The request asks for more tokens than one request may.", _REPAIR
+    ),
+    ResultCode.QUOTA_UNAVAILABLE: CodeDescription(
+        503, "The rate that the contract allows cannot be proved free now.", _LATER
+    ),
+    ResultCode.NO_ENDPOINT: CodeDescription(503, "No endpoint serves this now.", _LATER),
+    ResultCode.QUEUE_FULL: CodeDescription(503, "All queues are full.", _LATER),
+    ResultCode.DEADLINE_UNREACHABLE: CodeDescription(
+        503, "The request could not begin before its deadline.", _LATER
+    ),
+    ResultCode.DRAINING: CodeDescription(503, "The daemon or endpoint is leaving.", _ELSEWHERE),
+    ResultCode.RETRY_BUDGET: CodeDescription(
+        503, "The attempt failed and the retry budget is used up.", _LATER
+    ),
+    ResultCode.DISPLACED: CodeDescription(
+        503, "Work of a better standing took the place in the queue.", _LATER
+    ),
+    ResultCode.ENDPOINT_REFUSED: CodeDescription(
+        503, "The endpoint's guard did not start the request.", _LATER
+    ),
+    ResultCode.ENDPOINT_UNREACHABLE: CodeDescription(
+        503, "No connection to an endpoint could be opened.", _LATER
+    ),
+    ResultCode.ENDPOINT_ERROR: CodeDescription(502, "The endpoint failed without an answer.", _ASK),
+    ResultCode.STREAM_TRUNCATED: CodeDescription(
+        502, "The endpoint's answer broke off.", "Discard what was received. " + _ASK
+    ),
+    ResultCode.DEADLINE_EXCEEDED: CodeDescription(504, "No answer before the deadline.", _ASK),
+    ResultCode.WRONG_ATTEMPT: CodeDescription(
+        502, "An answer that belongs to another attempt was dropped.", _ASK
+    ),
+    ResultCode.FENCED: CodeDescription(503, "The attempt was kept from starting.", _ELSEWHERE),
+    ResultCode.PLATFORM_UNAVAILABLE: CodeDescription(
+        503, "The platform is needed for this call and does not answer.", _LATER
+    ),
+    ResultCode.CONFIGURATION_MISSING: CodeDescription(
+        503, "The daemon has no configuration yet.", _ELSEWHERE
+    ),
+    ResultCode.CONFLICT: CodeDescription(409, "Another writer was first.", "Read and try again."),
+    ResultCode.INTERNAL: CodeDescription(500, "A fault of the daemon.", _ASK),
+    ResultCode.KEY_REUSED: CodeDescription(
+        422, "The `Idempotency-Key` was used with another request.", "Use a new key."
+    ),
+    ResultCode.IN_PROGRESS: CodeDescription(
+        409, "The call with this key is still running.", "Send the same key again later."
+    ),
+    ResultCode.OUTCOME_UNKNOWN: CodeDescription(
+        502,
+        "The call with this key was handed over and its outcome cannot be learned.",
+        "Find out at the service itself. The key will not run again.",
+    ),
+}
+
+
+def status_of(code: ResultCode) -> int:
+    """Return the HTTP status of an answer with a result code."""
+    return DESCRIPTIONS[code].status
+
+
+def render_codes() -> str:
+    """Return the table of result codes as a Markdown page."""
+    rows = [
+        f"| {int(code)} | `{code.name.lower()}` | {text.status or '-'} | {text.meaning} "
+        f"| {text.advice} |"
+        for code, text in DESCRIPTIONS.items()
+    ]
+    head = (
+        "# Result codes\n\n"
+        "Every error answer carries `code`, `name`, `outcome` (`not_run`, `completed` or `unknown`) "
+        "and `reason`.\nThis table is generated by `magnoliactl codes --markdown`; a test compares "
+        "the two.\n\n"
+        "| code | name | status | meaning | what the caller may do |\n|---|---|---|---|---|\n"
+    )
+    return head + "\n".join(rows) + "\n"
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from magnoliarouter.core.codes import status_of
 from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
 from magnoliarouter.daemon.exchange import CallerGone, Exchange, error_body
 from magnoliarouter.daemon.logs import log_event
@@ -19,7 +20,7 @@
 from magnoliarouter.pipeline.call import ModelCall
 from magnoliarouter.pipeline.deliver import deliver_stream, deliver_whole
 from magnoliarouter.pipeline.dispatch import Answer, open_attempt
-from magnoliarouter.pipeline.identify import Refused, identify
+from magnoliarouter.pipeline.identify import identify
 from magnoliarouter.pipeline.meter import Meter
 from magnoliarouter.pipeline.place import Placement
 from magnoliarouter.platform.client import PlatformClient
@@ -34,7 +35,6 @@
 
 __all__ = ["EntryDaemon"]
 
-STATUS_BY_FAMILY = {2: 400, 3: 429, 4: 503, 5: 502, 6: 503, 7: 409}
 REQUEST_HEADER = "x-request-id"
 
 
@@ -134,8 +134,8 @@
             self._loop.time(),
             self.settings.request_seconds,
         )
-        if isinstance(call, Refused):
-            await self._answer_error(exchange, call.outcome, call.status)
+        if isinstance(call, NotRun):
+            await self._answer_error(exchange, call)
             return
         permit = await self._admission.admit(call)
         if isinstance(permit, NotRun):
@@ -194,7 +194,6 @@
         self,
         exchange: Exchange,
         outcome: NotRun | Unknown,
-        status: int | None = None,
         call: Call | None = None,
     ) -> None:
         headers = {REQUEST_HEADER: call.request_id} if call else {}
@@ -202,7 +201,7 @@
             headers["Retry-After"] = str(max(1, round(outcome.retry_after)))
         self._record(outcome, call, "")
         body = error_body(outcome.code, _name_outcome(outcome), outcome.reason)
-        await exchange.send(status or STATUS_BY_FAMILY[outcome.code // 100], body, headers)
+        await exchange.send(status_of(outcome.code), body, headers)
 
     def _record(self, outcome: Outcome, call: Call | None, endpoint: str) -> None:
         code = outcome.code.name.lower()
--- a/magnoliarouter/pipeline/identify.py
+++ b/magnoliarouter/pipeline/identify.py
@@ -5,7 +5,6 @@
 import hashlib
 import re
 import uuid
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Annotated
 
 import msgspec
@@ -22,7 +21,7 @@
     from magnoliarouter.daemon.web import HttpRequest
     from magnoliarouter.platform.objects import ServiceSpec
 
-__all__ = ["Refused", "hash_key", "identify"]
+__all__ = ["hash_key", "identify"]
 
 BYTES_PER_TOKEN = 4
 PREFIX_CHARACTERS = 256
@@ -44,14 +43,6 @@
     max_tokens: Annotated[int, Meta(ge=1)] = DEFAULT_MAX_TOKENS
 
 
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """Refusal together with the HTTP status that carries it."""
-
-    status: int
-    outcome: NotRun
-
-
 def hash_key(key: str) -> str:
     """Return the digest under which a customer's key is stored."""
     return hashlib.sha256(key.encode()).hexdigest()
@@ -63,7 +54,7 @@
     services: Mapping[str, ServiceSpec],
     now: float,
     request_seconds: float,
-) -> Call | Refused:
+) -> Call | NotRun:
     """Find the customer of a request and what it asks for.
 
     Parameters
@@ -81,17 +72,17 @@
 
     Returns
     -------
-    Call or Refused
+    Call or NotRun
         The call, or why it cannot be one.
     """
     contract = _find_contract(request, contracts)
-    if isinstance(contract, Refused):
+    if isinstance(contract, NotRun):
         return contract
     limits = effective_limits(contract)
     if limits is None:
-        return _refuse(403, ResultCode.SUSPENDED, f"standing is {contract.standing!r}")
+        return NotRun(ResultCode.SUSPENDED, f"standing is {contract.standing!r}")
     work = _parse_work(request, limits, services)
-    if isinstance(work, Refused):
+    if isinstance(work, NotRun):
         return work
     return Call(
         request_id=_request_id(request),
@@ -106,18 +97,14 @@
     )
 
 
-def _refuse(status: int, code: ResultCode, reason: str) -> Refused:
-    return Refused(status, NotRun(code, reason))
-
-
-def _find_contract(request: HttpRequest, contracts: Mapping[str, Contract]) -> Contract | Refused:
+def _find_contract(request: HttpRequest, contracts: Mapping[str, Contract]) -> Contract | NotRun:
     scheme, _, key = request.headers.get("authorization", "").partition(" ")
     if scheme.lower() != "bearer" or not key:
-        return _refuse(401, ResultCode.KEY_MISSING, "header 'authorization' needs 'Bearer KEY'")
+        return NotRun(ResultCode.KEY_MISSING, "header 'authorization' needs 'Bearer KEY'")
     # The lookup compares digests only, so its time tells nothing about a valid key.
     contract = contracts.get(hash_key(key.strip()))
     if contract is None:
-        return _refuse(401, ResultCode.KEY_UNKNOWN, "key belongs to no customer")
+        return NotRun(ResultCode.KEY_UNKNOWN, "key belongs to no customer")
     return contract
 
 
@@ -128,25 +115,25 @@
 
 def _parse_work(
     request: HttpRequest, limits: Limits, services: Mapping[str, ServiceSpec]
-) -> ModelCall | ApplicationCall | Refused:
+) -> ModelCall | ApplicationCall | NotRun:
     if request.path in MODEL_PATHS:
         return _parse_model_call(request, limits)
     if request.path.startswith("/services/"):
         return _parse_application_call(request, limits, services)
-    return _refuse(404, ResultCode.NOT_FOUND, f"no such path: {request.path}")
+    return NotRun(ResultCode.NOT_FOUND, f"no such path: {request.path}")
 
 
-def _parse_model_call(request: HttpRequest, limits: Limits) -> ModelCall | Refused:
+def _parse_model_call(request: HttpRequest, limits: Limits) -> ModelCall | NotRun:
     if request.method != "POST":
-        return _refuse(405, ResultCode.METHOD_NOT_ALLOWED, "valid method: POST")
+        return NotRun(ResultCode.METHOD_NOT_ALLOWED, "valid method: POST")
     try:
         body = msgspec.json.decode(request.body, type=_ModelBody)
     except msgspec.DecodeError as error:
-        return _refuse(400, ResultCode.MALFORMED_BODY, f"body: {error}")
+        return NotRun(ResultCode.MALFORMED_BODY, f"body: {error}")
     if (body.prompt is None) == (body.messages is None):
-        return _refuse(400, ResultCode.MALFORMED_BODY, "body: give one of 'prompt', 'messages'")
+        return NotRun(ResultCode.MALFORMED_BODY, "body: give one of 'prompt', 'messages'")
     if not _allows(limits.models, body.model):
-        return _refuse(403, ResultCode.MODEL_NOT_ALLOWED, f"model {body.model!r} is not allowed")
+        return NotRun(ResultCode.MODEL_NOT_ALLOWED, f"model {body.model!r} is not allowed")
     prompt = body.prompt
     if prompt is None:
         prompt = "\n".join(f"{message.role}: {message.content}" for message in body.messages or ())
@@ -154,24 +141,24 @@
     estimate = prompt_tokens + body.max_tokens
     if estimate > limits.tokens_per_request:
         reason = f"{estimate} tokens; the contract allows {limits.tokens_per_request} a request"
-        return _refuse(400, ResultCode.TOKENS_PER_REQUEST, reason)
+        return NotRun(ResultCode.TOKENS_PER_REQUEST, reason)
     return ModelCall(body.model, body.stream, prompt[:PREFIX_CHARACTERS], prompt_tokens, estimate)
 
 
 def _parse_application_call(
     request: HttpRequest, limits: Limits, services: Mapping[str, ServiceSpec]
-) -> ApplicationCall | Refused:
+) -> ApplicationCall | NotRun:
     name, _, rest = request.path.removeprefix("/services/").partition("/")
     service = services.get(name)
     if service is None:
-        return _refuse(404, ResultCode.NOT_FOUND, f"no such service: {name!r}")
+        return NotRun(ResultCode.NOT_FOUND, f"no such service: {name!r}")
     if not _allows(limits.services, name):
-        return _refuse(403, ResultCode.SERVICE_NOT_ALLOWED, f"service {name!r} is not allowed")
+        return NotRun(ResultCode.SERVICE_NOT_ALLOWED, f"service {name!r} is not allowed")
     key = request.headers.get("idempotency-key", "")
     repeatable = not _is_non_repeatable(service, request.method, f"/{rest}")
     if not repeatable and not key:
         reason = "this call may run only once: header 'idempotency-key' is needed"
-        return _refuse(400, ResultCode.IDEMPOTENCY_KEY_MISSING, reason)
+        return NotRun(ResultCode.IDEMPOTENCY_KEY_MISSING, reason)
     return ApplicationCall(name, key, repeatable)
 
 
--- a/magnoliarouter/tests/test_identify.py
+++ b/magnoliarouter/tests/test_identify.py
@@ -2,9 +2,10 @@
 
 import unittest
 
-from magnoliarouter.core.outcome import ResultCode
+from magnoliarouter.core.codes import status_of
+from magnoliarouter.core.outcome import NotRun, ResultCode
 from magnoliarouter.pipeline.call import ApplicationCall, Call, ModelCall
-from magnoliarouter.pipeline.identify import Refused, hash_key, identify
+from magnoliarouter.pipeline.identify import hash_key, identify
 from magnoliarouter.platform.objects import ServiceSpec
 from magnoliarouter.tests.builders import build_contract, build_limits, build_request
 
@@ -17,8 +18,8 @@
 
 class IdentifyTest(unittest.TestCase):
     def assert_refused(self, result, status, code):
-        self.assertIsInstance(result, Refused)
-        self.assertEqual((result.status, result.outcome.code), (status, code))
+        self.assertIsInstance(result, NotRun)
+        self.assertEqual((status_of(result.code), result.code), (status, code))
 
     def test_model_call(self):
         call = identify_with(build_contract(), build_request())
@@ -38,7 +39,7 @@
         request = build_request(body=b'{"model": "draft", "prompt": 5}')
         result = identify_with(build_contract(), request)
         self.assert_refused(result, 400, ResultCode.MALFORMED_BODY)
-        self.assertIn("prompt", result.outcome.reason)
+        self.assertIn("prompt", result.reason)
 
     def test_tokens_per_request(self):
         contract = build_contract(current=build_limits(tokens_per_request=10))
