Measure control cost against the size of the fleet

Cause: the figures at 380 daemons have to come from slopes. Conclusion: harness only; loans, digests and relays are measured when they are in.

--- /dev/null
+++ b/magnoliarouter/standins/bench/capacity.py
@@ -0,0 +1,276 @@
+"""Experiment `capacity`: slopes of state, messages and processor time, and the size they give."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from magnoliarouter.platform.client import PlatformClient
+from magnoliarouter.standins.bench.experiment import Experiment, Report
+from magnoliarouter.standins.bench.fit import fit_line
+from magnoliarouter.standins.bench.measure import ProcessReading, read_process
+from magnoliarouter.standins.launch import Process, Site, contract_value, find_port
+from magnoliarouter.standins.load import open_load_session
+
+if TYPE_CHECKING:
+    from argparse import Namespace
+
+    import aiohttp
+
+__all__ = ["experiments"]
+
+CONTRACTS = (10, 1000, 2900)
+ENDPOINTS = (16, 200, 600)
+ENTRIES = (3, 9, 18)
+ZONES = 3
+DAEMONS = 380
+SETTLE_S = 4.0
+MEGABYTE = 1_000_000
+CORE_TARGET = 0.014
+MEMORY_TARGET_MB = 32
+TRAFFIC_TARGET_KB_S = 13
+AMENDMENTS = 100
+LIMITS = {"requests_per_second": 10, "tokens_per_second": 3000}
+WRITERS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class _Shape:
+    """Size of one measured site."""
+
+    contracts: int
+    endpoints: int
+    entries: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Cost:
+    """Control cost of one entry daemon at rest, mean over the daemons of a site.
+
+    Parameters
+    ----------
+    resident_mb, anonymous_mb : float
+        Memory, the largest over the daemons.
+    core_share, worst_core_share : float
+        Processor time a second, mean and largest over the daemons.
+    peers_kb_s : float
+        Bytes to and from peers a second, counted at both ends.
+    platform_calls_s : float
+        Calls a second to the platform from the whole site, waiting watches included.
+    """
+
+    resident_mb: float
+    anonymous_mb: float
+    core_share: float
+    worst_core_share: float
+    peers_kb_s: float
+    platform_calls_s: float
+
+
+def experiments() -> list[Experiment]:
+    """Return the experiments of this module."""
+    shows = "memory, processor time, bytes and platform calls against the size of the fleet"
+    return [Experiment("capacity", shows, _run)]
+
+
+async def _run(options: Namespace) -> Report:
+    seconds = options.seconds or 15.0
+    report = Report()
+    await _measure_bare(report)
+    small = _Shape(CONTRACTS[0], ENDPOINTS[0], ENTRIES[0])
+    costs = {small: await _measure(report, small, seconds)}
+    for count in CONTRACTS[1:]:
+        shape = _Shape(count, small.endpoints, small.entries)
+        costs[shape] = await _measure(report, shape, seconds)
+    for count in ENDPOINTS[1:]:
+        shape = _Shape(small.contracts, count, small.entries)
+        costs[shape] = await _measure(report, shape, seconds)
+    for count in ENTRIES[1:]:
+        shape = _Shape(small.contracts, small.endpoints, count)
+        costs[shape] = await _measure(report, shape, seconds)
+    full = _Shape(CONTRACTS[-1], ENDPOINTS[-1], ENTRIES[0])
+    costs[full] = await _measure(report, full, seconds)
+    _note_slopes(report, costs, small)
+    _judge(report, costs[full])
+    return report
+
+
+async def _measure_bare(report: Report) -> None:
+    """Note the memory of a process with the data path's libraries and nothing of control."""
+    async with Site() as site:
+        process = await site.start_standin("echo", "127.0.0.1", "--data-path")
+        reading = read_process(process.child.pid)
+    report.figures["bare_resident_mb"] = round(reading.resident_bytes / MEGABYTE, 1)
+    report.figures["bare_anonymous_mb"] = round(reading.anonymous_bytes / MEGABYTE, 1)
+
+
+def _note_slopes(report: Report, costs: dict[_Shape, _Cost], small: _Shape) -> None:
+    by_contract = [
+        (s.contracts, c)
+        for s, c in costs.items()
+        if s.endpoints == small.endpoints and s.entries == small.entries
+    ]
+    by_endpoint = [
+        (s.endpoints, c)
+        for s, c in costs.items()
+        if s.contracts == small.contracts and s.entries == small.entries
+    ]
+    by_entry = [
+        (s.entries, c)
+        for s, c in costs.items()
+        if s.contracts == small.contracts and s.endpoints == small.endpoints
+    ]
+    for name, points in (("contract", by_contract), ("endpoint", by_endpoint), ("entry", by_entry)):
+        memory = fit_line([(x, 1000 * c.anonymous_mb) for x, c in points])
+        core = fit_line([(x, 1e6 * c.core_share) for x, c in points])
+        traffic = fit_line([(x, 1000 * c.peers_kb_s) for x, c in points])
+        calls = fit_line([(x, c.platform_calls_s) for x, c in points])
+        report.figures[f"per_{name}_memory_kb"] = round(memory.slope, 3)
+        report.figures[f"per_{name}_core_us_per_s"] = round(core.slope, 2)
+        report.figures[f"per_{name}_peers_bytes_per_s"] = round(traffic.slope, 2)
+        report.figures[f"per_{name}_platform_calls_per_s"] = round(calls.slope, 4)
+
+
+def _judge(report: Report, full: _Cost) -> None:
+    report.expect(full.core_share <= CORE_TARGET, "control within 1.4% of a core")
+    report.expect(full.peers_kb_s <= TRAFFIC_TARGET_KB_S, "control within 13 KB/s")
+    control = full.resident_mb - report.figures["bare_resident_mb"]
+    report.figures["control_resident_mb"] = round(control, 1)
+    report.expect(control <= MEMORY_TARGET_MB, "control within 32 MB")
+
+
+async def _measure(report: Report, shape: _Shape, seconds: float) -> _Cost:
+    async with Site() as site, open_load_session() as session, asyncio.timeout(300):
+        platform = await site.start_standin("platform", "127.0.0.1")
+        await _write_contracts(platform, session, shape.contracts)
+        fleet = await site.start_standin(
+            "fleet",
+            "127.0.0.1",
+            f"--platform={platform.url}",
+            f"--count={shape.endpoints}",
+            f"--zones={ZONES}",
+        )
+        await _wait_for_fleet(session, fleet, shape.endpoints)
+        entries, proxy = await _start_entries(site, platform, shape.entries)
+        await asyncio.sleep(SETTLE_S)
+        cost = await _observe(session, platform, entries, proxy, seconds)
+        await _measure_amendments(report, session, platform, entries, shape)
+    name = f"c{shape.contracts}_e{shape.endpoints}_d{shape.entries}"
+    for field in _Cost.__dataclass_fields__:
+        report.figures[f"{name}_{field}"] = round(getattr(cost, field), 4)
+    return cost
+
+
+async def _write_contracts(platform: Process, session: aiohttp.ClientSession, count: int) -> None:
+    client = PlatformClient(platform.url, session)
+    slots = asyncio.Semaphore(WRITERS)
+
+    async def write(index: int) -> None:
+        name = f"customer-{index}"
+        value = contract_value(name, f"key-{index}", current=LIMITS, late=LIMITS)
+        async with slots:
+            await client.write("contract", name, value, expect=0)
+
+    await asyncio.gather(*(write(index) for index in range(count)))
+
+
+async def _wait_for_fleet(session: aiohttp.ClientSession, fleet: Process, count: int) -> None:
+    while True:
+        async with session.get(fleet.url) as answer:
+            if (await answer.json())["registered"] == count:
+                return
+        await asyncio.sleep(0.1)
+
+
+async def _start_entries(
+    site: Site, platform: Process, count: int
+) -> tuple[list[Process], Process]:
+    """Start entry daemons whose peers' ports are reached through a counting proxy."""
+    hosts = [f"127.0.{number % ZONES + 1}.1" for number in range(count)]
+    listed = [find_port(host) for host in hosts]
+    served = [find_port(host) for host in hosts]
+    routes = [
+        f"--route=entry-{number}={host}:{listed[number]}={host}:{served[number]}"
+        for number, host in enumerate(hosts)
+    ]
+    proxy = await site.start_standin("proxy", "127.0.0.1", *routes)
+    starts = (
+        site.start_daemon(
+            {
+                "role": "entry",
+                "name": f"entry-{number}",
+                "zone": f"zone-{number % ZONES + 1}",
+                "zones": [f"zone-{zone + 1}" for zone in range(ZONES)],
+                "platform": platform.url,
+                "listen": {"host": host},
+                "peers": {"host": host, "port": served[number]},
+            },
+            listed_port=listed[number],
+        )
+        for number, host in enumerate(hosts)
+    )
+    return list(await asyncio.gather(*starts)), proxy
+
+
+async def _observe(
+    session: aiohttp.ClientSession,
+    platform: Process,
+    entries: list[Process],
+    proxy: Process,
+    seconds: float,
+) -> _Cost:
+    before = [read_process(entry.child.pid) for entry in entries]
+    bytes_before, calls_before = await _count_bytes(session, proxy), await _count_calls(
+        session, platform
+    )
+    await asyncio.sleep(seconds)
+    after = [read_process(entry.child.pid) for entry in entries]
+    carried = await _count_bytes(session, proxy) - bytes_before
+    calls = await _count_calls(session, platform) - calls_before
+    shares = [_share(first, last, seconds) for first, last in zip(before, after)]
+    return _Cost(
+        resident_mb=max(reading.resident_bytes for reading in after) / MEGABYTE,
+        anonymous_mb=max(reading.anonymous_bytes for reading in after) / MEGABYTE,
+        core_share=sum(shares) / len(shares),
+        worst_core_share=max(shares),
+        peers_kb_s=2 * carried / seconds / len(entries) / 1000,
+        platform_calls_s=calls / seconds,
+    )
+
+
+def _share(first: ProcessReading, last: ProcessReading, seconds: float) -> float:
+    return (last.cpu_seconds - first.cpu_seconds) / seconds
+
+
+async def _count_bytes(session: aiohttp.ClientSession, proxy: Process) -> int:
+    async with session.get(f"{proxy.url}/routes") as answer:
+        routes = await answer.json()
+    return sum(counts["bytes_up"] + counts["bytes_down"] for counts in routes.values())
+
+
+async def _count_calls(session: aiohttp.ClientSession, platform: Process) -> int:
+    async with session.get(f"{platform.url}/calls") as answer:
+        return sum((await answer.json()).values())
+
+
+async def _measure_amendments(
+    report: Report,
+    session: aiohttp.ClientSession,
+    platform: Process,
+    entries: list[Process],
+    shape: _Shape,
+) -> None:
+    """Amend one contract many times and note the processor time a change costs a daemon."""
+    client = PlatformClient(platform.url, session)
+    before = [read_process(entry.child.pid).cpu_seconds for entry in entries]
+    for number in range(AMENDMENTS):
+        limits = {**LIMITS, "requests_per_second": 11 + number}
+        value = contract_value("customer-0", "key-0", current=limits)
+        await client.write("contract", "customer-0", value)
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(1.0)
+    after = [read_process(entry.child.pid).cpu_seconds for entry in entries]
+    used = sum(last - first for first, last in zip(before, after)) / len(entries)
+    name = f"c{shape.contracts}_e{shape.endpoints}_d{shape.entries}"
+    report.figures[f"{name}_ms_per_amendment"] = round(1000 * used / AMENDMENTS, 3)
--- a/magnoliarouter/standins/bench/measure.py
+++ b/magnoliarouter/standins/bench/measure.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import os
 from dataclasses import dataclass
 from pathlib import Path
 
 __all__ = ["ProcessReading", "read_process"]
 
-TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 KIB = 1024
 
 
@@ -41,17 +39,23 @@
         The process has ended.
     """
     folder = Path(f"/proc/{pid}")
-    # The command name may hold blanks, so fields are counted after its closing bracket.
-    fields = (folder / "stat").read_text().rpartition(")")[2].split()
     status = _read_status(folder / "status")
     return ProcessReading(
-        cpu_seconds=(int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND,
+        cpu_seconds=_read_run_time(folder / "task"),
         resident_bytes=status["VmRSS"] * KIB,
         anonymous_bytes=status["RssAnon"] * KIB,
         descriptors=sum(1 for _ in (folder / "fd").iterdir()),
     )
 
 
+def _read_run_time(threads: Path) -> float:
+    """Return the time that all threads have run, in seconds with nanosecond resolution."""
+    nanoseconds = 0
+    for thread in threads.iterdir():
+        nanoseconds += int((thread / "schedstat").read_text().split()[0])
+    return nanoseconds * 1e-9
+
+
 def _read_status(path: Path) -> dict[str, int]:
     lines = (line.split() for line in path.read_text().splitlines())
     return {
--- a/magnoliarouter/standins/echo.py
+++ b/magnoliarouter/standins/echo.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import importlib
 from typing import TYPE_CHECKING, Any
 
 from circuits import handler
@@ -18,6 +19,11 @@
 __all__ = ["LOOPS"]
 
 LOOPS = ("asyncio", "epoll", "poll")
+DATA_PATH_MODULES = (
+    "magnoliarouter.daemon.logs",
+    "magnoliarouter.daemon.metrics",
+    "magnoliarouter.endpoints.client",
+)
 TEXT = b'{"echo": true}'
 
 
@@ -38,7 +44,11 @@
 def _main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--loop", choices=LOOPS, default="asyncio")
+    parser.add_argument("--data-path", action="store_true", help="load what a bare proxy needs")
     options, rest = parser.parse_known_args()
+    if options.data_path:
+        for name in DATA_PATH_MODULES:
+            importlib.import_module(name)
     if options.loop == "asyncio":
         run_standin(lambda runtime, bind: WebServer(runtime, bind, _answer), parser)
         return
--- a/magnoliarouter/standins/launch.py
+++ b/magnoliarouter/standins/launch.py
@@ -119,10 +119,19 @@
         arguments = ("-m", name, "--bind", f"{host}:{port}", *options)
         return await self._start(module, f"{host}:{port}", arguments)
 
-    async def start_daemon(self, settings: dict[str, Any]) -> Process:
+    async def start_daemon(
+        self, settings: dict[str, Any], listed_port: int | None = None
+    ) -> Process:
         """Start a daemon with these settings and wait until it listens.
 
         An entry daemon is first written to the platform's list of VMs, as the platform would.
+
+        Parameters
+        ----------
+        settings : dict
+            Settings; the stand-in's defaults fill what is missing.
+        listed_port : int, optional
+            Peers' port to list for an entry VM, when a proxy stands before it.
         """
         listen = dict(settings.get("listen", {}))
         listen.setdefault("host", "127.0.0.1")
@@ -135,19 +144,19 @@
             "listen": listen,
         }
         if complete["role"] == "entry":
-            await self._list_entry_vm(complete)
+            await self._list_entry_vm(complete, listed_port)
         path = self.folder / f"{name}.json"
         path.write_bytes(msgspec.json.encode(complete))
         address = f"{listen['host']}:{listen['port']}"
         return await self._start(name, address, ("-m", "magnoliarouter.daemon.main", str(path)))
 
-    async def _list_entry_vm(self, settings: dict[str, Any]) -> None:
+    async def _list_entry_vm(self, settings: dict[str, Any], listed_port: int | None) -> None:
         peers = dict(settings.get("peers", {}))
         peers.setdefault("host", settings["listen"]["host"])
         peers["port"] = peers.get("port") or find_port(peers["host"])
         settings["peers"] = peers
         name, zone = settings["name"], settings["zone"]
-        address = f"{peers['host']}:{peers['port']}"
+        address = f"{peers['host']}:{listed_port or peers['port']}"
         value = {"name": name, "zone": zone, "role": "entry", "address": address}
         async with open_session() as session:
             await PlatformClient(settings["platform"], session).write("vm", name, value)
--- a/magnoliarouter/standins/proxy.py
+++ b/magnoliarouter/standins/proxy.py
@@ -20,6 +20,7 @@
 __all__ = ["Route", "RouteFaults", "RouteProxy"]
 
 READ_BYTES = 65_536
+COUNTS = ("open", "cut", "dup", "bytes_up", "bytes_down")
 
 
 class RouteFaults(msgspec.Struct, forbid_unknown_fields=True):
@@ -75,7 +76,7 @@
     faults: RouteFaults = field(default_factory=RouteFaults)
     random: random.Random = field(default_factory=lambda: random.Random(1))
     changed: asyncio.Event = field(default_factory=asyncio.Event)
-    counts: dict[str, int] = field(default_factory=lambda: dict.fromkeys(("open", "cut", "dup"), 0))
+    counts: dict[str, int] = field(default_factory=lambda: dict.fromkeys(COUNTS, 0))
 
     def set_faults(self, faults: RouteFaults) -> None:
         """Replace the faults and restart the random choices."""
@@ -127,6 +128,7 @@
                 copy += block[:allowed]
             await writer.drain()
             carried += allowed
+            self.counts["bytes_up" if up else "bytes_down"] += allowed
             if allowed < len(block):
                 self.counts["cut"] += 1
                 return True
--- /dev/null
+++ b/magnoliarouter/tests/test_bench.py
@@ -0,0 +1,53 @@
+from __future__ import annotations
+
+import os
+import unittest
+
+from magnoliarouter.pipeline.deliver import LAST_FRAME
+from magnoliarouter.standins.bench.answers import TOKENS, judge_answer
+from magnoliarouter.standins.bench.experiment import Report, percentile
+from magnoliarouter.standins.bench.fit import fit_line
+from magnoliarouter.standins.bench.main import load_experiments
+from magnoliarouter.standins.bench.measure import read_process
+from magnoliarouter.standins.load import CompletionRequest, Result
+from magnoliarouter.standins.unruly import expected_words
+
+
+class BenchTest(unittest.TestCase):
+    def test_experiments_say_what_they_show(self):
+        for name, experiment in load_experiments().items():
+            self.assertEqual(name, experiment.name)
+            self.assertGreater(len(experiment.shows), 20)
+
+    def test_missed_target_is_not_ok(self):
+        report = Report()
+        report.expect(True, "met")
+        self.assertTrue(report.ok)
+        report.expect(False, "missed")
+        self.assertEqual((report.ok, report.missed), (False, ["missed"]))
+
+    def test_percentile(self):
+        self.assertEqual(percentile([float(x) for x in range(100)], 0.95), 95.0)
+        with self.assertRaises(ValueError):
+            percentile([], 0.5)
+
+    def test_line(self):
+        line = fit_line([(0, 1.0), (10, 3.0), (20, 5.0)])
+        self.assertAlmostEqual(line.at(600), 121.0)
+
+    def test_own_process_is_read(self):
+        reading = read_process(os.getpid())
+        self.assertGreater(reading.cpu_seconds, 0)
+        self.assertGreater(reading.resident_bytes, reading.anonymous_bytes)
+
+    def test_wrong_answer_is_told_from_a_right_one(self):
+        request = CompletionRequest("", "", "a", TOKENS)
+        frames = [
+            b'data: {"choices":[{"text":"%s"}]}\n\n' % word.encode()
+            for word in expected_words("a", TOKENS)
+        ]
+        right = b"".join(frames) + LAST_FRAME
+        short = b"".join(frames[:-1]) + LAST_FRAME
+        self.assertEqual(judge_answer(request, Result(200, complete=True, body=right)), "right")
+        self.assertEqual(judge_answer(request, Result(200, complete=True, body=short)), "wrong")
+        self.assertEqual(judge_answer(request, Result(200, complete=False, body=short)), "error")
