Keep the version in force when a newer object is malformed, stale or clashes

Cause: a contract written past the tool could take another customer's key, absence from a list of a restored platform counted as deletion, and odd value shapes could end the feed. Change: Replica is the forward-only copy of one kind, fed by lists, watches and later by other daemons; refused versions are kept with their reason and tried again when what they clash with changes; once the platform's version goes back, objects up to the version known are deleted only by a tombstone. KeyIndex gives a key to its first holder. Conclusion: five properties hold over 150 derandomized examples each.

--- a/magnoliarouter/core/cache.py
+++ b/magnoliarouter/core/cache.py
@@ -7,7 +7,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Any, Generic, TypeVar
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping
 
 __all__ = ["CacheEntry", "VersionedCache"]
 
@@ -26,6 +29,11 @@
 class VersionedCache(Generic[T]):
     """Objects by name, each at the newest version seen.
 
+    Parameters
+    ----------
+    floor : int
+        Version up to which an object's absence from a list is no proof of its deletion.
+
     Examples
     --------
     >>> cache = VersionedCache()
@@ -36,6 +44,8 @@
     """
 
     entries: dict[str, CacheEntry[T]] = field(default_factory=dict)
+    floor: int = 0
+    _present: dict[str, T] = field(default_factory=dict)
 
     def apply(self, name: str, version: int, value: T | None) -> bool:
         """Take a version of an object if it is newer, and return whether it was."""
@@ -43,18 +53,42 @@
         if known is not None and known.version >= version:
             return False
         self.entries[name] = CacheEntry(version, value)
+        if value is None:
+            self._present.pop(name, None)
+        else:
+            self._present[name] = value
         return True
 
+    def find_deleted(self, present: Collection[str], version: int) -> list[str]:
+        """Return the objects that a complete list proves deleted.
+
+        Parameters
+        ----------
+        present : collection of str
+            All names in the list.
+        version : int
+            Version that the list is complete up to. Objects newer than it, and those up to
+            `floor`, are not judged.
+        """
+        return [
+            name
+            for name in self._present
+            if name not in present and self.floor < self.entries[name].version < version
+        ]
+
+    def raise_floor(self, version: int) -> None:
+        """Stop taking absence as proof for objects up to a version."""
+        self.floor = max(self.floor, version)
+
     def get(self, name: str) -> T | None:
         """Return an object's value, or None if it is absent or deleted."""
-        entry = self.entries.get(name)
-        return entry.value if entry else None
+        return self._present.get(name)
 
     def version_of(self, name: str) -> int:
         """Return the newest version seen of an object, or 0."""
         entry = self.entries.get(name)
         return entry.version if entry else 0
 
-    def values(self) -> dict[str, Any]:
-        """Return the values of all objects that exist, by name."""
-        return {name: entry.value for name, entry in self.entries.items() if entry.value}
+    def values(self) -> Mapping[str, T]:
+        """Return the values of all objects that exist, by name; the view follows changes."""
+        return self._present
--- a/magnoliarouter/platform/feed.py
+++ b/magnoliarouter/platform/feed.py
@@ -1,40 +1,40 @@
-"""Keeps caches of platform objects up to date by list and watch."""
+"""Keeps a replica of platform objects up to date by list and watch."""
 
 from __future__ import annotations
 
 import asyncio
-import random
 from typing import TYPE_CHECKING, Any
 
-from magnoliarouter.core.cache import VersionedCache
-from magnoliarouter.platform.client import Changes, Found, Gone
-from magnoliarouter.platform.objects import ObjectError
+from magnoliarouter.platform.backoff import Backoff
+from magnoliarouter.platform.replica import Replica
+from magnoliarouter.platform.results import Changes, Found, Gone
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from magnoliarouter.platform.client import PlatformClient
-    from magnoliarouter.platform.objects import StoredObject
 
 __all__ = ["ObjectFeed"]
 
-FIRST_BACKOFF_S = 0.2
-LAST_BACKOFF_S = 5.0
+WATCH_WAIT_S = 10.0
 
 
-class ObjectFeed:
-    """Objects of one kind, kept current by list and watch.
+class ObjectFeed(Replica):
+    """Objects of one kind, kept current by list and watch while `run` runs.
 
     Parameters
     ----------
     client : PlatformClient
         Client to read from.
-    kind : str
-        Kind of object.
-    decode : callable
-        Turns a JSON value into a checked value; raises `ObjectError`.
-    on_change : callable, optional
-        Called with the name and value (None once deleted) of each object that changed.
+    kind, decode, on_change, **options
+        As in `Replica`.
+    backoff : Backoff, optional
+        Waits after failures.
+
+    Attributes
+    ----------
+    failures : int
+        Calls in a row that the platform did not serve.
     """
 
     def __init__(
@@ -43,70 +43,51 @@
         kind: str,
         decode: Callable[[Any], Any],
         on_change: Callable[[str, Any], None] = lambda name, value: None,
+        backoff: Backoff | None = None,
+        **options: Any,
     ) -> None:
-        self.kind = kind
-        self.cache: VersionedCache[Any] = VersionedCache()
-        self.errors: dict[str, str] = {}
-        self.synchronized = asyncio.Event()
-        self.version = 0
+        super().__init__(kind, decode, on_change, **options)
+        self.failures = 0
+        self._gap = False
         self._client = client
-        self._decode = decode
-        self._on_change = on_change
+        self._backoff = backoff or Backoff()
 
     async def run(self) -> None:
-        """List, then watch, for ever."""
-        backoff = FIRST_BACKOFF_S
-        listed = False
+        """Watch from the version known, or list first, for ever."""
         while True:
-            listed, served = await (self._watch() if listed else self._list())
-            if served:
-                backoff = FIRST_BACKOFF_S
-                continue
-            await asyncio.sleep(backoff * random.uniform(0.5, 1.0))
-            backoff = min(2 * backoff, LAST_BACKOFF_S)
-
-    def apply(self, item: StoredObject) -> bool:
-        """Take an object if it is newer and valid, and return whether it changed the cache."""
-        if item.value is None:
-            return self._store(item, None)
-        try:
-            value = self._decode(item.value)
-        except ObjectError as error:
-            self.errors[item.name] = f"version {item.version}: {error}"
-            return False
-        self.errors.pop(item.name, None)
-        return self._store(item, value)
-
-    def _store(self, item: StoredObject, value: Any) -> bool:
-        changed = self.cache.apply(item.name, item.version, value)
-        if changed:
-            self._on_change(item.name, value)
-        return changed
-
-    async def _list(self) -> tuple[bool, bool]:
+            served = await (self.watch() if self.synchronized.is_set() else self.list())
+            if served and not self.regressed and not self._gap:
+                self._backoff.reset()
+            else:
+                await asyncio.sleep(self._backoff.next_wait())
+
+    async def list(self) -> bool:
+        """List the kind once, and return whether the platform served the call."""
+        asked_at = self.version
         match await self._client.list(self.kind):
             case Found(version, items):
-                for item in items:
-                    self.apply(item)
-                self._delete_absent({item.name for item in items}, version)
-                self.version = max(self.version, version)
-                self.synchronized.set()
-                return True, True
-        return False, False
-
-    def _delete_absent(self, present: set[str], version: int) -> None:
-        for name, entry in list(self.cache.entries.items()):
-            if name not in present and entry.version < version and entry.value is not None:
-                if self.cache.apply(name, version, None):
-                    self._on_change(name, None)
-
-    async def _watch(self) -> tuple[bool, bool]:
-        match await self._client.watch(self.kind, self.version):
+                self.apply_list(version, items, asked_at)
+                return self._note(True)
+        return self._note(False)
+
+    async def watch(self) -> bool:
+        """Wait for changes once, and return whether the platform served the call."""
+        after = self.version
+        outcome = await self._client.watch(self.kind, after, WATCH_WAIT_S)
+        self._gap = isinstance(outcome, Gone)
+        match outcome:
             case Changes(batch):
-                for item in batch.items:
-                    self.apply(item)
-                self.version = max(self.version, batch.version)
-                return True, True
+                self.apply_changes(batch.version, batch.items, after)
+                # A source that lags or was restored may hold objects that no watch will report.
+                return await self.list() if self.regressed else self._note(True)
             case Gone():
-                return False, True
-        return True, False
+                return await self.list()
+        return self._note(False)
+
+    def _note(self, served: bool) -> bool:
+        if served:
+            self.failures = 0
+            self.touch(asyncio.get_running_loop().time())
+        else:
+            self.failures += 1
+        return served
--- a/magnoliarouter/standins/platform.py
+++ b/magnoliarouter/standins/platform.py
@@ -197,7 +197,7 @@
             await exchange.send(410, b'{"error": "version is too old"}')
             return
         items = await self.store.wait_for_change(kind, after, wait)
-        version = items[-1].version if items else max(after, self.store.version)
+        version = items[-1].version if items else self.store.version
         await self._send(exchange, 200, WatchBatch(version, items))
 
     async def _write(self, exchange: Exchange, kind: str, name: str, value: object) -> None:
--- /dev/null
+++ b/magnoliarouter/tests/test_replica.py
@@ -0,0 +1,249 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from magnoliarouter.core.keys import KeyIndex
+from magnoliarouter.platform.client import Changes, Found, Gone, Unavailable
+from magnoliarouter.platform.feed import ObjectFeed
+from magnoliarouter.platform.objects import ObjectError, StoredObject, WatchBatch, decode_contract
+from magnoliarouter.platform.replica import Replica
+from magnoliarouter.tests.builders import build_contract_value
+from magnoliarouter.tests.clock import advance, run_paused
+
+BAD = "bad"
+NAMES = ("a", "b", "c")
+SETTINGS = settings(derandomize=True, deadline=None, max_examples=150, database=None)
+
+
+def decode_word(value):
+    if value == BAD:
+        raise ObjectError("value is 'bad'")
+    return value
+
+
+def item(name, version, value):
+    return StoredObject("word", name, version, value)
+
+
+def build_replica(**options):
+    return Replica("word", decode_word, **options)
+
+
+# A history of writes: version n+1 writes a name with a value, None deletes it.
+HISTORIES = st.lists(
+    st.tuples(st.sampled_from(NAMES), st.sampled_from(["x", "y", BAD, None])), max_size=25
+).map(lambda writes: [item(name, n, value) for n, (name, value) in enumerate(writes, start=1)])
+
+
+def state_at(history, version):
+    found = {}
+    for change in history:
+        if change.version <= version:
+            found[change.name] = change
+    return [change for change in found.values() if change.value is not None]
+
+
+def expected_in_force(history):
+    """What a reader of the whole history in order has in force: bad versions change nothing."""
+    found = {}
+    for change in history:
+        if change.value != BAD:
+            found[change.name] = change.value
+    return {name: value for name, value in found.items() if value is not None}
+
+
+class ReplicaModelTest(unittest.TestCase):
+    @SETTINGS
+    @given(HISTORIES, st.data())
+    def test_any_order_and_duplicates_end_as_the_history(self, history, data):
+        replica = build_replica()
+        delivered = data.draw(st.permutations(history * 2))
+        seen = {}
+        for change in delivered:
+            replica.apply(change)
+            for name in NAMES:
+                version = replica.cache.version_of(name)
+                self.assertGreaterEqual(version, seen.get(name, 0))
+                seen[name] = version
+        self.assertEqual(dict(replica.cache.values()), expected_in_force(history))
+        newest = {change.name: change for change in history}
+        refused = {name for name, change in newest.items() if change.value == BAD}
+        self.assertEqual(set(replica.errors), refused)
+
+    @SETTINGS
+    @given(HISTORIES, st.data())
+    def test_stale_lists_and_lagging_watches_never_move_back(self, history, data):
+        last = len(history)
+        replica, versions = build_replica(), {}
+        for _ in range(data.draw(st.integers(1, 8))):
+            version = data.draw(st.integers(0, last))
+            if data.draw(st.booleans()):
+                replica.apply_list(version, state_at(history, version))
+            else:
+                after = replica.version
+                changes = [change for change in history if after < change.version <= version]
+                replica.apply_changes(max(after, version), changes, after)
+            for name in NAMES:
+                self.assertGreaterEqual(replica.cache.version_of(name), versions.get(name, 0))
+                versions[name] = replica.cache.version_of(name)
+        replica.apply_changes(last, [c for c in history if c.version > replica.version], last)
+        for name, value in replica.cache.values().items():
+            sources = [c for c in history if c.version == replica.cache.version_of(name)]
+            self.assertEqual([(c.name, c.value) for c in sources], [(name, value)])
+
+    @SETTINGS
+    @given(HISTORIES, st.data())
+    def test_list_and_watch_with_gaps_reach_the_platforms_state(self, history, data):
+        replica, at = build_replica(), 0
+        while at < len(history):
+            following = data.draw(st.integers(at + 1, len(history)))
+            if replica.synchronized.is_set() and data.draw(st.booleans()):
+                changes = [change for change in history if at < change.version <= following]
+                replica.apply_changes(following, changes, at)
+            else:
+                replica.apply_list(following, state_at(history, following))
+            at = following
+        current = {c.name: c.value for c in state_at(history, at)}
+        for name in NAMES:
+            if current.get(name) != BAD:
+                self.assertEqual(replica.cache.get(name), current.get(name))
+
+    @SETTINGS
+    @given(HISTORIES, st.integers(0, 25), st.data())
+    def test_restored_platform_deletes_nothing(self, history, behind, data):
+        replica = build_replica()
+        replica.apply_list(len(history), state_at(history, len(history)))
+        before = dict(replica.cache.values())
+        restored = max(0, len(history) - behind)
+        replica.apply_list(restored, state_at(history, restored))
+        self.assertEqual(bool(replica.regressed), restored < len(history))
+        # Writes after the restore reuse version numbers until they pass the old ones.
+        later = len(history) + data.draw(st.integers(1, 5))
+        grown = [*state_at(history, restored), item("new", later, "x")]
+        replica.apply_list(later, grown)
+        old = {c.name: c.value for c in state_at(history, restored) if c.value != BAD}
+        expected = {**old, **before, "new": "x"}
+        if restored == len(history):
+            expected = {c.name: c.value for c in grown if c.value != BAD}
+        self.assertEqual(dict(replica.cache.values()), expected)
+
+
+class ContractReplicaTest(unittest.TestCase):
+    def setUp(self):
+        self.index = KeyIndex()
+        self.replica = Replica(
+            "contract", decode_contract, self.index.update, self.index.find_clash
+        )
+
+    def write(self, version, customer, *keys):
+        value = None
+        if keys:
+            hashes = [key * 64 for key in keys]
+            value = build_contract_value(customer=customer, key_hashes=hashes)
+        return self.replica.apply(StoredObject("contract", customer, version, value))
+
+    def holders(self):
+        return {key[0]: contract.customer for key, contract in self.index.by_key.items()}
+
+    def test_key_stays_with_its_first_holder(self):
+        self.write(1, "a", "1")
+        self.write(2, "b", "2")
+        self.assertFalse(self.write(3, "b", "1", "3"))
+        self.assertEqual(self.holders(), {"1": "a", "2": "b"})
+        self.assertIn("belongs to customer a", self.replica.errors["b"])
+        self.write(4, "a", "4")
+        self.assertEqual(self.holders(), {"4": "a", "1": "b", "3": "b"})
+        self.assertEqual(self.replica.errors, {})
+
+    def test_deletion_frees_the_key(self):
+        self.write(1, "a", "1")
+        self.write(2, "b", "1")
+        self.write(3, "a")
+        self.assertEqual(self.holders(), {"1": "b"})
+
+    def test_contract_under_another_name_is_refused(self):
+        value = build_contract_value(customer="b")
+        self.replica.apply(StoredObject("contract", "a", 1, value))
+        self.assertIn("customer is 'b', but the object is 'a'", self.replica.errors["a"])
+
+    def test_values_of_any_shape_are_refused(self):
+        shapes = (5, "x", [1], {}, True, {"customer": None}, {"limits": {"current": []}}, [[]] * 3)
+        self.write(1, "a", "1")
+        for version, value in enumerate(shapes, start=2):
+            self.assertFalse(self.replica.apply(StoredObject("contract", "a", version, value)))
+            self.assertIn(f"version {version}", self.replica.errors["a"])
+        self.assertEqual(self.holders(), {"1": "a"})
+
+    @SETTINGS
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(NAMES), st.sets(st.sampled_from("123"), max_size=2).map(sorted)
+            ),
+            max_size=20,
+        )
+    )
+    def test_no_key_has_two_holders(self, writes):
+        self.setUp()
+        for version, (customer, keys) in enumerate(writes, start=1):
+            self.write(version, customer, *keys)
+            contracts = self.replica.cache.values().values()
+            held = [key for contract in contracts for key in contract.key_hashes]
+            self.assertEqual(len(held), len(set(held)))
+            self.assertEqual(set(held), set(self.index.by_key))
+
+
+class ScriptedClient:
+    def __init__(self, lists, watches):
+        self.lists, self.watches, self.calls = iter(lists), iter(watches), []
+
+    async def list(self, kind):
+        return await self.answer("list", self.lists)
+
+    async def watch(self, kind, after, wait):
+        return await self.answer(f"watch {after}", self.watches)
+
+    async def answer(self, call, script):
+        self.calls.append(call)
+        outcome = next(script, None)
+        if outcome is None:
+            await asyncio.Event().wait()
+        return outcome
+
+
+class ObjectFeedTest(unittest.TestCase):
+    def run_feed(self, lists, watches, seconds=60):
+        async def main():
+            client = ScriptedClient(lists, watches)
+            feed = ObjectFeed(client, "word", decode_word)
+            task = asyncio.create_task(feed.run())
+            await advance(seconds)
+            self.assertFalse(task.done())
+            task.cancel()
+            return client, feed
+
+        return run_paused(main())
+
+    def test_lists_watches_and_lists_again_after_a_gap(self):
+        client, feed = self.run_feed(
+            [Unavailable("x"), Found(5, (item("a", 4, "x"), item("b", 5, "y"))), Found(9, ())],
+            [Changes(WatchBatch(6, [item("a", 6, "z")])), Unavailable("x"), Gone()],
+        )
+        self.assertEqual(
+            client.calls, ["list", "list", "watch 5", "watch 6", "watch 6", "list", "watch 9"]
+        )
+        self.assertEqual(dict(feed.cache.values()), {})
+
+    def test_watch_of_a_lagging_platform_is_noticed(self):
+        client, feed = self.run_feed(
+            [Found(5, (item("a", 4, "x"),)), Found(3, (item("n", 2, "new"),))],
+            [Changes(WatchBatch(3, []))],
+        )
+        self.assertEqual(client.calls, ["list", "watch 5", "list", "watch 5"])
+        self.assertEqual(dict(feed.cache.values()), {"a": "x", "n": "new"})
+        self.assertEqual(feed.version, 5)
+        self.assertIn("version 3, behind 5", feed.regressed)
