Relay configuration from two watching daemons a zone to all others

Cause: each entry daemon watched every kind itself, so that 380 daemons would have held thousands of watches, and a new daemon could not start while the platform was down. Change: the first two entry VMs of a zone in rendezvous order watch; the others follow both over the peers' port by long polls of a numbered log, fall back to the next ones, then to the platform, each with jitter. A new daemon hears peers before it lists; seeds serve while the platform is down. The daemon's status (versions, ages, refusals) is on the peers' port, ages and sources are metrics. Callers get code 601 instead of 208 until contracts are known. A property test found that a lagging relay could bring back a deleted object; a replica now ignores unknown objects older than what it knows completely.

--- /dev/null
+++ b/magnoliarouter/daemon/configuration.py
@@ -0,0 +1,303 @@
+"""Configuration of an entry daemon: all kinds of object it needs, from the platform or peers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import uuid
+from typing import TYPE_CHECKING, Any
+
+from magnoliarouter.core.membership import EntryVm
+from magnoliarouter.core.relays import RelayView, plan_relays, should_watch
+from magnoliarouter.daemon.logs import log_event
+from magnoliarouter.peers.follower import RelayChooser, RelayFollower
+from magnoliarouter.peers.relay import RELAY_METHOD, RelayLog, RelayRequest
+from magnoliarouter.peers.status import KindStatus
+from magnoliarouter.platform.backoff import Backoff
+from magnoliarouter.platform.feed import ObjectFeed
+from magnoliarouter.platform.objects import decode_object
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from magnoliarouter.daemon.metrics import Metrics
+    from magnoliarouter.daemon.settings import EntrySettings
+    from magnoliarouter.peers import PeerClient, PeerServer
+    from magnoliarouter.platform.client import PlatformClient
+
+__all__ = ["Configuration"]
+
+VM = "vm"
+SLOTS = 2
+TICK_S = 0.25
+PEERS_FIRST_S = 1.5
+RESTART_S = 1.0
+PROBE_FIRST_S = 0.5
+PROBE_LAST_S = 20.0
+
+
+class Configuration:
+    """All objects that an entry daemon needs, kept current.
+
+    The daemon watches the platform if it is one of its zone's relays, and otherwise follows
+    them. See `magnoliarouter.core.relays`.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    platform : PlatformClient
+        Client for lists and watches.
+    peer_client, peer_server
+        Calls between entry daemons; the relay's method is added to the server.
+    metrics : Metrics
+        Where ages, versions and refusals are shown.
+    source : random.Random, optional
+        Source of all random choices.
+
+    Attributes
+    ----------
+    synchronized : asyncio.Event
+        Set once every kind was known completely.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        platform: PlatformClient,
+        peer_client: PeerClient,
+        peer_server: PeerServer,
+        metrics: Metrics,
+        source: random.Random | None = None,
+    ) -> None:
+        self.synchronized = asyncio.Event()
+        self._settings = settings
+        self._platform = platform
+        self._clock = asyncio.get_running_loop().time
+        self._random = source or random.Random()
+        self._jitter = self._random.random()
+        self._started = self._clock()
+        self._feeds: dict[str, ObjectFeed] = {}
+        self._watches: list[asyncio.Task[None]] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._probe_backoff = Backoff(PROBE_FIRST_S, PROBE_LAST_S, self._random)
+        self._next_probe = self._started
+        self._log = RelayLog(uuid.uuid4().hex, self._clock)
+        peer_server.add_method(RELAY_METHOD, RelayRequest, self._log.serve)
+        self._vms = self.add(VM, on_change=self._plan)
+        self._plan()
+        self._polls = metrics.add_counter("relay_polls", "Polls of relays by result", "result")
+        self._faults = metrics.add_counter(
+            "configuration_faults", "Configuration tasks that ended by a fault", "task"
+        )
+        chooser = RelayChooser(self._clock, self._random)
+        self._followers = [
+            RelayFollower(
+                slot,
+                peer_client,
+                self._feeds,
+                chooser,
+                lambda slot=slot: self._list_candidates(slot),
+                self._clock,
+                lambda result: self._polls.labels(result).inc(),
+            )
+            for slot in range(SLOTS)
+        ]
+        self._metrics = metrics
+
+    def add(
+        self,
+        kind: str,
+        decode: Callable[[Any], Any] | None = None,
+        on_change: Callable[[str, Any], None] = lambda name, value: None,
+        find_clash: Callable[[str, Any], str | None] = lambda name, value: None,
+    ) -> ObjectFeed:
+        """Add a kind of object before `start` and return its feed.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of object.
+        decode : callable, optional
+            Turns a JSON value into a checked value; by default the kind's model.
+        on_change : callable, optional
+            Called with the name and value (None once deleted) of each object that changed.
+        find_clash : callable, optional
+            Returns why a checked value may not come into force, or None.
+        """
+        feed = ObjectFeed(
+            self._platform,
+            kind,
+            decode or (lambda value: decode_object(kind, value)),
+            lambda name, value: self._tell(kind, on_change, name, value),
+            Backoff(random=self._random),
+            find_clash=find_clash,
+        )
+        self._feeds[kind] = feed
+        self._log.add(feed)
+        return feed
+
+    def start(self) -> None:
+        """Start to read; `synchronized` tells when all kinds are known."""
+        self._export()
+        for slot, follower in enumerate(self._followers):
+            self._spawn(f"follower-{slot}", follower.run)
+        self._spawn("supervisor", self._supervise)
+        self._spawn("synchronization", self._announce)
+
+    async def stop(self) -> None:
+        """Stop all reading."""
+        tasks = [*self._tasks, *self._watches]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    @property
+    def source(self) -> str:
+        """Where the configuration comes from: ``"platform"``, ``"peers"`` or ``"none"``."""
+        if self._watches and any(not feed.failures for feed in self._feeds.values()):
+            return "platform"
+        return "none" if self._silent_since() is not None else "peers"
+
+    def describe(self) -> list[KindStatus]:
+        """Return the status of each kind."""
+        now = self._clock()
+        return [
+            KindStatus(
+                feed.kind,
+                len(feed.cache.values()),
+                feed.version,
+                None if feed.contact is None else round(now - feed.contact, 3),
+                dict(feed.errors),
+                feed.regressed,
+            )
+            for feed in self._feeds.values()
+        ]
+
+    def versions_of(self, kind: str, names: list[str]) -> dict[str, int]:
+        """Return the newest version in force of each object, 0 if there is none."""
+        feed = self._feeds.get(kind)
+        return {name: feed.cache.version_of(name) if feed else 0 for name in names}
+
+    def list_entry_vms(self) -> list[EntryVm]:
+        """Return the entry VMs as the platform lists them."""
+        vms = self._vms.cache.values().values()
+        return [
+            EntryVm(vm.name, vm.zone, vm.address, vm.leaving) for vm in vms if vm.role == "entry"
+        ]
+
+    def _tell(
+        self, kind: str, on_change: Callable[[str, Any], None], name: str, value: Any
+    ) -> None:
+        """Tell another part of a change; its faults do not stop the reading."""
+        try:
+            on_change(name, value)
+        except Exception as error:  # counted and logged
+            self._note_fault(f"change-{kind}", error)
+
+    def _note_fault(self, task: str, error: Exception) -> None:
+        self._faults.labels(task).inc()
+        log_event("configuration", task=task, fault=f"{type(error).__name__}: {error}")
+
+    def _plan(self, name: str = "", value: object = None) -> None:
+        settings = self._settings
+        self._part = plan_relays(settings.name, settings.zone, self.list_entry_vms())
+
+    def _list_candidates(self, slot: int) -> tuple[str, ...]:
+        if not self._vms.cache.values():
+            return self._settings.seeds
+        near, far = self._part.near, self._part.far
+        # A relay follows another zone besides its own, in case its zone loses the platform.
+        return (*far, *near) if slot and self._part.holds_duty else (*near, *far)
+
+    async def _supervise(self) -> None:
+        if not await self._vms.list():
+            log_event("configuration", state="platform does not list the VMs")
+        await self._hear_peers_first()
+        while True:
+            self._switch()
+            if self._should_watch() and not self._watches:
+                await self._probe()
+            await asyncio.sleep(TICK_S)
+
+    async def _hear_peers_first(self) -> None:
+        """Let peers deliver what is in force before the platform is asked for all of it."""
+        end = self._clock() + PEERS_FIRST_S
+        while self._list_candidates(0) and self._clock() < end:
+            if any(follower.caught_up for follower in self._followers):
+                return
+            await asyncio.sleep(TICK_S / 5)
+
+    def _should_watch(self) -> bool:
+        contacts = [feed.contact for feed in self._feeds.values()]
+        oldest = min(self._started if at is None else at for at in contacts)
+        view = RelayView(self._log.asked_at, self._silent_since(), oldest)
+        return should_watch(self._part, view, self._clock(), self._jitter)
+
+    def _silent_since(self) -> float | None:
+        """Return since when no relay answers any of the followers, or None while one does."""
+        since = [follower.silent_since for follower in self._followers]
+        return None if None in since else max(since)
+
+    def _switch(self) -> None:
+        """Start or stop watching as the daemon's part demands."""
+        if self._part.holds_duty and not self._watches:
+            self._watch_all()
+        elif self._watches and not self._should_watch():
+            for task in self._watches:
+                task.cancel()
+            self._watches = []
+
+    async def _probe(self) -> None:
+        """Ask the platform for one kind only; if it answers, watch all."""
+        if self._clock() < self._next_probe:
+            return
+        if await self._vms.list():
+            self._probe_backoff.reset()
+            self._watch_all()
+        else:
+            self._next_probe = self._clock() + self._probe_backoff.next_wait()
+
+    def _watch_all(self) -> None:
+        self._watches = [
+            asyncio.create_task(self._guard(f"watch-{feed.kind}", feed.run))
+            for feed in self._feeds.values()
+        ]
+
+    async def _announce(self) -> None:
+        for feed in self._feeds.values():
+            await feed.synchronized.wait()
+            # Followers learn that the kind is complete even if it has no objects.
+            self._log.notify()
+        self.synchronized.set()
+        log_event("configuration", state="synchronized", source=self.source)
+
+    def _spawn(self, name: str, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        self._tasks.append(asyncio.create_task(self._guard(name, run)))
+
+    async def _guard(self, name: str, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Run a task and start it again after a fault, with a log line and a count."""
+        while True:
+            try:
+                return await run()
+            except Exception as error:  # a fault in one part must not end the reading
+                self._note_fault(name, error)
+                await asyncio.sleep(RESTART_S)
+
+    def _export(self) -> None:
+        """Show ages, versions and refusals as metrics."""
+        add = self._metrics.add_gauge
+        age = add("configuration_age_seconds", "Time since the platform was heard of", "kind")
+        version = add("configuration_version", "Version known completely", "kind")
+        refused = add("configuration_refused", "Objects whose newest version is refused", "kind")
+        behind = add("configuration_regressed", "Whether the platform went back", "kind")
+        for kind, feed in self._feeds.items():
+            age.labels(kind).set_function(lambda feed=feed: self._measure_age(feed))
+            version.labels(kind).set_function(lambda feed=feed: feed.version)
+            refused.labels(kind).set_function(lambda feed=feed: len(feed.refused))
+            behind.labels(kind).set_function(lambda feed=feed: float(bool(feed.regressed)))
+        watching = add("configuration_watching", "Whether this daemon watches the platform")
+        watching.set_function(lambda: float(bool(self._watches)))
+
+    def _measure_age(self, feed: ObjectFeed) -> float:
+        return self._clock() - (self._started if feed.contact is None else feed.contact)
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -7,11 +7,14 @@
 
 import msgspec
 
+from magnoliarouter.core.keys import KeyIndex
 from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
+from magnoliarouter.daemon.configuration import Configuration
 from magnoliarouter.daemon.exchange import CallerGone, Exchange, error_body
 from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.daemon.loop import Runtime
 from magnoliarouter.daemon.metrics import Metrics
+from magnoliarouter.daemon.status import StatusService
 from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.peers import PeerClient, PeerServer
@@ -22,12 +25,11 @@
 from magnoliarouter.pipeline.identify import Refused, identify
 from magnoliarouter.pipeline.meter import Meter
 from magnoliarouter.pipeline.place import Placement
+from magnoliarouter.platform.backoff import CallBudget
 from magnoliarouter.platform.client import PlatformClient
-from magnoliarouter.platform.feed import ObjectFeed
-from magnoliarouter.platform.objects import decode_contract, decode_object
+from magnoliarouter.platform.objects import decode_contract
 
 if TYPE_CHECKING:
-    from magnoliarouter.core.contract import Contract
     from magnoliarouter.daemon.settings import EntrySettings
     from magnoliarouter.pipeline.call import Call
     from magnoliarouter.platform.objects import EndpointSpec
@@ -36,6 +38,10 @@
 
 STATUS_BY_FAMILY = {2: 400, 3: 429, 4: 503, 5: 502, 6: 503, 7: 409}
 REQUEST_HEADER = "x-request-id"
+CALL_BURST_S = 4.0
+CONFIGURATION_MISSING = NotRun(
+    ResultCode.CONFIGURATION_MISSING, "this daemon does not know the contracts yet", 1.0
+)
 
 
 class EntryDaemon:
@@ -52,17 +58,16 @@
         self.metrics = Metrics()
         self.port = 0
         self.ready = False
-        self._contracts_by_key: dict[str, Contract] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Start the feeds and serve callers."""
         self._loop = asyncio.get_running_loop()
         self._session = open_session()
-        self._platform = PlatformClient(self.settings.platform, self._session)
-        self._open_feeds()
+        self._platform = self._open_platform()
         self.peer_client = PeerClient(self.settings.peer_key)
         self.peer_server = PeerServer(self.settings.peer_key)
+        self._open_configuration()
         self._placement = Placement(self.settings.zone, self._endpoints.cache)
         self._admission = LocalAdmission(1.0, self._loop.time)
         listen = self.settings.listen
@@ -75,6 +80,7 @@
         self.port = self._server.port
         peers = self.settings.peers
         await self.peer_server.start(peers.host, peers.port)
+        self.configuration.start()
         self.ready = True
 
     async def stop(self) -> None:
@@ -85,6 +91,7 @@
         await self._server.wait_until_idle()
         for task in self._tasks:
             task.cancel()
+        await self.configuration.stop()
         await self.peer_server.stop()
         await self.peer_client.close()
         await self._session.close()
@@ -95,7 +102,7 @@
             case "/healthz":
                 await exchange.send(200, b'{"healthy": true}')
             case "/readyz":
-                await exchange.send(200 if self.ready else 503, b"{}")
+                await exchange.send(200 if self._is_ready() else 503, b"{}")
             case "/metrics":
                 await exchange.send(200, self.metrics.render(), {"Content-Type": "text/plain"})
             case "/v1/models":
@@ -103,22 +110,34 @@
             case _:
                 await self._serve(exchange)
 
-    def _open_feeds(self) -> None:
-        self._contracts = ObjectFeed(
-            self._platform, "contract", decode_contract, self._index_contracts
+    def _open_platform(self) -> PlatformClient:
+        calls = self.metrics.add_counter(
+            "platform_calls", "Calls to the platform by operation and result", "operation", "result"
+        )
+        rate = self.settings.platform_calls_per_second
+        return PlatformClient(
+            self.settings.platform,
+            self._session,
+            CallBudget(rate, rate * CALL_BURST_S),
+            lambda operation, result: calls.labels(operation, result).inc(),
         )
-        self._endpoints = self._open_feed("endpoint")
-        self._services = self._open_feed("service")
-        self._vms = self._open_feed("vm")
-        for feed in (self._contracts, self._endpoints, self._services, self._vms):
-            self._tasks.append(self._loop.create_task(feed.run()))
 
-    def _open_feed(self, kind: str) -> ObjectFeed:
-        return ObjectFeed(self._platform, kind, lambda value: decode_object(kind, value))
+    def _open_configuration(self) -> None:
+        self.configuration = Configuration(
+            self.settings, self._platform, self.peer_client, self.peer_server, self.metrics
+        )
+        self._keys = KeyIndex()
+        self.configuration.add(
+            "contract", decode_contract, self._keys.update, self._keys.find_clash
+        )
+        self._endpoints = self.configuration.add("endpoint")
+        self._services = self.configuration.add("service")
+        self.status = StatusService(
+            self.settings, self.configuration, self.peer_server, self._is_ready
+        )
 
-    def _index_contracts(self, name: str, contract: Contract | None) -> None:
-        contracts = self._contracts.cache.values().values()
-        self._contracts_by_key = {key: found for found in contracts for key in found.key_hashes}
+    def _is_ready(self) -> bool:
+        return self.ready and self.configuration.synchronized.is_set()
 
     def _list_models(self) -> bytes:
         endpoints = self._endpoints.cache.values().values()
@@ -129,12 +148,15 @@
     async def _serve(self, exchange: Exchange) -> None:
         call = identify(
             exchange.request,
-            self._contracts_by_key,
+            self._keys.by_key,
             self._services.cache.values(),
             self._loop.time(),
             self.settings.request_seconds,
         )
         if isinstance(call, Refused):
+            known = self.configuration.synchronized.is_set()
+            if call.outcome.code is ResultCode.KEY_UNKNOWN and not known:
+                call = Refused(503, CONFIGURATION_MISSING)
             await self._answer_error(exchange, call.outcome, call.status)
             return
         permit = await self._admission.admit(call)
--- a/magnoliarouter/daemon/settings.py
+++ b/magnoliarouter/daemon/settings.py
@@ -13,6 +13,7 @@
 Port = Annotated[int, Meta(ge=0, le=65_535)]
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Url = Annotated[str, Meta(pattern=r"^http://[^/]+$")]
+HostPort = Annotated[str, Meta(pattern=r"^[0-9a-zA-Z.:\[\]-]+:[0-9]{1,5}$")]
 Seconds = Annotated[float, Meta(gt=0)]
 
 
@@ -62,6 +63,12 @@
         All availability zones, the same list in every daemon.
     peer_key : str
         Key shared by all of the system's processes.
+    seeds : tuple of str
+        ``host:port`` of the peers' port of other entry daemons, asked for the configuration
+        while the platform is down and no list of VMs is known yet.
+    platform_calls_per_second : float
+        Calls to the platform that this daemon may make in the long run; four seconds' worth of
+        them may be made at once.
     log_file : str
         Path of the JSON-lines log; ``"-"`` is standard output.
     request_seconds : float
@@ -75,6 +82,8 @@
     listen: Address = Address()
     peers: Address = Address()
     zones: tuple[Name, ...] = ()
+    seeds: tuple[HostPort, ...] = ()
+    platform_calls_per_second: Annotated[float, Meta(gt=0)] = 50.0
     request_seconds: Seconds = 120.0
     queue_length: Annotated[int, Meta(ge=0)] = 256
     shutdown_seconds: Annotated[float, Meta(ge=0)] = 2.0
--- /dev/null
+++ b/magnoliarouter/peers/relay.py
@@ -0,0 +1,263 @@
+"""Relaying of configuration: what a daemon knows, offered to others as a numbered log."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from magnoliarouter.platform.objects import StoredObject
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from magnoliarouter.platform.replica import Replica
+
+__all__ = ["RELAY_METHOD", "RelayItem", "RelayLog", "RelayReply", "RelayRequest", "RelayStream"]
+
+RELAY_METHOD = "relay"
+BATCH_BYTES = 262_144
+LONGEST_WAIT_S = 10.0
+UNREADABLE = "unreadable"
+
+
+class RelayRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Question for what is new.
+
+    Parameters
+    ----------
+    incarnation : str
+        Log that the position belongs to; a relay with another one starts from the beginning.
+    after : int
+        Position up to which the log is known.
+    wait_s : float
+        Longest wait for something new, in seconds.
+    """
+
+    incarnation: str
+    after: int
+    wait_s: float
+
+
+class RelayItem(msgspec.Struct, frozen=True, array_like=True):
+    """One object.
+
+    Parameters
+    ----------
+    data : bytes
+        `StoredObject` as JSON.
+    refused : bool
+        Whether the relay refuses it and keeps an older version in force.
+    """
+
+    data: bytes
+    refused: bool
+
+
+class RelayReply(msgspec.Struct, frozen=True, array_like=True):
+    """What is new.
+
+    Parameters
+    ----------
+    incarnation : str
+        Id of the relay's log.
+    position : int
+        Position after these items.
+    items : list of RelayItem
+        Objects, oldest first, each at its newest version.
+    more : bool
+        Whether more is waiting; then the rest does not apply yet.
+    complete : dict of str to int
+        Version up to which each kind is known completely.
+    ages : dict of str to float
+        Seconds since the platform was heard of, by kind.
+    floors : dict of str to int
+        Version up to which absence proves no deletion, by kind.
+    """
+
+    incarnation: str
+    position: int
+    items: list[RelayItem]
+    more: bool = False
+    complete: dict[str, int] = {}
+    ages: dict[str, float] = {}
+    floors: dict[str, int] = {}
+
+
+class RelayLog:
+    """Newest versions of all objects in the order in which they were taken.
+
+    Parameters
+    ----------
+    incarnation : str
+        Random id of this process's log.
+    clock : callable
+        Loop time in seconds.
+    batch_bytes : int
+        Size at which a reply is cut off.
+
+    Attributes
+    ----------
+    asked_at : float, optional
+        Loop time of the last request.
+    """
+
+    def __init__(
+        self, incarnation: str, clock: Callable[[], float], batch_bytes: int = BATCH_BYTES
+    ) -> None:
+        self.incarnation = incarnation
+        self.asked_at: float | None = None
+        self.position = 0
+        self._clock = clock
+        self._batch_bytes = batch_bytes
+        self._replicas: dict[str, Replica] = {}
+        self._entries: dict[tuple[str, str, bool], tuple[int, int, RelayItem]] = {}
+        self._grown = asyncio.Event()
+
+    def add(self, replica: Replica) -> None:
+        """Offer the objects of a replica; called before it takes any."""
+        self._replicas[replica.kind] = replica
+        replica.on_item = self.record
+
+    def record(self, item: StoredObject, refused: bool) -> None:
+        """Append a version of an object in place of an older one."""
+        self._entries.pop((item.kind, item.name, refused), None)
+        doubtful = self._entries.get((item.kind, item.name, True))
+        if doubtful is not None and not refused and doubtful[1] <= item.version:
+            del self._entries[item.kind, item.name, True]
+        self.notify()
+        entry = self.position, item.version, RelayItem(_encode(item), refused)
+        self._entries[item.kind, item.name, refused] = entry
+
+    def notify(self) -> None:
+        """Wake the followers, also when no object changed but a kind became complete."""
+        self.position += 1
+        self._grown.set()
+        self._grown = asyncio.Event()
+
+    async def serve(self, request: RelayRequest) -> RelayReply:
+        """Answer a follower, waiting for something new if there is nothing."""
+        self.asked_at = self._clock()
+        known = request.incarnation == self.incarnation and request.after <= self.position
+        # A new follower is answered at once, so that it sees that the relay is there.
+        if known and request.after == self.position:
+            await self._wait(min(request.wait_s, LONGEST_WAIT_S))
+        return self.read(request.after if known else 0)
+
+    def read(self, after: int) -> RelayReply:
+        """Return what is new after a position."""
+        items, position, size = [], after, 0
+        for entry_position, item in self._select(after):
+            if size > self._batch_bytes:
+                return RelayReply(self.incarnation, position, items, more=True)
+            items.append(item)
+            size += len(item.data)
+            position = entry_position
+        now = self._clock()
+        known = self._replicas.values()
+        return RelayReply(
+            self.incarnation,
+            self.position,
+            items,
+            complete={r.kind: r.version for r in known if r.synchronized.is_set()},
+            ages={r.kind: now - r.contact for r in known if r.contact is not None},
+            floors={r.kind: r.cache.floor for r in known if r.cache.floor},
+        )
+
+    def _select(self, after: int) -> list[tuple[int, RelayItem]]:
+        chosen = []
+        for position, _, item in reversed(self._entries.values()):
+            if position <= after:
+                break
+            chosen.append((position, item))
+        return chosen[::-1]
+
+    async def _wait(self, seconds: float) -> None:
+        grown = self._grown
+        try:
+            async with asyncio.timeout(seconds):
+                await grown.wait()
+        except TimeoutError:
+            return
+
+
+class RelayStream:
+    """What a follower has read of one relay's log.
+
+    Parameters
+    ----------
+    replicas : mapping of str to Replica
+        Replicas by kind that take the objects; other kinds are passed over.
+    """
+
+    def __init__(self, replicas: Mapping[str, Replica]) -> None:
+        self._replicas = replicas
+        self._reset("")
+
+    def ask(self, wait_s: float) -> RelayRequest:
+        """Return the request for what is new."""
+        return RelayRequest(self.incarnation, self.position, wait_s)
+
+    def take(self, reply: RelayReply, now: float) -> None:
+        """Take a reply into the replicas.
+
+        Parameters
+        ----------
+        reply : RelayReply
+            Reply to the last request.
+        now : float
+            Loop time in seconds.
+        """
+        if reply.incarnation != self.incarnation:
+            self._reset(reply.incarnation)
+        self.position = reply.position
+        for relayed in reply.items:
+            item = _decode(relayed.data)
+            if item is None or item.kind not in self._replicas:
+                continue
+            self._names.get(item.kind, set()).add(item.name)
+            if relayed.refused:
+                self._refused.append(item)
+            else:
+                self._replicas[item.kind].apply(item)
+        if not reply.more:
+            self._finish(reply, now)
+
+    def _reset(self, incarnation: str) -> None:
+        self.incarnation = incarnation
+        self.position = 0
+        # Names received of each kind that the relay has not yet declared complete.
+        self._names: dict[str, set[str]] = {kind: set() for kind in self._replicas}
+        self._refused: list[StoredObject] = []
+
+    def _finish(self, reply: RelayReply, now: float) -> None:
+        # Objects that the relay refuses come last: what they clash with is in force first.
+        for item in self._refused:
+            self._replicas[item.kind].apply(item)
+        self._refused.clear()
+        for kind, replica in self._replicas.items():
+            replica.cache.raise_floor(reply.floors.get(kind, 0))
+            if kind in reply.ages:
+                replica.touch(now - max(0.0, reply.ages[kind]))
+            if kind not in reply.complete:
+                continue
+            present = self._names.pop(kind, None)
+            if present is None:
+                replica.advance(reply.complete[kind])
+            else:
+                replica.complete(present, reply.complete[kind])
+
+
+def _encode(item: StoredObject) -> bytes:
+    try:
+        return msgspec.json.encode(item)
+    except (TypeError, ValueError, OverflowError, RecursionError):
+        return msgspec.json.encode(msgspec.structs.replace(item, value=UNREADABLE))
+
+
+def _decode(data: bytes) -> StoredObject | None:
+    try:
+        return msgspec.json.decode(data, type=StoredObject)
+    except (msgspec.MsgspecError, RecursionError, ValueError):
+        return None
--- a/magnoliarouter/platform/replica.py
+++ b/magnoliarouter/platform/replica.py
@@ -122,11 +122,20 @@
         known = self.refused.get(item.name)
         if known is not None and known.item.version == item.version:
             return False
+        if known is None and self._was_deleted(item):
+            return False
         if not self._take(item):
             return False
         self._retry_refused()
         return True
 
+    def _was_deleted(self, item: StoredObject) -> bool:
+        """Whether the kind is known completely at a later version without this object.
+
+        A source that lags would otherwise bring a deleted object back.
+        """
+        return item.name not in self.cache.entries and item.version <= self.version
+
     def apply_list(
         self, version: int, items: Iterable[StoredObject], asked_at: int | None = None
     ) -> None:
@@ -156,11 +165,14 @@
 
     def complete(self, present: Collection[str], version: int) -> None:
         """Note that the names present are all that existed at a version."""
-        for name in self.cache.find_deleted(present, version):
+        floor = self.cache.floor
+        absent = [
+            name
+            for name, refused in self.refused.items()
+            if name not in present and floor < refused.item.version < version
+        ]
+        for name in (*self.cache.find_deleted(present, version), *absent):
             self.apply(StoredObject(self.kind, name, version))
-        for name in [name for name in self.refused if name not in present]:
-            if self.cache.floor < self.refused[name].item.version < version:
-                del self.refused[name]
         self.advance(version)
         self.synchronized.set()
 
--- /dev/null
+++ b/magnoliarouter/tests/test_configuration.py
@@ -0,0 +1,176 @@
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from magnoliarouter.core.keys import KeyIndex
+from magnoliarouter.daemon.configuration import Configuration
+from magnoliarouter.daemon.loop import Runtime
+from magnoliarouter.daemon.metrics import Metrics
+from magnoliarouter.daemon.settings import EntrySettings
+from magnoliarouter.daemon.status import StatusService
+from magnoliarouter.daemon.web import WebServer
+from magnoliarouter.endpoints.client import open_session
+from magnoliarouter.peers import PeerClient, PeerServer
+from magnoliarouter.peers.status import StatusReply, StatusRequest
+from magnoliarouter.platform.client import PlatformClient
+from magnoliarouter.platform.objects import decode_contract
+from magnoliarouter.standins.platform import Faults, PlatformStandin
+from magnoliarouter.tests.builders import build_contract_value
+
+KEY = "0123456789abcdef"
+
+
+class Daemon:
+    """What an entry daemon holds of configuration, without its pipeline."""
+
+    def __init__(self, name, zone, platform, session, seeds=()):
+        self.settings = EntrySettings(
+            name=name, zone=zone, platform=platform, peer_key=KEY, seeds=seeds
+        )
+        self.server, self.client = PeerServer(KEY), PeerClient(KEY)
+        self.metrics = Metrics()
+        self.configuration = Configuration(
+            self.settings,
+            PlatformClient(platform, session),
+            self.client,
+            self.server,
+            self.metrics,
+            random.Random(name),
+        )
+        self.keys = KeyIndex()
+        self.changed = asyncio.Event()
+        self.take_change = self.take
+        self.contracts = self.configuration.add(
+            "contract", decode_contract, self.tell, self.keys.find_clash
+        )
+        self.status = StatusService(self.settings, self.configuration, self.server, lambda: True)
+
+    def tell(self, name, contract):
+        self.take_change(name, contract)
+
+    def take(self, name, contract):
+        self.keys.update(name, contract)
+        self.changed.set()
+
+    @property
+    def watches(self):
+        return b"configuration_watching 1.0" in self.metrics.render()
+
+    async def start(self):
+        await self.server.start("127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.port}"
+        return self
+
+    async def stop(self):
+        await self.configuration.stop()
+        await self.server.stop()
+        await self.client.close()
+
+
+class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.standin = PlatformStandin()
+        self.store = self.standin.store
+        server = WebServer(Runtime(), ("127.0.0.1", 0), self.standin.handle)
+        self.addCleanup(server.stop_listening)
+        self.platform = f"http://127.0.0.1:{server.port}"
+        self.session = open_session()
+        self.addAsyncCleanup(self.session.close)
+
+    async def start(self, *names, zone="zone-1", seeds=()):
+        daemons = []
+        for name in names:
+            daemon = await Daemon(name, zone, self.platform, self.session, seeds).start()
+            self.addAsyncCleanup(daemon.stop)
+            daemons.append(daemon)
+            vm = {"name": name, "zone": zone, "role": "entry", "address": daemon.address}
+            self.store.write("vm", name, vm, None)
+        for daemon in daemons:
+            daemon.configuration.start()
+        return daemons
+
+    async def write(self, standing="suspended", customer="grower"):
+        value = build_contract_value(customer=customer, standing=standing)
+        item = self.store.write("contract", customer, value, None)
+        await self.store.notify()
+        return item.version
+
+    async def wait_for(self, daemons, version, customer="grower"):
+        async with asyncio.timeout(10):
+            for daemon in daemons:
+                while daemon.contracts.cache.version_of(customer) < version:
+                    await daemon.changed.wait()
+                    daemon.changed.clear()
+
+    async def synchronize(self, daemons):
+        async with asyncio.timeout(10):
+            for daemon in daemons:
+                await daemon.configuration.synchronized.wait()
+
+    async def test_two_daemons_of_a_zone_watch_and_all_learn(self):
+        await self.write()
+        daemons = await self.start("a", "b", "c", "d")
+        await self.synchronize(daemons)
+        self.assertEqual(sum(daemon.watches for daemon in daemons), 2)
+        await self.wait_for(daemons, await self.write("current"))
+        for daemon in daemons:
+            self.assertEqual(daemon.contracts.cache.get("grower").standing, "current")
+        sources = sorted(daemon.configuration.source for daemon in daemons)
+        self.assertEqual(sources, ["peers", "peers", "platform", "platform"])
+
+    async def test_new_daemon_starts_from_peers_while_the_platform_is_down(self):
+        version = await self.write()
+        daemons = await self.start("a", "b", "c")
+        await self.synchronize(daemons)
+        self.standin.faults = Faults(down=True)
+        seeds = tuple(daemon.address for daemon in daemons)
+        (late,) = await self.start("d", seeds=seeds)
+        await self.synchronize([late])
+        self.assertEqual(late.contracts.cache.version_of("grower"), version)
+        self.assertIsNotNone(late.contracts.contact)
+
+    async def test_others_take_over_when_the_relays_die(self):
+        daemons = await self.start("a", "b", "c", "d")
+        await self.synchronize(daemons)
+        relays = [daemon for daemon in daemons if daemon.watches]
+        others = [daemon for daemon in daemons if daemon not in relays]
+        for relay in relays:
+            await relay.stop()
+        await self.wait_for(others, await self.write())
+
+    async def test_status_tells_versions_refusals_and_age(self):
+        good = await self.write()
+        self.store.write("contract", "grower", {"customer": 5}, None)
+        (daemon,) = await self.start("a")
+        other = await self.write(customer="other")
+        await self.synchronize([daemon])
+        client = PeerClient(KEY)
+        self.addAsyncCleanup(client.close)
+        daemon.status.add_section("quota", lambda: {"lent": 3})
+        request = StatusRequest("contract", ["grower", "other", "nobody"])
+        reply = await client.call(daemon.address, "status", request, StatusReply)
+        self.assertEqual(reply.applied, {"grower": 0, "other": other, "nobody": 0})
+        contracts = next(status for status in reply.kinds if status.kind == "contract")
+        self.assertIn("customer is 5", contracts.errors["grower"])
+        self.assertGreaterEqual(contracts.version, good)
+        self.assertLess(contracts.age_s, 5.0)
+        self.assertEqual(reply.sections, {"quota": {"lent": 3}})
+        self.assertIn(b'configuration_refused{kind="contract"} 1.0', daemon.metrics.render())
+
+    async def test_faulty_callback_is_counted_and_reading_goes_on(self):
+        (daemon,) = await self.start("a")
+        await self.synchronize([daemon])
+        failing = iter([KeyError("grower")])
+
+        def take(name, contract):
+            for error in failing:
+                raise error
+            daemon.take(name, contract)
+
+        daemon.take_change = take
+        await self.write()
+        await self.wait_for([daemon], await self.write("current"))
+        text = daemon.metrics.render()
+        self.assertIn(b'configuration_faults_total{task="change-contract"} 1.0', text)
--- /dev/null
+++ b/magnoliarouter/tests/test_relay.py
@@ -0,0 +1,190 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from magnoliarouter.core.membership import EntryVm
+from magnoliarouter.core.relays import RelayView, plan_relays, should_watch
+from magnoliarouter.peers.relay import RelayItem, RelayLog, RelayReply, RelayRequest, RelayStream
+from magnoliarouter.platform.objects import StoredObject
+from magnoliarouter.tests.clock import run_paused
+from magnoliarouter.tests.test_replica import (
+    BAD,
+    HISTORIES,
+    NAMES,
+    SETTINGS,
+    build_replica,
+    item,
+    state_at,
+)
+
+ZONES = ("zone-1", "zone-2", "zone-3")
+
+
+def build_vms(per_zone=4):
+    return [EntryVm(f"{zone}-{n}", zone, f"{zone}:{n}") for zone in ZONES for n in range(per_zone)]
+
+
+class RelayPlanTest(unittest.TestCase):
+    def test_two_daemons_a_zone_hold_the_duty(self):
+        vms = build_vms()
+        plans = {vm.name: plan_relays(vm.name, vm.zone, vms) for vm in vms}
+        for zone in ZONES:
+            holders = [name for name, plan in plans.items() if plan.holds_duty and zone in name]
+            self.assertEqual(len(holders), 2)
+        for vm in vms:
+            plan = plans[vm.name]
+            self.assertNotIn(vm.address, plan.near)
+            self.assertTrue(all(address.startswith(vm.zone) for address in plan.near))
+            if not plan.holds_duty:
+                holding = {v.address for v in vms if v.zone == vm.zone and plans[v.name].holds_duty}
+                self.assertEqual(set(plan.near[:2]), holding)
+            self.assertEqual(len(plan.far), 4)
+
+    def test_leaving_holder_hands_over(self):
+        vms = build_vms()
+        first = next(vm for vm in vms if plan_relays(vm.name, vm.zone, vms).holds_duty)
+        vms = [EntryVm(v.name, v.zone, v.address, v.name == first.name) for v in vms]
+        self.assertFalse(plan_relays(first.name, first.zone, vms).holds_duty)
+
+    def test_daemon_alone_or_without_a_list_watches(self):
+        self.assertTrue(plan_relays("a", "zone-1", []).holds_duty)
+        self.assertTrue(plan_relays("a", "zone-9", build_vms()).holds_duty)
+        self.assertFalse(plan_relays("not-listed-yet", "zone-1", build_vms()).holds_duty)
+
+    def test_follower_watches_when_asked_silent_or_stale(self):
+        follower = next(
+            plan
+            for vm in build_vms()
+            if not (plan := plan_relays(vm.name, vm.zone, build_vms())).holds_duty
+        )
+        for expected, view in (
+            (False, RelayView(None, None, 95.0)),
+            (True, RelayView(90.0, None, 95.0)),
+            (False, RelayView(80.0, None, 95.0)),
+            (True, RelayView(None, 95.0, 95.0)),
+            (False, RelayView(None, 98.5, 95.0)),
+            (True, RelayView(None, None, 40.0)),
+        ):
+            with self.subTest(view):
+                self.assertIs(should_watch(follower, view, 100.0, 0.5), expected)
+
+
+class RelayModelTest(unittest.TestCase):
+    """A relay and a follower over any history, paging, restarts and changes of relay."""
+
+    @SETTINGS
+    @given(HISTORIES, st.data())
+    def test_follower_ends_as_its_relays(self, history, data):
+        follower = build_replica()
+        versions = dict.fromkeys(NAMES, 0)
+        relays = [self.build_relay() for _ in range(2)]
+        streams = [RelayStream({"word": follower}) for _ in range(2)]
+        known = [0, 0]
+        for _ in range(data.draw(st.integers(1, 10))):
+            number = data.draw(st.integers(0, 1))
+            if data.draw(st.integers(0, 5)) == 0:
+                relays[number], known[number] = self.build_relay(), 0
+            upto = data.draw(st.integers(known[number], len(history)))
+            self.feed(relays[number][0], history, known[number], upto)
+            known[number] = upto
+            for _ in range(data.draw(st.integers(0, 3))):
+                self.poll(relays[number][1], streams[number])
+            for name in NAMES:
+                self.assertGreaterEqual(follower.cache.version_of(name), versions[name])
+                versions[name] = follower.cache.version_of(name)
+        replica, log = relays[0]
+        self.feed(replica, history, known[0], len(history))
+        for _ in range(2 * len(history) + 3):
+            self.poll(log, streams[0])
+        current = {c.name: c.value for c in state_at(history, len(history))}
+        for name in NAMES:
+            if current.get(name) != BAD:
+                self.assertEqual(follower.cache.get(name), current.get(name))
+        self.assertEqual(follower.version, len(history))
+        self.assertEqual(set(follower.errors), set(replica.errors))
+
+    def build_relay(self):
+        self.made = getattr(self, "made", 0) + 1
+        replica = build_replica()
+        log = RelayLog(f"log-{self.made}", lambda: 0.0, batch_bytes=60)
+        log.add(replica)
+        return replica, log
+
+    def feed(self, replica, history, known, upto):
+        if replica.synchronized.is_set():
+            changes = [change for change in history if known < change.version <= upto]
+            replica.apply_changes(upto, changes, known)
+        else:
+            replica.apply_list(upto, state_at(history, upto))
+
+    def poll(self, log, stream):
+        request = stream.ask(0.0)
+        known = request.incarnation == log.incarnation
+        stream.take(log.read(request.after if known else 0), 0.0)
+
+
+class RelayStreamTest(unittest.TestCase):
+    def setUp(self):
+        self.replica = build_replica()
+        self.stream = RelayStream({"word": self.replica})
+
+    def test_refused_objects_come_after_those_in_force(self):
+        order = []
+        self.replica.on_item = lambda item, refused: order.append(item.name)
+        relay = build_replica()
+        log = RelayLog("one", lambda: 0.0)
+        log.add(relay)
+        relay.apply(item("b", 2, BAD))
+        relay.apply(item("a", 3, "x"))
+        self.stream.take(log.read(0), 0.0)
+        self.assertEqual(order, ["a", "b"])
+
+    def test_absence_from_an_incomplete_log_deletes_nothing(self):
+        self.replica.apply(item("a", 3, "x"))
+        self.stream.take(RelayReply("one", 0, [], complete={}), 0.0)
+        self.assertEqual(self.replica.cache.get("a"), "x")
+        self.stream.take(RelayReply("one", 1, [], complete={"word": 9}), 0.0)
+        self.assertIsNone(self.replica.cache.get("a"))
+
+    def test_floor_of_the_relay_is_taken_over(self):
+        self.replica.apply(item("a", 3, "x"))
+        reply = RelayReply("one", 0, [], complete={"word": 9}, floors={"word": 5})
+        self.stream.take(reply, 0.0)
+        self.assertEqual(self.replica.cache.get("a"), "x")
+
+    def test_unreadable_items_are_passed_over(self):
+        items = [RelayItem(b"\xff{", False), RelayItem(b'{"kind": 5}', True)]
+        self.stream.take(RelayReply("one", 1, items), 0.0)
+        self.assertEqual(dict(self.replica.cache.values()), {})
+
+    def test_age_counts_from_the_platform(self):
+        self.stream.take(RelayReply("one", 1, [], ages={"word": 7.0}), 100.0)
+        self.assertEqual(self.replica.contact, 93.0)
+
+
+class RelayLogTest(unittest.TestCase):
+    def test_waits_for_news_and_answers_a_new_follower_at_once(self):
+        async def main():
+            loop = asyncio.get_running_loop()
+            log = RelayLog("one", loop.time)
+            log.add(replica := build_replica())
+            first = await log.serve(RelayRequest("", 0, 5.0))
+            self.assertEqual((first.items, loop.time()), ([], 1000.0))
+            waiting = asyncio.create_task(log.serve(RelayRequest("one", 0, 5.0)))
+            await asyncio.sleep(1.0)
+            replica.apply(StoredObject("word", "a", 1, "x"))
+            self.assertEqual(len((await waiting).items), 1)
+            return log.asked_at
+
+        async def drive():
+            from magnoliarouter.tests.clock import advance
+
+            task = asyncio.create_task(main())
+            await advance(10)
+            return await task
+
+        self.assertEqual(run_paused(drive()), 1000.0)
