Switch expert maps so that all ranks use one map in every step

A group's ranks step together, so a switch must take effect at one step everywhere although messages are lost, ranks restart and controllers are replaced. Seven weakened rules are caught as two maps in a step, an eighth as a group that stands still. A walk found a restarted rank whose repeated confirmation was counted although it may have begun that step; the controller no longer counts it.

--- /dev/null
+++ b/magnoliarouter/core/expertmap.py
@@ -0,0 +1,132 @@
+"""Expert map of a group: which ranks hold which experts of which layer."""
+
+from __future__ import annotations
+
+import base64
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+__all__ = ["ExpertMap", "ExpertMapError", "count_moves", "spread_evenly"]
+
+MAX_RANKS = 255
+SEPARATOR = 255
+
+Row = tuple[tuple[int, ...], ...]
+
+
+class ExpertMapError(ValueError):
+    """An expert map is not valid; the message names the layer, the expert and the value."""
+
+
+@dataclass(frozen=True, slots=True)
+class ExpertMap:
+    """Assignment of experts to ranks, layer by layer.
+
+    Parameters
+    ----------
+    ranks : int
+        Ranks of the group, 1 to 255.
+    layers : tuple
+        For each layer, for each expert, the sorted ranks that hold it; more than one for a
+        replicated expert.
+
+    Raises
+    ------
+    ExpertMapError
+        An expert has no rank, names one twice or unsorted, or names one outside the group, or
+        the layers differ in their number of experts.
+
+    Examples
+    --------
+    >>> ExpertMap(2, (((0,), (0, 1)),)).count_slots(0)
+    2
+    """
+
+    ranks: int
+    layers: tuple[Row, ...]
+
+    def __post_init__(self) -> None:
+        if not 1 <= self.ranks <= MAX_RANKS:
+            raise ExpertMapError(f"ranks {self.ranks} is not valid; valid: 1 to {MAX_RANKS}")
+        for layer, row in enumerate(self.layers):
+            if len(row) != len(self.layers[0]):
+                found, valid = len(row), len(self.layers[0])
+                raise ExpertMapError(f"layer {layer} has {found} experts; valid: {valid}")
+            for expert, holders in enumerate(row):
+                self._check_holders(layer, expert, holders)
+
+    def _check_holders(self, layer: int, expert: int, holders: tuple[int, ...]) -> None:
+        ordered = all(low < high for low, high in zip(holders, holders[1:]))
+        if not holders or not ordered or holders[0] < 0 or holders[-1] >= self.ranks:
+            raise ExpertMapError(
+                f"layer {layer} expert {expert}: holders {holders} are not valid; "
+                f"valid: one or more ranks of 0 to {self.ranks - 1}, ascending"
+            )
+
+    @property
+    def experts(self) -> int:
+        """Experts in each layer."""
+        return len(self.layers[0]) if self.layers else 0
+
+    def count_slots(self, rank: int) -> int:
+        """Return the number of experts that a rank holds over all layers."""
+        return sum(rank in holders for row in self.layers for holders in row)
+
+    def list_held(self, rank: int) -> Iterator[tuple[int, int]]:
+        """Yield each (layer, expert) that a rank holds."""
+        for layer, row in enumerate(self.layers):
+            for expert, holders in enumerate(row):
+                if rank in holders:
+                    yield layer, expert
+
+    def encode(self) -> str:
+        """Return the map as base64 text of about 2.7 characters for each expert of a layer."""
+        data = bytearray((self.ranks,))
+        data += len(self.layers).to_bytes(2, "big") + self.experts.to_bytes(2, "big")
+        for row in self.layers:
+            for holders in row:
+                data += bytes(holders)
+                data.append(SEPARATOR)
+        return base64.b64encode(data).decode()
+
+    @classmethod
+    def decode(cls, text: str) -> ExpertMap:
+        """Return the map that `encode` wrote.
+
+        Raises
+        ------
+        ExpertMapError
+            The text is not that of a valid map.
+        """
+        try:
+            data = base64.b64decode(text, validate=True)
+        except ValueError as error:
+            raise ExpertMapError(f"map text is not base64: {error}") from error
+        if len(data) < 5:
+            raise ExpertMapError(f"map text has {len(data)} bytes; valid: 5 or more")
+        layers, experts = int.from_bytes(data[1:3], "big"), int.from_bytes(data[3:5], "big")
+        cells = [tuple(cell) for cell in data[5:].split(bytes((SEPARATOR,)))[:-1]]
+        if len(cells) != layers * experts:
+            raise ExpertMapError(f"map text has {len(cells)} experts; valid: {layers * experts}")
+        rows = [tuple(cells[n * experts : (n + 1) * experts]) for n in range(layers)]
+        return cls(data[0], tuple(rows))
+
+
+def spread_evenly(ranks: int, layers: int, experts: int) -> ExpertMap:
+    """Return a map that deals the experts of each layer to the ranks in turn."""
+    row = tuple((expert % ranks,) for expert in range(experts))
+    return ExpertMap(ranks, (row,) * layers)
+
+
+def count_moves(old: ExpertMap, new: ExpertMap) -> int:
+    """Return how many experts some rank has to fetch to go from one map to another."""
+    return sum(
+        len(set(after) - set(before))
+        for before_row, after_row in zip(old.layers, new.layers)
+        if before_row is not after_row
+        for before, after in zip(before_row, after_row)
+        if before != after
+    )
--- /dev/null
+++ b/magnoliarouter/core/mapcontrol.py
@@ -0,0 +1,262 @@
+"""Controller of a group's expert map, as a state machine.
+
+The controller claims the platform's record under an epoch of its own, asks every rank what it
+knows, settles what it finds in flight, and then carries out one switch after another:
+
+    claim -> query -> (form) -> spread -> idle -> propose -> prepare -> arm -> commit -> spread
+
+Where the platform gives no clear answer to the commit, the ranks' own memory makes the commit
+stable instead (`CONFIRM`). The controller ends in `STOPPED` when another has taken over, or when
+the record has to be read again; a new controller then starts from the record.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TypeAlias
+
+import msgspec
+
+from magnoliarouter.core.mapmessages import NO_STEP, Report, Schedule
+from magnoliarouter.core.maporders import find_contradictions, list_orders
+from magnoliarouter.core.mapstate import (
+    ControllerState,
+    Effect,
+    MapRecord,
+    Phase,
+    Store,
+    StoreOutcome,
+    SwitchTimes,
+    all_know,
+    all_prepared,
+    has_pending,
+    is_unknown_to_all,
+    ranks_agree,
+)
+
+__all__ = [
+    "begin_switch",
+    "receive_outcome",
+    "receive_report",
+    "start_controller",
+    "tick",
+]
+
+FORMING = (Phase.QUERY, Phase.FORM_WRITE, Phase.FORM)
+
+
+Step: TypeAlias = tuple[ControllerState, list[Effect]]
+
+
+def start_controller(
+    size: int,
+    record: MapRecord,
+    record_version: int,
+    now: float,
+    times: SwitchTimes | None = None,
+) -> Step:
+    """Return a controller that claims the record it has read.
+
+    Parameters
+    ----------
+    size : int
+        Ranks of the group.
+    record, record_version
+        Record as read from the platform, and its version there.
+    now : float
+        Loop time in seconds.
+    times : SwitchTimes, optional
+        Time limits.
+    """
+    claimed = msgspec.structs.replace(record, epoch=record.epoch + 1)
+    state = ControllerState(
+        size=size,
+        record=claimed,
+        record_version=record_version,
+        phase=Phase.CLAIM,
+        since=now,
+        reports=(None,) * size,
+        truth=record.schedule,
+        goal=record.proposed,
+        times=times or SwitchTimes(),
+    )
+    return state, [Store(claimed, record_version)]
+
+
+def begin_switch(state: ControllerState, text: str, now: float) -> Step:
+    """Propose a new map; does nothing unless the controller is idle."""
+    if state.phase is not Phase.IDLE:
+        return state, []
+    version = state.record.proposed + 1
+    texts = ((state.truth.version, state.record.text_of(state.truth.version)), (version, text))
+    record = msgspec.structs.replace(state.record, proposed=version, in_flight=version, texts=texts)
+    state = replace(state, target=Schedule(version, NO_STEP, state.truth.version), goal=version)
+    return _store(state, Phase.PROPOSE_WRITE, record, now)
+
+
+def receive_outcome(
+    state: ControllerState, outcome: StoreOutcome, version: int, now: float
+) -> Step:
+    """Take the outcome of the latest `Store`; `version` is the record's new one."""
+    if outcome is StoreOutcome.WRITTEN:
+        return _continue_written(replace(state, record_version=version), now)
+    undecided = outcome is not StoreOutcome.CONFLICT
+    if state.phase is Phase.COMMIT_WRITE and undecided:
+        return _enter(state, Phase.CONFIRM, now)
+    return _enter(state, Phase.STOPPED, now)
+
+
+def receive_report(state: ControllerState, report: Report, now: float) -> Step:
+    """Take a rank's report and go on where it completes a phase."""
+    if state.phase in (Phase.CLAIM, Phase.STOPPED):
+        return state, []
+    if report.epoch > state.epoch:
+        return _enter(state, Phase.STOPPED, now)
+    if report.joined and report.epoch < state.epoch:
+        return state, []
+    reports = list(state.reports)
+    reports[report.rank] = report
+    state = replace(state, reports=tuple(reports))
+    if state.phase not in FORMING and is_unknown_to_all(state):
+        return _enter(state, Phase.STOPPED, now)
+    return _advance(state, now)
+
+
+def tick(state: ControllerState, now: float) -> Step:
+    """Repeat what is not answered yet, and give up what takes too long."""
+    elapsed = now - state.since
+    if state.phase is Phase.PREPARE and elapsed >= state.times.prepare_seconds:
+        return _abort(state, now)
+    if state.phase is Phase.ARM and elapsed >= state.times.arm_seconds:
+        return _abort(state, now)
+    if elapsed >= state.times.reset_seconds:
+        return _break_deadlock(state, now)
+    return state, list_orders(state)
+
+
+def _break_deadlock(state: ControllerState, now: float) -> Step:
+    if state.phase is Phase.FORM:
+        return _enter(state, Phase.STOPPED, now)
+    resets = find_contradictions(state)
+    if resets and state.phase is Phase.QUERY:
+        return replace(state, since=now, reports=(None,) * state.size), resets
+    if resets and state.phase in (Phase.SPREAD, Phase.IDLE):
+        return _enter(state, Phase.STOPPED, now)
+    return state, list_orders(state)
+
+
+def _enter(state: ControllerState, phase: Phase, now: float) -> Step:
+    state = replace(state, phase=phase, since=now)
+    orders = list_orders(state)
+    if phase is Phase.SPREAD and not orders:
+        return _finish(state, now)
+    return state, orders
+
+
+def _store(state: ControllerState, phase: Phase, record: MapRecord, now: float) -> Step:
+    state = replace(state, phase=phase, since=now, record=record)
+    return state, [Store(record, state.record_version)]
+
+
+def _continue_written(state: ControllerState, now: float) -> Step:
+    match state.phase:
+        case Phase.CLAIM:
+            return _enter(state, Phase.QUERY, now)
+        case Phase.FORM_WRITE:
+            return _enter(replace(state, truth=state.record.schedule), Phase.FORM, now)
+        case Phase.PROPOSE_WRITE:
+            return _enter(state, Phase.PREPARE, now)
+        case Phase.COMMIT_WRITE:
+            return _enter(replace(state, truth=state.target), Phase.SPREAD, now)
+        case Phase.SETTLE_WRITE:
+            return _enter(state, Phase.IDLE, now)
+    return state, []
+
+
+def _advance(state: ControllerState, now: float) -> Step:
+    match state.phase:
+        case Phase.QUERY:
+            return _settle(state, now)
+        case Phase.FORM if ranks_agree(state):
+            return _enter(state, Phase.SPREAD, now)
+        case Phase.PREPARE if ranks_agree(state) and all_prepared(state):
+            return _choose_step(state, now)
+        case Phase.ARM:
+            return _check_armed(state, now)
+        case Phase.CONFIRM if ranks_agree(state) and all_know(state):
+            return _enter(replace(state, truth=state.target), Phase.SPREAD, now)
+        case Phase.SPREAD if ranks_agree(state) and not list_orders(state):
+            return _finish(state, now)
+    return state, []
+
+
+def _settle(state: ControllerState, now: float) -> Step:
+    reports = state.known_reports
+    if len(reports) < state.size:
+        return state, []
+    if is_unknown_to_all(state):
+        members = tuple(report.incarnation for report in reports)
+        state = replace(state, members=members)
+        schedule = Schedule(state.truth.version)
+        record = msgspec.structs.replace(state.record, schedule=schedule, in_flight=0)
+        return _store(state, Phase.FORM_WRITE, record, now)
+    if not ranks_agree(state):
+        return state, []
+    truth = max([state.truth, *(report.schedule for report in reports)], key=_get_version)
+    state = replace(state, truth=truth)
+    chosen = [
+        report.pending
+        for report in reports
+        if report.pending and report.pending.known and report.pending.version > truth.version
+    ]
+    if not chosen:
+        return _enter(state, Phase.SPREAD, now)
+    target = Schedule(chosen[0].version, chosen[0].armed, truth.version)
+    return _write_commit(replace(state, target=target), now)
+
+
+def _get_version(schedule: Schedule) -> int:
+    return schedule.version
+
+
+def _choose_step(state: ControllerState, now: float) -> Step:
+    """Choose an activation step ahead of every rank, twice as far ahead on every new try."""
+    repeated = state.phase is Phase.ARM
+    margin = 2 * state.margin if repeated else state.times.margin_steps
+    furthest = max(report.granted for report in state.known_reports)
+    step = max(furthest, state.target.since) + margin
+    target = Schedule(state.target.version, step, state.target.previous)
+    started = state.since if repeated else now
+    return _enter(replace(state, target=target, margin=margin), Phase.ARM, started)
+
+
+def _check_armed(state: ControllerState, now: float) -> Step:
+    version, step = state.target.version, state.target.since
+    # A restarted rank repeats what others confirmed, but may itself have begun that step before.
+    armed = [
+        has_pending(report, version) and report.pending.armed == step > report.granted
+        for report in state.known_reports
+    ]
+    if all(armed) and ranks_agree(state):
+        return _write_commit(state, now)
+    passed = any(
+        report.granted >= step and not confirmed
+        for report, confirmed in zip(state.known_reports, armed)
+    )
+    return _choose_step(state, now) if passed else (state, [])
+
+
+def _write_commit(state: ControllerState, now: float) -> Step:
+    record = msgspec.structs.replace(state.record, schedule=state.target, in_flight=0)
+    return _store(state, Phase.COMMIT_WRITE, record, now)
+
+
+def _abort(state: ControllerState, now: float) -> Step:
+    return _enter(replace(state, aborts=state.aborts + 1), Phase.SPREAD, now)
+
+
+def _finish(state: ControllerState, now: float) -> Step:
+    record = msgspec.structs.replace(state.record, schedule=state.truth, in_flight=0)
+    if record == state.record:
+        return _enter(state, Phase.IDLE, now)
+    return _store(state, Phase.SETTLE_WRITE, record, now)
--- /dev/null
+++ b/magnoliarouter/core/maporders.py
@@ -0,0 +1,79 @@
+"""Orders that a controller of a group's expert map sends in each phase."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliarouter.core.mapmessages import (
+    Abort,
+    Arm,
+    Commit,
+    Form,
+    Order,
+    Propose,
+    Query,
+    Reset,
+)
+from magnoliarouter.core.mapstate import Phase, Send, has_pending, ranks_agree
+
+if TYPE_CHECKING:
+    from magnoliarouter.core.mapmessages import Report
+    from magnoliarouter.core.mapstate import ControllerState, Effect
+
+__all__ = ["find_contradictions", "list_orders"]
+
+
+def find_contradictions(state: ControllerState) -> list[Effect]:
+    """Return orders that make ranks start anew whose knowledge contradicts that of others."""
+    reports = state.known_reports
+    if len(reports) < state.size or not all(report.joined for report in reports):
+        return []
+    mixed = len({report.generation for report in reports}) > 1
+    return [
+        Send(report.rank, Reset(state.epoch, report.incarnation))
+        for report in reports
+        if mixed or any(other.seen[report.rank] != report.incarnation for other in reports)
+    ]
+
+
+def list_orders(state: ControllerState) -> list[Effect]:
+    """Return the orders to send, or to repeat, in the present phase."""
+    orders = [(rank, _choose_order(state, report)) for rank, report in enumerate(state.reports)]
+    return [Send(rank, order) for rank, order in orders if order is not None]
+
+
+def _choose_order(state: ControllerState, report: Report | None) -> Order | None:
+    epoch, target = state.epoch, state.target
+    match state.phase:
+        case Phase.QUERY | Phase.IDLE:
+            return Query(epoch)
+        case Phase.FORM:
+            return _choose_form(state)
+        case Phase.PREPARE:
+            if report is not None and has_pending(report, target.version):
+                return Query(epoch)
+            return Propose(epoch, target.version, state.record.text_of(target.version))
+        case Phase.ARM:
+            return Arm(epoch, target.version, target.since)
+        case Phase.CONFIRM:
+            return Commit(epoch, target, stable=False)
+        case Phase.SPREAD:
+            return _choose_spread(state, report)
+    return None
+
+
+def _choose_form(state: ControllerState) -> Order:
+    schedule = state.record.schedule
+    text = state.record.text_of(schedule.version)
+    return Form(state.epoch, state.members, schedule, state.record.proposed, text)
+
+
+def _choose_spread(state: ControllerState, report: Report | None) -> Order | None:
+    if report is None or not report.joined:
+        return Query(state.epoch)
+    truth = state.truth
+    if report.schedule.version < truth.version:
+        return Commit(state.epoch, truth, stable=True)
+    if report.closed < state.goal:
+        return Abort(state.epoch, state.goal, truth.version)
+    return None if ranks_agree(state) else Query(state.epoch)
--- /dev/null
+++ b/magnoliarouter/core/mapswitch.py
@@ -0,0 +1,303 @@
+"""Switch of a group's expert map: the rank's side as a state machine.
+
+Every rank answers each order of a controller, and each greeting of another rank, with a `Report`
+of all that it knows. Orders are idempotent; they may be lost, repeated and reordered. The
+controller's side is `core.mapcontrol`; the argument for safety is docs/design/expert-map.md.
+
+A map version is in force from its activation step on once its commit is *stable*: kept in the
+platform's record, or known to every rank. Only a stable commit lets a rank pass the activation
+step that it has confirmed.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from magnoliarouter.core.mapmessages import (
+    NO_STEP,
+    Abort,
+    Arm,
+    Commit,
+    Form,
+    Greeting,
+    Order,
+    Pending,
+    Propose,
+    Report,
+    Schedule,
+)
+
+__all__ = [
+    "Grant",
+    "RankState",
+    "Wait",
+    "answer_greeting",
+    "apply_order",
+    "create_report",
+    "grant_step",
+    "list_missing",
+    "mark_loaded",
+    "merge_answer",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class RankState:
+    """State of one rank; fields as in `Report`.
+
+    Parameters
+    ----------
+    retired : frozenset of str
+        Every incarnation of another rank that was ever heard of.
+    answers : tuple of (int, Report)
+        Answers to the greetings of a rank that has not joined yet, by rank.
+    """
+
+    rank: int
+    size: int
+    incarnation: str
+    joined: bool = False
+    seen: tuple[str, ...] = ()
+    retired: frozenset[str] = frozenset()
+    epoch: int = 0
+    granted: int = NO_STEP
+    schedule: Schedule = Schedule(0)
+    closed: int = 0
+    pending: Pending | None = None
+    loaded: frozenset[int] = frozenset()
+    generation: tuple[str, ...] = ()
+    answers: tuple[tuple[int, Report], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """The rank may begin the step on this map version."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """The rank may not begin the step yet.
+
+    Parameters
+    ----------
+    reason : {"joining", "undecided", "loading", "unknown"}
+        What it waits for: the group's state, a decision, experts, or the version of a past step.
+    """
+
+    reason: str
+
+
+def create_report(state: RankState) -> Report:
+    """Return the report of a rank."""
+    return Report(
+        rank=state.rank,
+        incarnation=state.incarnation,
+        joined=state.joined,
+        seen=_list_seen(state),
+        epoch=state.epoch,
+        granted=state.granted,
+        schedule=state.schedule,
+        closed=state.closed,
+        pending=state.pending,
+        loaded=tuple(sorted(state.loaded)),
+        generation=state.generation,
+    )
+
+
+def apply_order(state: RankState, order: Order) -> RankState:
+    """Obey an order of a controller if its epoch is not older than one already obeyed.
+
+    A stable commit is obeyed whatever its epoch, since it can no longer change. A rank that has
+    not joined obeys nothing but `Form`. `Reset` is left to the caller, who alone can make a new
+    incarnation.
+    """
+    if isinstance(order, Form):
+        return _form(state, order)
+    if not state.joined:
+        return state
+    if isinstance(order, Commit) and order.stable:
+        return _decide(state, order.schedule)
+    if order.epoch < state.epoch:
+        return state
+    state = replace(state, epoch=order.epoch)
+    match order:
+        case Propose(version=version):
+            return _propose(state, version)
+        case Arm(version=version, step=step):
+            return _arm(state, version, step)
+        case Commit(schedule=schedule):
+            return _learn_choice(state, schedule)
+        case Abort(version=version, base=base) if base == state.schedule.version:
+            return _close(state, version)
+    return state
+
+
+def grant_step(state: RankState, step: int) -> tuple[RankState, Grant | Wait]:
+    """Decide whether the rank may begin a step, and on which map version.
+
+    Parameters
+    ----------
+    state : RankState
+        State of the rank.
+    step : int
+        Step that the rest of the group waits for.
+    """
+    if not state.joined:
+        return state, Wait("joining")
+    pending = state.pending
+    if pending is not None and NO_STEP < pending.armed <= step:
+        return state, Wait("undecided")
+    version = state.schedule.version_at(step)
+    if not version:
+        return state, Wait("unknown")
+    if version not in state.loaded:
+        return state, Wait("loading")
+    return replace(state, granted=max(state.granted, step)), Grant(version)
+
+
+def list_missing(state: RankState, step: int) -> list[int]:
+    """Return the versions that the rank has to load, the one for a step first."""
+    pending = state.pending.version if state.pending else 0
+    wanted = (state.schedule.version_at(step), state.schedule.version, pending)
+    missing = [version for version in wanted if version and version not in state.loaded]
+    return list(dict.fromkeys(missing))
+
+
+def mark_loaded(state: RankState, version: int) -> RankState:
+    """Note that the rank holds all experts of a version, and forget versions out of use."""
+    schedule, pending = state.schedule, state.pending
+    useful = {schedule.version, schedule.previous, pending.version if pending else 0, version}
+    return replace(state, loaded=(state.loaded & useful) | {version})
+
+
+def answer_greeting(state: RankState, greeting: Greeting) -> RankState:
+    """Note the incarnation of a rank that sent a greeting; answer with `create_report` then."""
+    if greeting.incarnation in state.retired or greeting.rank == state.rank:
+        return state
+    seen = list(_list_seen(state))
+    seen[greeting.rank] = greeting.incarnation
+    return replace(state, seen=tuple(seen), retired=state.retired | {greeting.incarnation})
+
+
+def merge_answer(state: RankState, report: Report) -> RankState:
+    """Learn from another rank's answer to a greeting.
+
+    A joined rank learns decisions. One that has not joined collects an answer of every other rank
+    and joins once one of these knows the group's state.
+    """
+    state = answer_greeting(state, Greeting(report.rank, report.incarnation))
+    if state.joined:
+        return _learn_decisions(state, report) if report.joined else state
+    answers = dict(state.answers)
+    answers[report.rank] = report
+    state = replace(state, answers=tuple(sorted(answers.items())))
+    informed = [answer for answer in answers.values() if answer.joined]
+    if len(answers) < state.size - 1 or len({answer.generation for answer in informed}) != 1:
+        return state
+    return _join(state, informed)
+
+
+def _list_seen(state: RankState) -> tuple[str, ...]:
+    seen = list(state.seen or ("",) * state.size)
+    seen[state.rank] = state.incarnation
+    return tuple(seen)
+
+
+def _form(state: RankState, order: Form) -> RankState:
+    mine = order.incarnations[state.rank]
+    if mine != state.incarnation or order.epoch < state.epoch:
+        return state
+    if state.joined and state.generation == order.incarnations:
+        return state
+    return replace(
+        state,
+        joined=True,
+        seen=order.incarnations,
+        retired=state.retired | set(order.incarnations),
+        epoch=order.epoch,
+        schedule=order.schedule,
+        closed=order.closed,
+        pending=None,
+        generation=order.incarnations,
+        answers=(),
+    )
+
+
+def _propose(state: RankState, version: int) -> RankState:
+    pending = state.pending
+    if version <= state.closed:
+        return state
+    if pending is not None and (version <= pending.version or pending.armed > NO_STEP):
+        return state
+    return replace(state, pending=Pending(version))
+
+
+def _arm(state: RankState, version: int, step: int) -> RankState:
+    pending = state.pending
+    if pending is None or pending.version != version or version not in state.loaded:
+        return state
+    if step <= state.granted or step < pending.armed or pending.known:
+        return state
+    return replace(state, pending=Pending(version, step))
+
+
+def _learn_choice(state: RankState, schedule: Schedule) -> RankState:
+    if schedule.version <= state.closed:
+        return state
+    pending = Pending(schedule.version, schedule.since, known=True)
+    return replace(state, pending=pending)
+
+
+def _decide(state: RankState, schedule: Schedule) -> RankState:
+    if schedule.version <= state.closed:
+        return state
+    return _close(replace(state, schedule=schedule), schedule.version)
+
+
+def _close(state: RankState, version: int) -> RankState:
+    pending = state.pending
+    if pending is not None and pending.version <= version:
+        pending = None
+    return replace(state, pending=pending, closed=max(state.closed, version))
+
+
+def _learn_decisions(state: RankState, report: Report) -> RankState:
+    if report.generation != state.generation:
+        return state
+    state = _decide(state, report.schedule)
+    pending = state.pending
+    if pending is not None and pending.version <= report.closed:
+        return _close(state, report.closed)
+    return state
+
+
+def _join(state: RankState, informed: list[Report]) -> RankState:
+    newest = max(informed, key=lambda report: report.schedule.version)
+    closed = max(report.closed for report in informed)
+    open_ones = [report.pending for report in informed if report.pending]
+    return replace(
+        state,
+        joined=True,
+        answers=(),
+        epoch=max(report.epoch for report in informed),
+        # Before the restart the rank may have been one step ahead of all others.
+        granted=max(report.granted for report in informed) + 1,
+        schedule=newest.schedule,
+        closed=closed,
+        generation=newest.generation,
+        pending=_merge_pending([pending for pending in open_ones if pending.version > closed]),
+    )
+
+
+def _merge_pending(found: list[Pending]) -> Pending | None:
+    if not found:
+        return None
+    version = max(pending.version for pending in found)
+    same = [pending for pending in found if pending.version == version]
+    chosen = next((pending for pending in same if pending.known), None)
+    if chosen is not None:
+        return chosen
+    steps = [pending.armed for pending in same if pending.armed > NO_STEP]
+    return Pending(version, min(steps, default=NO_STEP))
--- /dev/null
+++ b/magnoliarouter/tests/groupmodel.py
@@ -0,0 +1,236 @@
+"""Model of one group under faults, for tests of the map switch.
+
+Messages are kept for ever and delivered in any order, any number of times or never, so that loss,
+duplication and reordering need no actions of their own. A paused process is one whose actions are
+not chosen for a while.
+"""
+
+from __future__ import annotations
+
+import random
+
+from magnoliarouter.core import mapcontrol, mapstate, mapswitch
+from magnoliarouter.core.mapmessages import Greeting, Report, Reset, Schedule
+from magnoliarouter.core.mapstate import MapRecord, Phase, Send, Store, StoreOutcome, SwitchTimes
+from magnoliarouter.core.mapswitch import Grant, RankState
+
+TIMES = SwitchTimes(prepare_seconds=8.0, arm_seconds=8.0, margin_steps=1, reset_seconds=3.0)
+RECENT = 8
+ACTIONS = (
+    "order", "report", "answer", "step", "load", "greet", "store", "switch", "tick", "restart",
+    "controller",
+)  # fmt: skip
+FATES = (
+    ("ok",),
+    ("ok", "ok", "lost", "dropped", "refused"),
+    ("lost", "dropped", "refused"),
+)
+COMMIT_FATES = {Phase.COMMIT_WRITE: "held", Phase.CONFIRM: "refused"}
+USUAL_FATES = ("ok",) * 8 + ("lost", "dropped", "refused")
+USUAL_WEIGHTS = (30, 30, 6, 6, 8, 6, 8, 6, 4)
+
+
+class TwoMaps(AssertionError):
+    """Two ranks used different versions in one step."""
+
+
+class GroupModel:
+    """Ranks, controllers, the platform's record and the messages between them."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.size = size
+        self.starts = 0
+        self.now = 0.0
+        self.record = MapRecord(0, Schedule(1), 1, 0, ((1, "one"),))
+        self.record_version = 1
+        self.platform_up = True
+        self.ranks = [self._create_rank(rank) for rank in range(size)]
+        self.position = [0] * size
+        self.controllers: list[mapstate.ControllerState] = []
+        self.orders: list[tuple[int, int, object]] = []
+        self.reports: list[tuple[int, Report]] = []
+        self.answers: list[tuple[int, Report]] = []
+        self.stores: list[tuple[int, Store]] = []
+        self.used: dict[tuple[tuple[str, ...], int], int] = {}
+        self.switches = 0
+        # Each walk has its own mix of faults; some have none of a kind.
+        faults = (self.random.choice((0, 0.3, 1.0)), self.random.choice((0, 0.3, 1.0)))
+        self.weights = (*USUAL_WEIGHTS, *faults)
+        self.fates = self.random.choice(FATES)
+
+    def _create_rank(self, rank: int) -> RankState:
+        self.starts += 1
+        return RankState(rank, self.size, f"i{self.starts}", loaded=frozenset((1,)))
+
+    def start_controller(self) -> None:
+        state, effects = mapcontrol.start_controller(
+            self.size, self.record, self.record_version, self.now, TIMES
+        )
+        self.controllers.append(state)
+        self._act(len(self.controllers) - 1, effects)
+
+    def _act(self, number: int, effects: list) -> None:
+        for effect in effects:
+            match effect:
+                case Send(rank, order):
+                    self.orders.append((number, rank, order))
+                case Store():
+                    self.stores.append((number, effect))
+
+    def _take(self, number: int, step: tuple) -> None:
+        self.controllers[number], effects = step
+        self._act(number, effects)
+
+    def deliver_order(self, number: int, rank: int, order: object) -> None:
+        state = self.ranks[rank]
+        if isinstance(order, Reset):
+            if order.incarnation == state.incarnation and order.epoch >= state.epoch:
+                self.restart(rank)
+            return
+        self.ranks[rank] = mapswitch.apply_order(state, order)
+        self.reports.append((number, mapswitch.create_report(self.ranks[rank])))
+
+    def deliver_report(self, number: int, report: Report) -> None:
+        self._take(number, mapcontrol.receive_report(self.controllers[number], report, self.now))
+
+    def store(self, number: int, effect: Store, fate: str) -> None:
+        """Carry out a write: "ok", "lost" after it took effect, "dropped" or "refused"."""
+        self.stores.remove((number, effect))
+        outcome = {"ok": StoreOutcome.WRITTEN, "refused": StoreOutcome.FAILED}.get(
+            fate, StoreOutcome.LOST
+        )
+        if fate in ("ok", "lost"):
+            if effect.expect == self.record_version:
+                self.record, self.record_version = effect.record, self.record_version + 1
+            elif fate == "ok":
+                outcome = StoreOutcome.CONFLICT
+        state = self.controllers[number]
+        version = self.record_version
+        self._take(number, mapcontrol.receive_outcome(state, outcome, version, self.now))
+
+    def greet(self, rank: int, peer: int) -> None:
+        greeting = Greeting(rank, self.ranks[rank].incarnation)
+        self.ranks[peer] = mapswitch.answer_greeting(self.ranks[peer], greeting)
+        self.answers.append((rank, mapswitch.create_report(self.ranks[peer]), greeting))
+
+    def deliver_answer(self, rank: int, report: Report, greeting: Greeting) -> None:
+        # An answer reaches only the incarnation that asked: calls end with their process.
+        if self.ranks[rank].incarnation == greeting.incarnation:
+            self.ranks[rank] = mapswitch.merge_answer(self.ranks[rank], report)
+
+    def load(self, rank: int) -> None:
+        for version in mapswitch.list_missing(self.ranks[rank], self.position[rank]):
+            self.ranks[rank] = mapswitch.mark_loaded(self.ranks[rank], version)
+
+    def restart(self, rank: int) -> None:
+        self.ranks[rank] = self._create_rank(rank)
+        self.position[rank] = min(self.position)
+
+    def step(self, rank: int) -> None:
+        step = self.position[rank]
+        if step > min(self.position):
+            return
+        self.ranks[rank], verdict = mapswitch.grant_step(self.ranks[rank], step)
+        if not isinstance(verdict, Grant):
+            return
+        key = (self.ranks[rank].generation, step)
+        version = self.used.setdefault(key, verdict.version)
+        if version != verdict.version:
+            raise TwoMaps(f"step {step}: versions {version} and {verdict.version}")
+        self.position[rank] = step + 1
+
+    def begin_switch(self, number: int) -> None:
+        state = self.controllers[number]
+        if state.phase is Phase.IDLE:
+            self.switches += 1
+            self._take(number, mapcontrol.begin_switch(state, f"m{self.switches}", self.now))
+
+    def tick(self, number: int) -> None:
+        self.now += self.random.choice((0.1, 0.1, 1.0, 3.0))
+        self._take(number, mapcontrol.tick(self.controllers[number], self.now))
+
+    def act(self) -> None:
+        """Carry out one action chosen at random."""
+        choose = self.random
+        rank = choose.randrange(self.size)
+        number = max(0, len(self.controllers) - choose.choice((1, 1, 1, 2)))
+        match choose.choices(ACTIONS, self.weights)[0]:
+            case "order" if self.orders:
+                self.deliver_order(*self._pick(self.orders))
+            case "report" if self.reports:
+                self.deliver_report(*self._pick(self.reports))
+            case "answer" if self.answers:
+                self.deliver_answer(*self._pick(self.answers))
+            case "step":
+                self.step(rank)
+            case "load":
+                self.load(rank)
+            case "greet":
+                self.greet(rank, (rank + choose.randrange(1, self.size)) % self.size)
+            case "store" if self.stores:
+                number, effect = choose.choice(self.stores)
+                commits = self.controllers[number].phase is Phase.COMMIT_WRITE
+                self.store(number, effect, choose.choice(self.fates if commits else USUAL_FATES))
+            case "switch":
+                self.begin_switch(number)
+            case "tick":
+                self.tick(number)
+            case "restart":
+                self.restart(rank)
+            case "controller":
+                self.start_controller()
+
+    def _pick(self, messages: list) -> tuple:
+        recent = self.random.random() < 0.8
+        return self.random.choice(messages[-RECENT:] if recent else messages)
+
+    def reach(self, phase: Phase) -> None:
+        """Form the group and run a switch without faults until the controller is in a phase."""
+        self.start_controller()
+        for _ in range(40):
+            if self.controllers[0].phase is Phase.IDLE and not self.switches:
+                self.begin_switch(0)
+            if self.controllers[0].phase is phase:
+                return
+            self._run_round(COMMIT_FATES.get(phase, "ok"))
+        raise AssertionError(f"phase {phase} was not reached")
+
+    def recover(self, rounds: int = 200) -> bool:
+        """Let everything work, and return whether the group steps on under an idle controller."""
+        self.stores.clear()
+        self.start_controller()
+        goal = max(self.position) + 3
+        for _ in range(rounds):
+            self._run_round()
+            number = len(self.controllers) - 1
+            phase = self.controllers[number].phase
+            if phase is Phase.IDLE and min(self.position) >= goal:
+                return True
+            if phase is Phase.STOPPED:
+                self.start_controller()
+        return False
+
+    def _run_round(self, fate: str = "ok") -> None:
+        number = len(self.controllers) - 1
+        self.now += 0.5
+        orders, self.orders = self.orders, []
+        for sender, rank, order in orders:
+            if sender == number:
+                self.deliver_order(sender, rank, order)
+        for rank in range(self.size):
+            for peer in range(self.size):
+                if peer != rank:
+                    self.greet(rank, peer)
+                    self.deliver_answer(*self.answers[-1])
+            self.load(rank)
+            self.step(rank)
+        reports, self.reports = self.reports, []
+        for sender, report in reports:
+            if sender == number:
+                self.deliver_report(sender, report)
+        for sender, effect in list(self.stores):
+            decides = effect.record.schedule.version > 1
+            if fate != "held" or not decides:
+                self.store(sender, effect, fate if decides else "ok")
+        self._take(number, mapcontrol.tick(self.controllers[number], self.now))
--- /dev/null
+++ b/magnoliarouter/tests/test_mapswitch.py
@@ -0,0 +1,171 @@
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+from magnoliarouter.core import mapcontrol, mapstate, mapswitch
+from magnoliarouter.core.mapmessages import NO_STEP, Arm, Commit, Form, Propose, Schedule
+from magnoliarouter.core.mapstate import Phase, StoreOutcome
+from magnoliarouter.core.mapswitch import Grant, RankState, Wait
+from magnoliarouter.tests.groupmodel import GroupModel, TwoMaps
+
+PHASES = (Phase.PREPARE, Phase.ARM, Phase.COMMIT_WRITE, Phase.CONFIRM, Phase.SPREAD)
+ACTIONS_PER_WALK = 250
+
+
+def walk(seed: int) -> GroupModel:
+    """Reach a phase without faults, act at random, then let the group recover."""
+    model = GroupModel(2 + seed % 2, seed)
+    model.reach(PHASES[seed // 2 % len(PHASES)])
+    for _ in range(ACTIONS_PER_WALK):
+        model.act()
+    if not model.recover():
+        raise AssertionError(f"seed {seed}: the group does not step on")
+    return model
+
+
+def build_rank(**changes) -> RankState:
+    state = RankState(0, 2, "a", joined=True, seen=("a", "b"), schedule=Schedule(1), closed=1)
+    return replace(state, loaded=frozenset((1, 2)), generation=("a", "b"), **changes)
+
+
+class InterleavingTest(unittest.TestCase):
+    def test_one_map_in_every_step_and_recovery(self):
+        steps = switches = 0
+        for seed in range(1500):
+            with self.subTest(seed=seed):
+                model = walk(seed)
+                steps += len(model.used)
+                switches += len(set(model.used.values())) - 1
+        self.assertGreater(steps, 1500)
+        self.assertGreater(switches, 500)
+
+    def test_restart_within_the_activation_step(self):
+        # The restarted rank had begun the step that its peer then confirmed as activation step.
+        walk(4110)
+
+
+def pass_armed_step(state, step, grant=mapswitch.grant_step):
+    state, verdict = grant(replace(state, pending=None), step)
+    return state, verdict
+
+
+def obey_old_epoch(state, order, apply=mapswitch.apply_order):
+    return apply(state if isinstance(order, Form) else replace(state, epoch=0), order)
+
+
+def trust_unstable_commit(state, order, apply=mapswitch.apply_order):
+    stable = isinstance(order, Commit)
+    return apply(state, replace_stable(order) if stable else order)
+
+
+def replace_stable(order: Commit) -> Commit:
+    return Commit(order.epoch, order.schedule, stable=True)
+
+
+def ignore_incarnations(state):
+    reports = state.known_reports
+    return len(reports) == state.size and all(report.joined for report in reports)
+
+
+def commit_without_one_rank(state, now):
+    version, step = state.target.version, state.target.since
+    armed = [
+        mapstate.has_pending(report, version) and report.pending.armed == step
+        for report in state.known_reports
+    ]
+    return mapcontrol._write_commit(state, now) if sum(armed) >= state.size - 1 else (state, [])
+
+
+def abort_on_takeover(state, now, settle=mapcontrol._settle):
+    cleared = tuple(
+        mapcontrol.msgspec.structs.replace(report, pending=None) if report else None
+        for report in state.reports
+    )
+    return settle(replace(state, reports=cleared), now)
+
+
+def forget_pending_on_join(state, informed, join=mapswitch._join):
+    return replace(join(state, informed), pending=None)
+
+
+def abort_after_lost_answer(state, outcome, version, now, receive=mapcontrol.receive_outcome):
+    if state.phase is Phase.COMMIT_WRITE and outcome is StoreOutcome.LOST:
+        return mapcontrol._abort(state, now)
+    return receive(state, outcome, version, now)
+
+
+class MutationTest(unittest.TestCase):
+    """Each weakened rule is caught by the walks that pass with the real rules."""
+
+    def assert_caught(self, module, name, mutant, seeds):
+        with mock.patch.object(module, name, mutant), self.assertRaises(TwoMaps):
+            for seed in seeds:
+                self.walk_on(seed)
+
+    def walk_on(self, seed):
+        """Walk, and pass over a group that merely stands still."""
+        try:
+            walk(seed)
+        except TwoMaps:
+            raise
+        except AssertionError:
+            return
+
+    def test_rank_passes_confirmed_step(self):
+        self.assert_caught(mapswitch, "grant_step", pass_armed_step, range(50))
+
+    def test_rank_obeys_old_epoch(self):
+        self.assert_caught(mapswitch, "apply_order", obey_old_epoch, range(970, 980))
+
+    def test_rank_trusts_unstable_commit(self):
+        self.assert_caught(mapswitch, "apply_order", trust_unstable_commit, range(360, 380))
+
+    def test_controller_ignores_incarnations(self):
+        self.assert_caught(mapcontrol, "ranks_agree", ignore_incarnations, range(2040, 2060))
+
+    def test_controller_commits_without_one_rank(self):
+        self.assert_caught(mapcontrol, "_check_armed", commit_without_one_rank, range(20))
+
+    def test_new_controller_always_aborts(self):
+        self.assert_caught(mapcontrol, "_settle", abort_on_takeover, range(700, 720))
+
+    def test_restarted_rank_forgets_confirmation(self):
+        self.assert_caught(mapswitch, "_join", forget_pending_on_join, range(60))
+
+    def test_controller_aborts_after_lost_answer(self):
+        # A closed version is never reopened, so that the group stands still instead.
+        name = "receive_outcome"
+        patched = mock.patch.object(mapcontrol, name, abort_after_lost_answer)
+        with patched, self.assertRaisesRegex(AssertionError, "does not step on"):
+            for seed in range(10):
+                walk(seed)
+
+
+class RankTest(unittest.TestCase):
+    def test_waits_at_confirmed_step(self):
+        state = mapswitch.apply_order(build_rank(), Propose(1, 2))
+        state = mapswitch.apply_order(state, Arm(1, 2, 5))
+        self.assertEqual(mapswitch.grant_step(state, 4)[1], Grant(1))
+        self.assertEqual(mapswitch.grant_step(state, 5)[1], Wait("undecided"))
+        state = mapswitch.apply_order(state, Commit(1, Schedule(2, 5, 1), stable=True))
+        self.assertEqual(mapswitch.grant_step(state, 5)[1], Grant(2))
+        self.assertEqual(mapswitch.grant_step(state, 4)[1], Grant(1))
+
+    def test_refuses_passed_step(self):
+        state = mapswitch.apply_order(build_rank(granted=7), Propose(1, 2))
+        state = mapswitch.apply_order(state, Arm(1, 2, 7))
+        self.assertEqual(state.pending.armed, NO_STEP)
+
+    def test_refuses_old_epoch(self):
+        state = build_rank(epoch=3)
+        self.assertEqual(mapswitch.apply_order(state, Propose(2, 2)), state)
+
+    def test_restarted_rank_knows_nothing(self):
+        state = RankState(0, 2, "c")
+        self.assertEqual(mapswitch.grant_step(state, 0)[1], Wait("joining"))
+
+
+if __name__ == "__main__":
+    unittest.main()
