--- a/magnoliarouter/daemon/configuration.py
+++ b/magnoliarouter/daemon/configuration.py
@@ -59,6 +59,8 @@
     ----------
     synchronized : asyncio.Event
         Set once every kind was known completely.
+    vms : ObjectFeed
+        VMs as the platform lists them.
     """
 
     def __init__(
@@ -84,7 +86,7 @@
         self._next_probe = self._started
         self._log = RelayLog(uuid.uuid4().hex, self._clock)
         peer_server.add_method(RELAY_METHOD, RelayRequest, self._log.serve)
-        self._vms = self.add(VM, on_change=self._plan)
+        self.vms = self.add(VM, on_change=self._plan)
         self._plan()
         self._polls = metrics.add_counter("relay_polls", "Polls of relays by result", "result")
         self._faults = metrics.add_counter(
@@ -181,7 +183,7 @@
 
     def list_entry_vms(self) -> list[EntryVm]:
         """Return the entry VMs as the platform lists them."""
-        vms = self._vms.cache.values().values()
+        vms = self.vms.cache.values().values()
         return [
             EntryVm(vm.name, vm.zone, vm.address, vm.leaving) for vm in vms if vm.role == "entry"
         ]
@@ -204,14 +206,14 @@
         self._part = plan_relays(settings.name, settings.zone, self.list_entry_vms())
 
     def _list_candidates(self, slot: int) -> tuple[str, ...]:
-        if not self._vms.cache.values():
+        if not self.vms.cache.values():
             return self._settings.seeds
         near, far = self._part.near, self._part.far
         # A relay follows another zone besides its own, in case its zone loses the platform.
         return (*far, *near) if slot and self._part.holds_duty else (*near, *far)
 
     async def _supervise(self) -> None:
-        if not await self._vms.list():
+        if not await self.vms.list():
             log_event("configuration", state="platform does not list the VMs")
         await self._hear_peers_first()
         while True:
@@ -252,7 +254,7 @@
         """Ask the platform for one kind only; if it answers, watch all."""
         if self._clock() < self._next_probe:
             return
-        if await self._vms.list():
+        if await self.vms.list():
             self._probe_backoff.reset()
             self._watch_all()
         else:
