--- a/magnoliarouter/standins/bench/capacity.py
+++ b/magnoliarouter/standins/bench/capacity.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from magnoliarouter.platform.client import PlatformClient
 from magnoliarouter.standins.bench.experiment import Experiment, Report
 from magnoliarouter.standins.bench.fit import fit_line
 from magnoliarouter.standins.bench.measure import ProcessReading, read_process
+from magnoliarouter.standins.demo import wait_for_model
 from magnoliarouter.standins.launch import Process, Site, contract_value, find_port
-from magnoliarouter.standins.load import open_load_session
+from magnoliarouter.standins.load import CompletionRequest, open_load_session, send_steadily
 
 if TYPE_CHECKING:
     from argparse import Namespace
@@ -33,6 +35,7 @@
 AMENDMENTS = 100
 LIMITS = {"requests_per_second": 10, "tokens_per_second": 3000}
 WRITERS = 16
+PEAK_REQUESTS_PER_S = 14.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,8 +59,8 @@
         Processor time a second, mean and largest over the daemons.
     peers_kb_s : float
         Bytes to and from peers a second, counted at both ends.
-    platform_calls_s : float
-        Calls a second to the platform from the whole site, waiting watches included.
+    platform_reads_s, platform_writes_s, platform_watches_s : float
+        Calls a second to the platform from the whole site.
     """
 
     resident_mb: float
@@ -65,7 +68,9 @@
     core_share: float
     worst_core_share: float
     peers_kb_s: float
-    platform_calls_s: float
+    platform_reads_s: float
+    platform_writes_s: float
+    platform_watches_s: float
 
 
 def experiments() -> list[Experiment]:
@@ -92,6 +97,7 @@
     full = _Shape(CONTRACTS[-1], ENDPOINTS[-1], ENTRIES[0])
     costs[full] = await _measure(report, full, seconds)
     _note_slopes(report, costs, small)
+    await _measure_quota(report, seconds, options.seed)
     _judge(report, costs[full])
     return report
 
@@ -125,11 +131,12 @@
         memory = fit_line([(x, 1000 * c.anonymous_mb) for x, c in points])
         core = fit_line([(x, 1e6 * c.core_share) for x, c in points])
         traffic = fit_line([(x, 1000 * c.peers_kb_s) for x, c in points])
-        calls = fit_line([(x, c.platform_calls_s) for x, c in points])
         report.figures[f"per_{name}_memory_kb"] = round(memory.slope, 3)
         report.figures[f"per_{name}_core_us_per_s"] = round(core.slope, 2)
         report.figures[f"per_{name}_peers_bytes_per_s"] = round(traffic.slope, 2)
-        report.figures[f"per_{name}_platform_calls_per_s"] = round(calls.slope, 4)
+        for kind in ("reads", "writes", "watches"):
+            calls = fit_line([(x, getattr(c, f"platform_{kind}_s")) for x, c in points])
+            report.figures[f"per_{name}_platform_{kind}_per_s"] = round(calls.slope, 4)
 
 
 def _judge(report: Report, full: _Cost) -> None:
@@ -184,7 +191,7 @@
 
 
 async def _start_entries(
-    site: Site, platform: Process, count: int
+    site: Site, platform: Process, count: int, extra: dict[str, Any] | None = None
 ) -> tuple[list[Process], Process]:
     """Start entry daemons whose peers' ports are reached through a counting proxy."""
     hosts = [f"127.0.{number % ZONES + 1}.1" for number in range(count)]
@@ -205,6 +212,7 @@
                 "platform": platform.url,
                 "listen": {"host": host},
                 "peers": {"host": host, "port": served[number]},
+                **(extra or {}),
             },
             listed_port=listed[number],
         )
@@ -227,7 +235,7 @@
     await asyncio.sleep(seconds)
     after = [read_process(entry.child.pid) for entry in entries]
     carried = await _count_bytes(session, proxy) - bytes_before
-    calls = await _count_calls(session, platform) - calls_before
+    calls = await _count_calls(session, platform)
     shares = [_share(first, last, seconds) for first, last in zip(before, after)]
     return _Cost(
         resident_mb=max(reading.resident_bytes for reading in after) / MEGABYTE,
@@ -235,7 +243,9 @@
         core_share=sum(shares) / len(shares),
         worst_core_share=max(shares),
         peers_kb_s=2 * carried / seconds / len(entries) / 1000,
-        platform_calls_s=calls / seconds,
+        platform_reads_s=(calls["read"] - calls_before["read"]) / seconds,
+        platform_writes_s=(calls["write"] - calls_before["write"]) / seconds,
+        platform_watches_s=(calls["watch"] - calls_before["watch"]) / seconds,
     )
 
 
@@ -249,9 +259,68 @@
     return sum(counts["bytes_up"] + counts["bytes_down"] for counts in routes.values())
 
 
-async def _count_calls(session: aiohttp.ClientSession, platform: Process) -> int:
+async def _count_calls(session: aiohttp.ClientSession, platform: Process) -> dict[str, int]:
     async with session.get(f"{platform.url}/calls") as answer:
-        return sum((await answer.json()).values())
+        return await answer.json()
+
+
+async def _measure_quota(report: Report, seconds: float, seed: int) -> None:
+    """Note what quota loans add at the peak rate of a daemon, over static division."""
+    shape = _Shape(CONTRACTS[-1], ENDPOINTS[0], ENTRIES[1])
+    loaded = {
+        admission: await _measure_load(shape, seconds, seed, admission)
+        for admission in ("static", "escrow")
+    }
+    for admission, cost in loaded.items():
+        report.figures[f"load_{admission}_core_share"] = round(cost.core_share, 4)
+        report.figures[f"load_{admission}_peers_kb_s"] = round(cost.peers_kb_s, 3)
+        report.figures[f"load_{admission}_resident_mb"] = round(cost.resident_mb, 1)
+        report.figures[f"load_{admission}_platform_writes_s"] = cost.platform_writes_s
+    added = loaded["escrow"].core_share - loaded["static"].core_share
+    report.figures["quota_core_share_at_peak"] = round(added, 4)
+
+
+async def _measure_load(shape: _Shape, seconds: float, seed: int, admission: str) -> _Cost:
+    """Return the cost of a daemon while it serves its peak rate from random customers."""
+    async with Site() as site, open_load_session() as session, asyncio.timeout(300):
+        platform = await site.start_standin("platform", "127.0.0.1")
+        await _write_contracts(platform, session, shape.contracts)
+        await _start_engines(site, platform)
+        extra = {"admission": admission, "static_share": 1 / shape.entries}
+        entries, proxy = await _start_entries(site, platform, shape.entries, extra)
+        await asyncio.gather(*(wait_for_model(session, entry) for entry in entries))
+        choice = random.Random(seed)
+
+        def make(index: int) -> CompletionRequest:
+            entry = entries[index % len(entries)]
+            return CompletionRequest(
+                entry.url, f"key-{choice.randrange(shape.contracts)}", f"note {index}", 1
+            )
+
+        rate = PEAK_REQUESTS_PER_S * shape.entries
+        load = asyncio.create_task(send_steadily(session, make, rate, SETTLE_S + seconds, seed))
+        await asyncio.sleep(SETTLE_S)
+        cost = await _observe(session, platform, entries, proxy, seconds)
+        await load
+    return cost
+
+
+async def _start_engines(site: Site, platform: Process) -> None:
+    for zone in range(1, ZONES + 1):
+        host = f"127.0.{zone}.1"
+        engine = await site.start_standin("engine", host, "--slots=100", "--step-seconds=0.001")
+        await site.start_daemon(
+            {
+                "role": "endpoint",
+                "name": f"engine-{zone}",
+                "zone": f"zone-{zone}",
+                "platform": platform.url,
+                "listen": {"host": host},
+                "target": engine.url,
+                "models": ["draft"],
+                "slots": 100,
+            }
+        )
 
 
 async def _measure_amendments(
