Cut what quota loans cost at a daemon's peak

Cause: a customer with one recent call kept a fraction of a request in stock, which was renewed every second; each call between daemons carried its own HTTP/2 headers; finished calls were reported by asks of their own. Ruled out: headers as the cause of the bytes.

--- a/magnoliarouter/core/borrowing.py
+++ b/magnoliarouter/core/borrowing.py
@@ -23,13 +23,13 @@
 
 TICK_SECONDS = 0.25
 HORIZON_S = 0.6
+LEAST_AHEAD = 1.0
 REPORT_S = 0.5
 REFRESH_S = LOAN_SECONDS / 2
 RETRY_FIRST_S = 0.2
 RETRY_LAST_S = 1.0
 DOWN_FIRST_S = 0.5
 DOWN_LAST_S = 4.0
-IDLE_RATE = 0.01
 TOLERANCE = 1e-9
 
 
@@ -96,6 +96,17 @@
     asking: str = ""
     chasing: bool = False
 
+    def concerns(self, slot: str, now: float) -> bool:
+        """Return whether there may be something to say to a slot."""
+        if slot not in self.order:
+            return False
+        if self.waiting or self.chasing or _look_ahead(self, now):
+            return True
+        permits = self.permits.get(slot)
+        if permits is not None and permits.held:
+            return True
+        return any(loan.slot == slot for loan in self.loans)
+
     def live(self, now: float) -> list[Loan]:
         """Return the loans that may be spent from, after closing those that have expired."""
         for loan in self.loans:
@@ -269,13 +280,19 @@
         if link is None or link.flying or now < link.down_until:
             return None
         sequence = link.sequence + 1
-        lines = []
+        concerned = [
+            customer
+            for customer in map(self._customers.__getitem__, list(self._active))
+            if customer.concerns(slot, now)
+        ]
+        lines = self._build_lines(concerned, link, slot, sequence, now, REPORT_S)
+        if lines:
+            # An ask that is sent anyway carries all that is new.
+            said = {line.customer for line in lines}
+            others = [customer for customer in concerned if customer.name not in said]
+            lines += self._build_lines(others, link, slot, sequence, now, 0.0)
         for name in list(self._active):
-            customer = self._customers[name]
-            line = self._build_line(customer, slot, link.epoch, sequence, now)
-            self._rest(customer, now)
-            if line is not None:
-                lines.append(line)
+            self._rest(self._customers[name], now)
         if not lines:
             return None
         link.sequence, link.sent = sequence, now
@@ -332,7 +349,7 @@
 
     def _rest(self, customer: _Customer, now: float) -> None:
         """Stop looking at a customer that has no demand and holds nothing."""
-        if customer.loans or customer.waiting or customer.requests.rate(now) > IDLE_RATE:
+        if customer.loans or customer.waiting or _look_ahead(customer, now):
             return
         if not any(permits.used for permits in customer.permits.values()):
             self._active.discard(customer.name)
@@ -386,18 +403,37 @@
             for loan in customer.loans
         )
 
+    def _build_lines(
+        self,
+        customers: list[_Customer],
+        link: _Link,
+        slot: str,
+        sequence: int,
+        now: float,
+        report_after: float,
+    ) -> list[AskLine]:
+        lines = (
+            self._build_line(customer, slot, link.epoch, sequence, now, report_after)
+            for customer in customers
+        )
+        return [line for line in lines if line is not None]
+
     def _build_line(
-        self, customer: _Customer, slot: str, epoch: int, sequence: int, now: float
+        self,
+        customer: _Customer,
+        slot: str,
+        epoch: int,
+        sequence: int,
+        now: float,
+        report_after: float,
     ) -> AskLine | None:
-        if slot not in customer.order:
-            return None
         customer.live(now)
         loan = self._find_loan(customer, slot, epoch)
         wants = self._plan_wants(customer, slot, now)
         permits = customer.permits.setdefault(slot, Permits())
         if loan is not None and not wants:
             self._return_surplus(customer, loan, permits, now)
-        if not wants and not _has_news(loan, permits, now):
+        if not wants and not _has_news(loan, permits, now, report_after):
             return None
         if loan is None:
             loan = Loan(slot, epoch, sequence)
@@ -423,7 +459,7 @@
         if customer.asking or self._choose_slot(customer, now) != slot:
             return _Wants()
         requests, tokens, permits = self.stock(customer.name, now)
-        ahead = 0.0 if customer.pooled else HORIZON_S
+        ahead = _look_ahead(customer, now)
         request_ahead = customer.requests.rate(now) * ahead
         request_target = len(customer.waiting) + request_ahead
         token_target = sum(need.tokens for need in customer.waiting)
@@ -441,7 +477,7 @@
         if customer.waiting or customer.asking:
             return
         requests, tokens, idle = self.stock(customer.name, now)
-        keep = 2 * HORIZON_S * (0.0 if customer.pooled else 1.0)
+        keep = 2 * _look_ahead(customer, now)
         request_keep = customer.requests.rate(now) * keep
         token_keep = customer.tokens.rate(now) * keep
         given = 0.0
@@ -461,6 +497,16 @@
         return None
 
 
+def _look_ahead(customer: _Customer, now: float) -> float:
+    """Return the seconds of demand that are kept in stock.
+
+    None is kept for a customer whose next call is not expected soon: to keep a small amount alive
+    costs more messages than to ask when the call comes.
+    """
+    expected = customer.requests.rate(now) * HORIZON_S
+    return 0.0 if customer.pooled or expected < LEAST_AHEAD else HORIZON_S
+
+
 def _lack(stock: float, target: float, waiting: bool) -> float:
     """Return what is missing, once less than half of the target is there or a call waits."""
     if stock >= target or (stock > target / 2 and not waiting):
@@ -475,13 +521,13 @@
     return ResourceAsk(stock.held, want, least, stock.returned, stock.refunded, since)
 
 
-def _has_news(loan: Loan | None, permits: Permits, now: float) -> bool:
+def _has_news(loan: Loan | None, permits: Permits, now: float, report_after: float) -> bool:
     if loan is None:
         # Permits in use are declared to the slot's new home at once.
         return permits.used > 0
     age = now - loan.reported
     holds = loan.requests.held > 0 or loan.tokens.held > 0 or permits.held > 0
-    return (loan.changed and age >= REPORT_S) or (holds and age >= REFRESH_S)
+    return (loan.changed and age >= report_after) or (holds and age >= REFRESH_S)
 
 
 def _take_grant(loan: Loan, permits: Permits, granted: GrantLine) -> None:
--- a/magnoliarouter/tests/test_configuration.py
+++ b/magnoliarouter/tests/test_configuration.py
@@ -113,12 +113,16 @@
         await self.write()
         daemons = await self.start("a", "b", "c", "d")
         await self.synchronize(daemons)
-        self.assertEqual(sum(daemon.watches for daemon in daemons), 2)
+        # A daemon may know everything from a peer before it knows that it is to watch.
+        async with asyncio.timeout(10):
+            while sum(daemon.watches for daemon in daemons) < 2:  # noqa: ASYNC110 - no event
+                await asyncio.sleep(0.01)
         await self.wait_for(daemons, await self.write("current"))
         for daemon in daemons:
             self.assertEqual(daemon.contracts.cache.get("grower").standing, "current")
         sources = sorted(daemon.configuration.source for daemon in daemons)
         self.assertEqual(sources, ["peers", "peers", "platform", "platform"])
+        self.assertEqual(sum(daemon.watches for daemon in daemons), 2)
 
     async def test_new_daemon_starts_from_peers_while_the_platform_is_down(self):
         version = await self.write()
