--- a/magnoliarouter/core/attempts.py
+++ b/magnoliarouter/core/attempts.py
@@ -33,6 +33,8 @@
     FENCED = "fenced"
     DRAINING = "draining"
     TABLE_FULL = "table full"
+    QUEUE_FULL = "queue full"
+    TOO_LATE = "deadline cannot be met"
 
 
 @dataclass(slots=True)
@@ -53,15 +55,25 @@
         Attempts remembered; further ones are refused, never forgotten early.
     retention : float
         Seconds for which an ended attempt is remembered.
+
+    Attributes
+    ----------
+    draining : bool
+        Whether new attempts are refused.
+    running : int
+        Attempts in progress.
     """
 
     incarnation: str
     max_attempts: int = MAX_ATTEMPTS
     retention: float = RETENTION_S
     draining: bool = False
+    running: int = field(default=0, init=False)
     _attempts: OrderedDict[str, _Attempt] = field(default_factory=OrderedDict)
 
-    def start(self, attempt: str, incarnation: str, now: float) -> StartVerdict:
+    def start(
+        self, attempt: str, incarnation: str, now: float, obstacle: StartVerdict | None = None
+    ) -> StartVerdict:
         """Begin an attempt if it may begin, and return the verdict.
 
         Parameters
@@ -72,6 +84,8 @@
             Incarnation that the sender believes to address.
         now : float
             Loop time in seconds.
+        obstacle : StartVerdict, optional
+            Why a new attempt could not be served now; one that is known is answered as ever.
         """
         self._forget_old(now)
         if incarnation != self.incarnation:
@@ -84,11 +98,17 @@
             return StartVerdict.DRAINING
         if len(self._attempts) >= self.max_attempts:
             return StartVerdict.TABLE_FULL
+        if obstacle is not None:
+            return obstacle
         self._attempts[attempt] = _Attempt(AttemptState.RUNNING, now)
+        self.running += 1
         return StartVerdict.START
 
     def finish(self, attempt: str, now: float) -> None:
         """Note the end of an attempt."""
+        known = self._attempts.get(attempt)
+        if known is not None and known.state is AttemptState.RUNNING:
+            self.running -= 1
         self._attempts[attempt] = _Attempt(AttemptState.FINISHED, now)
         self._attempts.move_to_end(attempt)
 
@@ -105,11 +125,6 @@
             known = self._attempts[attempt] = _Attempt(AttemptState.FENCED, now)
         return known.state
 
-    @property
-    def running(self) -> int:
-        """Attempts in progress."""
-        return sum(1 for known in self._attempts.values() if known.state is AttemptState.RUNNING)
-
     def _forget_old(self, now: float) -> None:
         while self._attempts:
             attempt, known = next(iter(self._attempts.items()))
--- a/magnoliarouter/core/hashing.py
+++ b/magnoliarouter/core/hashing.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import xxhash
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
-__all__ = ["rendezvous_order"]
+__all__ = ["rendezvous_order", "weighted_rendezvous_order"]
+
+HASH_RANGE = 2**64
 
 
 def rendezvous_order(key: str, names: Iterable[str]) -> list[str]:
@@ -30,5 +33,24 @@
     return sorted(names, key=lambda name: (_weigh(key, name), name), reverse=True)
 
 
+def weighted_rendezvous_order(key: str, weights: Mapping[str, float]) -> list[str]:
+    """Return names so that each comes first for a share of keys in proportion to its weight.
+
+    Parameters
+    ----------
+    key : str
+        What is to be spread.
+    weights : mapping of str to float
+        Positive weight of each name. A change of one weight moves only the keys that the name
+        gains or loses.
+    """
+
+    def score(name: str) -> tuple[float, str]:
+        draw = (_weigh(key, name) + 0.5) / HASH_RANGE
+        return -weights[name] / math.log(draw), name
+
+    return sorted(weights, key=score, reverse=True)
+
+
 def _weigh(key: str, name: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{key}|{name}".encode())
+    return xxhash.xxh3_64_intdigest(f"{key}|{name}".encode("utf-8", "surrogatepass"))
--- /dev/null
+++ b/magnoliarouter/core/outliers.py
@@ -0,0 +1,101 @@
+"""Ejection of endpoints that fail more than they should, bounded so that some always stay."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = ["OutlierPolicy", "Outliers"]
+
+
+@dataclass(frozen=True, slots=True)
+class OutlierPolicy:
+    """When an endpoint is ejected and for how long.
+
+    Parameters
+    ----------
+    failures : int
+        Failures in a row that eject an endpoint; a failed connection ejects it at once.
+    first_seconds, last_seconds : float
+        Length of the first ejection; each further one doubles it up to the last.
+    kept_share : float
+        Share of an endpoint set, rounded up, that stays usable whatever fails.
+    """
+
+    failures: int = 3
+    first_seconds: float = 1.0
+    last_seconds: float = 30.0
+    kept_share: float = 0.5
+
+
+@dataclass(slots=True)
+class _Health:
+    failures: int = 0
+    ejections: int = 0
+    until: float = 0.0
+
+
+@dataclass(slots=True)
+class Outliers:
+    """Failures of endpoints as one entry daemon sees them.
+
+    Parameters
+    ----------
+    policy : OutlierPolicy
+        Thresholds.
+    """
+
+    policy: OutlierPolicy = field(default_factory=OutlierPolicy)
+    _health: dict[str, _Health] = field(default_factory=dict)
+
+    def note_success(self, name: str) -> None:
+        """Note an answer; it ends any ejection and forgets earlier failures."""
+        self._health.pop(name, None)
+
+    def note_failure(self, name: str, now: float, at_once: bool = False) -> bool:
+        """Note a failure and return whether it ejected the endpoint.
+
+        Parameters
+        ----------
+        name : str
+            Endpoint.
+        now : float
+            Loop time in seconds.
+        at_once : bool
+            Eject without waiting for further failures, as after a failed connection.
+        """
+        health = self._health.setdefault(name, _Health())
+        health.failures += 1
+        if now < health.until or (health.failures < self.policy.failures and not at_once):
+            return False
+        length = self.policy.first_seconds * 2.0**health.ejections
+        health.until = now + min(length, self.policy.last_seconds)
+        health.ejections += 1
+        health.failures = 0
+        return True
+
+    def is_ejected(self, name: str, now: float) -> bool:
+        """Return whether an endpoint is ejected, before the floor is applied."""
+        health = self._health.get(name)
+        return health is not None and now < health.until
+
+    def select_usable(self, names: Iterable[str], now: float) -> set[str]:
+        """Return the endpoints that may be used.
+
+        Those ejected are left out, but never so many that less than the kept share remains: the
+        ones whose ejection ends first come back.
+        """
+        known = list(names)
+        usable = {name for name in known if not self.is_ejected(name, now)}
+        floor = math.ceil(self.policy.kept_share * len(known))
+        ejected = sorted(set(known) - usable, key=lambda name: (self._health[name].until, name))
+        return usable | set(ejected[: max(0, floor - len(usable))])
+
+    def forget(self, names: Iterable[str]) -> None:
+        """Drop endpoints that no longer exist."""
+        for name in names:
+            self._health.pop(name, None)
--- a/magnoliarouter/core/placement.py
+++ b/magnoliarouter/core/placement.py
@@ -1,18 +1,38 @@
 """Choice of an endpoint for a request.
 
 Candidates are ordered by rendezvous hashing of the request's prefix, so that equal prefixes meet
-the same endpoint; an endpoint above the load bound is passed over.
+the same endpoint. Endpoints above a bound on their share of the load are passed over. Among the
+endpoints that hold the prefix, and among those that do not, the less loaded of the first two is
+taken; the one of them with the smaller expected wait wins, in the daemon's own zone first.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, TypeAlias
 
-from magnoliarouter.core.hashing import rendezvous_order
+from magnoliarouter.core.hashing import weighted_rendezvous_order
 
-__all__ = ["Candidate", "choose_endpoint"]
+if TYPE_CHECKING:
+    import random
 
-LOAD_BOUND = 1.25
+__all__ = [
+    "Candidate",
+    "Chosen",
+    "LeastLoaded",
+    "NoCapacity",
+    "NoEndpoint",
+    "PlacementPolicy",
+    "PrefixAffinity",
+    "RandomChoice",
+    "TooLate",
+    "choose_endpoint",
+]
+
+DEFAULT_SERVICE_S = 1.0
+SLOWEST_CLASS = 0.0625
+CHOICES = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,41 +41,224 @@
 
     Parameters
     ----------
-    name : str
-        Endpoint.
-    zone : str
-        Its availability zone.
-    load : float
-        Requests in progress and queued per slot, aged.
+    name, zone : str
+        Endpoint and its availability zone.
+    in_system : float
+        Requests that it is likely to hold now, running and queued.
+    slots : int
+        Requests that it works on at once.
+    queue_limit : int
+        Requests beyond the slots that its guard lets in.
+    token_seconds : float
+        Observed time for each token; 0 if unknown.
+    service_seconds : float
+        Observed time for each request; 0 if unknown.
+    warm : bool
+        Whether it is known to hold the request's prefix.
+    extra_load : float
+        Further load in requests for each slot, such as the step skew of a group of ranks.
+    reported : float
+        Requests in the last report as it came, without ageing and own requests.
     """
 
     name: str
     zone: str
-    load: float
+    in_system: float
+    slots: int
+    queue_limit: int = 8
+    token_seconds: float = 0.0
+    service_seconds: float = 0.0
+    warm: bool = False
+    extra_load: float = 0.0
+    reported: float = 0.0
+
+    @property
+    def load(self) -> float:
+        """Requests held, with the extra load counted as requests."""
+        return self.in_system + self.extra_load * self.slots
+
+    @property
+    def is_full(self) -> bool:
+        """Whether its guard would refuse a further request."""
+        return self.in_system >= self.slots + self.queue_limit
+
+    @property
+    def wait(self) -> float:
+        """Expected seconds until a further request holds a slot."""
+        service = self.service_seconds or DEFAULT_SERVICE_S
+        return service * max(0.0, self.load + 1 - self.slots) / self.slots
+
+
+@dataclass(frozen=True, slots=True)
+class PrefixAffinity:
+    """Rendezvous on the prefix with bounded load.
 
+    Parameters
+    ----------
+    load_bound : float
+        Share of the load that an endpoint may have, relative to its share of the capacity.
+    zone_distance : float
+        Seconds that a request to another availability zone costs.
+    cold_seconds : float
+        Seconds that computing a prefix which is not in the cache costs at an endpoint of full
+        speed.
+    """
 
-def choose_endpoint(prefix: str, zone: str, candidates: list[Candidate]) -> str | None:
+    load_bound: float = 1.25
+    zone_distance: float = 0.002
+    cold_seconds: float = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class RandomChoice:
+    """Any candidate with equal chance; for comparison only."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeastLoaded:
+    """Least load in the last reports as they came; for comparison only."""
+
+
+PlacementPolicy: TypeAlias = PrefixAffinity | RandomChoice | LeastLoaded
+
+
+@dataclass(frozen=True, slots=True)
+class Chosen:
+    """Endpoint that serves the request; `wait` in seconds until it holds a slot."""
+
+    name: str
+    wait: float
+    warm: bool = False
+    spilled: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class NoEndpoint:
+    """No endpoint serves this kind of work."""
+
+
+@dataclass(frozen=True, slots=True)
+class NoCapacity:
+    """Every endpoint is full; one is likely to have room after `retry_after` seconds."""
+
+    retry_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class TooLate:
+    """No endpoint can begin before the deadline; the shortest wait is `wait` seconds."""
+
+    wait: float
+
+
+Choice: TypeAlias = Chosen | NoEndpoint | NoCapacity | TooLate
+
+
+def choose_endpoint(
+    key: str,
+    zone: str,
+    candidates: list[Candidate],
+    policy: PlacementPolicy,
+    draw: random.Random,
+    remaining: float = math.inf,
+) -> Choice:
     """Choose the endpoint that serves a request.
 
     Parameters
     ----------
-    prefix : str
+    key : str
         Start of the prompt, or a key that groups equal work.
     zone : str
         Availability zone of the entry daemon.
     candidates : list of Candidate
         Endpoints that may serve it.
-
-    Returns
-    -------
-    str or None
-        Name of the endpoint, or None when there is no candidate.
+    policy : PrefixAffinity, RandomChoice or LeastLoaded
+        How to choose.
+    draw : random.Random
+        Source of random choices.
+    remaining : float
+        Seconds until the request's deadline.
     """
-    local = [candidate for candidate in candidates if candidate.zone == zone] or candidates
-    if not local:
-        return None
-    by_name = {candidate.name: candidate for candidate in local}
-    mean = sum(candidate.load for candidate in local) / len(local)
-    bound = LOAD_BOUND * mean + 1e-9
-    order = rendezvous_order(prefix, list(by_name))
-    return next((name for name in order if by_name[name].load <= bound), order[0])
+    if not candidates:
+        return NoEndpoint()
+    open_ = [candidate for candidate in candidates if not candidate.is_full]
+    if not open_:
+        return NoCapacity(min(_time_to_room(candidate) for candidate in candidates))
+    shortest = min(candidate.wait + candidate.token_seconds for candidate in open_)
+    if shortest >= remaining:
+        return TooLate(shortest)
+    match policy:
+        case PrefixAffinity():
+            return _choose_by_prefix(key, zone, open_, policy)
+        case RandomChoice():
+            chosen = draw.choice(open_)
+        case LeastLoaded():
+            draw.shuffle(open_)
+            chosen = min(open_, key=lambda candidate: candidate.reported / candidate.slots)
+    return Chosen(chosen.name, chosen.wait, chosen.warm, chosen.zone != zone)
+
+
+@dataclass(slots=True)
+class _Group:
+    """Candidates that share a load bound."""
+
+    key: str
+    members: list[Candidate]
+    policy: PrefixAffinity
+    weights: dict[str, float] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        fastest = min((m.token_seconds for m in self.members if m.token_seconds), default=0.0)
+        self.weights = {m.name: m.slots * _speed_class(m, fastest) for m in self.members}
+
+    def select(self) -> list[Candidate]:
+        """Return the best candidate that holds the prefix and the best that does not."""
+        by_name = {member.name: member for member in self.members}
+        order = [by_name[name] for name in weighted_rendezvous_order(self.key, self.weights)]
+        total = sum(member.load for member in self.members) + 1
+        share = self.policy.load_bound * total / sum(self.weights.values())
+        fitting = [m for m in order if m.load + 1 <= math.ceil(share * self.weights[m.name])]
+        warm = [member for member in fitting if member.warm][:CHOICES]
+        cold = [member for member in fitting if not member.warm][:CHOICES]
+        return [min(some, key=self._relative_load) for some in (warm, cold) if some]
+
+    def estimate_cost(self, member: Candidate, zone: str) -> float:
+        """Return the expected seconds to the first token, as far as candidates differ in it."""
+        speed = self.weights[member.name] / member.slots
+        cost = member.wait + member.token_seconds
+        if not member.warm:
+            cost += self.policy.cold_seconds / speed
+        if member.zone != zone:
+            cost += self.policy.zone_distance
+        return cost
+
+    def _relative_load(self, member: Candidate) -> float:
+        return (member.load + 1) / self.weights[member.name]
+
+
+def _choose_by_prefix(
+    key: str, zone: str, candidates: list[Candidate], policy: PrefixAffinity
+) -> Chosen:
+    local = _Group(key, [c for c in candidates if c.zone == zone], policy)
+    remote = _Group(key, [c for c in candidates if c.zone != zone], policy)
+    # A daemon's own zone serves the request unless waiting there costs more than the distance.
+    found = local.select() if local.members else []
+    if remote.members and all(candidate.wait > policy.zone_distance for candidate in found):
+        found += remote.select()
+    groups = {c.name: (local if c.zone == zone else remote) for c in found}
+    best = min(found, key=lambda c: groups[c.name].estimate_cost(c, zone))
+    return Chosen(best.name, best.wait, best.warm, best.zone != zone)
+
+
+def _speed_class(candidate: Candidate, fastest: float) -> float:
+    """Return the speed relative to the fastest as a power of two, so that it seldom changes."""
+    if not candidate.token_seconds or not fastest:
+        return 1.0
+    speed = fastest / candidate.token_seconds
+    return max(SLOWEST_CLASS, 2.0 ** round(math.log2(speed)))
+
+
+def _time_to_room(candidate: Candidate) -> float:
+    service = candidate.service_seconds or DEFAULT_SERVICE_S
+    excess = candidate.in_system + 1 - candidate.slots - candidate.queue_limit
+    return service * max(1.0, excess) / candidate.slots
--- /dev/null
+++ b/magnoliarouter/core/prefixes.py
@@ -0,0 +1,196 @@
+"""Index of the prompt prefixes that each endpoint holds in its cache.
+
+Engines announce what enters and leaves their prefix cache as numbered events, which may come late
+and with numbers missing. After a missing number nothing known of that endpoint is trusted any
+more: its index is emptied and filled again from the events that follow.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+import xxhash
+
+__all__ = [
+    "BLOCK_CHARACTERS",
+    "HEAD_BLOCKS",
+    "CacheChange",
+    "CacheLog",
+    "PrefixIndex",
+    "hash_blocks",
+    "hash_head",
+]
+
+BLOCK_CHARACTERS = 64
+HEAD_BLOCKS = 4
+HASH_MASK = 0xFFFF_FFFF
+MAX_HEADS = 1024
+MAX_LOG_LENGTH = 512
+
+
+def hash_blocks(prompt: str, limit: int | None = None) -> list[int]:
+    """Return the 32-bit chained hash of each full block at the start of a prompt.
+
+    Parameters
+    ----------
+    prompt : str
+        Prompt as the engine sees it.
+    limit : int, optional
+        Most blocks to hash.
+
+    Examples
+    --------
+    >>> hash_blocks("a" * 130) == hash_blocks("a" * 128 + "b")
+    True
+    """
+    count = len(prompt) // BLOCK_CHARACTERS
+    if limit is not None:
+        count = min(count, limit)
+    chain, hashes = 0, []
+    for start in range(0, count * BLOCK_CHARACTERS, BLOCK_CHARACTERS):
+        block = prompt[start : start + BLOCK_CHARACTERS].encode("utf-8", "surrogatepass")
+        chain = xxhash.xxh3_64_intdigest(block, seed=chain)
+        hashes.append(chain & HASH_MASK)
+    return hashes
+
+
+def hash_head(prefix: str) -> int | None:
+    """Return the hash of a prompt's head, or None if it has no full block."""
+    hashes = hash_blocks(prefix, HEAD_BLOCKS)
+    return hashes[-1] if hashes else None
+
+
+@dataclass(frozen=True, slots=True)
+class CacheChange:
+    """Condensed run of cache events of one endpoint.
+
+    Parameters
+    ----------
+    after, last : int
+        The run covers the events with numbers above `after` up to `last`.
+    stored, removed : tuple of int
+        Hashes of the blocks that the endpoint holds, or no longer holds, at the end of the run.
+    reset : bool
+        Whether events before the run were lost, so that nothing earlier holds.
+    """
+
+    after: int
+    last: int
+    stored: tuple[int, ...] = ()
+    removed: tuple[int, ...] = ()
+    reset: bool = False
+
+
+@dataclass(slots=True)
+class PrefixIndex:
+    """Blocks that one endpoint holds, as far as its events tell.
+
+    Parameters
+    ----------
+    capacity : int
+        Blocks remembered; the oldest are forgotten first, which is safe: an unknown block only
+        counts as cold.
+    """
+
+    capacity: int = MAX_HEADS
+    last: int = 0
+    doubtful: bool = False
+    resets: int = 0
+    _blocks: OrderedDict[int, None] = field(default_factory=OrderedDict)
+
+    def apply(self, change: CacheChange) -> bool:
+        """Take a run of events, and return whether a gap or reset emptied the index first.
+
+        A run that ends at or before the last number known is a repetition and changes nothing.
+        """
+        gap = change.after > self.last
+        if change.last <= self.last and not change.reset:
+            return False
+        if gap or change.reset:
+            self._empty()
+        for block in change.stored:
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        for block in change.removed:
+            self._blocks.pop(block, None)
+        while len(self._blocks) > self.capacity:
+            self._blocks.popitem(last=False)
+        self.last = change.last
+        if self._blocks:
+            self.doubtful = False
+        return gap or change.reset
+
+    def restart(self) -> None:
+        """Forget everything, as after a new start of the endpoint."""
+        self._empty()
+        self.last = 0
+
+    def holds(self, block: int | None) -> bool:
+        """Return whether the endpoint is known to hold a block."""
+        return block is not None and block in self._blocks
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    def _empty(self) -> None:
+        self._blocks.clear()
+        self.doubtful = True
+        self.resets += 1
+
+
+@dataclass(slots=True)
+class CacheLog:
+    """Recent cache changes of one endpoint, kept to be read by several followers.
+
+    Parameters
+    ----------
+    capacity : int
+        Runs kept; a follower that asks for older ones learns of the gap.
+    """
+
+    capacity: int = MAX_LOG_LENGTH
+    last: int = 0
+    _changes: list[CacheChange] = field(default_factory=list)
+
+    def append(self, change: CacheChange) -> None:
+        """Add a run of events; a gap before it is marked as a reset."""
+        if change.last <= self.last and not change.reset:
+            return
+        if change.reset or change.after > self.last:
+            change = CacheChange(change.after, change.last, change.stored, change.removed, True)
+            self._changes.clear()
+        self._changes.append(change)
+        del self._changes[: -self.capacity]
+        self.last = change.last
+
+    def clear(self) -> None:
+        """Forget everything, as after a new start of the endpoint."""
+        self._changes.clear()
+        self.last = 0
+
+    def read(self, after: int, limit: int = MAX_HEADS) -> CacheChange | None:
+        """Return everything after a number as one run, or None if there is nothing new.
+
+        Parameters
+        ----------
+        after : int
+            Last number that the follower knows.
+        limit : int
+            Most stored blocks in the run; the newest are kept.
+        """
+        recent = [change for change in self._changes if change.last > after]
+        if not recent:
+            return None
+        held: dict[int, bool] = {}
+        for change in recent:
+            for block in change.stored:
+                held.pop(block, None)
+                held[block] = True
+            for block in change.removed:
+                held.pop(block, None)
+                held[block] = False
+        stored = tuple(block for block, is_held in held.items() if is_held)
+        removed = tuple(block for block, is_held in held.items() if not is_held)
+        reset = any(change.reset for change in recent) or recent[0].after > after
+        return CacheChange(recent[0].after, recent[-1].last, stored[-limit:], removed, reset)
--- a/magnoliarouter/daemon/endpoint.py
+++ b/magnoliarouter/daemon/endpoint.py
@@ -13,6 +13,7 @@
 from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.guard import Guard
+from magnoliarouter.endpoints.monitor import EndpointMonitor
 from magnoliarouter.platform.client import PlatformClient, Written
 from magnoliarouter.platform.objects import EndpointSpec
 
@@ -44,15 +45,22 @@
         loop = asyncio.get_running_loop()
         self._session = open_session()
         self._platform = PlatformClient(self.settings.platform, self._session)
-        guard = Guard(self.attempts, self.settings.target, self._session, loop.time)
-        listen = self.settings.listen
+        settings, listen = self.settings, self.settings.listen
+        self.monitor = EndpointMonitor(
+            self.attempts, settings.slots, settings.queue_length, loop.time
+        )
+        guard = Guard(self.attempts, settings.target, self._session, loop.time, self.monitor)
         self._server = WebServer(Runtime(loop), (listen.host, listen.port), guard.handle)
         self.port = self._server.port
         self._tasks.append(loop.create_task(self._register()))
+        if settings.kind == "engine":
+            poll = self.monitor.poll(settings.target, self._session)
+            self._tasks.append(loop.create_task(poll))
 
     async def stop(self) -> None:
         """Refuse new work, let work in progress end, then leave."""
         self.attempts.draining = True
+        self.monitor.note_change()
         for task in self._tasks:
             task.cancel()
         await self._platform.write("endpoint", self.settings.name, self._describe())
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -17,9 +17,9 @@
 from magnoliarouter.pipeline.admit import LocalAdmission
 from magnoliarouter.pipeline.call import ModelCall
 from magnoliarouter.pipeline.deliver import Delivery, deliver_stream, deliver_whole
-from magnoliarouter.pipeline.dispatch import Answer, open_attempt
 from magnoliarouter.pipeline.identify import Refused, identify
-from magnoliarouter.pipeline.place import Placement
+from magnoliarouter.pipeline.place import Placement, create_policy
+from magnoliarouter.pipeline.retry import Forwarder
 from magnoliarouter.platform.client import PlatformClient
 from magnoliarouter.platform.feed import ObjectFeed
 from magnoliarouter.platform.objects import decode_contract, decode_object
@@ -28,7 +28,7 @@
     from magnoliarouter.core.contract import Contract
     from magnoliarouter.daemon.settings import EntrySettings
     from magnoliarouter.pipeline.call import Call
-    from magnoliarouter.platform.objects import EndpointSpec
+    from magnoliarouter.pipeline.dispatch import Answer
 
 __all__ = ["EntryDaemon"]
 
@@ -61,7 +61,14 @@
         self._open_feeds()
         self.peer_client = PeerClient(self.settings.peer_key)
         self.peer_server = PeerServer(self.settings.peer_key)
-        self._placement = Placement(self.settings.zone, self._endpoints.cache)
+        self._placement = Placement(
+            self.settings.zone,
+            self._endpoints.cache,
+            self._loop.time,
+            create_policy(self.settings),
+            self._vms.cache,
+        )
+        self._forwarder = Forwarder(self._placement, self._session, self._loop.time, self.metrics)
         self._admission = LocalAdmission(1.0, self._loop.time)
         listen = self.settings.listen
         self._server = WebServer(
@@ -147,22 +154,14 @@
             permit.settle(tokens)
 
     async def _forward(self, exchange: Exchange, call: Call) -> int:
-        endpoint = self._placement.place(call)
-        if endpoint is None:
-            refusal = NotRun(ResultCode.NO_ENDPOINT, "no endpoint serves this now", 1.0)
-            await self._answer_error(exchange, refusal, call=call)
+        end = await self._forwarder.forward(
+            call, lambda answer: self._deliver(exchange, call, answer)
+        )
+        if not end.answered and not isinstance(end.outcome, Completed):
+            await self._answer_error(exchange, end.outcome, call=call)
             return 0
-        with self._placement.track(endpoint):
-            return await self._attempt(exchange, call, endpoint)
-
-    async def _attempt(self, exchange: Exchange, call: Call, endpoint: EndpointSpec) -> int:
-        async with open_attempt(self._session, endpoint, call, self._loop.time()) as answer:
-            if not isinstance(answer, Answer):
-                await self._answer_error(exchange, answer, call=call)
-                return 0
-            delivery = await self._deliver(exchange, call, answer)
-        self._record(delivery.outcome, call, endpoint.name)
-        return delivery.tokens
+        self._record(end.outcome, call, end.endpoint)
+        return end.tokens
 
     async def _deliver(self, exchange: Exchange, call: Call, answer: Answer) -> Delivery:
         headers = {REQUEST_HEADER: call.request_id}
--- a/magnoliarouter/daemon/metrics.py
+++ b/magnoliarouter/daemon/metrics.py
@@ -23,6 +23,14 @@
         Requests refused as not run, by result code.
     retries : Counter
         Retries by the result code that caused them.
+    retries_refused : Counter
+        Retries not made for want of retry budget, by the result code of the failed attempt.
+    ejections : Counter
+        Ejections of endpoints that failed.
+    placements : Counter
+        Placements by whether the endpoint was known to hold the prefix, and by zone.
+    index_resets : Counter
+        Prefix indexes of endpoints that were emptied after a gap in cache events.
     dropped_answers : Counter
         Answers dropped because they belong to no attempt in progress, by reason.
     first_token, inter_token : Histogram
@@ -36,6 +44,10 @@
         self.requests = self.add_counter("requests", "Requests ended", "code", "outcome")
         self.refusals = self.add_counter("refusals", "Requests refused as not run", "code")
         self.retries = self.add_counter("retries", "Retries by cause", "code")
+        self.retries_refused = self.add_counter("retries_refused", "Retries over budget", "code")
+        self.ejections = self.add_counter("ejections", "Endpoints ejected after failures")
+        self.placements = self.add_counter("placements", "Placements", "prefix", "zone")
+        self.index_resets = self.add_counter("index_resets", "Prefix indexes emptied after a gap")
         self.dropped_answers = self.add_counter("dropped_answers", "Answers dropped", "reason")
         self.tokens = self.add_counter("tokens", "Tokens delivered to callers")
         self.first_token = self.add_histogram(
--- a/magnoliarouter/daemon/settings.py
+++ b/magnoliarouter/daemon/settings.py
@@ -70,6 +70,12 @@
         Requests that may wait for an endpoint in this daemon.
     shutdown_seconds : float
         Time between the readiness probe failing and the listener closing, in seconds.
+    zone_distance_seconds : float
+        What a request to another availability zone costs, in seconds.
+    cold_prefix_seconds : float
+        What computing a prompt that no cache holds costs at a fast engine, in seconds.
+    placement_policy : {"prefix", "random", "least-loaded"}
+        How endpoints are chosen; all but ``"prefix"`` serve as baselines in measurements only.
     """
 
     listen: Address = Address()
@@ -78,6 +84,9 @@
     request_seconds: Seconds = 120.0
     queue_length: Annotated[int, Meta(ge=0)] = 256
     shutdown_seconds: Annotated[float, Meta(ge=0)] = 2.0
+    zone_distance_seconds: Annotated[float, Meta(ge=0)] = 0.002
+    cold_prefix_seconds: Annotated[float, Meta(ge=0)] = 0.1
+    placement_policy: Literal["prefix", "random", "least-loaded"] = "prefix"
 
 
 class EndpointSettings(
@@ -104,6 +113,8 @@
         Models or plain services that the endpoint serves.
     slots : int
         Requests that the endpoint works on at once.
+    queue_length : int
+        Requests beyond the slots that the guard lets in; further ones are refused as not run.
     checks_fencing : bool
         Whether the endpoint itself refuses orders with an old fencing number.
     """
@@ -114,6 +125,7 @@
     models: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
     slots: Annotated[int, Meta(ge=1)] = 8
+    queue_length: Annotated[int, Meta(ge=0)] = 8
     checks_fencing: bool = False
 
 
--- /dev/null
+++ b/magnoliarouter/endpoints/monitor.py
@@ -0,0 +1,234 @@
+"""What a guard observes of its endpoint: load, speed, and the prefix cache's events."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+
+from magnoliarouter.core.load import LoadReport
+from magnoliarouter.core.prefixes import CacheChange, CacheLog
+from magnoliarouter.endpoints.report import CacheRun, GuardStatus, LoadRow
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliarouter.core.attempts import AttemptTable
+
+__all__ = ["EndpointMonitor"]
+
+POLL_INTERVAL_S = 1.0
+POLL_TIMEOUT_S = 1.0
+SMOOTHING = 0.1
+LOAD_STEP = 0.125
+SPEED_STEP = 0.25
+MAX_WAIT_S = 30.0
+
+
+class _EngineLoad(msgspec.Struct):
+    running: int
+    queued: int
+
+
+class _CacheEvent(msgspec.Struct):
+    sequence: int
+    stored: tuple[int, ...] = ()
+    removed: tuple[int, ...] = ()
+
+
+class _CacheEvents(msgspec.Struct):
+    events: list[_CacheEvent]
+    last: int | None = None
+
+
+@dataclass(slots=True)
+class _Average:
+    """Exponentially smoothed mean; 0 until the first value."""
+
+    value: float = 0.0
+
+    def add(self, value: float) -> None:
+        self.value = value if not self.value else self.value + SMOOTHING * (value - self.value)
+
+
+class EndpointMonitor:
+    """Observes one endpoint on behalf of its guard.
+
+    Parameters
+    ----------
+    attempts : AttemptTable
+        Attempts in progress and whether the guard drains.
+    slots, queue_limit : int
+        Requests that the endpoint works on at once, and those let in beyond them.
+    clock : callable
+        Loop time in seconds.
+    """
+
+    def __init__(
+        self, attempts: AttemptTable, slots: int, queue_limit: int, clock: Callable[[], float]
+    ) -> None:
+        self.slots = slots
+        self.queue_limit = queue_limit
+        self.cache = CacheLog()
+        self.sequence = 1
+        self._attempts = attempts
+        self._clock = clock
+        self._token = _Average()
+        self._service = _Average()
+        self._engine_queued = 0
+        self._engine_last = 0
+        self._published = self.report()
+        self._changed = asyncio.Event()
+        self._urgent = asyncio.Event()
+
+    @property
+    def is_full(self) -> bool:
+        """Whether a further attempt would exceed the queue limit."""
+        return self._attempts.running >= self.slots + self.queue_limit
+
+    @property
+    def expected_wait(self) -> float:
+        """Expected seconds until a further attempt holds a slot."""
+        excess = max(0, self._attempts.running + 1 - self.slots)
+        return self._service.value * excess / self.slots
+
+    def report(self) -> LoadReport:
+        """Return the present load."""
+        return LoadReport(
+            self._attempts.running,
+            self.slots,
+            self.queue_limit,
+            self._token.value,
+            self._service.value,
+            self._attempts.draining,
+            self._engine_queued,
+        )
+
+    def note_token(self, seconds: float) -> None:
+        """Note the time between two parts of a stream."""
+        self._token.add(seconds)
+
+    def note_service(self, seconds: float, running: int) -> None:
+        """Note the time of a whole attempt that began with so many in progress.
+
+        The time that it waited for a slot behind the others is taken off in proportion.
+        """
+        self._service.add(seconds * self.slots / max(self.slots, running))
+
+    def note_change(self) -> None:
+        """Publish the present load if it differs enough from the one published."""
+        old, new = self._published, self.report()
+        step = max(1.0, LOAD_STEP * self.slots)
+        if old.draining != new.draining:
+            self._urgent.set()
+        elif abs(old.running - new.running) >= step:
+            pass
+        elif abs(old.token_seconds - new.token_seconds) <= SPEED_STEP * old.token_seconds:
+            return
+        self._published = new
+        self._wake()
+
+    def describe(self, cache_after: int = -1) -> GuardStatus:
+        """Return the status, with the cache's changes after a number if one is given."""
+        report = self.report()
+        change = self.cache.read(cache_after) if cache_after >= 0 else None
+        run = CacheRun.from_change(change) if change else None
+        table = self._attempts
+        return GuardStatus(
+            table.incarnation,
+            table.running,
+            table.draining,
+            self.sequence,
+            LoadRow.from_report(report),
+            run,
+        )
+
+    async def wait_for_change(self, after: int, wait: float, pause: float) -> None:
+        """Wait until something changed after a sequence number.
+
+        Parameters
+        ----------
+        after : int
+            Sequence number already known.
+        wait : float
+            Longest wait in seconds.
+        pause : float
+            Seconds for which changes are held back, unless the guard begins to drain.
+        """
+        end = self._clock() + min(wait, MAX_WAIT_S)
+        if after > 0 and pause > 0:
+            await _wait_for(self._urgent, min(pause, MAX_WAIT_S))
+        while self.sequence <= after and self._clock() < end:
+            changed = self._changed
+            await _wait_for(changed, end - self._clock())
+
+    async def poll(self, target: str, session: aiohttp.ClientSession) -> None:
+        """Read the engine's own reports for ever; an engine without them is left alone."""
+        has_load = has_events = True
+        while has_load or has_events:
+            if has_load:
+                has_load = await self._poll_load(target, session)
+            if has_events:
+                has_events = await self._poll_events(target, session)
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def _poll_load(self, target: str, session: aiohttp.ClientSession) -> bool:
+        status, body = await _read(session, f"{target}/load")
+        if status == 200:
+            with contextlib.suppress(msgspec.DecodeError):
+                self._engine_queued = msgspec.json.decode(body, type=_EngineLoad).queued
+        return status != 404
+
+    async def _poll_events(self, target: str, session: aiohttp.ClientSession) -> bool:
+        url = f"{target}/cache/events?after={self._engine_last}"
+        status, body = await _read(session, url)
+        if status == 200:
+            with contextlib.suppress(msgspec.DecodeError):
+                batch = msgspec.json.decode(body, type=_CacheEvents)
+                self._check_restart(batch.last)
+                self.take_events(batch.events)
+        return status != 404
+
+    def take_events(self, events: list[_CacheEvent]) -> None:
+        """Add the engine's cache events to the log under numbers of the guard's own.
+
+        A number missing among the engine's means that nothing earlier holds any more.
+        """
+        for event in events:
+            lost = event.sequence != self._engine_last + 1
+            self._engine_last = event.sequence
+            self._append(event.stored, event.removed, lost)
+        if events:
+            self._wake()
+
+    def _check_restart(self, engine_last: int | None) -> None:
+        if engine_last is not None and engine_last < self._engine_last:
+            self._engine_last = 0
+            self._append((), (), reset=True)
+
+    def _append(self, stored: tuple[int, ...], removed: tuple[int, ...], reset: bool) -> None:
+        number = self.cache.last + 1
+        self.cache.append(CacheChange(number - 1, number, stored, removed, reset))
+
+    def _wake(self) -> None:
+        self.sequence += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+async def _wait_for(event: asyncio.Event, seconds: float) -> None:
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await event.wait()
+
+
+async def _read(session: aiohttp.ClientSession, url: str) -> tuple[int, bytes]:
+    try:
+        async with asyncio.timeout(POLL_TIMEOUT_S), session.get(url) as answer:
+            return answer.status, await answer.read()
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        return 0, b""
--- /dev/null
+++ b/magnoliarouter/endpoints/report.py
@@ -0,0 +1,116 @@
+"""Reports of a guard: the load header on every answer and the status that collectors wait for."""
+
+from __future__ import annotations
+
+import msgspec
+
+from magnoliarouter.core.load import LoadReport
+from magnoliarouter.core.prefixes import CacheChange
+
+__all__ = [
+    "LOAD_HEADER",
+    "CacheRun",
+    "GuardStatus",
+    "LoadRow",
+    "decode_load_header",
+    "encode_load_header",
+]
+
+LOAD_HEADER = "x-load"
+MICROSECONDS = 1_000_000
+
+
+class LoadRow(msgspec.Struct, frozen=True, array_like=True):
+    """`core.load.LoadReport` as it is sent; times in whole microseconds."""
+
+    running: int
+    slots: int
+    queue_limit: int
+    token_us: int = 0
+    service_us: int = 0
+    draining: bool = False
+    engine_queued: int = 0
+
+    @classmethod
+    def from_report(cls, report: LoadReport) -> LoadRow:
+        """Return a report in the form in which it is sent."""
+        return cls(
+            report.running,
+            report.slots,
+            report.queue_limit,
+            round(report.token_seconds * MICROSECONDS),
+            round(report.service_seconds * MICROSECONDS),
+            report.draining,
+            report.engine_queued,
+        )
+
+    def to_report(self) -> LoadReport:
+        """Return the report that was sent."""
+        return LoadReport(
+            self.running,
+            max(1, self.slots),
+            self.queue_limit,
+            self.token_us / MICROSECONDS,
+            self.service_us / MICROSECONDS,
+            self.draining,
+            self.engine_queued,
+        )
+
+
+class CacheRun(msgspec.Struct, frozen=True, array_like=True):
+    """`core.prefixes.CacheChange` as it is sent."""
+
+    after: int
+    last: int
+    stored: tuple[int, ...] = ()
+    removed: tuple[int, ...] = ()
+    reset: bool = False
+
+    @classmethod
+    def from_change(cls, change: CacheChange) -> CacheRun:
+        """Return a change in the form in which it is sent."""
+        return cls(change.after, change.last, change.stored, change.removed, change.reset)
+
+    def to_change(self) -> CacheChange:
+        """Return the change that was sent."""
+        return CacheChange(self.after, self.last, self.stored, self.removed, self.reset)
+
+
+class GuardStatus(msgspec.Struct, frozen=True):
+    """Report of a guard on itself.
+
+    Parameters
+    ----------
+    incarnation : str
+        Id of the guard's present start.
+    running : int
+        Attempts in progress.
+    draining : bool
+        Whether new attempts are refused.
+    sequence : int
+        Grows with every change worth telling.
+    load : LoadRow
+        Load in full.
+    cache : CacheRun, optional
+        Changes of the prefix cache since the number that was asked for.
+    """
+
+    incarnation: str
+    running: int
+    draining: bool
+    sequence: int = 0
+    load: LoadRow = LoadRow(0, 1, 0)
+    cache: CacheRun | None = None
+
+
+def encode_load_header(report: LoadReport) -> str:
+    """Return the value of the load header."""
+    return msgspec.json.encode(LoadRow.from_report(report)).decode()
+
+
+def decode_load_header(value: str) -> LoadReport | None:
+    """Return the report in a load header, or None if it is not valid."""
+    try:
+        return msgspec.json.decode(value, type=LoadRow).to_report()
+    except msgspec.DecodeError:
+        return None
--- a/magnoliarouter/pipeline/dispatch.py
+++ b/magnoliarouter/pipeline/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import uuid
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -12,7 +13,7 @@
 from magnoliarouter.core.outcome import NotRun, ResultCode, Unknown
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable, Mapping
 
     from magnoliarouter.pipeline.call import Call
     from magnoliarouter.platform.objects import EndpointSpec
@@ -25,6 +26,8 @@
 PRIORITY_HEADER = "x-priority"
 DEADLINE_HEADER = "x-deadline-ms"
 NOT_STARTED_HEADER = "x-not-started"
+REFUSAL_HEADER = "x-refusal-code"
+REFUSED_RETRY_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +41,11 @@
 
 @asynccontextmanager
 async def open_attempt(
-    session: aiohttp.ClientSession, endpoint: EndpointSpec, call: Call, now: float
+    session: aiohttp.ClientSession,
+    endpoint: EndpointSpec,
+    call: Call,
+    now: float,
+    on_head: Callable[[Mapping[str, str]], None] = lambda headers: None,
 ) -> AsyncIterator[Answer | NotRun | Unknown]:
     """Send one attempt and give the answer's head.
 
@@ -53,7 +60,9 @@
     call : Call
         The call.
     now : float
-        Loop time in seconds.
+        Loop time in seconds; the head must come before the call's deadline.
+    on_head : callable, optional
+        Called with the header fields of the guard's answer.
 
     Yields
     ------
@@ -71,14 +80,19 @@
     }
     url = f"http://{endpoint.address}{call.path}"
     try:
-        response = await session.request(call.method, url, headers=headers, data=call.body)
-    except aiohttp.ClientConnectorError:
+        async with asyncio.timeout(call.deadline - now):
+            response = await session.request(call.method, url, headers=headers, data=call.body)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
         yield NotRun(ResultCode.ENDPOINT_UNREACHABLE, "no connection to the endpoint")
         return
-    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+    except TimeoutError:
+        yield Unknown(ResultCode.DEADLINE_EXCEEDED, "no answer before the deadline")
+        return
+    except (aiohttp.ClientError, OSError) as error:
         yield Unknown(ResultCode.ENDPOINT_ERROR, type(error).__name__)
         return
     async with response:
+        on_head(response.headers)
         yield _classify(response, attempt)
 
 
@@ -86,6 +100,17 @@
     if response.headers.get(ATTEMPT_HEADER) != attempt:
         response.close()
         return Unknown(ResultCode.WRONG_ATTEMPT, "the answer belongs to another attempt")
+    refusal = _parse_refusal(response.headers.get(REFUSAL_HEADER, ""))
     if response.headers.get(NOT_STARTED_HEADER) == attempt:
-        return NotRun(ResultCode.ENDPOINT_REFUSED, "the endpoint's guard did not start it")
+        reason = "the endpoint's guard did not start it"
+        return NotRun(refusal or ResultCode.ENDPOINT_REFUSED, reason, REFUSED_RETRY_S)
+    if refusal is not None:
+        return Unknown(refusal, "the endpoint's guard got no answer from it")
     return Answer(response.status, response.content_type, response.content)
+
+
+def _parse_refusal(value: str) -> ResultCode | None:
+    try:
+        return ResultCode(int(value))
+    except ValueError:
+        return None
--- a/magnoliarouter/pipeline/place.py
+++ b/magnoliarouter/pipeline/place.py
@@ -1,22 +1,54 @@
-"""Third filter: places a call on an endpoint."""
+"""Third filter: places a call on an endpoint.
+
+`Placement` keeps what one entry daemon knows of the endpoints (own requests, reports, cache
+indexes, failures) and asks `core.placement` for a choice.
+"""
 
 from __future__ import annotations
 
-from collections import Counter
+import math
+import random
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
-from magnoliarouter.core.placement import Candidate, choose_endpoint
+from magnoliarouter.core.load import EndpointLoad, LoadReport
+from magnoliarouter.core.outliers import Outliers
+from magnoliarouter.core.placement import (
+    Candidate,
+    Choice,
+    LeastLoaded,
+    PlacementPolicy,
+    PrefixAffinity,
+    RandomChoice,
+    choose_endpoint,
+)
+from magnoliarouter.core.prefixes import CacheChange, PrefixIndex, hash_head
 from magnoliarouter.pipeline.call import ApplicationCall, ModelCall
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator, Set
 
     from magnoliarouter.core.cache import VersionedCache
+    from magnoliarouter.daemon.settings import EntrySettings
     from magnoliarouter.pipeline.call import Call
-    from magnoliarouter.platform.objects import EndpointSpec
+    from magnoliarouter.platform.objects import EndpointSpec, VmSpec
+
+__all__ = ["Placement", "create_policy"]
+
+UNKNOWN_QUEUE_LIMIT = 8
 
-__all__ = ["Placement"]
+
+def create_policy(settings: EntrySettings) -> PlacementPolicy:
+    """Return the placement policy that the settings name."""
+    match settings.placement_policy:
+        case "random":
+            return RandomChoice()
+        case "least-loaded":
+            return LeastLoaded()
+    return PrefixAffinity(
+        zone_distance=settings.zone_distance_seconds,
+        cold_seconds=settings.cold_prefix_seconds,
+    )
 
 
 class Placement:
@@ -28,31 +60,142 @@
         Availability zone of the daemon.
     endpoints : VersionedCache
         Registered endpoints.
+    clock : callable
+        Loop time in seconds.
+    policy : PlacementPolicy
+        How endpoints are chosen.
+    vms : VersionedCache, optional
+        VMs as the platform lists them.
+    extra_load : callable, optional
+        From an endpoint's name to its extra load in requests for each slot, such as the step
+        skew of its group.
+    draw : random.Random, optional
+        Source of random choices.
     """
 
-    def __init__(self, zone: str, endpoints: VersionedCache[EndpointSpec]) -> None:
+    def __init__(
+        self,
+        zone: str,
+        endpoints: VersionedCache[EndpointSpec],
+        clock: Callable[[], float],
+        policy: PlacementPolicy | None = None,
+        vms: VersionedCache[VmSpec] | None = None,
+        extra_load: Callable[[str], float] = lambda name: 0.0,
+        draw: random.Random | None = None,
+    ) -> None:
+        self.outliers = Outliers()
         self._zone = zone
         self._endpoints = endpoints
-        self._in_flight: Counter[str] = Counter()
-
-    def place(self, call: Call) -> EndpointSpec | None:
-        """Choose an endpoint for a call, or None when nothing serves it."""
-        candidates = [
-            Candidate(spec.name, spec.zone, self._in_flight[spec.name] / spec.slots)
-            for spec in self._endpoints.values().values()
-            if not spec.draining and _serves(spec, call)
-        ]
-        chosen = choose_endpoint(_prefix(call), self._zone, candidates)
-        return self._endpoints.get(chosen) if chosen else None
+        self._clock = clock
+        self._policy = policy or PrefixAffinity()
+        self._vms = vms
+        self._extra_load = extra_load
+        self._draw = draw or random.Random()
+        self._loads: dict[str, EndpointLoad] = {}
+        self._indexes: dict[str, PrefixIndex] = {}
+        self._incarnations: dict[str, str] = {}
+
+    def place(self, call: Call, tried: Set[str] = frozenset()) -> Choice:
+        """Choose an endpoint for a call, leaving out those that were tried already."""
+        now = self._clock()
+        specs = {spec.name: spec for spec in self._list_open(call) if spec.name not in tried}
+        usable = self.outliers.select_usable(specs, now)
+        head = hash_head(call.work.prefix) if isinstance(call.work, ModelCall) else None
+        candidates = [self._describe(specs[name], head, now) for name in sorted(usable)]
+        key = _key(call)
+        remaining = call.deadline - now if call.deadline else math.inf
+        return choose_endpoint(key, self._zone, candidates, self._policy, self._draw, remaining)
+
+    def find(self, name: str) -> EndpointSpec | None:
+        """Return an endpoint as registered."""
+        return self._endpoints.get(name)
 
     @contextmanager
     def track(self, endpoint: EndpointSpec) -> Iterator[None]:
         """Count an attempt as in progress on an endpoint."""
-        self._in_flight[endpoint.name] += 1
+        load = self._load(endpoint.name)
+        load.own += 1
         try:
             yield
         finally:
-            self._in_flight[endpoint.name] -= 1
+            load.own -= 1
+
+    def take_report(self, name: str, report: LoadReport, measured: float) -> None:
+        """Take a load report of an endpoint that was true at a loop time."""
+        self._load(name).take_report(report, measured)
+
+    def take_incarnation(self, name: str, incarnation: str) -> None:
+        """Note the incarnation of an endpoint's guard; a new one starts with an empty index."""
+        known = self._incarnations.get(name)
+        self._incarnations[name] = incarnation
+        if known not in (None, incarnation):
+            self._index(name).restart()
+            self._loads[name] = EndpointLoad(own=self._load(name).own)
+
+    def take_cache_change(self, name: str, change: CacheChange) -> bool:
+        """Take cache events of an endpoint, and return whether its index was emptied."""
+        return self._index(name).apply(change)
+
+    def confirm(self, name: str, measured: float) -> None:
+        """Note that the last report of an endpoint still held at a loop time."""
+        if name in self._loads:
+            self._loads[name].confirm(measured)
+
+    def forget_absent(self) -> None:
+        """Drop what is known of endpoints that are no longer registered."""
+        known = self._endpoints.values()
+        gone = [name for name in self._loads if name not in known and not self._loads[name].own]
+        for name in gone:
+            del self._loads[name]
+            self._indexes.pop(name, None)
+            self._incarnations.pop(name, None)
+        self.outliers.forget(gone)
+
+    def _list_open(self, call: Call) -> list[EndpointSpec]:
+        leaving = self._list_leaving()
+        return [
+            spec
+            for spec in self._endpoints.values().values()
+            if _serves(spec, call)
+            and not spec.draining
+            and spec.address not in leaving
+            and not self._is_draining(spec)
+        ]
+
+    def _list_leaving(self) -> set[str]:
+        if self._vms is None:
+            return set()
+        vms = self._vms.values().values()
+        return {vm.address for vm in vms if vm.leaving and vm.role == "endpoint"}
+
+    def _is_draining(self, spec: EndpointSpec) -> bool:
+        known = self._incarnations.get(spec.name, spec.incarnation)
+        load = self._loads.get(spec.name)
+        # A report of an earlier incarnation says nothing about the one now registered.
+        return known == spec.incarnation and bool(load and load.report and load.report.draining)
+
+    def _describe(self, spec: EndpointSpec, head: int | None, now: float) -> Candidate:
+        load = self._load(spec.name)
+        report = load.report or LoadReport(0, spec.slots, UNKNOWN_QUEUE_LIMIT)
+        index = self._indexes.get(spec.name)
+        return Candidate(
+            name=spec.name,
+            zone=spec.zone,
+            in_system=load.estimate(now),
+            slots=spec.slots,
+            queue_limit=report.queue_limit,
+            token_seconds=report.token_seconds,
+            service_seconds=report.service_seconds,
+            warm=index is not None and index.holds(head),
+            extra_load=self._extra_load(spec.name),
+            reported=report.running,
+        )
+
+    def _load(self, name: str) -> EndpointLoad:
+        return self._loads.setdefault(name, EndpointLoad())
+
+    def _index(self, name: str) -> PrefixIndex:
+        return self._indexes.setdefault(name, PrefixIndex())
 
 
 def _serves(spec: EndpointSpec, call: Call) -> bool:
@@ -63,7 +206,7 @@
             return service in spec.services
 
 
-def _prefix(call: Call) -> str:
+def _key(call: Call) -> str:
     match call.work:
         case ModelCall(prefix=prefix):
             return prefix
--- /dev/null
+++ b/magnoliarouter/pipeline/retry.py
@@ -0,0 +1,203 @@
+"""Carries a call through attempts: places, sends, judges the outcome, and tries elsewhere.
+
+A call moves on to another endpoint only while no byte has reached the caller. An attempt that
+provably did not run may always move on; one whose effect is unknown only if the call may be
+repeated and the retry budget allows it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
+from magnoliarouter.core.placement import Choice, Chosen, NoCapacity, NoEndpoint, TooLate
+from magnoliarouter.core.retries import RetryBudget
+from magnoliarouter.endpoints.report import LOAD_HEADER, decode_load_header
+from magnoliarouter.pipeline.call import ApplicationCall
+from magnoliarouter.pipeline.dispatch import INCARNATION_HEADER, Answer, open_attempt
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Mapping
+
+    import aiohttp
+
+    from magnoliarouter.daemon.metrics import Metrics
+    from magnoliarouter.pipeline.call import Call
+    from magnoliarouter.pipeline.deliver import Delivery
+    from magnoliarouter.pipeline.place import Placement
+    from magnoliarouter.platform.objects import EndpointSpec
+
+__all__ = ["Forwarded", "Forwarder", "explain_choice"]
+
+MAX_ATTEMPTS = 4
+NO_ENDPOINT_RETRY_S = 1.0
+# Refusals that cost the endpoint work although they did not run the call.
+BUDGETED_REFUSALS = (ResultCode.QUEUE_FULL, ResultCode.DEADLINE_UNREACHABLE)
+SERVER_ERROR = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarded:
+    """How a call ended.
+
+    Parameters
+    ----------
+    outcome : NotRun, Completed or Unknown
+        Outcome of the last attempt.
+    answered : bool
+        Whether the caller has been sent an answer.
+    tokens : int
+        Tokens delivered to the caller.
+    endpoint : str
+        Endpoint of the last attempt; empty if there was none.
+    """
+
+    outcome: Outcome
+    answered: bool
+    tokens: int = 0
+    endpoint: str = ""
+
+
+class Forwarder:
+    """Forwards the calls of one entry daemon.
+
+    Parameters
+    ----------
+    placement : Placement
+        Chooses endpoints.
+    session : aiohttp.ClientSession
+        HTTP session of the process.
+    clock : callable
+        Loop time in seconds.
+    metrics : Metrics
+        Counters of retries, ejections and prefix hits.
+    budget : RetryBudget, optional
+        Budget of retries.
+    """
+
+    def __init__(
+        self,
+        placement: Placement,
+        session: aiohttp.ClientSession,
+        clock: Callable[[], float],
+        metrics: Metrics,
+        budget: RetryBudget | None = None,
+    ) -> None:
+        self._placement = placement
+        self._session = session
+        self._clock = clock
+        self._metrics = metrics
+        self._budget = budget or RetryBudget()
+
+    async def forward(
+        self, call: Call, deliver: Callable[[Answer], Awaitable[Delivery]]
+    ) -> Forwarded:
+        """Bring a call to an end.
+
+        Parameters
+        ----------
+        call : Call
+            The call.
+        deliver : callable
+            Coroutine function that carries an answer to the caller.
+
+        Returns
+        -------
+        Forwarded
+            If `answered` is false, the caller still has to be told the outcome.
+        """
+        tried: set[str] = set()
+        last: Forwarded | None = None
+        doubt: Forwarded | None = None
+        while True:
+            choice = self._placement.place(call, tried)
+            endpoint = self._placement.find(choice.name) if isinstance(choice, Chosen) else None
+            if endpoint is None:
+                return doubt or last or Forwarded(explain_choice(choice), False)
+            self._count_choice(choice)
+            tried.add(endpoint.name)
+            with self._placement.track(endpoint):
+                last = await self._attempt(call, endpoint, deliver)
+            if last.answered:
+                return last
+            # One attempt that may have run forbids to call the whole request not run.
+            if isinstance(last.outcome, Unknown):
+                doubt = last
+            if len(tried) >= MAX_ATTEMPTS or not self._may_retry(call, last.outcome):
+                return doubt or last
+            self._metrics.retries.labels(last.outcome.code.name.lower()).inc()
+
+    async def _attempt(
+        self, call: Call, endpoint: EndpointSpec, deliver: Callable[[Answer], Awaitable[Delivery]]
+    ) -> Forwarded:
+        def on_head(headers: Mapping[str, str]) -> None:
+            self._take_head(endpoint, headers)
+
+        now = self._clock()
+        async with open_attempt(self._session, endpoint, call, now, on_head) as answer:
+            if isinstance(answer, Answer):
+                delivery = await deliver(answer)
+                self._judge(endpoint.name, delivery.outcome, answer.status)
+                return Forwarded(delivery.outcome, True, delivery.tokens, endpoint.name)
+        self._judge(endpoint.name, answer)
+        return Forwarded(answer, False, 0, endpoint.name)
+
+    def _take_head(self, endpoint: EndpointSpec, headers: Mapping[str, str]) -> None:
+        report = decode_load_header(headers.get(LOAD_HEADER, "[]"))
+        if report is not None:
+            incarnation = headers.get(INCARNATION_HEADER, endpoint.incarnation)
+            self._placement.take_incarnation(endpoint.name, incarnation)
+            self._placement.take_report(endpoint.name, report, self._clock())
+
+    def _judge(self, name: str, outcome: Outcome, status: int = 0) -> None:
+        now, outliers = self._clock(), self._placement.outliers
+        match outcome:
+            case Completed() if status < SERVER_ERROR:
+                outliers.note_success(name)
+                self._budget.note_success(now)
+            case NotRun(code=ResultCode.ENDPOINT_UNREACHABLE):
+                self._count_ejection(outliers.note_failure(name, now, at_once=True))
+            case NotRun() | Unknown(code=ResultCode.CALLER_GONE):
+                return
+            case _:
+                self._count_ejection(outliers.note_failure(name, now))
+
+    def _may_retry(self, call: Call, outcome: Outcome) -> bool:
+        if isinstance(outcome, NotRun) and outcome.code not in BUDGETED_REFUSALS:
+            return True
+        if isinstance(outcome, Unknown) and not _is_repeatable(call):
+            return False
+        if self._clock() >= call.deadline:
+            return False
+        if self._budget.take(self._clock()):
+            return True
+        self._metrics.retries_refused.labels(outcome.code.name.lower()).inc()
+        return False
+
+    def _count_choice(self, choice: Choice) -> None:
+        match choice:
+            case Chosen(warm=warm, spilled=spilled):
+                prefix = "hit" if warm else "miss"
+                self._metrics.placements.labels(prefix, "remote" if spilled else "local").inc()
+
+    def _count_ejection(self, ejected: bool) -> None:
+        if ejected:
+            self._metrics.ejections.inc()
+
+
+def explain_choice(choice: Choice) -> NotRun:
+    """Return the refusal that follows from a choice without an endpoint."""
+    match choice:
+        case NoCapacity(retry_after=retry_after):
+            return NotRun(ResultCode.QUEUE_FULL, "every endpoint is full", retry_after)
+        case TooLate(wait=wait):
+            reason = f"the deadline cannot be met: no endpoint begins within {wait:.1f} s"
+            return NotRun(ResultCode.DEADLINE_UNREACHABLE, reason, wait)
+        case NoEndpoint() | Chosen():
+            reason = "no endpoint serves this now"
+            return NotRun(ResultCode.NO_ENDPOINT, reason, NO_ENDPOINT_RETRY_S)
+
+
+def _is_repeatable(call: Call) -> bool:
+    return not isinstance(call.work, ApplicationCall) or call.work.repeatable
--- /dev/null
+++ b/magnoliarouter/standins/batching.py
@@ -0,0 +1,233 @@
+"""Continuous batching of the engine stand-in: slots, a queue by priority, and a prefix cache."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+import random
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+
+from magnoliarouter.core.prefixes import HEAD_BLOCKS, hash_blocks
+
+__all__ = ["Batch", "BatchOptions", "CacheEvent", "Job", "PrefixCache"]
+
+MAX_EVENTS = 4096
+MAX_RESUMABLE = 1024
+PREFILL_BLOCKS_PER_STEP = 32
+
+
+@dataclass(frozen=True, slots=True)
+class BatchOptions:
+    """How an engine behaves.
+
+    Parameters
+    ----------
+    slots : int
+        Requests in one batch.
+    step_seconds : float
+        Time of a step of one request.
+    step_growth : float
+        Part by which each further request in the batch lengthens the step.
+    block_seconds : float
+        Time to compute one block of a prompt that is not in the cache.
+    cache_blocks : int
+        Blocks that the prefix cache holds.
+    speed : float
+        Divides all times; 0.25 is an engine that is four times slower.
+    event_gap : float
+        Share of cache events that get lost, chosen by `seed`.
+    seed : int
+        Seed of the lost events.
+    """
+
+    slots: int = 8
+    step_seconds: float = 0.02
+    step_growth: float = 0.02
+    block_seconds: float = 0.002
+    cache_blocks: int = 2048
+    speed: float = 1.0
+    event_gap: float = 0.0
+    seed: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """Numbered change of the prefix cache; only blocks at the head of a prompt are announced."""
+
+    sequence: int
+    time: float
+    stored: tuple[int, ...]
+    removed: tuple[int, ...]
+
+
+@dataclass(slots=True)
+class Job:
+    """Request inside the engine.
+
+    Parameters
+    ----------
+    request_id : str
+        Id under which an interrupted stream can be resumed.
+    prompt : str
+        Whole prompt.
+    priority : int
+        0 is served first.
+    max_tokens : int
+        Tokens to generate.
+    generated : int
+        Tokens generated so far; above 0 at the start for a resumed stream.
+    """
+
+    request_id: str
+    prompt: str
+    priority: int
+    max_tokens: int
+    generated: int = 0
+    cancelled: bool = False
+    cached_blocks: int = 0
+    prefill_blocks: int = 0
+    tokens: asyncio.Queue[int] = field(default_factory=asyncio.Queue)
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all tokens are generated."""
+        return self.generated >= self.max_tokens
+
+
+class PrefixCache:
+    """Blocks of prompts, the least recently used evicted first.
+
+    Parameters
+    ----------
+    options : BatchOptions
+        Size and event losses.
+    """
+
+    def __init__(self, options: BatchOptions) -> None:
+        self.sequence = 0
+        self.hit_blocks = 0
+        self.asked_blocks = 0
+        self.events: deque[CacheEvent] = deque(maxlen=MAX_EVENTS)
+        self._options = options
+        self._random = random.Random(options.seed)
+        self._blocks: OrderedDict[int, int] = OrderedDict()
+
+    def use(self, prompt: str, now: float) -> tuple[int, int]:
+        """Look up a prompt, store its missing blocks, and return the hit and missing counts."""
+        blocks = hash_blocks(prompt)
+        hits = 0
+        while hits < len(blocks) and blocks[hits] in self._blocks:
+            hits += 1
+        self.hit_blocks += hits
+        self.asked_blocks += len(blocks)
+        stored = tuple(block for block in blocks[hits:HEAD_BLOCKS])
+        for depth, block in reversed(list(enumerate(blocks))):
+            self._blocks[block] = depth
+            self._blocks.move_to_end(block)
+        self._announce(stored, self._evict(), now)
+        return hits, len(blocks) - hits
+
+    def _evict(self) -> tuple[int, ...]:
+        removed = []
+        while len(self._blocks) > self._options.cache_blocks:
+            block, depth = self._blocks.popitem(last=False)
+            if depth < HEAD_BLOCKS:
+                removed.append(block)
+        return tuple(removed)
+
+    def _announce(self, stored: tuple[int, ...], removed: tuple[int, ...], now: float) -> None:
+        if not stored and not removed:
+            return
+        self.sequence += 1
+        if self._random.random() >= self._options.event_gap:
+            self.events.append(CacheEvent(self.sequence, now, stored, removed))
+
+
+class Batch:
+    """Runs the requests that hold a slot step by step, and queues the others by priority.
+
+    Parameters
+    ----------
+    options : BatchOptions
+        How the engine behaves.
+    """
+
+    def __init__(self, options: BatchOptions) -> None:
+        self.options = options
+        self.cache = PrefixCache(options)
+        self.running: list[Job] = []
+        self.peak_queue = 0
+        self.steps = 0
+        self._queue: list[tuple[int, int, Job]] = []
+        self._numbers = itertools.count()
+        self._resumable: OrderedDict[str, int] = OrderedDict()
+        self._loop = asyncio.get_running_loop()
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return sum(1 for _, _, job in self._queue if not job.cancelled)
+
+    @property
+    def step_seconds(self) -> float:
+        """Time of a step of the present batch without prompts to compute."""
+        options = self.options
+        growth = 1 + options.step_growth * max(0, len(self.running) - 1)
+        return options.step_seconds * growth / options.speed
+
+    def submit(self, job: Job) -> None:
+        """Queue a request."""
+        heapq.heappush(self._queue, (job.priority, next(self._numbers), job))
+        self._fill_slots()
+        self.peak_queue = max(self.peak_queue, self.queued)
+        if self._task is None or self._task.done():
+            self._task = self._loop.create_task(self._run())
+
+    def cancel(self, job: Job) -> None:
+        """Stop a request; its stream can be resumed by its id."""
+        job.cancelled = True
+        self.running = [other for other in self.running if other is not job]
+        if job.request_id:
+            self._resumable[job.request_id] = job.generated
+            while len(self._resumable) > MAX_RESUMABLE:
+                self._resumable.popitem(last=False)
+
+    def resume_point(self, request_id: str, wanted: int) -> int:
+        """Return from which token on a stream goes on when its reader has `wanted` tokens."""
+        return min(wanted, self._resumable.pop(request_id, 0))
+
+    async def _run(self) -> None:
+        while self.running or self.queued:
+            self._fill_slots()
+            prefill = self._prefill()
+            seconds = self.step_seconds + prefill * self.options.block_seconds / self.options.speed
+            await asyncio.sleep(seconds)
+            self._emit()
+            self.steps += 1
+
+    def _fill_slots(self) -> None:
+        while self._queue and len(self.running) < self.options.slots:
+            _, _, job = heapq.heappop(self._queue)
+            if job.cancelled:
+                continue
+            hits, misses = self.cache.use(job.prompt, self._loop.time())
+            job.cached_blocks, job.prefill_blocks = hits, misses
+            self.running.append(job)
+
+    def _prefill(self) -> int:
+        left = PREFILL_BLOCKS_PER_STEP
+        for job in self.running:
+            taken = min(left, job.prefill_blocks)
+            job.prefill_blocks -= taken
+            left -= taken
+        return PREFILL_BLOCKS_PER_STEP - left
+
+    def _emit(self) -> None:
+        for job in self.running:
+            if job.prefill_blocks == 0 and not job.is_done:
+                job.tokens.put_nowait(job.generated)
+                job.generated += 1
+        self.running = [job for job in self.running if not job.is_done]
--- a/magnoliarouter/standins/engine.py
+++ b/magnoliarouter/standins/engine.py
@@ -1,22 +1,32 @@
-"""Stand-in for a model engine: continuous batching with limited slots and streamed answers."""
+"""Stand-in for a model engine: batched generation, prefix cache, late load and cache reports.
+
+Paths besides the completions: ``GET /load`` (a report that lags), ``GET /cache/events?after=N``
+(numbered events, late and with gaps), ``GET /stats`` (exact counts for benches). A stream that was
+cut is resumed by the same ``x-request-id`` with ``x-resume-from`` naming the tokens received.
+"""
 
 from __future__ import annotations
 
 import argparse
 import asyncio
+from collections import deque
 
 import msgspec
 
 from magnoliarouter.daemon.web import Exchange, WebServer
+from magnoliarouter.standins.batching import Batch, BatchOptions, Job
 from magnoliarouter.standins.process import run_standin
 
-__all__ = ["EngineStandin"]
+__all__ = ["EngineLoad", "EngineStandin"]
 
 LAST_FRAME = b"data: [DONE]\n\n"
+CHARACTERS_PER_TOKEN = 4
+LOAD_SAMPLE_S = 0.1
 
 
 class _Message(msgspec.Struct):
     content: str
+    role: str = "user"
 
 
 class _Body(msgspec.Struct):
@@ -27,71 +37,202 @@
     max_tokens: int = 16
 
 
-class EngineStandin:
-    """Generates one token a step for every request that holds a slot.
+class EngineLoad(msgspec.Struct, frozen=True):
+    """Load report of an engine.
 
     Parameters
     ----------
+    running, queued : int
+        Requests that hold a slot, and that wait for one.
     slots : int
-        Requests in one batch.
+        Slots of the engine.
     step_seconds : float
-        Time of one step.
+        Time of a step.
+    """
+
+    running: int
+    queued: int
+    slots: int
+    step_seconds: float
+
+
+class EngineStandin:
+    """Answers completions out of a `Batch`.
+
+    Parameters
+    ----------
+    options : BatchOptions
+        How the engine behaves.
+    load_lag : float
+        Age of the load report in seconds.
+    event_lag : float
+        Seconds after which a cache event can be read.
     """
 
-    def __init__(self, slots: int = 8, step_seconds: float = 0.02) -> None:
-        self.step_seconds = step_seconds
+    def __init__(
+        self, options: BatchOptions, load_lag: float = 0.0, event_lag: float = 0.0
+    ) -> None:
+        self.batch = Batch(options)
         self.started = 0
         self.cancelled = 0
-        self._slots = asyncio.Semaphore(slots)
+        self.resumed = 0
+        self._load_lag = load_lag
+        self._event_lag = event_lag
+        self._loop = asyncio.get_running_loop()
+        self._loads: deque[tuple[float, EngineLoad]] = deque()
+        self._sampler = self._loop.create_task(self._sample()) if load_lag else None
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
-        if exchange.request.path == "/stats":
-            stats = {"started": self.started, "cancelled": self.cancelled}
-            await exchange.send(200, msgspec.json.encode(stats))
-            return
+        match exchange.request.path:
+            case "/load":
+                await exchange.send(200, msgspec.json.encode(self._report_load()))
+            case "/cache/events":
+                after = int(exchange.request.query.get("after", "0"))
+                await exchange.send(200, msgspec.json.encode(self._list_events(after)))
+            case "/stats":
+                await exchange.send(200, msgspec.json.encode(self._count()))
+            case _:
+                await self._complete(exchange)
+
+    async def _complete(self, exchange: Exchange) -> None:
         body = msgspec.json.decode(exchange.request.body, type=_Body)
-        prompt = body.prompt or "".join(message.content for message in body.messages)
-        async with self._slots:
-            self.started += 1
-            try:
-                await self._generate(exchange, body, prompt)
-            except asyncio.CancelledError:
-                self.cancelled += 1
-                raise
-
-    async def _generate(self, exchange: Exchange, body: _Body, prompt: str) -> None:
-        words = [f"{prompt[:16]}.{index} " for index in range(body.max_tokens)]
+        job = self._create_job(body, exchange.request.headers)
+        self.started += 1
+        self.batch.submit(job)
+        try:
+            await self._generate(exchange, body, job)
+        except BaseException:
+            self.cancelled += 1
+            self.batch.cancel(job)
+            raise
+
+    def _create_job(self, body: _Body, headers: dict[str, str]) -> Job:
+        request_id = headers.get("x-request-id", "")
+        wanted = int(headers.get("x-resume-from", "0"))
+        wanted = min(wanted, body.max_tokens - 1)
+        first = self.batch.resume_point(request_id, wanted) if wanted > 0 else 0
+        self.resumed += first > 0
+        priority = int(headers.get("x-priority", "0"))
+        return Job(request_id, _join_prompt(body), priority, body.max_tokens, first)
+
+    async def _generate(self, exchange: Exchange, body: _Body, job: Job) -> None:
         if not body.stream:
-            await asyncio.sleep(self.step_seconds * len(words))
-            await exchange.send(200, _encode_whole(body, prompt, words))
+            words = [_word(job, await job.tokens.get()) for _ in range(body.max_tokens)]
+            await exchange.send(200, _encode_whole(body, job, words))
             return
         await exchange.start(200, {"Content-Type": "text/event-stream"})
-        for word in words:
-            await asyncio.sleep(self.step_seconds)
-            await exchange.write(b"data: " + _encode_token(word) + b"\n\n")
+        index = -1
+        while index + 1 < job.max_tokens:
+            index = await job.tokens.get()
+            await exchange.write(b"data: " + _encode_token(job, index) + b"\n\n")
         await exchange.write(LAST_FRAME)
         await exchange.finish()
 
-
-def _encode_token(word: str) -> bytes:
-    return msgspec.json.encode({"choices": [{"index": 0, "text": word}]})
-
-
-def _encode_whole(body: _Body, prompt: str, words: list[str]) -> bytes:
-    usage = {"prompt_tokens": len(prompt) // 4, "completion_tokens": len(words)}
+    def _measure_load(self) -> EngineLoad:
+        batch = self.batch
+        return EngineLoad(len(batch.running), batch.queued, batch.options.slots, batch.step_seconds)
+
+    async def _sample(self) -> None:
+        while True:
+            self._loads.append((self._loop.time(), self._measure_load()))
+            await asyncio.sleep(LOAD_SAMPLE_S)
+
+    def _report_load(self) -> EngineLoad:
+        if not self._load_lag:
+            return self._measure_load()
+        limit = self._loop.time() - self._load_lag
+        while len(self._loads) > 1 and self._loads[1][0] <= limit:
+            self._loads.popleft()
+        if not self._loads or self._loads[0][0] > limit:
+            return EngineLoad(0, 0, self.batch.options.slots, self.batch.step_seconds)
+        return self._loads[0][1]
+
+    def _list_events(self, after: int) -> dict[str, object]:
+        limit = self._loop.time() - self._event_lag
+        visible = [event for event in self.batch.cache.events if event.time <= limit]
+        events = [
+            {"sequence": event.sequence, "stored": event.stored, "removed": event.removed}
+            for event in visible
+            if event.sequence > after
+        ]
+        return {"events": events, "last": visible[-1].sequence if visible else 0}
+
+    def _count(self) -> dict[str, float]:
+        batch = self.batch
+        return {
+            "started": self.started,
+            "cancelled": self.cancelled,
+            "resumed": self.resumed,
+            "running": len(batch.running),
+            "queued": batch.queued,
+            "peak_queue": batch.peak_queue,
+            "steps": batch.steps,
+            "hit_blocks": batch.cache.hit_blocks,
+            "asked_blocks": batch.cache.asked_blocks,
+        }
+
+
+def _join_prompt(body: _Body) -> str:
+    if not body.messages:
+        return body.prompt
+    return "\n".join(f"{message.role}: {message.content}" for message in body.messages)
+
+
+def _word(job: Job, index: int) -> str:
+    return f"{job.prompt[:16]}.{index} "
+
+
+def _count_usage(job: Job) -> dict[str, int]:
+    return {
+        "prompt_tokens": len(job.prompt) // CHARACTERS_PER_TOKEN,
+        "completion_tokens": job.max_tokens,
+    }
+
+
+def _encode_token(job: Job, index: int) -> bytes:
+    choice = {"index": 0, "text": _word(job, index)}
+    if index + 1 < job.max_tokens:
+        return msgspec.json.encode({"choices": [choice]})
+    choice["finish_reason"] = "length"
+    return msgspec.json.encode({"choices": [choice], "usage": _count_usage(job)})
+
+
+def _encode_whole(body: _Body, job: Job, words: list[str]) -> bytes:
     choice = {"index": 0, "text": "".join(words), "finish_reason": "length"}
+    usage = _count_usage(job)
     return msgspec.json.encode({"model": body.model, "choices": [choice], "usage": usage})
 
 
 def _main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--slots", type=int, default=8)
-    parser.add_argument("--step-seconds", type=float, default=0.02)
+    for name, default in (
+        ("slots", 8),
+        ("step-seconds", 0.02),
+        ("step-growth", 0.02),
+        ("block-seconds", 0.002),
+        ("cache-blocks", 2048),
+        ("speed", 1.0),
+        ("event-gap", 0.0),
+        ("seed", 1),
+        ("load-lag", 0.0),
+        ("event-lag", 0.0),
+    ):
+        parser.add_argument(f"--{name}", type=type(default), default=default)
     options, _ = parser.parse_known_args()
+    batch = BatchOptions(
+        options.slots,
+        options.step_seconds,
+        options.step_growth,
+        options.block_seconds,
+        options.cache_blocks,
+        options.speed,
+        options.event_gap,
+        options.seed,
+    )
 
     def start(runtime: object, bind: tuple[str, int]) -> WebServer:
-        engine = EngineStandin(options.slots, options.step_seconds)
+        engine = EngineStandin(batch, options.load_lag, options.event_lag)
         return WebServer(runtime, bind, engine.handle)
 
     run_standin(start, parser)
