--- a/magnoliarouter/core/load.py
+++ b/magnoliarouter/core/load.py
@@ -51,6 +51,7 @@
     own: int = 0
     report: LoadReport | None = None
     measured: float = 0.0
+    confirmed: float = 0.0
     others: float = 0.0
 
     def take_report(self, report: LoadReport, measured: float) -> bool:
@@ -72,9 +73,9 @@
 
     def confirm(self, measured: float) -> None:
         """Note that the last report still held at a time."""
-        self.measured = max(self.measured, measured)
+        self.confirmed = max(self.confirmed, measured)
 
     def estimate(self, now: float) -> float:
         """Return the requests that the endpoint is likely to hold now."""
-        age = max(0.0, now - self.measured)
+        age = max(0.0, now - max(self.measured, self.confirmed))
         return self.own + self.others * 0.5 ** (age / REPORT_HALF_LIFE_S)
--- a/magnoliarouter/core/prefixes.py
+++ b/magnoliarouter/core/prefixes.py
@@ -105,7 +105,7 @@
         A run that ends at or before the last number known is a repetition and changes nothing.
         """
         gap = change.after > self.last
-        if change.last <= self.last and not change.reset:
+        if change.last <= self.last:
             return False
         if gap or change.reset:
             self._empty()
@@ -155,7 +155,7 @@
 
     def append(self, change: CacheChange) -> None:
         """Add a run of events; a gap before it is marked as a reset."""
-        if change.last <= self.last and not change.reset:
+        if change.last <= self.last:
             return
         if change.reset or change.after > self.last:
             change = CacheChange(change.after, change.last, change.stored, change.removed, True)
--- /dev/null
+++ b/magnoliarouter/daemon/collector.py
@@ -0,0 +1,144 @@
+"""Collector of endpoint reports: follows the guards of its zone and serves digests to peers.
+
+An entry daemon collects while others ask it to. Askers agree on the first two daemons in
+rendezvous order of their zone and go on to the next when one does not answer, so the duty needs
+no election.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+import uuid
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+
+from magnoliarouter.core.digest import DigestRow, DigestTable
+from magnoliarouter.endpoints.report import GuardStatus
+from magnoliarouter.peers.messages import Digest, DigestRequest, EndpointRow
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliarouter.core.cache import VersionedCache
+    from magnoliarouter.platform.objects import EndpointSpec
+
+__all__ = ["Collector"]
+
+DUTY_TIMEOUT_S = 10.0
+IDLE_WAIT_S = 10.0
+MIN_PAUSE_S = 0.5
+PAUSE_PER_ENDPOINT_S = 0.04
+ANSWER_MARGIN_S = 2.0
+FIRST_BACKOFF_S = 0.2
+LAST_BACKOFF_S = 5.0
+
+
+class Collector:
+    """Follows the guards of one zone on behalf of other entry daemons.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of the daemon.
+    endpoints : VersionedCache
+        Registered endpoints.
+    session : aiohttp.ClientSession
+        HTTP session of the process.
+    clock : callable
+        Loop time in seconds.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        endpoints: VersionedCache[EndpointSpec],
+        session: aiohttp.ClientSession,
+        clock: Callable[[], float],
+    ) -> None:
+        self.epoch = uuid.uuid4().hex[:8]
+        self.table = DigestTable()
+        self._zone = zone
+        self._endpoints = endpoints
+        self._session = session
+        self._clock = clock
+        self._asked = -math.inf
+        self._registered: set[str] = set()
+        self._followers: dict[str, asyncio.Task[None]] = {}
+
+    @property
+    def on_duty(self) -> bool:
+        """Whether somebody asked recently."""
+        return self._clock() - self._asked < DUTY_TIMEOUT_S
+
+    async def answer(self, request: DigestRequest) -> Digest:
+        """Answer a request for a digest, and collect from now on."""
+        self._asked = self._clock()
+        self.adjust()
+        now = self._clock()
+        after = request.after if request.epoch == self.epoch else 0
+        rows = self.table.read(after, request.zone or None)
+        rows_sent = [EndpointRow.from_row(row, now) for row in rows]
+        return Digest(self.epoch, self.table.version, rows_sent, self.table.list_stale(now))
+
+    def adjust(self) -> None:
+        """Follow the guards that should be followed now, and no others."""
+        registered = self._endpoints.values()
+        wanted = {
+            f"{spec.address}/{spec.incarnation}": spec
+            for spec in registered.values()
+            if spec.zone == self._zone and self.on_duty
+        }
+        for key in set(self._followers) - set(wanted):
+            self._followers.pop(key).cancel()
+        for key in set(wanted) - set(self._followers):
+            self._followers[key] = asyncio.create_task(self._follow(wanted[key]))
+        self.table.drop(self._registered - set(registered))
+        self._registered = set(registered)
+
+    def stop(self) -> None:
+        """Stop following."""
+        for task in self._followers.values():
+            task.cancel()
+        self._followers.clear()
+
+    async def _follow(self, spec: EndpointSpec) -> None:
+        sequence, backoff = 0, FIRST_BACKOFF_S
+        while True:
+            status = await self._read_status(spec, sequence)
+            if status is None:
+                await asyncio.sleep(backoff * random.uniform(0.5, 1.0))
+                backoff = min(2 * backoff, LAST_BACKOFF_S)
+                continue
+            backoff = FIRST_BACKOFF_S
+            if status.sequence == sequence and status.cache is None:
+                self.table.confirm(spec.name, self._clock())
+                continue
+            sequence = status.sequence
+            self._take(spec, status)
+            if status.draining:
+                await asyncio.sleep(MIN_PAUSE_S)
+
+    def _take(self, spec: EndpointSpec, status: GuardStatus) -> None:
+        now = self._clock()
+        cache = status.cache.to_change() if status.cache else None
+        report = status.load.to_report()
+        row = DigestRow(spec.name, spec.zone, status.incarnation, report, now, cache)
+        self.table.update(row, now)
+
+    async def _read_status(self, spec: EndpointSpec, sequence: int) -> GuardStatus | None:
+        pause = max(MIN_PAUSE_S, PAUSE_PER_ENDPOINT_S * len(self._followers))
+        cache = self.table.cache_position(spec.name)
+        url = (
+            f"http://{spec.address}/guard/status"
+            f"?after={sequence}&wait={IDLE_WAIT_S:g}&pause={pause:g}&cache={cache}"
+        )
+        try:
+            async with asyncio.timeout(IDLE_WAIT_S + pause + ANSWER_MARGIN_S):
+                async with self._session.get(url) as answer:
+                    return msgspec.json.decode(await answer.read(), type=GuardStatus)
+        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.DecodeError):
+            return None
--- /dev/null
+++ b/magnoliarouter/daemon/digests.py
@@ -0,0 +1,162 @@
+"""Follows the collectors: brings digests of endpoint reports to the placement of a daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from magnoliarouter.core.membership import EntryVm, order_duty_holders
+from magnoliarouter.peers import PeerError
+from magnoliarouter.peers.messages import Digest, DigestRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliarouter.core.cache import VersionedCache
+    from magnoliarouter.core.digest import DigestRow
+    from magnoliarouter.daemon.collector import Collector
+    from magnoliarouter.daemon.metrics import Metrics
+    from magnoliarouter.peers import PeerClient
+    from magnoliarouter.pipeline.place import Placement
+    from magnoliarouter.platform.objects import VmSpec
+
+__all__ = ["DIGEST_METHOD", "DigestFollower", "order_collectors"]
+
+DIGEST_METHOD = "digest"
+DUTY = "collector"
+FETCH_INTERVAL_S = 1.0
+FETCH_DEADLINE_S = 1.0
+AVOIDANCE_S = 5.0
+HOLDERS = 2
+
+
+@dataclass(slots=True)
+class _Position:
+    """How far one zone's collector has been followed."""
+
+    epoch: str = ""
+    version: int = 0
+
+
+def order_collectors(zone: str, name: str, vms: list[EntryVm]) -> list[EntryVm]:
+    """Return the entry VMs of a zone in the order in which one daemon asks them for digests.
+
+    The first two share the zone's daemons between them.
+    """
+    ordered = order_duty_holders(DUTY, zone, vms)
+    first, rest = ordered[:HOLDERS], ordered[HOLDERS:]
+    chosen = [vm.name for vm in order_duty_holders(name, zone, first)]
+    return sorted(first, key=lambda vm: chosen.index(vm.name)) + rest
+
+
+class DigestFollower:
+    """Fetches digests for one entry daemon.
+
+    Parameters
+    ----------
+    name, zone : str
+        VM and availability zone of the daemon.
+    vms : VersionedCache
+        VMs as the platform lists them.
+    placement : Placement
+        Receives the reports.
+    collector : Collector
+        The daemon's own collector.
+    peers : PeerClient
+        Calls other entry daemons.
+    clock : callable
+        Loop time in seconds.
+    metrics : Metrics
+        Counters.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        vms: VersionedCache[VmSpec],
+        placement: Placement,
+        collector: Collector,
+        peers: PeerClient,
+        clock: Callable[[], float],
+        metrics: Metrics,
+    ) -> None:
+        self._name = name
+        self._zone = zone
+        self._vms = vms
+        self._placement = placement
+        self._collector = collector
+        self._peers = peers
+        self._clock = clock
+        self._metrics = metrics
+        self._positions: dict[str, _Position] = {}
+        self._avoided: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Fetch for ever."""
+        while True:
+            await asyncio.sleep(FETCH_INTERVAL_S * random.uniform(0.8, 1.0))
+            await self.fetch()
+
+    async def fetch(self) -> None:
+        """Fetch one digest of the own zone, and those of other zones while collecting."""
+        vms = self._list_entry_vms()
+        zones = sorted({vm.zone for vm in vms} - {self._zone})
+        fetches = [self._fetch_zone(self._zone, vms)]
+        if self._collector.on_duty:
+            fetches += [self._fetch_zone(zone, vms) for zone in zones]
+        await asyncio.gather(*fetches)
+        self._collector.adjust()
+        self._placement.forget_absent()
+
+    async def _fetch_zone(self, zone: str, vms: list[EntryVm]) -> None:
+        position = self._positions.setdefault(zone, _Position())
+        only = "" if zone == self._zone else zone
+        request = DigestRequest(position.epoch, position.version, only)
+        for vm in order_collectors(zone, self._name, vms):
+            if self._clock() < self._avoided.get(vm.name, 0.0):
+                continue
+            digest = await self._ask(vm, request)
+            if digest is not None:
+                self._positions[zone] = _Position(digest.epoch, digest.version)
+                self._take(zone, digest)
+                return
+            self._avoided[vm.name] = self._clock() + AVOIDANCE_S
+        self._metrics.digest_failures.labels(zone).inc()
+
+    async def _ask(self, vm: EntryVm, request: DigestRequest) -> Digest | None:
+        if vm.name == self._name:
+            return await self._collector.answer(request)
+        try:
+            return await self._peers.call(
+                vm.address, DIGEST_METHOD, request, Digest, FETCH_DEADLINE_S
+            )
+        except PeerError:
+            return None
+
+    def _take(self, zone: str, digest: Digest) -> None:
+        now = self._clock()
+        rows = [row.to_row(now) for row in digest.rows]
+        if zone != self._zone:
+            for row in rows:
+                self._collector.table.update(row, now)
+            self._collector.table.confirm_zone(zone, set(digest.stale), now)
+            return
+        for row in rows:
+            self._apply(row)
+        self._placement.confirm_except(set(digest.stale), now)
+
+    def _apply(self, row: DigestRow) -> None:
+        self._placement.take_incarnation(row.name, row.incarnation)
+        self._placement.take_report(row.name, row.report, row.measured)
+        if row.cache is not None and self._placement.take_cache_change(row.name, row.cache):
+            self._metrics.index_resets.inc()
+
+    def _list_entry_vms(self) -> list[EntryVm]:
+        return [
+            EntryVm(vm.name, vm.zone, vm.address, vm.leaving)
+            for vm in self._vms.values().values()
+            if vm.role == "entry"
+        ]
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -8,12 +8,15 @@
 import msgspec
 
 from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
+from magnoliarouter.daemon.collector import Collector
+from magnoliarouter.daemon.digests import DIGEST_METHOD, DigestFollower
 from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.daemon.loop import Runtime
 from magnoliarouter.daemon.metrics import Metrics
 from magnoliarouter.daemon.web import CallerGone, Exchange, WebServer, error_body
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.peers import PeerClient, PeerServer
+from magnoliarouter.peers.messages import DigestRequest
 from magnoliarouter.pipeline.admit import LocalAdmission
 from magnoliarouter.pipeline.call import ModelCall
 from magnoliarouter.pipeline.deliver import Delivery, deliver_stream, deliver_whole
@@ -69,6 +72,7 @@
             self._vms.cache,
         )
         self._forwarder = Forwarder(self._placement, self._session, self._loop.time, self.metrics)
+        self._start_digests()
         self._admission = LocalAdmission(1.0, self._loop.time)
         listen = self.settings.listen
         self._server = WebServer(
@@ -90,6 +94,7 @@
         await self._server.wait_until_idle()
         for task in self._tasks:
             task.cancel()
+        self._collector.stop()
         await self.peer_server.stop()
         await self.peer_client.close()
         await self._session.close()
@@ -118,6 +123,22 @@
         for feed in (self._contracts, self._endpoints, self._services, self._vms):
             self._tasks.append(self._loop.create_task(feed.run()))
 
+    def _start_digests(self) -> None:
+        settings, clock = self.settings, self._loop.time
+        self._collector = Collector(settings.zone, self._endpoints.cache, self._session, clock)
+        self.peer_server.add_method(DIGEST_METHOD, DigestRequest, self._collector.answer)
+        follower = DigestFollower(
+            settings.name,
+            settings.zone,
+            self._vms.cache,
+            self._placement,
+            self._collector,
+            self.peer_client,
+            clock,
+            self.metrics,
+        )
+        self._tasks.append(self._loop.create_task(follower.run()))
+
     def _open_feed(self, kind: str) -> ObjectFeed:
         return ObjectFeed(self._platform, kind, lambda value: decode_object(kind, value))
 
--- a/magnoliarouter/daemon/metrics.py
+++ b/magnoliarouter/daemon/metrics.py
@@ -31,6 +31,8 @@
         Placements by whether the endpoint was known to hold the prefix, and by zone.
     index_resets : Counter
         Prefix indexes of endpoints that were emptied after a gap in cache events.
+    digest_failures : Counter
+        Fetches of a zone's digest that no collector answered, by availability zone.
     dropped_answers : Counter
         Answers dropped because they belong to no attempt in progress, by reason.
     first_token, inter_token : Histogram
@@ -48,6 +50,7 @@
         self.ejections = self.add_counter("ejections", "Endpoints ejected after failures")
         self.placements = self.add_counter("placements", "Placements", "prefix", "zone")
         self.index_resets = self.add_counter("index_resets", "Prefix indexes emptied after a gap")
+        self.digest_failures = self.add_counter("digest_failures", "Digests not had", "zone")
         self.dropped_answers = self.add_counter("dropped_answers", "Answers dropped", "reason")
         self.tokens = self.add_counter("tokens", "Tokens delivered to callers")
         self.first_token = self.add_histogram(
--- a/magnoliarouter/endpoints/guard.py
+++ b/magnoliarouter/endpoints/guard.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -43,6 +44,7 @@
 }
 EVENT_STREAM = "text/event-stream"
 FRAME_START = b"data: "
+DEADLINE = re.compile(r"^[0-9]{1,9}$")
 
 
 class Guard:
@@ -119,7 +121,7 @@
         if self._monitor.is_full:
             return StartVerdict.QUEUE_FULL
         left = headers.get(DEADLINE_HEADER, "")
-        if left.isdecimal() and int(left) <= self._monitor.expected_wait * 1000:
+        if DEADLINE.match(left) and int(left) <= self._monitor.expected_wait * 1000:
             return StartVerdict.TOO_LATE
         return None
 
--- a/magnoliarouter/endpoints/monitor.py
+++ b/magnoliarouter/endpoints/monitor.py
@@ -159,12 +159,14 @@
         pause : float
             Seconds for which changes are held back, unless the guard begins to drain.
         """
+        if self._attempts.draining:
+            # A guard that waits for its last requests must not wait for its readers.
+            return
         end = self._clock() + min(wait, MAX_WAIT_S)
         if after > 0 and pause > 0:
             await _wait_for(self._urgent, min(pause, MAX_WAIT_S))
         while self.sequence <= after and self._clock() < end:
-            changed = self._changed
-            await _wait_for(changed, end - self._clock())
+            await _wait_for(self._changed, end - self._clock())
 
     async def poll(self, target: str, session: aiohttp.ClientSession) -> None:
         """Read the engine's own reports for ever; an engine without them is left alone."""
--- a/magnoliarouter/pipeline/identify.py
+++ b/magnoliarouter/pipeline/identify.py
@@ -28,6 +28,9 @@
 PREFIX_CHARACTERS = 256
 DEFAULT_MAX_TOKENS = 256
 MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
+DEADLINE_HEADER = "x-deadline-ms"
+MAX_DEADLINE_MS = 86_400_000
+DEADLINE = re.compile(r"^[0-9]{1,8}$")
 REQUEST_ID = re.compile(r"^[A-Za-z0-9._-]{1,64}$")
 
 
@@ -77,7 +80,8 @@
     now : float
         Loop time in seconds.
     request_seconds : float
-        Longest time that the request may take.
+        Longest time that the request may take; the caller may name a shorter one in milliseconds
+        in the header ``x-deadline-ms``.
 
     Returns
     -------
@@ -93,6 +97,9 @@
     work = _parse_work(request, limits, services)
     if isinstance(work, Refused):
         return work
+    seconds = _parse_deadline(request, request_seconds)
+    if isinstance(seconds, Refused):
+        return seconds
     return Call(
         request_id=_request_id(request),
         contract=contract,
@@ -101,7 +108,7 @@
         path=request.path,
         content_type=request.headers.get("content-type", "application/json"),
         body=request.body,
-        deadline=now + request_seconds,
+        deadline=now + seconds,
         work=work,
     )
 
@@ -126,6 +133,16 @@
     return given if REQUEST_ID.match(given) else uuid.uuid4().hex
 
 
+def _parse_deadline(request: HttpRequest, longest: float) -> float | Refused:
+    given = request.headers.get(DEADLINE_HEADER)
+    if given is None:
+        return longest
+    if not DEADLINE.match(given) or not 1 <= int(given) <= MAX_DEADLINE_MS:
+        reason = f"header {DEADLINE_HEADER!r} is {given[:32]!r}; valid: 1 to {MAX_DEADLINE_MS} ms"
+        return _refuse(400, ResultCode.MALFORMED_HTTP, reason)
+    return min(longest, int(given) / 1000)
+
+
 def _parse_work(
     request: HttpRequest, limits: Limits, services: Mapping[str, ServiceSpec]
 ) -> ModelCall | ApplicationCall | Refused:
--- a/magnoliarouter/pipeline/place.py
+++ b/magnoliarouter/pipeline/place.py
@@ -136,10 +136,11 @@
         """Take cache events of an endpoint, and return whether its index was emptied."""
         return self._index(name).apply(change)
 
-    def confirm(self, name: str, measured: float) -> None:
-        """Note that the last report of an endpoint still held at a loop time."""
-        if name in self._loads:
-            self._loads[name].confirm(measured)
+    def confirm_except(self, stale: Set[str], measured: float) -> None:
+        """Note that the last reports still held at a loop time, but for the stale ones."""
+        for name, load in self._loads.items():
+            if name not in stale:
+                load.confirm(measured)
 
     def forget_absent(self) -> None:
         """Drop what is known of endpoints that are no longer registered."""
--- a/magnoliarouter/tests/builders.py
+++ b/magnoliarouter/tests/builders.py
@@ -6,7 +6,9 @@
 
 from magnoliarouter.core.contract import Contract, Limits
 from magnoliarouter.daemon.web import HttpRequest
+from magnoliarouter.pipeline.call import ApplicationCall, Call, ModelCall
 from magnoliarouter.pipeline.identify import hash_key
+from magnoliarouter.platform.objects import EndpointSpec
 
 
 def build_limits(**changes: Any) -> Limits:
@@ -41,3 +43,29 @@
         "limits": {"current": {"requests_per_second": 10, "tokens_per_second": 1000}},
     }
     return {**value, **changes}
+
+
+def build_call(work: ModelCall | ApplicationCall | None = None, **changes: Any) -> Call:
+    values: dict[str, Any] = {
+        "request_id": "r1",
+        "contract": build_contract(),
+        "limits": build_limits(),
+        "method": "POST",
+        "path": "/v1/completions",
+        "content_type": "application/json",
+        "body": b"{}",
+        "deadline": 1060.0,
+        "work": work or ModelCall("draft", False, "hello", 20),
+    }
+    return Call(**{**values, **changes})
+
+
+def build_endpoint(name: str = "engine-1", **changes: Any) -> EndpointSpec:
+    values: dict[str, Any] = {
+        "zone": "zone-1",
+        "address": f"127.0.0.1:{sum(name.encode())}",
+        "incarnation": "i1",
+        "models": ("draft",),
+        "services": ("tanks",),
+    }
+    return EndpointSpec(name, **{**values, **changes})
--- a/magnoliarouter/tests/test_identify.py
+++ b/magnoliarouter/tests/test_identify.py
@@ -54,3 +54,13 @@
         request = build_request("/services/tanks/release/7", idempotency_key="k1")
         call = identify_with(build_contract(), request)
         self.assertEqual(call.work, ApplicationCall("tanks", "k1", False))
+
+    def test_caller_names_deadline(self):
+        call = identify_with(build_contract(), build_request(x_deadline_ms="1500"))
+        self.assertEqual(call.deadline, 6.5)
+
+    def test_deadline_of_no_use(self):
+        for value in ("0", "-1", "soon", "9" * 5000):
+            result = identify_with(build_contract(), build_request(x_deadline_ms=value))
+            self.assert_refused(result, 400, ResultCode.MALFORMED_HTTP)
+            self.assertIn("x-deadline-ms", result.outcome.reason)
