--- a/magnoliarouter/core/prefixes.py
+++ b/magnoliarouter/core/prefixes.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -27,6 +28,7 @@
 HASH_MASK = 0xFFFF_FFFF
 MAX_HEADS = 1024
 MAX_LOG_LENGTH = 512
+EXPECTATION_S = 10.0
 
 
 def hash_blocks(prompt: str, limit: int | None = None) -> list[int]:
@@ -86,6 +88,9 @@
 class PrefixIndex:
     """Blocks that one endpoint holds, as far as its events tell.
 
+    A block that was just sent there is expected to be held for a while, since its event is still
+    on its way.
+
     Parameters
     ----------
     capacity : int
@@ -98,6 +103,7 @@
     doubtful: bool = False
     resets: int = 0
     _blocks: OrderedDict[int, None] = field(default_factory=OrderedDict)
+    _expected: OrderedDict[int, float] = field(default_factory=OrderedDict)
 
     def apply(self, change: CacheChange) -> bool:
         """Take a run of events, and return whether a gap or reset emptied the index first.
@@ -114,6 +120,7 @@
             self._blocks.move_to_end(block)
         for block in change.removed:
             self._blocks.pop(block, None)
+            self._expected.pop(block, None)
         while len(self._blocks) > self.capacity:
             self._blocks.popitem(last=False)
         self.last = change.last
@@ -126,15 +133,25 @@
         self._empty()
         self.last = 0
 
-    def holds(self, block: int | None) -> bool:
-        """Return whether the endpoint is known to hold a block."""
-        return block is not None and block in self._blocks
+    def expect(self, block: int, now: float) -> None:
+        """Note at a loop time that a prompt with this block was sent to the endpoint."""
+        self._expected[block] = now + EXPECTATION_S
+        self._expected.move_to_end(block)
+        while len(self._expected) > self.capacity:
+            self._expected.popitem(last=False)
+
+    def holds(self, block: int | None, now: float) -> bool:
+        """Return whether the endpoint is known or expected to hold a block."""
+        if block is None:
+            return False
+        return block in self._blocks or now < self._expected.get(block, -math.inf)
 
     def __len__(self) -> int:
         return len(self._blocks)
 
     def _empty(self) -> None:
         self._blocks.clear()
+        self._expected.clear()
         self.doubtful = True
         self.resets += 1
 
--- a/magnoliarouter/daemon/collector.py
+++ b/magnoliarouter/daemon/collector.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from magnoliarouter.core.digest import DigestRow, DigestTable
-from magnoliarouter.endpoints.report import GuardStatus
+from magnoliarouter.endpoints.messages import GuardStatus
 from magnoliarouter.peers.messages import Digest, DigestRequest, EndpointRow
 
 if TYPE_CHECKING:
@@ -124,6 +124,8 @@
 
     def _take(self, spec: EndpointSpec, status: GuardStatus) -> None:
         now = self._clock()
+        if status.load is None:
+            return
         cache = status.cache.to_change() if status.cache else None
         report = status.load.to_report()
         row = DigestRow(spec.name, spec.zone, status.incarnation, report, now, cache)
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -10,17 +10,19 @@
 from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
 from magnoliarouter.daemon.collector import Collector
 from magnoliarouter.daemon.digests import DIGEST_METHOD, DigestFollower
+from magnoliarouter.daemon.exchange import CallerGone, Exchange, error_body
 from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.daemon.loop import Runtime
 from magnoliarouter.daemon.metrics import Metrics
-from magnoliarouter.daemon.web import CallerGone, Exchange, WebServer, error_body
+from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.peers import PeerClient, PeerServer
 from magnoliarouter.peers.messages import DigestRequest
 from magnoliarouter.pipeline.admit import LocalAdmission
 from magnoliarouter.pipeline.call import ModelCall
-from magnoliarouter.pipeline.deliver import Delivery, deliver_stream, deliver_whole
+from magnoliarouter.pipeline.deliver import deliver_stream, deliver_whole
 from magnoliarouter.pipeline.identify import Refused, identify
+from magnoliarouter.pipeline.meter import Meter
 from magnoliarouter.pipeline.place import Placement, create_policy
 from magnoliarouter.pipeline.retry import Forwarder
 from magnoliarouter.platform.client import PlatformClient
@@ -167,31 +169,45 @@
         if isinstance(permit, NotRun):
             await self._answer_error(exchange, permit, call=call)
             return
-        tokens = 0
+        meter = self._open_meter()
         try:
             with self.metrics.in_flight.track_inprogress():
-                tokens = await self._forward(exchange, call)
+                await self._forward(exchange, call, meter)
         finally:
-            permit.settle(tokens)
+            permit.settle(meter.total)
 
-    async def _forward(self, exchange: Exchange, call: Call) -> int:
-        end = await self._forwarder.forward(
-            call, lambda answer: self._deliver(exchange, call, answer)
+    def _open_meter(self) -> Meter:
+        metrics = self.metrics
+        return Meter(
+            self._loop.time,
+            self._loop.time(),
+            metrics.first_token,
+            metrics.inter_token,
+            metrics.tokens,
         )
+
+    async def _forward(self, exchange: Exchange, call: Call, meter: Meter) -> None:
+        async def deliver(answer: Answer) -> Outcome:
+            if isinstance(call.work, ModelCall):
+                meter.prompt = call.work.prompt_tokens
+            return await self._deliver(exchange, call, answer, meter)
+
+        end = await self._forwarder.forward(call, deliver)
         if not end.answered and not isinstance(end.outcome, Completed):
             await self._answer_error(exchange, end.outcome, call=call)
-            return 0
+            return
         self._record(end.outcome, call, end.endpoint)
-        return end.tokens
 
-    async def _deliver(self, exchange: Exchange, call: Call, answer: Answer) -> Delivery:
+    async def _deliver(
+        self, exchange: Exchange, call: Call, answer: Answer, meter: Meter
+    ) -> Outcome:
         headers = {REQUEST_HEADER: call.request_id}
         try:
             if isinstance(call.work, ModelCall) and call.work.stream and answer.status == 200:
-                return await deliver_stream(exchange, answer, headers)
-            return await deliver_whole(exchange, answer, headers)
+                return await deliver_stream(exchange, answer, headers, meter)
+            return await deliver_whole(exchange, answer, headers, meter)
         except CallerGone:
-            return Delivery(Unknown(ResultCode.CALLER_GONE, "the caller went away"), 0)
+            return Unknown(ResultCode.CALLER_GONE, "the caller went away")
 
     async def _answer_error(
         self,
--- a/magnoliarouter/daemon/settings.py
+++ b/magnoliarouter/daemon/settings.py
@@ -105,6 +105,8 @@
         Name of the endpoint, unique over all endpoints.
     listen : Address
         Address that entry daemons call.
+    advertise : str
+        ``host:port`` that entry daemons call, if it is not the one listened on.
     target : str
         Base URL of the engine or application behind the guard.
     kind : {"engine", "application"}
@@ -115,17 +117,21 @@
         Requests that the endpoint works on at once.
     queue_length : int
         Requests beyond the slots that the guard lets in; further ones are refused as not run.
+    report_delay_seconds : float
+        Time by which the guard's load reports lag, in seconds; above 0 in measurements only.
     checks_fencing : bool
         Whether the endpoint itself refuses orders with an old fencing number.
     """
 
     listen: Address = Address()
+    advertise: str = ""
     target: Url
     kind: Literal["engine", "application"] = "engine"
     models: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
     slots: Annotated[int, Meta(ge=1)] = 8
     queue_length: Annotated[int, Meta(ge=0)] = 8
+    report_delay_seconds: Annotated[float, Meta(ge=0)] = 0.0
     checks_fencing: bool = False
 
 
--- a/magnoliarouter/endpoints/guard.py
+++ b/magnoliarouter/endpoints/guard.py
@@ -1,47 +1,54 @@
 """Guard: HTTP service in front of one endpoint.
 
 It starts each attempt at most once, refuses attempts made for another incarnation, and relays
-the endpoint's answer with the attempt's id on it.
+the endpoint's answer with the attempt's id on it. A call that may run only once goes on to its end
+even if the caller goes away, and its answer is kept for those who ask for it.
 """
 
 from __future__ import annotations
 
+import asyncio
 import re
 from typing import TYPE_CHECKING
 
 import aiohttp
 import msgspec
+from yarl import URL
 
 from magnoliarouter.core.attempts import AttemptTable, StartVerdict
 from magnoliarouter.core.outcome import ResultCode
-from magnoliarouter.daemon.web import error_body
-from magnoliarouter.endpoints.report import LOAD_HEADER, GuardStatus, encode_load_header
-from magnoliarouter.pipeline.dispatch import (
+from magnoliarouter.daemon.exchange import error_body
+from magnoliarouter.endpoints.execution import CROSSED, Broken, Executed, NotReached, execute
+from magnoliarouter.endpoints.messages import (
     ATTEMPT_HEADER,
     DEADLINE_HEADER,
+    FAILURE_HEADER,
+    GUARD_CLOCK_HEADER,
+    GUARD_HEADERS,
     INCARNATION_HEADER,
+    NOT_AFTER_HEADER,
     NOT_STARTED_HEADER,
-    REFUSAL_HEADER,
+    RUN_ONCE_HEADER,
+    VERDICT_HEADER,
+    FenceReply,
+    FenceRequest,
+    GuardStatus,
+    is_answer_of,
+    is_end_to_end,
 )
+from magnoliarouter.endpoints.report import LOAD_HEADER, encode_load_header
+from magnoliarouter.pipeline.proof import was_unsent
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
-    from magnoliarouter.daemon.web import Exchange
+    from magnoliarouter.daemon.exchange import Exchange
     from magnoliarouter.endpoints.monitor import EndpointMonitor
 
 __all__ = ["Guard", "GuardStatus"]
 
-RELAYED_HEADERS = ("x-request-id", ATTEMPT_HEADER, "x-priority", "x-deadline-ms", "content-type")
-
-
-REFUSAL_CODES = {
-    StartVerdict.DRAINING: ResultCode.DRAINING,
-    StartVerdict.FENCED: ResultCode.FENCED,
-    StartVerdict.QUEUE_FULL: ResultCode.QUEUE_FULL,
-    StartVerdict.TABLE_FULL: ResultCode.QUEUE_FULL,
-    StartVerdict.TOO_LATE: ResultCode.DEADLINE_UNREACHABLE,
-}
+OWN_HEADERS = frozenset((INCARNATION_HEADER, NOT_AFTER_HEADER, RUN_ONCE_HEADER))
+UNPROVEN = (StartVerdict.ALREADY_STARTED, StartVerdict.UNRECORDED)
 EVENT_STREAM = "text/event-stream"
 FRAME_START = b"data: "
 DEADLINE = re.compile(r"^[0-9]{1,9}$")
@@ -62,6 +69,10 @@
         Loop time in seconds.
     monitor : EndpointMonitor
         Observations of the endpoint, which go into every answer.
+    once_session : aiohttp.ClientSession, optional
+        Session without connection reuse for calls that may run only once.
+    on_drop : callable, optional
+        Called with the reason for which an answer of the endpoint was dropped.
     """
 
     def __init__(
@@ -71,38 +82,80 @@
         session: aiohttp.ClientSession,
         clock: Callable[[], float],
         monitor: EndpointMonitor,
+        once_session: aiohttp.ClientSession | None = None,
+        on_drop: Callable[[str], None] = lambda reason: None,
     ) -> None:
         self._attempts = attempts
         self._target = target
         self._session = session
+        self._once_session = once_session or session
         self._clock = clock
         self._monitor = monitor
+        self._on_drop = on_drop
+        self._executions: set[asyncio.Task[Executed | NotReached | Broken]] = set()
+        self._controls: dict[str, Callable[[Exchange], Awaitable[None]]] = {
+            "/guard/status": self._tell_status,
+            "/guard/fence": self._fence,
+        }
+
+    def add_control(self, path: str, handle: Callable[[Exchange], Awaitable[None]]) -> None:
+        """Answer requests to a path under ``/guard/`` by a coroutine function."""
+        self._controls[path] = handle
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request of an entry daemon."""
-        if exchange.request.path == "/guard/status":
-            await self._tell_status(exchange)
+        control = self._controls.get(exchange.request.path)
+        if control is not None:
+            await control(exchange)
             return
         headers = exchange.request.headers
         attempt = headers.get(ATTEMPT_HEADER, "")
-        incarnation = headers.get(INCARNATION_HEADER, "")
-        obstacle = self._find_obstacle(headers)
-        verdict = self._attempts.start(attempt, incarnation, self._clock(), obstacle)
+        if not attempt:
+            body = error_body(
+                ResultCode.MALFORMED_HTTP, "not_run", f"header {ATTEMPT_HEADER!r} is needed"
+            )
+            await exchange.send(400, body, self._head(attempt))
+            return
+        verdict = self._attempts.start(
+            attempt,
+            headers.get(INCARNATION_HEADER, ""),
+            self._clock(),
+            _parse_time(headers.get(NOT_AFTER_HEADER)),
+            self._find_obstacle(headers),
+        )
         if verdict is not StartVerdict.START:
             await self._refuse(exchange, attempt, verdict)
             return
         began, running = self._clock(), self._attempts.running
         self._monitor.note_change()
         try:
-            await self._relay(exchange, attempt)
+            if RUN_ONCE_HEADER in headers:
+                await self._run_once(exchange, attempt)
+            else:
+                await self._run(exchange, attempt)
         finally:
-            self._attempts.finish(attempt, self._clock())
             self._monitor.note_change()
         self._monitor.note_service(self._clock() - began, running)
 
-    def report(self) -> GuardStatus:
-        """Return the guard's report on itself."""
-        return self._monitor.describe()
+    def report(self, cache_after: int = -1) -> GuardStatus:
+        """Return the guard's report on itself, with the cache's changes after a number."""
+        table = self._attempts
+        return GuardStatus(
+            table.incarnation,
+            table.running,
+            table.draining,
+            self._clock(),
+            table.size,
+            table.answer_bytes,
+            self._monitor.sequence,
+            self._monitor.describe(),
+            self._monitor.read_cache(cache_after),
+        )
+
+    async def wait_until_idle(self) -> None:
+        """Wait until no call that may run only once is in progress."""
+        while self._executions:
+            await asyncio.wait(self._executions)
 
     async def _tell_status(self, exchange: Exchange) -> None:
         query = exchange.request.query
@@ -115,7 +168,7 @@
             await exchange.send(400, body)
             return
         await self._monitor.wait_for_change(after, wait, pause)
-        await exchange.send(200, msgspec.json.encode(self._monitor.describe(cache_after)))
+        await exchange.send(200, msgspec.json.encode(self.report(cache_after)))
 
     def _find_obstacle(self, headers: dict[str, str]) -> StartVerdict | None:
         if self._monitor.is_full:
@@ -125,54 +178,133 @@
             return StartVerdict.TOO_LATE
         return None
 
+    async def _fence(self, exchange: Exchange) -> None:
+        try:
+            request = msgspec.json.decode(exchange.request.body, type=FenceRequest)
+        except msgspec.DecodeError as error:
+            body = error_body(ResultCode.MALFORMED_BODY, "not_run", f"body: {error}")
+            await exchange.send(400, body)
+            return
+        await exchange.send(200, msgspec.json.encode(self._fence_attempt(request)))
+
+    def _fence_attempt(self, request: FenceRequest) -> FenceReply:
+        if request.incarnation != self._attempts.incarnation:
+            return FenceReply(request.attempt, "other incarnation")
+        state = self._attempts.fence(request.attempt, self._clock())
+        if state is None:
+            return FenceReply(request.attempt, "table full")
+        return FenceReply(request.attempt, state.value, self._attempts.find_answer(request.attempt))
+
     def _head(self, attempt: str) -> dict[str, str]:
-        return {ATTEMPT_HEADER: attempt, LOAD_HEADER: encode_load_header(self._monitor.report())}
+        return {
+            ATTEMPT_HEADER: attempt,
+            GUARD_CLOCK_HEADER: f"{self._clock():.3f}",
+            LOAD_HEADER: encode_load_header(self._monitor.report()),
+        }
 
     async def _refuse(self, exchange: Exchange, attempt: str, verdict: StartVerdict) -> None:
-        headers = self._head(attempt)
-        if verdict is StartVerdict.ALREADY_STARTED:
-            headers[REFUSAL_HEADER] = str(int(ResultCode.IN_PROGRESS))
+        headers = {**self._head(attempt), VERDICT_HEADER: verdict.value}
+        if verdict in UNPROVEN:
             body = error_body(ResultCode.IN_PROGRESS, "unknown", verdict.value)
             await exchange.send(409, body, headers)
             return
-        code = REFUSAL_CODES.get(verdict, ResultCode.ENDPOINT_REFUSED)
-        headers[NOT_STARTED_HEADER] = attempt
-        headers[REFUSAL_HEADER] = str(int(code))
-        body = error_body(code, "not_run", verdict.value)
+        await self._refuse_unstarted(exchange, headers, verdict.value)
+
+    async def _refuse_unstarted(
+        self, exchange: Exchange, headers: dict[str, str], reason: str
+    ) -> None:
+        headers[NOT_STARTED_HEADER] = headers[ATTEMPT_HEADER]
+        body = error_body(ResultCode.ENDPOINT_REFUSED, "not_run", reason)
         await exchange.send(503, body, headers)
 
+    async def _run_once(self, exchange: Exchange, attempt: str) -> None:
+        task = asyncio.get_running_loop().create_task(self._execute(exchange, attempt))
+        self._executions.add(task)
+        task.add_done_callback(self._executions.discard)
+        # A caller that goes away cancels this coroutine, not the execution.
+        match await asyncio.shield(task):
+            case Executed(answer, body):
+                head = {**self._head(attempt), "Content-Type": answer.content_type}
+                await exchange.send(answer.status, body, head)
+            case NotReached(reason):
+                await self._refuse_unstarted(exchange, self._head(attempt), reason)
+            case Broken(reason):
+                if reason == CROSSED:
+                    self._on_drop("crossed")
+                await self._tell_failure(exchange, attempt, ResultCode.ENDPOINT_ERROR, reason)
+
+    async def _execute(self, exchange: Exchange, attempt: str) -> Executed | NotReached | Broken:
+        request = exchange.request
+        result = await execute(
+            self._once_session,
+            request.method,
+            self._url(exchange),
+            self._relayed_headers(exchange),
+            request.body,
+        )
+        now = self._clock()
+        match result:
+            case Executed(answer):
+                self._attempts.finish(attempt, now, answer)
+            case NotReached():
+                self._attempts.withdraw(attempt, now)
+            case Broken():
+                self._attempts.break_off(attempt, now)
+        return result
+
+    async def _run(self, exchange: Exchange, attempt: str) -> None:
+        try:
+            await self._relay(exchange, attempt)
+        finally:
+            self._attempts.finish(attempt, self._clock())
+
     async def _relay(self, exchange: Exchange, attempt: str) -> None:
         request = exchange.request
-        headers = {
-            name: request.headers[name] for name in RELAYED_HEADERS if name in request.headers
-        }
         try:
             async with self._session.request(
-                request.method, self._target + request.path, headers=headers, data=request.body
+                request.method,
+                self._url(exchange),
+                headers=self._relayed_headers(exchange),
+                data=request.body,
+                allow_redirects=False,
             ) as answer:
                 await self._relay_answer(exchange, attempt, answer)
-        except aiohttp.ClientConnectorError:
-            await self._tell_failure(exchange, attempt, ResultCode.ENDPOINT_UNREACHABLE)
-        except (aiohttp.ClientError, OSError):
+        except (aiohttp.ClientError, OSError) as error:
             if exchange.started:
                 exchange.abort()
                 return
-            await self._tell_failure(exchange, attempt, ResultCode.ENDPOINT_ERROR)
+            reason = type(error).__name__
+            if was_unsent(error):
+                await self._refuse_unstarted(exchange, self._head(attempt), reason)
+                return
+            await self._tell_failure(exchange, attempt, ResultCode.ENDPOINT_ERROR, reason)
 
-    async def _tell_failure(self, exchange: Exchange, attempt: str, code: ResultCode) -> None:
-        """Answer instead of the endpoint; without a connection to it nothing has started."""
-        headers = {**self._head(attempt), REFUSAL_HEADER: str(int(code))}
-        outcome = "unknown"
-        if code is ResultCode.ENDPOINT_UNREACHABLE:
-            headers[NOT_STARTED_HEADER] = attempt
-            outcome = "not_run"
-        await exchange.send(502, error_body(code, outcome, "endpoint gave no answer"), headers)
+    async def _tell_failure(
+        self, exchange: Exchange, attempt: str, code: ResultCode, reason: str
+    ) -> None:
+        """Answer in place of an endpoint whose answer was lost."""
+        headers = {**self._head(attempt), FAILURE_HEADER: str(int(code))}
+        await exchange.send(502, error_body(code, "unknown", reason), headers)
 
     async def _relay_answer(
         self, exchange: Exchange, attempt: str, answer: aiohttp.ClientResponse
     ) -> None:
-        head = {**self._head(attempt), "Content-Type": answer.content_type}
-        await exchange.start(answer.status, head)
+        if not is_answer_of(answer.headers, attempt):
+            answer.close()
+            self._on_drop("crossed")
+            await self._tell_failure(exchange, attempt, ResultCode.WRONG_ATTEMPT, CROSSED)
+            return
+        if not _shows_truncation(answer):
+            reason = "answer without a length"
+            await self._tell_failure(exchange, attempt, ResultCode.ENDPOINT_ERROR, reason)
+            return
+        connection = answer.headers.get("connection", "")
+        relayed = {
+            name: value
+            for name, value in answer.headers.items()
+            if is_end_to_end(name, connection) and name.lower() not in GUARD_HEADERS
+        }
+        await exchange.start(answer.status, {**relayed, **self._head(attempt)})
         streamed = answer.content_type == EVENT_STREAM
         last: float | None = None
         async for chunk in answer.content.iter_any():
@@ -187,3 +319,34 @@
         if last is not None and frames:
             self._monitor.note_token((now - last) / frames)
         return now
+
+    def _url(self, exchange: Exchange) -> URL:
+        return URL(self._target + exchange.request.target, encoded=True)
+
+    def _relayed_headers(self, exchange: Exchange) -> dict[str, str]:
+        headers = exchange.request.headers
+        connection = headers.get("connection", "")
+        return {
+            name: value
+            for name, value in headers.items()
+            if is_end_to_end(name, connection) and name not in OWN_HEADERS
+        }
+
+
+def _parse_time(text: str | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        return float(text)
+    except ValueError:
+        # An unreadable last start time must not widen the window.
+        return float("-inf")
+
+
+def _shows_truncation(answer: aiohttp.ClientResponse) -> bool:
+    """Return whether a cut of the endpoint's connection would be noticed."""
+    if answer.content_type == EVENT_STREAM:
+        return True
+    framed = "content-length" in answer.headers
+    chunked = "chunked" in answer.headers.get("transfer-encoding", "").lower()
+    return framed or chunked or answer.status in (204, 304) or answer.method == "HEAD"
--- a/magnoliarouter/endpoints/monitor.py
+++ b/magnoliarouter/endpoints/monitor.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import dataclasses
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -12,7 +14,7 @@
 
 from magnoliarouter.core.load import LoadReport
 from magnoliarouter.core.prefixes import CacheChange, CacheLog
-from magnoliarouter.endpoints.report import CacheRun, GuardStatus, LoadRow
+from magnoliarouter.endpoints.report import CacheRun, LoadRow
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -66,10 +68,17 @@
         Requests that the endpoint works on at once, and those let in beyond them.
     clock : callable
         Loop time in seconds.
+    delay : float
+        Seconds by which reports lag; for measurements.
     """
 
     def __init__(
-        self, attempts: AttemptTable, slots: int, queue_limit: int, clock: Callable[[], float]
+        self,
+        attempts: AttemptTable,
+        slots: int,
+        queue_limit: int,
+        clock: Callable[[], float],
+        delay: float = 0.0,
     ) -> None:
         self.slots = slots
         self.queue_limit = queue_limit
@@ -79,9 +88,11 @@
         self._clock = clock
         self._token = _Average()
         self._service = _Average()
-        self._engine_queued = 0
+        self._engine_requests = 0
         self._engine_last = 0
-        self._published = self.report()
+        self._delay = delay
+        self._samples: deque[tuple[float, LoadReport]] = deque()
+        self._published = self._measure()
         self._changed = asyncio.Event()
         self._urgent = asyncio.Event()
 
@@ -97,7 +108,20 @@
         return self._service.value * excess / self.slots
 
     def report(self) -> LoadReport:
-        """Return the present load."""
+        """Return the load to tell: the present one, or the one before the configured delay."""
+        present = self._measure()
+        if not self._delay:
+            return present
+        now = self._clock()
+        while len(self._samples) > 1 and self._samples[1][0] <= now - self._delay:
+            self._samples.popleft()
+        if not self._samples:
+            return present
+        time, sample = self._samples[0]
+        age = max(0.0, min(now - time, self._delay))
+        return dataclasses.replace(sample, draining=present.draining, age=age)
+
+    def _measure(self) -> LoadReport:
         return LoadReport(
             self._attempts.running,
             self.slots,
@@ -105,7 +129,7 @@
             self._token.value,
             self._service.value,
             self._attempts.draining,
-            self._engine_queued,
+            self._engine_requests,
         )
 
     def note_token(self, seconds: float) -> None:
@@ -121,7 +145,9 @@
 
     def note_change(self) -> None:
         """Publish the present load if it differs enough from the one published."""
-        old, new = self._published, self.report()
+        old, new = self._published, self._measure()
+        if self._delay:
+            self._samples.append((self._clock(), new))
         step = max(1.0, LOAD_STEP * self.slots)
         if old.draining != new.draining:
             self._urgent.set()
@@ -132,20 +158,14 @@
         self._published = new
         self._wake()
 
-    def describe(self, cache_after: int = -1) -> GuardStatus:
-        """Return the status, with the cache's changes after a number if one is given."""
-        report = self.report()
-        change = self.cache.read(cache_after) if cache_after >= 0 else None
-        run = CacheRun.from_change(change) if change else None
-        table = self._attempts
-        return GuardStatus(
-            table.incarnation,
-            table.running,
-            table.draining,
-            self.sequence,
-            LoadRow.from_report(report),
-            run,
-        )
+    def describe(self) -> LoadRow:
+        """Return the load to tell in the form in which it is sent."""
+        return LoadRow.from_report(self.report())
+
+    def read_cache(self, after: int) -> CacheRun | None:
+        """Return the cache's changes after a number; None if there are none or it is negative."""
+        change = self.cache.read(after) if after >= 0 else None
+        return CacheRun.from_change(change) if change else None
 
     async def wait_for_change(self, after: int, wait: float, pause: float) -> None:
         """Wait until something changed after a sequence number.
@@ -182,7 +202,8 @@
         status, body = await _read(session, f"{target}/load")
         if status == 200:
             with contextlib.suppress(msgspec.DecodeError):
-                self._engine_queued = msgspec.json.decode(body, type=_EngineLoad).queued
+                load = msgspec.json.decode(body, type=_EngineLoad)
+                self._engine_requests = load.running + load.queued
         return status != 404
 
     async def _poll_events(self, target: str, session: aiohttp.ClientSession) -> bool:
--- a/magnoliarouter/endpoints/report.py
+++ b/magnoliarouter/endpoints/report.py
@@ -1,4 +1,4 @@
-"""Reports of a guard: the load header on every answer and the status that collectors wait for."""
+"""Reports of a guard on its endpoint: the load header on every answer, load and cache rows."""
 
 from __future__ import annotations
 
@@ -10,7 +10,6 @@
 __all__ = [
     "LOAD_HEADER",
     "CacheRun",
-    "GuardStatus",
     "LoadRow",
     "decode_load_header",
     "encode_load_header",
@@ -18,6 +17,7 @@
 
 LOAD_HEADER = "x-load"
 MICROSECONDS = 1_000_000
+MILLISECONDS = 1000
 
 
 class LoadRow(msgspec.Struct, frozen=True, array_like=True):
@@ -29,7 +29,8 @@
     token_us: int = 0
     service_us: int = 0
     draining: bool = False
-    engine_queued: int = 0
+    engine_requests: int = 0
+    age_ms: int = 0
 
     @classmethod
     def from_report(cls, report: LoadReport) -> LoadRow:
@@ -41,7 +42,8 @@
             round(report.token_seconds * MICROSECONDS),
             round(report.service_seconds * MICROSECONDS),
             report.draining,
-            report.engine_queued,
+            report.engine_requests,
+            round(report.age * MILLISECONDS),
         )
 
     def to_report(self) -> LoadReport:
@@ -53,7 +55,8 @@
             self.token_us / MICROSECONDS,
             self.service_us / MICROSECONDS,
             self.draining,
-            self.engine_queued,
+            self.engine_requests,
+            max(0, self.age_ms) / MILLISECONDS,
         )
 
 
@@ -76,33 +79,6 @@
         return CacheChange(self.after, self.last, self.stored, self.removed, self.reset)
 
 
-class GuardStatus(msgspec.Struct, frozen=True):
-    """Report of a guard on itself.
-
-    Parameters
-    ----------
-    incarnation : str
-        Id of the guard's present start.
-    running : int
-        Attempts in progress.
-    draining : bool
-        Whether new attempts are refused.
-    sequence : int
-        Grows with every change worth telling.
-    load : LoadRow
-        Load in full.
-    cache : CacheRun, optional
-        Changes of the prefix cache since the number that was asked for.
-    """
-
-    incarnation: str
-    running: int
-    draining: bool
-    sequence: int = 0
-    load: LoadRow = LoadRow(0, 1, 0)
-    cache: CacheRun | None = None
-
-
 def encode_load_header(report: LoadReport) -> str:
     """Return the value of the load header."""
     return msgspec.json.encode(LoadRow.from_report(report)).decode()
--- a/magnoliarouter/pipeline/dispatch.py
+++ b/magnoliarouter/pipeline/dispatch.py
@@ -10,7 +10,17 @@
 
 import aiohttp
 
+from magnoliarouter.core.attempts import StartVerdict
 from magnoliarouter.core.outcome import NotRun, ResultCode, Unknown
+from magnoliarouter.endpoints.messages import (
+    ATTEMPT_HEADER,
+    DEADLINE_HEADER,
+    FAILURE_HEADER,
+    INCARNATION_HEADER,
+    REQUEST_HEADER,
+    VERDICT_HEADER,
+)
+from magnoliarouter.pipeline.proof import UNNAMED_REFUSAL, find_refusal, was_unsent
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Mapping
@@ -20,14 +30,16 @@
 
 __all__ = ["ATTEMPT_HEADER", "Answer", "open_attempt"]
 
-ATTEMPT_HEADER = "x-attempt-id"
-REQUEST_HEADER = "x-request-id"
-INCARNATION_HEADER = "x-incarnation"
 PRIORITY_HEADER = "x-priority"
-DEADLINE_HEADER = "x-deadline-ms"
-NOT_STARTED_HEADER = "x-not-started"
-REFUSAL_HEADER = "x-refusal-code"
 REFUSED_RETRY_S = 1.0
+REFUSAL_CODES = {
+    StartVerdict.DRAINING.value: ResultCode.DRAINING,
+    StartVerdict.FENCED.value: ResultCode.FENCED,
+    StartVerdict.QUEUE_FULL.value: ResultCode.QUEUE_FULL,
+    StartVerdict.TABLE_FULL.value: ResultCode.QUEUE_FULL,
+    StartVerdict.TOO_LATE.value: ResultCode.DEADLINE_UNREACHABLE,
+    UNNAMED_REFUSAL: ResultCode.ENDPOINT_UNREACHABLE,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,15 +93,16 @@
     url = f"http://{endpoint.address}{call.path}"
     try:
         async with asyncio.timeout(call.deadline - now):
-            response = await session.request(call.method, url, headers=headers, data=call.body)
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-        yield NotRun(ResultCode.ENDPOINT_UNREACHABLE, "no connection to the endpoint")
-        return
-    except TimeoutError:
-        yield Unknown(ResultCode.DEADLINE_EXCEEDED, "no answer before the deadline")
-        return
-    except (aiohttp.ClientError, OSError) as error:
-        yield Unknown(ResultCode.ENDPOINT_ERROR, type(error).__name__)
+            response = await session.request(
+                call.method, url, headers=headers, data=call.body, allow_redirects=False
+            )
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        if was_unsent(error):
+            yield NotRun(ResultCode.ENDPOINT_UNREACHABLE, "no connection to the endpoint")
+            return
+        late = isinstance(error, TimeoutError)
+        code = ResultCode.DEADLINE_EXCEEDED if late else ResultCode.ENDPOINT_ERROR
+        yield Unknown(code, type(error).__name__)
         return
     async with response:
         on_head(response.headers)
@@ -100,17 +113,21 @@
     if response.headers.get(ATTEMPT_HEADER) != attempt:
         response.close()
         return Unknown(ResultCode.WRONG_ATTEMPT, "the answer belongs to another attempt")
-    refusal = _parse_refusal(response.headers.get(REFUSAL_HEADER, ""))
-    if response.headers.get(NOT_STARTED_HEADER) == attempt:
-        reason = "the endpoint's guard did not start it"
-        return NotRun(refusal or ResultCode.ENDPOINT_REFUSED, reason, REFUSED_RETRY_S)
-    if refusal is not None:
-        return Unknown(refusal, "the endpoint's guard got no answer from it")
+    reason = find_refusal(response.headers, attempt)
+    if reason is not None:
+        code = REFUSAL_CODES.get(reason, ResultCode.ENDPOINT_REFUSED)
+        text = f"the endpoint's guard refused it: {reason}"
+        return NotRun(code, text, REFUSED_RETRY_S)
+    if VERDICT_HEADER in response.headers:
+        return Unknown(ResultCode.IN_PROGRESS, "the endpoint's guard knows the attempt already")
+    if FAILURE_HEADER in response.headers:
+        code = _parse_code(response.headers[FAILURE_HEADER])
+        return Unknown(code, "the endpoint's answer was lost behind its guard")
     return Answer(response.status, response.content_type, response.content)
 
 
-def _parse_refusal(value: str) -> ResultCode | None:
+def _parse_code(value: str) -> ResultCode:
     try:
         return ResultCode(int(value))
     except ValueError:
-        return None
+        return ResultCode.ENDPOINT_ERROR
--- a/magnoliarouter/pipeline/place.py
+++ b/magnoliarouter/pipeline/place.py
@@ -100,7 +100,7 @@
         now = self._clock()
         specs = {spec.name: spec for spec in self._list_open(call) if spec.name not in tried}
         usable = self.outliers.select_usable(specs, now)
-        head = hash_head(call.work.prefix) if isinstance(call.work, ModelCall) else None
+        head = _hash_head(call)
         candidates = [self._describe(specs[name], head, now) for name in sorted(usable)]
         key = _key(call)
         remaining = call.deadline - now if call.deadline else math.inf
@@ -111,18 +111,21 @@
         return self._endpoints.get(name)
 
     @contextmanager
-    def track(self, endpoint: EndpointSpec) -> Iterator[None]:
-        """Count an attempt as in progress on an endpoint."""
+    def track(self, endpoint: EndpointSpec, call: Call) -> Iterator[None]:
+        """Count an attempt of a call as in progress on an endpoint."""
         load = self._load(endpoint.name)
-        load.own += 1
+        head = _hash_head(call)
+        if head is not None:
+            self._index(endpoint.name).expect(head, self._clock())
+        load.begin(self._clock())
         try:
             yield
         finally:
-            load.own -= 1
+            load.end(self._clock())
 
-    def take_report(self, name: str, report: LoadReport, measured: float) -> None:
-        """Take a load report of an endpoint that was true at a loop time."""
-        self._load(name).take_report(report, measured)
+    def take_report(self, name: str, report: LoadReport, sent: float) -> None:
+        """Take a load report of an endpoint that was sent at a loop time."""
+        self._load(name).take_report(report, sent - report.age)
 
     def take_incarnation(self, name: str, incarnation: str) -> None:
         """Note the incarnation of an endpoint's guard; a new one starts with an empty index."""
@@ -130,7 +133,7 @@
         self._incarnations[name] = incarnation
         if known not in (None, incarnation):
             self._index(name).restart()
-            self._loads[name] = EndpointLoad(own=self._load(name).own)
+            self._load(name).forget_report()
 
     def take_cache_change(self, name: str, change: CacheChange) -> bool:
         """Take cache events of an endpoint, and return whether its index was emptied."""
@@ -170,10 +173,12 @@
         return {vm.address for vm in vms if vm.leaving and vm.role == "endpoint"}
 
     def _is_draining(self, spec: EndpointSpec) -> bool:
-        known = self._incarnations.get(spec.name, spec.incarnation)
         load = self._loads.get(spec.name)
-        # A report of an earlier incarnation says nothing about the one now registered.
-        return known == spec.incarnation and bool(load and load.report and load.report.draining)
+        return self._is_current(spec) and bool(load and load.report and load.report.draining)
+
+    def _is_current(self, spec: EndpointSpec) -> bool:
+        """Return whether what is known comes from the incarnation that is registered."""
+        return self._incarnations.get(spec.name, spec.incarnation) == spec.incarnation
 
     def _describe(self, spec: EndpointSpec, head: int | None, now: float) -> Candidate:
         load = self._load(spec.name)
@@ -187,9 +192,9 @@
             queue_limit=report.queue_limit,
             token_seconds=report.token_seconds,
             service_seconds=report.service_seconds,
-            warm=index is not None and index.holds(head),
+            warm=index is not None and self._is_current(spec) and index.holds(head, now),
             extra_load=self._extra_load(spec.name),
-            reported=report.running,
+            reported=report.engine_requests,
         )
 
     def _load(self, name: str) -> EndpointLoad:
@@ -213,3 +218,7 @@
             return prefix
         case ApplicationCall():
             return call.request_id
+
+
+def _hash_head(call: Call) -> int | None:
+    return hash_head(call.work.prefix) if isinstance(call.work, ModelCall) else None
--- a/magnoliarouter/pipeline/retry.py
+++ b/magnoliarouter/pipeline/retry.py
@@ -10,12 +10,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from magnoliarouter.core.attempts import StartVerdict
 from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
 from magnoliarouter.core.placement import Choice, Chosen, NoCapacity, NoEndpoint, TooLate
 from magnoliarouter.core.retries import RetryBudget
+from magnoliarouter.endpoints.messages import VERDICT_HEADER
 from magnoliarouter.endpoints.report import LOAD_HEADER, decode_load_header
 from magnoliarouter.pipeline.call import ApplicationCall
-from magnoliarouter.pipeline.dispatch import INCARNATION_HEADER, Answer, open_attempt
+from magnoliarouter.pipeline.dispatch import Answer, open_attempt
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
@@ -24,7 +26,6 @@
 
     from magnoliarouter.daemon.metrics import Metrics
     from magnoliarouter.pipeline.call import Call
-    from magnoliarouter.pipeline.deliver import Delivery
     from magnoliarouter.pipeline.place import Placement
     from magnoliarouter.platform.objects import EndpointSpec
 
@@ -47,15 +48,12 @@
         Outcome of the last attempt.
     answered : bool
         Whether the caller has been sent an answer.
-    tokens : int
-        Tokens delivered to the caller.
     endpoint : str
         Endpoint of the last attempt; empty if there was none.
     """
 
     outcome: Outcome
     answered: bool
-    tokens: int = 0
     endpoint: str = ""
 
 
@@ -91,7 +89,7 @@
         self._budget = budget or RetryBudget()
 
     async def forward(
-        self, call: Call, deliver: Callable[[Answer], Awaitable[Delivery]]
+        self, call: Call, deliver: Callable[[Answer], Awaitable[Outcome]]
     ) -> Forwarded:
         """Bring a call to an end.
 
@@ -100,7 +98,7 @@
         call : Call
             The call.
         deliver : callable
-            Coroutine function that carries an answer to the caller.
+            Coroutine function that carries an answer to the caller and returns its outcome.
 
         Returns
         -------
@@ -117,7 +115,7 @@
                 return doubt or last or Forwarded(explain_choice(choice), False)
             self._count_choice(choice)
             tried.add(endpoint.name)
-            with self._placement.track(endpoint):
+            with self._placement.track(endpoint, call):
                 last = await self._attempt(call, endpoint, deliver)
             if last.answered:
                 return last
@@ -129,7 +127,7 @@
             self._metrics.retries.labels(last.outcome.code.name.lower()).inc()
 
     async def _attempt(
-        self, call: Call, endpoint: EndpointSpec, deliver: Callable[[Answer], Awaitable[Delivery]]
+        self, call: Call, endpoint: EndpointSpec, deliver: Callable[[Answer], Awaitable[Outcome]]
     ) -> Forwarded:
         def on_head(headers: Mapping[str, str]) -> None:
             self._take_head(endpoint, headers)
@@ -137,17 +135,17 @@
         now = self._clock()
         async with open_attempt(self._session, endpoint, call, now, on_head) as answer:
             if isinstance(answer, Answer):
-                delivery = await deliver(answer)
-                self._judge(endpoint.name, delivery.outcome, answer.status)
-                return Forwarded(delivery.outcome, True, delivery.tokens, endpoint.name)
+                outcome = await deliver(answer)
+                self._judge(endpoint.name, outcome, answer.status)
+                return Forwarded(outcome, True, endpoint.name)
         self._judge(endpoint.name, answer)
-        return Forwarded(answer, False, 0, endpoint.name)
+        return Forwarded(answer, False, endpoint.name)
 
     def _take_head(self, endpoint: EndpointSpec, headers: Mapping[str, str]) -> None:
         report = decode_load_header(headers.get(LOAD_HEADER, "[]"))
-        if report is not None:
-            incarnation = headers.get(INCARNATION_HEADER, endpoint.incarnation)
-            self._placement.take_incarnation(endpoint.name, incarnation)
+        refused = headers.get(VERDICT_HEADER) == StartVerdict.WRONG_INCARNATION.value
+        if report is not None and not refused:
+            self._placement.take_incarnation(endpoint.name, endpoint.incarnation)
             self._placement.take_report(endpoint.name, report, self._clock())
 
     def _judge(self, name: str, outcome: Outcome, status: int = 0) -> None:
--- a/magnoliarouter/tests/builders.py
+++ b/magnoliarouter/tests/builders.py
@@ -55,7 +55,7 @@
         "content_type": "application/json",
         "body": b"{}",
         "deadline": 1060.0,
-        "work": work or ModelCall("draft", False, "hello", 20),
+        "work": work or ModelCall("draft", False, "hello", 1, 20),
     }
     return Call(**{**values, **changes})
 
--- a/magnoliarouter/tests/test_load.py
+++ b/magnoliarouter/tests/test_load.py
@@ -25,6 +25,21 @@
         load.confirm(15.0)
         self.assertEqual(load.estimate(15.0), 4.0)
 
+    def test_late_report_is_compared_with_own_requests_of_its_time(self):
+        load = EndpointLoad()
+        for moment in (1.0, 2.0):
+            load.begin(moment)
+        load.end(6.0)
+        load.take_report(LoadReport(5, 8, 8, age=5.0), 2.0)
+        self.assertEqual(load.others, 3.0)
+        self.assertEqual(load.estimate(7.0), 2.5)
+
+    def test_confirmation_of_a_late_report_is_as_late(self):
+        load = EndpointLoad()
+        load.take_report(LoadReport(4, 8, 8, age=5.0), 5.0)
+        load.confirm(20.0)
+        self.assertEqual(load.estimate(20.0), 2.0)
+
     def test_older_report_is_ignored(self):
         load = EndpointLoad()
         load.take_report(LoadReport(4, 8, 8), 10.0)
--- a/magnoliarouter/tests/test_prefixes.py
+++ b/magnoliarouter/tests/test_prefixes.py
@@ -12,15 +12,15 @@
     def test_gap_empties_the_index(self):
         index = PrefixIndex()
         index.apply(CacheChange(0, 1, stored=(11,)))
-        self.assertTrue(index.holds(11))
+        self.assertTrue(index.holds(11, 0.0))
         self.assertTrue(index.apply(CacheChange(2, 3)))
-        self.assertFalse(index.holds(11))
+        self.assertFalse(index.holds(11, 0.0))
         self.assertTrue(index.doubtful)
 
     def test_index_is_rebuilt_from_later_events(self):
         index = PrefixIndex()
         index.apply(CacheChange(4, 5, stored=(11,)))
-        self.assertTrue(index.holds(11))
+        self.assertTrue(index.holds(11, 0.0))
         self.assertFalse(index.doubtful)
 
     def test_repeated_run_changes_nothing(self):
@@ -28,12 +28,20 @@
         index.apply(CacheChange(0, 2, stored=(11,)))
         index.apply(CacheChange(2, 3, removed=(11,)))
         self.assertFalse(index.apply(CacheChange(0, 2, stored=(11,))))
-        self.assertFalse(index.holds(11))
+        self.assertFalse(index.holds(11, 0.0))
+
+    def test_expectation_ends_by_time_or_by_removal(self):
+        index = PrefixIndex()
+        index.expect(11, 0.0)
+        index.expect(12, 0.0)
+        index.apply(CacheChange(0, 1, removed=(11,)))
+        self.assertEqual([index.holds(block, 9.9) for block in (11, 12)], [False, True])
+        self.assertFalse(index.holds(12, 10.0))
 
     def test_capacity(self):
         index = PrefixIndex(capacity=2)
         index.apply(CacheChange(0, 1, stored=(1, 2, 3)))
-        self.assertEqual([index.holds(block) for block in (1, 2, 3)], [False, True, True])
+        self.assertEqual([index.holds(block, 0.0) for block in (1, 2, 3)], [False, True, True])
 
     def test_head_ignores_what_follows(self):
         head = "system prompt " * 20
@@ -49,7 +57,9 @@
         index = PrefixIndex()
         index.apply(CacheChange(0, 1, stored=(1,)))
         self.assertTrue(index.apply(log.read(1)))
-        self.assertEqual([index.holds(block) for block in (1, 2, 3, 4)], [False, False, True, True])
+        self.assertEqual(
+            [index.holds(block, 0.0) for block in (1, 2, 3, 4)], [False, False, True, True]
+        )
 
     @settings(derandomize=True, deadline=None, max_examples=60, database=None)
     @given(st.lists(st.tuples(st.integers(0, 5), st.booleans(), st.booleans()), max_size=40))
@@ -64,4 +74,4 @@
             log.append(CacheChange(number - 1, number, stored, removed))
             if number % 3 == 0 and (change := log.read(index.last)) is not None:
                 index.apply(change)
-                self.assertLessEqual({b for b in range(6) if index.holds(b)}, held)
+                self.assertLessEqual({b for b in range(6) if index.holds(b, 0.0)}, held)
--- a/magnoliarouter/tests/test_retry.py
+++ b/magnoliarouter/tests/test_retry.py
@@ -12,7 +12,6 @@
 from magnoliarouter.core.retries import RetryBudget
 from magnoliarouter.daemon.metrics import Metrics
 from magnoliarouter.pipeline.call import ApplicationCall, ModelCall
-from magnoliarouter.pipeline.deliver import Delivery
 from magnoliarouter.pipeline.dispatch import Answer
 from magnoliarouter.pipeline.place import Placement
 from magnoliarouter.pipeline.retry import Forwarder
@@ -50,7 +49,7 @@
             yield next(script)
 
         async def deliver(answer):
-            return Delivery(delivery, 3)
+            return delivery
 
         forwarder = Forwarder(self.placement, None, lambda: 1000.0, self.metrics, budget)
         with mock.patch("magnoliarouter.pipeline.retry.open_attempt", open_attempt):
@@ -58,7 +57,7 @@
 
     async def test_refused_attempt_goes_elsewhere(self):
         end = await self.forward(DRAINING, ANSWER)
-        self.assertEqual((end.outcome, end.answered, end.tokens), (DONE, True, 3))
+        self.assertEqual((end.outcome, end.answered), (DONE, True))
         self.assertEqual(len(set(self.sent)), 2)
         self.assertEqual(self.metrics.retries.labels("draining")._value.get(), 1)
 
@@ -114,16 +113,24 @@
 
     def test_gap_in_cache_events_makes_the_prefix_cold(self):
         prefix = "x" * 256
-        call = build_call(ModelCall("draft", False, prefix, 80))
+        call = build_call(ModelCall("draft", False, prefix, 64, 80))
         placement = build_placement("a")
         placement.take_cache_change("a", CacheChange(0, 1, stored=(hash_head(prefix),)))
         self.assertTrue(placement.place(call).warm)
         self.assertTrue(placement.take_cache_change("a", CacheChange(5, 6)))
         self.assertFalse(placement.place(call).warm)
 
+    def test_prefix_just_sent_is_expected_until_a_gap(self):
+        call = build_call(ModelCall("draft", False, "x" * 256, 64, 80))
+        placement = build_placement("a")
+        with placement.track(placement.find("a"), call):
+            self.assertTrue(placement.place(call).warm)
+        placement.take_cache_change("a", CacheChange(5, 6))
+        self.assertFalse(placement.place(call).warm)
+
     def test_new_incarnation_starts_cold(self):
         prefix = "x" * 256
-        call = build_call(ModelCall("draft", False, prefix, 80))
+        call = build_call(ModelCall("draft", False, prefix, 64, 80))
         placement = build_placement("a")
         placement.take_incarnation("a", "i1")
         placement.take_cache_change("a", CacheChange(0, 1, stored=(hash_head(prefix),)))
@@ -133,6 +140,6 @@
     def test_own_requests_count_before_any_report(self):
         placement = build_placement("a", "b")
         first = self.place(placement).name
-        with placement.track(placement.find(first)):
+        with placement.track(placement.find(first), build_call()):
             self.assertNotEqual(self.place(placement).name, first)
         self.assertEqual(self.place(placement).name, first)
