--- a/magnoliarouter/tests/test_identify.py
+++ b/magnoliarouter/tests/test_identify.py
@@ -64,4 +64,4 @@
         for value in ("0", "-1", "soon", "9" * 5000):
             result = identify_with(build_contract(), build_request(x_deadline_ms=value))
             self.assert_refused(result, 400, ResultCode.MALFORMED_HTTP)
-            self.assertIn("x-deadline-ms", result.outcome.reason)
+            self.assertIn("x-deadline-ms", result.reason)
