--- a/magnoliarouter/daemon/digests.py
+++ b/magnoliarouter/daemon/digests.py
@@ -8,21 +8,24 @@
 from typing import TYPE_CHECKING
 
 from magnoliarouter.core.membership import EntryVm, order_duty_holders
+from magnoliarouter.daemon.collector import Collector
 from magnoliarouter.peers import PeerError
 from magnoliarouter.peers.messages import Digest, DigestRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    import aiohttp
+
     from magnoliarouter.core.cache import VersionedCache
     from magnoliarouter.core.digest import DigestRow
-    from magnoliarouter.daemon.collector import Collector
     from magnoliarouter.daemon.metrics import Metrics
-    from magnoliarouter.peers import PeerClient
+    from magnoliarouter.daemon.settings import EntrySettings
+    from magnoliarouter.peers import PeerClient, PeerServer
     from magnoliarouter.pipeline.place import Placement
-    from magnoliarouter.platform.objects import VmSpec
+    from magnoliarouter.platform.objects import EndpointSpec, VmSpec
 
-__all__ = ["DIGEST_METHOD", "DigestFollower", "order_collectors"]
+__all__ = ["DigestFollower", "ReportDuty", "order_collectors"]
 
 DIGEST_METHOD = "digest"
 DUTY = "collector"
@@ -160,3 +163,58 @@
             for vm in self._vms.values().values()
             if vm.role == "entry"
         ]
+
+
+class ReportDuty:
+    """Part of an entry daemon in the exchange of reports: collects when asked, and follows.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Settings of the daemon.
+    session : aiohttp.ClientSession
+        HTTP session of the process.
+    peers : tuple of PeerClient and PeerServer
+        Calls to and from other entry daemons; the server has not started yet.
+    caches : tuple of VersionedCache
+        Registered endpoints, and VMs as the platform lists them.
+    placement : Placement
+        Receives the reports.
+    metrics : Metrics
+        Counters.
+    clock : callable
+        Loop time in seconds.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        session: aiohttp.ClientSession,
+        peers: tuple[PeerClient, PeerServer],
+        caches: tuple[VersionedCache[EndpointSpec], VersionedCache[VmSpec]],
+        placement: Placement,
+        metrics: Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        client, server = peers
+        endpoints, vms = caches
+        self._collector = Collector(settings.zone, endpoints, session, clock)
+        server.add_method(DIGEST_METHOD, DigestRequest, self._collector.answer)
+        self._follower = DigestFollower(
+            settings.name,
+            settings.zone,
+            vms,
+            placement,
+            self._collector,
+            client,
+            clock,
+            metrics,
+        )
+
+    async def run(self) -> None:
+        """Follow the collectors for ever."""
+        await self._follower.run()
+
+    def stop(self) -> None:
+        """Stop collecting."""
+        self._collector.stop()
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -8,17 +8,19 @@
 import msgspec
 
 from magnoliarouter.core.codes import status_of
+from magnoliarouter.core.keys import KeyIndex
 from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
-from magnoliarouter.daemon.collector import Collector
-from magnoliarouter.daemon.digests import DIGEST_METHOD, DigestFollower
+from magnoliarouter.daemon.configuration import Configuration
+from magnoliarouter.daemon.digests import ReportDuty
 from magnoliarouter.daemon.exchange import CallerGone, Exchange, error_body
 from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.daemon.loop import Runtime
 from magnoliarouter.daemon.metrics import Metrics
+from magnoliarouter.daemon.quota import QuotaDuty
+from magnoliarouter.daemon.status import StatusService
 from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.peers import PeerClient, PeerServer
-from magnoliarouter.peers.messages import DigestRequest
 from magnoliarouter.pipeline.admit import LocalAdmission
 from magnoliarouter.pipeline.call import ModelCall
 from magnoliarouter.pipeline.deliver import deliver_stream, deliver_whole
@@ -26,19 +28,23 @@
 from magnoliarouter.pipeline.meter import Meter
 from magnoliarouter.pipeline.place import Placement, create_policy
 from magnoliarouter.pipeline.retry import Forwarder
+from magnoliarouter.platform.backoff import CallBudget
 from magnoliarouter.platform.client import PlatformClient
-from magnoliarouter.platform.feed import ObjectFeed
-from magnoliarouter.platform.objects import decode_contract, decode_object
+from magnoliarouter.platform.objects import decode_contract
 
 if TYPE_CHECKING:
-    from magnoliarouter.core.contract import Contract
     from magnoliarouter.daemon.settings import EntrySettings
+    from magnoliarouter.pipeline.admit import Admission
     from magnoliarouter.pipeline.call import Call
     from magnoliarouter.pipeline.dispatch import Answer
 
 __all__ = ["EntryDaemon"]
 
 REQUEST_HEADER = "x-request-id"
+CALL_BURST_S = 4.0
+CONFIGURATION_MISSING = NotRun(
+    ResultCode.CONFIGURATION_MISSING, "this daemon does not know the contracts yet", 1.0
+)
 
 
 class EntryDaemon:
@@ -55,27 +61,19 @@
         self.metrics = Metrics()
         self.port = 0
         self.ready = False
-        self._contracts_by_key: dict[str, Contract] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        self._quota: QuotaDuty | None = None
 
     async def start(self) -> None:
         """Start the feeds and serve callers."""
         self._loop = asyncio.get_running_loop()
         self._session = open_session()
-        self._platform = PlatformClient(self.settings.platform, self._session)
-        self._open_feeds()
+        self._platform = self._open_platform()
         self.peer_client = PeerClient(self.settings.peer_key)
         self.peer_server = PeerServer(self.settings.peer_key)
-        self._placement = Placement(
-            self.settings.zone,
-            self._endpoints.cache,
-            self._loop.time,
-            create_policy(self.settings),
-            self._vms.cache,
-        )
-        self._forwarder = Forwarder(self._placement, self._session, self._loop.time, self.metrics)
-        self._start_digests()
-        self._admission = LocalAdmission(1.0, self._loop.time)
+        self._open_configuration()
+        self._open_placement()
+        self._open_admission()
         listen = self.settings.listen
         self._server = WebServer(
             Runtime(self._loop),
@@ -86,6 +84,7 @@
         self.port = self._server.port
         peers = self.settings.peers
         await self.peer_server.start(peers.host, peers.port)
+        self.configuration.start()
         self.ready = True
 
     async def stop(self) -> None:
@@ -96,7 +95,10 @@
         await self._server.wait_until_idle()
         for task in self._tasks:
             task.cancel()
-        self._collector.stop()
+        self._reports.stop()
+        if self._quota is not None:
+            await self._quota.release()
+        await self.configuration.stop()
         await self.peer_server.stop()
         await self.peer_client.close()
         await self._session.close()
@@ -107,7 +109,7 @@
             case "/healthz":
                 await exchange.send(200, b'{"healthy": true}')
             case "/readyz":
-                await exchange.send(200 if self.ready else 503, b"{}")
+                await exchange.send(200 if self._is_ready() else 503, b"{}")
             case "/metrics":
                 await exchange.send(200, self.metrics.render(), {"Content-Type": "text/plain"})
             case "/v1/models":
@@ -115,38 +117,66 @@
             case _:
                 await self._serve(exchange)
 
-    def _open_feeds(self) -> None:
-        self._contracts = ObjectFeed(
-            self._platform, "contract", decode_contract, self._index_contracts
+    def _open_platform(self) -> PlatformClient:
+        calls = self.metrics.add_counter(
+            "platform_calls", "Calls to the platform by operation and result", "operation", "result"
+        )
+        rate = self.settings.platform_calls_per_second
+        return PlatformClient(
+            self.settings.platform,
+            self._session,
+            CallBudget(rate, rate * CALL_BURST_S),
+            lambda operation, result: calls.labels(operation, result).inc(),
+        )
+
+    def _open_placement(self) -> None:
+        clock, vms = self._loop.time, self.configuration.vms.cache
+        self._placement = Placement(
+            self.settings.zone, self._endpoints.cache, clock, create_policy(self.settings), vms
         )
-        self._endpoints = self._open_feed("endpoint")
-        self._services = self._open_feed("service")
-        self._vms = self._open_feed("vm")
-        for feed in (self._contracts, self._endpoints, self._services, self._vms):
-            self._tasks.append(self._loop.create_task(feed.run()))
-
-    def _start_digests(self) -> None:
-        settings, clock = self.settings, self._loop.time
-        self._collector = Collector(settings.zone, self._endpoints.cache, self._session, clock)
-        self.peer_server.add_method(DIGEST_METHOD, DigestRequest, self._collector.answer)
-        follower = DigestFollower(
-            settings.name,
-            settings.zone,
-            self._vms.cache,
+        self._forwarder = Forwarder(self._placement, self._session, clock, self.metrics)
+        self._reports = ReportDuty(
+            self.settings,
+            self._session,
+            (self.peer_client, self.peer_server),
+            (self._endpoints.cache, vms),
             self._placement,
-            self._collector,
-            self.peer_client,
+            self.metrics,
             clock,
+        )
+        self._tasks.append(self._loop.create_task(self._reports.run()))
+
+    def _open_admission(self) -> None:
+        if self.settings.admission == "static":
+            self._admission: Admission = LocalAdmission(self.settings.static_share, self._loop.time)
+            return
+        self._quota = QuotaDuty(
+            self.settings,
+            self._platform,
+            (self.peer_client, self.peer_server),
+            (self._contracts.cache, self.configuration.vms.cache),
             self.metrics,
+            self._loop.time,
         )
-        self._tasks.append(self._loop.create_task(follower.run()))
+        self._admission = self._quota.admission
+        self._tasks += [self._loop.create_task(task) for task in self._quota.tasks()]
 
-    def _open_feed(self, kind: str) -> ObjectFeed:
-        return ObjectFeed(self._platform, kind, lambda value: decode_object(kind, value))
+    def _open_configuration(self) -> None:
+        self.configuration = Configuration(
+            self.settings, self._platform, self.peer_client, self.peer_server, self.metrics
+        )
+        self._keys = KeyIndex()
+        self._contracts = self.configuration.add(
+            "contract", decode_contract, self._keys.update, self._keys.find_clash
+        )
+        self._endpoints = self.configuration.add("endpoint")
+        self._services = self.configuration.add("service")
+        self.status = StatusService(
+            self.settings, self.configuration, self.peer_server, self._is_ready
+        )
 
-    def _index_contracts(self, name: str, contract: Contract | None) -> None:
-        contracts = self._contracts.cache.values().values()
-        self._contracts_by_key = {key: found for found in contracts for key in found.key_hashes}
+    def _is_ready(self) -> bool:
+        return self.ready and self.configuration.synchronized.is_set()
 
     def _list_models(self) -> bytes:
         endpoints = self._endpoints.cache.values().values()
@@ -157,12 +187,15 @@
     async def _serve(self, exchange: Exchange) -> None:
         call = identify(
             exchange.request,
-            self._contracts_by_key,
+            self._keys.by_key,
             self._services.cache.values(),
             self._loop.time(),
             self.settings.request_seconds,
         )
         if isinstance(call, NotRun):
+            known = self.configuration.synchronized.is_set()
+            if call.code is ResultCode.KEY_UNKNOWN and not known:
+                call = CONFIGURATION_MISSING
             await self._answer_error(exchange, call)
             return
         permit = await self._admission.admit(call)
@@ -174,7 +207,7 @@
             with self.metrics.in_flight.track_inprogress():
                 await self._forward(exchange, call, meter)
         finally:
-            permit.settle(meter.total)
+            permit.settle(meter.total) if meter.ran else permit.cancel()
 
     def _open_meter(self) -> Meter:
         metrics = self.metrics
@@ -192,8 +225,10 @@
                 meter.prompt = call.work.prompt_tokens
             return await self._deliver(exchange, call, answer, meter)
 
+        meter.ran = True
         end = await self._forwarder.forward(call, deliver)
         if not end.answered and not isinstance(end.outcome, Completed):
+            meter.ran, meter.exact = not isinstance(end.outcome, NotRun), False
             await self._answer_error(exchange, end.outcome, call=call)
             return
         self._record(end.outcome, call, end.endpoint)
--- a/magnoliarouter/daemon/settings.py
+++ b/magnoliarouter/daemon/settings.py
@@ -13,6 +13,7 @@
 Port = Annotated[int, Meta(ge=0, le=65_535)]
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Url = Annotated[str, Meta(pattern=r"^http://[^/]+$")]
+HostPort = Annotated[str, Meta(pattern=r"^[0-9a-zA-Z.:\[\]-]+:[0-9]{1,5}$")]
 Seconds = Annotated[float, Meta(gt=0)]
 
 
@@ -62,12 +63,22 @@
         All availability zones, the same list in every daemon.
     peer_key : str
         Key shared by all of the system's processes.
+    seeds : tuple of str
+        ``host:port`` of the peers' port of other entry daemons, asked for the configuration
+        while the platform is down and no list of VMs is known yet.
+    platform_calls_per_second : float
+        Calls to the platform that this daemon may make in the long run; four seconds' worth of
+        them may be made at once.
     log_file : str
         Path of the JSON-lines log; ``"-"`` is standard output.
     request_seconds : float
         Longest time that a request may take when the caller names no deadline, in seconds.
     queue_length : int
         Requests that may wait for an endpoint in this daemon.
+    admission : {"escrow", "static"}
+        How limits are shared among daemons; "static" is for comparison in benches only.
+    static_share : float
+        Part of each contract that this daemon may admit under "static".
     shutdown_seconds : float
         Time between the readiness probe failing and the listener closing, in seconds.
     zone_distance_seconds : float
@@ -81,8 +92,12 @@
     listen: Address = Address()
     peers: Address = Address()
     zones: tuple[Name, ...] = ()
+    seeds: tuple[HostPort, ...] = ()
+    platform_calls_per_second: Annotated[float, Meta(gt=0)] = 50.0
     request_seconds: Seconds = 120.0
     queue_length: Annotated[int, Meta(ge=0)] = 256
+    admission: Literal["escrow", "static"] = "escrow"
+    static_share: Annotated[float, Meta(gt=0, le=1)] = 1.0
     shutdown_seconds: Annotated[float, Meta(ge=0)] = 2.0
     zone_distance_seconds: Annotated[float, Meta(ge=0)] = 0.002
     cold_prefix_seconds: Annotated[float, Meta(ge=0)] = 0.1
