--- a/magnoliarouter/core/digest.py
+++ b/magnoliarouter/core/digest.py
@@ -19,7 +19,7 @@
 
 __all__ = ["DigestRow", "DigestTable"]
 
-STALE_S = 15.0
+STALE_S = 30.0
 MAX_CACHE_VERSIONS = 64
 
 
--- a/magnoliarouter/daemon/collector.py
+++ b/magnoliarouter/daemon/collector.py
@@ -31,6 +31,7 @@
 DUTY_TIMEOUT_S = 10.0
 IDLE_WAIT_S = 10.0
 MIN_PAUSE_S = 0.5
+MAX_PAUSE_S = 10.0
 PAUSE_PER_ENDPOINT_S = 0.1
 ANSWER_MARGIN_S = 2.0
 FIRST_BACKOFF_S = 0.2
@@ -133,7 +134,8 @@
         self.table.update(row, now)
 
     async def _read_status(self, spec: EndpointSpec, sequence: int) -> GuardStatus | None:
-        pause = max(MIN_PAUSE_S, PAUSE_PER_ENDPOINT_S * len(self._followers))
+        pause = PAUSE_PER_ENDPOINT_S * len(self._followers)
+        pause = min(max(MIN_PAUSE_S, pause), MAX_PAUSE_S)
         cache = self.table.cache_position(spec.name)
         url = (
             f"http://{spec.address}/guard/status"
