--- a/magnoliarouter/core/cache.py
+++ b/magnoliarouter/core/cache.py
@@ -33,6 +33,8 @@
     ----------
     floor : int
         Version up to which an object's absence from a list is no proof of its deletion.
+    revision : int
+        Grows with every change, so that what was derived from the objects can be kept until then.
 
     Examples
     --------
@@ -45,6 +47,7 @@
 
     entries: dict[str, CacheEntry[T]] = field(default_factory=dict)
     floor: int = 0
+    revision: int = 0
     _present: dict[str, T] = field(default_factory=dict)
 
     def apply(self, name: str, version: int, value: T | None) -> bool:
@@ -53,6 +56,7 @@
         if known is not None and known.version >= version:
             return False
         self.entries[name] = CacheEntry(version, value)
+        self.revision += 1
         if value is None:
             self._present.pop(name, None)
         else:
--- a/magnoliarouter/pipeline/place.py
+++ b/magnoliarouter/pipeline/place.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
@@ -16,6 +15,7 @@
 from magnoliarouter.core.placement import (
     Candidate,
     Choice,
+    Chosen,
     LeastLoaded,
     PlacementPolicy,
     PrefixAffinity,
@@ -24,6 +24,7 @@
 )
 from magnoliarouter.core.prefixes import CacheChange, PrefixIndex, hash_head
 from magnoliarouter.pipeline.call import ApplicationCall, ModelCall
+from magnoliarouter.pipeline.registry import EndpointRegistry
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Set
@@ -85,10 +86,9 @@
     ) -> None:
         self.outliers = Outliers()
         self._zone = zone
-        self._endpoints = endpoints
+        self._registry = EndpointRegistry(endpoints, vms)
         self._clock = clock
         self._policy = policy or PrefixAffinity()
-        self._vms = vms
         self._extra_load = extra_load
         self._draw = draw or random.Random()
         self._loads: dict[str, EndpointLoad] = {}
@@ -98,17 +98,35 @@
     def place(self, call: Call, tried: Set[str] = frozenset()) -> Choice:
         """Choose an endpoint for a call, leaving out those that were tried already."""
         now = self._clock()
-        specs = {spec.name: spec for spec in self._list_open(call) if spec.name not in tried}
-        usable = self.outliers.select_usable(specs, now)
+        serving = [
+            spec
+            for spec in self._registry.list_serving(call.work)
+            if spec.name not in tried and not self._is_draining(spec)
+        ]
+        usable = self.outliers.select_usable((spec.name for spec in serving), now)
+        specs = [spec for spec in serving if spec.name in usable]
+        near = self._choose_near(call, specs, now)
+        return near or self._choose(call, specs, now)
+
+    def _choose_near(self, call: Call, specs: list[EndpointSpec], now: float) -> Chosen | None:
+        """Choose in the daemon's own zone, if the wait there is shorter than the distance."""
+        if not isinstance(self._policy, PrefixAffinity):
+            return None
+        choice = self._choose(call, [spec for spec in specs if spec.zone == self._zone], now)
+        is_near = isinstance(choice, Chosen) and choice.wait <= self._policy.zone_distance
+        return choice if is_near else None
+
+    def _choose(self, call: Call, specs: list[EndpointSpec], now: float) -> Choice:
         head = _hash_head(call)
-        candidates = [self._describe(specs[name], head, now) for name in sorted(usable)]
-        key = _key(call)
-        remaining = call.deadline - now if call.deadline else math.inf
-        return choose_endpoint(key, self._zone, candidates, self._policy, self._draw, remaining)
+        candidates = [self._describe(spec, head, now) for spec in specs]
+        remaining = call.deadline - now
+        return choose_endpoint(
+            _key(call), self._zone, candidates, self._policy, self._draw, remaining
+        )
 
     def find(self, name: str) -> EndpointSpec | None:
         """Return an endpoint as registered."""
-        return self._endpoints.get(name)
+        return self._registry.find(name)
 
     @contextmanager
     def track(self, endpoint: EndpointSpec, call: Call) -> Iterator[None]:
@@ -147,7 +165,7 @@
 
     def forget_absent(self) -> None:
         """Drop what is known of endpoints that are no longer registered."""
-        known = self._endpoints.values()
+        known = self._registry.list_names()
         gone = [name for name in self._loads if name not in known and not self._loads[name].own]
         for name in gone:
             del self._loads[name]
@@ -155,23 +173,6 @@
             self._incarnations.pop(name, None)
         self.outliers.forget(gone)
 
-    def _list_open(self, call: Call) -> list[EndpointSpec]:
-        leaving = self._list_leaving()
-        return [
-            spec
-            for spec in self._endpoints.values().values()
-            if _serves(spec, call)
-            and not spec.draining
-            and spec.address not in leaving
-            and not self._is_draining(spec)
-        ]
-
-    def _list_leaving(self) -> set[str]:
-        if self._vms is None:
-            return set()
-        vms = self._vms.values().values()
-        return {vm.address for vm in vms if vm.leaving and vm.role == "endpoint"}
-
     def _is_draining(self, spec: EndpointSpec) -> bool:
         load = self._loads.get(spec.name)
         return self._is_current(spec) and bool(load and load.report and load.report.draining)
@@ -204,14 +205,6 @@
         return self._indexes.setdefault(name, PrefixIndex())
 
 
-def _serves(spec: EndpointSpec, call: Call) -> bool:
-    match call.work:
-        case ModelCall(model=model):
-            return model in spec.models
-        case ApplicationCall(service=service):
-            return service in spec.services
-
-
 def _key(call: Call) -> str:
     match call.work:
         case ModelCall(prefix=prefix):
