End deliveries at the call's deadline, visibly to the caller

Cause: the deadline bounded the wait for an answer's head only; a stream that stalled held its caller and its endpoint for ever. Change: a late whole answer becomes 504, a late stream ends in an error frame without the last frame, and a caller that does not read is cut off.

--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -23,6 +23,7 @@
 from magnoliarouter.peers import PeerClient, PeerServer
 from magnoliarouter.pipeline.admit import LocalAdmission
 from magnoliarouter.pipeline.call import ModelCall
+from magnoliarouter.pipeline.deadline import deliver_in_time
 from magnoliarouter.pipeline.deliver import deliver_stream, deliver_whole
 from magnoliarouter.pipeline.identify import identify
 from magnoliarouter.pipeline.meter import Meter
@@ -239,8 +240,12 @@
         headers = {REQUEST_HEADER: call.request_id}
         try:
             if isinstance(call.work, ModelCall) and call.work.stream and answer.status == 200:
-                return await deliver_stream(exchange, answer, headers, meter)
-            return await deliver_whole(exchange, answer, headers, meter)
+                delivery = deliver_stream(exchange, answer, headers, meter)
+            else:
+                delivery = deliver_whole(exchange, answer, headers, meter)
+            outcome = await deliver_in_time(exchange, delivery, call.deadline, headers)
+            meter.exact &= outcome.code is not ResultCode.DEADLINE_EXCEEDED or meter.generated > 0
+            return outcome
         except CallerGone:
             return Unknown(ResultCode.CALLER_GONE, "the caller went away")
 
--- /dev/null
+++ b/magnoliarouter/pipeline/deadline.py
@@ -0,0 +1,65 @@
+"""Ends a delivery at the call's deadline, visibly to the caller."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from magnoliarouter.core.outcome import Completed, Outcome, ResultCode, Unknown
+from magnoliarouter.daemon.exchange import error_body
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from magnoliarouter.daemon.exchange import Exchange
+
+__all__ = ["deliver_in_time"]
+
+LATE = Unknown(ResultCode.DEADLINE_EXCEEDED, "the answer was not complete at the deadline")
+LATE_STATUS = 504
+ERROR_FRAME_TIMEOUT_S = 1.0
+
+
+async def deliver_in_time(
+    exchange: Exchange, delivery: Awaitable[Outcome], deadline: float, headers: dict[str, str]
+) -> Outcome:
+    """Await a delivery until the deadline.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        The caller's request.
+    delivery : awaitable
+        Carries the answer; it is cancelled at the deadline, which cancels the endpoint's work.
+    deadline : float
+        Loop time in seconds.
+    headers : dict of str to str
+        Header fields of an answer that says that it is late.
+
+    Returns
+    -------
+    Outcome
+        The delivery's own, or `Unknown` with `DEADLINE_EXCEEDED`.
+    """
+    try:
+        async with asyncio.timeout_at(deadline):
+            return await delivery
+    except TimeoutError:
+        if exchange.finished:
+            return Completed(ResultCode.OK, 200)
+        await _tell_late(exchange, headers)
+        return LATE
+
+
+async def _tell_late(exchange: Exchange, headers: dict[str, str]) -> None:
+    body = error_body(LATE.code, "unknown", LATE.reason)
+    if not exchange.started:
+        await exchange.send(LATE_STATUS, body, headers)
+        return
+    try:
+        async with asyncio.timeout(ERROR_FRAME_TIMEOUT_S):
+            await exchange.write(b"\n\nevent: error\ndata: " + body + b"\n\n")
+            await exchange.finish()
+    except TimeoutError:
+        # A caller that reads nothing sees the connection closed within the stream.
+        exchange.abort()
