--- a/magnoliarouter/daemon/endpoint.py
+++ b/magnoliarouter/daemon/endpoint.py
@@ -61,9 +61,9 @@
             self.settings.target,
             self._session,
             loop.time,
-            self.monitor,
             self._once_session,
             on_drop=lambda reason: self.metrics.dropped_answers.labels(reason).inc(),
+            monitor=self.monitor,
         )
         guard.add_control("/metrics", self._tell_metrics)
         self._guard = guard
--- a/magnoliarouter/endpoints/guard.py
+++ b/magnoliarouter/endpoints/guard.py
@@ -36,6 +36,7 @@
     is_answer_of,
     is_end_to_end,
 )
+from magnoliarouter.endpoints.monitor import EndpointMonitor
 from magnoliarouter.endpoints.report import LOAD_HEADER, encode_load_header
 from magnoliarouter.pipeline.proof import was_unsent
 
@@ -43,7 +44,6 @@
     from collections.abc import Awaitable, Callable
 
     from magnoliarouter.daemon.exchange import Exchange
-    from magnoliarouter.endpoints.monitor import EndpointMonitor
 
 __all__ = ["Guard", "GuardStatus"]
 
@@ -67,12 +67,13 @@
         Session towards the endpoint.
     clock : callable
         Loop time in seconds.
-    monitor : EndpointMonitor
-        Observations of the endpoint, which go into every answer.
     once_session : aiohttp.ClientSession, optional
         Session without connection reuse for calls that may run only once.
     on_drop : callable, optional
         Called with the reason for which an answer of the endpoint was dropped.
+    monitor : EndpointMonitor, optional
+        Observations of the endpoint, which go into every answer; by default one that lets every
+        attempt in.
     """
 
     def __init__(
@@ -81,16 +82,16 @@
         target: str,
         session: aiohttp.ClientSession,
         clock: Callable[[], float],
-        monitor: EndpointMonitor,
         once_session: aiohttp.ClientSession | None = None,
         on_drop: Callable[[str], None] = lambda reason: None,
+        monitor: EndpointMonitor | None = None,
     ) -> None:
         self._attempts = attempts
         self._target = target
         self._session = session
         self._once_session = once_session or session
         self._clock = clock
-        self._monitor = monitor
+        self._monitor = monitor or EndpointMonitor(attempts, 1, attempts.max_attempts, clock)
         self._on_drop = on_drop
         self._executions: set[asyncio.Task[Executed | NotReached | Broken]] = set()
         self._controls: dict[str, Callable[[Exchange], Awaitable[None]]] = {
--- a/magnoliarouter/standins/fleet.py
+++ b/magnoliarouter/standins/fleet.py
@@ -86,7 +86,7 @@
         attempts = AttemptTable(uuid.uuid4().hex)
         clock = self._runtime.loop.time
         monitor = EndpointMonitor(attempts, SLOTS, SLOTS, clock)
-        guard = Guard(attempts, NOWHERE, session, clock, monitor)
+        guard = Guard(attempts, NOWHERE, session, clock, monitor=monitor)
         if self._rate:
             self._loads.add(asyncio.create_task(self._simulate(attempts, monitor)))
         server = WebServer(self._runtime, (host, 0), guard.handle)
--- a/magnoliarouter/tests/test_digests.py
+++ b/magnoliarouter/tests/test_digests.py
@@ -189,6 +189,29 @@
 
         run_paused(main())
 
+    def test_other_zones_come_through_the_own_collector_without_caches(self):
+        async def main():
+            self.vms.apply("far", 1, VmSpec("far", "zone-2", "entry", "peer-far"))
+            self.vms.apply("entry-9", 1, VmSpec("entry-9", "zone-1", "entry", "peer-9"))
+            for number in (1, 2):
+                self.vms.apply(f"entry-{number}", 2, None)
+            self.endpoints.apply("b", 1, build_endpoint("b", zone="zone-2"))
+            far = Collector("zone-2", VersionedCache(), None, lambda: self.now)
+            cache = CacheChange(0, 1, stored=(hash_head(PREFIX),))
+            far.table.update(build_row("b", zone="zone-2", cache=cache), self.now)
+            follower = self.build_follower(FakePeers({"peer-far": far}))
+            for _ in range(3):
+                await follower.fetch()
+                self.now += 1.0
+            self.assertFalse(self.place().warm)
+            draining = LoadReport(0, 8, 8, draining=True)
+            far.table.update(build_row("b", draining, zone="zone-2"), self.now)
+            await follower.fetch()
+            await follower.fetch()
+            self.assertEqual(self.place(), NoEndpoint())
+
+        run_paused(main())
+
     def test_dead_collector_is_passed_over_and_avoided(self):
         async def main():
             self.endpoints.apply("a", 1, build_endpoint("a"))
