Choose an endpoint also when fractional loads put all above their bound

Cause: reports age, so loads are fractions, and the bound on whole requests could leave no candidate; the choice then failed with an internal error. Change: loads are rounded down against the bound; a property test covers it.

--- a/magnoliarouter/core/placement.py
+++ b/magnoliarouter/core/placement.py
@@ -217,7 +217,8 @@
         order = [by_name[name] for name in weighted_rendezvous_order(self.key, self.weights)]
         total = sum(member.load for member in self.members) + 1
         share = self.policy.load_bound * total / sum(self.weights.values())
-        fitting = [m for m in order if m.load + 1 <= math.ceil(share * self.weights[m.name])]
+        # Loads are rounded down, so that at least one member is always within its bound.
+        fitting = [m for m in order if int(m.load) + 1 <= math.ceil(share * self.weights[m.name])]
         warm = [member for member in fitting if member.warm][:CHOICES]
         cold = [member for member in fitting if not member.warm][:CHOICES]
         return [min(some, key=self._relative_load) for some in (warm, cold) if some]
--- a/magnoliarouter/tests/test_placement.py
+++ b/magnoliarouter/tests/test_placement.py
@@ -5,6 +5,9 @@
 from collections import Counter
 from typing import Any
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from magnoliarouter.core.placement import (
     Candidate,
     Chosen,
@@ -103,6 +106,41 @@
         ]
         self.assertNotEqual(choose(skewed).name, home)
 
+    @settings(derandomize=True, deadline=None, max_examples=150, database=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.floats(0, 40),
+                st.integers(1, 16),
+                st.sampled_from((0.0, 0.01, 0.04, 3.0)),
+                st.sampled_from(("zone-1", "zone-2")),
+                st.booleans(),
+                st.floats(0, 2),
+            ),
+            min_size=1,
+            max_size=8,
+        )
+    )
+    def test_some_endpoint_is_chosen_while_one_has_room(self, endpoints):
+        candidates = [
+            build_candidate(
+                f"e{number}",
+                in_system=load,
+                slots=slots,
+                token_seconds=token,
+                zone=zone,
+                warm=warm,
+                extra_load=extra,
+            )
+            for number, (load, slots, token, zone, warm, extra) in enumerate(endpoints)
+        ]
+        choice = choose(candidates)
+        if all(candidate.is_full for candidate in candidates):
+            self.assertIsInstance(choice, NoCapacity)
+        else:
+            chosen = next(c for c in candidates if c.name == choice.name)
+            self.assertFalse(chosen.is_full)
+
     def test_full_everywhere(self):
         full = build_candidate("a", in_system=16, queue_limit=8)
         self.assertEqual(choose([full]), NoCapacity(1.0 / 8))
