--- a/magnoliarouter/tests/test_placement.py
+++ b/magnoliarouter/tests/test_placement.py
@@ -141,6 +141,10 @@
             chosen = next(c for c in candidates if c.name == choice.name)
             self.assertFalse(chosen.is_full)
 
+    def test_fractional_loads_leave_a_candidate(self):
+        candidates = [build_candidate(f"e{number}", in_system=0.5) for number in range(5)]
+        self.assertIsInstance(choose(candidates), Chosen)
+
     def test_full_everywhere(self):
         full = build_candidate("a", in_system=16, queue_limit=8)
         self.assertEqual(choose([full]), NoCapacity(1.0 / 8))
