--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -11,6 +11,7 @@
 from magnoliarouter.core.keys import KeyIndex
 from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
 from magnoliarouter.daemon.configuration import Configuration
+from magnoliarouter.daemon.digests import ReportDuty
 from magnoliarouter.daemon.exchange import CallerGone, Exchange, error_body
 from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.daemon.loop import Runtime
@@ -22,11 +23,12 @@
 from magnoliarouter.peers import PeerClient, PeerServer
 from magnoliarouter.pipeline.admit import LocalAdmission
 from magnoliarouter.pipeline.call import ModelCall
+from magnoliarouter.pipeline.deadline import deliver_in_time
 from magnoliarouter.pipeline.deliver import deliver_stream, deliver_whole
-from magnoliarouter.pipeline.dispatch import Answer, open_attempt
 from magnoliarouter.pipeline.identify import identify
 from magnoliarouter.pipeline.meter import Meter
-from magnoliarouter.pipeline.place import Placement
+from magnoliarouter.pipeline.place import Placement, create_policy
+from magnoliarouter.pipeline.retry import Forwarder
 from magnoliarouter.platform.backoff import CallBudget
 from magnoliarouter.platform.client import PlatformClient
 from magnoliarouter.platform.objects import decode_contract
@@ -35,7 +37,7 @@
     from magnoliarouter.daemon.settings import EntrySettings
     from magnoliarouter.pipeline.admit import Admission
     from magnoliarouter.pipeline.call import Call
-    from magnoliarouter.platform.objects import EndpointSpec
+    from magnoliarouter.pipeline.dispatch import Answer
 
 __all__ = ["EntryDaemon"]
 
@@ -71,7 +73,7 @@
         self.peer_client = PeerClient(self.settings.peer_key)
         self.peer_server = PeerServer(self.settings.peer_key)
         self._open_configuration()
-        self._placement = Placement(self.settings.zone, self._endpoints.cache)
+        self._open_placement()
         self._open_admission()
         listen = self.settings.listen
         self._server = WebServer(
@@ -94,6 +96,7 @@
         await self._server.wait_until_idle()
         for task in self._tasks:
             task.cancel()
+        self._reports.stop()
         if self._quota is not None:
             await self._quota.release()
         await self.configuration.stop()
@@ -127,6 +130,23 @@
             lambda operation, result: calls.labels(operation, result).inc(),
         )
 
+    def _open_placement(self) -> None:
+        clock, vms = self._loop.time, self.configuration.vms.cache
+        self._placement = Placement(
+            self.settings.zone, self._endpoints.cache, clock, create_policy(self.settings), vms
+        )
+        self._forwarder = Forwarder(self._placement, self._session, clock, self.metrics)
+        self._reports = ReportDuty(
+            self.settings,
+            self._session,
+            (self.peer_client, self.peer_server),
+            (self._endpoints.cache, vms),
+            self._placement,
+            self.metrics,
+            clock,
+        )
+        self._tasks.append(self._loop.create_task(self._reports.run()))
+
     def _open_admission(self) -> None:
         if self.settings.admission == "static":
             self._admission: Admission = LocalAdmission(self.settings.static_share, self._loop.time)
@@ -201,27 +221,18 @@
         )
 
     async def _forward(self, exchange: Exchange, call: Call, meter: Meter) -> None:
-        endpoint = self._placement.place(call)
-        if endpoint is None:
-            refusal = NotRun(ResultCode.NO_ENDPOINT, "no endpoint serves this now", 1.0)
-            await self._answer_error(exchange, refusal, call=call)
-            return
-        with self._placement.track(endpoint):
-            await self._attempt(exchange, call, endpoint, meter)
-
-    async def _attempt(
-        self, exchange: Exchange, call: Call, endpoint: EndpointSpec, meter: Meter
-    ) -> None:
-        meter.ran = True
-        async with open_attempt(self._session, endpoint, call, self._loop.time()) as answer:
-            if not isinstance(answer, Answer):
-                meter.ran, meter.exact = not isinstance(answer, NotRun), False
-                await self._answer_error(exchange, answer, call=call)
-                return
+        async def deliver(answer: Answer) -> Outcome:
             if isinstance(call.work, ModelCall):
                 meter.prompt = call.work.prompt_tokens
-            outcome = await self._deliver(exchange, call, answer, meter)
-        self._record(outcome, call, endpoint.name)
+            return await self._deliver(exchange, call, answer, meter)
+
+        meter.ran = True
+        end = await self._forwarder.forward(call, deliver)
+        if not end.answered and not isinstance(end.outcome, Completed):
+            meter.ran, meter.exact = not isinstance(end.outcome, NotRun), False
+            await self._answer_error(exchange, end.outcome, call=call)
+            return
+        self._record(end.outcome, call, end.endpoint)
 
     async def _deliver(
         self, exchange: Exchange, call: Call, answer: Answer, meter: Meter
@@ -229,8 +240,12 @@
         headers = {REQUEST_HEADER: call.request_id}
         try:
             if isinstance(call.work, ModelCall) and call.work.stream and answer.status == 200:
-                return await deliver_stream(exchange, answer, headers, meter)
-            return await deliver_whole(exchange, answer, headers, meter)
+                delivery = deliver_stream(exchange, answer, headers, meter)
+            else:
+                delivery = deliver_whole(exchange, answer, headers, meter)
+            outcome = await deliver_in_time(exchange, delivery, call.deadline, headers)
+            meter.exact &= outcome.code is not ResultCode.DEADLINE_EXCEEDED or meter.generated > 0
+            return outcome
         except CallerGone:
             return Unknown(ResultCode.CALLER_GONE, "the caller went away")
 
--- a/magnoliarouter/pipeline/place.py
+++ b/magnoliarouter/pipeline/place.py
@@ -1,22 +1,55 @@
-"""Third filter: places a call on an endpoint."""
+"""Third filter: places a call on an endpoint.
+
+`Placement` keeps what one entry daemon knows of the endpoints (own requests, reports, cache
+indexes, failures) and asks `core.placement` for a choice.
+"""
 
 from __future__ import annotations
 
-from collections import Counter
+import random
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
-from magnoliarouter.core.placement import Candidate, choose_endpoint
+from magnoliarouter.core.load import EndpointLoad, LoadReport
+from magnoliarouter.core.outliers import Outliers
+from magnoliarouter.core.placement import (
+    Candidate,
+    Choice,
+    Chosen,
+    LeastLoaded,
+    PlacementPolicy,
+    PrefixAffinity,
+    RandomChoice,
+    choose_endpoint,
+)
+from magnoliarouter.core.prefixes import CacheChange, PrefixIndex, hash_head
 from magnoliarouter.pipeline.call import ApplicationCall, ModelCall
+from magnoliarouter.pipeline.registry import EndpointRegistry
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator, Set
 
     from magnoliarouter.core.cache import VersionedCache
+    from magnoliarouter.daemon.settings import EntrySettings
     from magnoliarouter.pipeline.call import Call
-    from magnoliarouter.platform.objects import EndpointSpec
+    from magnoliarouter.platform.objects import EndpointSpec, VmSpec
+
+__all__ = ["Placement", "create_policy"]
+
+UNKNOWN_QUEUE_LIMIT = 8
 
-__all__ = ["Placement"]
+
+def create_policy(settings: EntrySettings) -> PlacementPolicy:
+    """Return the placement policy that the settings name."""
+    match settings.placement_policy:
+        case "random":
+            return RandomChoice()
+        case "least-loaded":
+            return LeastLoaded()
+    return PrefixAffinity(
+        zone_distance=settings.zone_distance_seconds,
+        cold_seconds=settings.cold_prefix_seconds,
+    )
 
 
 class Placement:
@@ -28,44 +61,157 @@
         Availability zone of the daemon.
     endpoints : VersionedCache
         Registered endpoints.
+    clock : callable
+        Loop time in seconds.
+    policy : PlacementPolicy
+        How endpoints are chosen.
+    vms : VersionedCache, optional
+        VMs as the platform lists them.
+    extra_load : callable, optional
+        From an endpoint's name to its extra load in requests for each slot, such as the step
+        skew of its group.
+    draw : random.Random, optional
+        Source of random choices.
     """
 
-    def __init__(self, zone: str, endpoints: VersionedCache[EndpointSpec]) -> None:
+    def __init__(
+        self,
+        zone: str,
+        endpoints: VersionedCache[EndpointSpec],
+        clock: Callable[[], float],
+        policy: PlacementPolicy | None = None,
+        vms: VersionedCache[VmSpec] | None = None,
+        extra_load: Callable[[str], float] = lambda name: 0.0,
+        draw: random.Random | None = None,
+    ) -> None:
+        self.outliers = Outliers()
         self._zone = zone
-        self._endpoints = endpoints
-        self._in_flight: Counter[str] = Counter()
-
-    def place(self, call: Call) -> EndpointSpec | None:
-        """Choose an endpoint for a call, or None when nothing serves it."""
-        candidates = [
-            Candidate(spec.name, spec.zone, self._in_flight[spec.name] / spec.slots)
-            for spec in self._endpoints.values().values()
-            if not spec.draining and _serves(spec, call)
+        self._registry = EndpointRegistry(endpoints, vms)
+        self._clock = clock
+        self._policy = policy or PrefixAffinity()
+        self._extra_load = extra_load
+        self._draw = draw or random.Random()
+        self._loads: dict[str, EndpointLoad] = {}
+        self._indexes: dict[str, PrefixIndex] = {}
+        self._incarnations: dict[str, str] = {}
+
+    def place(self, call: Call, tried: Set[str] = frozenset()) -> Choice:
+        """Choose an endpoint for a call, leaving out those that were tried already."""
+        now = self._clock()
+        serving = [
+            spec
+            for spec in self._registry.list_serving(call.work)
+            if spec.name not in tried and not self._is_draining(spec)
         ]
-        chosen = choose_endpoint(_prefix(call), self._zone, candidates)
-        return self._endpoints.get(chosen) if chosen else None
+        usable = self.outliers.select_usable((spec.name for spec in serving), now)
+        specs = [spec for spec in serving if spec.name in usable]
+        near = self._choose_near(call, specs, now)
+        return near or self._choose(call, specs, now)
+
+    def _choose_near(self, call: Call, specs: list[EndpointSpec], now: float) -> Chosen | None:
+        """Choose in the daemon's own zone, if the wait there is shorter than the distance."""
+        if not isinstance(self._policy, PrefixAffinity):
+            return None
+        choice = self._choose(call, [spec for spec in specs if spec.zone == self._zone], now)
+        is_near = isinstance(choice, Chosen) and choice.wait <= self._policy.zone_distance
+        return choice if is_near else None
+
+    def _choose(self, call: Call, specs: list[EndpointSpec], now: float) -> Choice:
+        head = _hash_head(call)
+        candidates = [self._describe(spec, head, now) for spec in specs]
+        remaining = call.deadline - now
+        return choose_endpoint(
+            _key(call), self._zone, candidates, self._policy, self._draw, remaining
+        )
+
+    def find(self, name: str) -> EndpointSpec | None:
+        """Return an endpoint as registered."""
+        return self._registry.find(name)
 
     @contextmanager
-    def track(self, endpoint: EndpointSpec) -> Iterator[None]:
-        """Count an attempt as in progress on an endpoint."""
-        self._in_flight[endpoint.name] += 1
+    def track(self, endpoint: EndpointSpec, call: Call) -> Iterator[None]:
+        """Count an attempt of a call as in progress on an endpoint."""
+        load = self._load(endpoint.name)
+        head = _hash_head(call)
+        if head is not None:
+            self._index(endpoint.name).expect(head, self._clock())
+        load.begin(self._clock())
         try:
             yield
         finally:
-            self._in_flight[endpoint.name] -= 1
-
-
-def _serves(spec: EndpointSpec, call: Call) -> bool:
-    match call.work:
-        case ModelCall(model=model):
-            return model in spec.models
-        case ApplicationCall(service=service):
-            return service in spec.services
-
-
-def _prefix(call: Call) -> str:
+            load.end(self._clock())
+
+    def take_report(self, name: str, report: LoadReport, sent: float) -> None:
+        """Take a load report of an endpoint that was sent at a loop time."""
+        self._load(name).take_report(report, sent - report.age)
+
+    def take_incarnation(self, name: str, incarnation: str) -> None:
+        """Note the incarnation of an endpoint's guard; a new one starts with an empty index."""
+        known = self._incarnations.get(name)
+        self._incarnations[name] = incarnation
+        if known not in (None, incarnation):
+            self._index(name).restart()
+            self._load(name).forget_report()
+
+    def take_cache_change(self, name: str, change: CacheChange) -> bool:
+        """Take cache events of an endpoint, and return whether its index was emptied."""
+        return self._index(name).apply(change)
+
+    def confirm_except(self, stale: Set[str], measured: float) -> None:
+        """Note that the last reports still held at a loop time, but for the stale ones."""
+        for name, load in self._loads.items():
+            if name not in stale:
+                load.confirm(measured)
+
+    def forget_absent(self) -> None:
+        """Drop what is known of endpoints that are no longer registered."""
+        known = self._registry.list_names()
+        gone = [name for name in self._loads if name not in known and not self._loads[name].own]
+        for name in gone:
+            del self._loads[name]
+            self._indexes.pop(name, None)
+            self._incarnations.pop(name, None)
+        self.outliers.forget(gone)
+
+    def _is_draining(self, spec: EndpointSpec) -> bool:
+        load = self._loads.get(spec.name)
+        return self._is_current(spec) and bool(load and load.report and load.report.draining)
+
+    def _is_current(self, spec: EndpointSpec) -> bool:
+        """Return whether what is known comes from the incarnation that is registered."""
+        return self._incarnations.get(spec.name, spec.incarnation) == spec.incarnation
+
+    def _describe(self, spec: EndpointSpec, head: int | None, now: float) -> Candidate:
+        load = self._load(spec.name)
+        report = load.report or LoadReport(0, spec.slots, UNKNOWN_QUEUE_LIMIT)
+        index = self._indexes.get(spec.name)
+        return Candidate(
+            name=spec.name,
+            zone=spec.zone,
+            in_system=load.estimate(now),
+            slots=spec.slots,
+            queue_limit=report.queue_limit,
+            token_seconds=report.token_seconds,
+            service_seconds=report.service_seconds,
+            warm=index is not None and self._is_current(spec) and index.holds(head, now),
+            extra_load=self._extra_load(spec.name),
+            reported=report.engine_requests,
+        )
+
+    def _load(self, name: str) -> EndpointLoad:
+        return self._loads.setdefault(name, EndpointLoad())
+
+    def _index(self, name: str) -> PrefixIndex:
+        return self._indexes.setdefault(name, PrefixIndex())
+
+
+def _key(call: Call) -> str:
     match call.work:
         case ModelCall(prefix=prefix):
             return prefix
         case ApplicationCall():
             return call.request_id
+
+
+def _hash_head(call: Call) -> int | None:
+    return hash_head(call.work.prefix) if isinstance(call.work, ModelCall) else None
