--- a/magnoliarouter/standins/launch.py
+++ b/magnoliarouter/standins/launch.py
@@ -122,7 +122,8 @@
     async def start_daemon(self, settings: dict[str, Any]) -> Process:
         """Start a daemon with these settings and wait until it listens.
 
-        An entry daemon is first written to the platform's list of VMs, as the platform would.
+        An entry daemon is first written to the platform's list of VMs, as the platform would,
+        under ``listed_address`` if the settings hold one.
         """
         listen = dict(settings.get("listen", {}))
         listen.setdefault("host", "127.0.0.1")
@@ -147,7 +148,7 @@
         peers["port"] = peers.get("port") or find_port(peers["host"])
         settings["peers"] = peers
         name, zone = settings["name"], settings["zone"]
-        address = f"{peers['host']}:{peers['port']}"
+        address = settings.pop("listed_address", f"{peers['host']}:{peers['port']}")
         value = {"name": name, "zone": zone, "role": "entry", "address": address}
         async with open_session() as session:
             await PlatformClient(settings["platform"], session).write("vm", name, value)
