Notice silent relays within three seconds

Change: the two followers of a daemon poll with waits of 4 s and 2 s and a margin of 1 s, and half of the daemons poll the second relay less often.

--- a/magnoliarouter/daemon/configuration.py
+++ b/magnoliarouter/daemon/configuration.py
@@ -28,7 +28,7 @@
 __all__ = ["Configuration"]
 
 VM = "vm"
-SLOTS = 2
+POLL_WAITS_S = (4.0, 2.0)
 TICK_S = 0.25
 PEERS_FIRST_S = 1.5
 RESTART_S = 1.0
@@ -99,9 +99,10 @@
                 chooser,
                 lambda slot=slot: self._list_candidates(slot),
                 self._clock,
+                wait_s,
                 lambda result: self._polls.labels(result).inc(),
             )
-            for slot in range(SLOTS)
+            for slot, wait_s in enumerate(POLL_WAITS_S)
         ]
         self._metrics = metrics
 
@@ -207,6 +208,9 @@
         if not self._vms.cache.values():
             return self._settings.seeds
         near, far = self._part.near, self._part.far
+        if self._jitter < 0.5:
+            # Half of the daemons poll the second relay less often, the others the first.
+            near = (*near[1:2], *near[:1], *near[2:])
         # A relay follows another zone besides its own, in case its zone loses the platform.
         return (*far, *near) if slot and self._part.holds_duty else (*near, *far)
 
--- a/magnoliarouter/peers/follower.py
+++ b/magnoliarouter/peers/follower.py
@@ -18,8 +18,7 @@
 
 __all__ = ["RelayChooser", "RelayFollower"]
 
-POLL_WAIT_S = 4.0
-ANSWER_MARGIN_S = 1.5
+ANSWER_MARGIN_S = 1.0
 IDLE_S = 0.3
 AVOID_FIRST_S = 0.5
 AVOID_LAST_S = 5.0
@@ -84,6 +83,9 @@
         Returns the addresses that this slot may follow, the preferred ones first.
     clock : callable
         Loop time in seconds.
+    wait_s : float
+        Longest wait of a poll in seconds. A relay that is silent is noticed after it and a
+        margin; followers of one daemon have different waits, so that one notices early.
     on_poll : callable, optional
         Called after each poll with its result: ``"news"``, ``"idle"`` or ``"silent"``.
 
@@ -105,6 +107,7 @@
         chooser: RelayChooser,
         list_candidates: Callable[[], Sequence[str]],
         clock: Callable[[], float],
+        wait_s: float,
         on_poll: Callable[[str], None] = lambda result: None,
     ) -> None:
         self.address = ""
@@ -116,6 +119,7 @@
         self._chooser = chooser
         self._list_candidates = list_candidates
         self._clock = clock
+        self._wait_s = wait_s
         self._on_poll = on_poll
         self._stream = RelayStream(replicas)
 
@@ -135,8 +139,8 @@
 
     async def poll(self) -> None:
         """Ask the relay once for what is new."""
-        request = self._stream.ask(POLL_WAIT_S)
-        deadline = POLL_WAIT_S + ANSWER_MARGIN_S
+        request = self._stream.ask(self._wait_s)
+        deadline = self._wait_s + ANSWER_MARGIN_S
         try:
             reply = await self._client.call(
                 self.address, RELAY_METHOD, request, RelayReply, deadline=deadline
