--- a/magnoliarouter/standins/bench/rollout_site.py
+++ b/magnoliarouter/standins/bench/rollout_site.py
@@ -35,6 +35,8 @@
         Its real peers' address, asked for its status by the experiment.
     settings : dict
         Settings for every start.
+    listed_port : int
+        Port of the route before its peers' port, which the platform lists.
     absences : list of Absence
         When it was killed or paused, or the platform was down.
     """
@@ -43,6 +45,7 @@
     zone: str
     peers_address: str
     settings: dict[str, Any]
+    listed_port: int
     process: Process | None = None
     absences: list[Absence] = field(default_factory=list)
     gone_since: float | None = None
@@ -81,7 +84,7 @@
     async def start_member(self, name: str) -> None:
         """Start a daemon, again after a kill."""
         member = self.members[name]
-        member.process = await self._site.start_daemon(member.settings)
+        member.process = await self._site.start_daemon(member.settings, member.listed_port)
 
     async def kill_member(self, name: str) -> None:
         """Kill a daemon."""
@@ -144,9 +147,8 @@
                 "platform": f"http://{host}:{to_platform}",
                 "listen": {"host": host},
                 "peers": {"host": host, "port": peers},
-                "listed_address": f"{host}:{listed}",
                 "peer_key": PEER_KEY,
                 "shutdown_seconds": 0.1,
             }
-            self.members[name] = Member(name, zone, f"{host}:{peers}", settings)
+            self.members[name] = Member(name, zone, f"{host}:{peers}", settings, listed)
         self._proxies[zone] = await self._site.start_standin("proxy", host, *routes)
