Describe every setting and object field, and add service commands

Cause: fields, units and defaults stood only in the code, and services had to be written past the tool; settings files that are no JSON objects gave messages without field or value. Change: docs/CONFIGURATION.md is written from the models (make manual) and compared by a test, which also demands a unit for each number; magnoliactl service put|get|list|delete; settings use the same messages as objects, and the own zone must be among the zones.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test check format
+.PHONY: demo test check format manual
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -24,3 +24,6 @@
 format: $(STAMP)
 	$(BIN)/black --quiet magnoliarouter
 	$(BIN)/ruff check --quiet --fix magnoliarouter
+
+manual: $(STAMP)
+	$(BIN)/python -m magnoliarouter.manual > docs/CONFIGURATION.md
--- /dev/null
+++ b/magnoliarouter/cli/service.py
@@ -0,0 +1,182 @@
+"""Commands ``service put|get|list|delete``: plain services and their non-repeatable calls."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from cleo.helpers import argument, option
+
+from magnoliarouter.cli.amendment import apply_assignments, compare_values, read_file
+from magnoliarouter.cli.confirmation import report_write, wait_until_in_force
+from magnoliarouter.cli.output import SHARED_OPTIONS, OperatorCommand, explain, format_table
+from magnoliarouter.cli.result import CommandResult, Done, ExitCode, Failed
+from magnoliarouter.cli.view import encode_value
+from magnoliarouter.platform.client import (
+    Ambiguous,
+    Conflict,
+    Found,
+    Missing,
+    Unavailable,
+    Written,
+)
+from magnoliarouter.platform.objects import ObjectError, ServiceSpec, decode_object
+from magnoliarouter.platform.settle import delete_settled, write_settled
+
+if TYPE_CHECKING:
+    from cleo.commands.command import Command
+
+    from magnoliarouter.cli.desk import Desk
+    from magnoliarouter.platform.client import WriteOutcome
+
+__all__ = ["commands"]
+
+SERVICE = "service"
+WAIT_S = 30.0
+NAME = argument("name", "Name of the service")
+WAIT = option("wait", None, "Return when it is in force at every reachable daemon")
+
+
+class _WriteCommand(OperatorCommand):
+    """What the writing commands share."""
+
+    async def finish(self, desk: Desk, outcome: WriteOutcome, yours: Any) -> CommandResult:
+        """Turn the outcome of a write into a result, after waiting if that was asked."""
+        name = self.argument("name")
+        match outcome:
+            case Conflict(current):
+                theirs = current.value if current else None
+                message = f"service {name}: changed by someone else meanwhile; nothing was written"
+                message += f"\nyours: {encode_value(yours)}\nthere: {encode_value(theirs)}"
+                return Failed(ExitCode.CONFLICT, message, {"yours": yours, "current": theirs})
+            case Ambiguous() | Unavailable():
+                return explain(outcome, f"service {name}")
+        confirmation = None
+        if self.option("wait"):
+            confirmation = await wait_until_in_force(desk, SERVICE, name, outcome.version, WAIT_S)
+        text = f"service {name}: accepted as version {outcome.version}"
+        return report_write(text, {"name": name, "version": outcome.version}, confirmation)
+
+
+class ServicePut(_WriteCommand):
+    """Command ``service put``."""
+
+    name = "service put"
+    description = "Create or change a service"
+    arguments = [NAME]
+    options = [
+        *SHARED_OPTIONS,
+        option("file", None, "JSON file with the service", flag=False),
+        option("set", None, "field=value; may be repeated", flag=False, multiple=True),
+        option("dry-run", None, "Show what would change, and write nothing"),
+        WAIT,
+    ]
+
+    async def perform(self, desk: Desk) -> CommandResult:
+        """Write the service if nobody changes it meanwhile."""
+        name = self.argument("name")
+        found = await desk.platform.read(SERVICE, name)
+        if isinstance(found, Unavailable):
+            return explain(found, f"service {name}")
+        current = found.items[0] if isinstance(found, Found) else None
+        before = current.value if current and isinstance(current.value, dict) else {"name": name}
+        value = self._change(before)
+        if isinstance(value, Failed):
+            return value
+        if self.option("dry-run"):
+            rows = [
+                (path, encode_value(was), encode_value(becomes))
+                for path, was, becomes in compare_values(before if current else {}, value)
+            ]
+            table = format_table(("field", "before", "after"), rows)
+            return Done(f"nothing is written\n{table}", value)
+        expect = current.version if current else 0
+        outcome = await write_settled(desk.platform, SERVICE, name, value, expect)
+        return await self.finish(desk, outcome, value)
+
+    def _change(self, before: dict[str, Any]) -> dict[str, Any] | Failed:
+        path, name = self.option("file"), self.argument("name")
+        base = read_file(path) if path else before
+        if isinstance(base, Failed):
+            return base
+        changed = apply_assignments({"name": name, **base}, self.option("set"))
+        if isinstance(changed, Failed):
+            return changed
+        try:
+            spec: ServiceSpec = decode_object(SERVICE, changed)
+        except ObjectError as error:
+            return Failed(ExitCode.INVALID, str(error))
+        if spec.name != name:
+            return Failed(ExitCode.INVALID, f"service: name is {spec.name!r}, expected {name!r}")
+        return msgspec.json.decode(msgspec.json.encode(spec))
+
+
+class ServiceDelete(_WriteCommand):
+    """Command ``service delete``."""
+
+    name = "service delete"
+    description = "Delete a service; calls to it are refused from then on"
+    arguments = [NAME]
+    options = [*SHARED_OPTIONS, WAIT]
+
+    async def perform(self, desk: Desk) -> CommandResult:
+        """Delete the service if nobody changes it meanwhile."""
+        name = self.argument("name")
+        found = await desk.platform.read(SERVICE, name)
+        if isinstance(found, Missing | Unavailable):
+            return explain(found, f"service {name}")
+        version = found.items[0].version
+        outcome = await delete_settled(desk.platform, SERVICE, name, version)
+        if isinstance(outcome, Written):
+            outcome = Written(max(outcome.version, version + 1))
+        return await self.finish(desk, outcome, None)
+
+
+class ServiceGet(OperatorCommand):
+    """Command ``service get``."""
+
+    name = "service get"
+    description = "Show a service"
+    arguments = [NAME]
+
+    async def perform(self, desk: Desk) -> CommandResult:
+        """Read the service."""
+        name = self.argument("name")
+        found = await desk.platform.read(SERVICE, name)
+        if isinstance(found, Missing | Unavailable):
+            return explain(found, f"service {name}")
+        item = found.items[0]
+        rows = list(item.value.items()) if isinstance(item.value, dict) else [("value", item.value)]
+        rows = [(field, encode_value(value)) for field, value in rows]
+        table = format_table(("field", "value"), rows)
+        return Done(f"service {name}, version {item.version}\n{table}", item.value)
+
+
+class ServiceList(OperatorCommand):
+    """Command ``service list``."""
+
+    name = "service list"
+    description = "List all services"
+
+    async def perform(self, desk: Desk) -> CommandResult:
+        """Read all services."""
+        found = await desk.platform.list(SERVICE)
+        if isinstance(found, Unavailable):
+            return explain(found, "services")
+        items = sorted(found.items, key=lambda item: item.name)
+        rows = [(item.name, item.version, _describe(item.value)) for item in items]
+        value = [{"name": i.name, "version": i.version, "value": i.value} for i in items]
+        return Done(format_table(("service", "version", "non-repeatable calls"), rows), value)
+
+
+def commands() -> list[Command]:
+    """Return the commands of this module."""
+    return [ServicePut(), ServiceGet(), ServiceList(), ServiceDelete()]
+
+
+def _describe(value: Any) -> str:
+    try:
+        spec: ServiceSpec = decode_object(SERVICE, value)
+    except ObjectError as error:
+        return f"refused by the daemons: {error}"
+    return ", ".join(spec.non_repeatable) or "-"
--- a/magnoliarouter/daemon/settings.py
+++ b/magnoliarouter/daemon/settings.py
@@ -8,6 +8,8 @@
 import msgspec
 from msgspec import Meta
 
+from magnoliarouter.platform.validation import ValidationFailure, check_value
+
 __all__ = ["EndpointSettings", "EntrySettings", "Settings", "SettingsError", "load_settings"]
 
 Port = Annotated[int, Meta(ge=0, le=65_535)]
@@ -22,7 +24,15 @@
 
 
 class Address(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """IP number and port to listen on; port 0 takes a free one."""
+    """IP number and port to listen on.
+
+    Parameters
+    ----------
+    host : str
+        IP number to listen on.
+    port : int
+        Port to listen on; 0 takes a free one.
+    """
 
     host: str = "127.0.0.1"
     port: Port = 0
@@ -162,17 +172,24 @@
     except OSError as error:
         raise SettingsError(f"cannot read settings {path}: {error.strerror}") from error
     try:
-        return msgspec.json.decode(raw, type=Settings)
-    except msgspec.DecodeError as error:
-        raise SettingsError(f"settings {path}: {error}{_list_fields(raw)}") from error
+        values = msgspec.json.decode(raw)
+    except (msgspec.MsgspecError, RecursionError, ValueError) as error:
+        raise SettingsError(f"settings {path}: {error}") from error
+    return _check(path, values)
 
 
-def _list_fields(raw: bytes) -> str:
+def _check(path: str | Path, values: object) -> Settings:
+    role = values.get("role") if isinstance(values, dict) else None
+    models = {model.__struct_config__.tag: model for model in (EntrySettings, EndpointSettings)}
+    if not isinstance(role, str) or role not in models:
+        raise SettingsError(f"settings {path}: role is {role!r}; valid roles: {', '.join(models)}")
     try:
-        role = msgspec.json.decode(raw).get("role")
-    except (msgspec.DecodeError, AttributeError):
-        return ""
-    for model in (EntrySettings, EndpointSettings):
-        if model.__struct_config__.tag == role:
-            return f"; valid fields: role, {', '.join(model.__struct_fields__)}"
-    return "; valid roles: entry, endpoint"
+        settings = check_value(values, models[role])
+    except ValidationFailure as error:
+        raise SettingsError(f"settings {path}: {error}") from error
+    if isinstance(settings, EntrySettings) and settings.zones:
+        if settings.zone not in settings.zones:
+            valid = ", ".join(settings.zones)
+            reason = f"zone is {settings.zone!r}, but zones lists: {valid}"
+            raise SettingsError(f"settings {path}: {reason}")
+    return settings
--- /dev/null
+++ b/magnoliarouter/manual.py
@@ -0,0 +1,158 @@
+"""Writes docs/CONFIGURATION.md from the models: ``python -m magnoliarouter.manual``.
+
+The meaning of a field is taken from its model's docstring, type and bounds from the model itself.
+"""
+
+from __future__ import annotations
+
+import inspect
+import re
+from typing import Any
+
+import msgspec
+from msgspec import inspect as types
+
+from magnoliarouter.cli.desk import DeskSettings
+from magnoliarouter.core.contract import Limits
+from magnoliarouter.daemon.settings import Address, EndpointSettings, EntrySettings
+from magnoliarouter.platform.objects import MODELS, LimitsSpec, RevisionSpec
+
+__all__ = ["UNITS", "describe_fields", "write_manual"]
+
+UNITS = {
+    "age_s": "s",
+    "burst_seconds": "s",
+    "concurrent_requests": "requests",
+    "number": "revisions",
+    "platform_calls_per_second": "calls/s",
+    "port": "port number",
+    "priority": "rank, 0 is served first",
+    "queue_length": "requests",
+    "request_seconds": "s",
+    "requests_per_second": "requests/s",
+    "shutdown_seconds": "s",
+    "slots": "requests",
+    "static_share": "share of 1",
+    "tokens_per_request": "tokens",
+    "tokens_per_second": "tokens/s",
+    "weight": "ratio",
+}
+# Models whose fields are described by another class.
+DESCRIBED_BY: dict[type, tuple[type, ...]] = {
+    LimitsSpec: (LimitsSpec, Limits),
+    EndpointSettings: (EndpointSettings, EntrySettings),
+}
+ENTRY = re.compile(r"^(?P<names>\w+(?:, \w+)*) : .+$")
+HEAD = """# Configuration
+
+Written by `python -m magnoliarouter.manual` from the models in the code; a test compares the two.
+Settings are JSON files, read once at the start; `magnoliarouterd FILE --check` checks one.
+Objects are JSON values in the platform; `magnoliactl` writes them, and every daemon checks them
+again. An unknown field is refused everywhere.
+"""
+
+
+def write_manual() -> str:
+    """Return the text of docs/CONFIGURATION.md."""
+    sections = [
+        HEAD,
+        _section('Settings of an entry daemon (`"role": "entry"`)', EntrySettings),
+        _section('Settings of an endpoint daemon (`"role": "endpoint"`)', EndpointSettings),
+        _section("Address in settings", Address),
+        _section("Settings of `magnoliactl`", DeskSettings),
+        _section("Limit set within a contract", LimitsSpec),
+        _section("Revision within a contract", RevisionSpec),
+    ]
+    sections += [_section(f"Object `{kind}`", model) for kind, model in sorted(MODELS.items())]
+    return "\n".join(sections)
+
+
+def describe_fields(model: type[msgspec.Struct]) -> dict[str, str]:
+    """Return the meaning of each field that the docstrings of a model describe.
+
+    Examples
+    --------
+    >>> describe_fields(Address)["port"]
+    'Port to listen on; 0 takes a free one.'
+    """
+    found: dict[str, str] = {}
+    for source in reversed(DESCRIBED_BY.get(model, (model,))):
+        found |= _parse(inspect.cleandoc(source.__doc__ or ""))
+    return found
+
+
+def _parse(text: str) -> dict[str, str]:
+    found: dict[str, str] = {}
+    names: list[str] = []
+    for line in text.partition("Parameters\n----------\n")[2].splitlines():
+        entry = ENTRY.match(line)
+        if entry:
+            names = entry["names"].split(", ")
+        elif line.startswith("    "):
+            for name in names:
+                found[name] = f"{found.get(name, '')} {line.strip()}".strip()
+        elif line:
+            break
+    return found
+
+
+def _section(title: str, model: type[msgspec.Struct]) -> str:
+    meanings = describe_fields(model)
+    summary = inspect.cleandoc(model.__doc__ or "").partition("\n")[0]
+    lines = [f"## {title}\n", f"{summary}\n", "| field | type | unit | default | meaning |"]
+    lines.append("|---|---|---|---|---|")
+    for field in types.type_info(model).fields:
+        cells = (
+            f"`{field.name}`",
+            _name_type(field.type),
+            UNITS.get(field.name, ""),
+            _show_default(field),
+            meanings.get(field.name, ""),
+        )
+        lines.append(f"| {' | '.join(cells)} |")
+    return "\n".join(lines) + "\n"
+
+
+def _show_default(field: types.Field) -> str:
+    if field.required:
+        return "required"
+    default = field.default
+    if field.default_factory is not msgspec.NODEFAULT:
+        default = field.default_factory()
+    return f"`{msgspec.json.encode(default).decode()}`"
+
+
+def _name_type(kind: Any) -> str:
+    match kind:
+        case types.IntType() | types.FloatType():
+            name = "integer" if isinstance(kind, types.IntType) else "number"
+            bounds = ((">=", kind.ge), (">", kind.gt), ("<=", kind.le), ("<", kind.lt))
+            shown = [f"{sign} {value:g}" for sign, value in bounds if value is not None]
+            return " ".join([name, ", ".join(shown)]).strip()
+        case types.StrType(pattern=str(pattern)):
+            return f"string matching `{pattern}`".replace("|", "\\|")
+        case types.StrType(min_length=int(length)):
+            return f"string of {length} or more characters"
+        case types.StrType(max_length=int(length)):
+            return f"string of at most {length} characters"
+        case types.StrType():
+            return "string"
+        case types.BoolType():
+            return "true or false"
+        case types.LiteralType(values=values):
+            return " or ".join(f'`"{value}"`' for value in values)
+        case types.VarTupleType(item_type=item) | types.ListType(item_type=item):
+            return f"list of {_name_type(item)}"
+        case types.DictType(key_type=key, value_type=value):
+            return f"object from {_name_type(key)} to {_name_type(value)}"
+        case types.StructType(cls=cls):
+            return cls.__name__
+        case types.UnionType(types=members):
+            return " or ".join(map(_name_type, members))
+        case types.NoneType():
+            return "null"
+    return "any JSON value"
+
+
+if __name__ == "__main__":
+    print(write_manual(), end="")
--- a/magnoliarouter/platform/objects.py
+++ b/magnoliarouter/platform/objects.py
@@ -33,6 +33,7 @@
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Standing = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 Rate = Annotated[float, Meta(ge=0, le=1e9)]
+CallPattern = Annotated[str, Meta(pattern=r"^[A-Z]{1,16} /[!-~]{0,255}$")]
 KeyHash = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
 
 
@@ -146,7 +147,13 @@
 
 
 class KeySpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Reservation of a key digest for one customer; the object's name is the digest."""
+    """Reservation of a key digest for one customer; the object's name is the digest.
+
+    Parameters
+    ----------
+    customer : str
+        Customer whose contracts alone may hold the key.
+    """
 
     customer: Name
 
@@ -196,7 +203,7 @@
     """
 
     name: Name
-    non_repeatable: tuple[str, ...] = ()
+    non_repeatable: tuple[CallPattern, ...] = ()
 
 
 class VmSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/magnoliarouter/platform/validation.py
+++ b/magnoliarouter/platform/validation.py
@@ -55,7 +55,7 @@
     path, bad, owner = _walk(value, model, steps)
     if "unknown field" in reason or "missing required field" in reason:
         place = f"{path}: " if path else ""
-        return f"{place}{reason}; valid fields: {', '.join(owner.__struct_fields__)}"
+        return f"{place}{reason}; valid fields: {', '.join(_list_fields(owner))}"
     return f"{path or 'value'} is {_show(bad)}: {reason}"
 
 
@@ -92,6 +92,11 @@
     return "..."
 
 
+def _list_fields(model: type[msgspec.Struct]) -> list[str]:
+    tag = model.__struct_config__.tag_field
+    return [*([tag] if tag else []), *model.__struct_fields__]
+
+
 def _find_struct(kind: Any) -> type[msgspec.Struct] | None:
     for candidate in (kind, *get_args(kind)):
         if isinstance(candidate, type) and issubclass(candidate, msgspec.Struct):
--- a/magnoliarouter/tests/test_cli.py
+++ b/magnoliarouter/tests/test_cli.py
@@ -207,6 +207,30 @@
             await self.create()
 
 
+class ServiceCommandsTest(CliTest):
+    async def test_put_get_list_delete(self):
+        change = """--set 'non_repeatable=["POST /release"]'"""
+        self.assertIn(
+            'null  ["POST /release"]',
+            await self.run_command(f"service put tanks {change} --dry-run"),
+        )
+        self.assertEqual(self.store.version, 0)
+        await self.run_command(f"service put tanks {change} --wait")
+        self.assertEqual(
+            self.store.objects["service", "tanks"].value,
+            {"name": "tanks", "non_repeatable": ["POST /release"]},
+        )
+        self.assertRegex(await self.run_command("service list"), r"tanks +1 +POST /release")
+        self.assertIn("POST /release", await self.run_command("service get tanks"))
+        await self.run_command("service delete tanks")
+        await self.run_command("service get tanks", ExitCode.NOT_FOUND)
+
+    async def test_call_that_is_no_pattern_is_refused(self):
+        change = """--set 'non_repeatable=["release"]'"""
+        text = await self.run_command(f"service put tanks {change}", ExitCode.INVALID)
+        self.assertIn('non_repeatable[0] is "release"', text)
+
+
 class ConfirmationTest(CliTest):
     async def test_wait_names_daemons_that_have_not_confirmed(self):
         asked = []
--- /dev/null
+++ b/magnoliarouter/tests/test_manual.py
@@ -0,0 +1,29 @@
+from __future__ import annotations
+
+import unittest
+from pathlib import Path
+
+from msgspec import inspect as types
+
+from magnoliarouter.cli.desk import DeskSettings
+from magnoliarouter.daemon.settings import EndpointSettings, EntrySettings
+from magnoliarouter.manual import UNITS, describe_fields, write_manual
+from magnoliarouter.platform.objects import MODELS, LimitsSpec, RevisionSpec
+
+PAGE = Path(__file__).parents[2] / "docs" / "CONFIGURATION.md"
+DESCRIBED = (EntrySettings, EndpointSettings, DeskSettings, LimitsSpec, RevisionSpec)
+
+
+class ManualTest(unittest.TestCase):
+    def test_page_is_current(self):
+        written = PAGE.read_text(encoding="utf-8")
+        self.assertEqual(written, write_manual(), "run: python -m magnoliarouter.manual > PAGE")
+
+    def test_every_field_has_a_meaning_and_numbers_have_units(self):
+        for model in (*DESCRIBED, *MODELS.values()):
+            meanings = describe_fields(model)
+            for field in types.type_info(model).fields:
+                with self.subTest(f"{model.__name__}.{field.name}"):
+                    self.assertTrue(meanings.get(field.name))
+                    if isinstance(field.type, types.IntType | types.FloatType):
+                        self.assertIn(field.name, UNITS)
--- a/magnoliarouter/tests/test_settings.py
+++ b/magnoliarouter/tests/test_settings.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import json
+import random
 import tempfile
 import unittest
 from pathlib import Path
@@ -41,3 +42,28 @@
     def test_missing_file(self):
         with self.assertRaisesRegex(SettingsError, "cannot read settings"):
             load_settings("/nonexistent.json")
+
+    def test_own_zone_must_be_listed(self):
+        with self.assertRaisesRegex(SettingsError, "zone is 'zone-1', but zones lists: a, b"):
+            self.load(zones=["a", "b"])
+
+    def test_bad_value_is_shown(self):
+        with self.assertRaisesRegex(SettingsError, 'peers.port is "x": Expected `int`'):
+            self.load(peers={"port": "x"})
+
+    def test_damaged_files_are_refused_with_a_message(self):
+        chooser, seen = random.Random(5), 0
+        base = json.dumps({**VALID, "listen": {"host": "h", "port": 1}, "seeds": ["a:1"]}).encode()
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.json"
+            for _ in range(400):
+                raw = bytearray(base)
+                for _ in range(chooser.choice((1, 2, 8))):
+                    raw[chooser.randrange(len(raw))] = chooser.choice(b'0{}[]",:x\xff')
+                path.write_bytes(raw * chooser.choice((1, 1, 2)))
+                try:
+                    load_settings(path)
+                except SettingsError as error:
+                    seen += 1
+                    self.assertIn("settings.json", str(error))
+        self.assertGreater(seen, 200)
