--- a/magnoliarouter/standins/bench/main.py
+++ b/magnoliarouter/standins/bench/main.py
@@ -16,7 +16,15 @@
 __all__ = ["main"]
 
 # Each module has a function `experiments()` that returns a list of `Experiment`.
-MODULES: tuple[str, ...] = ("answers", "capacity", "leaving", "loop", "path", "placement")
+MODULES: tuple[str, ...] = (
+    "answers",
+    "capacity",
+    "leaving",
+    "loop",
+    "path",
+    "placement",
+    "rollout",
+)
 
 
 def load_experiments() -> dict[str, Experiment]:
