--- /dev/null
+++ b/magnoliarouter/standins/bench/groupsim.py
@@ -0,0 +1,216 @@
+"""Group model in one process, for comparing rebalancing policies on the same loads."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from magnoliarouter.core.expertmap import FULL_SHARE, ExpertMap, count_moves, spread_evenly
+from magnoliarouter.core.layerplan import measure_times
+from magnoliarouter.core.rebalance import bound_skew, choose_policy, decay_tokens, plan_moves
+from magnoliarouter.core.stragglers import StragglerState, choose_share, judge_rank
+from magnoliarouter.standins.drift import Drift
+
+__all__ = ["GroupSize", "Outcome", "compare_policies", "rebuild_map"]
+
+SLOW_RANK = 5
+SLOW_SPEED = 0.6
+SLOW_FROM, SLOW_UNTIL = 0.4, 0.7
+COUNT_NOISE = 0.03
+HALF_LIFE_INTERVALS = 1.5
+STALL_S = 0.005
+POLICIES = ("never", "greedy", "skew", "cost")
+
+
+@dataclass(frozen=True, slots=True)
+class GroupSize:
+    """Size of the model and of its environment.
+
+    Parameters
+    ----------
+    ranks, layers, experts, slots : int
+        Group, and experts of one layer that fit on a rank.
+    expert_bytes : int
+        Size of one expert of one layer.
+    store_rate : float
+        Bytes a second of the weight store that are this group's.
+    interval : float
+        Seconds between plans.
+    intervals : int
+        Length of the run.
+    period : float
+        Length of a season or of a court list in seconds.
+    """
+
+    ranks: int = 32
+    layers: int = 16
+    experts: int = 64
+    slots: int = 4
+    expert_bytes: int = 50_000_000
+    store_rate: float = 2e9
+    interval: float = 20.0
+    intervals: int = 90
+    period: float = 600.0
+
+    @property
+    def move_seconds(self) -> float:
+        """Time that the weight store needs for one expert."""
+        return self.expert_bytes / self.store_rate
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What one policy brought.
+
+    Parameters
+    ----------
+    skews, bounds : list of float
+        Step-time skew and its lower bound in each interval.
+    moves : list of int
+        Experts fetched in each interval.
+    switches : int
+        Maps switched to.
+    """
+
+    skews: list[float] = field(default_factory=list)
+    bounds: list[float] = field(default_factory=list)
+    moves: list[int] = field(default_factory=list)
+    switches: int = 0
+
+    @property
+    def stall_seconds(self) -> float:
+        """Time that the group stood still for switches."""
+        return STALL_S * self.switches
+
+
+@dataclass(slots=True)
+class _Runner:
+    """One policy at work; it sees counted tokens and measured speeds, not the true ones."""
+
+    name: str
+    size: GroupSize
+    map: ExpertMap
+    outcome: Outcome = field(default_factory=Outcome)
+    tokens: list[list[float]] = field(default_factory=list)
+    care: list[StragglerState] = field(default_factory=list)
+
+    def plan(self, counted: list[list[float]], speeds: list[float], now: float) -> None:
+        """Take the counts of the last interval and switch to a new map if it is worth it."""
+        interval = self.size.interval
+        half_life = HALF_LIFE_INTERVALS * interval
+        self.tokens = decay_tokens(self.tokens, counted, interval, half_life)
+        self.care = [judge_rank(state, speed, now) for state, speed in zip(self.care, speeds)]
+        shares = [
+            choose_share(state.care, speed, share / FULL_SHARE)
+            for state, speed, share in zip(self.care, speeds, self.map.shares)
+        ]
+        target = self._choose_map(shares)
+        moves = count_moves(self.map, target)
+        self.outcome.moves.append(moves)
+        self.outcome.switches += target != self.map
+        self.map = target
+
+    def _choose_map(self, shares: list[float]) -> ExpertMap:
+        encoded = tuple(max(1, round(share * FULL_SHARE)) for share in shares)
+        current = ExpertMap(self.map.ranks, self.map.layers, encoded)
+        match self.name:
+            case "never":
+                return self.map
+            case "greedy":
+                return rebuild_map(current, self.tokens, shares, self.size.slots)
+        size = self.size
+        max_moves = int(size.interval / 2 / size.move_seconds)
+        policy = choose_policy(self.name, size.move_seconds, max_moves, size.interval)
+        return plan_moves(current, self.tokens, shares, size.slots, policy).map
+
+
+def compare_policies(kind: str, seed: int, size: GroupSize) -> dict[str, Outcome]:
+    """Run all policies on the same drift, counts and straggler.
+
+    Parameters
+    ----------
+    kind : str
+        Kind of drift; see `Drift`.
+    seed : int
+        Seed of drift and counting noise.
+    size : GroupSize
+        Size of the model.
+    """
+    drift = Drift(kind, size.experts, seed, size.period)
+    noise = random.Random(f"{seed}/noise")
+    first = spread_evenly(size.ranks, size.layers, size.experts)
+    runners = [
+        _Runner(name, size, first, care=[StragglerState()] * size.ranks) for name in POLICIES
+    ]
+    for number in range(size.intervals):
+        now = number * size.interval
+        layers = range(size.layers)
+        true = [drift.weigh(layer, now + size.interval / 2) for layer in layers]
+        speeds = _list_speeds(size, number)
+        bound = bound_skew(true, speeds, size.slots)
+        for runner in runners:
+            runner.outcome.skews.append(_measure_true_skew(runner.map, true, speeds))
+            runner.outcome.bounds.append(bound)
+        counted = [[load * noise.gauss(1.0, COUNT_NOISE) for load in row] for row in true]
+        for runner in runners:
+            runner.plan(counted, speeds, now)
+    return {runner.name: runner.outcome for runner in runners}
+
+
+def rebuild_map(
+    current: ExpertMap, tokens: list[list[float]], shares: list[float], slots: int
+) -> ExpertMap:
+    """Return a map built anew: replicas for the hottest, then the largest first.
+
+    Each expert goes to the rank that ends first; a present holder is preferred on a tie.
+    """
+    rows = [_rebuild_row(row, load, shares, slots) for row, load in zip(current.layers, tokens)]
+    return ExpertMap(current.ranks, tuple(rows), current.shares)
+
+
+def _rebuild_row(
+    row: tuple[tuple[int, ...], ...], load: list[float], shares: list[float], slots: int
+) -> tuple[tuple[int, ...], ...]:
+    ranks = range(len(shares))
+    counts = [1] * len(load)
+    for _ in range(slots * len(shares) - len(load)):
+        hottest = max(range(len(load)), key=lambda expert: load[expert] / counts[expert])
+        if counts[hottest] >= len(shares):
+            break
+        counts[hottest] += 1
+    times = [0.0] * len(shares)
+    free = [slots] * len(shares)
+    placed: list[list[int]] = [[] for _ in load]
+    order = sorted(range(len(load)), key=lambda expert: -load[expert] / counts[expert])
+    for expert in order:
+        part = load[expert] / counts[expert]
+        for _ in range(counts[expert]):
+            open_ranks = [rank for rank in ranks if free[rank] and rank not in placed[expert]]
+            if not open_ranks:
+                break
+            chosen = min(
+                open_ranks,
+                key=lambda rank: (times[rank] + part / shares[rank], rank not in row[expert]),
+            )
+            times[chosen] += part / shares[chosen]
+            free[chosen] -= 1
+            placed[expert].append(chosen)
+    return tuple(tuple(sorted(found)) for found in placed)
+
+
+def _list_speeds(size: GroupSize, number: int) -> list[float]:
+    speeds = [1.0] * size.ranks
+    if SLOW_FROM <= number / size.intervals < SLOW_UNTIL:
+        speeds[SLOW_RANK % size.ranks] = SLOW_SPEED
+    return speeds
+
+
+def _measure_true_skew(current: ExpertMap, tokens: list[list[float]], speeds: list[float]) -> float:
+    shares = [share / FULL_SHARE for share in current.shares]
+    slowest = mean = 0.0
+    for row, load in zip(current.layers, tokens):
+        planned = measure_times(row, load, shares)
+        times = [time * share / speed for time, share, speed in zip(planned, shares, speeds)]
+        slowest += max(times)
+        mean += sum(times) / len(times)
+    return slowest / mean - 1.0
