--- /dev/null
+++ b/magnoliarouter/cli/group.py
@@ -0,0 +1,277 @@
+"""Commands ``group ...``: expert groups, their maps, skew and planned moves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from cleo.helpers import argument, option
+
+from magnoliarouter.cli.amendment import read_file
+from magnoliarouter.cli.output import SHARED_OPTIONS, OperatorCommand, explain, format_table
+from magnoliarouter.cli.result import CommandResult, Done, ExitCode, Failed
+from magnoliarouter.core.expertmap import FULL_SHARE, ExpertMap, ExpertMapError
+from magnoliarouter.core.mapstate import MapRecord
+from magnoliarouter.core.rebalance import measure_skew
+from magnoliarouter.daemon.groupbalance import plan_group
+from magnoliarouter.endpoints.group import MAP_KIND
+from magnoliarouter.endpoints.ranks import RankClient
+from magnoliarouter.platform.client import Conflict, Found, Missing, Written
+from magnoliarouter.platform.groups import GROUP_HEALTH_KIND, GROUP_KIND, GroupSpec
+from magnoliarouter.platform.objects import ObjectError, decode_object
+
+if TYPE_CHECKING:
+    from cleo.commands.command import Command
+
+    from magnoliarouter.cli.desk import Desk
+    from magnoliarouter.core.rebalance import Plan
+    from magnoliarouter.endpoints.group import RankLoad
+
+__all__ = ["commands"]
+
+LIST_HEADERS = ("group", "ranks", "favours", "pinned", "version", "in flight", "skew", "stragglers")
+RANK_HEADERS = (
+    "rank",
+    "address",
+    "step",
+    "step ms",
+    "speed",
+    "share",
+    "experts",
+    "waits",
+    "wait s",
+)
+PLAN_HEADERS = ("layer", "moves", "slowest before", "slowest after")
+NAME = argument("name", "Name of the group")
+
+
+class GroupList(OperatorCommand):
+    """Command ``group list``."""
+
+    name = "group list"
+    description = "List the expert groups with their map versions and skew"
+
+    async def perform(self, desk: Desk) -> CommandResult:
+        """Read groups, maps and health from the platform."""
+        found = []
+        for kind in (GROUP_KIND, MAP_KIND, GROUP_HEALTH_KIND):
+            outcome = await desk.platform.list(kind)
+            if not isinstance(outcome, Found):
+                return explain(outcome, f"list of kind {kind}")
+            found.append({item.name: item.value for item in outcome.items})
+        groups, maps, healths = found
+        rows = [
+            _row(value, maps.get(name), healths.get(name, {})) for name, value in groups.items()
+        ]
+        value = [dict(zip(LIST_HEADERS, row, strict=True)) for row in sorted(rows)]
+        return Done(format_table(LIST_HEADERS, sorted(rows)), value)
+
+
+class GroupShow(OperatorCommand):
+    """Command ``group show``."""
+
+    name = "group show"
+    description = "Show a group's map version, skew and ranks"
+    arguments = [NAME]
+
+    async def perform(self, desk: Desk) -> CommandResult:
+        """Read the group's objects and ask its ranks."""
+        found = await _read_group(desk, self.argument("name"))
+        if isinstance(found, Failed):
+            return found
+        _, spec, record, current = found
+        loads = await RankClient(spec.ranks, desk.session).read_loads()
+        rows = [_rank_row(rank, spec, current, load) for rank, load in enumerate(loads)]
+        silent = sum(load is None for load in loads)
+        facts = {
+            "group": spec.name,
+            "version": record.schedule.version,
+            "since_step": record.schedule.since,
+            "in_flight": record.in_flight,
+            "epoch": record.epoch,
+            "favour": spec.favour,
+            "pinned": spec.pinned,
+            "skew": _measure(current, loads),
+            "silent_ranks": silent,
+        }
+        head = "\n".join(f"{name}: {_show(value)}" for name, value in facts.items())
+        value = {**facts, "ranks": [dict(zip(RANK_HEADERS, row, strict=True)) for row in rows]}
+        code = ExitCode.NOT_CONFIRMED if silent else ExitCode.OK
+        return Done(f"{head}\n{format_table(RANK_HEADERS, rows)}", value, code)
+
+
+class GroupRebalance(OperatorCommand):
+    """Command ``group rebalance``."""
+
+    name = "group rebalance"
+    description = "Show the moves that the group's controller would make for the present load"
+    arguments = [NAME]
+    options = [*SHARED_OPTIONS, option("dry-run", None, "Only show the plan; always required")]
+
+    async def perform(self, desk: Desk) -> CommandResult:
+        """Plan with the ranks' present loads and print the plan."""
+        if not self.option("dry-run"):
+            reason = "group rebalance: give --dry-run; the group's controller moves by itself"
+            return Failed(ExitCode.USAGE, reason)
+        found = await _read_group(desk, self.argument("name"))
+        if isinstance(found, Failed):
+            return found
+        _, spec, _, current = found
+        loads = await RankClient(spec.ranks, desk.session).read_loads()
+        if None in loads or not loads[0].tokens:
+            reason = f"group {spec.name}: not all ranks tell their load"
+            return Failed(ExitCode.UNAVAILABLE, reason)
+        plan = plan_group(spec, current, loads[0].tokens, [load.speed for load in loads])
+        return Done(_format_plan(spec, plan), _plan_value(plan))
+
+
+class GroupPin(OperatorCommand):
+    """Command ``group pin``."""
+
+    name = "group pin"
+    description = "Keep a group's map as it is, or let it change again"
+    arguments = [NAME]
+    options = [*SHARED_OPTIONS, option("off", None, "Let the map change again")]
+
+    async def perform(self, desk: Desk) -> CommandResult:
+        """Write the group with its field `pinned` changed."""
+        name = self.argument("name")
+        found = await _read_spec(desk, name)
+        if isinstance(found, Failed):
+            return found
+        version, spec = found
+        changed = msgspec.structs.replace(spec, pinned=not self.option("off"))
+        return await _write(desk, changed, version)
+
+
+class GroupApply(OperatorCommand):
+    """Command ``group apply``."""
+
+    name = "group apply"
+    description = "Create or replace a group from a JSON file"
+    arguments = [argument("file", "JSON file with the fields of a group")]
+
+    async def perform(self, desk: Desk) -> CommandResult:
+        """Check the file and write the group."""
+        value = read_file(self.argument("file"))
+        if isinstance(value, Failed):
+            return value
+        try:
+            spec: GroupSpec = decode_object(GROUP_KIND, value)
+        except ObjectError as error:
+            return Failed(ExitCode.INVALID, str(error))
+        match await desk.platform.read(GROUP_KIND, spec.name):
+            case Found(version, _):
+                return await _write(desk, spec, version)
+            case Missing():
+                return await _write(desk, spec, 0)
+            case outcome:
+                return explain(outcome, f"group {spec.name}")
+
+
+def commands() -> list[Command]:
+    """Return the commands of this module."""
+    return [GroupList(), GroupShow(), GroupRebalance(), GroupPin(), GroupApply()]
+
+
+async def _write(desk: Desk, spec: GroupSpec, expect: int) -> CommandResult:
+    value = msgspec.to_builtins(spec)
+    match await desk.platform.write(GROUP_KIND, spec.name, value, expect):
+        case Written(version):
+            return Done(f"group {spec.name}: written as version {version}", value)
+        case Conflict():
+            reason = f"group {spec.name} was changed by someone else; nothing written"
+            return Failed(ExitCode.CONFLICT, reason)
+        case outcome:
+            return explain(outcome, f"group {spec.name}")
+
+
+async def _read_spec(desk: Desk, name: str) -> tuple[int, GroupSpec] | Failed:
+    match await desk.platform.read(GROUP_KIND, name):
+        case Found(_, (item,)):
+            try:
+                return item.version, decode_object(GROUP_KIND, item.value)
+            except ObjectError as error:
+                return Failed(ExitCode.INVALID, str(error))
+        case outcome:
+            return explain(outcome, f"group {name}")
+
+
+async def _read_group(
+    desk: Desk, name: str
+) -> tuple[int, GroupSpec, MapRecord, ExpertMap] | Failed:
+    found = await _read_spec(desk, name)
+    if isinstance(found, Failed):
+        return found
+    match await desk.platform.read(MAP_KIND, name):
+        case Found(_, (item,)):
+            try:
+                record = msgspec.convert(item.value, type=MapRecord)
+                current = ExpertMap.decode(record.text_of(record.schedule.version))
+            except (msgspec.ValidationError, ExpertMapError) as error:
+                return Failed(ExitCode.INVALID, f"map {name}: {error}")
+            return *found, record, current
+        case outcome:
+            return explain(outcome, f"map of group {name}")
+
+
+def _row(group: dict[str, Any], record: dict[str, Any] | None, health: dict[str, Any]) -> tuple:
+    schedule = (record or {}).get("schedule", {})
+    return (
+        group["name"],
+        len(group["ranks"]),
+        group.get("favour", "skew"),
+        "yes" if group.get("pinned") else "no",
+        schedule.get("version", "-"),
+        (record or {}).get("in_flight", 0) or "-",
+        health.get("skew", "-"),
+        ",".join(map(str, health.get("stragglers", ()))) or "-",
+    )
+
+
+def _rank_row(rank: int, spec: GroupSpec, current: ExpertMap, load: RankLoad | None) -> tuple:
+    share, experts = current.shares[rank], current.count_slots(rank)
+    if load is None:
+        return rank, spec.ranks[rank], "silent", "-", "-", share, experts, "-", "-"
+    milliseconds = round(1000 * load.step_seconds, 2)
+    waits = (load.waited_steps, round(load.waited_seconds, 2))
+    return (
+        rank, spec.ranks[rank], load.step, milliseconds, round(load.speed, 2), share, experts, *waits
+    )  # fmt: skip
+
+
+def _measure(current: ExpertMap, loads: list[RankLoad | None]) -> float | None:
+    if None in loads or not loads[0].tokens:
+        return None
+    return round(measure_skew(current, loads[0].tokens, [load.speed for load in loads]), 4)
+
+
+def _format_plan(spec: GroupSpec, plan: Plan) -> str:
+    rows = [
+        (part.layer, part.moves, round(part.before, 5), round(part.after, 5))
+        for part in plan.layers
+    ]
+    lines = [
+        f"group {spec.name}: {plan.moves} moves in {len(rows)} layers",
+        f"skew: {plan.skew_before:.3f} -> {plan.skew_after:.3f}",
+        f"expected saving: {plan.saved_seconds:.2f} s of step time over the horizon",
+        f"cost: {plan.cost_seconds:.2f} s of the weight store, "
+        f"{plan.moves * spec.expert_bytes / 1e9:.2f} GB",
+    ]
+    return "\n".join([*lines, format_table(PLAN_HEADERS, rows)] if rows else lines)
+
+
+def _plan_value(plan: Plan) -> dict[str, Any]:
+    return {
+        "moves": plan.moves,
+        "saved_seconds": plan.saved_seconds,
+        "cost_seconds": plan.cost_seconds,
+        "skew_before": plan.skew_before,
+        "skew_after": plan.skew_after,
+        "shares": [share / FULL_SHARE for share in plan.map.shares],
+        "layers": [msgspec.to_builtins(part) for part in plan.layers],
+    }
+
+
+def _show(value: Any) -> str:
+    return "unknown" if value is None else str(value)
--- a/magnoliarouter/cli/main.py
+++ b/magnoliarouter/cli/main.py
@@ -20,7 +20,7 @@
 __all__ = ["build_application", "main"]
 
 # Each module of magnoliarouter.cli has a function `commands()` that returns its commands.
-COMMAND_MODULES: tuple[str, ...] = ("codes", "contract", "key", "status")
+COMMAND_MODULES: tuple[str, ...] = ("codes", "contract", "group", "key", "status")
 
 
 class OperatorApplication(Application):
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -12,6 +12,7 @@
 from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
 from magnoliarouter.daemon.configuration import Configuration
 from magnoliarouter.daemon.exchange import CallerGone, Exchange, error_body
+from magnoliarouter.daemon.grouphealth import GroupHealth
 from magnoliarouter.daemon.groups import GroupDuty
 from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.daemon.loop import Runtime
@@ -169,7 +170,9 @@
             self.settings.group_lease_seconds,
             self.configuration.list_entry_vms,
         )
+        self.group_health = GroupHealth()
         self.configuration.add("group", on_change=self.groups.change)
+        self.configuration.add("group-health", on_change=self.group_health.update)
 
     def _is_ready(self) -> bool:
         return self.ready and self.configuration.synchronized.is_set()
