--- a/magnoliarouter/core/mapcontrol.py
+++ b/magnoliarouter/core/mapcontrol.py
@@ -140,7 +140,7 @@
     resets = find_contradictions(state)
     if resets and state.phase is Phase.QUERY:
         return replace(state, since=now, reports=(None,) * state.size), resets
-    if resets and state.phase in (Phase.SPREAD, Phase.IDLE):
+    if resets and state.phase is Phase.SPREAD:
         return _enter(state, Phase.STOPPED, now)
     return state, list_orders(state)
 
--- a/magnoliarouter/core/maporders.py
+++ b/magnoliarouter/core/maporders.py
@@ -38,6 +38,9 @@
 
 def list_orders(state: ControllerState) -> list[Effect]:
     """Return the orders to send, or to repeat, in the present phase."""
+    if state.phase is Phase.IDLE and ranks_agree(state):
+        # One rank's report shows every restart: the restarted rank has greeted it, or is it.
+        return [Send(0, Query(state.epoch))]
     orders = [(rank, _choose_order(state, report)) for rank, report in enumerate(state.reports)]
     return [Send(rank, order) for rank, order in orders if order is not None]
 
--- a/magnoliarouter/standins/bench/expertmap.py
+++ b/magnoliarouter/standins/bench/expertmap.py
@@ -20,7 +20,7 @@
 
 RANKS = 4
 GROUPS = 3
-DEFAULT_SECONDS = 50.0
+DEFAULT_SECONDS = 55.0
 PHASES = ("propose-write", "prepare", "arm", "commit-write", "spread")
 FAULTS = (
     "controller-kill",
@@ -30,6 +30,8 @@
     "partition",
     "store-down",
     "lost-answers",
+    "all-ranks-restart",
+    "controller-kill-store-down",
 )
 FAULT_S = 1.2
 CONTROLLER_PAUSE_S = 3.0
@@ -45,6 +47,17 @@
     "favour": "skew",
 }
 RANK_OPTIONS = ("--drift=court-list", "--period=1.5", "--step-seconds=0.02")
+FULL_RANKS = 32
+FULL_SECONDS = 20.0
+FULL_SETTINGS = {
+    **GROUP_SETTINGS,
+    "layers": 60,
+    "experts": 64,
+    "slots": 4,
+    "expert_bytes": 4_000_000,
+    "interval_seconds": 2.0,
+}
+FULL_RANK_OPTIONS = ("--drift=court-list", "--period=6", "--step-seconds=0.15")
 
 
 @dataclass(slots=True)
@@ -130,6 +143,15 @@
             await group.set_route(f"rank-{rank}", {"hold_up": True, "hold_down": True})
             await asyncio.sleep(FAULT_S)
             await group.set_route(f"rank-{rank}", {"delay": 0.02})
+        case "all-ranks-restart":
+            await asyncio.gather(*(member.kill() for member in group.members))
+            await asyncio.gather(*(group.restart_rank(number) for number in range(RANKS)))
+        case "controller-kill-store-down":
+            await group.put(f"{group.platform.url}/faults", {"down": True})
+            await group.entries[daemon].kill()
+            await asyncio.sleep(FAULT_S)
+            await group.put(f"{group.platform.url}/faults", {})
+            await group.start_entry(daemon)
         case "store-down" | "lost-answers":
             faults = {"down": True} if fault == "store-down" else {"lose_answers": 1.0}
             await group.put(f"{group.platform.url}/faults", faults)
@@ -137,6 +159,34 @@
             await group.put(f"{group.platform.url}/faults", {})
 
 
+async def run_full_size(options: Any) -> Report:
+    """Let one group of full size step and switch for a while, without faults."""
+    report = Report()
+    async with Site() as site, open_session() as session:
+        options_of_ranks = (*FULL_RANK_OPTIONS, f"--seed={options.seed}")
+        group = GroupSite(site, session, 5, FULL_RANKS, FULL_SETTINGS, options_of_ranks, 8)
+        await group.start()
+        await group.wait_for({"idle"}, 0, RECOVERY_LIMIT_S)
+        await asyncio.sleep(options.seconds or FULL_SECONDS)
+        group.read_events()
+        lines = group.read_steps()
+    times = _list_switch_times(group.events)
+    report.figures = {
+        "ranks": FULL_RANKS,
+        "layers": FULL_SETTINGS["layers"],
+        "experts": FULL_SETTINGS["experts"],
+        "steps": len({(line.generation, line.step) for line in lines}),
+        "steps_with_two_maps": _count_two_maps(lines),
+        "switches": len(times),
+        "switch_p50_s": round(percentile(times, 0.5), 3) if times else None,
+        "switch_max_s": round(max(times, default=0.0), 3),
+        "stall_steps": _count_stalled_steps(lines),
+    }
+    report.expect(report.figures["steps_with_two_maps"] == 0, "0 steps with two maps")
+    report.expect(bool(times), "switches take place")
+    return report
+
+
 def _build_report(tally: _Tally, planned: int) -> Report:
     report = Report()
     two_maps = sum(_count_two_maps(lines) for lines in tally.steps)
@@ -201,4 +251,7 @@
 
 def experiments() -> list[Experiment]:
     """Return the experiments of this module."""
-    return [Experiment("map", "All ranks use one expert map in every step, under faults", run)]
+    return [
+        Experiment("map", "All ranks use one expert map in every step, under faults", run),
+        Experiment("map-size", "Switches of a group of 32 ranks", run_full_size),
+    ]
--- a/magnoliarouter/standins/bench/groupsite.py
+++ b/magnoliarouter/standins/bench/groupsite.py
@@ -56,11 +56,13 @@
     number : int
         Number of the group; its processes use the addresses 127.0.``number``.x.
     ranks : int
-        Ranks, each a process of its own.
+        Ranks of the group.
     settings : dict
         Fields of the group object.
     rank_options : tuple of str
         Options of the rank stand-in.
+    ranks_per_process : int
+        Ranks that share a process.
     """
 
     site: Site
@@ -69,6 +71,7 @@
     ranks: int
     settings: dict[str, Any]
     rank_options: tuple[str, ...] = ()
+    ranks_per_process: int = 1
     platform: Process | None = None
     weights: Process | None = None
     proxy: Process | None = None
@@ -110,8 +113,8 @@
             f"--expert-bytes={self.settings['expert_bytes']}",
             *self.rank_options,
         )
-        for rank in range(self.ranks):
-            self.members.append(await self._start_rank(rank))
+        for first in range(0, self.ranks, self.ranks_per_process):
+            self.members.append(await self._start_ranks(first))
         await self.set_route("*", {"delay": ROUTE_DELAY_S})
         value = {"name": self.name, "ranks": routed, **self.settings}
         await self.put(f"{self.platform.url}/v1/objects/group/{self.name}", value)
@@ -132,9 +135,9 @@
         self.entries[name] = await self.site.start_daemon(settings)
 
     async def restart_rank(self, rank: int) -> None:
-        """Kill a rank and start it again with empty memory."""
+        """Kill a process of ranks and start it again with empty memory."""
         await self.members[rank].kill()
-        self.members[rank] = await self._start_rank(rank)
+        self.members[rank] = await self._start_ranks(rank * self.ranks_per_process)
 
     async def set_route(self, route: str, faults: dict[str, Any]) -> None:
         """Set the faults between the controllers and one rank, or all."""
@@ -151,7 +154,7 @@
             async with asyncio.timeout(seconds):
                 position = after
                 while True:
-                    self._read_logs()
+                    self.read_events()
                     for event in self.events[position:]:
                         if event.phase in phases:
                             return event
@@ -170,10 +173,13 @@
                 found.append(StepLine(*msgspec.json.decode(line)))
         return found
 
-    async def _start_rank(self, rank: int) -> Process:
-        return await self.site.start_standin("rank", self.host, f"--ranks={rank}", *self._options)
+    async def _start_ranks(self, first: int) -> Process:
+        ranks = range(first, min(self.ranks, first + self.ranks_per_process))
+        listed = f"--ranks={','.join(map(str, ranks))}"
+        return await self.site.start_standin("rank", self.host, listed, *self._options)
 
-    def _read_logs(self) -> None:
+    def read_events(self) -> None:
+        """Take in what the controllers logged since the last call."""
         for name in self.entries:
             path = self.site.folder / f"{name}.log"
             if not path.exists():
--- a/magnoliarouter/standins/rank.py
+++ b/magnoliarouter/standins/rank.py
@@ -36,6 +36,7 @@
 
 LOAD_REFRESH_STEPS = 50
 RETRY_S = 0.05
+INCARNATION_CHARACTERS = 16
 ARRIVAL_TIMEOUT_S = 5.0
 
 
@@ -95,7 +96,7 @@
         self._progress = _Progress(compute_seconds=options.step_seconds)
         self.agent = RankAgent(
             RankSite(options.group, rank, options.addresses),
-            lambda: uuid.uuid4().hex,
+            lambda: uuid.uuid4().hex[:INCARNATION_CHARACTERS],
             session,
             PlatformClient(options.platform, session),
             self._fetch,
