--- a/magnoliarouter/manual.py
+++ b/magnoliarouter/manual.py
@@ -21,7 +21,16 @@
 
 UNITS = {
     "age_s": "s",
+    "expert_bytes": "bytes",
+    "experts": "experts a layer",
+    "extra_load": "requests a slot",
+    "interval_seconds": "s",
+    "layers": "layers",
+    "skew": "ratio",
+    "store_bytes_per_second": "bytes/s",
+    "version": "map version",
     "cold_prefix_seconds": "s",
+    "group_lease_seconds": "s",
     "report_delay_seconds": "s",
     "zone_distance_seconds": "s",
     "burst_seconds": "s",
--- a/magnoliarouter/standins/bench/main.py
+++ b/magnoliarouter/standins/bench/main.py
@@ -19,10 +19,12 @@
 MODULES: tuple[str, ...] = (
     "answers",
     "capacity",
+    "expertmap",
     "leaving",
     "loop",
     "path",
     "placement",
+    "rebalance",
     "rollout",
 )
 
