--- a/magnoliarouter/core/borrowing.py
+++ b/magnoliarouter/core/borrowing.py
@@ -21,11 +21,11 @@
 
 __all__ = ["TICK_SECONDS", "Borrower", "Need", "Shortage"]
 
-TICK_SECONDS = 0.25
-HORIZON_S = 0.6
-LEAST_AHEAD = 1.0
-REPORT_S = 0.5
+TICK_SECONDS = 0.4
+HORIZON_S = 0.9
+REPORT_S = 0.8
 REFRESH_S = LOAN_SECONDS / 2
+RETRY_LEAST_S = 0.1
 RETRY_FIRST_S = 0.2
 RETRY_LAST_S = 1.0
 DOWN_FIRST_S = 0.5
@@ -100,7 +100,7 @@
         """Return whether there may be something to say to a slot."""
         if slot not in self.order:
             return False
-        if self.waiting or self.chasing or _look_ahead(self, now):
+        if self.waiting or self.chasing or self.keeps_stock(now):
             return True
         permits = self.permits.get(slot)
         if permits is not None and permits.held:
@@ -115,6 +115,13 @@
         self.loans = [loan for loan in self.loans if not loan.closed]
         return self.loans
 
+    def keeps_stock(self, now: float) -> bool:
+        """Return whether stock is worth keeping: calls come often enough to use it up soon.
+
+        To keep a small amount alive costs more messages than to ask when the next call comes.
+        """
+        return not self.pooled and self.requests.rate(now) * HORIZON_S >= 1
+
     def close(self, loan: Loan) -> None:
         """End a loan; permits in use stay in use."""
         loan.close()
@@ -259,6 +266,9 @@
         found = set()
         for name in list(self._active):
             customer = self._customers[name]
+            if customer.pooled:
+                # Small parts accrue again only once their spending is reported.
+                found.update(loan.slot for loan in customer.loans if loan.changed)
             if customer.asking or not (customer.waiting or customer.chasing):
                 continue
             slot = self._choose_slot(customer, now)
@@ -322,8 +332,7 @@
             loan.acked, loan.stamp, loan.expires = ask.sequence, grant.stamp, expires
             _take_grant(loan, customer.permits[ask.slot], granted)
             _pay_debt(customer)
-            if _note_source(customer.sources[ask.slot], line, granted, now):
-                customer.chasing = True
+            customer.chasing = _note_source(customer.sources[ask.slot], line, granted, now)
 
     def fail(self, ask: Ask, now: float) -> None:
         """Note that no answer to an ask came in time, or that the slot was not held there."""
@@ -349,7 +358,7 @@
 
     def _rest(self, customer: _Customer, now: float) -> None:
         """Stop looking at a customer that has no demand and holds nothing."""
-        if customer.loans or customer.waiting or _look_ahead(customer, now):
+        if customer.loans or customer.waiting or customer.keeps_stock(now):
             return
         if not any(permits.used for permits in customer.permits.values()):
             self._active.discard(customer.name)
@@ -433,6 +442,8 @@
         permits = customer.permits.setdefault(slot, Permits())
         if loan is not None and not wants:
             self._return_surplus(customer, loan, permits, now)
+        # Amounts gathered from several homes are missed by others sooner.
+        report_after = 0.0 if customer.pooled else report_after
         if not wants and not _has_news(loan, permits, now, report_after):
             return None
         if loan is None:
@@ -441,14 +452,14 @@
         if wants and not self._links[slot].failures:
             customer.asking = slot
         loan.reported, loan.changed = now, False
-        least = (1.0, max((need.tokens for need in customer.waiting), default=0.0))
-        pooled = customer.pooled
+        # Whoever gets a fair piece from the first home gathers the rest from the others.
+        first = customer.pooled and slot == customer.order[0]
         return AskLine(
             customer.name,
             loan.number,
             loan.acked,
-            _describe(loan.requests, wants.requests, least[0] if pooled else 0.0),
-            _describe(loan.tokens, wants.tokens, least[1] if pooled else 0.0),
+            _describe(loan.requests, wants.requests, wants.requests if first else 0.0),
+            _describe(loan.tokens, wants.tokens, wants.tokens if first else 0.0),
             permits.held,
             permits.used,
             wants.permits,
@@ -459,7 +470,7 @@
         if customer.asking or self._choose_slot(customer, now) != slot:
             return _Wants()
         requests, tokens, permits = self.stock(customer.name, now)
-        ahead = _look_ahead(customer, now)
+        ahead = HORIZON_S if customer.keeps_stock(now) else 0.0
         request_ahead = customer.requests.rate(now) * ahead
         request_target = len(customer.waiting) + request_ahead
         token_target = sum(need.tokens for need in customer.waiting)
@@ -477,7 +488,7 @@
         if customer.waiting or customer.asking:
             return
         requests, tokens, idle = self.stock(customer.name, now)
-        keep = 2 * _look_ahead(customer, now)
+        keep = 2 * HORIZON_S if customer.keeps_stock(now) else 0.0
         request_keep = customer.requests.rate(now) * keep
         token_keep = customer.tokens.rate(now) * keep
         given = 0.0
@@ -497,16 +508,6 @@
         return None
 
 
-def _look_ahead(customer: _Customer, now: float) -> float:
-    """Return the seconds of demand that are kept in stock.
-
-    None is kept for a customer whose next call is not expected soon: to keep a small amount alive
-    costs more messages than to ask when the call comes.
-    """
-    expected = customer.requests.rate(now) * HORIZON_S
-    return 0.0 if customer.pooled or expected < LEAST_AHEAD else HORIZON_S
-
-
 def _lack(stock: float, target: float, waiting: bool) -> float:
     """Return what is missing, once less than half of the target is there or a call waits."""
     if stock >= target or (stock > target / 2 and not waiting):
@@ -518,7 +519,10 @@
     stock.refund_since = min(stock.refund_since, stock.refund_unsent)
     stock.refund_unsent = math.inf
     since = stock.refund_since if stock.refund_since < math.inf else 0.0
-    return ResourceAsk(stock.held, want, least, stock.returned, stock.refunded, since)
+    # A whole zero takes one byte on the way, a real one nine.
+    return ResourceAsk(
+        stock.held or 0, want or 0, least or 0, stock.returned or 0, stock.refunded or 0, since or 0
+    )
 
 
 def _has_news(loan: Loan | None, permits: Permits, now: float, report_after: float) -> bool:
@@ -556,6 +560,11 @@
         source.due, source.pause = now, RETRY_FIRST_S
         return False
     nothing = granted.requests <= 0 and granted.tokens <= 0 and granted.permits <= 0
-    source.pause = min(2 * source.pause, RETRY_LAST_S) if nothing else RETRY_FIRST_S
-    source.due = now + source.pause
+    if nothing:
+        source.pause = min(2 * source.pause, RETRY_LAST_S)
+        wait = max(granted.request_wait, granted.token_wait)
+        source.due = now + max(RETRY_LEAST_S, min(source.pause, wait))
+    else:
+        source.pause = RETRY_FIRST_S
+        source.due = now + source.pause
     return True
