--- a/magnoliarouter/core/borrowing.py
+++ b/magnoliarouter/core/borrowing.py
@@ -33,7 +33,6 @@
 RETRY_LAST_S = 1.0
 DOWN_FIRST_S = 0.5
 DOWN_LAST_S = 4.0
-IDLE_RATE = 0.01
 FEW_CALLS = 2
 TOLERANCE = 1e-9
 
@@ -116,6 +115,17 @@
     waiting: list[Need] = field(default_factory=list)
     asking: str = ""
 
+    def concerns(self, slot: str, now: float) -> bool:
+        """Return whether there may be something to say to a slot."""
+        if slot not in self.order:
+            return False
+        if self.waiting or self.keeps_stock(now):
+            return True
+        permits = self.permits.get(slot)
+        if permits is not None and permits.held:
+            return True
+        return any(loan.slot == slot for loan in self.loans)
+
     def live(self, now: float) -> list[Loan]:
         """Return the loans that may be spent from, after closing those that have expired."""
         for loan in self.loans:
@@ -124,17 +134,25 @@
         self.loans = [loan for loan in self.loans if not loan.closed]
         return self.loans
 
+    def keeps_stock(self, now: float) -> bool:
+        """Return whether stock is worth keeping: calls come often enough to use it up soon.
+
+        To keep a small amount alive costs more messages than to ask when the next call comes.
+        """
+        return not self.pooled and self.requests.rate(now) * LOAN_SECONDS >= FEW_CALLS
+
     def report_age(self, now: float) -> float:
         """Return after how long spending is reported: later while no home is short."""
         if self.pooled:
+            # Amounts gathered from several homes are missed by others sooner.
             return 0.0
         return REPORT_SHARE * self.pace * (1 if now < self.short_until else CALM_FACTOR)
 
     def plan_stock(self, now: float) -> _Targets:
-        """Return the stock to keep: none if few calls are expected while a loan lasts."""
-        requests, tokens = self.requests.rate(now), self.tokens.rate(now)
-        if self.pooled or requests * LOAN_SECONDS < FEW_CALLS:
+        """Return the stock to keep."""
+        if not self.keeps_stock(now):
             return NO_STOCK
+        requests, tokens = self.requests.rate(now), self.tokens.rate(now)
         ahead = HORIZON_SHARE * self.pace
         if self.spare is None:
             low = ahead / 2
@@ -325,13 +343,19 @@
         if link is None or link.flying or now < link.down_until:
             return None
         sequence = link.sequence + 1
-        lines = []
+        concerned = [
+            customer
+            for customer in map(self._customers.__getitem__, list(self._active))
+            if customer.concerns(slot, now)
+        ]
+        lines = self._build_lines(concerned, link, slot, sequence, now, along=False)
+        if lines:
+            # An ask that is sent anyway carries all that is new.
+            said = {line.customer for line in lines}
+            others = [customer for customer in concerned if customer.name not in said]
+            lines += self._build_lines(others, link, slot, sequence, now, along=True)
         for name in list(self._active):
-            customer = self._customers[name]
-            line = self._build_line(customer, slot, link.epoch, sequence, now)
-            self._rest(customer, now)
-            if line is not None:
-                lines.append(line)
+            self._rest(self._customers[name], now)
         if not lines:
             return None
         link.sequence, link.sent = sequence, now
@@ -388,7 +412,7 @@
 
     def _rest(self, customer: _Customer, now: float) -> None:
         """Stop looking at a customer that has no demand and holds nothing."""
-        if customer.loans or customer.waiting or customer.requests.rate(now) > IDLE_RATE:
+        if customer.loans or customer.waiting or customer.keeps_stock(now):
             return
         if not any(permits.used for permits in customer.permits.values()):
             self._active.discard(customer.name)
@@ -442,22 +466,38 @@
             for loan in customer.loans
         )
 
+    def _build_lines(
+        self,
+        customers: list[_Customer],
+        link: _Link,
+        slot: str,
+        sequence: int,
+        now: float,
+        along: bool,
+    ) -> list[AskLine]:
+        lines = (
+            self._build_line(customer, slot, link.epoch, sequence, now, along)
+            for customer in customers
+        )
+        return [line for line in lines if line is not None]
+
     def _build_line(
-        self, customer: _Customer, slot: str, epoch: int, sequence: int, now: float
+        self,
+        customer: _Customer,
+        slot: str,
+        epoch: int,
+        sequence: int,
+        now: float,
+        along: bool,
     ) -> AskLine | None:
-        if slot not in customer.order:
-            return None
-        if not customer.loans and not customer.waiting:
-            if customer.requests.rate(now) < IDLE_RATE:
-                return None
         customer.live(now)
         loan = self._find_loan(customer, slot, epoch)
         wants = self._plan_wants(customer, slot, now)
         permits = customer.permits.setdefault(slot, Permits())
         if loan is not None and not wants:
             self._return_surplus(customer, loan, permits, now)
-        report_age = customer.report_age(now)
-        if not wants and not _has_news(loan, permits, report_age, now):
+        report_after = 0.0 if along else customer.report_age(now)
+        if not wants and not _has_news(loan, permits, now, report_after):
             return None
         if loan is None:
             loan = Loan(slot, epoch, sequence)
@@ -534,13 +574,13 @@
     )
 
 
-def _has_news(loan: Loan | None, permits: Permits, report_age: float, now: float) -> bool:
+def _has_news(loan: Loan | None, permits: Permits, now: float, report_after: float) -> bool:
     if loan is None:
         # Permits in use are declared to the slot's new home at once.
         return permits.used > 0
     age = now - loan.reported
     holds = loan.requests.held > 0 or loan.tokens.held > 0 or permits.held > 0
-    return (loan.changed and age >= report_age) or (holds and age >= REFRESH_S)
+    return (loan.changed and age >= report_after) or (holds and age >= REFRESH_S)
 
 
 def _take_grant(loan: Loan, permits: Permits, granted: GrantLine) -> None:
--- a/magnoliarouter/daemon/settings.py
+++ b/magnoliarouter/daemon/settings.py
@@ -8,11 +8,14 @@
 import msgspec
 from msgspec import Meta
 
+from magnoliarouter.platform.validation import ValidationFailure, check_value
+
 __all__ = ["EndpointSettings", "EntrySettings", "Settings", "SettingsError", "load_settings"]
 
 Port = Annotated[int, Meta(ge=0, le=65_535)]
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Url = Annotated[str, Meta(pattern=r"^http://[^/]+$")]
+HostPort = Annotated[str, Meta(pattern=r"^[0-9a-zA-Z.:\[\]-]+:[0-9]{1,5}$")]
 Seconds = Annotated[float, Meta(gt=0)]
 
 
@@ -21,7 +24,15 @@
 
 
 class Address(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """IP number and port to listen on; port 0 takes a free one."""
+    """IP number and port to listen on.
+
+    Parameters
+    ----------
+    host : str
+        IP number to listen on.
+    port : int
+        Port to listen on; 0 takes a free one.
+    """
 
     host: str = "127.0.0.1"
     port: Port = 0
@@ -62,6 +73,12 @@
         All availability zones, the same list in every daemon.
     peer_key : str
         Key shared by all of the system's processes.
+    seeds : tuple of str
+        ``host:port`` of the peers' port of other entry daemons, asked for the configuration
+        while the platform is down and no list of VMs is known yet.
+    platform_calls_per_second : float
+        Calls to the platform that this daemon may make in the long run; four seconds' worth of
+        them may be made at once.
     log_file : str
         Path of the JSON-lines log; ``"-"`` is standard output.
     request_seconds : float
@@ -74,16 +91,30 @@
         Part of each contract that this daemon may admit under "static".
     shutdown_seconds : float
         Time between the readiness probe failing and the listener closing, in seconds.
+    zone_distance_seconds : float
+        What a request to another availability zone costs, in seconds.
+    cold_prefix_seconds : float
+        What computing a prompt that no cache holds costs at a fast engine, in seconds.
+    placement_policy : {"prefix", "random", "least-loaded"}
+        How endpoints are chosen; all but ``"prefix"`` serve as baselines in measurements only.
+    group_lease_seconds : float
+        Duration of the lease on the control of an expert group, in seconds.
     """
 
     listen: Address = Address()
     peers: Address = Address()
     zones: tuple[Name, ...] = ()
+    seeds: tuple[HostPort, ...] = ()
+    platform_calls_per_second: Annotated[float, Meta(gt=0)] = 50.0
     request_seconds: Seconds = 120.0
     queue_length: Annotated[int, Meta(ge=0)] = 256
     admission: Literal["escrow", "static"] = "escrow"
     static_share: Annotated[float, Meta(gt=0, le=1)] = 1.0
     shutdown_seconds: Annotated[float, Meta(ge=0)] = 2.0
+    zone_distance_seconds: Annotated[float, Meta(ge=0)] = 0.002
+    cold_prefix_seconds: Annotated[float, Meta(ge=0)] = 0.1
+    placement_policy: Literal["prefix", "random", "least-loaded"] = "prefix"
+    group_lease_seconds: Seconds = 9.0
 
 
 class EndpointSettings(
@@ -102,6 +133,8 @@
         Name of the endpoint, unique over all endpoints.
     listen : Address
         Address that entry daemons call.
+    advertise : str
+        ``host:port`` that entry daemons call, if it is not the one listened on.
     target : str
         Base URL of the engine or application behind the guard.
     kind : {"engine", "application"}
@@ -110,16 +143,23 @@
         Models or plain services that the endpoint serves.
     slots : int
         Requests that the endpoint works on at once.
+    queue_length : int
+        Requests beyond the slots that the guard lets in; further ones are refused as not run.
+    report_delay_seconds : float
+        Time by which the guard's load reports lag, in seconds; above 0 in measurements only.
     checks_fencing : bool
         Whether the endpoint itself refuses orders with an old fencing number.
     """
 
     listen: Address = Address()
+    advertise: str = ""
     target: Url
     kind: Literal["engine", "application"] = "engine"
     models: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
     slots: Annotated[int, Meta(ge=1)] = 8
+    queue_length: Annotated[int, Meta(ge=0)] = 8
+    report_delay_seconds: Annotated[float, Meta(ge=0)] = 0.0
     checks_fencing: bool = False
 
 
@@ -150,17 +190,24 @@
     except OSError as error:
         raise SettingsError(f"cannot read settings {path}: {error.strerror}") from error
     try:
-        return msgspec.json.decode(raw, type=Settings)
-    except msgspec.DecodeError as error:
-        raise SettingsError(f"settings {path}: {error}{_list_fields(raw)}") from error
+        values = msgspec.json.decode(raw)
+    except (msgspec.MsgspecError, RecursionError, ValueError) as error:
+        raise SettingsError(f"settings {path}: {error}") from error
+    return _check(path, values)
 
 
-def _list_fields(raw: bytes) -> str:
+def _check(path: str | Path, values: object) -> Settings:
+    role = values.get("role") if isinstance(values, dict) else None
+    models = {model.__struct_config__.tag: model for model in (EntrySettings, EndpointSettings)}
+    if not isinstance(role, str) or role not in models:
+        raise SettingsError(f"settings {path}: role is {role!r}; valid roles: {', '.join(models)}")
     try:
-        role = msgspec.json.decode(raw).get("role")
-    except (msgspec.DecodeError, AttributeError):
-        return ""
-    for model in (EntrySettings, EndpointSettings):
-        if model.__struct_config__.tag == role:
-            return f"; valid fields: role, {', '.join(model.__struct_fields__)}"
-    return "; valid roles: entry, endpoint"
+        settings = check_value(values, models[role])
+    except ValidationFailure as error:
+        raise SettingsError(f"settings {path}: {error}") from error
+    if isinstance(settings, EntrySettings) and settings.zones:
+        if settings.zone not in settings.zones:
+            valid = ", ".join(settings.zones)
+            reason = f"zone is {settings.zone!r}, but zones lists: {valid}"
+            raise SettingsError(f"settings {path}: {reason}")
+    return settings
--- a/magnoliarouter/standins/bench/limits_site.py
+++ b/magnoliarouter/standins/bench/limits_site.py
@@ -172,7 +172,7 @@
             counts = msgspec.json.decode(await answer.read())
         totals = {"peer": 0, "store": 0}
         for name, count in counts.items():
-            totals[name.partition("-")[0]] += count["up"] + count["down"]
+            totals[name.partition("-")[0]] += count["bytes_up"] + count["bytes_down"]
         return totals
 
     async def read_platform_calls(self) -> dict[str, int]:
--- a/magnoliarouter/standins/bench/main.py
+++ b/magnoliarouter/standins/bench/main.py
@@ -16,7 +16,18 @@
 __all__ = ["main"]
 
 # Each module has a function `experiments()` that returns a list of `Experiment`.
-MODULES: tuple[str, ...] = ("path", "limits")
+MODULES: tuple[str, ...] = (
+    "answers",
+    "capacity",
+    "expertmap",
+    "leaving",
+    "limits",
+    "loop",
+    "path",
+    "placement",
+    "rebalance",
+    "rollout",
+)
 
 
 def load_experiments() -> dict[str, Experiment]:
