Let calls wait in a bounded fair queue in front of placement

Calls that met only full endpoints were refused. They now wait by standing and priority, then weighted fair by customer; a full queue displaces the call that would be served last, and a call that cannot be served before its deadline is refused at once.

--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -30,6 +30,7 @@
 from magnoliarouter.pipeline.identify import identify
 from magnoliarouter.pipeline.meter import Meter
 from magnoliarouter.pipeline.place import Placement, create_policy
+from magnoliarouter.pipeline.queue import WaitingRoom
 from magnoliarouter.pipeline.retry import Forwarder
 from magnoliarouter.platform.backoff import CallBudget
 from magnoliarouter.platform.client import PlatformClient
@@ -143,6 +144,12 @@
             vms,
             self.group_health.extra_load,
         )
+        self._waiting = WaitingRoom(
+            self._placement,
+            self.settings.queue_length,
+            clock,
+            self.metrics.add_gauge("waiting", "Requests that wait for an endpoint"),
+        )
         self._forwarder = Forwarder(self._placement, self._session, clock, self.metrics)
         self._reports = ReportDuty(
             self.settings,
@@ -228,10 +235,15 @@
             return
         meter = self._open_meter()
         try:
+            refusal = await self._waiting.enter(call)
+            if refusal is not None:
+                await self._answer_error(exchange, refusal, call=call)
+                return
             with self.metrics.in_flight.track_inprogress():
                 await self._forward(exchange, call, meter)
         finally:
             permit.settle(meter.total) if meter.ran else permit.cancel()
+            self._waiting.pump()
 
     def _open_meter(self) -> Meter:
         metrics = self.metrics
--- /dev/null
+++ b/magnoliarouter/pipeline/queue.py
@@ -0,0 +1,148 @@
+"""Waiting calls in front of placement, while all endpoints that serve them are full."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from magnoliarouter.core.fairness import Displaced, Entry, FairQueue, Full, TooLong
+from magnoliarouter.core.outcome import NotRun, ResultCode
+from magnoliarouter.core.placement import NoCapacity
+from magnoliarouter.pipeline.call import ModelCall
+from magnoliarouter.pipeline.retry import explain_choice
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from prometheus_client import Gauge
+
+    from magnoliarouter.pipeline.call import Call
+    from magnoliarouter.pipeline.place import Placement
+
+__all__ = ["WaitingRoom", "rank_call"]
+
+PUMP_SECONDS = 0.05
+FIRST_STANDING = "current"
+
+
+def rank_call(call: Call) -> tuple[int, int]:
+    """Return the rank of a call: standing "current" first, then the contract's priority."""
+    return (int(call.contract.standing != FIRST_STANDING), call.limits.priority)
+
+
+@dataclass(slots=True, eq=False)
+class _Waiter:
+    call: Call
+    decided: asyncio.Future[NotRun | None]
+
+
+@dataclass(slots=True)
+class WaitingRoom:
+    """Calls of one entry daemon that wait for an endpoint.
+
+    Parameters
+    ----------
+    placement : Placement
+        Tells whether a call could be placed now.
+    capacity : int
+        Calls that may wait for each model or service.
+    clock : callable
+        Loop time in seconds.
+    waiting : Gauge
+        Number of calls that wait.
+    """
+
+    placement: Placement
+    capacity: int
+    clock: Callable[[], float]
+    waiting: Gauge
+    _queues: dict[str, FairQueue] = field(default_factory=dict)
+    _timer: asyncio.TimerHandle | None = None
+
+    async def enter(self, call: Call) -> NotRun | None:
+        """Wait until a call can be placed; return why it is refused instead, if it is."""
+        name = _name_queue(call)
+        queue = self._queues.setdefault(name, FairQueue(self.capacity))
+        if not queue and not isinstance(self.placement.place(call), NoCapacity):
+            return None
+        waiter = _Waiter(call, asyncio.get_running_loop().create_future())
+        refusal = self._push(queue, waiter)
+        if refusal is not None:
+            return refusal
+        self._set_timer()
+        try:
+            return await waiter.decided
+        finally:
+            queue.remove(waiter)
+            self._note_waiting()
+
+    def pump(self) -> None:
+        """Let calls go on for which there is room, and refuse those that are too late."""
+        for name, queue in list(self._queues.items()):
+            self._expire(queue)
+            if self._serve_one(queue):
+                # The call is counted on its endpoint before the next one is looked at.
+                asyncio.get_running_loop().call_soon(self.pump)
+            if not queue:
+                del self._queues[name]
+        self._note_waiting()
+
+    def _push(self, queue: FairQueue, waiter: _Waiter) -> NotRun | None:
+        call = waiter.call
+        contract, limits = call.contract, call.limits
+        entry = Entry(rank_call(call), contract.customer, limits.weight, call.deadline, waiter)
+        match queue.push(entry, self.clock()):
+            case Full(retry_after):
+                return NotRun(ResultCode.QUEUE_FULL, "the queue is full", retry_after)
+            case TooLong(retry_after):
+                reason = f"the deadline cannot be met: {retry_after:.1f} s to wait"
+                return NotRun(ResultCode.DEADLINE_UNREACHABLE, reason, retry_after)
+            case Displaced(displaced, retry_after):
+                reason = "the queue is full and others are served first"
+                _decide(displaced, NotRun(ResultCode.DISPLACED, reason, retry_after))
+        self._note_waiting()
+        return None
+
+    def _serve_one(self, queue: FairQueue) -> bool:
+        entry = queue.peek()
+        if entry is None:
+            return False
+        choice = self.placement.place(entry.item.call)
+        if isinstance(choice, NoCapacity):
+            return False
+        queue.pop(self.clock())
+        refusal = explain_choice(choice)
+        _decide(entry, None if refusal.code is ResultCode.NO_ENDPOINT else refusal)
+        return True
+
+    def _expire(self, queue: FairQueue) -> None:
+        for entry in queue.expire(self.clock()):
+            reason = "the deadline cannot be met in the queue any more"
+            wait = queue.estimate_wait(len(queue))
+            _decide(entry, NotRun(ResultCode.DEADLINE_UNREACHABLE, reason, wait))
+
+    def _set_timer(self) -> None:
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(PUMP_SECONDS, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self.pump()
+        if self._queues:
+            self._set_timer()
+
+    def _note_waiting(self) -> None:
+        self.waiting.set(sum(len(queue) for queue in self._queues.values()))
+
+
+def _name_queue(call: Call) -> str:
+    work = call.work
+    return f"model/{work.model}" if isinstance(work, ModelCall) else f"service/{work.service}"
+
+
+def _decide(entry: Entry, refusal: NotRun | None) -> None:
+    decided = entry.item.decided
+    if not decided.done():
+        decided.set_result(refusal)
