--- a/magnoliarouter/pipeline/queue.py
+++ b/magnoliarouter/pipeline/queue.py
@@ -59,6 +59,7 @@
     clock: Callable[[], float]
     waiting: Gauge
     _queues: dict[str, FairQueue] = field(default_factory=dict)
+    _paused_until: dict[str, float] = field(default_factory=dict)
     _timer: asyncio.TimerHandle | None = None
 
     async def carry(self, call: Call, forward: Callable[[], Awaitable[Forwarded]]) -> Forwarded:
@@ -96,6 +97,9 @@
         queue = self._queues.setdefault(name, FairQueue(self.capacity))
         if not queue and not again and not isinstance(self.placement.place(call), NoCapacity):
             return None
+        if again:
+            # What is known of the endpoints' load was too old; it is not tried again at once.
+            self._paused_until[name] = self.clock() + PUMP_SECONDS
         waiter = _Waiter(call, asyncio.get_running_loop().create_future())
         refusal = self._push(queue, waiter, again)
         if refusal is not None:
@@ -111,11 +115,12 @@
         """Let calls go on for which there is room, and refuse those that are too late."""
         for name, queue in list(self._queues.items()):
             self._expire(queue)
-            if self._serve_one(queue):
+            if self.clock() >= self._paused_until.get(name, 0.0) and self._serve_one(queue):
                 # The call is counted on its endpoint before the next one is looked at.
                 asyncio.get_running_loop().call_soon(self.pump)
             if not queue:
                 del self._queues[name]
+                self._paused_until.pop(name, None)
         self._note_waiting()
 
     def _push(self, queue: FairQueue, waiter: _Waiter, again: bool) -> NotRun | None:
