Split the borrower's stock from its asks, and keep slots right across a restored store

After a restore of the platform's store, conditional updates of a slot failed for ever, since its version stood behind what daemons knew; a former holder could also have gone on in an old epoch. A failed conditional update now proves the older version, and the next tenure takes an epoch above all seen. A home that does not know a customer is not asked again at once.

--- a/magnoliarouter/core/borrowing.py
+++ b/magnoliarouter/core/borrowing.py
@@ -7,41 +7,34 @@
 
 from __future__ import annotations
 
-import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from magnoliarouter.core.demand import Demand
-from magnoliarouter.core.loans import Charge, Loan, Permits, Stock, draw_amount
-from magnoliarouter.core.quota import LOAN_SECONDS
-from magnoliarouter.core.quota_lines import Ask, AskLine, Grant, GrantLine, ResourceAsk
+from magnoliarouter.core.loans import Charge, Loan, Permits, draw_amount
+from magnoliarouter.core.quota_lines import Ask, AskLine, Grant
+from magnoliarouter.core.stock import (
+    RETRY_FIRST_S,
+    TICK_SECONDS,
+    CustomerStock,
+    Need,
+    Source,
+    Wants,
+    describe_stock,
+    find_lack,
+    has_news,
+    note_source,
+    take_grant,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
 __all__ = ["TICK_SECONDS", "Borrower", "Need", "Shortage"]
 
-TICK_SECONDS = 0.4
-HORIZON_SHARE = 0.35
-REPORT_SHARE = 0.3
 LONGEST_PACE_S = 3.0
-CALM_FACTOR = 1.5
 SHORT_MEMORY_S = 5.0
-REFRESH_S = LOAN_SECONDS / 2
-RETRY_LEAST_S = 0.1
-RETRY_FIRST_S = 0.2
-RETRY_LAST_S = 1.0
 DOWN_FIRST_S = 0.5
 DOWN_LAST_S = 4.0
-FEW_CALLS = 2
-TOLERANCE = 1e-9
-
-
-@dataclass(frozen=True, slots=True)
-class Need:
-    """What one call takes: a request, a permit, and tokens."""
-
-    tokens: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,121 +56,6 @@
     waits: bool
 
 
-@dataclass(slots=True)
-class _Source:
-    """One home as one customer's traffic sees it."""
-
-    due: float = 0.0
-    pause: float = RETRY_FIRST_S
-    request_wait: float = 0.0
-    token_wait: float = 0.0
-
-
-@dataclass(slots=True)
-class _Wants:
-    requests: float = 0.0
-    tokens: float = 0.0
-    permits: int = 0
-
-    def __bool__(self) -> bool:
-        return self.requests > TOLERANCE or self.tokens > TOLERANCE or self.permits > 0
-
-
-@dataclass(frozen=True, slots=True)
-class _Targets:
-    """Stock to fill up to, and the stock below which it is filled."""
-
-    requests: float
-    tokens: float
-    low_requests: float
-    low_tokens: float
-
-
-NO_STOCK = _Targets(0.0, 0.0, 0.0, 0.0)
-
-
-@dataclass(slots=True)
-class _Customer:
-    """Stock, demand and homes of one customer."""
-
-    name: str
-    order: tuple[str, ...]
-    pooled: bool = False
-    pace: float = 1.0
-    spare: Need | None = None
-    short_until: float = 0.0
-    loans: list[Loan] = field(default_factory=list)
-    permits: dict[str, Permits] = field(default_factory=dict)
-    sources: dict[str, _Source] = field(default_factory=dict)
-    requests: Demand = field(default_factory=Demand)
-    tokens: Demand = field(default_factory=Demand)
-    duration: float = 0.0
-    waiting: list[Need] = field(default_factory=list)
-    asking: str = ""
-
-    def concerns(self, slot: str, now: float) -> bool:
-        """Return whether there may be something to say to a slot."""
-        if slot not in self.order:
-            return False
-        if self.waiting or self.keeps_stock(now):
-            return True
-        permits = self.permits.get(slot)
-        if permits is not None and permits.held:
-            return True
-        return any(loan.slot == slot for loan in self.loans)
-
-    def live(self, now: float) -> list[Loan]:
-        """Return the loans that may be spent from, after closing those that have expired."""
-        for loan in self.loans:
-            if now >= loan.expires and loan.acked and not loan.closed:
-                self.close(loan)
-        self.loans = [loan for loan in self.loans if not loan.closed]
-        return self.loans
-
-    def keeps_stock(self, now: float) -> bool:
-        """Return whether stock is worth keeping: calls come often enough to use it up soon.
-
-        To keep a small amount alive costs more messages than to ask when the next call comes.
-        """
-        return not self.pooled and self.requests.rate(now) * LOAN_SECONDS >= FEW_CALLS
-
-    def report_age(self, now: float) -> float:
-        """Return after how long spending is reported: later while no home is short."""
-        if self.pooled:
-            # Amounts gathered from several homes are missed by others sooner.
-            return 0.0
-        return REPORT_SHARE * self.pace * (1 if now < self.short_until else CALM_FACTOR)
-
-    def plan_stock(self, now: float) -> _Targets:
-        """Return the stock to keep."""
-        if not self.keeps_stock(now):
-            return NO_STOCK
-        requests, tokens = self.requests.rate(now), self.tokens.rate(now)
-        ahead = HORIZON_SHARE * self.pace
-        if self.spare is None:
-            low = ahead / 2
-            return _Targets(requests * ahead, tokens * ahead, requests * low, tokens * low)
-        return _Targets(
-            requests * ahead + 1,
-            tokens * ahead + self.spare.tokens,
-            requests * TICK_SECONDS + 1,
-            tokens * TICK_SECONDS + self.spare.tokens,
-        )
-
-    def close(self, loan: Loan) -> None:
-        """End a loan; permits in use stay in use."""
-        loan.close()
-        permits = self.permits.get(loan.slot)
-        if permits is not None and not self._has_later(loan):
-            permits.held = permits.used
-
-    def _has_later(self, loan: Loan) -> bool:
-        return any(
-            other.slot == loan.slot and not other.closed and other.acked and other is not loan
-            for other in self.loans
-        )
-
-
 @dataclass(slots=True)
 class _Link:
     """State of the asks to one slot."""
@@ -209,7 +87,7 @@
         self.name = name
         self.incarnation = incarnation
         self._use_seconds = use_seconds
-        self._customers: dict[str, _Customer] = {}
+        self._customers: dict[str, CustomerStock] = {}
         self._links: dict[str, _Link] = {}
         self._active: set[str] = set()
 
@@ -238,7 +116,7 @@
             Call for which stock is kept beyond the demand, so that few calls wait for an ask;
             for customers whose burst is many times as large.
         """
-        known = self._customers.setdefault(name, _Customer(name, tuple(order)))
+        known = self._customers.setdefault(name, CustomerStock(name, tuple(order)))
         known.order, known.pooled = tuple(order), pooled
         known.pace = min(burst_seconds, LONGEST_PACE_S)
         known.spare = spare
@@ -254,7 +132,7 @@
         """Admit a call from the stock, or tell what is short."""
         customer = self._customers[name]
         loans = customer.live(now)
-        short = self._find_shortage(customer, need, now)
+        short = customer.find_shortage(need, now)
         if short:
             return self._explain(customer, short, need, now)
         permits = next(
@@ -376,16 +254,17 @@
             customer = self._customers[line.customer]
             if customer.asking == ask.slot:
                 customer.asking = ""
-            loan = self._find_loan(customer, ask.slot, ask.epoch)
+            loan = customer.find_loan(ask.slot, ask.epoch)
             if loan is None or loan.number != line.loan:
                 continue
             if not granted.known:
                 customer.close(loan)
+                customer.sources[ask.slot].due = now + RETRY_FIRST_S
                 continue
             loan.acked, loan.stamp, loan.expires = ask.sequence, grant.stamp, expires
-            _take_grant(loan, customer.permits[ask.slot], granted)
-            _pay_debt(customer)
-            if _note_source(customer.sources[ask.slot], line, granted, now):
+            take_grant(loan, customer.permits[ask.slot], granted)
+            customer.pay_debt()
+            if note_source(customer.sources[ask.slot], line, granted, now):
                 customer.short_until = now + SHORT_MEMORY_S
 
     def fail(self, ask: Ask, now: float) -> None:
@@ -403,31 +282,16 @@
 
     def stock(self, name: str, now: float) -> tuple[float, float, int]:
         """Return the requests, tokens and idle permits that can be spent now."""
-        customer = self._customers[name]
-        loans = customer.live(now)
-        requests = sum(loan.requests.held for loan in loans)
-        tokens = sum(loan.tokens.held for loan in loans) - customer.tokens.debt
-        slots = {loan.slot for loan in loans if loan.acked}
-        return requests, tokens, sum(customer.permits[slot].idle for slot in slots)
+        return self._customers[name].count(now)
 
-    def _rest(self, customer: _Customer, now: float) -> None:
+    def _rest(self, customer: CustomerStock, now: float) -> None:
         """Stop looking at a customer that has no demand and holds nothing."""
         if customer.loans or customer.waiting or customer.keeps_stock(now):
             return
         if not any(permits.used for permits in customer.permits.values()):
             self._active.discard(customer.name)
 
-    def _find_shortage(self, customer: _Customer, need: Need, now: float) -> str:
-        requests, tokens, permits = self.stock(customer.name, now)
-        if permits < 1:
-            return "permits"
-        if requests < 1.0 - TOLERANCE:
-            return "requests"
-        if need.tokens > 0 and tokens < need.tokens - TOLERANCE:
-            return "tokens"
-        return ""
-
-    def _explain(self, customer: _Customer, short: str, need: Need, now: float) -> Shortage:
+    def _explain(self, customer: CustomerStock, short: str, need: Need, now: float) -> Shortage:
         waits = bool(customer.asking or self._choose_slot(customer, now))
         reached = [slot for slot in customer.order if self._is_up(slot, now)]
         if not reached and not waits:
@@ -447,28 +311,22 @@
         link = self._links.get(slot)
         return link is not None and link.is_up(now)
 
-    def _choose_slot(self, customer: _Customer, now: float) -> str:
+    def _choose_slot(self, customer: CustomerStock, now: float) -> str:
         """Return the slot that a customer's next ask goes to, or nothing if none is due."""
         for slot in customer.order:
             if not self._is_up(slot, now):
                 continue
-            source = customer.sources.setdefault(slot, _Source())
+            source = customer.sources.setdefault(slot, Source())
             if now >= source.due:
                 return slot
-            if customer.pooled and not self._holds(customer, slot):
+            if customer.pooled and not customer.holds(slot):
                 # Whoever holds the first home's amount gathers the others'.
                 return ""
         return ""
 
-    def _holds(self, customer: _Customer, slot: str) -> bool:
-        return any(
-            loan.slot == slot and (loan.requests.held > TOLERANCE or loan.tokens.held > TOLERANCE)
-            for loan in customer.loans
-        )
-
     def _build_lines(
         self,
-        customers: list[_Customer],
+        customers: list[CustomerStock],
         link: _Link,
         slot: str,
         sequence: int,
@@ -483,7 +341,7 @@
 
     def _build_line(
         self,
-        customer: _Customer,
+        customer: CustomerStock,
         slot: str,
         epoch: int,
         sequence: int,
@@ -491,13 +349,13 @@
         along: bool,
     ) -> AskLine | None:
         customer.live(now)
-        loan = self._find_loan(customer, slot, epoch)
+        loan = customer.find_loan(slot, epoch)
         wants = self._plan_wants(customer, slot, now)
         permits = customer.permits.setdefault(slot, Permits())
         if loan is not None and not wants:
-            self._return_surplus(customer, loan, permits, now)
+            customer.return_surplus(loan, permits, now)
         report_after = 0.0 if along else customer.report_age(now)
-        if not wants and not _has_news(loan, permits, now, report_after):
+        if not wants and not has_news(loan, permits, now, report_after):
             return None
         if loan is None:
             loan = Loan(slot, epoch, sequence)
@@ -511,109 +369,23 @@
             customer.name,
             loan.number,
             loan.acked,
-            _describe(loan.requests, wants.requests, wants.requests if first else 0.0),
-            _describe(loan.tokens, wants.tokens, wants.tokens if first else 0.0),
+            describe_stock(loan.requests, wants.requests, wants.requests if first else 0.0),
+            describe_stock(loan.tokens, wants.tokens, wants.tokens if first else 0.0),
             permits.held,
             permits.used,
             wants.permits,
             self._use_seconds,
         )
 
-    def _plan_wants(self, customer: _Customer, slot: str, now: float) -> _Wants:
+    def _plan_wants(self, customer: CustomerStock, slot: str, now: float) -> Wants:
         if customer.asking or self._choose_slot(customer, now) != slot:
-            return _Wants()
-        requests, tokens, permits = self.stock(customer.name, now)
+            return Wants()
+        requests, tokens, permits = customer.count(now)
         targets = customer.plan_stock(now)
         waiting = len(customer.waiting)
         waiting_tokens = sum(need.tokens for need in customer.waiting)
-        return _Wants(
-            _lack(requests, waiting, targets.requests, targets.low_requests),
-            _lack(tokens, waiting_tokens, targets.tokens, targets.low_tokens),
-            int(_lack(permits, waiting, round(targets.requests), targets.low_requests / 2)),
+        return Wants(
+            find_lack(requests, waiting, targets.requests, targets.low_requests),
+            find_lack(tokens, waiting_tokens, targets.tokens, targets.low_tokens),
+            int(find_lack(permits, waiting, round(targets.requests), targets.low_requests / 2)),
         )
-
-    def _return_surplus(
-        self, customer: _Customer, loan: Loan, permits: Permits, now: float
-    ) -> None:
-        if customer.waiting or customer.asking:
-            return
-        requests, tokens, idle = self.stock(customer.name, now)
-        targets = customer.plan_stock(now)
-        request_keep, token_keep = 2 * targets.requests, 2 * targets.tokens
-        given = 0.0
-        if requests > request_keep + TOLERANCE:
-            given += loan.requests.give_back(requests - request_keep)
-        if tokens > token_keep + TOLERANCE:
-            given += loan.tokens.give_back(tokens - token_keep)
-        spare = min(permits.idle, idle - round(request_keep))
-        if spare > 0:
-            permits.held -= spare
-        loan.changed = loan.changed or given > 0 or spare > 0
-
-    def _find_loan(self, customer: _Customer, slot: str, epoch: int) -> Loan | None:
-        for loan in customer.loans:
-            if loan.slot == slot and loan.epoch == epoch and not loan.closed:
-                return loan
-        return None
-
-
-def _lack(stock: float, waiting: float, target: float, low: float) -> float:
-    """Return what is missing, once stock is low or less than what calls wait for."""
-    if stock >= low and stock >= waiting:
-        return 0.0
-    return max(0.0, waiting + target - stock)
-
-
-def _describe(stock: Stock, want: float, least: float) -> ResourceAsk:
-    stock.refund_since = min(stock.refund_since, stock.refund_unsent)
-    stock.refund_unsent = math.inf
-    since = stock.refund_since if stock.refund_since < math.inf else 0.0
-    # A whole zero takes one byte on the way, a real one nine.
-    return ResourceAsk(
-        stock.held or 0, want or 0, least or 0, stock.returned or 0, stock.refunded or 0, since or 0
-    )
-
-
-def _has_news(loan: Loan | None, permits: Permits, now: float, report_after: float) -> bool:
-    if loan is None:
-        # Permits in use are declared to the slot's new home at once.
-        return permits.used > 0
-    age = now - loan.reported
-    holds = loan.requests.held > 0 or loan.tokens.held > 0 or permits.held > 0
-    return (loan.changed and age >= report_after) or (holds and age >= REFRESH_S)
-
-
-def _take_grant(loan: Loan, permits: Permits, granted: GrantLine) -> None:
-    loan.requests.held += granted.requests
-    loan.tokens.held += granted.tokens
-    permits.held += granted.permits
-    loan.requests.refund_since = loan.tokens.refund_since = math.inf
-
-
-def _pay_debt(customer: _Customer) -> None:
-    demand = customer.tokens
-    if demand.debt > 0:
-        draws = draw_amount(customer.loans, "tokens", demand.debt)
-        demand.debt = max(0.0, demand.debt - sum(draw.amount for draw in draws))
-
-
-def _note_source(source: _Source, line: AskLine, granted: GrantLine, now: float) -> bool:
-    """Decide when a home is asked again, and return whether it was short."""
-    source.request_wait, source.token_wait = granted.request_wait, granted.token_wait
-    short = (
-        granted.requests < line.requests.want - TOLERANCE
-        or granted.tokens < line.tokens.want - TOLERANCE
-        or granted.permits < line.permits_wanted
-    )
-    if not short:
-        source.due, source.pause = now, RETRY_FIRST_S
-        return False
-    nothing = granted.requests <= 0 and granted.tokens <= 0 and granted.permits <= 0
-    if nothing:
-        source.pause = min(2 * source.pause, RETRY_LAST_S)
-        wait = max(granted.request_wait, granted.token_wait)
-        source.due = now + max(RETRY_LEAST_S, min(source.pause, wait))
-    else:
-        source.pause = RETRY_FIRST_S
-        source.due = now + source.pause
-    return True
--- a/magnoliarouter/core/slots.py
+++ b/magnoliarouter/core/slots.py
@@ -75,20 +75,41 @@
     supported_until: float = 0.0
     promised_until: float = 0.0
     writing: bool = False
+    restored: bool = False
+    last_epoch: int = 0
 
-    def observe(self, record: SlotRecord | None, version: int, now: float) -> None:
-        """Take what the platform shows; an older version is ignored."""
-        if version > self.version:
-            self.record, self.version, self.seen = record, version, now
+    def observe(
+        self, record: SlotRecord | None, version: int, now: float, sure: bool = False
+    ) -> None:
+        """Take what the platform shows; an older version is ignored.
+
+        Parameters
+        ----------
+        record : SlotRecord or None
+            Record, or None if there is none.
+        version : int
+            Its version; 0 if there is none.
+        now : float
+            Loop time in seconds.
+        sure : bool
+            Whether it comes from a conditional update that failed. An older version then means
+            that the platform's store was restored, and whoever held the slot since may go on.
+        """
+        if version < self.version and sure:
+            self.restored = True
+        elif version <= self.version:
+            return
+        self.record, self.version, self.seen = record, version, now
+        if record is not None:
+            self.last_epoch = max(self.last_epoch, record.epoch)
 
     @property
     def mine(self) -> bool:
         """Whether the newest record names this daemon's start as holder."""
         record = self.record
-        return record is not None and (record.holder, record.incarnation) == (
-            self.vm,
-            self.incarnation,
-        )
+        if record is None or self.restored:
+            return False
+        return (record.holder, record.incarnation) == (self.vm, self.incarnation)
 
     def may_grant(self, now: float) -> bool:
         """Return whether the tenure is proved at this moment."""
@@ -116,7 +137,9 @@
         if record is None:
             # Nobody has held the slot; VMs try in order of rank.
             waited = now - self.started >= rank * LEASE_MARGIN_S
-            return Write(self._claim(1, successor), 0) if waited else None
+            if self.restored:
+                waited = now - self.seen >= LEASE_SECONDS + LEASE_MARGIN_S
+            return Write(self._claim(successor), 0) if waited else None
         if self.mine:
             # A claim that took effect late must not break a promise given since.
             if now - self.seen < RENEW_S or now < self.promised_until:
@@ -124,7 +147,7 @@
             renewed = replace(record, renewal=record.renewal + 1, successor=successor)
             return Write(renewed, self.version)
         if self._may_take_over(record, now, listed, rank):
-            return Write(self._claim(record.epoch + 1, successor), self.version)
+            return Write(self._claim(successor), self.version)
         return None
 
     def plan_release(self) -> Write | None:
@@ -146,7 +169,9 @@
         self.writing = False
         if version is None:
             return
-        self.first = write.expect == 0 or (self.first and self.mine)
+        created = write.expect == 0 and self.last_epoch == 0
+        self.first = created or (self.first and self.mine)
+        self.restored = False
         self.observe(write.record, version, now)
         if self.mine:
             self.supported_until = max(self.supported_until, sent + LEASE_SECONDS - LEASE_MARGIN_S)
@@ -181,20 +206,20 @@
         if seconds > 0 and self.may_grant(now):
             self.supported_until = max(self.supported_until, sent + seconds - LEASE_MARGIN_S)
 
-    def _claim(self, epoch: int, successor: str) -> SlotRecord:
-        return SlotRecord(epoch, self.vm, self.incarnation, successor)
+    def _claim(self, successor: str) -> SlotRecord:
+        return SlotRecord(self.last_epoch + 1, self.vm, self.incarnation, successor)
 
     def _may_take_over(
         self, record: SlotRecord, now: float, listed: frozenset[str], rank: int
     ) -> bool:
         if not record.holder:
             return now - self.seen >= rank * LEASE_MARGIN_S
-        if record.holder == self.vm:
+        if record.holder == self.vm and not self.restored:
             # One daemon runs on a VM: the incarnation that held the slot has ended.
             return True
         if now - self.seen < LEASE_SECONDS + LEASE_MARGIN_S:
             return False
-        if record.successor == self.vm:
+        if self.vm in (record.successor, record.holder):
             # A promise given before a restart of this daemon is forgotten but may still run.
             restarted = now - self.started < LEASE_SECONDS + LEASE_MARGIN_S
             return now >= self.promised_until and not restarted
--- a/magnoliarouter/daemon/quota.py
+++ b/magnoliarouter/daemon/quota.py
@@ -214,16 +214,18 @@
                     self._listed = True
             await asyncio.sleep(POLL_SECONDS if self._listed else STEP_SECONDS)
 
-    def _observe(self, slot: Slot, item: StoredObject | None) -> None:
+    def _observe(self, slot: Slot, item: StoredObject | None, sure: bool = False) -> None:
         now = self._clock()
         if item is None or item.value is None:
+            if sure:
+                slot.observe(None, 0, now, sure)
             return
         try:
             record = msgspec.convert(item.value, type=SlotRecord)
         except msgspec.ValidationError as error:
             log_event("quota_lease_malformed", slot=slot.name, reason=str(error))
             return
-        slot.observe(record, item.version, now)
+        slot.observe(record, item.version, now, sure)
 
     async def _keep(self) -> None:
         while True:
@@ -274,7 +276,7 @@
                 slot.end_write(write, version, sent, self._clock())
             case Conflict(current):
                 slot.end_write(write, None, sent, self._clock())
-                self._observe(slot, current)
+                self._observe(slot, current, sure=True)
             case Ambiguous():
                 self._unresolved[slot.name] = (write, sent)
             case _:
--- a/magnoliarouter/tests/test_quota.py
+++ b/magnoliarouter/tests/test_quota.py
@@ -475,6 +475,14 @@
         line = home.answer(self.ask(7, want=2.0, acked=6, held=3.0), 0.0).lines[0]
         self.assertFalse(line.known)
 
+    def test_borrower_does_not_ask_again_at_once_for_an_unknown_customer(self):
+        traffic = Traffic(terms=None)
+        traffic.start()
+        traffic.wait(0, 1.0)
+        for slot in SLOTS:
+            self.assertTrue(traffic.exchange(0, slot))
+        self.assertEqual(traffic.daemons[0].slots_wanted(traffic.now), set())
+
     def test_customer_without_service_gets_nothing(self):
         home = QuotaHome(SLOTS[0], 1, lambda name: None, 0.0, first=True)
         self.assertFalse(home.answer(self.ask(1, want=2.0), 0.0).lines[0].known)
--- a/magnoliarouter/tests/test_slots.py
+++ b/magnoliarouter/tests/test_slots.py
@@ -50,7 +50,10 @@
             write = slot.plan_write(self.now, successor, frozenset(self.listed), rank)
             if write is not None:
                 slot.begin_write()
-                slot.end_write(write, self.write(write), self.now, self.now)
+                version = self.write(write)
+                slot.end_write(write, version, self.now, self.now)
+                if version is None:
+                    slot.observe(self.record, self.version, self.now, sure=True)
         if slot.needs_promise(self.now) and slot.record is not None:
             self.ask_promise(slot)
 
@@ -170,6 +173,21 @@
             zone.run(STEP_S)
         self.assertEqual(zone.doubled, [])
 
+    def test_restored_store_gives_the_slot_to_one_holder_with_a_new_epoch(self):
+        zone = self.zone
+        before = (zone.record, zone.version)
+        zone.cut_from_peers.add("entry-a")
+        zone.cut_from_store.add("entry-a")
+        zone.run(20)
+        self.assertEqual(zone.holders(), ["entry-b"])
+        zone.cut_from_peers.clear()
+        zone.cut_from_store.clear()
+        zone.run(5)
+        zone.record, zone.version = before
+        zone.run(60)
+        self.assertEqual(len(zone.holders()), 1)
+        self.assertGreater(zone.record.epoch, 2)
+
     def test_no_promise_while_a_claim_is_on_its_way(self):
         slot = self.zone.slots["entry-b"]
         slot.begin_write()
