--- a/magnoliarouter/core/attempts.py
+++ b/magnoliarouter/core/attempts.py
@@ -2,9 +2,11 @@
 
 The table is the guard's memory of one incarnation: an attempt id is started at most once, and an
 id that was fenced before its start never starts. An entry is kept for a stated time after it
-ended. When the table is full, new attempts are refused; no entry is forgotten early. An attempt
-that carries a last start time on the guard's clock is refused after it, so that one that was
-delayed for longer than the retention cannot start either.
+ended. When the table is full, new attempts are refused; no entry is forgotten early.
+
+An attempt that may run only once carries a last start time on the guard's clock. It is refused
+after that time, so one that was delayed for longer than the retention cannot start either; and the
+guard tells by it whether an unknown attempt may have been forgotten.
 """
 
 from __future__ import annotations
@@ -18,6 +20,7 @@
 MAX_ATTEMPTS = 16_384
 FENCE_RESERVE_SHARE = 1 / 8
 RETENTION_S = 300.0
+ONCE_RETENTION_S = 3600.0
 START_WINDOW_S = 60.0
 MAX_ANSWER_BYTES = 4_194_304
 
@@ -25,13 +28,15 @@
 class AttemptState(Enum):
     """State of an attempt that the guard knows.
 
-    `BROKEN` means that the endpoint began it and its answer was lost.
+    `BROKEN` means that the endpoint began it and its answer was lost, `FORGOTTEN` that it may have
+    run longer ago than the guard remembers.
     """
 
     RUNNING = "running"
     FINISHED = "finished"
     BROKEN = "broken"
     FENCED = "fenced"
+    FORGOTTEN = "forgotten"
 
 
 class StartVerdict(Enum):
@@ -95,8 +100,9 @@
         Id of the guard's present start.
     max_attempts : int
         Attempts remembered; further ones are refused, never forgotten early.
-    retention : float
-        Seconds for which an ended attempt is remembered; longer than `START_WINDOW_S`.
+    retention, once_retention : float
+        Seconds for which an ended attempt is remembered, and one that may run only once; the
+        latter is longer than `START_WINDOW_S`.
     max_answer_bytes : int
         Bytes of answers kept; beyond it the oldest bodies go and their digests stay.
     """
@@ -104,11 +110,13 @@
     incarnation: str
     max_attempts: int = MAX_ATTEMPTS
     retention: float = RETENTION_S
+    once_retention: float = ONCE_RETENTION_S
     max_answer_bytes: int = MAX_ANSWER_BYTES
     draining: bool = False
     answer_bytes: int = 0
-    _running: dict[str, float] = field(default_factory=dict)
+    _running: dict[str, bool] = field(default_factory=dict)
     _ended: OrderedDict[str, _Ended] = field(default_factory=OrderedDict)
+    _ended_once: OrderedDict[str, _Ended] = field(default_factory=OrderedDict)
     _with_body: deque[str] = field(default_factory=deque)
 
     def start(
@@ -125,24 +133,26 @@
         now : float
             Loop time in seconds.
         not_after : float, optional
-            Loop time of the guard after which the attempt may not start.
+            Loop time of the guard after which the attempt may not start; given for attempts that
+            may run only once.
         """
         self._forget_old(now)
         if incarnation != self.incarnation:
             return StartVerdict.WRONG_INCARNATION
         if attempt in self._running:
             return StartVerdict.ALREADY_STARTED
-        known = self._ended.get(attempt)
+        known = self._find_ended(attempt)
         if known is not None:
             fenced = known.state is AttemptState.FENCED
             return StartVerdict.FENCED if fenced else StartVerdict.ALREADY_STARTED
-        if not_after is not None and now > not_after:
+        once = not_after is not None
+        if once and now > not_after:
             return StartVerdict.EXPIRED
         if self.draining:
-            return self._refuse(attempt, now, StartVerdict.DRAINING)
+            return self._refuse(attempt, now, once, StartVerdict.DRAINING)
         if self.size >= self.max_attempts:
-            return self._refuse(attempt, now, StartVerdict.TABLE_FULL)
-        self._running[attempt] = now
+            return self._refuse(attempt, now, once, StartVerdict.TABLE_FULL)
+        self._running[attempt] = once
         return StartVerdict.START
 
     def finish(self, attempt: str, now: float, answer: StoredAnswer | None = None) -> None:
@@ -161,9 +171,18 @@
         """Note that an attempt that was begun here never reached the endpoint."""
         self._end(attempt, _Ended(AttemptState.FENCED, now))
 
-    def fence(self, attempt: str, now: float) -> AttemptState | None:
+    def fence(self, attempt: str, now: float, not_after: float) -> AttemptState | None:
         """Prevent an attempt from starting, and return its state.
 
+        Parameters
+        ----------
+        attempt : str
+            Attempt id.
+        now : float
+            Loop time in seconds.
+        not_after : float
+            Last start time that the attempt carries.
+
         Returns
         -------
         AttemptState or None
@@ -173,15 +192,20 @@
         self._forget_old(now)
         if attempt in self._running:
             return AttemptState.RUNNING
-        if attempt not in self._ended:
-            if not self._has_room_for_fence():
-                return None
-            self._ended[attempt] = _Ended(AttemptState.FENCED, now)
-        return self._ended[attempt].state
+        known = self._find_ended(attempt)
+        if known is not None:
+            return known.state
+        # It started no earlier than one window before its last start time, if it started.
+        if now >= not_after - START_WINDOW_S + self.once_retention:
+            return AttemptState.FORGOTTEN
+        if not self._has_room_for_fence():
+            return None
+        self._ended_once[attempt] = _Ended(AttemptState.FENCED, now)
+        return AttemptState.FENCED
 
     def find_answer(self, attempt: str) -> StoredAnswer | None:
         """Return the answer kept of a finished attempt."""
-        ended = self._ended.get(attempt)
+        ended = self._find_ended(attempt)
         return ended.answer if ended else None
 
     @property
@@ -192,40 +216,53 @@
     @property
     def size(self) -> int:
         """Attempts remembered."""
-        return len(self._running) + len(self._ended)
+        return len(self._running) + len(self._ended) + len(self._ended_once)
 
-    def _refuse(self, attempt: str, now: float, verdict: StartVerdict) -> StartVerdict:
+    def _find_ended(self, attempt: str) -> _Ended | None:
+        return self._ended.get(attempt) or self._ended_once.get(attempt)
+
+    def _refuse(self, attempt: str, now: float, once: bool, verdict: StartVerdict) -> StartVerdict:
         # A copy of the refused request may still be on its way; it must be refused as well.
         if not self._has_room_for_fence():
             return StartVerdict.UNRECORDED
-        self._ended[attempt] = _Ended(AttemptState.FENCED, now)
+        self._table(once)[attempt] = _Ended(AttemptState.FENCED, now)
         return verdict
 
     def _has_room_for_fence(self) -> bool:
         return self.size < self.max_attempts * (1 + FENCE_RESERVE_SHARE)
 
     def _end(self, attempt: str, ended: _Ended) -> None:
-        self._running.pop(attempt, None)
-        self._ended[attempt] = ended
-        self._ended.move_to_end(attempt)
+        table = self._table(self._running.pop(attempt, False))
+        table[attempt] = ended
+        table.move_to_end(attempt)
+
+    def _table(self, once: bool) -> OrderedDict[str, _Ended]:
+        return self._ended_once if once else self._ended
 
     def _drop_old_bodies(self) -> None:
         while self.answer_bytes > self.max_answer_bytes:
             attempt = self._with_body.popleft()
-            ended = self._ended[attempt]
+            ended = self._ended_once[attempt]
             self._release_body(ended)
-            self._ended[attempt] = replace(ended, answer=replace(ended.answer, body=None))
+            self._ended_once[attempt] = replace(ended, answer=replace(ended.answer, body=None))
 
     def _release_body(self, ended: _Ended) -> None:
         if ended.answer is not None and ended.answer.body is not None:
             self.answer_bytes -= len(ended.answer.body)
 
     def _forget_old(self, now: float) -> None:
-        while self._ended:
-            attempt, ended = next(iter(self._ended.items()))
-            if now - ended.updated < self.retention:
-                return
-            self._release_body(ended)
-            if self._with_body and self._with_body[0] == attempt:
-                self._with_body.popleft()
-            del self._ended[attempt]
+        for table, retention in (
+            (self._ended, self.retention),
+            (self._ended_once, self.once_retention),
+        ):
+            while table:
+                attempt, ended = next(iter(table.items()))
+                if now - ended.updated < retention:
+                    break
+                self._forget(attempt, ended)
+                del table[attempt]
+
+    def _forget(self, attempt: str, ended: _Ended) -> None:
+        self._release_body(ended)
+        if self._with_body and self._with_body[0] == attempt:
+            self._with_body.popleft()
--- /dev/null
+++ b/magnoliarouter/core/claims.py
@@ -0,0 +1,323 @@
+"""Claims that let a call with an idempotency key run at most once.
+
+A claim is a record in a store with conditional updates, one for each customer and key. Whoever
+writes its own attempt into the record may send that attempt, once, to the endpoint incarnation that
+the record names. Everybody else learns the outcome from the record, or from the endpoint's guard,
+which can fence an attempt that has not started. Only then may the record name another attempt.
+
+`ClaimRun` is the state machine of one request. It performs nothing itself: it returns an effect,
+the caller performs it and passes the result to `ClaimRun.step`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from magnoliarouter.core.attempts import AttemptState
+from magnoliarouter.core.claimsteps import (
+    Answered,
+    AskFence,
+    Claim,
+    ClaimKey,
+    ClaimState,
+    Doubtful,
+    Effect,
+    Event,
+    FenceAnswer,
+    FoundClaim,
+    NoClaim,
+    NotStarted,
+    OtherIncarnation,
+    Pending,
+    PlaceAttempt,
+    Placed,
+    Ran,
+    ReadClaim,
+    RefusedRun,
+    SendAttempt,
+    Stored,
+    StoreDoubt,
+    TimeUp,
+    WriteClaim,
+)
+from magnoliarouter.core.outcome import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["ClaimRun"]
+
+MAX_TRIES = 3
+MAX_CONFLICTS = 2
+RETRY_AFTER_S = 2.0
+
+
+class _Phase(Enum):
+    PLACING = "placing"
+    LOOKING = "looking"
+    CLAIMING = "claiming"
+    READING_BACK = "reading back"
+    RUNNING = "running"
+    FENCING = "fencing"
+    RELEASING = "releasing"
+    FOLLOWING = "following"
+    RECORDING = "recording"
+
+
+@dataclass(slots=True)
+class ClaimRun:
+    """State machine of one request with an idempotency key.
+
+    Parameters
+    ----------
+    key : ClaimKey
+        What the request is recognized by.
+
+    Attributes
+    ----------
+    tries : int
+        Endpoints asked for so far.
+    unrecorded : WriteClaim or None
+        Outcome that the store has not confirmed; write it again later.
+
+    Examples
+    --------
+    >>> from magnoliarouter.core.claimsteps import Target
+    >>> run = ClaimRun(ClaimKey("grower", "k", "b"))
+    >>> run.start()
+    PlaceAttempt()
+    >>> target = Target("a1", "tanks-1", "127.0.0.1:1", "i1", 60.0)
+    >>> run.step(Placed(target)).expect
+    0
+    >>> run.step(Stored(version=7)) == SendAttempt(target)
+    True
+    """
+
+    key: ClaimKey
+    tries: int = 0
+    unrecorded: WriteClaim | None = None
+    _phase: _Phase = _Phase.PLACING
+    _expect: int = 0
+    _mine: Claim | None = None
+    _sent: bool = False
+    _store_doubts: int = 0
+    _disputed: Claim | None = None
+    _refusal: str = ""
+    _result: Ran | Doubtful | None = None
+
+    def start(self) -> Effect:
+        """Return the first effect."""
+        return self._place()
+
+    def step(self, event: Event) -> Effect:
+        """Take the result of the last effect and return the next one."""
+        match self._phase:
+            case _Phase.PLACING:
+                return self._after_placing(event)
+            case _Phase.LOOKING:
+                return self._after_looking(event)
+            case _Phase.CLAIMING:
+                return self._after_claiming(event)
+            case _Phase.READING_BACK:
+                return self._after_reading_back(event)
+            case _Phase.RUNNING:
+                return self._after_running(event)
+            case _Phase.FENCING:
+                return self._after_fencing(event)
+            case _Phase.RELEASING:
+                return self._after_releasing(event)
+            case _Phase.FOLLOWING:
+                return self._after_following(event)
+            case _Phase.RECORDING:
+                return self._after_recording(event)
+
+    def _place(self) -> Effect:
+        if self.tries >= MAX_TRIES + MAX_CONFLICTS:
+            reason = "other requests with the key kept taking over"
+            return RefusedRun(ResultCode.CONFLICT, reason, False, RETRY_AFTER_S)
+        self.tries += 1
+        self._phase = _Phase.PLACING
+        return PlaceAttempt()
+
+    def _after_placing(self, event: Event) -> Effect:
+        match event:
+            case Placed(target):
+                self._mine = Claim(self.key, target)
+                self._sent = False
+                return self._write_mine()
+        if self._sent:
+            return self._release()
+        # Nothing can run now, but an earlier request may have an outcome to tell.
+        self._phase = _Phase.LOOKING
+        return ReadClaim()
+
+    def _after_looking(self, event: Event) -> Effect:
+        match event:
+            case FoundClaim(_, claim) if claim.state is not ClaimState.RELEASED:
+                return self._settle(event)
+        reason = "no endpoint serves this now"
+        return RefusedRun(ResultCode.NO_ENDPOINT, reason, False, RETRY_AFTER_S)
+
+    def _write_mine(self) -> Effect:
+        self._phase = _Phase.CLAIMING
+        return WriteClaim(self._mine, self._expect)
+
+    def _after_claiming(self, event: Event) -> Effect:
+        match event:
+            case Stored(version):
+                return self._send(version)
+            case FoundClaim():
+                return self._settle(event)
+            case NoClaim():
+                self._expect = 0
+                return self._ask_store_again(self._write_mine)
+            case StoreDoubt():
+                return self._ask_store_again(self._read_back)
+        return self._refuse_for_store()
+
+    def _read_back(self) -> Effect:
+        self._phase = _Phase.READING_BACK
+        return ReadClaim()
+
+    def _ask_store_again(self, proceed: Callable[[], Effect]) -> Effect:
+        self._store_doubts += 1
+        return proceed() if self._store_doubts <= MAX_TRIES else self._refuse_for_store()
+
+    def _after_reading_back(self, event: Event) -> Effect:
+        match event:
+            case FoundClaim():
+                return self._settle(event)
+            case NoClaim():
+                self._expect = 0
+                return self._write_mine()
+        return self._ask_store_again(self._read_back)
+
+    def _refuse_for_store(self) -> Effect:
+        # An earlier request with this key may have run; the store cannot tell now.
+        reason = "claims cannot be stored now"
+        return RefusedRun(ResultCode.PLATFORM_UNAVAILABLE, reason, False, RETRY_AFTER_S)
+
+    def _settle(self, found: FoundClaim) -> Effect:
+        """Go on from the claim that the store holds."""
+        claim, self._expect = found.claim, found.version
+        if self._is_mine(claim) and not self._sent and claim.state is ClaimState.CLAIMED:
+            return self._send(found.version)
+        if claim.key.body_digest != self.key.body_digest:
+            reason = "the idempotency key was used with another method, path or body"
+            return RefusedRun(ResultCode.KEY_REUSED, reason, False)
+        match claim.state:
+            case ClaimState.FINISHED:
+                return Ran(claim.answer, replayed=True)
+            case ClaimState.UNKNOWN:
+                return Doubtful(claim, "the attempt's outcome was lost")
+            case ClaimState.RELEASED:
+                return self._claim_again()
+        self._phase = _Phase.FENCING
+        self._disputed = claim
+        return AskFence(claim.target)
+
+    def _is_mine(self, claim: Claim) -> bool:
+        return self._mine is not None and claim.target.attempt == self._mine.target.attempt
+
+    def _claim_again(self) -> Effect:
+        if self._mine is None or self._sent:
+            return self._place()
+        return self._write_mine()
+
+    def _send(self, version: int) -> Effect:
+        self._expect = version
+        self._sent = True
+        self._phase = _Phase.RUNNING
+        return SendAttempt(self._mine.target)
+
+    def _after_running(self, event: Event) -> Effect:
+        match event:
+            case Answered(answer):
+                return self._record(self._mine, Ran(answer, replayed=False))
+            case NotStarted(reason, fenced=True):
+                self._refusal = reason
+                self._phase = _Phase.FOLLOWING
+                return ReadClaim()
+            case NotStarted(reason):
+                return self._try_elsewhere(reason)
+        self._phase = _Phase.FENCING
+        self._disputed = self._mine
+        return AskFence(self._mine.target)
+
+    def _try_elsewhere(self, reason: str) -> Effect:
+        self._refusal = reason
+        return self._place() if self.tries < MAX_TRIES else self._release()
+
+    def _release(self) -> Effect:
+        self._phase = _Phase.RELEASING
+        return WriteClaim(replace(self._mine, state=ClaimState.RELEASED), self._expect)
+
+    def _after_releasing(self, event: Event) -> Effect:
+        match event:
+            case FoundClaim(version, claim) if not self._is_mine(claim):
+                return self._settle(event)
+            case FoundClaim(version, claim) if claim.state is ClaimState.UNKNOWN:
+                # Somebody could not tell; the proof held here can.
+                self._expect = version
+                return self._release()
+        # Without the store's answer, another request may have claimed the key meanwhile.
+        for_key = isinstance(event, Stored)
+        return RefusedRun(ResultCode.ENDPOINT_REFUSED, self._refusal, for_key, RETRY_AFTER_S)
+
+    def _after_following(self, event: Event) -> Effect:
+        match event:
+            case FoundClaim(version, claim) if self._is_mine(claim):
+                self._expect = version
+                return self._try_elsewhere(self._refusal)
+            case FoundClaim():
+                return self._settle(event)
+        reason = "another request with the key took over"
+        return RefusedRun(ResultCode.FENCED, reason, False, RETRY_AFTER_S)
+
+    def _after_fencing(self, event: Event) -> Effect:
+        claim = self._disputed
+        own = self._sent and self._is_mine(claim)
+        match event:
+            case FenceAnswer(AttemptState.FENCED):
+                reason = "the endpoint's guard fenced it before it started"
+                return self._try_elsewhere(reason) if own else self._claim_again()
+            case FenceAnswer(AttemptState.FINISHED, answer) if answer is not None:
+                return self._record(claim, Ran(answer, replayed=not own))
+            case FenceAnswer(AttemptState.BROKEN):
+                return self._record(claim, Doubtful(claim, "the endpoint's answer was lost"))
+            case FenceAnswer(AttemptState.FORGOTTEN):
+                return self._record(claim, Doubtful(claim, "it is too long ago"))
+            case OtherIncarnation():
+                return self._record(claim, Doubtful(claim, "the endpoint's guard was restarted"))
+            case FenceAnswer(AttemptState.RUNNING) if not own:
+                return Pending(claim)
+            case TimeUp():
+                return Doubtful(claim, "no outcome before the deadline")
+        if own:
+            return AskFence(claim.target, waiting=True)
+        return Doubtful(claim, "the endpoint's guard cannot be asked now")
+
+    def _record(self, claim: Claim, result: Ran | Doubtful) -> Effect:
+        self._phase = _Phase.RECORDING
+        self._result = result
+        if isinstance(result, Ran):
+            claim = replace(claim, state=ClaimState.FINISHED, answer=result.answer)
+        else:
+            claim = replace(claim, state=ClaimState.UNKNOWN)
+        self.unrecorded = WriteClaim(claim, self._expect)
+        return self.unrecorded
+
+    def _after_recording(self, event: Event) -> Effect:
+        match event, self._result:
+            case FoundClaim(version, claim), Ran() if claim.state is ClaimState.UNKNOWN:
+                # Somebody could not tell; the answer held here can.
+                self.unrecorded = replace(self.unrecorded, expect=version)
+                return self.unrecorded
+            case FoundClaim(_, claim), Doubtful() if claim.state is not ClaimState.UNKNOWN:
+                self.unrecorded = None
+                return self._settle(event)
+            case (Stored() | FoundClaim() | NoClaim()), _:
+                self.unrecorded = None
+        return self._result
--- a/magnoliarouter/endpoints/guard.py
+++ b/magnoliarouter/endpoints/guard.py
@@ -143,7 +143,7 @@
     def _fence_attempt(self, request: FenceRequest) -> FenceReply:
         if request.incarnation != self._attempts.incarnation:
             return FenceReply(request.attempt, "other incarnation")
-        state = self._attempts.fence(request.attempt, self._clock())
+        state = self._attempts.fence(request.attempt, self._clock(), request.not_after)
         if state is None:
             return FenceReply(request.attempt, "table full")
         return FenceReply(request.attempt, state.value, self._attempts.find_answer(request.attempt))
--- a/magnoliarouter/endpoints/messages.py
+++ b/magnoliarouter/endpoints/messages.py
@@ -73,10 +73,13 @@
         Attempt id.
     incarnation : str
         Incarnation of the guard that the attempt was made for.
+    not_after : float
+        Last start time that the attempt carries, on the guard's clock.
     """
 
     attempt: str
     incarnation: str
+    not_after: float
 
 
 class FenceReply(msgspec.Struct, frozen=True):
--- a/magnoliarouter/tests/test_attempts.py
+++ b/magnoliarouter/tests/test_attempts.py
@@ -14,12 +14,12 @@
         self.assertIs(self.table.start("a", "one", 0.0), StartVerdict.ALREADY_STARTED)
 
     def test_fenced_attempt_never_starts(self):
-        self.assertIs(self.table.fence("a", 0.0), AttemptState.FENCED)
+        self.assertIs(self.table.fence("a", 0.0, 60.0), AttemptState.FENCED)
         self.assertIs(self.table.start("a", "one", 1.0), StartVerdict.FENCED)
 
     def test_fence_after_start_tells_that_it_runs(self):
         self.table.start("a", "one", 0.0)
-        self.assertIs(self.table.fence("a", 1.0), AttemptState.RUNNING)
+        self.assertIs(self.table.fence("a", 1.0, 60.0), AttemptState.RUNNING)
 
     def test_other_incarnation_is_refused(self):
         self.assertIs(self.table.start("a", "two", 0.0), StartVerdict.WRONG_INCARNATION)
