--- /dev/null
+++ b/magnoliarouter/standins/bench/measure.py
@@ -0,0 +1,65 @@
+"""Readings of a process from the kernel's process table: processor time, memory, descriptors."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+__all__ = ["ProcessReading", "read_process"]
+
+KIB = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessReading:
+    """State of a process at one moment.
+
+    Parameters
+    ----------
+    cpu_seconds : float
+        Processor time used since the start, user and system.
+    resident_bytes, anonymous_bytes : int
+        Resident memory in all, and the part of it that no file backs.
+    descriptors : int
+        Open file descriptors.
+    """
+
+    cpu_seconds: float
+    resident_bytes: int
+    anonymous_bytes: int
+    descriptors: int
+
+
+def read_process(pid: int) -> ProcessReading:
+    """Read the state of a process.
+
+    Raises
+    ------
+    FileNotFoundError
+        The process has ended.
+    """
+    folder = Path(f"/proc/{pid}")
+    status = _read_status(folder / "status")
+    return ProcessReading(
+        cpu_seconds=_read_run_time(folder / "task"),
+        resident_bytes=status["VmRSS"] * KIB,
+        anonymous_bytes=status["RssAnon"] * KIB,
+        descriptors=sum(1 for _ in (folder / "fd").iterdir()),
+    )
+
+
+def _read_run_time(threads: Path) -> float:
+    """Return the time that all threads have run, in seconds with nanosecond resolution."""
+    nanoseconds = 0
+    for thread in threads.iterdir():
+        nanoseconds += int((thread / "schedstat").read_text().split()[0])
+    return nanoseconds * 1e-9
+
+
+def _read_status(path: Path) -> dict[str, int]:
+    lines = (line.split() for line in path.read_text().splitlines())
+    return {
+        fields[0].rstrip(":"): int(fields[1])
+        for fields in lines
+        if fields[0].endswith(("RSS:", "Anon:"))
+    }
