Run calls with an idempotency key at most once over all entry daemons

pipeline/once.py performs what core/claims.py decides: claim in the platform, one dispatch to the claimed incarnation on a connection of its own, fence when in doubt, outcome stored. The store down refuses the request; the header x-not-run-scope tells whether a refusal speaks for the key or for this request only. An application stand-in journals executions and dies or loses answers on demand.

--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -20,13 +20,16 @@
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.peers import PeerClient, PeerServer
 from magnoliarouter.pipeline.admit import LocalAdmission
-from magnoliarouter.pipeline.call import ModelCall
+from magnoliarouter.pipeline.call import ApplicationCall, ModelCall
 from magnoliarouter.pipeline.deliver import deliver_stream, deliver_whole
 from magnoliarouter.pipeline.dispatch import Answer, open_attempt
+from magnoliarouter.pipeline.guards import GuardCalls
 from magnoliarouter.pipeline.identify import identify
 from magnoliarouter.pipeline.meter import Meter
+from magnoliarouter.pipeline.once import OnceCalls
 from magnoliarouter.pipeline.place import Placement
 from magnoliarouter.platform.backoff import CallBudget
+from magnoliarouter.platform.claims import ClaimStore
 from magnoliarouter.platform.client import PlatformClient
 from magnoliarouter.platform.objects import decode_contract
 
@@ -69,6 +72,7 @@
         self.peer_server = PeerServer(self.settings.peer_key)
         self._open_configuration()
         self._placement = Placement(self.settings.zone, self._endpoints.cache)
+        self._open_once_calls()
         self._admission = LocalAdmission(1.0, self._loop.time)
         listen = self.settings.listen
         self._server = WebServer(
@@ -89,11 +93,13 @@
         await asyncio.sleep(self.settings.shutdown_seconds)
         self._server.stop_listening()
         await self._server.wait_until_idle()
+        await self._once.wait_until_idle()
         for task in self._tasks:
             task.cancel()
         await self.configuration.stop()
         await self.peer_server.stop()
         await self.peer_client.close()
+        await self._once_session.close()
         await self._session.close()
 
     async def handle(self, exchange: Exchange) -> None:
@@ -122,6 +128,14 @@
             lambda operation, result: calls.labels(operation, result).inc(),
         )
 
+    def _open_once_calls(self) -> None:
+        self._once_session = open_session(reuse=False)
+        rate = self.settings.claim_calls_per_second
+        budget = CallBudget(rate, rate * CALL_BURST_S)
+        claims = ClaimStore(PlatformClient(self.settings.platform, self._session, budget))
+        guards = GuardCalls(self._once_session, self._loop.time)
+        self._once = OnceCalls(claims, guards, self._placement.place, self._loop.time, self.metrics)
+
     def _open_configuration(self) -> None:
         self.configuration = Configuration(
             self.settings, self._platform, self.peer_client, self.peer_server, self.metrics
@@ -181,6 +195,9 @@
         )
 
     async def _forward(self, exchange: Exchange, call: Call, meter: Meter) -> None:
+        if isinstance(call.work, ApplicationCall) and not call.work.repeatable:
+            await self._run_once(exchange, call)
+            return
         endpoint = self._placement.place(call)
         if endpoint is None:
             refusal = NotRun(ResultCode.NO_ENDPOINT, "no endpoint serves this now", 1.0)
@@ -189,6 +206,12 @@
         with self._placement.track(endpoint):
             await self._attempt(exchange, call, endpoint, meter)
 
+    async def _run_once(self, exchange: Exchange, call: Call) -> None:
+        reply = await self._once.run(call)
+        self._record(reply.outcome, call, reply.endpoint)
+        headers = {REQUEST_HEADER: call.request_id, **reply.headers}
+        await exchange.send(reply.status, reply.body, headers)
+
     async def _attempt(
         self, exchange: Exchange, call: Call, endpoint: EndpointSpec, meter: Meter
     ) -> None:
--- a/magnoliarouter/daemon/settings.py
+++ b/magnoliarouter/daemon/settings.py
@@ -75,6 +75,8 @@
         Longest time that a request may take when the caller names no deadline, in seconds.
     queue_length : int
         Requests that may wait for an endpoint in this daemon.
+    claim_calls_per_second : float
+        Most calls of this daemon to the platform for claims of calls that may run only once.
     shutdown_seconds : float
         Time between the readiness probe failing and the listener closing, in seconds.
     """
@@ -86,6 +88,7 @@
     platform_calls_per_second: Annotated[float, Meta(gt=0)] = 50.0
     request_seconds: Seconds = 120.0
     queue_length: Annotated[int, Meta(ge=0)] = 256
+    claim_calls_per_second: Annotated[float, Meta(gt=0)] = 40.0
     shutdown_seconds: Annotated[float, Meta(ge=0)] = 2.0
 
 
--- a/magnoliarouter/endpoints/guard.py
+++ b/magnoliarouter/endpoints/guard.py
@@ -24,7 +24,10 @@
     INCARNATION_HEADER,
     NOT_AFTER_HEADER,
     NOT_STARTED_HEADER,
+    OTHER_INCARNATION,
     RUN_ONCE_HEADER,
+    TABLE_FULL,
+    UNANSWERED_HEADER,
     VERDICT_HEADER,
     FenceReply,
     FenceRequest,
@@ -147,10 +150,10 @@
 
     def _fence_attempt(self, request: FenceRequest) -> FenceReply:
         if request.incarnation != self._attempts.incarnation:
-            return FenceReply(request.attempt, "other incarnation")
+            return FenceReply(request.attempt, OTHER_INCARNATION)
         state = self._attempts.fence(request.attempt, self._clock(), request.not_after)
         if state is None:
-            return FenceReply(request.attempt, "table full")
+            return FenceReply(request.attempt, TABLE_FULL)
         return FenceReply(request.attempt, state.value, self._attempts.find_answer(request.attempt))
 
     def _head(self, attempt: str) -> dict[str, str]:
@@ -159,6 +162,7 @@
     async def _refuse(self, exchange: Exchange, attempt: str, verdict: StartVerdict) -> None:
         headers = {**self._head(attempt), VERDICT_HEADER: verdict.value}
         if verdict in UNPROVEN:
+            headers[UNANSWERED_HEADER] = verdict.value
             body = error_body(ResultCode.IN_PROGRESS, "unknown", verdict.value)
             await exchange.send(409, body, headers)
             return
@@ -186,7 +190,8 @@
                 if reason == CROSSED:
                     self._on_drop("crossed")
                 failure = error_body(ResultCode.ENDPOINT_ERROR, "unknown", reason)
-                await exchange.send(502, failure, self._head(attempt))
+                head = {**self._head(attempt), UNANSWERED_HEADER: reason}
+                await exchange.send(502, failure, head)
 
     async def _execute(self, exchange: Exchange, attempt: str) -> Executed | NotReached | Broken:
         request = exchange.request
--- a/magnoliarouter/endpoints/messages.py
+++ b/magnoliarouter/endpoints/messages.py
@@ -11,7 +11,14 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-__all__ = ["FenceReply", "FenceRequest", "GuardStatus", "is_answer_of", "is_end_to_end"]
+__all__ = [
+    "FenceReply",
+    "FenceRequest",
+    "GuardClock",
+    "GuardStatus",
+    "is_answer_of",
+    "is_end_to_end",
+]
 
 ATTEMPT_HEADER = "x-attempt-id"
 REQUEST_HEADER = "x-request-id"
@@ -21,8 +28,12 @@
 NOT_AFTER_HEADER = "x-not-after"
 GUARD_CLOCK_HEADER = "x-guard-clock"
 VERDICT_HEADER = "x-start-verdict"
+UNANSWERED_HEADER = "x-unanswered"
 IDEMPOTENCY_HEADER = "idempotency-key"
 
+OTHER_INCARNATION = "other incarnation"
+TABLE_FULL = "table full"
+
 # RFC 9110 section 7.6.1, and the fields by which a message is framed anew on each hop.
 HOP_HEADERS = frozenset(
     (
@@ -78,6 +89,21 @@
     answer_bytes: int = 0
 
 
+class GuardClock(msgspec.Struct, frozen=True):
+    """Part of `GuardStatus` that tells the guard's time.
+
+    Parameters
+    ----------
+    incarnation : str
+        Id of the guard's present start.
+    clock : float
+        Loop time of the guard in seconds.
+    """
+
+    incarnation: str
+    clock: float
+
+
 class FenceRequest(msgspec.Struct, frozen=True):
     """Asks a guard to keep an attempt from starting, or to tell what became of it.
 
--- /dev/null
+++ b/magnoliarouter/pipeline/once.py
@@ -0,0 +1,252 @@
+"""Path of calls that may run only once: performs the effects that `core.claims` decides."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import uuid
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from magnoliarouter.core.claims import ClaimRun
+from magnoliarouter.core.claimsteps import (
+    AskFence,
+    Doubtful,
+    NoTarget,
+    Pending,
+    PlaceAttempt,
+    Placed,
+    Ran,
+    ReadClaim,
+    RefusedRun,
+    SendAttempt,
+    StoreDoubt,
+    StoreDown,
+    Target,
+    TimeUp,
+    WriteClaim,
+)
+from magnoliarouter.core.codes import status_of
+from magnoliarouter.core.outcome import Completed, NotRun, ResultCode, Unknown
+from magnoliarouter.daemon.exchange import error_body
+from magnoliarouter.daemon.logs import log_event
+from magnoliarouter.platform.claims import build_key
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliarouter.core.claimsteps import Claim, Effect, Event, Result
+    from magnoliarouter.core.outcome import Outcome
+    from magnoliarouter.daemon.metrics import Metrics
+    from magnoliarouter.pipeline.call import Call
+    from magnoliarouter.pipeline.guards import GuardCalls
+    from magnoliarouter.platform.claims import ClaimStore
+    from magnoliarouter.platform.objects import EndpointSpec
+
+__all__ = ["OnceCalls", "OnceReply"]
+
+SCOPE_HEADER = "x-not-run-scope"
+REPLAYED_HEADER = "idempotency-replayed"
+DIGEST_HEADER = "x-outcome-digest"
+OMITTED_HEADER = "x-outcome-body"
+JSON_TYPE = "application/json"
+RETRY_AFTER_S = 1
+FENCE_GRACE_S = 0.2
+POLL_S = 0.1
+RECORD_WAIT_S = 1.0
+RECORD_RETRY_S = 1.0
+RECORD_TRIES = 120
+
+
+@dataclass(frozen=True, slots=True)
+class OnceReply:
+    """Answer to the caller.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        Tagged outcome.
+    status : int
+        HTTP status.
+    headers : dict of str to str
+        Header fields.
+    body : bytes
+        Body.
+    endpoint : str
+        Endpoint whose answer it is; empty if none.
+    """
+
+    outcome: Outcome
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    endpoint: str = ""
+
+
+class OnceCalls:
+    """Runs calls with an idempotency key at most once.
+
+    Parameters
+    ----------
+    claims : ClaimStore
+        Claims in the platform.
+    guards : GuardCalls
+        Calls to guards.
+    place : callable
+        Chooses an endpoint for a call, leaving out those named in a set.
+    clock : callable
+        Loop time in seconds.
+    metrics : Metrics
+        Metrics of the daemon.
+    """
+
+    def __init__(
+        self,
+        claims: ClaimStore,
+        guards: GuardCalls,
+        place: Callable[[Call, set[str]], EndpointSpec | None],
+        clock: Callable[[], float],
+        metrics: Metrics,
+    ) -> None:
+        self._claims = claims
+        self._guards = guards
+        self._place = place
+        self._clock = clock
+        self._tasks: set[asyncio.Task[object]] = set()
+        self.steps = metrics.add_counter("claim_steps", "Steps of claims", "step", "result")
+        self.results = metrics.add_counter("claim_results", "Results of claims", "result")
+
+    async def run(self, call: Call) -> OnceReply:
+        """Run a call at most once and return what to tell the caller.
+
+        The call goes on to its outcome if this coroutine is cancelled.
+        """
+        return await asyncio.shield(self._spawn(self._run(call)))
+
+    async def wait_until_idle(self) -> None:
+        """Wait until no call is in progress and all outcomes are stored or given up."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def _spawn(self, work: object) -> asyncio.Task[object]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _run(self, call: Call) -> OnceReply:
+        key = build_key(
+            call.contract.customer, call.work.idempotency_key, call.method, call.path, call.body
+        )
+        run = ClaimRun(key)
+        tried: set[str] = set()
+        effect = run.start()
+        while not isinstance(effect, Ran | RefusedRun | Pending | Doubtful):
+            event = await self._perform(effect, call, run, tried)
+            self.steps.labels(type(effect).__name__, type(event).__name__).inc()
+            effect = run.step(event)
+        if run.unrecorded is not None:
+            self._spawn(self._record_later(run.unrecorded))
+        return self._reply(effect)
+
+    async def _perform(self, effect: Effect, call: Call, run: ClaimRun, tried: set[str]) -> Event:
+        match effect:
+            case PlaceAttempt():
+                return await self._place_attempt(call, tried)
+            case WriteClaim() if effect is run.unrecorded:
+                return await self._record(effect)
+            case WriteClaim():
+                return await self._claims.write(effect)
+            case ReadClaim():
+                return await self._claims.read(run.key)
+            case SendAttempt(target):
+                return await self._guards.send(call, target)
+            case AskFence(target, waiting):
+                return await self._ask_fence(call, target, waiting)
+        raise AssertionError(effect)
+
+    async def _place_attempt(self, call: Call, tried: set[str]) -> Placed | NoTarget:
+        while (spec := self._place(call, tried)) is not None:
+            tried.add(spec.name)
+            not_after = await self._guards.find_last_start(spec)
+            if not_after is not None:
+                target = Target(
+                    uuid.uuid4().hex, spec.name, spec.address, spec.incarnation, not_after
+                )
+                return Placed(target)
+        return NoTarget()
+
+    async def _ask_fence(self, call: Call, target: Target, waiting: bool) -> Event:
+        if not waiting:
+            # Another request's attempt may be about to start; fencing it would waste its work.
+            await asyncio.sleep(FENCE_GRACE_S)
+            return await self._guards.fence(target)
+        if self._clock() >= call.deadline:
+            return TimeUp()
+        await asyncio.sleep(POLL_S)
+        return await self._guards.fence(target)
+
+    async def _record(self, step: WriteClaim) -> Event:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RECORD_WAIT_S):
+                return await self._claims.write(step)
+        return StoreDoubt()
+
+    async def _record_later(self, step: WriteClaim) -> None:
+        for _ in range(RECORD_TRIES):
+            await asyncio.sleep(RECORD_RETRY_S)
+            event = await self._claims.write(step)
+            if not isinstance(event, StoreDoubt | StoreDown):
+                return
+        log_event("outcome_not_stored", customer=step.claim.key.customer)
+
+    def _reply(self, result: Result) -> OnceReply:
+        self.results.labels(type(result).__name__).inc()
+        match result:
+            case Ran():
+                return _reply_answer(result)
+            case RefusedRun(code, reason, for_key, retry_after):
+                headers = {SCOPE_HEADER: "key" if for_key else "request"}
+                return _reply_error(NotRun(code, reason, retry_after), headers)
+            case Pending(claim):
+                reason = f"a request with this key is in progress; {_tell_facts(claim)}"
+                return _reply_error(Unknown(ResultCode.IN_PROGRESS, reason), _retry_headers())
+            case Doubtful(claim, reason):
+                reason = f"{reason}; {_tell_facts(claim)}"
+                return _reply_error(Unknown(ResultCode.OUTCOME_UNKNOWN, reason), _retry_headers())
+
+
+def _tell_facts(claim: Claim) -> str:
+    target = claim.target
+    return (
+        f"claim: attempt {target.attempt}, endpoint {target.endpoint}, "
+        f"incarnation {target.incarnation}, state {claim.state.value}"
+    )
+
+
+def _retry_headers() -> dict[str, str]:
+    return {"Retry-After": str(RETRY_AFTER_S)}
+
+
+def _reply_answer(result: Ran) -> OnceReply:
+    answer = result.answer
+    headers = {"Content-Type": answer.content_type, DIGEST_HEADER: answer.digest}
+    code = ResultCode.OK
+    if result.replayed:
+        headers[REPLAYED_HEADER] = "true"
+        code = ResultCode.REPLAYED
+    body = answer.body
+    if body is None:
+        headers |= {OMITTED_HEADER: "omitted", "Content-Type": JSON_TYPE}
+        body = msgspec.json.encode({"digest": answer.digest, "size": answer.size})
+    return OnceReply(Completed(code, answer.status), answer.status, headers, body)
+
+
+def _reply_error(outcome: NotRun | Unknown, headers: dict[str, str]) -> OnceReply:
+    tag = "not_run" if isinstance(outcome, NotRun) else "unknown"
+    if isinstance(outcome, NotRun) and outcome.retry_after is not None:
+        headers["Retry-After"] = str(max(RETRY_AFTER_S, round(outcome.retry_after)))
+    body = error_body(outcome.code, tag, outcome.reason)
+    return OnceReply(outcome, status_of(outcome.code), {"Content-Type": JSON_TYPE, **headers}, body)
--- a/magnoliarouter/pipeline/place.py
+++ b/magnoliarouter/pipeline/place.py
@@ -10,7 +10,7 @@
 from magnoliarouter.pipeline.call import ApplicationCall, ModelCall
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Set
 
     from magnoliarouter.core.cache import VersionedCache
     from magnoliarouter.pipeline.call import Call
@@ -35,12 +35,12 @@
         self._endpoints = endpoints
         self._in_flight: Counter[str] = Counter()
 
-    def place(self, call: Call) -> EndpointSpec | None:
-        """Choose an endpoint for a call, or None when nothing serves it."""
+    def place(self, call: Call, tried: Set[str] = frozenset()) -> EndpointSpec | None:
+        """Choose an endpoint for a call that was not tried, or None when nothing serves it."""
         candidates = [
             Candidate(spec.name, spec.zone, self._in_flight[spec.name] / spec.slots)
             for spec in self._endpoints.values().values()
-            if not spec.draining and _serves(spec, call)
+            if not spec.draining and spec.name not in tried and _serves(spec, call)
         ]
         chosen = choose_endpoint(_prefix(call), self._zone, candidates)
         return self._endpoints.get(chosen) if chosen else None
--- /dev/null
+++ b/magnoliarouter/platform/claims.py
@@ -0,0 +1,91 @@
+"""Claims as objects of the platform, spread over several kinds so that each list stays short."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from magnoliarouter.core.claimsteps import (
+    Claim,
+    ClaimKey,
+    FoundClaim,
+    NoClaim,
+    Stored,
+    StoreDoubt,
+    StoreDown,
+)
+from magnoliarouter.platform.client import Conflict, Found, Missing, Unavailable, Written
+
+if TYPE_CHECKING:
+    from magnoliarouter.core.claimsteps import WriteClaim
+    from magnoliarouter.platform.client import PlatformClient
+    from magnoliarouter.platform.objects import StoredObject
+
+__all__ = ["CLAIM_KINDS", "ClaimStore", "build_key", "name_claim"]
+
+SHARDS = 64
+CLAIM_KINDS = tuple(f"claim-{shard:02d}" for shard in range(SHARDS))
+DIGEST_LENGTH = 32
+
+
+def build_key(customer: str, key: str, method: str, path: str, body: bytes) -> ClaimKey:
+    """Return what a request with an idempotency key is recognized by."""
+    request = hashlib.sha256(f"{method} {path}\n".encode())
+    request.update(body)
+    digest = hashlib.sha256(key.encode()).hexdigest()[:DIGEST_LENGTH]
+    return ClaimKey(customer, digest, request.hexdigest()[:DIGEST_LENGTH])
+
+
+def name_claim(key: ClaimKey) -> tuple[str, str]:
+    """Return kind and name of a claim's object."""
+    shard = int(key.key_digest[:4], 16) % SHARDS
+    return CLAIM_KINDS[shard], f"{key.customer}.{key.key_digest}"
+
+
+class ClaimStore:
+    """Reads and writes claims in the platform.
+
+    Parameters
+    ----------
+    client : PlatformClient
+        Client to read and write with.
+    """
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    async def write(
+        self, step: WriteClaim
+    ) -> Stored | FoundClaim | NoClaim | StoreDoubt | StoreDown:
+        """Perform a conditional write."""
+        kind, name = name_claim(step.claim.key)
+        value = msgspec.to_builtins(step.claim)
+        match await self._client.write(kind, name, value, expect=step.expect):
+            case Written(version):
+                return Stored(version)
+            case Conflict(None):
+                return NoClaim()
+            case Conflict(current):
+                return _decode(current)
+            case Unavailable():
+                return StoreDown()
+        return StoreDoubt()
+
+    async def read(self, key: ClaimKey) -> FoundClaim | NoClaim | StoreDown:
+        """Read a claim; the answer may lag behind writes."""
+        match await self._client.read(*name_claim(key)):
+            case Found(_, (item,)):
+                return _decode(item)
+            case Missing():
+                return NoClaim()
+        return StoreDown()
+
+
+def _decode(item: StoredObject) -> FoundClaim | StoreDown:
+    try:
+        return FoundClaim(item.version, msgspec.convert(item.value, type=Claim))
+    except msgspec.ValidationError:
+        # A claim that cannot be read must not be taken for an absent one.
+        return StoreDown()
--- /dev/null
+++ b/magnoliarouter/standins/application.py
@@ -0,0 +1,173 @@
+"""Stand-in for a plain service that books, and counts what it executed in a journal.
+
+``GET /journal`` tells the executions of each idempotency key in order. ``PUT /faults`` with a JSON
+object of `ApplicationFaults` fields sets what goes wrong from then on. With ``--journal FILE`` the
+journal outlives the process, as the books of a real service do.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import random
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from magnoliarouter.daemon.web import WebServer
+from magnoliarouter.standins.process import run_standin
+
+if TYPE_CHECKING:
+    from magnoliarouter.daemon.exchange import Exchange
+
+__all__ = ["ApplicationFaults", "ApplicationStandin", "Execution", "read_journal"]
+
+DIED = 70
+
+
+class ApplicationFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """What goes wrong.
+
+    Parameters
+    ----------
+    die_before, die_during, die_after : float
+        Share of calls at which the process ends before the execution, with the execution in the
+        journal and work still to do, or after it and before the answer.
+    lose_answer : float
+        Share of calls whose connection is cut after the execution.
+    late_seconds : float
+        Seconds by which an answer is held back.
+    late : float
+        Share of calls that answer late.
+    seed : int
+        Seed of all random choices.
+    """
+
+    die_before: float = 0.0
+    die_during: float = 0.0
+    die_after: float = 0.0
+    lose_answer: float = 0.0
+    late_seconds: float = 0.0
+    late: float = 0.0
+    seed: int = 1
+
+
+class Execution(msgspec.Struct, frozen=True):
+    """One execution.
+
+    Parameters
+    ----------
+    key : str
+        Idempotency key.
+    attempt : str
+        Attempt id.
+    number : int
+        Position in the journal; the answer carries it.
+    body : str
+        Body of the call.
+    """
+
+    key: str
+    attempt: str
+    number: int
+    body: str
+
+
+class ApplicationStandin:
+    """Executes every call that it gets and notes it in the journal.
+
+    Parameters
+    ----------
+    work_seconds : float
+        Time that one execution takes.
+    journal : Path, optional
+        File that keeps the journal over restarts.
+    name : str
+        Name that answers carry.
+    """
+
+    def __init__(
+        self, work_seconds: float = 0.01, journal: Path | None = None, name: str = ""
+    ) -> None:
+        self.executions: list[Execution] = []
+        self.faults = ApplicationFaults()
+        self._work_seconds = work_seconds
+        self._name = name
+        self._journal = journal
+        self._random = random.Random(1)
+        if journal is not None and journal.exists():
+            self.executions = read_journal(journal)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        request = exchange.request
+        match request.method, request.path:
+            case "GET", "/journal":
+                await exchange.send(200, msgspec.json.encode(self.executions))
+            case "PUT", "/faults":
+                self.faults = msgspec.json.decode(request.body, type=ApplicationFaults)
+                self._random.seed(self.faults.seed)
+                await exchange.send(200, b"{}")
+            case _:
+                await self._execute(exchange)
+
+    async def _execute(self, exchange: Exchange) -> None:
+        faults = self.faults
+        self._die(faults.die_before)
+        execution = self._note(exchange)
+        self._die(faults.die_during)
+        await asyncio.sleep(self._work_seconds)
+        self._die(faults.die_after)
+        if self._draw(faults.late):
+            await asyncio.sleep(faults.late_seconds)
+        if self._draw(faults.lose_answer):
+            exchange.abort()
+            return
+        await exchange.send(200, msgspec.json.encode(execution))
+
+    def _note(self, exchange: Exchange) -> Execution:
+        headers = exchange.request.headers
+        key = headers.get("idempotency-key", "")
+        attempt = headers.get("x-attempt-id", "")
+        number = len(self.executions) + 1
+        body = exchange.request.body.decode(errors="replace")
+        execution = Execution(key, attempt, number, f"{self._name}:{body}")
+        self.executions.append(execution)
+        if self._journal is not None:
+            with self._journal.open("ab") as file:
+                file.write(msgspec.json.encode(execution) + b"\n")
+        return execution
+
+    def _draw(self, share: float) -> bool:
+        return bool(share) and self._random.random() < share
+
+    def _die(self, share: float) -> None:
+        if self._draw(share):
+            os._exit(DIED)
+
+
+def read_journal(path: Path) -> list[Execution]:
+    """Return the executions that a journal file holds."""
+    if not path.exists():
+        return []
+    return [msgspec.json.decode(line, type=Execution) for line in path.read_bytes().splitlines()]
+
+
+def _main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--work-seconds", type=float, default=0.01)
+    parser.add_argument("--journal", type=Path, default=None)
+    parser.add_argument("--name", default="")
+    options, _ = parser.parse_known_args()
+
+    def start(runtime: object, bind: tuple[str, int]) -> WebServer:
+        application = ApplicationStandin(options.work_seconds, options.journal, options.name)
+        return WebServer(runtime, bind, application.handle)
+
+    run_standin(start, parser)
+
+
+if __name__ == "__main__":
+    _main()
--- a/magnoliarouter/standins/launch.py
+++ b/magnoliarouter/standins/launch.py
@@ -112,9 +112,11 @@
             await process.kill()
         self._folder.cleanup()
 
-    async def start_standin(self, module: str, host: str, *options: str) -> Process:
+    async def start_standin(
+        self, module: str, host: str, *options: str, port: int | None = None
+    ) -> Process:
         """Start a stand-in module of this package and wait until it listens."""
-        port = find_port(host)
+        port = port or find_port(host)
         name = f"magnoliarouter.standins.{module}"
         arguments = ("-m", name, "--bind", f"{host}:{port}", *options)
         return await self._start(module, f"{host}:{port}", arguments)
