--- a/magnoliarouter/daemon/settings.py
+++ b/magnoliarouter/daemon/settings.py
@@ -77,6 +77,10 @@
         Requests that may wait for an endpoint in this daemon.
     claim_calls_per_second : float
         Most calls of this daemon to the platform for claims of calls that may run only once.
+    admission : {"escrow", "static"}
+        How limits are shared among daemons; "static" is for comparison in benches only.
+    static_share : float
+        Part of each contract that this daemon may admit under "static".
     shutdown_seconds : float
         Time between the readiness probe failing and the listener closing, in seconds.
     """
@@ -89,6 +93,8 @@
     request_seconds: Seconds = 120.0
     queue_length: Annotated[int, Meta(ge=0)] = 256
     claim_calls_per_second: Annotated[float, Meta(gt=0)] = 40.0
+    admission: Literal["escrow", "static"] = "escrow"
+    static_share: Annotated[float, Meta(gt=0, le=1)] = 1.0
     shutdown_seconds: Annotated[float, Meta(ge=0)] = 2.0
 
 
