--- /dev/null
+++ b/magnoliarouter/tests/test_guard.py
@@ -0,0 +1,155 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import aiohttp
+import msgspec
+from yarl import URL
+
+from magnoliarouter.core.attempts import START_WINDOW_S, AttemptTable
+from magnoliarouter.daemon.loop import Runtime
+from magnoliarouter.daemon.web import WebServer
+from magnoliarouter.endpoints.client import open_session
+from magnoliarouter.endpoints.guard import Guard
+from magnoliarouter.endpoints.messages import FenceReply, FenceRequest
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain; charset=x\r\nContent-Length: 2\r\n"
+
+
+class Origin:
+    """Endpoint that answers each connection's requests with scripted bytes."""
+
+    def __init__(self, *answers: bytes, close: bool = False) -> None:
+        self.answers = list(answers)
+        self.heads: list[str] = []
+        self.close = close
+        self.release = asyncio.Event()
+        self.release.set()
+
+    async def start(self) -> str:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return f"http://127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                self.heads.append(head)
+                await self.release.wait()
+                writer.write(self.answers.pop(0) if self.answers else b"")
+                await writer.drain()
+                if self.close or not self.answers:
+                    break
+        except asyncio.IncompleteReadError:
+            pass
+        writer.close()
+
+
+class GuardTest(unittest.IsolatedAsyncioTestCase):
+    async def open(self, *answers: bytes, close: bool = False):
+        loop = asyncio.get_running_loop()
+        self.origin = Origin(*answers, close=close)
+        target = await self.origin.start()
+        self.table = AttemptTable("one")
+        self.session = await self.enterAsyncContext(open_session())
+        once = await self.enterAsyncContext(open_session(reuse=False))
+        self.guard = Guard(self.table, target, self.session, loop.time, once)
+        server = WebServer(Runtime(loop), ("127.0.0.1", 0), self.guard.handle)
+        self.addCleanup(server.stop_listening)
+        self.addCleanup(self.origin.server.close)
+        self.url = f"http://127.0.0.1:{server.port}"
+
+    async def send(self, method="GET", path="/x", attempt="a", **headers):
+        fields = {"x-attempt-id": attempt, "x-incarnation": "one", **headers}
+        request = self.session.request(
+            method, URL(self.url + path, encoded=True), headers=fields, allow_redirects=False
+        )
+        async with request as answer:
+            return answer.status, answer.headers, await answer.read()
+
+    async def send_once(self, attempt="a"):
+        not_after = str(asyncio.get_running_loop().time() + START_WINDOW_S)
+        return await self.send(
+            "POST", attempt=attempt, **{"x-run-once": "1", "x-not-after": not_after}
+        )
+
+    async def fence(self, attempt, incarnation="one"):
+        not_after = asyncio.get_running_loop().time() + START_WINDOW_S
+        body = msgspec.json.encode(FenceRequest(attempt, incarnation, not_after))
+        async with self.session.post(f"{self.url}/guard/fence", data=body) as answer:
+            return msgspec.json.decode(await answer.read(), type=FenceReply)
+
+    async def test_query_and_end_to_end_fields_pass(self):
+        await self.open(OK + b"X-Own: v\r\nConnection: X-Hop\r\nX-Hop: h\r\n\r\nok")
+        _, headers, body = await self.send(
+            path="/x%20y?a=%2F&b=1", **{"X-Ask": "q", "TE": "trailers"}
+        )
+        head = self.origin.heads[0]
+        self.assertEqual(head.split("\r\n")[0], "GET /x%20y?a=%2F&b=1 HTTP/1.1")
+        self.assertIn("q", head)
+        self.assertNotIn("trailers", head)
+        self.assertEqual((headers["x-own"], "x-hop" in headers, body), ("v", False, b"ok"))
+        self.assertEqual(headers["content-type"], "text/plain; charset=x")
+
+    async def test_redirect_is_not_followed(self):
+        await self.open(b"HTTP/1.1 302 Found\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n", OK)
+        status, headers, _ = await self.send()
+        self.assertEqual((status, headers["location"], len(self.origin.heads)), (302, "/other", 1))
+
+    async def test_put_on_a_broken_kept_alive_connection_is_not_repeated(self):
+        await self.open(OK + b"\r\nok", b"", close=False)
+        self.assertEqual((await self.send("PUT"))[0], 200)
+        # The second request goes out on the kept connection, which then closes unanswered.
+        status, _, _ = await self.send("PUT", attempt="b")
+        self.assertEqual((status, len(self.origin.heads)), (502, 2))
+
+    async def test_every_cut_of_an_answer_shows(self):
+        cuts = (
+            OK + b"\r\no",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok",
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok",
+        )
+        for cut in cuts:
+            with self.subTest(cut):
+                await self.open(cut, close=True)
+                try:
+                    status, _, _ = await self.send()
+                except aiohttp.ClientPayloadError:
+                    continue
+                self.assertEqual(status, 502)
+
+    async def test_call_that_may_run_once_outlives_its_caller(self):
+        await self.open(OK + b"\r\nok")
+        self.origin.release.clear()
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await self.send_once()
+        self.assertEqual((await self.fence("a")).state, "running")
+        self.origin.release.set()
+        await self.guard.wait_until_idle()
+        reply = await self.fence("a")
+        self.assertEqual((reply.state, reply.answer.body), ("finished", b"ok"))
+
+    async def test_endpoint_that_is_not_there_is_a_proof(self):
+        await self.open()
+        self.origin.server.close()
+        await self.origin.server.wait_closed()
+        status, headers, _ = await self.send_once()
+        self.assertEqual((status, headers["x-not-started"]), (503, "a"))
+        self.assertEqual((await self.fence("a")).state, "fenced")
+
+    async def test_lost_answer_is_no_proof(self):
+        await self.open(b"HTTP/1.1 200 OK\r\n", close=True)
+        status, headers, _ = await self.send_once()
+        self.assertEqual((status, "x-not-started" in headers), (502, False))
+        self.assertEqual((await self.fence("a")).state, "broken")
+
+    async def test_fence_before_start_and_of_another_incarnation(self):
+        await self.open(OK + b"\r\nok")
+        self.assertEqual((await self.fence("a")).state, "fenced")
+        status, headers, _ = await self.send_once()
+        self.assertEqual((status, headers["x-start-verdict"]), (503, "fenced"))
+        self.assertEqual((await self.fence("b", "zero")).state, "other incarnation")
+        self.assertEqual(self.origin.heads, [])
