--- a/magnoliarouter/standins/application.py
+++ b/magnoliarouter/standins/application.py
@@ -67,12 +67,15 @@
         Position in the journal; the answer carries it.
     body : str
         Body of the call.
+    at : float
+        Loop time of its start; one clock for all processes of a machine.
     """
 
     key: str
     attempt: str
     number: int
     body: str
+    at: float = 0.0
 
 
 class ApplicationStandin:
@@ -133,7 +136,8 @@
         attempt = headers.get("x-attempt-id", "")
         number = len(self.executions) + 1
         body = exchange.request.body.decode(errors="replace")
-        execution = Execution(key, attempt, number, f"{self._name}:{body}")
+        now = asyncio.get_running_loop().time()
+        execution = Execution(key, attempt, number, f"{self._name}:{body}", now)
         self.executions.append(execution)
         if self._journal is not None:
             with self._journal.open("ab") as file:
--- /dev/null
+++ b/magnoliarouter/standins/bench/oncefaults.py
@@ -0,0 +1,244 @@
+"""Site of bookings with a fault proxy between all its processes, and the faults it can cause."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from magnoliarouter.standins.bookings import BookingSite
+from magnoliarouter.standins.launch import find_port
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Awaitable, Callable
+
+    import aiohttp
+
+    from magnoliarouter.standins.launch import Process, Site
+
+__all__ = ["FAULTS", "FaultySite"]
+
+ENTRIES = 3
+ENDPOINTS = 2
+PAUSE_S = 1.2
+APPLICATION_FAULT = 0.15
+CUT_SHARE = 0.1
+DELAY_S = 0.3
+
+
+class FaultySite(BookingSite):
+    """Booking site whose every connection passes a fault proxy.
+
+    Parameters
+    ----------
+    site : Site
+        Site to start processes on.
+    session : aiohttp.ClientSession
+        Session of the callers.
+    draw : random.Random
+        Source of all random choices.
+    """
+
+    def __init__(self, site: Site, session: aiohttp.ClientSession, draw: random.Random) -> None:
+        super().__init__(site, session)
+        self.draw = draw
+        self._keepers: list[asyncio.Task[None]] = []
+        self._ports: dict[str, int] = {}
+        self._applications: list[Process] = []
+
+    async def open(self) -> None:
+        """Start everything."""
+        platform_port = find_port("127.0.0.1")
+        routes = {"platform": ("127.0.0.1", platform_port)}
+        for number in range(1, ENTRIES + 1):
+            routes[f"entry-{number}"] = (f"127.0.{number}.2", find_port(f"127.0.{number}.2"))
+        for number in range(1, ENDPOINTS + 1):
+            host = f"127.0.{number}.1"
+            routes[f"guard-{number}"] = (host, find_port(host))
+            routes[f"app-{number}"] = (host, find_port(host))
+        self._ports = {name: port for name, (_, port) in routes.items()}
+        self.routes = {name: f"{host}:{find_port(host)}" for name, (host, _) in routes.items()}
+        options = []
+        for name, (host, port) in routes.items():
+            options += ["--route", f"{name}={self.routes[name]}={host}:{port}"]
+        self.proxy = await self.site.start_standin("proxy", "127.0.0.1", *options)
+        self.platform_url = f"http://{self.routes['platform']}"
+        await self.start(ENTRIES, ENDPOINTS)
+        for number in range(1, ENDPOINTS + 1):
+            self._keepers.append(asyncio.create_task(self._keep_application(number)))
+
+    async def close(self) -> None:
+        """Stop restarting applications."""
+        for keeper in self._keepers:
+            keeper.cancel()
+        await asyncio.gather(*self._keepers, return_exceptions=True)
+
+    def entry_url(self, number: int) -> str:
+        """Return the base URL of an entry daemon behind the proxy."""
+        return f"http://{self.routes[f'entry-{number + 1}']}"
+
+    async def start_platform(self) -> Process:
+        """Start the platform's stand-in on its route's target."""
+        return await self.site.start_standin("platform", "127.0.0.1", port=self._ports["platform"])
+
+    async def start_application(
+        self, number: int, work_seconds: float = 0.01, port: int | None = None
+    ) -> Process:
+        """Start an application on its route's target."""
+        return await super().start_application(
+            number, work_seconds, port=self._ports[f"app-{number}"]
+        )
+
+    async def start_guard(self, number: int, target: str, **changes: Any) -> Process:
+        """Start a guard that is known by its route and reaches its application by a route."""
+        listen = {"host": f"127.0.{number}.1", "port": self._ports[f"guard-{number}"]}
+        return await super().start_guard(
+            number,
+            f"http://{self.routes[f'app-{number}']}",
+            listen=listen,
+            advertise=self.routes[f"guard-{number}"],
+            **changes,
+        )
+
+    async def start_entry(self, number: int, **changes: Any) -> Process:
+        """Start an entry daemon on its route's target."""
+        listen = {"host": f"127.0.{number}.2", "port": self._ports[f"entry-{number}"]}
+        return await super().start_entry(number, listen=listen, **changes)
+
+    async def set_route(self, name: str, **faults: Any) -> None:
+        """Set the faults of a route, or of all by ``"*"``."""
+        faults.setdefault("seed", self.draw.randrange(1 << 30))
+        url = f"{self.proxy.url}/routes/{name}"
+        async with self.session.put(url, data=msgspec.json.encode(faults)) as answer:
+            assert answer.status == 200, answer.status
+
+    async def heal(self) -> None:
+        """Switch all faults of stand-ins and routes off."""
+        await self.set_route("*")
+        await self.set_faults(self.platform)
+        for number, application in enumerate(self.applications):
+            if application.child.returncode is None:
+                await self.set_application(number)
+
+    async def set_application(self, index: int, **faults: Any) -> None:
+        """Set the faults of an application if it runs."""
+        try:
+            await self.set_faults(self.applications[index], **faults)
+        except OSError:
+            return
+
+    async def _keep_application(self, number: int) -> None:
+        while True:
+            await self.applications[number - 1].child.wait()
+            await asyncio.sleep(0.1)
+            self.applications[number - 1] = await self.start_application(number)
+
+
+async def _none(site: FaultySite, seconds: float) -> None:
+    await asyncio.sleep(seconds)
+
+
+async def _kill_entry(site: FaultySite, seconds: float) -> None:
+    index = site.draw.randrange(len(site.entries))
+    await asyncio.sleep(seconds / 4)
+    await site.entries[index].kill()
+    await asyncio.sleep(seconds / 4)
+    site.entries[index] = await site.start_entry(index + 1)
+    await asyncio.sleep(seconds / 4)
+
+
+async def _kill_guard(site: FaultySite, seconds: float) -> None:
+    index = site.draw.randrange(len(site.guards))
+    await asyncio.sleep(seconds / 4)
+    await site.guards[index].kill()
+    await asyncio.sleep(seconds / 4)
+    site.guards[index] = await site.start_guard(index + 1, "")
+    await asyncio.sleep(seconds / 4)
+
+
+async def _pause_entry(site: FaultySite, seconds: float) -> None:
+    await _pause(site.draw.choice(site.entries), seconds)
+
+
+async def _pause_guard(site: FaultySite, seconds: float) -> None:
+    await _pause(site.draw.choice(site.guards), seconds)
+
+
+async def _pause(process: Process, seconds: float) -> None:
+    await asyncio.sleep(seconds / 4)
+    process.pause()
+    await asyncio.sleep(PAUSE_S)
+    process.resume()
+    await asyncio.sleep(seconds / 4)
+
+
+def _fault_application(**faults: float) -> Callable[[FaultySite, float], Awaitable[None]]:
+    async def cause(site: FaultySite, seconds: float) -> None:
+        end = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < end:
+            for index in range(len(site.applications)):
+                seed = site.draw.randrange(1 << 30)
+                await site.set_application(index, seed=seed, **faults)
+            await asyncio.sleep(0.3)
+
+    return cause
+
+
+def _fault_platform(**faults: Any) -> Callable[[FaultySite, float], Awaitable[None]]:
+    async def cause(site: FaultySite, seconds: float) -> None:
+        await site.set_faults(site.platform, seed=site.draw.randrange(1 << 30), **faults)
+        await asyncio.sleep(seconds * 0.75)
+
+    return cause
+
+
+def _fault_routes(prefix: str, **faults: Any) -> Callable[[FaultySite, float], Awaitable[None]]:
+    async def cause(site: FaultySite, seconds: float) -> None:
+        for name in site.routes:
+            if name.startswith(prefix):
+                await site.set_route(name, **faults)
+        await asyncio.sleep(seconds * 0.75)
+
+    return cause
+
+
+def _both(*causes: Callable[[FaultySite, float], Awaitable[None]]) -> Any:
+    async def cause(site: FaultySite, seconds: float) -> None:
+        await asyncio.gather(*(each(site, seconds) for each in causes))
+
+    return cause
+
+
+_STORE_ANSWER_LOST = _fault_platform(lose_answers=0.3)
+_ANSWER_LOST = _fault_application(lose_answer=APPLICATION_FAULT)
+_GUARD_CUT_DOWN = _fault_routes("guard-", cut_down=CUT_SHARE)
+
+FAULTS: dict[str, Callable[[FaultySite, float], Awaitable[None]]] = {
+    "none": _none,
+    "kill_entry": _kill_entry,
+    "kill_guard": _kill_guard,
+    "pause_entry": _pause_entry,
+    "pause_guard": _pause_guard,
+    "application_dies_before": _fault_application(die_before=APPLICATION_FAULT),
+    "application_dies_during": _fault_application(die_during=APPLICATION_FAULT),
+    "application_dies_after": _fault_application(die_after=APPLICATION_FAULT),
+    "application_answer_lost": _ANSWER_LOST,
+    "application_late": _fault_application(late=APPLICATION_FAULT, late_seconds=4.0),
+    "caller_to_entry_cut": _fault_routes("entry-", cut_up=CUT_SHARE),
+    "entry_to_caller_cut": _fault_routes("entry-", cut_down=CUT_SHARE),
+    "entry_to_guard_cut": _fault_routes("guard-", cut_up=CUT_SHARE),
+    "guard_to_entry_cut": _GUARD_CUT_DOWN,
+    "guard_requests_duplicated": _fault_routes("guard-", duplicate=0.5),
+    "guard_to_application_cut": _fault_routes("app-", cut_up=CUT_SHARE),
+    "application_to_guard_cut": _fault_routes("app-", cut_down=CUT_SHARE),
+    "store_down": _fault_platform(down=True),
+    "store_slow": _fault_platform(delay=DELAY_S),
+    "store_answer_lost": _STORE_ANSWER_LOST,
+    "store_cut": _fault_routes("platform", cut_up=CUT_SHARE, cut_down=CUT_SHARE),
+    "store_answer_lost_and_kill_entry": _both(_STORE_ANSWER_LOST, _kill_entry),
+    "guard_cut_and_pause_entry": _both(_GUARD_CUT_DOWN, _pause_entry),
+    "answer_lost_and_store_down": _both(_ANSWER_LOST, _fault_platform(down=True)),
+    "kill_entry_and_kill_guard": _both(_kill_entry, _kill_guard),
+}
--- a/magnoliarouter/standins/bookings.py
+++ b/magnoliarouter/standins/bookings.py
@@ -22,6 +22,7 @@
 KEY = "key-of-the-yard"
 LIMITS = {"requests_per_second": 5000, "tokens_per_second": 1, "concurrent_requests": 1000}
 READY_TIMEOUT_S = 15.0
+CALL_TIMEOUT_S = 10.0
 POLL_S = 0.05
 
 
@@ -71,7 +72,7 @@
 
     async def start(self, entries: int, endpoints: int, work_seconds: float = 0.01) -> None:
         """Start everything and wait until a booking can be placed."""
-        self.platform = await self.site.start_standin("platform", "127.0.0.1")
+        self.platform = await self.start_platform()
         self.platform_url = self.platform_url or self.platform.url
         self.client = PlatformClient(self.platform.url, self.session)
         rule = {"name": SERVICE, "non_repeatable": ["POST /release"]}
@@ -85,6 +86,10 @@
         for entry in self.entries:
             await self.wait_until_ready(entry)
 
+    async def start_platform(self) -> Process:
+        """Start the platform's stand-in."""
+        return await self.site.start_standin("platform", "127.0.0.1")
+
     async def start_endpoint(self, number: int, work_seconds: float = 0.01) -> None:
         """Start an application and its guard."""
         self.applications.append(await self.start_application(number, work_seconds))
@@ -124,8 +129,10 @@
             "zones": ["zone-1", "zone-2", "zone-3"],
             "platform": self.platform_url,
             "listen": {"host": f"127.0.{number}.2"},
-            "request_seconds": 5.0,
+            "request_seconds": 3.0,
             "shutdown_seconds": 0.5,
+            "admission": "static",
+            "claim_calls_per_second": 400.0,
         }
         return await self.site.start_daemon({**settings, **changes})
 
@@ -140,13 +147,16 @@
                     return
                 await asyncio.sleep(POLL_S)
 
-    async def book(self, entry: Process, key: str, body: str) -> BookingReply:
+    async def book(
+        self, entry: Process, key: str, body: str, url: str = "", timeout: float = CALL_TIMEOUT_S
+    ) -> BookingReply:
         """Send one call that may run only once and return what the caller sees."""
         headers = {"Authorization": f"Bearer {KEY}", "Idempotency-Key": key}
-        url = f"{entry.url}/services/{SERVICE}/release/7?vessel=3"
+        target = f"{url or entry.url}/services/{SERVICE}/release/7?vessel=3"
         try:
-            async with self.session.post(url, data=body, headers=headers) as answer:
-                return _read_reply(answer.status, answer.headers, await answer.read())
+            async with asyncio.timeout(timeout):
+                async with self.session.post(target, data=body, headers=headers) as answer:
+                    return _read_reply(answer.status, answer.headers, await answer.read())
         except (aiohttp.ClientError, OSError):
             return BookingReply(0, "unknown", 0, "", b"")
 
