Let daemons leave without cutting off a request

An operator's request to drain is kept in the endpoint's object over restarts, and /guard/drain tells the guard itself.

--- a/magnoliarouter/daemon/endpoint.py
+++ b/magnoliarouter/daemon/endpoint.py
@@ -6,16 +6,14 @@
 import uuid
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from magnoliarouter.core.attempts import AttemptTable
 from magnoliarouter.daemon.loop import Runtime
 from magnoliarouter.daemon.metrics import Metrics
+from magnoliarouter.daemon.registration import Registration
 from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.guard import Guard
-from magnoliarouter.platform.client import PlatformClient, Written
-from magnoliarouter.platform.objects import EndpointSpec
+from magnoliarouter.platform.client import PlatformClient
 
 if TYPE_CHECKING:
     from magnoliarouter.daemon.exchange import Exchange
@@ -23,8 +21,6 @@
 
 __all__ = ["EndpointDaemon"]
 
-REGISTER_RETRY_S = 1.0
-
 
 class EndpointDaemon:
     """Assembles the guard of one endpoint.
@@ -57,18 +53,24 @@
             on_drop=lambda reason: self.metrics.dropped_answers.labels(reason).inc(),
         )
         guard.add_control("/metrics", self._tell_metrics)
+        self._registration = Registration(self.settings, self._platform, self.attempts)
+        guard.add_control("/guard/drain", self._registration.handle_drain)
         self._guard = guard
         listen = self.settings.listen
         self._server = WebServer(Runtime(loop), (listen.host, listen.port), guard.handle)
         self.port = self._server.port
-        self._tasks.append(loop.create_task(self._register()))
+        self._registration.address = f"{listen.host}:{self.port}"
+        self._tasks.append(loop.create_task(self._registration.register()))
 
     async def stop(self) -> None:
         """Refuse new work, let work in progress end, then leave."""
-        self.attempts.draining = True
         for task in self._tasks:
             task.cancel()
-        await self._platform.write("endpoint", self.settings.name, self._describe())
+        self._server.start_leaving()
+        settled = asyncio.create_task(asyncio.sleep(self.settings.shutdown_seconds))
+        await self._registration.leave(self.settings.shutdown_seconds)
+        # New attempts are refused with a proof until nobody sends any more.
+        await settled
         await self._server.wait_until_idle()
         await self._guard.wait_until_idle()
         self._server.stop_listening()
@@ -77,25 +79,3 @@
 
     async def _tell_metrics(self, exchange: Exchange) -> None:
         await exchange.send(200, self.metrics.render(), {"Content-Type": "text/plain"})
-
-    async def _register(self) -> None:
-        while True:
-            outcome = await self._platform.write("endpoint", self.settings.name, self._describe())
-            if isinstance(outcome, Written):
-                return
-            await asyncio.sleep(REGISTER_RETRY_S)
-
-    def _describe(self) -> object:
-        settings = self.settings
-        spec = EndpointSpec(
-            name=settings.name,
-            zone=settings.zone,
-            address=settings.advertise or f"{settings.listen.host}:{self.port}",
-            incarnation=self.attempts.incarnation,
-            kind=settings.kind,
-            models=settings.models,
-            services=settings.services,
-            slots=settings.slots,
-            draining=self.attempts.draining,
-        )
-        return msgspec.to_builtins(spec)
--- a/magnoliarouter/daemon/exchange.py
+++ b/magnoliarouter/daemon/exchange.py
@@ -135,5 +135,7 @@
     def _set_head(self, status: int, headers: dict[str, str]) -> None:
         self._raw.status = status
         self._raw.headers["Content-Type"] = JSON_TYPE
+        if self._server.leaving:
+            self._raw.close = True
         for name, value in headers.items():
             self._raw.headers[name] = value
--- /dev/null
+++ b/magnoliarouter/daemon/registration.py
@@ -0,0 +1,143 @@
+"""Registration of an endpoint in the platform, and its leaving."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from magnoliarouter.core.outcome import ResultCode
+from magnoliarouter.daemon.exchange import error_body
+from magnoliarouter.platform.client import Conflict, Found, Missing, Written
+from magnoliarouter.platform.objects import EndpointSpec
+
+if TYPE_CHECKING:
+    from magnoliarouter.core.attempts import AttemptTable
+    from magnoliarouter.daemon.exchange import Exchange
+    from magnoliarouter.daemon.settings import EndpointSettings
+    from magnoliarouter.platform.client import PlatformClient
+
+__all__ = ["DrainRequest", "Registration"]
+
+ENDPOINT_KIND = "endpoint"
+REGISTER_RETRY_S = 1.0
+LEAVE_RETRY_S = 0.3
+
+
+class DrainRequest(msgspec.Struct, frozen=True):
+    """Asks a guard to refuse new attempts, or to take them again.
+
+    Parameters
+    ----------
+    draining : bool
+        Whether new attempts are to be refused.
+    """
+
+    draining: bool
+
+
+class Registration:
+    """Object of one endpoint in the platform.
+
+    An operator's request to drain is part of the object and outlives restarts of the daemon.
+
+    Parameters
+    ----------
+    settings : EndpointSettings
+        Settings of the endpoint daemon.
+    client : PlatformClient
+        Client to write with.
+    attempts : AttemptTable
+        Guard's memory, which says whether new attempts are refused.
+    """
+
+    def __init__(
+        self, settings: EndpointSettings, client: PlatformClient, attempts: AttemptTable
+    ) -> None:
+        self.address = ""
+        self.leaving = False
+        self.drain_requested = False
+        self.models = settings.models
+        self._settings = settings
+        self._client = client
+        self._attempts = attempts
+
+    async def register(self) -> None:
+        """Write the object until it is stored."""
+        await self._store_until_done(REGISTER_RETRY_S)
+
+    async def leave(self, longest: float) -> bool:
+        """Refuse new attempts and tell the platform, and return whether that was stored.
+
+        Parameters
+        ----------
+        longest : float
+            Longest wait for the platform in seconds.
+        """
+        self.leaving = True
+        self._attempts.draining = True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(longest):
+                await self._store_until_done(LEAVE_RETRY_S)
+                return True
+        return False
+
+    async def handle_drain(self, exchange: Exchange) -> None:
+        """Answer ``POST /guard/drain`` with a `DrainRequest`."""
+        try:
+            request = msgspec.json.decode(exchange.request.body, type=DrainRequest)
+        except msgspec.DecodeError as error:
+            body = error_body(ResultCode.MALFORMED_BODY, "not_run", f"body: {error}")
+            await exchange.send(400, body)
+            return
+        self.drain_requested = request.draining
+        self._attempts.draining = request.draining or self.leaving
+        await exchange.send(200, msgspec.json.encode(DrainRequest(self._attempts.draining)))
+
+    async def _store_until_done(self, pause: float) -> None:
+        while True:
+            if await self._store():
+                return
+            await asyncio.sleep(pause)
+
+    async def _store(self) -> bool:
+        match await self._client.read(ENDPOINT_KIND, self._settings.name):
+            case Found(_, (item,)):
+                self._take_request(item.value)
+                expect = item.version
+            case Missing():
+                expect = 0
+            case _:
+                return False
+        value = msgspec.to_builtins(self.describe())
+        outcome = await self._client.write(ENDPOINT_KIND, self._settings.name, value, expect=expect)
+        match outcome:
+            case Written():
+                return True
+            case Conflict(current) if current is not None and current.value == value:
+                return True
+        return False
+
+    def _take_request(self, value: object) -> None:
+        requested = isinstance(value, dict) and value.get("drain_requested") is True
+        self.drain_requested = requested
+        if requested:
+            self._attempts.draining = True
+
+    def describe(self) -> EndpointSpec:
+        """Return the endpoint as it is registered."""
+        settings = self._settings
+        return EndpointSpec(
+            name=settings.name,
+            zone=settings.zone,
+            address=settings.advertise or self.address,
+            incarnation=self._attempts.incarnation,
+            kind=settings.kind,
+            models=self.models,
+            services=settings.services,
+            slots=settings.slots,
+            draining=self._attempts.draining,
+            drain_requested=self.drain_requested,
+        )
--- a/magnoliarouter/daemon/settings.py
+++ b/magnoliarouter/daemon/settings.py
@@ -126,6 +126,9 @@
         Requests that the endpoint works on at once.
     checks_fencing : bool
         Whether the endpoint itself refuses orders with an old fencing number.
+    shutdown_seconds : float
+        Time for which new attempts are refused with a proof before the listener closes, in
+        seconds.
     """
 
     listen: Address = Address()
@@ -136,6 +139,7 @@
     services: tuple[str, ...] = ()
     slots: Annotated[int, Meta(ge=1)] = 8
     checks_fencing: bool = False
+    shutdown_seconds: Annotated[float, Meta(ge=0)] = 3.0
 
 
 Settings = EntrySettings | EndpointSettings
--- a/magnoliarouter/daemon/web.py
+++ b/magnoliarouter/daemon/web.py
@@ -141,6 +141,7 @@
         self._on_reject = on_reject
         self._connections: dict[socket, _Connection] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self.leaving = False
         self.server = _EagerServer(bind, channel=channel).register(self)
         self.http = HTTP(self, channel=channel).register(self)
         self.register(runtime)
@@ -165,6 +166,10 @@
         while self._tasks:
             await asyncio.wait(self._tasks)
 
+    def start_leaving(self) -> None:
+        """Close each connection after its next answer, so that clients go elsewhere."""
+        self.leaving = True
+
     def stop_listening(self) -> None:
         """Accept no further connections; those open go on."""
         listener = self.server._sock
--- a/magnoliarouter/platform/objects.py
+++ b/magnoliarouter/platform/objects.py
@@ -170,6 +170,8 @@
         Requests worked on at once.
     draining : bool
         Whether an operator or the endpoint itself asked for no new work.
+    drain_requested : bool
+        Whether an operator asked for no new work; kept over restarts of the daemon.
     """
 
     name: Name
@@ -181,6 +183,7 @@
     services: tuple[str, ...] = ()
     slots: int = 8
     draining: bool = False
+    drain_requested: bool = False
 
 
 class ServiceSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
