Carry orders to endpoints under a lease and clean up claims after their retention

An order is an object of the platform; one entry daemon of the region holds the upkeep lease, sends it with its epoch and observes it until done, and a successor goes on with it. The guard applies each order id once and refuses older epochs also for endpoints that do not check. Claims are deleted by versions of hourly marks, so no wall clock is read and the retention is never shorter than stated.

--- a/magnoliarouter/daemon/endpoint.py
+++ b/magnoliarouter/daemon/endpoint.py
@@ -13,6 +13,7 @@
 from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.guard import Guard
+from magnoliarouter.endpoints.orders import OrderService
 from magnoliarouter.platform.client import PlatformClient
 
 if TYPE_CHECKING:
@@ -55,6 +56,10 @@
         guard.add_control("/metrics", self._tell_metrics)
         self._registration = Registration(self.settings, self._platform, self.attempts)
         guard.add_control("/guard/drain", self._registration.handle_drain)
+        self._orders = OrderService(
+            self.settings.target, self._once_session, self._registration.note_order
+        )
+        guard.add_control("/guard/orders", self._orders.handle)
         self._guard = guard
         listen = self.settings.listen
         self._server = WebServer(Runtime(loop), (listen.host, listen.port), guard.handle)
@@ -66,6 +71,7 @@
         """Refuse new work, let work in progress end, then leave."""
         for task in self._tasks:
             task.cancel()
+        self._registration.stop()
         self._server.start_leaving()
         settled = asyncio.create_task(asyncio.sleep(self.settings.shutdown_seconds))
         await self._registration.leave(self.settings.shutdown_seconds)
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -17,6 +17,7 @@
 from magnoliarouter.daemon.metrics import Metrics
 from magnoliarouter.daemon.quota import QuotaDuty
 from magnoliarouter.daemon.status import StatusService
+from magnoliarouter.daemon.upkeep import Upkeep
 from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.peers import PeerClient, PeerServer
@@ -76,6 +77,7 @@
         self._open_configuration()
         self._placement = Placement(self.settings.zone, self._endpoints.cache)
         self._open_once_calls()
+        self._open_upkeep()
         self._open_admission()
         listen = self.settings.listen
         self._server = WebServer(
@@ -100,6 +102,7 @@
         await self._once.wait_until_idle()
         for task in self._tasks:
             task.cancel()
+        await self._upkeep.release()
         if self._quota is not None:
             await self._quota.release()
         await self.configuration.stop()
@@ -157,6 +160,21 @@
         self._admission = self._quota.admission
         self._tasks += [self._loop.create_task(task) for task in self._quota.tasks()]
 
+    def _open_upkeep(self) -> None:
+        self._upkeep = Upkeep(
+            self.settings.name,
+            self.settings.region,
+            self._platform,
+            self._once_session,
+            self._list_entry_names,
+            self._loop.time,
+        )
+        self._tasks.append(self._loop.create_task(self._upkeep.run()))
+
+    def _list_entry_names(self) -> list[str]:
+        vms = self.configuration.vms.cache.values().values()
+        return [vm.name for vm in vms if vm.role == "entry" and not vm.leaving]
+
     def _open_configuration(self) -> None:
         self.configuration = Configuration(
             self.settings, self._platform, self.peer_client, self.peer_server, self.metrics
--- a/magnoliarouter/daemon/registration.py
+++ b/magnoliarouter/daemon/registration.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from magnoliarouter.core.orders import Order
 from magnoliarouter.core.outcome import ResultCode
 from magnoliarouter.daemon.exchange import error_body
 from magnoliarouter.platform.client import Conflict, Found, Missing, Written
@@ -60,6 +61,7 @@
         self.leaving = False
         self.drain_requested = False
         self.models = settings.models
+        self._task: asyncio.Task[None] | None = None
         self._settings = settings
         self._client = client
         self._attempts = attempts
@@ -68,6 +70,23 @@
         """Write the object until it is stored."""
         await self._store_until_done(REGISTER_RETRY_S)
 
+    def note_order(self, order: Order) -> None:
+        """Register again with what an order has changed."""
+        match order:
+            case Order(action="load", subject="model", name=name):
+                self.models = tuple(dict.fromkeys((*self.models, name)))
+            case Order(action="unload", subject="model", name=name):
+                self.models = tuple(model for model in self.models if model != name)
+            case _:
+                return
+        self.stop()
+        self._task = asyncio.get_running_loop().create_task(self.register())
+
+    def stop(self) -> None:
+        """Stop a registration that is under way."""
+        if self._task is not None:
+            self._task.cancel()
+
     async def leave(self, longest: float) -> bool:
         """Refuse new attempts and tell the platform, and return whether that was stored.
 
--- /dev/null
+++ b/magnoliarouter/daemon/sweep.py
@@ -0,0 +1,108 @@
+"""Deletes claims after the retention, without any wall clock.
+
+The holder of a lease writes a mark object at a fixed interval of its own clock. The platform's
+versions grow with every write, so the version of a past mark tells which claims are older than it.
+A new holder starts the interval anew; retention is therefore never shorter than stated.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from magnoliarouter.platform.claims import CLAIM_KINDS
+from magnoliarouter.platform.client import Found, Missing, Written
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliarouter.platform.client import PlatformClient
+
+__all__ = ["ClaimSweeper", "MarkSpec"]
+
+MARK_KIND = "claim-mark"
+MARK_NAME = "current"
+MARK_INTERVAL_S = 3_600.0
+MARKS_KEPT = 24
+DELETES_PER_SECOND = 20.0
+RETRY_S = 10.0
+
+
+class MarkSpec(msgspec.Struct, frozen=True):
+    """Versions of the mark object at its earlier writes, oldest first."""
+
+    versions: tuple[int, ...] = ()
+
+
+class ClaimSweeper:
+    """Writes marks and deletes old claims while a lease is held.
+
+    Parameters
+    ----------
+    client : PlatformClient
+        Client of the platform.
+    epoch : callable
+        Returns the fencing number while the lease is held, else None.
+    clock : callable
+        Loop time in seconds.
+    interval : float
+        Seconds between two marks.
+    """
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        epoch: Callable[[], int | None],
+        clock: Callable[[], float],
+        interval: float = MARK_INTERVAL_S,
+    ) -> None:
+        self.deleted = 0
+        self._client = client
+        self._epoch = epoch
+        self._clock = clock
+        self._interval = interval
+        self._seen_version = -1
+        self._seen_at = 0.0
+
+    async def run(self) -> None:
+        """Mark and sweep until cancelled."""
+        while True:
+            pause = RETRY_S if self._epoch() is None else await self._mark_and_sweep()
+            await asyncio.sleep(pause)
+
+    async def _mark_and_sweep(self) -> float:
+        version, marks = await self._read_marks()
+        if version < 0:
+            return RETRY_S
+        now = self._clock()
+        if version != self._seen_version:
+            self._seen_version, self._seen_at = version, now
+        due = self._seen_at + self._interval
+        if version and now < due:
+            return min(due - now, self._interval)
+        earlier = (*marks.versions, version)[-MARKS_KEPT:] if version else ()
+        value = msgspec.to_builtins(MarkSpec(earlier))
+        written = await self._client.write(MARK_KIND, MARK_NAME, value, expect=version)
+        if isinstance(written, Written) and len(earlier) == MARKS_KEPT:
+            await self._sweep(earlier[0])
+        return 0.0 if isinstance(written, Written) else RETRY_S
+
+    async def _read_marks(self) -> tuple[int, MarkSpec]:
+        match await self._client.read(MARK_KIND, MARK_NAME):
+            case Found(_, (item,)):
+                return item.version, msgspec.convert(item.value, type=MarkSpec)
+            case Missing():
+                return 0, MarkSpec()
+        return -1, MarkSpec()
+
+    async def _sweep(self, oldest: int) -> None:
+        for kind in CLAIM_KINDS:
+            match await self._client.list(kind):
+                case Found(_, items):
+                    for item in items:
+                        if item.version < oldest and self._epoch() is not None:
+                            await self._client.delete(kind, item.name, expect=item.version)
+                            self.deleted += 1
+                            await asyncio.sleep(1 / DELETES_PER_SECOND)
--- /dev/null
+++ b/magnoliarouter/daemon/upkeep.py
@@ -0,0 +1,97 @@
+"""Duties that one entry daemon of the region holds by lease: orders and the claims' retention."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from typing import TYPE_CHECKING
+
+from magnoliarouter.core.hashing import rendezvous_order
+from magnoliarouter.daemon.logs import log_event
+from magnoliarouter.daemon.orders import OrderController
+from magnoliarouter.daemon.sweep import ClaimSweeper
+from magnoliarouter.platform.leases import LeaseKeeper
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    import aiohttp
+
+    from magnoliarouter.platform.client import PlatformClient
+
+__all__ = ["Upkeep"]
+
+LEASE_NAME = "upkeep"
+CANDIDATES = 3
+CANDIDACY_CHECK_S = 5.0
+
+
+class Upkeep:
+    """Competes for the lease when among the first candidates, and does the duties while held.
+
+    Parameters
+    ----------
+    name, region : str
+        VM and region of the daemon.
+    client : PlatformClient
+        Client of the platform.
+    session : aiohttp.ClientSession
+        Session without connection reuse.
+    list_names : callable
+        Returns the names of the region's entry VMs that are not leaving.
+    clock : callable
+        Loop time in seconds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        region: str,
+        client: PlatformClient,
+        session: aiohttp.ClientSession,
+        list_names: Callable[[], Iterable[str]],
+        clock: Callable[[], float],
+    ) -> None:
+        self._name = name
+        self._list_names = list_names
+        self.keeper = LeaseKeeper(
+            client,
+            f"{LEASE_NAME}.{region}",
+            f"{name}/{uuid.uuid4().hex}",
+            clock,
+            on_change=lambda epoch: log_event("upkeep_lease", epoch=epoch),
+        )
+        self._controller = OrderController(client, session, self.keeper.epoch)
+        self._sweeper = ClaimSweeper(client, self.keeper.epoch, clock)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> None:
+        """Compete for the lease whenever a candidate, until cancelled."""
+        try:
+            while True:
+                if self._is_candidate() and not self._tasks:
+                    self._start()
+                elif not self._is_candidate() and self._tasks:
+                    await self.release()
+                await asyncio.sleep(CANDIDACY_CHECK_S)
+        finally:
+            self._cancel()
+
+    async def release(self) -> None:
+        """End the duties and give the lease up."""
+        self._cancel()
+        await self.keeper.release()
+
+    def _is_candidate(self) -> bool:
+        return self._name in rendezvous_order(LEASE_NAME, self._list_names())[:CANDIDATES]
+
+    def _start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.keeper.resume()
+        for work in (self.keeper.run(), self._controller.run(), self._sweeper.run()):
+            self._tasks.append(loop.create_task(work))
+
+    def _cancel(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        self._tasks.clear()
--- /dev/null
+++ b/magnoliarouter/endpoints/orders.py
@@ -0,0 +1,136 @@
+"""Guard's part in orders: fences them and hands them to the endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+
+from magnoliarouter.core.orders import Order, OrderState, OrderTable, OrderVerdict
+from magnoliarouter.core.outcome import ResultCode
+from magnoliarouter.daemon.exchange import error_body
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliarouter.daemon.exchange import Exchange
+
+__all__ = ["OrderReply", "OrderRequest", "OrderService"]
+
+ORDER_TIMEOUT_S = 300.0
+
+
+class OrderRequest(msgspec.Struct, frozen=True):
+    """Order with the fencing number of its sender.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the lease under which it is sent.
+    order : Order, optional
+        The order; without one, only older epochs are refused from now on.
+    """
+
+    epoch: int
+    order: Order | None = None
+
+
+class OrderReply(msgspec.Struct, frozen=True):
+    """Answer of a guard to an order.
+
+    Parameters
+    ----------
+    state : str
+        A value of `OrderState`, ``"stale"``, or ``"raised"`` without an order.
+    epoch : int
+        Newest epoch that the guard has seen.
+    reason : str
+        Why the endpoint did not take it.
+    """
+
+    state: str
+    epoch: int
+    reason: str = ""
+
+
+class OrderService:
+    """Answers ``POST /guard/orders``.
+
+    Parameters
+    ----------
+    target : str
+        Base URL of the endpoint, which takes orders at ``/orders``.
+    session : aiohttp.ClientSession
+        Session without connection reuse.
+    on_done : callable
+        Called with each order that took effect.
+    """
+
+    def __init__(
+        self, target: str, session: aiohttp.ClientSession, on_done: Callable[[Order], None]
+    ) -> None:
+        self.table = OrderTable()
+        self._target = target
+        self._session = session
+        self._on_done = on_done
+        self._reasons: dict[str, str] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._turn = asyncio.Lock()
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        try:
+            request = msgspec.json.decode(exchange.request.body, type=OrderRequest)
+        except msgspec.DecodeError as error:
+            body = error_body(ResultCode.MALFORMED_BODY, "not_run", f"body: {error}")
+            await exchange.send(400, body)
+            return
+        reply = self._take(request)
+        status = 409 if reply.state == OrderVerdict.STALE.value else 200
+        await exchange.send(status, msgspec.json.encode(reply))
+
+    def _take(self, request: OrderRequest) -> OrderReply:
+        order = request.order
+        if order is None:
+            raised = self.table.raise_epoch(request.epoch)
+            return self._reply("raised" if raised else OrderVerdict.STALE.value)
+        match self.table.take(order, request.epoch):
+            case OrderVerdict.STALE:
+                return self._reply(OrderVerdict.STALE.value)
+            case OrderVerdict.APPLY:
+                task = asyncio.get_running_loop().create_task(self._apply(order, request.epoch))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+        state = self.table.find_state(order)
+        return self._reply(state.value, self._reasons.get(order.id, ""))
+
+    def _reply(self, state: str, reason: str = "") -> OrderReply:
+        return OrderReply(state, self.table.highest_epoch, reason)
+
+    async def _apply(self, order: Order, epoch: int) -> None:
+        # One at a time, so that an older order cannot overtake a newer one on its way.
+        async with self._turn:
+            failure = "an order of a newer epoch came first"
+            if self.table.is_current(epoch):
+                failure = await self._send(order, epoch)
+        self._reasons.pop(order.id, None)
+        if failure:
+            self._reasons[order.id] = failure
+            self.table.end(order, OrderState.FAILED)
+            return
+        self.table.end(order, OrderState.DONE)
+        self._on_done(order)
+
+    async def _send(self, order: Order, epoch: int) -> str:
+        """Hand an order to the endpoint and return why it failed, or nothing."""
+        body = msgspec.json.encode({"epoch": epoch, **msgspec.to_builtins(order)})
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                async with self._session.post(
+                    f"{self._target}/orders", data=body, allow_redirects=False
+                ) as answer:
+                    return "" if answer.status == 200 else f"endpoint answered {answer.status}"
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return type(error).__name__
--- a/magnoliarouter/platform/leases.py
+++ b/magnoliarouter/platform/leases.py
@@ -98,6 +98,11 @@
             if not settled:
                 await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.0))
 
+    def resume(self) -> None:
+        """Allow the lease to be acquired again after `release`."""
+        self._releasing = False
+        self.lease.doubt()
+
     async def release(self) -> None:
         """Give the lease up; call after `run` was cancelled and all effects have ended."""
         self._releasing = True
--- a/magnoliarouter/standins/bench/main.py
+++ b/magnoliarouter/standins/bench/main.py
@@ -16,7 +16,7 @@
 __all__ = ["main"]
 
 # Each module has a function `experiments()` that returns a list of `Experiment`.
-MODULES: tuple[str, ...] = ("answers", "capacity", "drain", "loop", "once", "path")
+MODULES: tuple[str, ...] = ("answers", "capacity", "drain", "fencing", "loop", "once", "path")
 
 
 def load_experiments() -> dict[str, Experiment]:
