Add operators' commands for endpoints and orders

magnoliactl endpoint list|drain|undrain|role and model load|unload. A drain is written to the endpoint's object and told to its guard; an order is placed as an object and waited for.

Tests through real processes: streams finish while entry and endpoint daemon leave with exit code 0; the engine's stream of a killed entry daemon is cancelled; a drain outlives kill -9 of the guard; an order is carried out once and shows in the registration.

--- a/magnoliarouter/cli/main.py
+++ b/magnoliarouter/cli/main.py
@@ -20,7 +20,14 @@
 __all__ = ["build_application", "main"]
 
 # Each module of magnoliarouter.cli has a function `commands()` that returns its commands.
-COMMAND_MODULES: tuple[str, ...] = ("codes", "contract", "key", "status")
+COMMAND_MODULES: tuple[str, ...] = (
+    "codes",
+    "contract",
+    "endpoint",
+    "key",
+    "model",
+    "status",
+)
 
 
 class OperatorApplication(Application):
--- a/magnoliarouter/daemon/sweep.py
+++ b/magnoliarouter/daemon/sweep.py
@@ -1,4 +1,4 @@
-"""Deletes claims after the retention, without any wall clock.
+"""Deletes claims and ended orders after the retention, without any wall clock.
 
 The holder of a lease writes a mark object at a fixed interval of its own clock. The platform's
 versions grow with every write, so the version of a past mark tells which claims are older than it.
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from magnoliarouter.core.orders import OrderState
+from magnoliarouter.daemon.orders import ORDER_KIND
 from magnoliarouter.platform.claims import CLAIM_KINDS
 from magnoliarouter.platform.client import Found, Missing, Written
 
@@ -19,6 +21,7 @@
     from collections.abc import Callable
 
     from magnoliarouter.platform.client import PlatformClient
+    from magnoliarouter.platform.objects import StoredObject
 
 __all__ = ["ClaimSweeper", "MarkSpec"]
 
@@ -28,6 +31,7 @@
 MARKS_KEPT = 24
 DELETES_PER_SECOND = 20.0
 RETRY_S = 10.0
+ENDED_STATES = (OrderState.DONE.value, OrderState.FAILED.value)
 
 
 class MarkSpec(msgspec.Struct, frozen=True):
@@ -98,11 +102,15 @@
         return -1, MarkSpec()
 
     async def _sweep(self, oldest: int) -> None:
-        for kind in CLAIM_KINDS:
+        for kind in (*CLAIM_KINDS, ORDER_KIND):
             match await self._client.list(kind):
                 case Found(_, items):
                     for item in items:
-                        if item.version < oldest and self._epoch() is not None:
+                        if item.version < oldest and _is_over(item) and self._epoch() is not None:
                             await self._client.delete(kind, item.name, expect=item.version)
                             self.deleted += 1
                             await asyncio.sleep(1 / DELETES_PER_SECOND)
+
+
+def _is_over(item: StoredObject) -> bool:
+    return item.kind != ORDER_KIND or item.value.get("state") in ENDED_STATES
--- a/magnoliarouter/daemon/upkeep.py
+++ b/magnoliarouter/daemon/upkeep.py
@@ -23,7 +23,7 @@
 
 LEASE_NAME = "upkeep"
 CANDIDATES = 3
-CANDIDACY_CHECK_S = 5.0
+CANDIDACY_CHECK_S = 0.5
 
 
 class Upkeep:
