--- a/magnoliarouter/core/attempts.py
+++ b/magnoliarouter/core/attempts.py
@@ -53,6 +53,8 @@
     DRAINING = "draining"
     EXPIRED = "expired"
     TABLE_FULL = "table full"
+    QUEUE_FULL = "queue full"
+    TOO_LATE = "deadline cannot be met"
     UNRECORDED = "table full, refusal not recorded"
 
 
@@ -120,7 +122,12 @@
     _with_body: deque[str] = field(default_factory=deque)
 
     def start(
-        self, attempt: str, incarnation: str, now: float, not_after: float | None = None
+        self,
+        attempt: str,
+        incarnation: str,
+        now: float,
+        not_after: float | None = None,
+        obstacle: StartVerdict | None = None,
     ) -> StartVerdict:
         """Begin an attempt if it may begin, and return the verdict.
 
@@ -135,6 +142,8 @@
         not_after : float, optional
             Loop time of the guard after which the attempt may not start; given for attempts that
             may run only once.
+        obstacle : StartVerdict, optional
+            Why a new attempt cannot be served now; one that is known is answered as ever.
         """
         self._forget_old(now)
         if incarnation != self.incarnation:
@@ -152,6 +161,8 @@
             return self._refuse(attempt, now, once, StartVerdict.DRAINING)
         if self.size >= self.max_attempts:
             return self._refuse(attempt, now, once, StartVerdict.TABLE_FULL)
+        if obstacle is not None:
+            return self._refuse(attempt, now, once, obstacle)
         self._running[attempt] = once
         return StartVerdict.START
 
--- a/magnoliarouter/daemon/endpoint.py
+++ b/magnoliarouter/daemon/endpoint.py
@@ -13,6 +13,7 @@
 from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.guard import Guard
+from magnoliarouter.endpoints.monitor import EndpointMonitor
 from magnoliarouter.endpoints.orders import OrderService
 from magnoliarouter.platform.client import PlatformClient
 
@@ -45,6 +46,13 @@
         self._session = open_session()
         self._platform = PlatformClient(self.settings.platform, self._session)
         self._once_session = open_session(reuse=False)
+        self.monitor = EndpointMonitor(
+            self.attempts,
+            self.settings.slots,
+            self.settings.queue_length,
+            loop.time,
+            self.settings.report_delay_seconds,
+        )
         guard = Guard(
             self.attempts,
             self.settings.target,
@@ -52,9 +60,12 @@
             loop.time,
             self._once_session,
             on_drop=lambda reason: self.metrics.dropped_answers.labels(reason).inc(),
+            monitor=self.monitor,
         )
         guard.add_control("/metrics", self._tell_metrics)
-        self._registration = Registration(self.settings, self._platform, self.attempts)
+        self._registration = Registration(
+            self.settings, self._platform, self.attempts, self.monitor.note_change
+        )
         guard.add_control("/guard/drain", self._registration.handle_drain)
         self._orders = OrderService(
             self.settings.target, self._once_session, self._registration.note_order
@@ -66,6 +77,9 @@
         self.port = self._server.port
         self._registration.address = f"{listen.host}:{self.port}"
         self._tasks.append(loop.create_task(self._registration.register()))
+        if self.settings.kind == "engine":
+            poll = self.monitor.poll(self.settings.target, self._session)
+            self._tasks.append(loop.create_task(poll))
 
     async def stop(self) -> None:
         """Refuse new work, let work in progress end, then leave."""
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -11,6 +11,7 @@
 from magnoliarouter.core.keys import KeyIndex
 from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
 from magnoliarouter.daemon.configuration import Configuration
+from magnoliarouter.daemon.digests import ReportDuty
 from magnoliarouter.daemon.exchange import CallerGone, Exchange, error_body
 from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.daemon.loop import Runtime
@@ -23,13 +24,14 @@
 from magnoliarouter.peers import PeerClient, PeerServer
 from magnoliarouter.pipeline.admit import LocalAdmission
 from magnoliarouter.pipeline.call import ApplicationCall, ModelCall
+from magnoliarouter.pipeline.deadline import deliver_in_time
 from magnoliarouter.pipeline.deliver import deliver_stream, deliver_whole
-from magnoliarouter.pipeline.dispatch import Answer, open_attempt
 from magnoliarouter.pipeline.guards import GuardCalls
 from magnoliarouter.pipeline.identify import identify
 from magnoliarouter.pipeline.meter import Meter
 from magnoliarouter.pipeline.once import OnceCalls
-from magnoliarouter.pipeline.place import Placement
+from magnoliarouter.pipeline.place import Placement, create_policy
+from magnoliarouter.pipeline.retry import Forwarder
 from magnoliarouter.platform.backoff import CallBudget
 from magnoliarouter.platform.claims import ClaimStore
 from magnoliarouter.platform.client import PlatformClient
@@ -39,7 +41,7 @@
     from magnoliarouter.daemon.settings import EntrySettings
     from magnoliarouter.pipeline.admit import Admission
     from magnoliarouter.pipeline.call import Call
-    from magnoliarouter.platform.objects import EndpointSpec
+    from magnoliarouter.pipeline.dispatch import Answer
 
 __all__ = ["EntryDaemon"]
 
@@ -75,7 +77,7 @@
         self.peer_client = PeerClient(self.settings.peer_key)
         self.peer_server = PeerServer(self.settings.peer_key)
         self._open_configuration()
-        self._placement = Placement(self.settings.zone, self._endpoints.cache)
+        self._open_placement()
         self._open_once_calls()
         self._open_upkeep()
         self._open_admission()
@@ -103,6 +105,7 @@
         for task in self._tasks:
             task.cancel()
         await self._upkeep.release()
+        self._reports.stop()
         if self._quota is not None:
             await self._quota.release()
         await self.configuration.stop()
@@ -143,7 +146,24 @@
         budget = CallBudget(rate, rate * CALL_BURST_S)
         claims = ClaimStore(PlatformClient(self.settings.platform, self._session, budget))
         guards = GuardCalls(self._once_session, self._loop.time)
-        self._once = OnceCalls(claims, guards, self._placement.place, self._loop.time, self.metrics)
+        self._once = OnceCalls(claims, guards, self._placement, self._loop.time, self.metrics)
+
+    def _open_placement(self) -> None:
+        clock, vms = self._loop.time, self.configuration.vms.cache
+        self._placement = Placement(
+            self.settings.zone, self._endpoints.cache, clock, create_policy(self.settings), vms
+        )
+        self._forwarder = Forwarder(self._placement, self._session, clock, self.metrics)
+        self._reports = ReportDuty(
+            self.settings,
+            self._session,
+            (self.peer_client, self.peer_server),
+            (self._endpoints.cache, vms),
+            self._placement,
+            self.metrics,
+            clock,
+        )
+        self._tasks.append(self._loop.create_task(self._reports.run()))
 
     def _open_admission(self) -> None:
         if self.settings.admission == "static":
@@ -233,37 +253,29 @@
             metrics.tokens,
         )
 
-    async def _forward(self, exchange: Exchange, call: Call, meter: Meter) -> None:
-        if isinstance(call.work, ApplicationCall) and not call.work.repeatable:
-            await self._run_once(exchange, call)
-            return
-        endpoint = self._placement.place(call)
-        if endpoint is None:
-            refusal = NotRun(ResultCode.NO_ENDPOINT, "no endpoint serves this now", 1.0)
-            await self._answer_error(exchange, refusal, call=call)
-            return
-        with self._placement.track(endpoint):
-            await self._attempt(exchange, call, endpoint, meter)
-
     async def _run_once(self, exchange: Exchange, call: Call) -> None:
         reply = await self._once.run(call)
         self._record(reply.outcome, call, reply.endpoint)
         headers = {REQUEST_HEADER: call.request_id, **reply.headers}
         await exchange.send(reply.status, reply.body, headers)
 
-    async def _attempt(
-        self, exchange: Exchange, call: Call, endpoint: EndpointSpec, meter: Meter
-    ) -> None:
-        meter.ran = True
-        async with open_attempt(self._session, endpoint, call, self._loop.time()) as answer:
-            if not isinstance(answer, Answer):
-                meter.ran, meter.exact = not isinstance(answer, NotRun), False
-                await self._answer_error(exchange, answer, call=call)
-                return
+    async def _forward(self, exchange: Exchange, call: Call, meter: Meter) -> None:
+        if isinstance(call.work, ApplicationCall) and not call.work.repeatable:
+            await self._run_once(exchange, call)
+            return
+
+        async def deliver(answer: Answer) -> Outcome:
             if isinstance(call.work, ModelCall):
                 meter.prompt = call.work.prompt_tokens
-            outcome = await self._deliver(exchange, call, answer, meter)
-        self._record(outcome, call, endpoint.name)
+            return await self._deliver(exchange, call, answer, meter)
+
+        meter.ran = True
+        end = await self._forwarder.forward(call, deliver)
+        if not end.answered and not isinstance(end.outcome, Completed):
+            meter.ran, meter.exact = not isinstance(end.outcome, NotRun), False
+            await self._answer_error(exchange, end.outcome, call=call)
+            return
+        self._record(end.outcome, call, end.endpoint)
 
     async def _deliver(
         self, exchange: Exchange, call: Call, answer: Answer, meter: Meter
@@ -271,8 +283,12 @@
         headers = {REQUEST_HEADER: call.request_id}
         try:
             if isinstance(call.work, ModelCall) and call.work.stream and answer.status == 200:
-                return await deliver_stream(exchange, answer, headers, meter)
-            return await deliver_whole(exchange, answer, headers, meter)
+                delivery = deliver_stream(exchange, answer, headers, meter)
+            else:
+                delivery = deliver_whole(exchange, answer, headers, meter)
+            outcome = await deliver_in_time(exchange, delivery, call.deadline, headers)
+            meter.exact &= outcome.code is not ResultCode.DEADLINE_EXCEEDED or meter.generated > 0
+            return outcome
         except CallerGone:
             return Unknown(ResultCode.CALLER_GONE, "the caller went away")
 
--- a/magnoliarouter/daemon/registration.py
+++ b/magnoliarouter/daemon/registration.py
@@ -15,6 +15,8 @@
 from magnoliarouter.platform.objects import EndpointSpec
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from magnoliarouter.core.attempts import AttemptTable
     from magnoliarouter.daemon.exchange import Exchange
     from magnoliarouter.daemon.settings import EndpointSettings
@@ -52,10 +54,16 @@
         Client to write with.
     attempts : AttemptTable
         Guard's memory, which says whether new attempts are refused.
+    on_drain : callable, optional
+        Called when new attempts begin or cease to be refused.
     """
 
     def __init__(
-        self, settings: EndpointSettings, client: PlatformClient, attempts: AttemptTable
+        self,
+        settings: EndpointSettings,
+        client: PlatformClient,
+        attempts: AttemptTable,
+        on_drain: Callable[[], None] = lambda: None,
     ) -> None:
         self.address = ""
         self.leaving = False
@@ -65,6 +73,7 @@
         self._settings = settings
         self._client = client
         self._attempts = attempts
+        self._on_drain = on_drain
 
     async def register(self) -> None:
         """Write the object until it is stored."""
@@ -96,7 +105,7 @@
             Longest wait for the platform in seconds.
         """
         self.leaving = True
-        self._attempts.draining = True
+        self._set_draining(True)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(longest):
                 await self._store_until_done(LEAVE_RETRY_S)
@@ -112,7 +121,7 @@
             await exchange.send(400, body)
             return
         self.drain_requested = request.draining
-        self._attempts.draining = request.draining or self.leaving
+        self._set_draining(request.draining or self.leaving)
         await exchange.send(200, msgspec.json.encode(DrainRequest(self._attempts.draining)))
 
     async def _store_until_done(self, pause: float) -> None:
@@ -143,7 +152,11 @@
         requested = isinstance(value, dict) and value.get("drain_requested") is True
         self.drain_requested = requested
         if requested:
-            self._attempts.draining = True
+            self._set_draining(True)
+
+    def _set_draining(self, draining: bool) -> None:
+        self._attempts.draining = draining
+        self._on_drain()
 
     def describe(self) -> EndpointSpec:
         """Return the endpoint as it is registered."""
--- a/magnoliarouter/daemon/settings.py
+++ b/magnoliarouter/daemon/settings.py
@@ -83,6 +83,12 @@
         Part of each contract that this daemon may admit under "static".
     shutdown_seconds : float
         Time between the readiness probe failing and the listener closing, in seconds.
+    zone_distance_seconds : float
+        What a request to another availability zone costs, in seconds.
+    cold_prefix_seconds : float
+        What computing a prompt that no cache holds costs at a fast engine, in seconds.
+    placement_policy : {"prefix", "random", "least-loaded"}
+        How endpoints are chosen; all but ``"prefix"`` serve as baselines in measurements only.
     """
 
     listen: Address = Address()
@@ -96,6 +102,9 @@
     admission: Literal["escrow", "static"] = "escrow"
     static_share: Annotated[float, Meta(gt=0, le=1)] = 1.0
     shutdown_seconds: Annotated[float, Meta(ge=0)] = 2.0
+    zone_distance_seconds: Annotated[float, Meta(ge=0)] = 0.002
+    cold_prefix_seconds: Annotated[float, Meta(ge=0)] = 0.1
+    placement_policy: Literal["prefix", "random", "least-loaded"] = "prefix"
 
 
 class EndpointSettings(
@@ -124,6 +133,10 @@
         Models or plain services that the endpoint serves.
     slots : int
         Requests that the endpoint works on at once.
+    queue_length : int
+        Requests beyond the slots that the guard lets in; further ones are refused as not run.
+    report_delay_seconds : float
+        Time by which the guard's load reports lag, in seconds; above 0 in measurements only.
     checks_fencing : bool
         Whether the endpoint itself refuses orders with an old fencing number.
     shutdown_seconds : float
@@ -138,6 +151,8 @@
     models: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
     slots: Annotated[int, Meta(ge=1)] = 8
+    queue_length: Annotated[int, Meta(ge=0)] = 8
+    report_delay_seconds: Annotated[float, Meta(ge=0)] = 0.0
     checks_fencing: bool = False
     shutdown_seconds: Annotated[float, Meta(ge=0)] = 3.0
 
--- a/magnoliarouter/endpoints/guard.py
+++ b/magnoliarouter/endpoints/guard.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -20,14 +21,16 @@
 from magnoliarouter.endpoints.execution import CROSSED, Broken, Executed, NotReached, execute
 from magnoliarouter.endpoints.messages import (
     ATTEMPT_HEADER,
+    DEADLINE_HEADER,
+    FAILURE_HEADER,
     GUARD_CLOCK_HEADER,
+    GUARD_HEADERS,
     INCARNATION_HEADER,
     NOT_AFTER_HEADER,
     NOT_STARTED_HEADER,
     OTHER_INCARNATION,
     RUN_ONCE_HEADER,
     TABLE_FULL,
-    UNANSWERED_HEADER,
     VERDICT_HEADER,
     FenceReply,
     FenceRequest,
@@ -35,17 +38,22 @@
     is_answer_of,
     is_end_to_end,
 )
+from magnoliarouter.endpoints.monitor import EndpointMonitor
+from magnoliarouter.endpoints.report import LOAD_HEADER, encode_load_header
+from magnoliarouter.pipeline.proof import was_unsent
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from magnoliarouter.daemon.web import Exchange
+    from magnoliarouter.daemon.exchange import Exchange
 
 __all__ = ["Guard", "GuardStatus"]
 
 OWN_HEADERS = frozenset((INCARNATION_HEADER, NOT_AFTER_HEADER, RUN_ONCE_HEADER))
 UNPROVEN = (StartVerdict.ALREADY_STARTED, StartVerdict.UNRECORDED)
 EVENT_STREAM = "text/event-stream"
+FRAME_START = b"data: "
+DEADLINE = re.compile(r"^[0-9]{1,9}$")
 
 
 class Guard:
@@ -65,6 +73,9 @@
         Session without connection reuse for calls that may run only once.
     on_drop : callable, optional
         Called with the reason for which an answer of the endpoint was dropped.
+    monitor : EndpointMonitor, optional
+        Observations of the endpoint, which go into every answer; by default one that lets every
+        attempt in.
     """
 
     def __init__(
@@ -75,12 +86,14 @@
         clock: Callable[[], float],
         once_session: aiohttp.ClientSession | None = None,
         on_drop: Callable[[str], None] = lambda reason: None,
+        monitor: EndpointMonitor | None = None,
     ) -> None:
         self._attempts = attempts
         self._target = target
         self._session = session
         self._once_session = once_session or session
         self._clock = clock
+        self._monitor = monitor or EndpointMonitor(attempts, 1, attempts.max_attempts, clock)
         self._on_drop = on_drop
         self._executions: set[asyncio.Task[Executed | NotReached | Broken]] = set()
         self._controls: dict[str, Callable[[Exchange], Awaitable[None]]] = {
@@ -111,16 +124,24 @@
             headers.get(INCARNATION_HEADER, ""),
             self._clock(),
             _parse_time(headers.get(NOT_AFTER_HEADER)),
+            self._find_obstacle(headers),
         )
         if verdict is not StartVerdict.START:
             await self._refuse(exchange, attempt, verdict)
-        elif RUN_ONCE_HEADER in headers:
-            await self._run_once(exchange, attempt)
-        else:
-            await self._run(exchange, attempt)
+            return
+        began, running = self._clock(), self._attempts.running
+        self._monitor.note_change()
+        try:
+            if RUN_ONCE_HEADER in headers:
+                await self._run_once(exchange, attempt)
+            else:
+                await self._run(exchange, attempt)
+        finally:
+            self._monitor.note_change()
+        self._monitor.note_service(self._clock() - began, running)
 
-    def report(self) -> GuardStatus:
-        """Return the guard's report on itself."""
+    def report(self, cache_after: int = -1) -> GuardStatus:
+        """Return the guard's report on itself, with the cache's changes after a number."""
         table = self._attempts
         return GuardStatus(
             table.incarnation,
@@ -129,6 +150,9 @@
             self._clock(),
             table.size,
             table.answer_bytes,
+            self._monitor.sequence,
+            self._monitor.describe(),
+            self._monitor.read_cache(cache_after),
         )
 
     async def wait_until_idle(self) -> None:
@@ -137,7 +161,25 @@
             await asyncio.wait(self._executions)
 
     async def _tell_status(self, exchange: Exchange) -> None:
-        await exchange.send(200, msgspec.json.encode(self.report()))
+        query = exchange.request.query
+        try:
+            after, wait = int(query.get("after", "0")), float(query.get("wait", "0"))
+            pause, cache_after = float(query.get("pause", "0")), int(query.get("cache", "-1"))
+        except ValueError:
+            reason = "valid query: after=N, wait=SECONDS, pause=SECONDS, cache=N"
+            body = error_body(ResultCode.MALFORMED_HTTP, "not_run", reason)
+            await exchange.send(400, body)
+            return
+        await self._monitor.wait_for_change(after, wait, pause)
+        await exchange.send(200, msgspec.json.encode(self.report(cache_after)))
+
+    def _find_obstacle(self, headers: dict[str, str]) -> StartVerdict | None:
+        if self._monitor.is_full:
+            return StartVerdict.QUEUE_FULL
+        left = headers.get(DEADLINE_HEADER, "")
+        if DEADLINE.match(left) and int(left) <= self._monitor.expected_wait * 1000:
+            return StartVerdict.TOO_LATE
+        return None
 
     async def _fence(self, exchange: Exchange) -> None:
         try:
@@ -157,12 +199,15 @@
         return FenceReply(request.attempt, state.value, self._attempts.find_answer(request.attempt))
 
     def _head(self, attempt: str) -> dict[str, str]:
-        return {ATTEMPT_HEADER: attempt, GUARD_CLOCK_HEADER: f"{self._clock():.3f}"}
+        return {
+            ATTEMPT_HEADER: attempt,
+            GUARD_CLOCK_HEADER: f"{self._clock():.3f}",
+            LOAD_HEADER: encode_load_header(self._monitor.report()),
+        }
 
     async def _refuse(self, exchange: Exchange, attempt: str, verdict: StartVerdict) -> None:
         headers = {**self._head(attempt), VERDICT_HEADER: verdict.value}
         if verdict in UNPROVEN:
-            headers[UNANSWERED_HEADER] = verdict.value
             body = error_body(ResultCode.IN_PROGRESS, "unknown", verdict.value)
             await exchange.send(409, body, headers)
             return
@@ -189,9 +234,7 @@
             case Broken(reason):
                 if reason == CROSSED:
                     self._on_drop("crossed")
-                failure = error_body(ResultCode.ENDPOINT_ERROR, "unknown", reason)
-                head = {**self._head(attempt), UNANSWERED_HEADER: reason}
-                await exchange.send(502, failure, head)
+                await self._tell_failure(exchange, attempt, ResultCode.ENDPOINT_ERROR, reason)
 
     async def _execute(self, exchange: Exchange, attempt: str) -> Executed | NotReached | Broken:
         request = exchange.request
@@ -233,8 +276,18 @@
             if exchange.started:
                 exchange.abort()
                 return
-            body = error_body(ResultCode.ENDPOINT_ERROR, "unknown", type(error).__name__)
-            await exchange.send(502, body, self._head(attempt))
+            reason = type(error).__name__
+            if was_unsent(error):
+                await self._refuse_unstarted(exchange, self._head(attempt), reason)
+                return
+            await self._tell_failure(exchange, attempt, ResultCode.ENDPOINT_ERROR, reason)
+
+    async def _tell_failure(
+        self, exchange: Exchange, attempt: str, code: ResultCode, reason: str
+    ) -> None:
+        """Answer in place of an endpoint whose answer was lost."""
+        headers = {**self._head(attempt), FAILURE_HEADER: str(int(code))}
+        await exchange.send(502, error_body(code, "unknown", reason), headers)
 
     async def _relay_answer(
         self, exchange: Exchange, attempt: str, answer: aiohttp.ClientResponse
@@ -242,22 +295,34 @@
         if not is_answer_of(answer.headers, attempt):
             answer.close()
             self._on_drop("crossed")
-            body = error_body(ResultCode.WRONG_ATTEMPT, "unknown", CROSSED)
-            await exchange.send(502, body, self._head(attempt))
+            await self._tell_failure(exchange, attempt, ResultCode.WRONG_ATTEMPT, CROSSED)
             return
         if not _shows_truncation(answer):
-            body = error_body(ResultCode.ENDPOINT_ERROR, "unknown", "answer without a length")
-            await exchange.send(502, body, self._head(attempt))
+            reason = "answer without a length"
+            await self._tell_failure(exchange, attempt, ResultCode.ENDPOINT_ERROR, reason)
             return
         connection = answer.headers.get("connection", "")
         relayed = {
-            name: value for name, value in answer.headers.items() if is_end_to_end(name, connection)
+            name: value
+            for name, value in answer.headers.items()
+            if is_end_to_end(name, connection) and name.lower() not in GUARD_HEADERS
         }
         await exchange.start(answer.status, {**relayed, **self._head(attempt)})
+        streamed = answer.content_type == EVENT_STREAM
+        last: float | None = None
         async for chunk in answer.content.iter_any():
+            if streamed:
+                last = self._note_tokens(chunk, last)
             await exchange.write(chunk)
         await exchange.finish()
 
+    def _note_tokens(self, chunk: bytes, last: float | None) -> float:
+        now = self._clock()
+        frames = chunk.count(FRAME_START)
+        if last is not None and frames:
+            self._monitor.note_token((now - last) / frames)
+        return now
+
     def _url(self, exchange: Exchange) -> URL:
         return URL(self._target + exchange.request.target, encoded=True)
 
--- a/magnoliarouter/pipeline/dispatch.py
+++ b/magnoliarouter/pipeline/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import uuid
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -9,12 +10,20 @@
 
 import aiohttp
 
+from magnoliarouter.core.attempts import StartVerdict
 from magnoliarouter.core.outcome import NotRun, ResultCode, Unknown
-from magnoliarouter.endpoints.messages import ATTEMPT_HEADER, INCARNATION_HEADER, REQUEST_HEADER
-from magnoliarouter.pipeline.proof import find_refusal, was_unsent
+from magnoliarouter.endpoints.messages import (
+    ATTEMPT_HEADER,
+    DEADLINE_HEADER,
+    FAILURE_HEADER,
+    INCARNATION_HEADER,
+    REQUEST_HEADER,
+    VERDICT_HEADER,
+)
+from magnoliarouter.pipeline.proof import UNNAMED_REFUSAL, find_refusal, was_unsent
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable, Mapping
 
     from magnoliarouter.pipeline.call import Call
     from magnoliarouter.platform.objects import EndpointSpec
@@ -22,7 +31,15 @@
 __all__ = ["ATTEMPT_HEADER", "Answer", "open_attempt"]
 
 PRIORITY_HEADER = "x-priority"
-DEADLINE_HEADER = "x-deadline-ms"
+REFUSED_RETRY_S = 1.0
+REFUSAL_CODES = {
+    StartVerdict.DRAINING.value: ResultCode.DRAINING,
+    StartVerdict.FENCED.value: ResultCode.FENCED,
+    StartVerdict.QUEUE_FULL.value: ResultCode.QUEUE_FULL,
+    StartVerdict.TABLE_FULL.value: ResultCode.QUEUE_FULL,
+    StartVerdict.TOO_LATE.value: ResultCode.DEADLINE_UNREACHABLE,
+    UNNAMED_REFUSAL: ResultCode.ENDPOINT_UNREACHABLE,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +53,11 @@
 
 @asynccontextmanager
 async def open_attempt(
-    session: aiohttp.ClientSession, endpoint: EndpointSpec, call: Call, now: float
+    session: aiohttp.ClientSession,
+    endpoint: EndpointSpec,
+    call: Call,
+    now: float,
+    on_head: Callable[[Mapping[str, str]], None] = lambda headers: None,
 ) -> AsyncIterator[Answer | NotRun | Unknown]:
     """Send one attempt and give the answer's head.
 
@@ -51,7 +72,9 @@
     call : Call
         The call.
     now : float
-        Loop time in seconds.
+        Loop time in seconds; the head must come before the call's deadline.
+    on_head : callable, optional
+        Called with the header fields of the guard's answer.
 
     Yields
     ------
@@ -69,16 +92,20 @@
     }
     url = f"http://{endpoint.address}{call.path}"
     try:
-        response = await session.request(
-            call.method, url, headers=headers, data=call.body, allow_redirects=False
-        )
+        async with asyncio.timeout(call.deadline - now):
+            response = await session.request(
+                call.method, url, headers=headers, data=call.body, allow_redirects=False
+            )
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
         if was_unsent(error):
             yield NotRun(ResultCode.ENDPOINT_UNREACHABLE, "no connection to the endpoint")
             return
-        yield Unknown(ResultCode.ENDPOINT_ERROR, type(error).__name__)
+        late = isinstance(error, TimeoutError)
+        code = ResultCode.DEADLINE_EXCEEDED if late else ResultCode.ENDPOINT_ERROR
+        yield Unknown(code, type(error).__name__)
         return
     async with response:
+        on_head(response.headers)
         yield _classify(response, attempt)
 
 
@@ -88,5 +115,19 @@
         return Unknown(ResultCode.WRONG_ATTEMPT, "the answer belongs to another attempt")
     reason = find_refusal(response.headers, attempt)
     if reason is not None:
-        return NotRun(ResultCode.ENDPOINT_REFUSED, f"the endpoint's guard refused it: {reason}")
+        code = REFUSAL_CODES.get(reason, ResultCode.ENDPOINT_REFUSED)
+        text = f"the endpoint's guard refused it: {reason}"
+        return NotRun(code, text, REFUSED_RETRY_S)
+    if VERDICT_HEADER in response.headers:
+        return Unknown(ResultCode.IN_PROGRESS, "the endpoint's guard knows the attempt already")
+    if FAILURE_HEADER in response.headers:
+        code = _parse_code(response.headers[FAILURE_HEADER])
+        return Unknown(code, "the endpoint's answer was lost behind its guard")
     return Answer(response.status, response.content_type, response.content)
+
+
+def _parse_code(value: str) -> ResultCode:
+    try:
+        return ResultCode(int(value))
+    except ValueError:
+        return ResultCode.ENDPOINT_ERROR
--- a/magnoliarouter/pipeline/guards.py
+++ b/magnoliarouter/pipeline/guards.py
@@ -22,6 +22,7 @@
 )
 from magnoliarouter.endpoints.messages import (
     ATTEMPT_HEADER,
+    FAILURE_HEADER,
     GUARD_CLOCK_HEADER,
     IDEMPOTENCY_HEADER,
     INCARNATION_HEADER,
@@ -29,7 +30,7 @@
     OTHER_INCARNATION,
     REQUEST_HEADER,
     RUN_ONCE_HEADER,
-    UNANSWERED_HEADER,
+    VERDICT_HEADER,
     FenceReply,
     FenceRequest,
     GuardClock,
@@ -160,8 +161,8 @@
             self._read_clock(headers, target.incarnation)
         if refusal is not None:
             return NotStarted(refusal, fenced=refusal == StartVerdict.FENCED.value)
-        if UNANSWERED_HEADER in headers:
-            return AttemptDoubt(headers[UNANSWERED_HEADER])
+        if VERDICT_HEADER in headers or FAILURE_HEADER in headers:
+            return AttemptDoubt("the guard has no answer to it")
         body = await response.read()
         content_type = headers.get("content-type", "application/octet-stream")
         digest = hashlib.sha256(body).hexdigest()
--- a/magnoliarouter/pipeline/once.py
+++ b/magnoliarouter/pipeline/once.py
@@ -30,6 +30,7 @@
 )
 from magnoliarouter.core.codes import status_of
 from magnoliarouter.core.outcome import Completed, NotRun, ResultCode, Unknown
+from magnoliarouter.core.placement import Chosen
 from magnoliarouter.daemon.exchange import error_body
 from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.platform.claims import build_key
@@ -42,6 +43,7 @@
     from magnoliarouter.daemon.metrics import Metrics
     from magnoliarouter.pipeline.call import Call
     from magnoliarouter.pipeline.guards import GuardCalls
+    from magnoliarouter.pipeline.place import Placement
     from magnoliarouter.platform.claims import ClaimStore
     from magnoliarouter.platform.objects import EndpointSpec
 
@@ -94,8 +96,8 @@
         Claims in the platform.
     guards : GuardCalls
         Calls to guards.
-    place : callable
-        Chooses an endpoint for a call, leaving out those named in a set.
+    placement : Placement
+        Chooses endpoints.
     clock : callable
         Loop time in seconds.
     metrics : Metrics
@@ -106,13 +108,13 @@
         self,
         claims: ClaimStore,
         guards: GuardCalls,
-        place: Callable[[Call, set[str]], EndpointSpec | None],
+        placement: Placement,
         clock: Callable[[], float],
         metrics: Metrics,
     ) -> None:
         self._claims = claims
         self._guards = guards
-        self._place = place
+        self._placement = placement
         self._clock = clock
         self._tasks: set[asyncio.Task[object]] = set()
         self.steps = metrics.add_counter("claim_steps", "Steps of claims", "step", "result")
@@ -162,13 +164,13 @@
             case ReadClaim():
                 return await self._claims.read(run.key)
             case SendAttempt(target):
-                return await self._guards.send(call, target)
+                return await self._send(call, target)
             case AskFence(target, waiting):
                 return await self._ask_fence(call, target, waiting)
         raise AssertionError(effect)
 
     async def _place_attempt(self, call: Call, tried: set[str]) -> Placed | NoTarget:
-        while (spec := self._place(call, tried)) is not None:
+        while (spec := self._find_endpoint(call, tried)) is not None:
             tried.add(spec.name)
             not_after = await self._guards.find_last_start(spec)
             if not_after is not None:
@@ -178,6 +180,17 @@
                 return Placed(target)
         return NoTarget()
 
+    def _find_endpoint(self, call: Call, tried: set[str]) -> EndpointSpec | None:
+        choice = self._placement.place(call, tried)
+        return self._placement.find(choice.name) if isinstance(choice, Chosen) else None
+
+    async def _send(self, call: Call, target: Target) -> Event:
+        spec = self._placement.find(target.endpoint)
+        if spec is None:
+            return await self._guards.send(call, target)
+        with self._placement.track(spec, call):
+            return await self._guards.send(call, target)
+
     async def _ask_fence(self, call: Call, target: Target, waiting: bool) -> Event:
         if not waiting:
             # Another request's attempt may be about to start; fencing it would waste its work.
--- a/magnoliarouter/standins/bench/main.py
+++ b/magnoliarouter/standins/bench/main.py
@@ -16,7 +16,17 @@
 __all__ = ["main"]
 
 # Each module has a function `experiments()` that returns a list of `Experiment`.
-MODULES: tuple[str, ...] = ("answers", "capacity", "drain", "fencing", "loop", "once", "path")
+MODULES: tuple[str, ...] = (
+    "answers",
+    "capacity",
+    "drain",
+    "fencing",
+    "leaving",
+    "loop",
+    "once",
+    "path",
+    "placement",
+)
 
 
 def load_experiments() -> dict[str, Experiment]:
--- a/magnoliarouter/standins/orders.py
+++ b/magnoliarouter/standins/orders.py
@@ -66,6 +66,9 @@
         if exchange.request.path == "/journal":
             await exchange.send(200, msgspec.json.encode(self.journal))
             return
+        if exchange.request.path != "/orders":
+            await exchange.send(404, b"{}")
+            return
         effect = msgspec.json.decode(exchange.request.body, type=Effect)
         if self._checks_fencing and effect.epoch < self._highest:
             await exchange.send(409, b"{}")
