Run the steps of a lease in every order

lease_model.py visits every order of arrival, loss, delay, release and pause of two processes' reads and writes and finds no two holders at once; four wrong rules are each caught (term counted from the answer, any record taken for one's own, candidate that does not wait, holder that goes on after its term).

--- /dev/null
+++ b/magnoliarouter/tests/test_lease_steps.py
@@ -0,0 +1,72 @@
+from __future__ import annotations
+
+import unittest
+
+from magnoliarouter.core.lease import Lease
+from magnoliarouter.tests.lease_model import DURATION, MARGIN, find_violation, open_world
+
+
+class TermFromAnswer(Lease):
+    """Counts its term from the answer instead of from before the request."""
+
+    __slots__ = ()
+
+    def confirm(self, write, version, now):
+        record, _ = self._sent[write]
+        self._sent[write] = (record, now)
+        super().confirm(write, version, now)
+
+
+class TrustsAnyRecord(Lease):
+    """Takes a record found after a lost answer for its own."""
+
+    __slots__ = ()
+
+    def observe(self, version, record, now, lagging=False):
+        if record is not None and self._sent and record.write not in self._sent:
+            write, (_, sent_at) = next(iter(self._sent.items()))
+            self._sent[record.write] = (record, sent_at)
+        super().observe(version, record, now, lagging)
+
+
+class ImpatientCandidate(Lease):
+    """Takes the lease over a tick before the holder's term ends."""
+
+    __slots__ = ()
+
+    def _lapse_time(self):
+        return super()._lapse_time() - DURATION
+
+
+class WaitsFromWrite(Lease):
+    """Goes on after a renewal was refused."""
+
+    __slots__ = ()
+
+    def held_epoch(self, now):
+        return self._epoch or None if now < self._held_until + DURATION else None
+
+
+class EveryOrderTest(unittest.TestCase):
+    """Every order of arrival, loss, delay and pause of two processes' reads and writes."""
+
+    def search(self, kind=Lease, faults=0, ticks=3):
+        world = open_world(lambda name: kind(name, DURATION, MARGIN), faults, ticks)
+        return find_violation(world)
+
+    def test_single_holder_without_faults(self):
+        violation, states, epochs = self.search(ticks=3)
+        self.assertIsNone(violation)
+        self.assertGreater(states, 10_000)
+        self.assertGreater(epochs, 3)
+
+    def test_single_holder_with_a_fault(self):
+        violation, states, epochs = self.search(faults=1, ticks=2)
+        self.assertIsNone(violation)
+        self.assertGreater(states, 10_000)
+        self.assertGreater(epochs, 2)
+
+    def test_wrong_rules_are_caught(self):
+        for rule in (TermFromAnswer, TrustsAnyRecord, ImpatientCandidate, WaitsFromWrite):
+            with self.subTest(rule.__name__):
+                self.assertIsNotNone(self.search(rule, faults=1)[0])
