--- a/magnoliarouter/cli/main.py
+++ b/magnoliarouter/cli/main.py
@@ -24,8 +24,10 @@
     "codes",
     "contract",
     "endpoint",
+    "group",
     "key",
     "model",
+    "service",
     "status",
 )
 
--- /dev/null
+++ b/magnoliarouter/core/layerplan.py
@@ -0,0 +1,267 @@
+"""Improves the placement of one layer's experts step by step.
+
+A replicated expert's tokens are split in proportion to its holders' shares, and a rank's share is
+its speed, so that each holder of an expert spends the same time on it: tokens / sum of shares.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["LayerPlan", "LayerState", "improve_layer", "measure_times"]
+
+CANDIDATE_RANKS = 4
+LEAST_GAIN = 1e-3
+
+
+@dataclass(frozen=True, slots=True)
+class LayerPlan:
+    """Placement of one layer after some moves.
+
+    Parameters
+    ----------
+    layer : int
+        The layer.
+    row : tuple
+        Holders of each expert.
+    moves : int
+        Experts that some rank has to fetch.
+    before, after : float
+        Time of the slowest rank, in units of one layer's tokens on a rank of share 1.
+    """
+
+    layer: int
+    row: tuple[tuple[int, ...], ...]
+    moves: int
+    before: float
+    after: float
+
+
+@dataclass(slots=True)
+class _Change:
+    """Candidate: experts that ranks take up and give up, and the slowest time of those touched."""
+
+    slowest: float
+    adds: tuple[tuple[int, int], ...]
+    drops: tuple[tuple[int, int], ...]
+
+
+def measure_times(
+    row: tuple[tuple[int, ...], ...], tokens: list[float], shares: list[float]
+) -> list[float]:
+    """Return the time that each rank spends on a layer.
+
+    Parameters
+    ----------
+    row : tuple
+        Holders of each expert.
+    tokens : list of float
+        Tokens for each expert.
+    shares : list of float
+        Speed of each rank.
+    """
+    times = [0.0] * len(shares)
+    for holders, load in zip(row, tokens):
+        if len(holders) == 1:
+            times[holders[0]] += load / shares[holders[0]]
+            continue
+        spent = load / sum([shares[rank] for rank in holders])
+        for rank in holders:
+            times[rank] += spent
+    return times
+
+
+class LayerState:
+    """Working state of one layer.
+
+    Parameters
+    ----------
+    row : tuple
+        Holders of each expert.
+    tokens, shares : list of float
+        Tokens for each expert; speed of each rank.
+    slots : int
+        Experts of the layer that fit on a rank.
+    """
+
+    def __init__(
+        self,
+        row: tuple[tuple[int, ...], ...],
+        tokens: list[float],
+        shares: list[float],
+        slots: int,
+    ) -> None:
+        self.fetches = 0
+        self.tokens = tokens
+        self.shares = shares
+        self.slots = slots
+        self.holders = [set(holders) for holders in row]
+        self._present = row
+        self.sums = [sum([shares[rank] for rank in holders]) for holders in row]
+        self.held: list[set[int]] = [set() for _ in shares]
+        for expert, holders in enumerate(row):
+            for rank in holders:
+                self.held[rank].add(expert)
+        self.times = measure_times(row, tokens, shares)
+
+    def copy_row(self) -> tuple[tuple[int, ...], ...]:
+        """Return the holders of each expert."""
+        return tuple(tuple(sorted(holders)) for holders in self.holders)
+
+    def find_change(self) -> _Change | None:
+        """Return the change that helps the slowest rank most, or None if none does."""
+        order = sorted(range(len(self.times)), key=self.times.__getitem__)
+        slow = order[-1]
+        limit = self.times[slow] * (1 - LEAST_GAIN)
+        for start in range(0, len(order) - 1, CANDIDATE_RANKS):
+            fast = order[start : start + CANDIDATE_RANKS]
+            best = self._find_best(slow, fast, limit)
+            if best is not None:
+                return best
+        return None
+
+    def _find_best(self, slow: int, fast: list[int], limit: float) -> _Change | None:
+        best = None
+        for expert in self.held[slow]:
+            for change in self._list_changes(slow, expert, fast):
+                if change.slowest < limit:
+                    best, limit = change, change.slowest
+        return best
+
+    def apply(self, change: _Change) -> None:
+        """Carry out a change."""
+        for expert, rank in change.drops:
+            self._set_holder(expert, rank, present=False)
+        for expert, rank in change.adds:
+            self._set_holder(expert, rank, present=True)
+
+    def _set_holder(self, expert: int, rank: int, present: bool) -> None:
+        holders, load = self.holders[expert], self.tokens[expert]
+        if rank not in self._present[expert]:
+            self.fetches += 1 if present else -1
+        spent = load / self.sums[expert] if holders else 0.0
+        for holder in holders:
+            self.times[holder] -= spent
+        if present:
+            holders.add(rank)
+            self.held[rank].add(expert)
+            self.sums[expert] += self.shares[rank]
+        else:
+            holders.discard(rank)
+            self.held[rank].discard(expert)
+            self.sums[expert] -= self.shares[rank]
+        if holders:
+            spent = load / self.sums[expert]
+            for holder in holders:
+                self.times[holder] += spent
+
+    def _list_changes(self, slow: int, expert: int, fast: list[int]) -> list[_Change]:
+        found = []
+        load, total = self.tokens[expert], self.sums[expert]
+        if len(self.holders[expert]) > 1:
+            found.append(self._drop(slow, expert, load, total))
+        for rank in fast:
+            if rank == slow or rank in self.holders[expert]:
+                continue
+            if len(self.held[rank]) < self.slots:
+                found.append(self._replicate(slow, expert, rank))
+                found.append(self._move(slow, expert, rank))
+            else:
+                found += [
+                    self._replace(slow, expert, rank, spare)
+                    for spare in self.held[rank]
+                    if len(self.holders[spare]) > 1
+                ]
+            found += self._swap(slow, expert, rank)
+        return found
+
+    def _drop(self, slow: int, expert: int, load: float, total: float) -> _Change:
+        rise = load / (total - self.shares[slow]) - load / total
+        others = [self.times[rank] + rise for rank in self.holders[expert] if rank != slow]
+        slowest = max(self.times[slow] - load / total, *others)
+        return _Change(slowest, (), ((expert, slow),))
+
+    def _replicate(self, slow: int, expert: int, rank: int) -> _Change:
+        load, total = self.tokens[expert], self.sums[expert]
+        spent = load / (total + self.shares[rank])
+        slowest = max(self.times[slow] - load / total + spent, self.times[rank] + spent)
+        return _Change(slowest, ((expert, rank),), ())
+
+    def _move(self, slow: int, expert: int, rank: int) -> _Change:
+        load, total = self.tokens[expert], self.sums[expert]
+        spent = load / (total + self.shares[rank] - self.shares[slow])
+        slowest = max(self.times[slow] - load / total, self.times[rank] + spent)
+        rise = spent - load / total
+        if len(self.holders[expert]) > 1 and rise > 0:
+            others = [self.times[other] for other in self.holders[expert] if other != slow]
+            slowest = max(slowest, max(others) + rise)
+        return _Change(slowest, ((expert, rank),), ((expert, slow),))
+
+    def _replace(self, slow: int, expert: int, rank: int, spare: int) -> _Change:
+        """Let a rank give up a replica of `spare` and take one of `expert`."""
+        load, total = self.tokens[expert], self.sums[expert]
+        spent = load / (total + self.shares[rank])
+        freed = self.tokens[spare] / self.sums[spare]
+        rise = self.tokens[spare] / (self.sums[spare] - self.shares[rank]) - freed
+        others = [
+            self.times[other] + rise - (load / total - spent) * (other == slow)
+            for other in self.holders[spare]
+            if other != rank
+        ]
+        slowest = max(
+            self.times[slow] - load / total + spent, self.times[rank] - freed + spent, *others
+        )
+        return _Change(slowest, ((expert, rank),), ((spare, rank),))
+
+    def _swap(self, slow: int, expert: int, rank: int) -> list[_Change]:
+        """Exchange `expert` for each expert of another rank that the slow one does not hold."""
+        lead = self.shares[rank] - self.shares[slow]
+        load, total = self.tokens[expert], self.sums[expert]
+        spent = load / (total + lead)
+        slow_rest = self.times[slow] - load / total
+        fast_rest = self.times[rank] + spent
+        touched = self._raise_others(expert, slow, spent - load / total)
+        adds_drops = ((expert, rank), (expert, slow))
+        found = []
+        for other in self.held[rank]:
+            if slow in self.holders[other]:
+                continue
+            given, sums = self.tokens[other], self.sums[other]
+            taken = given / (sums - lead)
+            rise = taken - given / sums
+            slowest = max(slow_rest + taken, fast_rest - given / sums, touched)
+            if rise > 0:
+                slowest = max(slowest, self._raise_others(other, rank, rise))
+            adds = (adds_drops[0], (other, slow))
+            found.append(_Change(slowest, adds, (adds_drops[1], (other, rank))))
+        return found
+
+    def _raise_others(self, expert: int, rank: int, rise: float) -> float:
+        """Return the slowest time of an expert's other holders once each spends more on it."""
+        if rise <= 0 or len(self.holders[expert]) == 1:
+            return 0.0
+        return rise + max([self.times[other] for other in self.holders[expert] if other != rank])
+
+
+def improve_layer(layer: int, state: LayerState, max_changes: int) -> list[LayerPlan]:
+    """Return the placements that successive changes lead to, each with its moves so far.
+
+    Parameters
+    ----------
+    layer : int
+        The layer.
+    state : LayerState
+        Working state; it is changed.
+    max_changes : int
+        Longest sequence of changes.
+    """
+    before = max(state.times)
+    plans = []
+    for _ in range(max_changes):
+        change = state.find_change()
+        if change is None:
+            break
+        state.apply(change)
+        row = state.copy_row()
+        plans.append(LayerPlan(layer, row, state.fetches, before, max(state.times)))
+    return plans
--- a/magnoliarouter/platform/objects.py
+++ b/magnoliarouter/platform/objects.py
@@ -11,6 +11,12 @@
 from msgspec import Meta
 
 from magnoliarouter.core.contract import Contract, Limits
+from magnoliarouter.platform.groups import (
+    GROUP_HEALTH_KIND,
+    GROUP_KIND,
+    GroupHealthSpec,
+    GroupSpec,
+)
 from magnoliarouter.platform.validation import ValidationFailure, check_value
 
 __all__ = [
@@ -33,6 +39,7 @@
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Standing = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 Rate = Annotated[float, Meta(ge=0, le=1e9)]
+CallPattern = Annotated[str, Meta(pattern=r"^[A-Z]{1,16} /[!-~]{0,255}$")]
 KeyHash = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
 
 
@@ -146,7 +153,13 @@
 
 
 class KeySpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Reservation of a key digest for one customer; the object's name is the digest."""
+    """Reservation of a key digest for one customer; the object's name is the digest.
+
+    Parameters
+    ----------
+    customer : str
+        Customer whose contracts alone may hold the key.
+    """
 
     customer: Name
 
@@ -199,7 +212,7 @@
     """
 
     name: Name
-    non_repeatable: tuple[str, ...] = ()
+    non_repeatable: tuple[CallPattern, ...] = ()
 
 
 class VmSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -229,6 +242,8 @@
     "contract-history": HistorySpec,
     "contract-key": KeySpec,
     "endpoint": EndpointSpec,
+    GROUP_KIND: GroupSpec,
+    GROUP_HEALTH_KIND: GroupHealthSpec,
     "service": ServiceSpec,
     "vm": VmSpec,
 }
--- a/magnoliarouter/standins/bench/drain.py
+++ b/magnoliarouter/standins/bench/drain.py
@@ -157,6 +157,17 @@
         await leaving
         return last
 
+    async def list_kept_leases(self, holder: str) -> list[str]:
+        """Return the leases that an ended process still holds in the platform."""
+        leases = await self.client.list("lease")
+        slots = await self.client.list("quota-lease")
+        kept = [
+            item.name
+            for item in leases.items
+            if item.value["holder"].startswith(f"{holder}/") and not item.value["released"]
+        ]
+        return kept + [item.name for item in slots.items if item.value["holder"] == holder]
+
     # Ways of leaving
 
     async def terminate(self, name: str) -> None:
@@ -210,7 +221,11 @@
     for way, leave in ways.items():
         await fleet.start_engine()
         name = next(iter(fleet.engines))
+        before = await fleet.count_started(name)
         await asyncio.sleep(SETTLE_S)
+        arrived = await fleet.count_started(name) - before
+        report.expect(arrived > 0, f"{way}: the endpoint gets work before it leaves")
+        report.figures[f"new_work_before_{way}_per_second"] = round(arrived / SETTLE_S, 1)
         last = await fleet.measure_last_work(name, leave)
         report.figures[f"last_new_work_{way}_s"] = round(last, 2)
         report.expect(
@@ -222,14 +237,17 @@
 
 
 async def _replace_entries(fleet: _Fleet, report: Report) -> None:
-    codes = []
+    codes, kept = [], []
     for old in list(fleet.entries):
         fleet.entries.append(await fleet.start_entry())
         await asyncio.sleep(SETTLE_S)
         codes.append(await old.stop())
+        kept += await fleet.list_kept_leases(old.name)
         fleet.entries.remove(old)
         await asyncio.sleep(SETTLE_S)
     report.figures["entry_exit_codes"] = codes
+    report.figures["leases_not_handed_back"] = kept
+    report.expect(not kept, "every lease of a leaving entry daemon is handed back")
     report.expect(not any(codes), "every entry daemon exits with 0")
 
 
--- a/magnoliarouter/standins/bench/main.py
+++ b/magnoliarouter/standins/bench/main.py
@@ -20,12 +20,15 @@
     "answers",
     "capacity",
     "drain",
+    "expertmap",
     "fencing",
     "leaving",
     "loop",
     "once",
     "path",
     "placement",
+    "rebalance",
+    "rollout",
 )
 
 
--- a/magnoliarouter/standins/bench/oncefaults.py
+++ b/magnoliarouter/standins/bench/oncefaults.py
@@ -158,6 +158,15 @@
     await asyncio.sleep(seconds / 4)
 
 
+async def _drain_guards(site: FaultySite, seconds: float) -> None:
+    for draining in (True, False):
+        for guard in site.guards:
+            body = msgspec.json.encode({"draining": draining})
+            async with site.session.post(f"{guard.url}/guard/drain", data=body) as answer:
+                assert answer.status == 200, answer.status
+        await asyncio.sleep(seconds / 2)
+
+
 async def _pause_entry(site: FaultySite, seconds: float) -> None:
     await _pause(site.draw.choice(site.entries), seconds)
 
@@ -219,6 +228,7 @@
     "none": _none,
     "kill_entry": _kill_entry,
     "kill_guard": _kill_guard,
+    "drain_guards": _drain_guards,
     "pause_entry": _pause_entry,
     "pause_guard": _pause_guard,
     "application_dies_before": _fault_application(die_before=APPLICATION_FAULT),
