--- a/magnoliarouter/core/lease.py
+++ b/magnoliarouter/core/lease.py
@@ -195,6 +195,7 @@
             return
         if version != self._version or self._seen_at == NEVER:
             self._version, self._record, self._seen_at = version, record, now
+            self._forget_refused(record)
         if record is None:
             self._held_until = NEVER
             return
@@ -208,6 +209,11 @@
         """Note that the store gave no clear answer; the record has to be read back."""
         self._doubtful = True
 
+    def _forget_refused(self, record: LeaseRecord | None) -> None:
+        # Writes sent for an earlier version can no longer take effect.
+        if record is None or record.write not in self._sent:
+            self._sent.clear()
+
     def _take(self, record: LeaseRecord, now: float) -> None:
         _, sent_at = self._sent[record.write]
         held_until = sent_at + self.duration - (self.margin or 0.0)
--- a/magnoliarouter/daemon/settings.py
+++ b/magnoliarouter/daemon/settings.py
@@ -85,6 +85,8 @@
         Longest time that a request may take when the caller names no deadline, in seconds.
     queue_length : int
         Requests that may wait for an endpoint in this daemon.
+    claim_calls_per_second : float
+        Most calls of this daemon to the platform for claims of calls that may run only once.
     admission : {"escrow", "static"}
         How limits are shared among daemons; "static" is for comparison in benches only.
     static_share : float
@@ -108,6 +110,7 @@
     platform_calls_per_second: Annotated[float, Meta(gt=0)] = 50.0
     request_seconds: Seconds = 120.0
     queue_length: Annotated[int, Meta(ge=0)] = 256
+    claim_calls_per_second: Annotated[float, Meta(gt=0)] = 40.0
     admission: Literal["escrow", "static"] = "escrow"
     static_share: Annotated[float, Meta(gt=0, le=1)] = 1.0
     shutdown_seconds: Annotated[float, Meta(ge=0)] = 2.0
@@ -149,6 +152,9 @@
         Time by which the guard's load reports lag, in seconds; above 0 in measurements only.
     checks_fencing : bool
         Whether the endpoint itself refuses orders with an old fencing number.
+    shutdown_seconds : float
+        Time for which new attempts are refused with a proof before the listener closes, in
+        seconds.
     """
 
     listen: Address = Address()
@@ -161,6 +167,7 @@
     queue_length: Annotated[int, Meta(ge=0)] = 8
     report_delay_seconds: Annotated[float, Meta(ge=0)] = 0.0
     checks_fencing: bool = False
+    shutdown_seconds: Annotated[float, Meta(ge=0)] = 3.0
 
 
 Settings = EntrySettings | EndpointSettings
--- a/magnoliarouter/manual.py
+++ b/magnoliarouter/manual.py
@@ -36,6 +36,7 @@
     "burst_seconds": "s",
     "concurrent_requests": "requests",
     "number": "revisions",
+    "claim_calls_per_second": "calls/s",
     "platform_calls_per_second": "calls/s",
     "port": "port number",
     "priority": "rank, 0 is served first",
--- a/magnoliarouter/standins/bench/main.py
+++ b/magnoliarouter/standins/bench/main.py
@@ -19,10 +19,13 @@
 MODULES: tuple[str, ...] = (
     "answers",
     "capacity",
+    "drain",
     "expertmap",
+    "fencing",
     "leaving",
     "limits",
     "loop",
+    "once",
     "path",
     "placement",
     "rebalance",
