--- a/magnoliarouter/core/placement.py
+++ b/magnoliarouter/core/placement.py
@@ -58,7 +58,7 @@
     extra_load : float
         Further load in requests for each slot, such as the step skew of a group of ranks.
     reported : float
-        Requests in the engine's own last report as it came, without ageing and own requests.
+        Requests in the last report as it came, without ageing and own requests.
     """
 
     name: str
--- a/magnoliarouter/pipeline/place.py
+++ b/magnoliarouter/pipeline/place.py
@@ -195,7 +195,7 @@
             service_seconds=report.service_seconds,
             warm=index is not None and self._is_current(spec) and index.holds(head, now),
             extra_load=self._extra_load(spec.name),
-            reported=report.engine_requests,
+            reported=report.running,
         )
 
     def _load(self, name: str) -> EndpointLoad:
