--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -13,6 +13,8 @@
 from magnoliarouter.daemon.configuration import Configuration
 from magnoliarouter.daemon.digests import ReportDuty
 from magnoliarouter.daemon.exchange import CallerGone, Exchange, error_body
+from magnoliarouter.daemon.grouphealth import GroupHealth
+from magnoliarouter.daemon.groups import GroupDuty
 from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.daemon.loop import Runtime
 from magnoliarouter.daemon.metrics import Metrics
@@ -97,6 +99,7 @@
         for task in self._tasks:
             task.cancel()
         self._reports.stop()
+        await self.groups.stop()
         if self._quota is not None:
             await self._quota.release()
         await self.configuration.stop()
@@ -133,7 +136,12 @@
     def _open_placement(self) -> None:
         clock, vms = self._loop.time, self.configuration.vms.cache
         self._placement = Placement(
-            self.settings.zone, self._endpoints.cache, clock, create_policy(self.settings), vms
+            self.settings.zone,
+            self._endpoints.cache,
+            clock,
+            create_policy(self.settings),
+            vms,
+            self.group_health.extra_load,
         )
         self._forwarder = Forwarder(self._placement, self._session, clock, self.metrics)
         self._reports = ReportDuty(
@@ -172,10 +180,25 @@
         )
         self._endpoints = self.configuration.add("endpoint")
         self._services = self.configuration.add("service")
+        self._open_groups()
         self.status = StatusService(
             self.settings, self.configuration, self.peer_server, self._is_ready
         )
 
+    def _open_groups(self) -> None:
+        self.groups = GroupDuty(
+            self.settings.name,
+            self._platform,
+            self._session,
+            self._loop.time,
+            self.metrics,
+            self.settings.group_lease_seconds,
+            self.configuration.list_entry_vms,
+        )
+        self.group_health = GroupHealth()
+        self.configuration.add("group", on_change=self.groups.change)
+        self.configuration.add("group-health", on_change=self.group_health.update)
+
     def _is_ready(self) -> bool:
         return self.ready and self.configuration.synchronized.is_set()
 
--- a/magnoliarouter/standins/bench/main.py
+++ b/magnoliarouter/standins/bench/main.py
@@ -16,7 +16,17 @@
 __all__ = ["main"]
 
 # Each module has a function `experiments()` that returns a list of `Experiment`.
-MODULES: tuple[str, ...] = ("answers", "capacity", "leaving", "loop", "path", "placement")
+MODULES: tuple[str, ...] = (
+    "answers",
+    "capacity",
+    "expertmap",
+    "leaving",
+    "loop",
+    "path",
+    "placement",
+    "rebalance",
+    "rollout",
+)
 
 
 def load_experiments() -> dict[str, Experiment]:
