Try a call elsewhere when its answer breaks off before the first byte

Cause: a whole answer that was cut ended in 502 although nothing had been sent. Change: nothing is sent of a whole answer before it is complete, nor of a stream before its first bytes; the test that expected the 502 from the delivery now expects that nothing is sent and that the code maps to 502.

--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -250,7 +250,7 @@
             return await self._deliver(exchange, call, answer, meter)
 
         meter.ran = True
-        end = await self._forwarder.forward(call, deliver)
+        end = await self._forwarder.forward(call, deliver, lambda: exchange.started)
         if not end.answered and not isinstance(end.outcome, Completed):
             meter.ran, meter.exact = not isinstance(end.outcome, NotRun), False
             await self._answer_error(exchange, end.outcome, call=call)
--- a/magnoliarouter/endpoints/monitor.py
+++ b/magnoliarouter/endpoints/monitor.py
@@ -204,7 +204,7 @@
             with contextlib.suppress(msgspec.DecodeError):
                 load = msgspec.json.decode(body, type=_EngineLoad)
                 self._engine_requests = load.running + load.queued
-        return status != 404
+        return not 400 <= status < 500
 
     async def _poll_events(self, target: str, session: aiohttp.ClientSession) -> bool:
         url = f"{target}/cache/events?after={self._engine_last}"
@@ -214,7 +214,7 @@
                 batch = msgspec.json.decode(body, type=_CacheEvents)
                 self._check_restart(batch.last)
                 self.take_events(batch.events)
-        return status != 404
+        return not 400 <= status < 500
 
     def take_events(self, events: list[_CacheEvent]) -> None:
         """Add the engine's cache events to the log under numbers of the guard's own.
--- a/magnoliarouter/pipeline/deliver.py
+++ b/magnoliarouter/pipeline/deliver.py
@@ -12,6 +12,8 @@
 from magnoliarouter.daemon.exchange import error_body
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from magnoliarouter.daemon.exchange import Exchange
     from magnoliarouter.pipeline.dispatch import Answer
     from magnoliarouter.pipeline.meter import Meter
@@ -64,13 +66,14 @@
 async def deliver_whole(
     exchange: Exchange, answer: Answer, headers: dict[str, str], meter: Meter
 ) -> Outcome:
-    """Read a whole answer, then send it, so that a truncated one never looks complete."""
+    """Read a whole answer, then send it, so that a truncated one never looks complete.
+
+    Nothing is sent of a truncated one, so that the call can be tried elsewhere.
+    """
     try:
         body = await answer.body.read()
     except (aiohttp.ClientError, OSError):
         meter.exact = False
-        error = error_body(TRUNCATED.code, "unknown", TRUNCATED.reason)
-        await exchange.send(502, error, headers)
         return TRUNCATED
     _note_usage(body, meter)
     await exchange.send(answer.status, body, {**headers, "Content-Type": answer.content_type})
@@ -83,11 +86,16 @@
     """Carry a stream of server-sent events as it comes, up to its explicit last frame.
 
     A stream that breaks off, or goes on after its last frame, ends in an ``error`` event and
-    without the last frame.
+    without the last frame. Nothing is sent of one that breaks off before its first byte, so that
+    the call can be tried elsewhere.
     """
+    chunks = aiter(answer.body.iter_any())
+    first = await _read_first(chunks)
+    if not first:
+        return TRUNCATED
     await exchange.start(answer.status, {**headers, "Content-Type": EVENT_STREAM})
     scanner = FrameScanner()
-    complete = await _carry(exchange, answer, scanner, meter)
+    complete = await _carry(exchange, first, chunks, scanner, meter)
     if not complete:
         frame = error_body(TRUNCATED.code, "unknown", TRUNCATED.reason)
         await exchange.write(b"\n\nevent: error\ndata: " + frame + b"\n\n")
@@ -98,11 +106,25 @@
     return Completed(ResultCode.OK, answer.status)
 
 
-async def _carry(exchange: Exchange, answer: Answer, scanner: FrameScanner, meter: Meter) -> bool:
+async def _read_first(chunks: AsyncIterator[bytes]) -> bytes:
+    """Return the first bytes of a stream, or none if it ended or broke off before."""
+    try:
+        return await anext(chunks, b"")
+    except (aiohttp.ClientError, OSError):
+        return b""
+
+
+async def _carry(
+    exchange: Exchange,
+    first: bytes,
+    chunks: AsyncIterator[bytes],
+    scanner: FrameScanner,
+    meter: Meter,
+) -> bool:
     """Carry all frames but the last and return whether the stream was complete."""
-    held = b""
+    held, chunk = b"", first
     try:
-        async for chunk in answer.body.iter_any():
+        while chunk:
             meter.note_stream(scanner.feed(chunk))
             held += chunk
             end = held.find(LAST_FRAME)
@@ -113,6 +135,7 @@
             keep = _count_held(held)
             await exchange.write(held[: len(held) - keep])
             held = held[len(held) - keep :]
+            chunk = await anext(chunks, b"")
     except (aiohttp.ClientError, OSError):
         return False
     return scanner.ended and held == LAST_FRAME
--- a/magnoliarouter/pipeline/retry.py
+++ b/magnoliarouter/pipeline/retry.py
@@ -89,7 +89,10 @@
         self._budget = budget or RetryBudget()
 
     async def forward(
-        self, call: Call, deliver: Callable[[Answer], Awaitable[Outcome]]
+        self,
+        call: Call,
+        deliver: Callable[[Answer], Awaitable[Outcome]],
+        has_answered: Callable[[], bool] = lambda: True,
     ) -> Forwarded:
         """Bring a call to an end.
 
@@ -99,6 +102,8 @@
             The call.
         deliver : callable
             Coroutine function that carries an answer to the caller and returns its outcome.
+        has_answered : callable
+            Tells after a delivery whether any byte was sent to the caller.
 
         Returns
         -------
@@ -116,7 +121,7 @@
             self._count_choice(choice)
             tried.add(endpoint.name)
             with self._placement.track(endpoint, call):
-                last = await self._attempt(call, endpoint, deliver)
+                last = await self._attempt(call, endpoint, deliver, has_answered)
             if last.answered:
                 return last
             # One attempt that may have run forbids to call the whole request not run.
@@ -127,7 +132,11 @@
             self._metrics.retries.labels(last.outcome.code.name.lower()).inc()
 
     async def _attempt(
-        self, call: Call, endpoint: EndpointSpec, deliver: Callable[[Answer], Awaitable[Outcome]]
+        self,
+        call: Call,
+        endpoint: EndpointSpec,
+        deliver: Callable[[Answer], Awaitable[Outcome]],
+        has_answered: Callable[[], bool],
     ) -> Forwarded:
         def on_head(headers: Mapping[str, str]) -> None:
             self._take_head(endpoint, headers)
@@ -137,7 +146,8 @@
             if isinstance(answer, Answer):
                 outcome = await deliver(answer)
                 self._judge(endpoint.name, outcome, answer.status)
-                return Forwarded(outcome, True, endpoint.name)
+                is_final = outcome.code is ResultCode.CALLER_GONE or isinstance(outcome, Completed)
+                return Forwarded(outcome, is_final or has_answered(), endpoint.name)
         self._judge(endpoint.name, answer)
         return Forwarded(answer, False, endpoint.name)
 
--- a/magnoliarouter/standins/bench/placement.py
+++ b/magnoliarouter/standins/bench/placement.py
@@ -48,6 +48,7 @@
     "--cache-blocks=480",
     f"--load-lag={REPORT_AGE_S}",
     "--event-lag=1",
+    "--event-gap=0.05",
 )
 LIMITS = {
     "requests_per_second": 1000,
--- a/magnoliarouter/standins/unruly.py
+++ b/magnoliarouter/standins/unruly.py
@@ -61,6 +61,9 @@
         if exchange.request.path == "/stats":
             await exchange.send(200, msgspec.json.encode(self.counts))
             return
+        if exchange.request.method == "GET":
+            await exchange.send(404, b"{}")
+            return
         body = msgspec.json.decode(exchange.request.body, type=_Body)
         attempt = exchange.request.headers.get(ATTEMPT_HEADER, "")
         mode = self._choose_mode()
--- a/magnoliarouter/tests/test_deliver.py
+++ b/magnoliarouter/tests/test_deliver.py
@@ -5,6 +5,7 @@
 import aiohttp
 from prometheus_client import CollectorRegistry
 
+from magnoliarouter.core.codes import status_of
 from magnoliarouter.core.outcome import Completed, ResultCode, Unknown
 from magnoliarouter.daemon.metrics import Metrics
 from magnoliarouter.pipeline.deliver import LAST_FRAME, deliver_stream, deliver_whole
@@ -106,8 +107,15 @@
         self.assertEqual(outcome, Completed(ResultCode.OK, 200))
         self.assertEqual((self.exchange.sent, self.meter.total), (WHOLE, 8))
 
-    async def test_cut_whole_answer_is_an_error(self):
+    async def test_cut_whole_answer_is_an_error_of_which_nothing_is_sent(self):
         answer = Answer(200, "application/json", FakeBody([], aiohttp.ClientPayloadError()))
         outcome = await deliver_whole(self.exchange, answer, {}, self.meter)
         self.assertIsInstance(outcome, Unknown)
-        self.assertEqual(self.exchange.status, 502)
+        self.assertEqual(status_of(outcome.code), 502)
+        self.assertEqual((self.exchange.status, self.exchange.sent), (0, b""))
+
+    async def test_nothing_is_sent_of_a_stream_that_breaks_off_before_its_first_byte(self):
+        for error in (None, aiohttp.ClientPayloadError()):
+            outcome = await self.stream([], error)
+            self.assertEqual(outcome.code, ResultCode.STREAM_TRUNCATED)
+            self.assertEqual((self.exchange.status, self.exchange.sent), (0, b""))
--- a/magnoliarouter/tests/test_retry.py
+++ b/magnoliarouter/tests/test_retry.py
@@ -40,7 +40,7 @@
         self.metrics = Metrics()
         self.sent = []
 
-    async def forward(self, *outcomes, call=None, budget=None, delivery=DONE):
+    async def forward(self, *outcomes, call=None, budget=None, delivery=DONE, started=True):
         script = iter(outcomes)
 
         @asynccontextmanager
@@ -48,12 +48,14 @@
             self.sent.append(endpoint.name)
             yield next(script)
 
+        deliveries = iter(delivery if isinstance(delivery, list) else [delivery] * 9)
+
         async def deliver(answer):
-            return delivery
+            return next(deliveries)
 
         forwarder = Forwarder(self.placement, None, lambda: 1000.0, self.metrics, budget)
         with mock.patch("magnoliarouter.pipeline.retry.open_attempt", open_attempt):
-            return await forwarder.forward(call or build_call(), deliver)
+            return await forwarder.forward(call or build_call(), deliver, lambda: started)
 
     async def test_refused_attempt_goes_elsewhere(self):
         end = await self.forward(DRAINING, ANSWER)
@@ -87,6 +89,16 @@
         end = await self.forward(ANSWER, ANSWER, delivery=truncated)
         self.assertEqual((end.outcome, end.answered, len(self.sent)), (truncated, True, 1))
 
+    async def test_answer_cut_before_any_byte_was_sent_is_tried_elsewhere(self):
+        truncated = Unknown(ResultCode.STREAM_TRUNCATED, "cut")
+        end = await self.forward(ANSWER, ANSWER, delivery=[truncated, DONE], started=False)
+        self.assertEqual((end.outcome, len(set(self.sent))), (DONE, 2))
+
+    async def test_nothing_is_retried_for_a_caller_that_went_away(self):
+        gone = Unknown(ResultCode.CALLER_GONE, "gone")
+        end = await self.forward(ANSWER, ANSWER, delivery=gone, started=False)
+        self.assertEqual((end.answered, len(self.sent)), (True, 1))
+
     async def test_failed_connection_ejects_at_once(self):
         await self.forward(UNREACHABLE, ANSWER)
         self.assertTrue(self.placement.outliers.is_ejected(self.sent[0], 1000.0))
