--- a/magnoliarouter/standins/bench/main.py
+++ b/magnoliarouter/standins/bench/main.py
@@ -21,6 +21,7 @@
     "capacity",
     "expertmap",
     "leaving",
+    "limits",
     "loop",
     "path",
     "placement",
