--- a/magnoliarouter/platform/validation.py
+++ b/magnoliarouter/platform/validation.py
@@ -9,7 +9,7 @@
 
 __all__ = ["ValidationFailure", "check_value"]
 
-PATH = re.compile(r" - at `\$(?:\.)?(?P<path>[^`]*)`$")
+PATH = re.compile(r" - at (?P<key>`key` in )?`\$(?:\.)?(?P<path>[^`]*)`$")
 STEP = re.compile(r"[^.\[\]]+|\[\d+\]|\[\.\.\.\]")
 LONGEST_SHOWN = 80
 
@@ -52,6 +52,10 @@
     found = PATH.search(text)
     steps = STEP.findall(found["path"]) if found else []
     reason = PATH.sub("", text)
+    if found and found["key"]:
+        # The key of a mapping is at fault, not its entry.
+        path, _, _ = _walk(value, model, [*steps, "[...]"])
+        return f"{path} is a field that may not have this name: {reason}"
     path, bad, owner = _walk(value, model, steps)
     if "unknown field" in reason or "missing required field" in reason:
         place = f"{path}: " if path else ""
--- a/magnoliarouter/standins/bench/main.py
+++ b/magnoliarouter/standins/bench/main.py
@@ -16,7 +16,7 @@
 __all__ = ["main"]
 
 # Each module has a function `experiments()` that returns a list of `Experiment`.
-MODULES: tuple[str, ...] = ("answers", "capacity", "loop", "path", "rollout")
+MODULES: tuple[str, ...] = ("answers", "capacity", "loop", "path", "relays", "rollout")
 
 
 def load_experiments() -> dict[str, Experiment]:
