--- a/magnoliarouter/daemon/endpoint.py
+++ b/magnoliarouter/daemon/endpoint.py
@@ -14,6 +14,7 @@
 from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.guard import Guard
+from magnoliarouter.endpoints.monitor import EndpointMonitor
 from magnoliarouter.platform.client import PlatformClient, Written
 from magnoliarouter.platform.objects import EndpointSpec
 
@@ -48,6 +49,13 @@
         self._session = open_session()
         self._platform = PlatformClient(self.settings.platform, self._session)
         self._once_session = open_session(reuse=False)
+        self.monitor = EndpointMonitor(
+            self.attempts,
+            self.settings.slots,
+            self.settings.queue_length,
+            loop.time,
+            self.settings.report_delay_seconds,
+        )
         guard = Guard(
             self.attempts,
             self.settings.target,
@@ -55,6 +63,7 @@
             loop.time,
             self._once_session,
             on_drop=lambda reason: self.metrics.dropped_answers.labels(reason).inc(),
+            monitor=self.monitor,
         )
         guard.add_control("/metrics", self._tell_metrics)
         self._guard = guard
@@ -62,10 +71,14 @@
         self._server = WebServer(Runtime(loop), (listen.host, listen.port), guard.handle)
         self.port = self._server.port
         self._tasks.append(loop.create_task(self._register()))
+        if self.settings.kind == "engine":
+            poll = self.monitor.poll(self.settings.target, self._session)
+            self._tasks.append(loop.create_task(poll))
 
     async def stop(self) -> None:
         """Refuse new work, let work in progress end, then leave."""
         self.attempts.draining = True
+        self.monitor.note_change()
         for task in self._tasks:
             task.cancel()
         await self._platform.write("endpoint", self.settings.name, self._describe())
--- a/magnoliarouter/endpoints/messages.py
+++ b/magnoliarouter/endpoints/messages.py
@@ -7,6 +7,11 @@
 import msgspec
 
 from magnoliarouter.core.attempts import StoredAnswer  # noqa: TC001 - msgspec resolves it
+from magnoliarouter.endpoints.report import (  # noqa: TC001
+    LOAD_HEADER,
+    CacheRun,
+    LoadRow,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -21,8 +26,15 @@
 NOT_AFTER_HEADER = "x-not-after"
 GUARD_CLOCK_HEADER = "x-guard-clock"
 VERDICT_HEADER = "x-start-verdict"
+FAILURE_HEADER = "x-guard-failure"
+DEADLINE_HEADER = "x-deadline-ms"
 IDEMPOTENCY_HEADER = "idempotency-key"
 
+# Statements of the guard, which an endpoint's answer must not make in its place.
+GUARD_HEADERS = frozenset(
+    (NOT_STARTED_HEADER, GUARD_CLOCK_HEADER, VERDICT_HEADER, FAILURE_HEADER, LOAD_HEADER)
+)
+
 # RFC 9110 section 7.6.1, and the fields by which a message is framed anew on each hop.
 HOP_HEADERS = frozenset(
     (
@@ -68,6 +80,12 @@
         Loop time of the guard in seconds.
     attempts, answer_bytes : int
         Attempts remembered and bytes of answers kept.
+    sequence : int
+        Grows with every change of the load or cache worth telling.
+    load : LoadRow, optional
+        Load in full.
+    cache : CacheRun, optional
+        Changes of the prefix cache since the number that was asked for.
     """
 
     incarnation: str
@@ -76,6 +94,9 @@
     clock: float = 0.0
     attempts: int = 0
     answer_bytes: int = 0
+    sequence: int = 0
+    load: LoadRow | None = None
+    cache: CacheRun | None = None
 
 
 class FenceRequest(msgspec.Struct, frozen=True):
--- a/magnoliarouter/manual.py
+++ b/magnoliarouter/manual.py
@@ -17,26 +17,29 @@
 from magnoliarouter.daemon.settings import Address, EndpointSettings, EntrySettings
 from magnoliarouter.platform.objects import MODELS, LimitsSpec, RevisionSpec
 
-__all__ = ["UNITS", "describe_fields", "write_manual"]
+__all__ = ["describe_fields", "find_unit", "write_manual"]
 
 UNITS = {
-    "age_s": "s",
-    "burst_seconds": "s",
     "concurrent_requests": "requests",
     "number": "revisions",
     "platform_calls_per_second": "calls/s",
     "port": "port number",
     "priority": "rank, 0 is served first",
     "queue_length": "requests",
-    "request_seconds": "s",
-    "requests_per_second": "requests/s",
-    "shutdown_seconds": "s",
     "slots": "requests",
-    "static_share": "share of 1",
     "tokens_per_request": "tokens",
-    "tokens_per_second": "tokens/s",
     "weight": "ratio",
 }
+# Names that end so tell their unit themselves.
+UNIT_ENDINGS = {
+    "_bytes": "bytes",
+    "_ms": "ms",
+    "_s": "s",
+    "_seconds": "s",
+    "_share": "share of 1",
+}
+NUMBERS = types.IntType | types.FloatType
+RATE = re.compile(r"^(?P<unit>\w+)_per_second$")
 # Models whose fields are described by another class.
 DESCRIBED_BY: dict[type, tuple[type, ...]] = {
     LimitsSpec: (LimitsSpec, Limits),
@@ -67,6 +70,21 @@
     return "\n".join(sections)
 
 
+def find_unit(name: str) -> str:
+    """Return the unit of a numeric field, or nothing if it is not known.
+
+    Examples
+    --------
+    >>> find_unit("tokens_per_second"), find_unit("burst_seconds"), find_unit("weight")
+    ('tokens/s', 's', 'ratio')
+    """
+    if name in UNITS:
+        return UNITS[name]
+    if rate := RATE.match(name):
+        return f"{rate['unit']}/s"
+    return next((unit for end, unit in UNIT_ENDINGS.items() if name.endswith(end)), "")
+
+
 def describe_fields(model: type[msgspec.Struct]) -> dict[str, str]:
     """Return the meaning of each field that the docstrings of a model describe.
 
@@ -105,7 +123,7 @@
         cells = (
             f"`{field.name}`",
             _name_type(field.type),
-            UNITS.get(field.name, ""),
+            find_unit(field.name) if isinstance(field.type, NUMBERS) else "",
             _show_default(field),
             meanings.get(field.name, ""),
         )
--- a/magnoliarouter/standins/fleet.py
+++ b/magnoliarouter/standins/fleet.py
@@ -1,13 +1,15 @@
 """Stand-in for many endpoints at once: the guards of a whole fleet in one process.
 
 Each guard listens on an address of its availability zone, 127.0.ZONE.x, and is registered
-in the platform as an engine. Nothing stands behind the guards; they answer status and reports.
+in the platform as an engine. Nothing stands behind the guards; they answer status and reports,
+and attempts can be simulated so that their load changes.
 """
 
 from __future__ import annotations
 
 import argparse
 import asyncio
+import random
 import uuid
 from typing import TYPE_CHECKING
 
@@ -17,6 +19,7 @@
 from magnoliarouter.daemon.web import Exchange, WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.guard import Guard
+from magnoliarouter.endpoints.monitor import EndpointMonitor
 from magnoliarouter.platform.client import PlatformClient, Written
 from magnoliarouter.platform.objects import EndpointSpec
 from magnoliarouter.standins.process import run_standin
@@ -31,6 +34,8 @@
 NOWHERE = "http://127.0.0.1:1"
 ADDRESSES_PER_ZONE = 200
 REGISTER_RETRY_S = 0.2
+SLOTS = 8
+ATTEMPT_S = 0.5
 
 
 class Fleet:
@@ -44,14 +49,21 @@
         Base URL of the platform.
     count, zones : int
         Endpoints, spread evenly over zones ``zone-1`` and up.
+    rate : float
+        Simulated attempts a second at each endpoint, each of `ATTEMPT_S`.
     """
 
-    def __init__(self, runtime: Runtime, platform: str, count: int, zones: int) -> None:
+    def __init__(
+        self, runtime: Runtime, platform: str, count: int, zones: int, rate: float = 0.0
+    ) -> None:
         self.registered = 0
         self._runtime = runtime
         self._platform = platform
         self._count = count
         self._zones = zones
+        self._rate = rate
+        self._random = random.Random(1)
+        self._loads: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Start and register all guards."""
@@ -72,7 +84,11 @@
         zone = number % self._zones + 1
         host = f"127.0.{zone}.{10 + number // self._zones % ADDRESSES_PER_ZONE}"
         attempts = AttemptTable(uuid.uuid4().hex)
-        guard = Guard(attempts, NOWHERE, session, self._runtime.loop.time)
+        clock = self._runtime.loop.time
+        monitor = EndpointMonitor(attempts, SLOTS, SLOTS, clock)
+        guard = Guard(attempts, NOWHERE, session, clock, monitor=monitor)
+        if self._rate:
+            self._loads.add(asyncio.create_task(self._simulate(attempts, monitor)))
         server = WebServer(self._runtime, (host, 0), guard.handle)
         spec = EndpointSpec(
             name=f"engine-{number}",
@@ -87,17 +103,32 @@
                 return
             await asyncio.sleep(REGISTER_RETRY_S)
 
+    async def _simulate(self, attempts: AttemptTable, monitor: EndpointMonitor) -> None:
+        loop = self._runtime.loop
+
+        def end(attempt: str) -> None:
+            attempts.finish(attempt, loop.time())
+            monitor.note_change()
+
+        while True:
+            await asyncio.sleep(self._random.expovariate(self._rate))
+            attempt = uuid.uuid4().hex
+            attempts.start(attempt, attempts.incarnation, loop.time())
+            monitor.note_change()
+            loop.call_later(self._random.expovariate(1 / ATTEMPT_S), end, attempt)
+
 
 def _main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--platform", required=True)
     parser.add_argument("--count", type=int, default=16)
     parser.add_argument("--zones", type=int, default=1)
+    parser.add_argument("--rate", type=float, default=0.0)
     options, _ = parser.parse_known_args()
     running: list[asyncio.Task[None]] = []
 
     def start(runtime: Runtime, bind: tuple[str, int]) -> WebServer:
-        fleet = Fleet(runtime, options.platform, options.count, options.zones)
+        fleet = Fleet(runtime, options.platform, options.count, options.zones, options.rate)
         running.append(runtime.loop.create_task(fleet.run()))
         return WebServer(runtime, bind, fleet.handle)
 
