--- a/magnoliarouter/daemon/settings.py
+++ b/magnoliarouter/daemon/settings.py
@@ -97,6 +97,8 @@
         What computing a prompt that no cache holds costs at a fast engine, in seconds.
     placement_policy : {"prefix", "random", "least-loaded"}
         How endpoints are chosen; all but ``"prefix"`` serve as baselines in measurements only.
+    group_lease_seconds : float
+        Duration of the lease on the control of an expert group, in seconds.
     """
 
     listen: Address = Address()
@@ -112,6 +114,7 @@
     zone_distance_seconds: Annotated[float, Meta(ge=0)] = 0.002
     cold_prefix_seconds: Annotated[float, Meta(ge=0)] = 0.1
     placement_policy: Literal["prefix", "random", "least-loaded"] = "prefix"
+    group_lease_seconds: Seconds = 9.0
 
 
 class EndpointSettings(
--- a/magnoliarouter/manual.py
+++ b/magnoliarouter/manual.py
@@ -21,13 +21,18 @@
 
 UNITS = {
     "concurrent_requests": "requests",
+    "experts": "experts a layer",
+    "extra_load": "requests a slot",
+    "layers": "layers",
     "number": "revisions",
     "platform_calls_per_second": "calls/s",
     "port": "port number",
     "priority": "rank, 0 is served first",
     "queue_length": "requests",
+    "skew": "ratio",
     "slots": "requests",
     "tokens_per_request": "tokens",
+    "version": "map version",
     "weight": "ratio",
 }
 # Names that end so tell their unit themselves.
