Tell a contract's lost write from a conflict when it was amended since

Cause: a property test over unreliable answers found an amendment reported as a conflict that was in force: its answer was lost, another operator amended the contract, and the history that tells could not be read.

--- a/magnoliarouter/cli/contract.py
+++ b/magnoliarouter/cli/contract.py
@@ -15,7 +15,13 @@
     read_file,
 )
 from magnoliarouter.cli.confirmation import report_write, wait_until_in_force
-from magnoliarouter.cli.output import SHARED_OPTIONS, OperatorCommand, explain, format_table
+from magnoliarouter.cli.output import (
+    SHARED_OPTIONS,
+    OperatorCommand,
+    explain,
+    explain_doubt,
+    format_table,
+)
 from magnoliarouter.cli.result import CommandResult, Done, ExitCode, Failed
 from magnoliarouter.cli.view import (
     describe_conflict,
@@ -69,6 +75,8 @@
                 message = f"contract {customer}: key_hashes holds {key_hash}, which belongs to "
                 details = {"key_hash": key_hash, "customer": holder}
                 return Failed(ExitCode.INVALID, f"{message}customer {holder}", details)
+            case Conflict(current, True):
+                return explain_doubt(f"contract {customer}", current)
             case Conflict(current):
                 return describe_conflict(customer, yours, current)
             case Ambiguous() | Unavailable():
--- a/magnoliarouter/cli/output.py
+++ b/magnoliarouter/cli/output.py
@@ -23,8 +23,9 @@
     from collections.abc import Iterable, Sequence
 
     from magnoliarouter.cli.desk import Desk
+    from magnoliarouter.platform.objects import StoredObject
 
-__all__ = ["SHARED_OPTIONS", "OperatorCommand", "explain", "format_table"]
+__all__ = ["SHARED_OPTIONS", "OperatorCommand", "explain", "explain_doubt", "format_table"]
 
 SHARED_OPTIONS = [
     option("settings", None, "JSON settings file of magnoliactl", flag=False),
@@ -115,3 +116,21 @@
         case Unavailable(reason, failure):
             message = f"{subject}: the platform did not serve the call ({reason}); nothing changed"
             return Failed(ExitCode.UNAVAILABLE, message, {"failure": failure.value})
+
+
+def explain_doubt(subject: str, current: StoredObject | None) -> Failed:
+    """Return the failure of a write that may have taken effect and been replaced since.
+
+    Parameters
+    ----------
+    subject : str
+        Object at issue.
+    current : StoredObject, optional
+        What is in the platform now.
+    """
+    version = current.version if current else None
+    message = (
+        f"{subject}: an answer was lost and someone else wrote it since; now version {version}"
+    )
+    details = {"version": version, "current": current.value if current else None}
+    return Failed(ExitCode.UNKNOWN, message, details)
--- a/magnoliarouter/cli/service.py
+++ b/magnoliarouter/cli/service.py
@@ -9,7 +9,13 @@
 
 from magnoliarouter.cli.amendment import apply_assignments, compare_values, read_file
 from magnoliarouter.cli.confirmation import report_write, wait_until_in_force
-from magnoliarouter.cli.output import SHARED_OPTIONS, OperatorCommand, explain, format_table
+from magnoliarouter.cli.output import (
+    SHARED_OPTIONS,
+    OperatorCommand,
+    explain,
+    explain_doubt,
+    format_table,
+)
 from magnoliarouter.cli.result import CommandResult, Done, ExitCode, Failed
 from magnoliarouter.cli.view import encode_value
 from magnoliarouter.platform.client import (
@@ -44,6 +50,8 @@
         """Turn the outcome of a write into a result, after waiting if that was asked."""
         name = self.argument("name")
         match outcome:
+            case Conflict(current, True):
+                return explain_doubt(f"service {name}", current)
             case Conflict(current):
                 theirs = current.value if current else None
                 message = f"service {name}: changed by someone else meanwhile; nothing was written"
--- a/magnoliarouter/manual.py
+++ b/magnoliarouter/manual.py
@@ -31,6 +31,7 @@
     "queue_length": "requests",
     "skew": "ratio",
     "slots": "requests",
+    "store_bytes_per_second": "bytes/s",
     "tokens_per_request": "tokens",
     "version": "map version",
     "weight": "ratio",
--- a/magnoliarouter/platform/contracts.py
+++ b/magnoliarouter/platform/contracts.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import datetime
 import uuid
 from dataclasses import dataclass, field
@@ -46,6 +47,7 @@
 KEY = "contract-key"
 HISTORY_REVISIONS = 50
 HISTORY_TRIES = 10
+RESOLVE_TRIES = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,16 +177,27 @@
         match outcome:
             case Written(version):
                 return Accepted(version, value)
-            case Conflict(found) if found and await self._was_replaced(spec.customer, write_id):
-                return Accepted(found.version, value)
+            case Conflict(found, True):
+                return await self._resolve(spec.customer, write_id, value, found)
         return outcome
 
-    async def _was_replaced(self, customer: str, write_id: str) -> bool:
-        """Whether this write took effect, unheard of, and was amended since."""
-        history = await self.read_history(customer)
-        if isinstance(history, Unavailable):
-            return False
-        return any(spec.revision and spec.revision.write_id == write_id for spec in history[1])
+    async def _resolve(
+        self, customer: str, write_id: str, value: dict[str, Any], found: StoredObject | None
+    ) -> Accepted | Conflict | Ambiguous:
+        """Tell whether a write took effect, unheard, and was replaced since.
+
+        Whoever replaced it recorded it in the history first.
+        """
+        backoff = self.make_backoff()
+        for _ in range(RESOLVE_TRIES):
+            history = await self.read_history(customer)
+            if not isinstance(history, Unavailable):
+                kept = [spec.revision.write_id for spec in history[1] if spec.revision]
+                if write_id not in kept:
+                    return Conflict(found)
+                return Accepted(found.version if found else history[0], value)
+            await asyncio.sleep(backoff.next_wait())
+        return Ambiguous("the history that would tell cannot be read")
 
     async def _reserve(
         self, customer: str, keys: Iterable[str]
--- a/magnoliarouter/platform/results.py
+++ b/magnoliarouter/platform/results.py
@@ -61,9 +61,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Conflict:
-    """The condition of the write did not hold; nothing changed."""
+    """The condition of the write did not hold; nothing changed by this call.
+
+    Parameters
+    ----------
+    current : StoredObject, optional
+        What is there instead; None if nothing is.
+    doubtful : bool
+        Whether the answer to an earlier copy of the write was lost: that copy may have taken
+        effect and been replaced since.
+    """
 
     current: StoredObject | None
+    doubtful: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/magnoliarouter/platform/settle.py
+++ b/magnoliarouter/platform/settle.py
@@ -67,7 +67,9 @@
     -------
     Written, Conflict, Ambiguous or Unavailable
         `Ambiguous` only when time ran out while it could not be told. `Unavailable` only when
-        no copy can have taken effect.
+        no copy can have taken effect. A `Conflict` that is doubtful leaves open whether a copy
+        took effect and was replaced by another writer; a record that the other writer keeps,
+        such as a history of write ids, can tell.
     """
     try:
         stored = msgspec.json.decode(msgspec.json.encode(value))
@@ -88,7 +90,7 @@
         current = conflict.current
         if current is not None and own(current.value):
             return Written(current.version)
-        return conflict
+        return Conflict(current, doubtful=True)
 
     return await _settle(send, read_back, judge, backoff or Backoff(), seconds)
 
@@ -118,7 +120,9 @@
         return Written(0) if isinstance(await client.read(kind, name), Missing) else None
 
     def judge(conflict: Conflict) -> WriteOutcome:
-        return Written(0) if conflict.current is None else conflict
+        if conflict.current is None:
+            return Written(0)
+        return Conflict(conflict.current, doubtful=True)
 
     return await _settle(send, read_back, judge, backoff or Backoff(), seconds)
 
--- a/magnoliarouter/tests/test_client.py
+++ b/magnoliarouter/tests/test_client.py
@@ -120,6 +120,21 @@
         )
         self.assertEqual(outcome.current.value, {"n": 1})
 
+    async def test_conflict_after_a_lost_answer_is_doubtful(self):
+        class Losing(PlatformClient):
+            async def read(client, kind, name):  # noqa: N805
+                await self.client.write("service", "a", {"n": "other"})
+                return Unavailable("lost")
+
+            async def write(client, *arguments):  # noqa: N805
+                first = self.standin.store.version == 0
+                outcome = await super().write(*arguments)
+                return Ambiguous("lost") if first else outcome
+
+        client = Losing(self.client._base.removesuffix("/v1"), self.client._session)
+        outcome = await write_settled(client, "service", "a", {"n": 2}, 0, backoff=self.backoff)
+        self.assertEqual((outcome.current.value, outcome.doubtful), ({"n": "other"}, True))
+
     async def test_refused_calls(self):
         self.standin.faults = Faults(down=True)
         self.assertEqual((await self.client.list("service")).failure, Failure.REFUSED)
--- /dev/null
+++ b/magnoliarouter/tests/test_contracts.py
@@ -0,0 +1,212 @@
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from collections import Counter
+from itertools import count
+
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec.structs import replace
+
+from magnoliarouter.platform.backoff import Backoff
+from magnoliarouter.platform.contracts import Accepted, ContractBook, KeyTaken
+from magnoliarouter.platform.objects import StoredObject, decode_object
+from magnoliarouter.platform.results import (
+    Ambiguous,
+    Conflict,
+    Found,
+    Missing,
+    Unavailable,
+    Written,
+)
+from magnoliarouter.standins.platform import ObjectStore
+from magnoliarouter.tests.builders import build_contract_value
+from magnoliarouter.tests.clock import advance, run_paused
+from magnoliarouter.tests.test_replica import SETTINGS
+
+RUN_S = 400.0
+
+
+class UnreliableClient:
+    """Client whose answers get lost, before or after the write took effect or long before it."""
+
+    def __init__(self, store, chooser, faults):
+        self.store, self.random, self.faults = store, chooser, faults
+        self.late = []
+
+    async def read(self, kind, name):
+        await asyncio.sleep(self.random.uniform(0, 0.2))
+        if self.random.random() < self.faults / 2:
+            return Unavailable("lost")
+        item = self.store.objects.get((kind, name))
+        return Found(item.version, (item,)) if item else Missing()
+
+    async def list(self, kind):
+        await asyncio.sleep(0.1)
+        return Found(self.store.version, tuple(self.store.list(kind)))
+
+    async def write(self, kind, name, value, expect=None):
+        await asyncio.sleep(self.random.uniform(0, 0.2))
+        fate = self.random.random() / self.faults if self.faults else 1.0
+        if fate < 0.3:
+            return Ambiguous("lost before it took effect")
+        if fate < 0.5:
+            self.late.append(asyncio.create_task(self.arrive(kind, name, value, expect)))
+            return Ambiguous("on its way")
+        item = self.store.write(kind, name, value, expect)
+        if fate < 1.0:
+            return Ambiguous("lost after it was judged")
+        return Written(item.version) if item else Conflict(self.store.objects.get((kind, name)))
+
+    async def delete(self, kind, name, expect=None):
+        return await self.write(kind, name, None, expect)
+
+    async def arrive(self, kind, name, value, expect):
+        await asyncio.sleep(self.random.uniform(0, 20))
+        self.store.write(kind, name, value, expect)
+
+
+class Operators:
+    """Several operators who each add 1 to a counter in one contract, now and then."""
+
+    def __init__(self, seed, faults, operators=3, amendments=4):
+        self.store = ObjectStore()
+        chooser = random.Random(seed)
+        self.client = UnreliableClient(self.store, chooser, faults)
+        self.random = chooser
+        self.numbers = count(1)
+        self.outcomes = {}
+        self.operators, self.amendments = operators, amendments
+
+    def open_book(self):
+        self.write_id = ""
+
+        def make_write_id():
+            self.made = f"write-{next(self.numbers)}"
+            return self.made
+
+        return ContractBook(
+            self.client,
+            make_write_id=make_write_id,
+            make_time=lambda: "",
+            make_backoff=lambda: Backoff(0.2, 2.0, self.random),
+        )
+
+    async def run(self):
+        value = build_contract_value(key_hashes=[])
+        value["limits"]["current"]["tokens_per_request"] = 1
+        value["revision"] = {"number": 1, "write_id": "first"}
+        self.store.write("contract", "grower", value, 0)
+        tasks = [asyncio.create_task(self.operate()) for _ in range(self.operators)]
+        await advance(RUN_S)
+        assert all(task.done() for task in tasks), "an operator hangs"
+        for task in tasks:
+            task.result()
+        return self
+
+    async def operate(self):
+        book = self.open_book()
+        for _ in range(self.amendments):
+            await asyncio.sleep(self.random.uniform(0, 1.0))
+            found = await self.client.read("contract", "grower")
+            if not isinstance(found, Found):
+                continue
+            spec = decode_object("contract", found.items[0].value)
+            limits = spec.limits["current"]
+            limits = replace(limits, tokens_per_request=limits.tokens_per_request + 1)
+            made = []
+            book.make_write_id = lambda made=made: made.append(f"w{next(self.numbers)}") or made[0]
+            outcome = await book.amend(found.items[0], replace(spec, limits={"current": limits}))
+            if made:
+                self.outcomes[made[0]] = outcome
+
+    def list_revisions(self):
+        current = decode_object("contract", self.store.objects["contract", "grower"].value)
+        history = self.store.objects.get(("contract-history", "grower"))
+        earlier = decode_object("contract-history", history.value).revisions if history else []
+        # An operator who recorded the revision in force, and wrote nothing, left it there too.
+        return [spec for spec in earlier if spec.revision != current.revision] + [current]
+
+
+class RacingOperatorsTest(unittest.TestCase):
+    @SETTINGS
+    @given(st.integers(0, 10_000), st.sampled_from([0.0, 0.3, 0.8]))
+    def test_accepted_is_kept_and_conflict_is_not(self, seed, faults):
+        async def main():
+            return await Operators(seed, faults).run()
+
+        run = run_paused(main())
+        revisions = run.list_revisions()
+        kept = {spec.revision.write_id for spec in revisions}
+        for write_id, outcome in run.outcomes.items():
+            match outcome:
+                case Accepted():
+                    self.assertIn(write_id, kept)
+                case Conflict() | Unavailable():
+                    self.assertNotIn(write_id, kept)
+                case _:
+                    self.assertIsInstance(outcome, Ambiguous)
+        numbers = [spec.revision.number for spec in revisions]
+        self.assertEqual(numbers, list(range(1, len(numbers) + 1)))
+        counters = [spec.limits["current"].tokens_per_request for spec in revisions]
+        self.assertEqual(counters, numbers, "no amendment overwrote another")
+
+    def test_all_kinds_of_outcome_come_up(self):
+        async def main(seed):
+            return await Operators(seed, 0.8).run()
+
+        runs = [run_paused(main(seed)) for seed in range(6)]
+        seen = Counter(type(outcome) for run in runs for outcome in run.outcomes.values())
+        self.assertLessEqual({Accepted, Conflict}, set(seen))
+
+
+class KeysTest(unittest.TestCase):
+    def test_one_of_two_racing_contracts_gets_the_key(self):
+        async def main():
+            store = ObjectStore()
+            client = UnreliableClient(store, random.Random(1), 0.0)
+            specs = [
+                decode_object("contract", build_contract_value(customer=name))
+                for name in ("grower", "yard")
+            ]
+            creating = [asyncio.create_task(ContractBook(client).create(s)) for s in specs]
+            await advance(60)
+            return store, [task.result() for task in creating]
+
+        store, outcomes = run_paused(main())
+        self.assertEqual(sorted(type(o).__name__ for o in outcomes), ["Accepted", "KeyTaken"])
+        self.assertEqual(len(store.list("contract")), 1)
+
+    def test_key_of_a_contract_written_past_the_book_is_taken(self):
+        async def main():
+            store = ObjectStore()
+            store.write("contract", "yard", build_contract_value(customer="yard"), None)
+            client = UnreliableClient(store, random.Random(1), 0.0)
+            spec = decode_object("contract", build_contract_value())
+            creating = asyncio.create_task(ContractBook(client).create(spec))
+            await advance(60)
+            return creating.result()
+
+        outcome = run_paused(main())
+        self.assertIsInstance(outcome, KeyTaken)
+        self.assertEqual(outcome.customer, "yard")
+
+
+class RawContractTest(unittest.TestCase):
+    def test_contract_without_revision_is_recorded_once(self):
+        async def main():
+            store = ObjectStore()
+            item = store.write("contract", "grower", build_contract_value(key_hashes=[]), None)
+            client = UnreliableClient(store, random.Random(1), 0.0)
+            spec = replace(decode_object("contract", item.value), standing="suspended")
+            amending = asyncio.create_task(ContractBook(client).amend(item, spec))
+            await advance(60)
+            return store, amending.result()
+
+        store, outcome = run_paused(main())
+        self.assertIsInstance(outcome, Accepted)
+        history: StoredObject = store.objects["contract-history", "grower"]
+        numbers = [entry["revision"]["number"] for entry in history.value["revisions"]]
+        self.assertEqual((numbers, outcome.value["revision"]["number"]), ([1], 2))
