Read on at a relay that comes back, and show the platform package as a library

Cause: a follower that changed relays to and fro read the whole log each time, megabytes at full size. Change: the position in each relay's log is kept; lists are bounded at 16 MiB; the platform package exports its library parts with an example. Conclusion: a test with a relay that falls silent and comes back sees no second full read.

--- a/magnoliarouter/peers/follower.py
+++ b/magnoliarouter/peers/follower.py
@@ -121,25 +121,25 @@
         self._clock = clock
         self._wait_s = wait_s
         self._on_poll = on_poll
-        self._stream = RelayStream(replicas)
+        # Kept for each relay, so that one that comes back is read on and not from the start.
+        self._streams: dict[str, RelayStream] = {}
 
     async def run(self) -> None:
         """Follow for ever."""
         while True:
-            address = self._chooser.choose(self._slot, self._list_candidates())
-            if address is None:
-                self.address = ""
+            candidates = self._list_candidates()
+            self.address = self._chooser.choose(self._slot, candidates) or ""
+            if self.address:
+                await self.poll()
+                self._forget_others(candidates)
+            else:
                 self._note_silence()
                 await asyncio.sleep(IDLE_S)
-                continue
-            if address != self.address:
-                self.address = address
-                self._stream = RelayStream(self._replicas)
-            await self.poll()
 
     async def poll(self) -> None:
         """Ask the relay once for what is new."""
-        request = self._stream.ask(self._wait_s)
+        stream = self._streams.setdefault(self.address, RelayStream(self._replicas))
+        request = stream.ask(self._wait_s)
         deadline = self._wait_s + ANSWER_MARGIN_S
         try:
             reply = await self._client.call(
@@ -152,10 +152,15 @@
             return
         self._chooser.note_answer(self.address)
         self.silent_since = None
-        self._stream.take(reply, self._clock())
+        stream.take(reply, self._clock())
         self.caught_up = self.caught_up or not reply.more
         self._on_poll("news" if reply.items else "idle")
 
+    def _forget_others(self, candidates: Sequence[str]) -> None:
+        """Forget relays that may not be followed any more."""
+        for address in [known for known in self._streams if known not in candidates]:
+            del self._streams[address]
+
     def _note_silence(self) -> None:
         if self.silent_since is None:
             self.silent_since = self._clock()
--- a/magnoliarouter/platform/client.py
+++ b/magnoliarouter/platform/client.py
@@ -56,7 +56,7 @@
 CALL_TIMEOUT_S = 5.0
 WATCH_WAIT_S = 25.0
 OBJECT_BYTES = 2 * 1_048_576
-LIST_BYTES = 64 * 1_048_576
+LIST_BYTES = 16 * 1_048_576
 CHUNK_BYTES = 65_536
 MAX_VERSION = 2**63 - 1
 DECODE_ERRORS = (msgspec.MsgspecError, RecursionError, ValueError)
@@ -76,6 +76,17 @@
     on_call : callable, optional
         Called after each call with its operation (``"read"``, ``"list"``, ``"watch"``,
         ``"write"`` or ``"delete"``) and result: the HTTP status, or a `Failure` value.
+
+    Examples
+    --------
+    Write only if the object does not exist, whatever happens to the answers::
+
+        async with open_session() as session:
+            client = PlatformClient("http://10.0.0.5:8000", session)
+            match await write_settled(client, "service", "tanks", {"name": "tanks"}, expect=0):
+                case Written(version): ...
+                case Conflict(current): ...
+                case Ambiguous(reason) | Unavailable(reason): ...
     """
 
     def __init__(
--- a/magnoliarouter/tests/test_relay.py
+++ b/magnoliarouter/tests/test_relay.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import unittest
 
 from hypothesis import given
@@ -8,9 +9,11 @@
 
 from magnoliarouter.core.membership import EntryVm
 from magnoliarouter.core.relays import RelayView, plan_relays, should_watch
+from magnoliarouter.peers import PeerError
+from magnoliarouter.peers.follower import RelayChooser, RelayFollower
 from magnoliarouter.peers.relay import RelayItem, RelayLog, RelayReply, RelayRequest, RelayStream
 from magnoliarouter.platform.objects import StoredObject
-from magnoliarouter.tests.clock import run_paused
+from magnoliarouter.tests.clock import advance, run_paused
 from magnoliarouter.tests.test_replica import (
     BAD,
     HISTORIES,
@@ -181,10 +184,63 @@
             return log.asked_at
 
         async def drive():
-            from magnoliarouter.tests.clock import advance
-
             task = asyncio.create_task(main())
             await advance(10)
             return await task
 
         self.assertEqual(run_paused(drive()), 1000.0)
+
+
+class ScriptedPeers:
+    """Peers whose logs answer at once, but for those that are silent."""
+
+    def __init__(self, logs):
+        self.logs, self.silent, self.asked = logs, set(), []
+
+    async def call(self, address, method, request, reply_type, deadline):
+        self.asked.append((address, request.after))
+        if address in self.silent:
+            await asyncio.sleep(deadline)
+            raise PeerError(f"{address}: silent")
+        return await self.logs[address].serve(request)
+
+
+class RelayFollowerTest(unittest.TestCase):
+    def test_goes_to_another_relay_and_reads_on_when_the_first_is_back(self):
+        async def main():
+            clock = asyncio.get_running_loop().time
+            relays = {}
+            for address in ("one", "two"):
+                relay = build_replica()
+                relays[address] = relay, RelayLog(address, clock)
+                relays[address][1].add(relay)
+                relay.apply_list(1, [item("a", 1, "x")])
+            peers = ScriptedPeers({address: log for address, (_, log) in relays.items()})
+            replica, polls = build_replica(), []
+            chooser = RelayChooser(clock, random.Random(1))
+            follower = RelayFollower(
+                *(0, peers, {"word": replica}, chooser, lambda: ("one", "two")),
+                *(clock, 4.0, polls.append),
+            )
+            task = asyncio.create_task(follower.run())
+            await advance(1)
+            self.assertEqual(follower.address, "one")
+            peers.silent.add("one")
+            await advance(10)
+            self.assertEqual(follower.address, "two")
+            relays["two"][0].apply(item("a", 2, "y"))
+            await advance(1)
+            self.assertEqual(replica.cache.get("a"), "y")
+            self.assertIn("silent", polls)
+            peers.silent.clear()
+            peers.asked.clear()
+            await advance(30)
+            self.assertEqual(follower.address, "one")
+            self.assertNotIn(("one", 0), peers.asked, "the log is not read from its start again")
+            self.assertIsNone(follower.silent_since)
+            peers.silent |= {"one", "two"}
+            await advance(30)
+            self.assertIsNotNone(follower.silent_since)
+            task.cancel()
+
+        run_paused(main())
