--- a/magnoliarouter/manual.py
+++ b/magnoliarouter/manual.py
@@ -25,6 +25,7 @@
     "extra_load": "requests a slot",
     "layers": "layers",
     "number": "revisions",
+    "claim_calls_per_second": "calls/s",
     "platform_calls_per_second": "calls/s",
     "port": "port number",
     "priority": "rank, 0 is served first",
