--- a/magnoliarouter/standins/bench/groupsim.py
+++ b/magnoliarouter/standins/bench/groupsim.py
@@ -19,7 +19,7 @@
 COUNT_NOISE = 0.03
 HALF_LIFE_INTERVALS = 0.5
 STALL_S = 0.005
-POLICIES = ("never", "greedy", "free", "skew", "cost")
+POLICIES = ("never", "once", "greedy", "free", "skew", "cost")
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,11 +85,18 @@
 
 @dataclass(slots=True)
 class _Runner:
-    """One policy at work; it sees counted tokens and measured speeds, not the true ones."""
+    """One policy at work; it sees counted tokens and measured speeds, not the true ones.
+
+    With `transfer`, a new map comes into force once the weight store has carried its moves, and
+    no other is planned meanwhile.
+    """
 
     name: str
     size: GroupSize
     map: ExpertMap
+    transfer: bool
+    old: ExpertMap | None = None
+    in_force_at: float = 0.0
     outcome: Outcome = field(default_factory=Outcome)
     tokens: list[list[float]] = field(default_factory=list)
     care: list[StragglerState] = field(default_factory=list)
@@ -99,6 +106,8 @@
         interval = self.size.interval
         half_life = HALF_LIFE_INTERVALS * interval
         self.tokens = decay_tokens(self.tokens, counted, interval, half_life)
+        if now + interval < self.in_force_at:
+            return
         self.care = [judge_rank(state, speed, now) for state, speed in zip(self.care, speeds)]
         shares = [
             choose_share(state.care, speed, share / FULL_SHARE)
@@ -108,7 +117,18 @@
         moves = count_moves(self.map, target)
         self.outcome.moves.append(moves)
         self.outcome.switches += target != self.map
-        self.map = target
+        self.old, self.map = self.map, target
+        if self.transfer:
+            self.in_force_at = now + interval + moves * self.size.move_seconds
+
+    def measure(self, true: list[list[float]], speeds: list[float], now: float) -> float:
+        """Return the skew over an interval, part of which may run on the old map."""
+        interval = self.size.interval
+        share = min(1.0, max(0.0, (self.in_force_at - now) / interval))
+        skew = _measure_true_skew(self.map, true, speeds) if share < 1 else 0.0
+        if not share:
+            return skew
+        return share * _measure_true_skew(self.old, true, speeds) + (1 - share) * skew
 
     def _choose_map(self, shares: list[float]) -> ExpertMap:
         encoded = tuple(max(1, round(share * FULL_SHARE)) for share in shares)
@@ -116,7 +136,9 @@
         match self.name:
             case "never":
                 return self.map
-            case "greedy":
+            case "once" if self.outcome.moves:
+                return self.map
+            case "once" | "greedy":
                 return rebuild_map(current, self.tokens, shares, self.size.slots)
         size = self.size
         max_moves = int(size.interval / 2 / size.move_seconds)
@@ -127,7 +149,9 @@
         return plan_moves(current, self.tokens, shares, size.slots, policy).map
 
 
-def compare_policies(kind: str, seed: int, size: GroupSize) -> dict[str, Outcome]:
+def compare_policies(
+    kind: str, seed: int, size: GroupSize, transfer: bool = False
+) -> dict[str, Outcome]:
     """Run all policies on the same drift, counts and straggler.
 
     Parameters
@@ -138,12 +162,15 @@
         Seed of drift and counting noise.
     size : GroupSize
         Size of the model.
+    transfer : bool
+        Whether moves take the weight store's time; otherwise they are done at once.
     """
     drift = Drift(kind, size.experts, seed, size.period)
     noise = random.Random(f"{seed}/noise")
     first = spread_evenly(size.ranks, size.layers, size.experts)
     runners = [
-        _Runner(name, size, first, care=[StragglerState()] * size.ranks) for name in POLICIES
+        _Runner(name, size, first, transfer, care=[StragglerState()] * size.ranks)
+        for name in POLICIES
     ]
     for number in range(size.intervals):
         now = number * size.interval
@@ -152,7 +179,7 @@
         speeds = _list_speeds(size, number)
         bound = bound_skew(true, speeds, size.slots)
         for runner in runners:
-            runner.outcome.skews.append(_measure_true_skew(runner.map, true, speeds))
+            runner.outcome.skews.append(runner.measure(true, speeds, now))
             runner.outcome.bounds.append(bound)
         counted = [[load * noise.gauss(1.0, COUNT_NOISE) for load in row] for row in true]
         for runner in runners:
--- a/magnoliarouter/standins/bench/rebalance.py
+++ b/magnoliarouter/standins/bench/rebalance.py
@@ -45,6 +45,10 @@
             }
             report.figures[name]["bound_mean"] = _mean(outcomes["never"].bounds)
             _check(report, name, outcomes)
+        outcomes = compare_policies(kind, options.seed, size, transfer=True)
+        report.figures[f"{kind}/{options.seed}/with-transfer"] = {
+            policy: _summarize(outcome, size) for policy, outcome in outcomes.items()
+        }
     return report
 
 
--- a/magnoliarouter/tests/test_mapswitch.py
+++ b/magnoliarouter/tests/test_mapswitch.py
@@ -6,6 +6,7 @@
 
 from magnoliarouter.core import mapcontrol, mapstate, mapswitch
 from magnoliarouter.core.mapmessages import NO_STEP, Arm, Commit, Form, Pending, Propose, Schedule
+from magnoliarouter.core.maporders import list_orders
 from magnoliarouter.core.mapstate import Phase, StoreOutcome
 from magnoliarouter.core.mapswitch import Grant, RankState, Wait
 from magnoliarouter.tests.groupmodel import GroupModel, TwoMaps
@@ -104,6 +105,37 @@
     return receive(state, outcome, version, now)
 
 
+def release_and_forget() -> None:
+    """Let one rank of two learn the commit, act on it and restart, then recover."""
+    model = GroupModel(2, 1)
+    model.reach(Phase.CONFIRM)
+    model.load(0)
+    model.deliver_order(0, 0, list_orders(model.controllers[0])[0].order)
+    model.deliver_report(0, mapswitch.create_report(model.ranks[0]))
+    released = [order for _, rank, order in model.orders if rank == 0]
+    model.deliver_order(0, 0, released[-1])
+    for _ in range(20):
+        model.step(0)
+        model.step(1)
+    model.restart(0)
+    model.greet(0, 1)
+    model.deliver_answer(*model.answers[-1])
+    if not model.recover():
+        raise AssertionError("the group does not step on")
+
+
+class ReleaseTest(unittest.TestCase):
+    def test_commit_known_to_one_rank_is_not_acted_on(self):
+        release_and_forget()
+
+    def test_acting_on_it_would_be_caught(self):
+        def know_any(state):
+            return any(report.pending.known for report in state.known_reports if report.pending)
+
+        with mock.patch.object(mapcontrol, "all_know", know_any), self.assertRaises(TwoMaps):
+            release_and_forget()
+
+
 class MutationTest(unittest.TestCase):
     """Each weakened rule is caught by the walks that pass with the real rules."""
 
