--- a/magnoliarouter/core/attempts.py
+++ b/magnoliarouter/core/attempts.py
@@ -48,6 +48,8 @@
     DRAINING = "draining"
     EXPIRED = "expired"
     TABLE_FULL = "table full"
+    QUEUE_FULL = "queue full"
+    TOO_LATE = "deadline cannot be met"
     UNRECORDED = "table full, refusal not recorded"
 
 
@@ -112,7 +114,12 @@
     _with_body: deque[str] = field(default_factory=deque)
 
     def start(
-        self, attempt: str, incarnation: str, now: float, not_after: float | None = None
+        self,
+        attempt: str,
+        incarnation: str,
+        now: float,
+        not_after: float | None = None,
+        obstacle: StartVerdict | None = None,
     ) -> StartVerdict:
         """Begin an attempt if it may begin, and return the verdict.
 
@@ -126,6 +133,8 @@
             Loop time in seconds.
         not_after : float, optional
             Loop time of the guard after which the attempt may not start.
+        obstacle : StartVerdict, optional
+            Why a new attempt cannot be served now; one that is known is answered as ever.
         """
         self._forget_old(now)
         if incarnation != self.incarnation:
@@ -142,6 +151,8 @@
             return self._refuse(attempt, now, StartVerdict.DRAINING)
         if self.size >= self.max_attempts:
             return self._refuse(attempt, now, StartVerdict.TABLE_FULL)
+        if obstacle is not None:
+            return self._refuse(attempt, now, obstacle)
         self._running[attempt] = now
         return StartVerdict.START
 
--- a/magnoliarouter/daemon/groupbalance.py
+++ b/magnoliarouter/daemon/groupbalance.py
@@ -75,6 +75,8 @@
         self._tokens: list[list[float]] = []
         self._planned_at = float("-inf")
         self._published: GroupHealthSpec | None = None
+        self._skew = 0.0
+        self._version = 0
 
     async def consider(self, version: int, text_of: Callable[[int], str]) -> Plan | None:
         """Return a plan worth carrying out, or None.
@@ -98,8 +100,9 @@
         self._tokens = decay_tokens(self._tokens, loads[0].tokens, elapsed, half_life)
         current = ExpertMap.decode(text_of(version))
         speeds = self._judge(loads, now)
-        skew = measure_skew(current, self._tokens, speeds)
-        await self._publish(skew, version)
+        self._skew = measure_skew(current, self._tokens, speeds)
+        self._version = version
+        await self.publish(switching=False)
         if spec.pinned:
             return None
         shares = self._choose_shares(current, speeds)
@@ -122,14 +125,21 @@
             for state, speed, share in zip(self.stragglers, speeds, current.shares)
         ]
 
-    async def _publish(self, skew: float, version: int) -> None:
-        spec = self._spec
+    async def publish(self, switching: bool) -> None:
+        """Write the group's health to the platform if it changed noticeably.
+
+        Parameters
+        ----------
+        switching : bool
+            Whether a switch of the map takes long at present.
+        """
+        spec, skew, version = self._spec, self._skew, self._version
         reported = tuple(
             rank for rank, state in enumerate(self.stragglers) if state.care is RankCare.REPORTED
         )
         self._metrics.skew.labels(spec.name).set(skew)
         self._metrics.stragglers.labels(spec.name).set(len(reported))
-        extra = round(group_load(skew, switching=False), 2)
+        extra = round(group_load(skew, switching), 2)
         health = GroupHealthSpec(
             spec.name, round(skew, 3), extra, version, reported, spec.endpoints
         )
@@ -161,4 +171,4 @@
     max_moves = max(1, int(spec.interval_seconds / 2 / move_seconds))
     policy = choose_policy(spec.favour, move_seconds, max_moves, spec.interval_seconds)
     encoded = tuple(max(1, round(share * FULL_SHARE)) for share in shares)
-    return plan_moves(replace(current, shares=encoded), tokens, shares, spec.slots, policy)
+    return plan_moves(replace(current, shares=encoded), tokens, shares, spec.layer_slots, policy)
--- a/magnoliarouter/daemon/groups.py
+++ b/magnoliarouter/daemon/groups.py
@@ -32,7 +32,7 @@
 from magnoliarouter.platform.leases import LeaseKeeper
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     import aiohttp
 
@@ -48,6 +48,7 @@
 STORE_TIMEOUT_S = 1.0
 RETRY_S = 0.5
 CANDIDATES = 3
+LONG_SWITCH_S = 2.0
 # Ranks fence by epoch, so that a decision begun in time may be carried to its end.
 CLOSING = (Phase.COMMIT_WRITE, Phase.CONFIRM, Phase.SPREAD)
 
@@ -112,6 +113,8 @@
         self._keeper = self._create_keeper()
         self._keeping: asyncio.Task[None] | None = None
         self._effects: set[asyncio.Task[None]] = set()
+        self._idle_at = clock()
+        self._told_switching = False
 
     async def run(self) -> None:
         """Hold the lease and control the group until cancelled."""
@@ -163,6 +166,7 @@
             return
         version, record = found
         size = len(self.spec.ranks)
+        self._idle_at = self._clock()
         self._take(mapcontrol.start_controller(size, record, version, self._clock(), SwitchTimes()))
         while self._may_act():
             busy = self.state.phase is not Phase.IDLE
@@ -170,6 +174,7 @@
             if not self._may_act():
                 break
             self._take(mapcontrol.tick(self.state, self._clock()))
+            self._tell_switching()
             if self.state.phase is Phase.IDLE:
                 await self._rebalance()
         stopped = self.state.phase is Phase.STOPPED
@@ -179,6 +184,16 @@
         phase = self.state.phase
         return phase is not Phase.STOPPED and (self._keeper.epoch() is not None or phase in CLOSING)
 
+    def _tell_switching(self) -> None:
+        """Publish that a switch takes long, and its end."""
+        now = self._clock()
+        if self.state.phase is Phase.IDLE:
+            self._idle_at = now
+        switching = now >= self._idle_at + LONG_SWITCH_S
+        if switching is not self._told_switching:
+            self._told_switching = switching
+            self._spawn(self._balance.publish(switching))
+
     async def _rebalance(self) -> None:
         record = self.state.record
         plan = await self._balance.consider(record.schedule.version, record.text_of)
@@ -193,9 +208,12 @@
         if before is not None and before.phase is not self.state.phase:
             self._note(before, self.state)
         for effect in effects:
-            task = asyncio.create_task(self._perform(effect))
-            self._effects.add(task)
-            task.add_done_callback(self._effects.discard)
+            self._spawn(self._perform(effect))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._effects.add(task)
+        task.add_done_callback(self._effects.discard)
 
     def _note(self, before: ControllerState, after: ControllerState) -> None:
         name = self.spec.name
--- a/magnoliarouter/standins/bench/expertmap.py
+++ b/magnoliarouter/standins/bench/expertmap.py
@@ -40,7 +40,7 @@
 GROUP_SETTINGS = {
     "layers": 4,
     "experts": 16,
-    "slots": 6,
+    "layer_slots": 6,
     "expert_bytes": 8_000_000,
     "store_bytes_per_second": 1e9,
     "interval_seconds": 1.0,
@@ -53,7 +53,7 @@
     **GROUP_SETTINGS,
     "layers": 60,
     "experts": 64,
-    "slots": 4,
+    "layer_slots": 4,
     "expert_bytes": 4_000_000,
     "interval_seconds": 2.0,
 }
