--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -98,8 +98,8 @@
         await self._server.wait_until_idle()
         for task in self._tasks:
             task.cancel()
-        await self.groups.stop()
         self._reports.stop()
+        await self.groups.stop()
         if self._quota is not None:
             await self._quota.release()
         await self.configuration.stop()
--- a/magnoliarouter/daemon/settings.py
+++ b/magnoliarouter/daemon/settings.py
@@ -91,14 +91,14 @@
         Part of each contract that this daemon may admit under "static".
     shutdown_seconds : float
         Time between the readiness probe failing and the listener closing, in seconds.
-    group_lease_seconds : float
-        Duration of the lease on the control of an expert group, in seconds.
     zone_distance_seconds : float
         What a request to another availability zone costs, in seconds.
     cold_prefix_seconds : float
         What computing a prompt that no cache holds costs at a fast engine, in seconds.
     placement_policy : {"prefix", "random", "least-loaded"}
         How endpoints are chosen; all but ``"prefix"`` serve as baselines in measurements only.
+    group_lease_seconds : float
+        Duration of the lease on the control of an expert group, in seconds.
     """
 
     listen: Address = Address()
@@ -111,10 +111,10 @@
     admission: Literal["escrow", "static"] = "escrow"
     static_share: Annotated[float, Meta(gt=0, le=1)] = 1.0
     shutdown_seconds: Annotated[float, Meta(ge=0)] = 2.0
-    group_lease_seconds: Seconds = 9.0
     zone_distance_seconds: Annotated[float, Meta(ge=0)] = 0.002
     cold_prefix_seconds: Annotated[float, Meta(ge=0)] = 0.1
     placement_policy: Literal["prefix", "random", "least-loaded"] = "prefix"
+    group_lease_seconds: Seconds = 9.0
 
 
 class EndpointSettings(
