--- a/magnoliarouter/cli/group.py
+++ b/magnoliarouter/cli/group.py
@@ -80,7 +80,7 @@
         if isinstance(found, Failed):
             return found
         _, spec, record, current = found
-        loads = await RankClient(spec.ranks, desk.session).read_loads()
+        loads = await _open_ranks(desk, spec).read_loads()
         rows = [_rank_row(rank, spec, current, load) for rank, load in enumerate(loads)]
         silent = sum(load is None for load in loads)
         facts = {
@@ -117,7 +117,7 @@
         if isinstance(found, Failed):
             return found
         _, spec, _, current = found
-        loads = await RankClient(spec.ranks, desk.session).read_loads()
+        loads = await _open_ranks(desk, spec).read_loads()
         if None in loads or not loads[0].tokens:
             reason = f"group {spec.name}: not all ranks tell their load"
             return Failed(ExitCode.UNAVAILABLE, reason)
@@ -174,6 +174,10 @@
     return [GroupList(), GroupShow(), GroupRebalance(), GroupPin(), GroupApply()]
 
 
+def _open_ranks(desk: Desk, spec: GroupSpec) -> RankClient:
+    return RankClient(spec.ranks, desk.session, desk.settings.peer_key)
+
+
 async def _write(desk: Desk, spec: GroupSpec, expect: int) -> CommandResult:
     value = msgspec.to_builtins(spec)
     match await desk.platform.write(GROUP_KIND, spec.name, value, expect):
--- a/magnoliarouter/core/mapmessages.py
+++ b/magnoliarouter/core/mapmessages.py
@@ -85,7 +85,7 @@
     closed : int
         Highest version that was ever proposed.
     text : str
-        The map, as `ExpertMap.encode` writes it.
+        The map, as `ExpertMap.encode` writes it; empty if the rank is to ask others for it.
     """
 
     epoch: int
@@ -96,7 +96,7 @@
 
 
 class Propose(msgspec.Struct, frozen=True, tag=True):
-    """Tells the rank to fetch what a version needs; `text` is the encoded map."""
+    """Tells the rank to fetch what a version needs; `text` is the encoded map or empty."""
 
     epoch: int
     version: int
--- a/magnoliarouter/core/maporders.py
+++ b/magnoliarouter/core/maporders.py
@@ -44,21 +44,23 @@
     if state.phase is Phase.IDLE and ranks_agree(state):
         # One rank's report shows every restart: the restarted rank has greeted it, or is it.
         return [Send(0, Query(state.epoch))]
-    orders = [(rank, _choose_order(state, report)) for rank, report in enumerate(state.reports)]
+    orders = [
+        (rank, _choose_order(state, rank, report)) for rank, report in enumerate(state.reports)
+    ]
     return [Send(rank, order) for rank, order in orders if order is not None]
 
 
-def _choose_order(state: ControllerState, report: Report | None) -> Order | None:
+def _choose_order(state: ControllerState, rank: int, report: Report | None) -> Order | None:
     epoch, target = state.epoch, state.target
     match state.phase:
         case Phase.QUERY | Phase.IDLE:
             return Query(epoch)
         case Phase.FORM:
-            return _choose_form(state)
+            return _choose_form(state, rank)
         case Phase.PREPARE:
             if report is not None and has_pending(report, target.version):
                 return Query(epoch)
-            return Propose(epoch, target.version, state.record.text_of(target.version))
+            return Propose(epoch, target.version, _choose_text(state, rank, target.version))
         case Phase.ARM:
             return Arm(epoch, target.version, target.since)
         case Phase.CONFIRM:
@@ -68,9 +70,14 @@
     return None
 
 
-def _choose_form(state: ControllerState) -> Order:
+def _choose_text(state: ControllerState, rank: int, version: int) -> str:
+    """Return the map for the first rank; the others ask each other, to spare the controller."""
+    return state.record.text_of(version) if rank == 0 else ""
+
+
+def _choose_form(state: ControllerState, rank: int) -> Order:
     schedule = state.record.schedule
-    text = state.record.text_of(schedule.version)
+    text = _choose_text(state, rank, schedule.version)
     return Form(state.epoch, state.members, schedule, state.record.proposed, text)
 
 
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -190,6 +190,7 @@
             self.settings.name,
             self._platform,
             self._session,
+            self.settings.peer_key,
             self._loop.time,
             self.metrics,
             self.settings.group_lease_seconds,
--- a/magnoliarouter/daemon/groups.py
+++ b/magnoliarouter/daemon/groups.py
@@ -81,6 +81,8 @@
         Client of the object API.
     session : aiohttp.ClientSession
         Session towards the ranks' agents.
+    key : str
+        Key shared by all of the system's processes.
     clock : callable
         Loop time in seconds.
     metrics : GroupMetrics
@@ -96,6 +98,7 @@
         spec: GroupSpec,
         platform: PlatformClient,
         session: aiohttp.ClientSession,
+        key: str,
         clock: Callable[[], float],
         metrics: GroupMetrics,
         lease_seconds: float,
@@ -106,7 +109,7 @@
         self._platform = platform
         self._clock = clock
         self._metrics = metrics
-        self._ranks = RankClient(spec.ranks, session)
+        self._ranks = RankClient(spec.ranks, session, key)
         self._balance = GroupBalance(spec, platform, self._ranks, clock, metrics)
         self._lease_seconds = lease_seconds
         self._is_candidate = is_candidate
@@ -292,7 +295,7 @@
     ----------
     name : str
         Entry VM of this daemon.
-    platform, session, clock, lease_seconds
+    platform, session, key, clock, lease_seconds
         As for `GroupController`.
     metrics : Metrics
         Registry of the daemon.
@@ -305,6 +308,7 @@
         name: str,
         platform: PlatformClient,
         session: aiohttp.ClientSession,
+        key: str,
         clock: Callable[[], float],
         metrics: Metrics,
         lease_seconds: float,
@@ -313,7 +317,7 @@
         self._name = name
         self._list_vms = list_vms
         self.controllers: dict[str, GroupController] = {}
-        self._arguments = (platform, session, clock, GroupMetrics(metrics), lease_seconds)
+        self._arguments = (platform, session, key, clock, GroupMetrics(metrics), lease_seconds)
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     async def stop(self) -> None:
--- a/magnoliarouter/endpoints/group.py
+++ b/magnoliarouter/endpoints/group.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import hmac
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -27,14 +28,17 @@
     from magnoliarouter.daemon.exchange import Exchange
     from magnoliarouter.platform.client import PlatformClient
 
-__all__ = ["MAP_KIND", "RankAgent", "RankLoad", "RankSite"]
+__all__ = ["KEY_HEADER", "MAP_KIND", "RankAgent", "RankLoad", "RankSite"]
 
 MAP_KIND = "map"
+KEY_HEADER = "x-magnoliarouter-key"
 GREETING_TIMEOUT_S = 0.5
 GREETING_INTERVAL_S = 0.1
 DOUBT_INTERVAL_S = 0.1
 RECORD_INTERVAL_S = 1.0
 RETRY_S = 0.3
+SEARCH_INTERVAL_S = 0.03
+SEARCHES_BEFORE_RECORD = 32
 
 
 class RankLoad(msgspec.Struct, frozen=True):
@@ -79,11 +83,14 @@
         The rank.
     addresses : tuple of str
         ``host:port`` of all ranks' agents.
+    key : str
+        Key shared by all of the system's processes.
     """
 
     group: str
     rank: int
     addresses: tuple[str, ...]
+    key: str
 
 
 class RankAgent:
@@ -118,7 +125,9 @@
         self.maps: dict[int, ExpertMap] = {}
         self.held: set[tuple[int, int]] = set()
         self.fetched = 0
+        self.refused = 0
         self.step = 0
+        self._searches = 0
         self._create_incarnation = create_incarnation
         self._session = session
         self._platform = platform
@@ -162,6 +171,10 @@
     async def handle(self, exchange: Exchange) -> None:
         """Answer one call of a controller or of another rank."""
         request = exchange.request
+        if not hmac.compare_digest(request.headers.get(KEY_HEADER, ""), self.site.key):
+            self.refused += 1
+            await exchange.send(401, b"{}")
+            return
         match (request.method, request.path):
             case ("POST", "/rank/order"):
                 self._obey(msgspec.json.decode(request.body, type=Order))
@@ -255,7 +268,7 @@
             if not missing:
                 await changed.wait()
             elif not await self._load_version(missing[0]):
-                await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(RETRY_S if missing[0] in self.maps else SEARCH_INTERVAL_S)
 
     async def _load_version(self, version: int) -> bool:
         if version not in self.maps and not await self._find_map(version):
@@ -279,18 +292,24 @@
         self.held &= set().union(*wanted)
 
     async def _find_map(self, version: int) -> bool:
-        for rank, address in enumerate(self.site.addresses):
-            if rank != self.site.rank:
-                raw = await self._call("GET", f"http://{address}/rank/map?version={version}")
-                if raw and self._keep_map(version, raw.decode()):
-                    return True
-        await self._read_record()
+        """Ask one rank, in turn the parent in a binary tree and another; at times the record."""
+        self._searches += 1
+        rank, size = self.site.rank, len(self.site.addresses)
+        asked = rank // 2 if self._searches % 2 else (rank + self._searches) % size
+        if self._searches % SEARCHES_BEFORE_RECORD == 0:
+            await self._read_record()
+        elif asked != rank:
+            address = self.site.addresses[asked]
+            raw = await self._call("GET", f"http://{address}/rank/map?version={version}")
+            if raw:
+                self._keep_map(version, raw.decode())
         return version in self.maps
 
     async def _call(self, method: str, url: str, body: bytes | None = None) -> bytes | None:
+        headers = {KEY_HEADER: self.site.key}
         try:
             async with asyncio.timeout(GREETING_TIMEOUT_S):
-                async with self._session.request(method, url, data=body) as answer:
+                async with self._session.request(method, url, data=body, headers=headers) as answer:
                     raw = await answer.read()
                     return raw if answer.status == 200 else None
         except (aiohttp.ClientError, OSError, TimeoutError):
--- a/magnoliarouter/endpoints/ranks.py
+++ b/magnoliarouter/endpoints/ranks.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from magnoliarouter.core.mapmessages import Order, Report
-from magnoliarouter.endpoints.group import RankLoad
+from magnoliarouter.endpoints.group import KEY_HEADER, RankLoad
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -28,9 +28,12 @@
         ``host:port`` of each rank's agent.
     session : aiohttp.ClientSession
         HTTP session.
+    key : str
+        Key shared by all of the system's processes.
     """
 
-    def __init__(self, addresses: Sequence[str], session: aiohttp.ClientSession) -> None:
+    def __init__(self, addresses: Sequence[str], session: aiohttp.ClientSession, key: str) -> None:
+        self._headers = {KEY_HEADER: key}
         self._addresses = addresses
         self._session = session
 
@@ -49,7 +52,9 @@
         url = f"http://{self._addresses[rank]}/rank/{path}"
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
-                async with self._session.request(method, url, data=body) as answer:
+                async with self._session.request(
+                    method, url, data=body, headers=self._headers
+                ) as answer:
                     raw = await answer.read()
                     return raw if answer.status == 200 else None
         except (aiohttp.ClientError, OSError, TimeoutError):
--- a/magnoliarouter/standins/bench/groupsim.py
+++ b/magnoliarouter/standins/bench/groupsim.py
@@ -107,6 +107,7 @@
         half_life = HALF_LIFE_INTERVALS * interval
         self.tokens = decay_tokens(self.tokens, counted, interval, half_life)
         if now + interval < self.in_force_at:
+            self.outcome.moves.append(0)
             return
         self.care = [judge_rank(state, speed, now) for state, speed in zip(self.care, speeds)]
         shares = [
@@ -136,7 +137,7 @@
         match self.name:
             case "never":
                 return self.map
-            case "once" if self.outcome.moves:
+            case "once" if any(self.outcome.moves):
                 return self.map
             case "once" | "greedy":
                 return rebuild_map(current, self.tokens, shares, self.size.slots)
--- a/magnoliarouter/standins/bench/groupsite.py
+++ b/magnoliarouter/standins/bench/groupsite.py
@@ -9,12 +9,12 @@
 
 import msgspec
 
-from magnoliarouter.standins.launch import Process, Site, find_port
+from magnoliarouter.standins.launch import PEER_KEY, Process, Site, find_port
 
 if TYPE_CHECKING:
     import aiohttp
 
-__all__ = ["GroupSite", "PhaseEvent", "StepLine"]
+__all__ = ["ROUTE_DELAY_S", "GroupSite", "PhaseEvent", "StepLine"]
 
 ROUTE_DELAY_S = 0.02
 POLL_S = 0.005
@@ -102,11 +102,13 @@
         routes = [f"--route=rank-{n}={routed[n]}={direct[n]}" for n in range(self.ranks)]
         self.proxy = await start("proxy", host, *routes)
         self._options = (
-            f"--addresses={','.join(direct)}",
+            f"--addresses={','.join(routed)}",
+            f"--listen={','.join(direct)}",
             f"--platform={self.platform.url}",
             f"--interconnect={interconnect.url}",
             f"--weights={self.weights.url}",
             f"--group={self.name}",
+            f"--key={PEER_KEY}",
             f"--log={self.site.folder / self.name}.steps",
             f"--layers={self.settings['layers']}",
             f"--experts={self.settings['experts']}",
--- a/magnoliarouter/tests/test_rebalance.py
+++ b/magnoliarouter/tests/test_rebalance.py
@@ -18,6 +18,7 @@
     plan_moves,
 )
 from magnoliarouter.core.stragglers import RankCare, StragglerState, choose_share, judge_rank
+from magnoliarouter.standins.bench.chart import draw_text
 from magnoliarouter.standins.bench.groupsim import GroupSize, compare_policies, rebuild_map
 
 RANKS, LAYERS, EXPERTS, SLOTS = 4, 3, 8, 3
@@ -137,3 +138,6 @@
         self.assertLess(moves["cost"], moves["skew"])
         self.assertLess(moves["skew"], moves["greedy"])
         self.assertLess(skews["skew"], skews["never"])
+        rows = draw_text(outcomes).splitlines()
+        self.assertEqual(len(rows), 2 * len(outcomes))
+        self.assertEqual({len(row.split("|")[1]) for row in rows}, {size.intervals})
