--- a/magnoliarouter/cli/main.py
+++ b/magnoliarouter/cli/main.py
@@ -20,7 +20,16 @@
 __all__ = ["build_application", "main"]
 
 # Each module of magnoliarouter.cli has a function `commands()` that returns its commands.
-COMMAND_MODULES: tuple[str, ...] = ("codes", "contract", "group", "key", "service", "status")
+COMMAND_MODULES: tuple[str, ...] = (
+    "codes",
+    "contract",
+    "endpoint",
+    "group",
+    "key",
+    "model",
+    "service",
+    "status",
+)
 
 
 class OperatorApplication(Application):
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -20,18 +20,22 @@
 from magnoliarouter.daemon.metrics import Metrics
 from magnoliarouter.daemon.quota import QuotaDuty
 from magnoliarouter.daemon.status import StatusService
+from magnoliarouter.daemon.upkeep import Upkeep
 from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.peers import PeerClient, PeerServer
 from magnoliarouter.pipeline.admit import LocalAdmission
-from magnoliarouter.pipeline.call import ModelCall
+from magnoliarouter.pipeline.call import ApplicationCall, ModelCall
 from magnoliarouter.pipeline.deadline import deliver_in_time
 from magnoliarouter.pipeline.deliver import deliver_stream, deliver_whole
+from magnoliarouter.pipeline.guards import GuardCalls
 from magnoliarouter.pipeline.identify import identify
 from magnoliarouter.pipeline.meter import Meter
+from magnoliarouter.pipeline.once import OnceCalls
 from magnoliarouter.pipeline.place import Placement, create_policy
 from magnoliarouter.pipeline.retry import Forwarder
 from magnoliarouter.platform.backoff import CallBudget
+from magnoliarouter.platform.claims import ClaimStore
 from magnoliarouter.platform.client import PlatformClient
 from magnoliarouter.platform.objects import decode_contract
 
@@ -76,6 +80,8 @@
         self.peer_server = PeerServer(self.settings.peer_key)
         self._open_configuration()
         self._open_placement()
+        self._open_once_calls()
+        self._open_upkeep()
         self._open_admission()
         listen = self.settings.listen
         self._server = WebServer(
@@ -93,11 +99,14 @@
     async def stop(self) -> None:
         """Fail the readiness probe, finish what is in progress, then leave."""
         self.ready = False
+        self._server.start_leaving()
         await asyncio.sleep(self.settings.shutdown_seconds)
         self._server.stop_listening()
         await self._server.wait_until_idle()
+        await self._once.wait_until_idle()
         for task in self._tasks:
             task.cancel()
+        await self._upkeep.release()
         self._reports.stop()
         await self.groups.stop()
         if self._quota is not None:
@@ -105,6 +114,7 @@
         await self.configuration.stop()
         await self.peer_server.stop()
         await self.peer_client.close()
+        await self._once_session.close()
         await self._session.close()
 
     async def handle(self, exchange: Exchange) -> None:
@@ -133,6 +143,14 @@
             lambda operation, result: calls.labels(operation, result).inc(),
         )
 
+    def _open_once_calls(self) -> None:
+        self._once_session = open_session(reuse=False)
+        rate = self.settings.claim_calls_per_second
+        budget = CallBudget(rate, rate * CALL_BURST_S)
+        claims = ClaimStore(PlatformClient(self.settings.platform, self._session, budget))
+        guards = GuardCalls(self._once_session, self._loop.time)
+        self._once = OnceCalls(claims, guards, self._placement, self._loop.time, self.metrics)
+
     def _open_placement(self) -> None:
         clock, vms = self._loop.time, self.configuration.vms.cache
         self._placement = Placement(
@@ -170,6 +188,21 @@
         self._admission = self._quota.admission
         self._tasks += [self._loop.create_task(task) for task in self._quota.tasks()]
 
+    def _open_upkeep(self) -> None:
+        self._upkeep = Upkeep(
+            self.settings.name,
+            self.settings.region,
+            self._platform,
+            self._once_session,
+            self._list_entry_names,
+            self._loop.time,
+        )
+        self._tasks.append(self._loop.create_task(self._upkeep.run()))
+
+    def _list_entry_names(self) -> list[str]:
+        vms = self.configuration.vms.cache.values().values()
+        return [vm.name for vm in vms if vm.role == "entry" and not vm.leaving]
+
     def _open_configuration(self) -> None:
         self.configuration = Configuration(
             self.settings, self._platform, self.peer_client, self.peer_server, self.metrics
@@ -244,14 +277,24 @@
             metrics.tokens,
         )
 
+    async def _run_once(self, exchange: Exchange, call: Call) -> None:
+        reply = await self._once.run(call)
+        self._record(reply.outcome, call, reply.endpoint)
+        headers = {REQUEST_HEADER: call.request_id, **reply.headers}
+        await exchange.send(reply.status, reply.body, headers)
+
     async def _forward(self, exchange: Exchange, call: Call, meter: Meter) -> None:
+        if isinstance(call.work, ApplicationCall) and not call.work.repeatable:
+            await self._run_once(exchange, call)
+            return
+
         async def deliver(answer: Answer) -> Outcome:
             if isinstance(call.work, ModelCall):
                 meter.prompt = call.work.prompt_tokens
             return await self._deliver(exchange, call, answer, meter)
 
         meter.ran = True
-        end = await self._forwarder.forward(call, deliver)
+        end = await self._forwarder.forward(call, deliver, lambda: exchange.started)
         if not end.answered and not isinstance(end.outcome, Completed):
             meter.ran, meter.exact = not isinstance(end.outcome, NotRun), False
             await self._answer_error(exchange, end.outcome, call=call)
