Let the record abort nothing that ranks know to be committed; test the balance of a group

The ranks can make a commit stable without the record, so a record without it proves nothing then. Group health whose write failed is written again with the next plan.

--- a/magnoliarouter/core/mapswitch.py
+++ b/magnoliarouter/core/mapswitch.py
@@ -219,6 +219,9 @@
         return state
     if schedule.version == pending.version:
         return _decide(state, schedule)
+    if pending.known:
+        # The ranks may have made the commit stable without the record.
+        return state
     if schedule.version == state.schedule.version and in_flight != pending.version:
         return _close(state, pending.version)
     return state
--- a/magnoliarouter/daemon/groupbalance.py
+++ b/magnoliarouter/daemon/groupbalance.py
@@ -24,6 +24,7 @@
     judge_rank,
 )
 from magnoliarouter.daemon.logs import log_event
+from magnoliarouter.platform.client import Written
 from magnoliarouter.platform.groups import GROUP_HEALTH_KIND, GroupHealthSpec
 
 if TYPE_CHECKING:
@@ -146,9 +147,10 @@
         last = self._published
         changed = last is None or abs(last.extra_load - extra) >= HEALTH_STEP
         if changed or (last.version, last.stragglers) != (version, reported):
-            self._published = health
             value = msgspec.to_builtins(health)
-            await self._platform.write(GROUP_HEALTH_KIND, spec.name, value)
+            outcome = await self._platform.write(GROUP_HEALTH_KIND, spec.name, value)
+            # A write without a clear answer is repeated with the next plan.
+            self._published = health if isinstance(outcome, Written) else None
 
 
 def plan_group(
--- /dev/null
+++ b/magnoliarouter/tests/test_groupbalance.py
@@ -0,0 +1,101 @@
+from __future__ import annotations
+
+import unittest
+
+from magnoliarouter.core.expertmap import ExpertMap, spread_evenly
+from magnoliarouter.core.layerplan import measure_times
+from magnoliarouter.core.stragglers import RankCare
+from magnoliarouter.daemon.groupbalance import GroupBalance
+from magnoliarouter.daemon.groups import GroupMetrics
+from magnoliarouter.daemon.metrics import Metrics
+from magnoliarouter.endpoints.group import RankLoad
+from magnoliarouter.platform.client import Unavailable, Written
+from magnoliarouter.platform.groups import GroupSpec
+
+RANKS = 4
+
+
+class FakeRanks:
+    def __init__(self):
+        self.speeds = [1.0] * RANKS
+        self.tokens = [[90, 10, 10, 10, 10, 10, 10, 10]]
+        self.silent = False
+
+    async def read_loads(self):
+        loads = [
+            RankLoad(rank, 1, 0.02, speed, [] if rank else self.tokens, 0, 0.0)
+            for rank, speed in enumerate(self.speeds)
+        ]
+        return [*loads[:-1], None] if self.silent else loads
+
+
+class FakePlatform:
+    def __init__(self):
+        self.written = []
+        self.outcome = Written(1)
+
+    async def write(self, kind, name, value):
+        self.written.append(value)
+        return self.outcome
+
+
+class GroupBalanceTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.now = 0.0
+        self.ranks, self.platform = FakeRanks(), FakePlatform()
+        self.map = spread_evenly(RANKS, 1, 8)
+
+    def open_balance(self, **changes):
+        addresses = tuple(f"127.0.0.1:{rank + 1}" for rank in range(RANKS))
+        spec = GroupSpec("g1", addresses, 1, 8, **changes)
+        metrics = GroupMetrics(Metrics())
+        return GroupBalance(spec, self.platform, self.ranks, lambda: self.now, metrics)
+
+    async def consider(self, balance, seconds=20.0):
+        self.now += seconds
+        return await balance.consider(1, lambda version: self.map.encode())
+
+    async def test_plan_once_an_interval(self):
+        balance = self.open_balance()
+        self.assertGreater((await self.consider(balance)).moves, 0)
+        self.assertIsNone(await self.consider(balance, 5.0))
+
+    async def test_pinned_group_stays_but_tells_its_health(self):
+        self.assertIsNone(await self.consider(self.open_balance(pinned=True)))
+        self.assertGreater(self.platform.written[0]["extra_load"], 0)
+
+    async def test_silent_rank_prevents_plan(self):
+        self.ranks.silent = True
+        self.assertIsNone(await self.consider(self.open_balance()))
+
+    async def test_slow_rank_gets_smaller_share_then_is_drained_and_reported(self):
+        balance = self.open_balance()
+        self.ranks.speeds[2] = 0.3
+        plan = await self.consider(balance)
+        self.assertEqual(plan.map.shares, (100, 100, 30, 100))
+        for _ in range(10):
+            self.map = ExpertMap.decode(plan.map.encode()) if plan else self.map
+            plan = await self.consider(balance)
+        self.assertIs(balance.stragglers[2].care, RankCare.REPORTED)
+        self.assertEqual(self.platform.written[-1]["stragglers"], (2,))
+        self.assertEqual(self.map.shares[2], 2)
+        shares = [share / 100 for share in self.map.shares]
+        times = measure_times(self.map.layers[0], self.ranks.tokens[0], shares)
+        carried = times[2] * shares[2]
+        self.assertLess(carried, 0.01 * sum(self.ranks.tokens[0]))
+
+    async def test_health_is_written_again_after_a_failure(self):
+        balance = self.open_balance(pinned=True)
+        self.platform.outcome = Unavailable("down")
+        await self.consider(balance)
+        self.platform.outcome = Written(2)
+        await self.consider(balance)
+        await self.consider(balance)
+        self.assertEqual(len(self.platform.written), 2)
+
+    async def test_long_switch_counts_as_load(self):
+        balance = self.open_balance(pinned=True)
+        await self.consider(balance)
+        await balance.publish(switching=True)
+        calm, switching = (value["extra_load"] for value in self.platform.written)
+        self.assertAlmostEqual(switching - calm, 0.25)
--- a/magnoliarouter/tests/test_mapswitch.py
+++ b/magnoliarouter/tests/test_mapswitch.py
@@ -244,6 +244,19 @@
         state = build_rank(epoch=3)
         self.assertEqual(mapswitch.apply_order(state, Propose(2, 2)), state)
 
+    def test_learns_decisions_from_the_record(self):
+        state = build_rank(pending=Pending(2, 5))
+        learn = mapswitch.learn_record
+        self.assertEqual(learn(state, Schedule(1), 1, 0), state)
+        self.assertEqual(learn(state, Schedule(1), 2, 2), state)
+        self.assertIsNone(learn(state, Schedule(1), 2, 0).pending)
+        committed = learn(state, Schedule(2, 5, 1), 2, 0)
+        self.assertEqual((committed.schedule.version, committed.pending), (2, None))
+
+    def test_record_does_not_abort_what_is_known_to_be_committed(self):
+        state = build_rank(pending=Pending(2, 5, known=True))
+        self.assertEqual(mapswitch.learn_record(state, Schedule(1), 2, 0), state)
+
     def test_restarted_rank_knows_nothing(self):
         state = RankState(0, 2, "c")
         self.assertEqual(mapswitch.grant_step(state, 0)[1], Wait("joining"))
