--- a/magnoliarouter/core/mapmessages.py
+++ b/magnoliarouter/core/mapmessages.py
@@ -85,7 +85,7 @@
     closed : int
         Highest version that was ever proposed.
     text : str
-        The map, as `ExpertMap.encode` writes it.
+        The map, as `ExpertMap.encode` writes it; empty if the rank is to ask others for it.
     """
 
     epoch: int
@@ -96,7 +96,7 @@
 
 
 class Propose(msgspec.Struct, frozen=True, tag=True):
-    """Tells the rank to fetch what a version needs; `text` is the encoded map."""
+    """Tells the rank to fetch what a version needs; `text` is the encoded map or empty."""
 
     epoch: int
     version: int
@@ -159,6 +159,8 @@
         Highest epoch of a controller that it has obeyed.
     granted : int
         Highest step that it has begun, or may have begun before a restart; -1 for none.
+    begun : int
+        Highest step that any rank is known to have begun; all ranks have ended the one before.
     schedule : Schedule
         Versions in force.
     closed : int
@@ -177,6 +179,7 @@
     seen: tuple[str, ...]
     epoch: int
     granted: int
+    begun: int
     schedule: Schedule
     closed: int
     pending: Pending | None
--- a/magnoliarouter/manual.py
+++ b/magnoliarouter/manual.py
@@ -31,6 +31,7 @@
     "priority": "rank, 0 is served first",
     "queue_length": "requests",
     "skew": "ratio",
+    "layer_slots": "experts of a layer",
     "slots": "requests",
     "store_bytes_per_second": "bytes/s",
     "tokens_per_request": "tokens",
--- a/magnoliarouter/platform/groups.py
+++ b/magnoliarouter/platform/groups.py
@@ -30,7 +30,7 @@
         Endpoints that the group computes for; its health counts as their load.
     favour : {"skew", "cost"}
         Whether rebalancing weighs step-time skew or its own cost more.
-    slots : int
+    layer_slots : int
         Experts of one layer that fit into a rank's memory.
     expert_bytes : int
         Size of one expert of one layer in bytes.
@@ -48,7 +48,7 @@
     experts: Annotated[int, Meta(ge=1, le=4096)]
     endpoints: tuple[Name, ...] = ()
     favour: Literal["skew", "cost"] = "skew"
-    slots: Annotated[int, Meta(ge=1)] = 4
+    layer_slots: Annotated[int, Meta(ge=1)] = 4
     expert_bytes: Annotated[int, Meta(ge=1)] = 50_000_000
     store_bytes_per_second: Annotated[float, Meta(gt=0)] = 1e9
     interval_seconds: Annotated[float, Meta(ge=1)] = 20.0
