--- a/magnoliarouter/manual.py
+++ b/magnoliarouter/manual.py
@@ -17,38 +17,37 @@
 from magnoliarouter.daemon.settings import Address, EndpointSettings, EntrySettings
 from magnoliarouter.platform.objects import MODELS, LimitsSpec, RevisionSpec
 
-__all__ = ["UNITS", "describe_fields", "write_manual"]
+__all__ = ["describe_fields", "find_unit", "write_manual"]
 
 UNITS = {
-    "age_s": "s",
-    "expert_bytes": "bytes",
+    "concurrent_requests": "requests",
     "experts": "experts a layer",
     "extra_load": "requests a slot",
-    "interval_seconds": "s",
     "layers": "layers",
-    "skew": "ratio",
-    "store_bytes_per_second": "bytes/s",
-    "version": "map version",
-    "cold_prefix_seconds": "s",
-    "group_lease_seconds": "s",
-    "report_delay_seconds": "s",
-    "zone_distance_seconds": "s",
-    "burst_seconds": "s",
-    "concurrent_requests": "requests",
     "number": "revisions",
+    "claim_calls_per_second": "calls/s",
     "platform_calls_per_second": "calls/s",
     "port": "port number",
     "priority": "rank, 0 is served first",
     "queue_length": "requests",
-    "request_seconds": "s",
-    "requests_per_second": "requests/s",
-    "shutdown_seconds": "s",
+    "skew": "ratio",
+    "layer_slots": "experts of a layer",
     "slots": "requests",
-    "static_share": "share of 1",
+    "store_bytes_per_second": "bytes/s",
     "tokens_per_request": "tokens",
-    "tokens_per_second": "tokens/s",
+    "version": "map version",
     "weight": "ratio",
 }
+# Names that end so tell their unit themselves.
+UNIT_ENDINGS = {
+    "_bytes": "bytes",
+    "_ms": "ms",
+    "_s": "s",
+    "_seconds": "s",
+    "_share": "share of 1",
+}
+NUMBERS = types.IntType | types.FloatType
+RATE = re.compile(r"^(?P<unit>\w+)_per_second$")
 # Models whose fields are described by another class.
 DESCRIBED_BY: dict[type, tuple[type, ...]] = {
     LimitsSpec: (LimitsSpec, Limits),
@@ -79,6 +78,21 @@
     return "\n".join(sections)
 
 
+def find_unit(name: str) -> str:
+    """Return the unit of a numeric field, or nothing if it is not known.
+
+    Examples
+    --------
+    >>> find_unit("tokens_per_second"), find_unit("burst_seconds"), find_unit("weight")
+    ('tokens/s', 's', 'ratio')
+    """
+    if name in UNITS:
+        return UNITS[name]
+    if rate := RATE.match(name):
+        return f"{rate['unit']}/s"
+    return next((unit for end, unit in UNIT_ENDINGS.items() if name.endswith(end)), "")
+
+
 def describe_fields(model: type[msgspec.Struct]) -> dict[str, str]:
     """Return the meaning of each field that the docstrings of a model describe.
 
@@ -117,7 +131,7 @@
         cells = (
             f"`{field.name}`",
             _name_type(field.type),
-            UNITS.get(field.name, ""),
+            find_unit(field.name) if isinstance(field.type, NUMBERS) else "",
             _show_default(field),
             meanings.get(field.name, ""),
         )
