--- a/magnoliarouter/core/borrowing.py
+++ b/magnoliarouter/core/borrowing.py
@@ -280,6 +280,11 @@
             if customer.asking == ask.slot:
                 customer.asking = ""
 
+    def give_back_all(self) -> None:
+        """Return everything that is not in use; the next asks tell the homes."""
+        for name in self._active:
+            self._customers[name].give_back_all()
+
     def stock(self, name: str, now: float) -> tuple[float, float, int]:
         """Return the requests, tokens and idle permits that can be spent now."""
         return self._customers[name].count(now)
--- a/magnoliarouter/core/quota.py
+++ b/magnoliarouter/core/quota.py
@@ -220,6 +220,10 @@
         lines = [self._answer_line(ask, line, now) for line in ask.lines]
         return Grant(self.epoch, True, LOAN_SECONDS, now, lines)
 
+    def find_borrowers(self) -> set[str]:
+        """Return the names of all borrowers that are known."""
+        return {name for name, _ in self._sequences}
+
     def find_contested(self) -> set[str]:
         """Return the borrowers that are known by more than one incarnation."""
         names = [name for name, _ in self._sequences]
--- a/magnoliarouter/core/stock.py
+++ b/magnoliarouter/core/stock.py
@@ -213,6 +213,16 @@
             permits.held -= spare
         loan.changed = loan.changed or given > 0 or spare > 0
 
+    def give_back_all(self) -> None:
+        """Return everything that is not in use, and keep no stock from now on."""
+        self.requests, self.tokens = Demand(), Demand(debt=self.tokens.debt)
+        for loan in self.loans:
+            loan.requests.give_back(loan.requests.held)
+            loan.tokens.give_back(loan.tokens.held)
+            loan.changed, loan.reported = True, -math.inf
+        for permits in self.permits.values():
+            permits.held = permits.used
+
     def pay_debt(self) -> None:
         """Take tokens that were used beyond a charge from the stock."""
         if self.tokens.debt > 0:
--- a/magnoliarouter/daemon/quota.py
+++ b/magnoliarouter/daemon/quota.py
@@ -49,6 +49,7 @@
 STEP_SECONDS = 0.5
 POLL_SECONDS = LEASE_SECONDS / 3
 ASK_DEADLINE_S = 0.5
+NO_INCARNATION = ""
 PROMISE_DEADLINE_S = 1.0
 
 
@@ -160,7 +161,8 @@
         return grant
 
     async def release(self) -> None:
-        """Give up all slots, for a shutdown."""
+        """Return the stock and give up all slots, for a shutdown."""
+        await self.admission.stop()
         for slot in self.slots.values():
             write = slot.plan_release()
             self.homes.pop(slot.name, None)
@@ -190,7 +192,11 @@
         return self._self
 
     async def _confirm_borrowers(self, home: QuotaHome) -> None:
-        """Ask borrowers known by several incarnations which one runs."""
+        """Forget borrowers whose VM is gone, and ask which one of several incarnations runs."""
+        listed = self._vms.values()
+        if self._settings.name in listed:
+            for name in home.find_borrowers() - set(listed):
+                home.confirm(name, NO_INCARNATION)
         for name in home.find_contested():
             vm = self._vms.get(name)
             if vm is None:
--- a/magnoliarouter/pipeline/escrow.py
+++ b/magnoliarouter/pipeline/escrow.py
@@ -143,6 +143,14 @@
                 await self._opened.wait()
         return self._opened.is_set()
 
+    async def stop(self) -> None:
+        """Return the stock to the homes, for a shutdown."""
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+        self.borrower.give_back_all()
+        asks = [self.borrower.build_ask(slot, self.clock()) for slot in self.slots]
+        await asyncio.gather(*(self._exchange(ask) for ask in asks if ask is not None))
+
     def _set_order(self, call: Call, tokens: int) -> None:
         customer, limits = call.contract.customer, call.limits
         largest = max(tokens, self._largest.get(customer, 0))
--- a/magnoliarouter/tests/test_quota_duty.py
+++ b/magnoliarouter/tests/test_quota_duty.py
@@ -105,14 +105,14 @@
         self.network = Network()
         self.stores = {name: Store(self.objects) for name in NAMES}
         self.tasks: list[asyncio.Task[None]] = []
-        vms: VersionedCache[VmSpec] = VersionedCache()
+        self.vms: VersionedCache[VmSpec] = VersionedCache()
         for name in NAMES:
-            vms.apply(name, 1, VmSpec(name, ZONE, "entry", name))
+            self.vms.apply(name, 1, VmSpec(name, ZONE, "entry", name))
         self.contracts: VersionedCache[Any] = VersionedCache()
         self.contracts.apply("grower", 1, build_contract(current=LIMITS))
-        self.duties = {name: self.open_duty(name, vms) for name in NAMES}
+        self.duties = {name: self.open_duty(name) for name in NAMES}
 
-    def open_duty(self, name: str, vms: VersionedCache[VmSpec]) -> QuotaDuty:
+    def open_duty(self, name: str) -> QuotaDuty:
         settings = EntrySettings(
             name=name, zone=ZONE, zones=(ZONE,), platform="http://p", peer_key="k" * 16
         )
@@ -121,7 +121,7 @@
             settings,
             self.stores[name],
             (peer, peer),
-            (self.contracts, vms),
+            (self.contracts, self.vms),
             Metrics(),
             self.loop.time,
         )
@@ -245,6 +245,44 @@
 
         self.run_zone(main)
 
+    def count_permits(self, zone: Zone, borrower: str) -> int:
+        """Return the permits that homes regard as held by a daemon."""
+        accounts = [
+            home.report("grower", zone.loop.time())
+            for duty in zone.duties.values()
+            for home in duty.homes.values()
+        ]
+        loans = [loan for account in accounts if account for loan in account.loans.items()]
+        return sum(loan.permits for key, loan in loans if key[0] == borrower)
+
+    def test_stopping_daemon_returns_its_stock(self):
+        async def main(zone):
+            name = next(name for name in NAMES if name not in zone.holders().values())
+            admitting = zone.loop.create_task(zone.call(name, 12))
+            await advance(1.3)
+            await admitting
+            self.assertGreater(self.count_permits(zone, name), 0)
+            await zone.duties[name].admission.stop()
+            self.assertEqual(self.count_permits(zone, name), 0)
+            self.assertEqual(
+                zone.duties[name].admission.borrower.stock("grower", zone.loop.time())[2], 0
+            )
+
+        self.run_zone(main)
+
+    def test_permits_of_a_vm_that_is_gone_are_free(self):
+        async def main(zone):
+            name = next(name for name in NAMES if name not in zone.holders().values())
+            await zone.call(name, 12)
+            zone.cut(name)
+            await advance(5)
+            self.assertGreater(self.count_permits(zone, name), 0)
+            zone.vms.apply(name, 2, None)
+            await advance(2)
+            self.assertEqual(self.count_permits(zone, name), 0)
+
+        self.run_zone(main)
+
     def test_released_slots_are_taken_over(self):
         async def main(zone):
             old = next(iter(zone.holders().values()))
