--- a/magnoliarouter/core/borrowing.py
+++ b/magnoliarouter/core/borrowing.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from magnoliarouter.core.loans import Charge, Loan, Permits, draw_amount
+from magnoliarouter.core.loans import Charge, Loan, Permits, draw_amount, refund_draws
 from magnoliarouter.core.quota_lines import Ask, AskLine, Grant
 from magnoliarouter.core.stock import (
     RETRY_FIRST_S,
@@ -173,19 +173,11 @@
         charge.permits.used -= 1
         customer = self._customers[charge.customer]
         customer.duration += 0.2 * (now - charge.started - customer.duration)
-        unused = charge.estimate - tokens
-        for draw in reversed(charge.tokens):
-            amount = min(unused, draw.amount)
-            if amount > 0 and not draw.loan.closed:
-                draw.loan.tokens.refund(amount, draw.stamp)
-                draw.loan.changed = True
-            unused -= max(0.0, amount)
+        refund_draws(charge.tokens, "tokens", charge.estimate - tokens)
         if tokens > charge.estimate:
             customer.tokens.owe(tokens - charge.estimate)
-        for draw in () if ran else charge.requests:
-            if not draw.loan.closed:
-                draw.loan.requests.refund(draw.amount, draw.stamp)
-                draw.loan.changed = True
+        if not ran:
+            refund_draws(charge.requests, "requests", 1.0)
 
     def wait(self, name: str, need: Need) -> None:
         """Add a call that waits for stock."""
--- a/magnoliarouter/core/loans.py
+++ b/magnoliarouter/core/loans.py
@@ -5,7 +5,7 @@
 import math
 from dataclasses import dataclass, field
 
-__all__ = ["Charge", "Draw", "Loan", "Permits", "Stock", "draw_amount"]
+__all__ = ["Charge", "Draw", "Loan", "Permits", "Stock", "draw_amount", "refund_draws"]
 
 
 @dataclass(slots=True)
@@ -159,3 +159,26 @@
         loan.changed = True
         draws.append(Draw(loan, taken, loan.stamp))
     return draws
+
+
+def refund_draws(draws: list[Draw], resource: str, amount: float) -> None:
+    """Refund an amount to the loans that it was drawn from, the last draw first.
+
+    Parameters
+    ----------
+    draws : list of Draw
+        Draws of one charge; what was drawn from loans that have ended is lost.
+    resource : {"requests", "tokens"}
+        Resource that was drawn.
+    amount : float
+        Amount that was not used; nothing happens unless it is positive.
+    """
+    for draw in reversed(draws):
+        part = min(amount, draw.amount)
+        if part <= 0:
+            return
+        amount -= part
+        if not draw.loan.closed:
+            stock: Stock = getattr(draw.loan, resource)
+            stock.refund(part, draw.stamp)
+            draw.loan.changed = True
--- a/magnoliarouter/daemon/quota.py
+++ b/magnoliarouter/daemon/quota.py
@@ -124,6 +124,7 @@
             borrower, settings.zone, self._zones, self.send, self._clock
         )
         self._listed = False
+        self._reported_zones: set[str] = set()
         self.homes: dict[str, QuotaHome] = {}
         self.slots = {
             name: Slot(name, settings.name, incarnation, clock())
@@ -134,6 +135,9 @@
         self._announced = ObjectFeed(platform, HOME_KIND, _decode_home, self._learn_home)
         self._asks = metrics.add_counter("quota_asks", "Asks to quota homes", "result")
         self._writes = metrics.add_counter("quota_slot_writes", "Slot lease writes", "result")
+        self._unlisted = metrics.add_gauge(
+            "quota_unlisted_zones", "Zones of entry VMs that the settings leave out"
+        )
         self._held = metrics.add_gauge("quota_slots_held", "Home slots that this daemon holds")
         peer_server.add_method(ASK_METHOD, Ask, self._handle_ask)
         peer_server.add_method(PROMISE_METHOD, PromiseAsk, self._handle_promise)
@@ -238,8 +242,18 @@
             steps = [self._step(slot) for slot in self.slots.values()] if self._listed else []
             await asyncio.gather(*steps)
             self._held.set(sum(1 for slot in self.slots.values() if slot.may_grant(self._clock())))
+            self._note_zones()
             await asyncio.sleep(STEP_SECONDS)
 
+    def _note_zones(self) -> None:
+        """Note zones that own no part here, so that the parts may not add up to the contracts."""
+        vms = self._vms.values().values()
+        unlisted = {vm.zone for vm in vms if vm.role == "entry"} - set(self._zones)
+        if unlisted - self._reported_zones:
+            log_event("quota_zones_unlisted", zones=sorted(unlisted))
+        self._reported_zones = unlisted
+        self._unlisted.set(len(unlisted))
+
     async def _step(self, slot: Slot) -> None:
         if slot.name in self._unresolved:
             await self._resolve(slot)
--- a/magnoliarouter/tests/test_quota_duty.py
+++ b/magnoliarouter/tests/test_quota_duty.py
@@ -283,6 +283,14 @@
 
         self.run_zone(main)
 
+    def test_zone_that_the_settings_leave_out_is_shown(self):
+        async def main(zone):
+            zone.vms.apply("entry-z", 1, VmSpec("entry-z", "zone-9", "entry", "entry-z"))
+            await advance(1)
+            self.assertEqual(zone.duties["entry-a"]._unlisted._value.get(), 1)
+
+        self.run_zone(main)
+
     def test_released_slots_are_taken_over(self):
         async def main(zone):
             old = next(iter(zone.holders().values()))
