Spread quota homes over more daemons, and keep their messages off the platform

Cause: two home slots a zone put 400 asks a second on one daemon at full size; every daemon listed all slot leases and watched all announcements by itself. Change: settings for slots a zone and lease time; only the four VMs first in order, the holder and the successor look at a slot; announcements come with the relayed configuration. Conclusion: platform calls grow with slots and relays, no longer with daemons.

--- a/magnoliarouter/core/slots.py
+++ b/magnoliarouter/core/slots.py
@@ -16,7 +16,7 @@
 
 LEASE_SECONDS = 10.0
 LEASE_MARGIN_S = 1.0
-RENEW_S = LEASE_SECONDS / 3
+RENEW_SHARE = 1 / 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,12 +62,15 @@
         This VM and its daemon's start.
     started : float
         Loop time of the daemon's start.
+    lease_seconds : float
+        Life of a tenure without renewal, the same in all daemons.
     """
 
     name: str
     vm: str
     incarnation: str
     started: float
+    lease_seconds: float = LEASE_SECONDS
     record: SlotRecord | None = None
     version: int = 0
     seen: float = 0.0
@@ -76,6 +79,11 @@
     promised_until: float = 0.0
     writing: bool = False
 
+    @property
+    def renew_seconds(self) -> float:
+        """Seconds between renewals, and between looks at a slot that others hold."""
+        return RENEW_SHARE * self.lease_seconds
+
     def observe(self, record: SlotRecord | None, version: int, now: float) -> None:
         """Take what the platform shows; an older version is ignored."""
         if version > self.version:
@@ -119,7 +127,7 @@
             return Write(self._claim(1, successor), 0) if waited else None
         if self.mine:
             # A claim that took effect late must not break a promise given since.
-            if now - self.seen < RENEW_S or now < self.promised_until:
+            if now - self.seen < self.renew_seconds or now < self.promised_until:
                 return None
             renewed = replace(record, renewal=record.renewal + 1, successor=successor)
             return Write(renewed, self.version)
@@ -149,14 +157,17 @@
         self.first = write.expect == 0 or (self.first and self.mine)
         self.observe(write.record, version, now)
         if self.mine:
-            self.supported_until = max(self.supported_until, sent + LEASE_SECONDS - LEASE_MARGIN_S)
+            self.supported_until = max(
+                self.supported_until, sent + self.lease_seconds - LEASE_MARGIN_S
+            )
 
     def needs_promise(self, now: float) -> bool:
         """Return whether renewals fail so that the successor should be asked for a promise."""
         return (
             self.mine
             and now < self.supported_until
-            and self.supported_until - now < LEASE_SECONDS - LEASE_MARGIN_S - 1.2 * RENEW_S
+            and self.supported_until - now
+            < self.lease_seconds - LEASE_MARGIN_S - 1.2 * self.renew_seconds
         )
 
     def promise(self, epoch: int, incarnation: str, now: float) -> float:
@@ -173,8 +184,8 @@
             return 0.0
         if (record.epoch, record.incarnation) != (epoch, incarnation):
             return 0.0
-        self.promised_until = max(self.promised_until, now + LEASE_SECONDS)
-        return LEASE_SECONDS
+        self.promised_until = max(self.promised_until, now + self.lease_seconds)
+        return self.lease_seconds
 
     def accept_promise(self, seconds: float, sent: float, now: float) -> None:
         """Rely on a promise that was asked for at `sent`."""
@@ -192,11 +203,11 @@
         if record.holder == self.vm:
             # One daemon runs on a VM: the incarnation that held the slot has ended.
             return True
-        if now - self.seen < LEASE_SECONDS + LEASE_MARGIN_S:
+        if now - self.seen < self.lease_seconds + LEASE_MARGIN_S:
             return False
         if record.successor == self.vm:
             # A promise given before a restart of this daemon is forgotten but may still run.
-            restarted = now - self.started < LEASE_SECONDS + LEASE_MARGIN_S
+            restarted = now - self.started < self.lease_seconds + LEASE_MARGIN_S
             return now >= self.promised_until and not restarted
         gone = record.holder not in listed and record.successor not in listed
-        return gone and now - self.seen >= (2 + rank) * LEASE_SECONDS
+        return gone and now - self.seen >= (2 + rank) * self.lease_seconds
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -18,7 +18,7 @@
 from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.daemon.loop import Runtime
 from magnoliarouter.daemon.metrics import Metrics
-from magnoliarouter.daemon.quota import QuotaDuty
+from magnoliarouter.daemon.quota import HOME_KIND, QuotaDuty, decode_home
 from magnoliarouter.daemon.status import StatusService
 from magnoliarouter.daemon.upkeep import Upkeep
 from magnoliarouter.daemon.web import WebServer
@@ -190,6 +190,9 @@
             self._platform,
             (self.peer_client, self.peer_server),
             (self._contracts.cache, self.configuration.vms.cache),
+            self.configuration.add(
+                HOME_KIND, decode_home, lambda slot, home: self._quota.learn_home(slot, home)
+            ),
             self.metrics,
             self._loop.time,
         )
--- a/magnoliarouter/daemon/quota.py
+++ b/magnoliarouter/daemon/quota.py
@@ -14,7 +14,7 @@
 from magnoliarouter.core.hashing import rendezvous_order
 from magnoliarouter.core.quota import HomeTerms, QuotaHome
 from magnoliarouter.core.quota_lines import Ask, Grant
-from magnoliarouter.core.slots import LEASE_SECONDS, Slot, SlotRecord, Write
+from magnoliarouter.core.slots import Slot, SlotRecord, Write
 from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.peers.channel import PeerError
 from magnoliarouter.peers.quota_messages import (
@@ -27,8 +27,7 @@
     PromiseAsk,
 )
 from magnoliarouter.pipeline.escrow import EscrowAdmission
-from magnoliarouter.platform.client import Ambiguous, Conflict, Found, Written
-from magnoliarouter.platform.feed import ObjectFeed
+from magnoliarouter.platform.client import Ambiguous, Conflict, Found, Unavailable, Written
 from magnoliarouter.platform.objects import ObjectError
 
 if TYPE_CHECKING:
@@ -40,14 +39,15 @@
     from magnoliarouter.daemon.settings import EntrySettings
     from magnoliarouter.peers import PeerClient, PeerServer
     from magnoliarouter.platform.client import PlatformClient
+    from magnoliarouter.platform.feed import ObjectFeed
     from magnoliarouter.platform.objects import StoredObject, VmSpec
 
-__all__ = ["HomeAnnouncement", "QuotaDuty"]
+__all__ = ["HOME_KIND", "HomeAnnouncement", "QuotaDuty", "decode_home"]
 
 LEASE_KIND = "quota-lease"
 HOME_KIND = "quota-home"
 STEP_SECONDS = 0.5
-POLL_SECONDS = LEASE_SECONDS / 3
+CANDIDATES = 4
 ASK_DEADLINE_S = 0.5
 PROMISE_DEADLINE_S = 1.0
 
@@ -70,7 +70,14 @@
     holder: str
 
 
-def _decode_home(value: Any) -> HomeAnnouncement:
+def decode_home(value: Any) -> HomeAnnouncement:
+    """Check the announcement of a home.
+
+    Raises
+    ------
+    ObjectError
+        A field is missing or invalid.
+    """
     try:
         return msgspec.convert(value, type=HomeAnnouncement)
     except msgspec.ValidationError as error:
@@ -90,6 +97,8 @@
         Calls to and from other entry daemons.
     caches : tuple of VersionedCache
         Contracts by customer, and VMs by name.
+    homes : ObjectFeed
+        Announcements of the homes of all zones; its changes go to `learn_home`.
     metrics : Metrics
         Metrics of the daemon.
     clock : callable
@@ -107,6 +116,7 @@
         platform: PlatformClient,
         peers: tuple[PeerClient, PeerServer],
         caches: tuple[VersionedCache[Contract], VersionedCache[VmSpec]],
+        homes: ObjectFeed,
         metrics: Metrics,
         clock: Callable[[], float],
     ) -> None:
@@ -120,17 +130,24 @@
         self._clock = clock
         borrower = Borrower(settings.name, incarnation, settings.request_seconds)
         self.admission = EscrowAdmission(
-            borrower, settings.zone, self._zones, self.send, self._clock
+            borrower,
+            settings.zone,
+            self._zones,
+            self.send,
+            self._clock,
+            settings.quota_slots_per_zone,
         )
-        self._listed = False
+        self._looked: set[str] = set()
+        self._next_look: dict[str, float] = {}
+        self._told: dict[str, int] = {}
         self.homes: dict[str, QuotaHome] = {}
         self.slots = {
-            name: Slot(name, settings.name, incarnation, clock())
-            for name in name_slots(settings.zone)
+            name: Slot(name, settings.name, incarnation, clock(), settings.quota_lease_seconds)
+            for name in name_slots(settings.zone, settings.quota_slots_per_zone)
         }
         self._unresolved: dict[str, tuple[Write, float]] = {}
         self._terms_cache: dict[str, tuple[Limits, tuple[HomePart, ...], dict[str, int]]] = {}
-        self._announced = ObjectFeed(platform, HOME_KIND, _decode_home, self._learn_home)
+        self._announced = homes
         self._asks = metrics.add_counter("quota_asks", "Asks to quota homes", "result")
         self._writes = metrics.add_counter("quota_slot_writes", "Slot lease writes", "result")
         self._held = metrics.add_gauge("quota_slots_held", "Home slots that this daemon holds")
@@ -140,7 +157,7 @@
 
     def tasks(self) -> list[Coroutine[Any, Any, None]]:
         """Return the coroutines that run the duty."""
-        return [self._announced.run(), self._poll(), self._keep(), self.admission.run()]
+        return [self._keep(), self.admission.run()]
 
     async def send(self, ask: Ask) -> Grant | None:
         """Send an ask to the holder of its slot, and return its answer, or None."""
@@ -204,15 +221,18 @@
             if running.name == name:
                 home.confirm(name, running.incarnation)
 
-    async def _poll(self) -> None:
-        while True:
-            match await self._platform.list(LEASE_KIND):
-                case Found(_, items):
-                    present = {item.name: item for item in items}
-                    for slot in self.slots.values():
-                        self._observe(slot, present.get(slot.name))
-                    self._listed = True
-            await asyncio.sleep(POLL_SECONDS if self._listed else STEP_SECONDS)
+    async def _look(self, slot: Slot) -> None:
+        """Read a slot that others hold as often as its holder renews it."""
+        if slot.name in self._looked and self._clock() < self._next_look.get(slot.name, 0.0):
+            return
+        outcome = await self._platform.read(LEASE_KIND, slot.name)
+        match outcome:
+            case Found(_, (item,)):
+                self._observe(slot, item)
+            case Unavailable():
+                return
+        self._looked.add(slot.name)
+        self._next_look[slot.name] = self._clock() + slot.renew_seconds
 
     def _observe(self, slot: Slot, item: StoredObject | None) -> None:
         now = self._clock()
@@ -227,14 +247,27 @@
 
     async def _keep(self) -> None:
         while True:
-            steps = [self._step(slot) for slot in self.slots.values()] if self._listed else []
-            await asyncio.gather(*steps)
+            await asyncio.gather(*(self._step(slot) for slot in self._list_concerned()))
             self._held.set(sum(1 for slot in self.slots.values() if slot.may_grant(self._clock())))
             await asyncio.sleep(STEP_SECONDS)
 
+    def _list_concerned(self) -> list[Slot]:
+        """Return the slots that this daemon holds, may inherit, or is among the first to claim."""
+        return [slot for slot in self.slots.values() if self._is_concerned(slot)]
+
+    def _is_concerned(self, slot: Slot) -> bool:
+        name, record = self._settings.name, slot.record
+        if record is not None and name in (record.holder, record.successor):
+            return True
+        return name in self._order_vms(slot.name)[:CANDIDATES]
+
     async def _step(self, slot: Slot) -> None:
         if slot.name in self._unresolved:
             await self._resolve(slot)
+        if not slot.mine:
+            await self._look(slot)
+        if slot.name not in self._looked:
+            return
         write = self._plan(slot)
         if write is not None:
             slot.begin_write()
@@ -313,7 +346,7 @@
             return None
         known = self._terms_cache.get(customer)
         if known is None or known[0] != limits:
-            parts = divide(customer, self._zones)
+            parts = divide(customer, self._zones, self._settings.quota_slots_per_zone)
             known = (limits, parts, divide_permits(limits.concurrent_requests, parts))
             self._terms_cache[customer] = known
         share = next((part.share for part in known[1] if part.slot == slot), 0.0)
@@ -344,13 +377,20 @@
         record = slot.record
         if record is None or not slot.may_grant(self._clock()):
             return
+        # The announcement comes back through the configuration only after a while.
+        if self._told.get(slot.name) == record.epoch:
+            return
         known = self._announced.cache.get(slot.name)
         if known is not None and known.epoch >= record.epoch:
             return
         value = HomeAnnouncement(slot.name, record.epoch, record.holder)
         version = self._announced.cache.version_of(slot.name)
-        await self._platform.write(HOME_KIND, slot.name, msgspec.to_builtins(value), version)
+        value = msgspec.to_builtins(value)
+        outcome = await self._platform.write(HOME_KIND, slot.name, value, version)
+        if isinstance(outcome, Written):
+            self._told[slot.name] = record.epoch
 
-    def _learn_home(self, slot: str, home: HomeAnnouncement | None) -> None:
+    def learn_home(self, slot: str, home: HomeAnnouncement | None) -> None:
+        """Take an announcement that came into force, or None once it was deleted."""
         if home is not None:
             self.admission.set_home(slot, home.epoch)
--- a/magnoliarouter/daemon/settings.py
+++ b/magnoliarouter/daemon/settings.py
@@ -87,6 +87,11 @@
         Requests that may wait in this daemon for each model or service.
     claim_calls_per_second : float
         Most calls of this daemon to the platform for claims of calls that may run only once.
+    quota_slots_per_zone : int
+        Home slots among which the quota of a zone is spread, the same number in every daemon;
+        about one for every three entry VMs of a zone.
+    quota_lease_seconds : float
+        Life of the lease on a home slot, the same in every daemon, in seconds.
     admission : {"escrow", "static"}
         How limits are shared among daemons; "static" is for comparison in benches only.
     static_share : float
@@ -111,6 +116,8 @@
     request_seconds: Seconds = 120.0
     queue_length: Annotated[int, Meta(ge=0)] = 256
     claim_calls_per_second: Annotated[float, Meta(gt=0)] = 40.0
+    quota_slots_per_zone: Annotated[int, Meta(ge=1, le=64)] = 2
+    quota_lease_seconds: Annotated[float, Meta(ge=5)] = 10.0
     admission: Literal["escrow", "static"] = "escrow"
     static_share: Annotated[float, Meta(gt=0, le=1)] = 1.0
     shutdown_seconds: Annotated[float, Meta(ge=0)] = 2.0
--- a/magnoliarouter/manual.py
+++ b/magnoliarouter/manual.py
@@ -33,6 +33,7 @@
     "skew": "ratio",
     "layer_slots": "experts of a layer",
     "slots": "requests",
+    "quota_slots_per_zone": "home slots",
     "store_bytes_per_second": "bytes/s",
     "tokens_per_request": "tokens",
     "version": "map version",
--- a/magnoliarouter/pipeline/escrow.py
+++ b/magnoliarouter/pipeline/escrow.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from magnoliarouter.core.borrowing import TICK_SECONDS, Borrower, Need, Shortage
-from magnoliarouter.core.division import divide
+from magnoliarouter.core.division import SLOTS_PER_ZONE, divide
 from magnoliarouter.core.outcome import NotRun, ResultCode
 from magnoliarouter.pipeline.call import ModelCall
 
@@ -73,6 +73,8 @@
         or None if none came.
     clock : callable
         Loop time in seconds.
+    slots_per_zone : int
+        Home slots in each zone.
     """
 
     borrower: Borrower
@@ -80,6 +82,7 @@
     zones: tuple[str, ...]
     send: Callable[[Ask], Awaitable[Grant | None]]
     clock: Callable[[], float]
+    slots_per_zone: int = SLOTS_PER_ZONE
     slots: set[str] = field(default_factory=set)
     _largest: dict[str, int] = field(default_factory=dict)
     _waiters: dict[str, list[_Waiter]] = field(default_factory=dict)
@@ -147,7 +150,7 @@
         customer, limits = call.contract.customer, call.limits
         largest = max(tokens, self._largest.get(customer, 0))
         self._largest[customer] = largest
-        parts = divide(customer, self.zones or (self.zone,))
+        parts = divide(customer, self.zones or (self.zone,), self.slots_per_zone)
         share = parts[0].share
         pooled = (
             limits.request_burst * share < CALLS_PER_PART
