--- /dev/null
+++ b/magnoliarouter/tests/groupsearch.py
@@ -0,0 +1,103 @@
+"""Exhaustive search of a `GroupModel` to a depth, for tests of the map switch."""
+
+from __future__ import annotations
+
+import copy
+from typing import TYPE_CHECKING
+
+from magnoliarouter.core.mapstate import Phase
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from magnoliarouter.tests.groupmodel import GroupModel
+
+FATES = ("ok", "lost", "dropped")
+LISTS = ("ranks", "position", "controllers", "orders", "reports", "answers", "stores")
+
+
+def search(model: GroupModel, depth: int, restarts: int, controllers: int) -> int:
+    """Carry out every sequence of actions up to a depth, and return the number of states.
+
+    Parameters
+    ----------
+    model : GroupModel
+        Where to start.
+    depth : int
+        Longest sequence.
+    restarts, controllers : int
+        Rank restarts and new controllers in one sequence.
+
+    Raises
+    ------
+    TwoMaps
+        Two ranks used different versions in one step.
+    """
+    frontier = [(model, restarts, controllers)]
+    seen = {_identify(model)}
+    for _ in range(depth):
+        following = []
+        for state, restarts_left, controllers_left in frontier:
+            for cost, act in _list_actions(state, restarts_left, controllers_left):
+                child = _copy(state)
+                act(child)
+                key = _identify(child)
+                if key not in seen:
+                    seen.add(key)
+                    left = (restarts_left - cost[0], controllers_left - cost[1])
+                    following.append((child, *left))
+        frontier = following
+    return len(seen)
+
+
+def _copy(model: GroupModel) -> GroupModel:
+    child = copy.copy(model)
+    for name in LISTS:
+        setattr(child, name, list(getattr(model, name)))
+    child.used = dict(model.used)
+    return child
+
+
+def _identify(model: GroupModel) -> int:
+    parts = (
+        tuple(model.ranks),
+        tuple(model.position),
+        tuple(model.controllers),
+        model.record,
+        frozenset(model.orders),
+        frozenset(model.reports),
+        tuple(model.stores),
+        frozenset(model.used.items()),
+    )
+    return hash(parts)
+
+
+def _list_actions(
+    model: GroupModel, restarts: int, controllers: int
+) -> Iterator[tuple[tuple[int, int], Callable[[GroupModel], None]]]:
+    free = (0, 0)
+    for order in dict.fromkeys(model.orders):
+        yield free, lambda child, order=order: child.deliver_order(*order)
+    for report in dict.fromkeys(model.reports):
+        if model.controllers[report[0]].phase is not Phase.STOPPED:
+            yield free, lambda child, report=report: child.deliver_report(*report)
+    for number, effect in model.stores:
+        for fate in FATES:
+            yield free, lambda child, call=(number, effect, fate): child.store(*call)
+    for rank in range(model.size):
+        if model.position[rank] == min(model.position):
+            yield free, lambda child, rank=rank: child.step(rank)
+        if model.ranks[rank].pending or not model.ranks[rank].joined:
+            yield free, lambda child, rank=rank: _greet(child, rank)
+        if restarts:
+            yield (1, 0), lambda child, rank=rank: child.restart(rank)
+    if controllers:
+        yield (0, 1), lambda child: child.start_controller()
+
+
+def _greet(model: GroupModel, rank: int) -> None:
+    for peer in range(model.size):
+        if peer != rank:
+            model.greet(rank, peer)
+            model.deliver_answer(*model.answers.pop())
+    model.load(rank)
--- a/magnoliarouter/tests/test_mapswitch.py
+++ b/magnoliarouter/tests/test_mapswitch.py
@@ -10,6 +10,7 @@
 from magnoliarouter.core.mapstate import Phase, StoreOutcome
 from magnoliarouter.core.mapswitch import Grant, RankState, Wait
 from magnoliarouter.tests.groupmodel import GroupModel, TwoMaps
+from magnoliarouter.tests.groupsearch import search
 
 PHASES = (Phase.PREPARE, Phase.ARM, Phase.COMMIT_WRITE, Phase.CONFIRM, Phase.SPREAD)
 ACTIONS_PER_WALK = 250
@@ -178,6 +179,26 @@
             release_and_forget()
 
 
+def search_from(phase: Phase, depth: int) -> int:
+    """Search all sequences with a restart and a takeover, from a phase reached without faults."""
+    model = GroupModel(2, 1)
+    model.reach(phase)
+    model.orders, model.reports = model.orders[-4:], []
+    return search(model, depth, restarts=1, controllers=1)
+
+
+class SearchTest(unittest.TestCase):
+    def test_no_sequence_of_actions_leads_to_two_maps(self):
+        depths = {Phase.ARM: 7, Phase.COMMIT_WRITE: 8, Phase.CONFIRM: 8, Phase.SPREAD: 8}
+        states = sum(search_from(phase, depth) for phase, depth in depths.items())
+        self.assertGreater(states, 40_000)
+
+    def test_search_catches_a_rank_that_passes_its_confirmed_step(self):
+        patched = mock.patch.object(mapswitch, "grant_step", pass_armed_step)
+        with patched, self.assertRaises(TwoMaps):
+            search_from(Phase.SPREAD, 8)
+
+
 class MutationTest(unittest.TestCase):
     """Each weakened rule is caught by the walks that pass with the real rules."""
 
