--- a/magnoliarouter/standins/bench/main.py
+++ b/magnoliarouter/standins/bench/main.py
@@ -29,6 +29,7 @@
     "path",
     "placement",
     "rebalance",
+    "relays",
     "rollout",
 )
 
