--- a/magnoliarouter/standins/bench/main.py
+++ b/magnoliarouter/standins/bench/main.py
@@ -5,41 +5,26 @@
 import argparse
 import asyncio
 import importlib
+import pkgutil
 import sys
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from magnoliarouter.standins import bench
+
 if TYPE_CHECKING:
     from magnoliarouter.standins.bench.experiment import Experiment
 
 __all__ = ["main"]
 
-# Each module has a function `experiments()` that returns a list of `Experiment`.
-MODULES: tuple[str, ...] = (
-    "answers",
-    "capacity",
-    "drain",
-    "expertmap",
-    "fencing",
-    "leaving",
-    "limits",
-    "loop",
-    "once",
-    "path",
-    "placement",
-    "rebalance",
-    "relays",
-    "rollout",
-)
-
 
 def load_experiments() -> dict[str, Experiment]:
-    """Return all experiments by name."""
+    """Return the experiments of all modules of this package by name."""
     found = {}
-    for name in MODULES:
-        module = importlib.import_module(f"magnoliarouter.standins.bench.{name}")
-        for experiment in module.experiments():
+    for info in pkgutil.iter_modules(bench.__path__):
+        module = importlib.import_module(f"{bench.__name__}.{info.name}")
+        for experiment in getattr(module, "experiments", list)():
             found[experiment.name] = experiment
     return found
 
