--- a/magnoliarouter/tests/test_quota_duty.py
+++ b/magnoliarouter/tests/test_quota_duty.py
@@ -8,7 +8,7 @@
 from magnoliarouter.core.cache import VersionedCache
 from magnoliarouter.core.outcome import NotRun, ResultCode
 from magnoliarouter.daemon.metrics import Metrics
-from magnoliarouter.daemon.quota import QuotaDuty
+from magnoliarouter.daemon.quota import HOME_KIND, QuotaDuty, decode_home
 from magnoliarouter.daemon.settings import EntrySettings
 from magnoliarouter.peers import PeerError
 from magnoliarouter.pipeline.call import Call, ModelCall
@@ -21,6 +21,7 @@
     Unavailable,
     Written,
 )
+from magnoliarouter.platform.feed import ObjectFeed
 from magnoliarouter.platform.objects import VmSpec, WatchBatch
 from magnoliarouter.standins.platform import ObjectStore
 from magnoliarouter.tests.builders import build_contract, build_limits
@@ -116,16 +117,14 @@
         settings = EntrySettings(
             name=name, zone=ZONE, zones=(ZONE,), platform="http://p", peer_key="k" * 16
         )
-        peer = Peer(self.network, name)
-        duty = QuotaDuty(
-            settings,
-            self.stores[name],
-            (peer, peer),
-            (self.contracts, self.vms),
-            Metrics(),
-            self.loop.time,
+        peer, store = Peer(self.network, name), self.stores[name]
+        homes = ObjectFeed(
+            store, HOME_KIND, decode_home, lambda slot, home: duty.learn_home(slot, home)
         )
-        self.tasks += [self.loop.create_task(task) for task in duty.tasks()]
+        caches = (self.contracts, self.vms)
+        duty = QuotaDuty(settings, store, (peer, peer), caches, homes, Metrics(), self.loop.time)
+        running = [homes.run(), *duty.tasks()]
+        self.tasks += [self.loop.create_task(task) for task in running]
         return duty
 
     def holders(self) -> dict[str, str]:
