--- a/magnoliarouter/daemon/endpoint.py
+++ b/magnoliarouter/daemon/endpoint.py
@@ -53,6 +53,9 @@
             loop.time,
             self.settings.report_delay_seconds,
         )
+        verdicts = self.metrics.add_counter(
+            "attempt_verdicts", "Attempts refused and fences answered", "verdict"
+        )
         guard = Guard(
             self.attempts,
             self.settings.target,
@@ -60,6 +63,7 @@
             loop.time,
             self._once_session,
             on_drop=lambda reason: self.metrics.dropped_answers.labels(reason).inc(),
+            on_verdict=lambda verdict: verdicts.labels(verdict).inc(),
             monitor=self.monitor,
         )
         guard.add_control("/metrics", self._tell_metrics)
--- a/magnoliarouter/daemon/registration.py
+++ b/magnoliarouter/daemon/registration.py
@@ -9,8 +9,7 @@
 import msgspec
 
 from magnoliarouter.core.orders import Order
-from magnoliarouter.core.outcome import ResultCode
-from magnoliarouter.daemon.exchange import error_body
+from magnoliarouter.endpoints.relay import read_message
 from magnoliarouter.platform.client import Conflict, Found, Missing, Written
 from magnoliarouter.platform.objects import EndpointSpec
 
@@ -114,11 +113,8 @@
 
     async def handle_drain(self, exchange: Exchange) -> None:
         """Answer ``POST /guard/drain`` with a `DrainRequest`."""
-        try:
-            request = msgspec.json.decode(exchange.request.body, type=DrainRequest)
-        except msgspec.DecodeError as error:
-            body = error_body(ResultCode.MALFORMED_BODY, "not_run", f"body: {error}")
-            await exchange.send(400, body)
+        request = await read_message(exchange, DrainRequest)
+        if request is None:
             return
         self.drain_requested = request.draining
         self._set_draining(request.draining or self.leaving)
--- a/magnoliarouter/endpoints/guard.py
+++ b/magnoliarouter/endpoints/guard.py
@@ -39,6 +39,7 @@
     is_end_to_end,
 )
 from magnoliarouter.endpoints.monitor import EndpointMonitor
+from magnoliarouter.endpoints.relay import parse_time, read_message, shows_truncation
 from magnoliarouter.endpoints.report import LOAD_HEADER, encode_load_header
 from magnoliarouter.pipeline.proof import was_unsent
 
@@ -76,6 +77,8 @@
     monitor : EndpointMonitor, optional
         Observations of the endpoint, which go into every answer; by default one that lets every
         attempt in.
+    on_verdict : callable, optional
+        Called with each verdict that refuses an attempt, and with each answer to a fence.
     """
 
     def __init__(
@@ -86,6 +89,7 @@
         clock: Callable[[], float],
         once_session: aiohttp.ClientSession | None = None,
         on_drop: Callable[[str], None] = lambda reason: None,
+        on_verdict: Callable[[str], None] = lambda verdict: None,
         monitor: EndpointMonitor | None = None,
     ) -> None:
         self._attempts = attempts
@@ -95,6 +99,7 @@
         self._clock = clock
         self._monitor = monitor or EndpointMonitor(attempts, 1, attempts.max_attempts, clock)
         self._on_drop = on_drop
+        self._on_verdict = on_verdict
         self._executions: set[asyncio.Task[Executed | NotReached | Broken]] = set()
         self._controls: dict[str, Callable[[Exchange], Awaitable[None]]] = {
             "/guard/status": self._tell_status,
@@ -123,7 +128,7 @@
             attempt,
             headers.get(INCARNATION_HEADER, ""),
             self._clock(),
-            _parse_time(headers.get(NOT_AFTER_HEADER)),
+            parse_time(headers.get(NOT_AFTER_HEADER)),
             self._find_obstacle(headers),
         )
         if verdict is not StartVerdict.START:
@@ -182,13 +187,11 @@
         return None
 
     async def _fence(self, exchange: Exchange) -> None:
-        try:
-            request = msgspec.json.decode(exchange.request.body, type=FenceRequest)
-        except msgspec.DecodeError as error:
-            body = error_body(ResultCode.MALFORMED_BODY, "not_run", f"body: {error}")
-            await exchange.send(400, body)
-            return
-        await exchange.send(200, msgspec.json.encode(self._fence_attempt(request)))
+        request = await read_message(exchange, FenceRequest)
+        if request is not None:
+            reply = self._fence_attempt(request)
+            self._on_verdict(f"fence: {reply.state}")
+            await exchange.send(200, msgspec.json.encode(reply))
 
     def _fence_attempt(self, request: FenceRequest) -> FenceReply:
         if request.incarnation != self._attempts.incarnation:
@@ -206,6 +209,7 @@
         }
 
     async def _refuse(self, exchange: Exchange, attempt: str, verdict: StartVerdict) -> None:
+        self._on_verdict(verdict.value)
         headers = {**self._head(attempt), VERDICT_HEADER: verdict.value}
         if verdict in UNPROVEN:
             body = error_body(ResultCode.IN_PROGRESS, "unknown", verdict.value)
@@ -297,7 +301,7 @@
             self._on_drop("crossed")
             await self._tell_failure(exchange, attempt, ResultCode.WRONG_ATTEMPT, CROSSED)
             return
-        if not _shows_truncation(answer):
+        if not shows_truncation(answer):
             reason = "answer without a length"
             await self._tell_failure(exchange, attempt, ResultCode.ENDPOINT_ERROR, reason)
             return
@@ -334,22 +338,3 @@
             for name, value in headers.items()
             if is_end_to_end(name, connection) and name not in OWN_HEADERS
         }
-
-
-def _parse_time(text: str | None) -> float | None:
-    if text is None:
-        return None
-    try:
-        return float(text)
-    except ValueError:
-        # An unreadable last start time must not widen the window.
-        return float("-inf")
-
-
-def _shows_truncation(answer: aiohttp.ClientResponse) -> bool:
-    """Return whether a cut of the endpoint's connection would be noticed."""
-    if answer.content_type == EVENT_STREAM:
-        return True
-    framed = "content-length" in answer.headers
-    chunked = "chunked" in answer.headers.get("transfer-encoding", "").lower()
-    return framed or chunked or answer.status in (204, 304) or answer.method == "HEAD"
--- a/magnoliarouter/endpoints/orders.py
+++ b/magnoliarouter/endpoints/orders.py
@@ -9,8 +9,7 @@
 import msgspec
 
 from magnoliarouter.core.orders import Order, OrderState, OrderTable, OrderVerdict
-from magnoliarouter.core.outcome import ResultCode
-from magnoliarouter.daemon.exchange import error_body
+from magnoliarouter.endpoints.relay import read_message
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -81,11 +80,8 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
-        try:
-            request = msgspec.json.decode(exchange.request.body, type=OrderRequest)
-        except msgspec.DecodeError as error:
-            body = error_body(ResultCode.MALFORMED_BODY, "not_run", f"body: {error}")
-            await exchange.send(400, body)
+        request = await read_message(exchange, OrderRequest)
+        if request is None:
             return
         reply = self._take(request)
         status = 409 if reply.state == OrderVerdict.STALE.value else 200
--- /dev/null
+++ b/magnoliarouter/endpoints/relay.py
@@ -0,0 +1,50 @@
+"""What the guard checks of requests and answers that it relays."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeVar
+
+import msgspec
+
+from magnoliarouter.core.outcome import ResultCode
+from magnoliarouter.daemon.exchange import error_body
+
+if TYPE_CHECKING:
+    import aiohttp
+
+    from magnoliarouter.daemon.exchange import Exchange
+
+__all__ = ["parse_time", "read_message", "shows_truncation"]
+
+EVENT_STREAM = "text/event-stream"
+
+Message = TypeVar("Message", bound=msgspec.Struct)
+
+
+async def read_message(exchange: Exchange, message_type: type[Message]) -> Message | None:
+    """Return the message in a request's body, or answer that it is malformed and return None."""
+    try:
+        return msgspec.json.decode(exchange.request.body, type=message_type)
+    except msgspec.DecodeError as error:
+        body = error_body(ResultCode.MALFORMED_BODY, "not_run", f"body: {error}")
+        await exchange.send(400, body)
+        return None
+
+
+def parse_time(text: str | None) -> float | None:
+    """Return a last start time; one that cannot be read is over already."""
+    if text is None:
+        return None
+    try:
+        return float(text)
+    except ValueError:
+        return float("-inf")
+
+
+def shows_truncation(answer: aiohttp.ClientResponse) -> bool:
+    """Return whether a cut of the endpoint's connection would be noticed."""
+    if answer.content_type == EVENT_STREAM:
+        return True
+    framed = "content-length" in answer.headers
+    chunked = "chunked" in answer.headers.get("transfer-encoding", "").lower()
+    return framed or chunked or answer.status in (204, 304) or answer.method == "HEAD"
--- a/magnoliarouter/pipeline/once.py
+++ b/magnoliarouter/pipeline/once.py
@@ -6,7 +6,7 @@
 import contextlib
 import uuid
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
 
@@ -36,7 +36,7 @@
 from magnoliarouter.platform.claims import build_key
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     from magnoliarouter.core.claimsteps import Claim, Effect, Event, Result
     from magnoliarouter.core.outcome import Outcome
@@ -60,6 +60,9 @@
 RECORD_WAIT_S = 1.0
 RECORD_RETRY_S = 1.0
 RECORD_TRIES = 120
+LAST_RECORD_WAIT_S = 3.0
+
+T = TypeVar("T")
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,7 +119,8 @@
         self._guards = guards
         self._placement = placement
         self._clock = clock
-        self._tasks: set[asyncio.Task[object]] = set()
+        self._calls: set[asyncio.Task[OnceReply]] = set()
+        self._records: set[asyncio.Task[None]] = set()
         self.steps = metrics.add_counter("claim_steps", "Steps of claims", "step", "result")
         self.results = metrics.add_counter("claim_results", "Results of claims", "result")
 
@@ -125,18 +129,19 @@
 
         The call goes on to its outcome if this coroutine is cancelled.
         """
-        return await asyncio.shield(self._spawn(self._run(call)))
+        return await asyncio.shield(_spawn(self._run(call), self._calls))
 
     async def wait_until_idle(self) -> None:
-        """Wait until no call is in progress and all outcomes are stored or given up."""
-        while self._tasks:
-            await asyncio.wait(self._tasks)
+        """Wait until no call is in progress, and a limited time for outcomes to be stored.
 
-    def _spawn(self, work: object) -> asyncio.Task[object]:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
+        An outcome that is not stored stays with the guard, where a repeat of the call finds it.
+        """
+        while self._calls:
+            await asyncio.wait(self._calls)
+        if self._records:
+            await asyncio.wait(self._records, timeout=LAST_RECORD_WAIT_S)
+        for task in self._records:
+            task.cancel()
 
     async def _run(self, call: Call) -> OnceReply:
         key = build_key(
@@ -150,7 +155,7 @@
             self.steps.labels(type(effect).__name__, type(event).__name__).inc()
             effect = run.step(event)
         if run.unrecorded is not None:
-            self._spawn(self._record_later(run.unrecorded))
+            _spawn(self._record_later(run.unrecorded), self._records)
         return self._reply(effect)
 
     async def _perform(self, effect: Effect, call: Call, run: ClaimRun, tried: set[str]) -> Event:
@@ -231,6 +236,13 @@
                 return _reply_error(Unknown(ResultCode.OUTCOME_UNKNOWN, reason), _retry_headers())
 
 
+def _spawn(work: Coroutine[Any, Any, T], tasks: set[asyncio.Task[T]]) -> asyncio.Task[T]:
+    task = asyncio.get_running_loop().create_task(work)
+    tasks.add(task)
+    task.add_done_callback(tasks.discard)
+    return task
+
+
 def _tell_facts(claim: Claim) -> str:
     target = claim.target
     return (
