--- a/magnoliarouter/standins/bench/main.py
+++ b/magnoliarouter/standins/bench/main.py
@@ -23,6 +23,7 @@
     "expertmap",
     "fencing",
     "leaving",
+    "limits",
     "loop",
     "once",
     "path",
