Refuse last start times further ahead than the window

After a pause of the guard's VM a sender's reading of the guard's clock is ahead; the start window then stretched by the pause, and a repeat more than an hour later could be told that a forgotten attempt had never run. The guard refuses such attempts and remembers the refusal; the sender asks for the clock again.

--- a/magnoliarouter/core/attempts.py
+++ b/magnoliarouter/core/attempts.py
@@ -22,6 +22,7 @@
 RETENTION_S = 300.0
 ONCE_RETENTION_S = 3600.0
 START_WINDOW_S = 60.0
+CLOCK_SLACK_S = 0.1
 MAX_ANSWER_BYTES = 4_194_304
 
 
@@ -52,6 +53,7 @@
     FENCED = "fenced"
     DRAINING = "draining"
     EXPIRED = "expired"
+    CLOCK_AHEAD = "last start time is too far ahead"
     TABLE_FULL = "table full"
     QUEUE_FULL = "queue full"
     TOO_LATE = "deadline cannot be met"
@@ -157,6 +159,9 @@
         once = not_after is not None
         if once and now > not_after:
             return StartVerdict.EXPIRED
+        if once and not_after > now + START_WINDOW_S + CLOCK_SLACK_S:
+            # The sender's reading of this clock is wrong, for instance after a pause of this VM.
+            return self._refuse(attempt, now, once, StartVerdict.CLOCK_AHEAD)
         if self.draining:
             return self._refuse(attempt, now, once, StartVerdict.DRAINING)
         if self.size >= self.max_attempts:
@@ -206,8 +211,8 @@
         known = self._find_ended(attempt)
         if known is not None:
             return known.state
-        # It started no earlier than one window before its last start time, if it started.
-        if now >= not_after - START_WINDOW_S + self.once_retention:
+        # If it started, then no earlier than one window before its last start time.
+        if now >= not_after - START_WINDOW_S - CLOCK_SLACK_S + self.once_retention:
             return AttemptState.FORGOTTEN
         if not self._has_room_for_fence():
             return None
--- a/magnoliarouter/pipeline/guards.py
+++ b/magnoliarouter/pipeline/guards.py
@@ -48,6 +48,11 @@
 
 CONTROL_TIMEOUT_S = 2.0
 MAX_CLOCKS = 1_024
+USELESS_READING = (
+    StartVerdict.WRONG_INCARNATION.value,
+    StartVerdict.EXPIRED.value,
+    StartVerdict.CLOCK_AHEAD.value,
+)
 
 
 class GuardCalls:
@@ -154,7 +159,7 @@
         if headers.get(ATTEMPT_HEADER) != target.attempt:
             return AttemptDoubt("the answer belongs to another attempt")
         refusal = find_refusal(headers, target.attempt)
-        if refusal in (StartVerdict.WRONG_INCARNATION.value, StartVerdict.EXPIRED.value):
+        if refusal in USELESS_READING:
             # The reading is of no use; the next attempt asks anew.
             self._offsets.pop(target.incarnation, None)
         else:
--- a/magnoliarouter/tests/test_attempts.py
+++ b/magnoliarouter/tests/test_attempts.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from magnoliarouter.core.attempts import AttemptState, AttemptTable, StartVerdict
+from magnoliarouter.core.attempts import AttemptState, AttemptTable, StartVerdict, StoredAnswer
 
 
 class AttemptTableTest(unittest.TestCase):
@@ -31,3 +31,32 @@
         self.table.finish("a", 1.0)
         self.table.finish("b", 1.0)
         self.assertIs(self.table.start("c", "one", 12.0), StartVerdict.START)
+
+    def test_last_start_time_bounds_what_may_have_been_forgotten(self):
+        table = AttemptTable("one", once_retention=100.0)
+        verdict = table.start("a", "one", 0.0, not_after=61.0)
+        self.assertIs(verdict, StartVerdict.CLOCK_AHEAD)
+        self.assertIs(table.start("a", "one", 5.0, not_after=61.0), StartVerdict.FENCED)
+        self.assertIs(table.start("b", "one", 5.0, not_after=65.0), StartVerdict.START)
+        table.finish("b", 5.0)
+        self.assertIs(table.fence("b", 104.0, 65.0), AttemptState.FINISHED)
+        self.assertIs(table.fence("b", 105.0, 65.0), AttemptState.FORGOTTEN)
+        self.assertIs(table.start("b", "one", 105.0, not_after=65.0), StartVerdict.EXPIRED)
+
+    def test_refusal_that_cannot_be_remembered_is_no_proof(self):
+        table = AttemptTable("one", max_attempts=8)
+        for number in range(8):
+            table.start(str(number), "one", 0.0)
+        self.assertIs(table.start("8", "one", 0.0), StartVerdict.TABLE_FULL)
+        self.assertIs(table.start("9", "one", 0.0), StartVerdict.UNRECORDED)
+        self.assertIsNone(table.fence("9", 0.0, 60.0))
+
+    def test_old_bodies_go_and_their_digests_stay(self):
+        table = AttemptTable("one", max_answer_bytes=5)
+        for name in "abc":
+            table.start(name, "one", 0.0, 60.0)
+            table.finish(name, 0.0, StoredAnswer(200, "text/plain", name, 2, b"ok"))
+        self.assertEqual(table.answer_bytes, 4)
+        kept = [table.find_answer(name).body for name in "abc"]
+        self.assertEqual(kept, [None, b"ok", b"ok"])
+        self.assertEqual(table.find_answer("a").digest, "a")
