--- a/magnoliarouter/pipeline/place.py
+++ b/magnoliarouter/pipeline/place.py
@@ -128,6 +128,11 @@
         """Return an endpoint as registered."""
         return self._registry.find(name)
 
+    def find_endpoint(self, call: Call) -> EndpointSpec | None:
+        """Return the endpoint chosen for a call, or None when none can take it now."""
+        choice = self.place(call)
+        return self.find(choice.name) if isinstance(choice, Chosen) else None
+
     @contextmanager
     def track(self, endpoint: EndpointSpec, call: Call) -> Iterator[None]:
         """Count an attempt of a call as in progress on an endpoint."""
@@ -195,7 +200,7 @@
             service_seconds=report.service_seconds,
             warm=index is not None and self._is_current(spec) and index.holds(head, now),
             extra_load=self._extra_load(spec.name),
-            reported=report.engine_requests,
+            reported=report.running,
         )
 
     def _load(self, name: str) -> EndpointLoad:
