--- a/magnoliarouter/standins/bench/once.py
+++ b/magnoliarouter/standins/bench/once.py
@@ -39,6 +39,7 @@
     """One request with a key and what its caller saw."""
 
     sent_at: float
+    fault: str
     reply: BookingReply
 
 
@@ -47,7 +48,6 @@
     """All requests with one key."""
 
     key: str
-    fault: str
     at_once: bool
     tries: list[_Try] = field(default_factory=list)
 
@@ -84,7 +84,7 @@
         """Book one key after another until stopped."""
         while not self.stopped:
             key = f"key-{caller}-{len(self.bookings)}"
-            booking = _Booking(key, self.fault, self.draw.random() < TWO_AT_ONCE_SHARE)
+            booking = _Booking(key, self.draw.random() < TWO_AT_ONCE_SHARE)
             self.bookings.append(booking)
             await self._pursue(booking)
             await asyncio.sleep(PACE_S)
@@ -111,7 +111,7 @@
                 await asyncio.sleep(REPEAT_S)
 
     async def _try(self, booking: _Booking, entry: int) -> None:
-        sent_at = asyncio.get_running_loop().time()
+        sent_at, fault = asyncio.get_running_loop().time(), self.fault
         reply = await self.site.book(
             self.site.entries[entry],
             booking.key,
@@ -119,7 +119,7 @@
             self.site.entry_url(entry),
             PATIENCE_S,
         )
-        booking.tries.append(_Try(sent_at, reply))
+        booking.tries.append(_Try(sent_at, fault, reply))
 
 
 def _is_final(booking: _Booking) -> bool:
@@ -224,9 +224,15 @@
 
 
 def _share_unknown(bookings: list[_Booking]) -> dict[str, float]:
-    total = Counter(booking.fault for booking in bookings)
-    unknown = Counter(each.fault for each in bookings if each.outcome == "unknown")
-    return {fault: round(unknown[fault] / total[fault], 3) for fault in sorted(total)}
+    """Return, of the keys tried under a fault, the share that became doubtful under it for good."""
+    total = Counter(fault for each in bookings for fault in {one.fault for one in each.tries})
+    doubts = Counter(_find_doubt(each) for each in bookings if each.outcome == "unknown")
+    return {fault: round(doubts[fault] / total[fault], 3) for fault in sorted(total)}
+
+
+def _find_doubt(booking: _Booking) -> str:
+    """Return the fault under which a key first got an answer in doubt."""
+    return next(each.fault for each in booking.tries if each.reply.outcome == "unknown")
 
 
 def experiments() -> list[Experiment]:
