--- a/magnoliarouter/standins/bench/once.py
+++ b/magnoliarouter/standins/bench/once.py
@@ -139,7 +139,9 @@
         await faulty.open()
         run = _Run(faulty, draw)
         callers = [asyncio.create_task(run.call_until(number)) for number in range(CALLERS)]
-        await _cause_faults(run, seconds, report)
+        order = random.Random(f"{options.seed}/order").sample(list(FAULTS), len(FAULTS))
+        report.figures["order"] = order
+        await _cause_faults(run, order, seconds, report)
         run.stopped = True
         await asyncio.gather(*callers)
         await run.settle()
@@ -148,12 +150,10 @@
     return report
 
 
-async def _cause_faults(run: _Run, seconds: float, report: Report) -> None:
+async def _cause_faults(run: _Run, order: list[str], seconds: float, report: Report) -> None:
     length = seconds / len(FAULTS)
-    names = list(FAULTS)
     await _measure_rate(run, length, report)
-    run.draw.shuffle(names)
-    for name in names:
+    for name in order:
         if name == "none":
             continue
         run.fault = name
