--- a/magnoliarouter/core/borrowing.py
+++ b/magnoliarouter/core/borrowing.py
@@ -22,14 +22,18 @@
 __all__ = ["TICK_SECONDS", "Borrower", "Need", "Shortage"]
 
 TICK_SECONDS = 0.4
-HORIZON_S = 0.9
-REPORT_S = 0.8
+HORIZON_SHARE = 0.45
+REPORT_SHARE = 0.4
+LONGEST_PACE_S = 3.0
+CALM_FACTOR = 2
+SHORT_MEMORY_S = 5.0
 REFRESH_S = LOAN_SECONDS / 2
 RETRY_LEAST_S = 0.1
 RETRY_FIRST_S = 0.2
 RETRY_LAST_S = 1.0
 DOWN_FIRST_S = 0.5
 DOWN_LAST_S = 4.0
+FEW_CALLS = 2
 TOLERANCE = 1e-9
 
 
@@ -79,6 +83,19 @@
         return self.requests > TOLERANCE or self.tokens > TOLERANCE or self.permits > 0
 
 
+@dataclass(frozen=True, slots=True)
+class _Targets:
+    """Stock to fill up to, and the stock below which it is filled."""
+
+    requests: float
+    tokens: float
+    low_requests: float
+    low_tokens: float
+
+
+NO_STOCK = _Targets(0.0, 0.0, 0.0, 0.0)
+
+
 @dataclass(slots=True)
 class _Customer:
     """Stock, demand and homes of one customer."""
@@ -86,6 +103,9 @@
     name: str
     order: tuple[str, ...]
     pooled: bool = False
+    pace: float = 1.0
+    spare: Need | None = None
+    short_until: float = 0.0
     loans: list[Loan] = field(default_factory=list)
     permits: dict[str, Permits] = field(default_factory=dict)
     sources: dict[str, _Source] = field(default_factory=dict)
@@ -94,13 +114,12 @@
     duration: float = 0.0
     waiting: list[Need] = field(default_factory=list)
     asking: str = ""
-    chasing: bool = False
 
     def concerns(self, slot: str, now: float) -> bool:
         """Return whether there may be something to say to a slot."""
         if slot not in self.order:
             return False
-        if self.waiting or self.chasing or self.keeps_stock(now):
+        if self.waiting or self.keeps_stock(now):
             return True
         permits = self.permits.get(slot)
         if permits is not None and permits.held:
@@ -120,7 +139,30 @@
 
         To keep a small amount alive costs more messages than to ask when the next call comes.
         """
-        return not self.pooled and self.requests.rate(now) * HORIZON_S >= 1
+        return not self.pooled and self.requests.rate(now) * LOAN_SECONDS >= FEW_CALLS
+
+    def report_age(self, now: float) -> float:
+        """Return after how long spending is reported: later while no home is short."""
+        if self.pooled:
+            # Amounts gathered from several homes are missed by others sooner.
+            return 0.0
+        return REPORT_SHARE * self.pace * (1 if now < self.short_until else CALM_FACTOR)
+
+    def plan_stock(self, now: float) -> _Targets:
+        """Return the stock to keep."""
+        if not self.keeps_stock(now):
+            return NO_STOCK
+        requests, tokens = self.requests.rate(now), self.tokens.rate(now)
+        ahead = HORIZON_SHARE * self.pace
+        if self.spare is None:
+            low = ahead / 2
+            return _Targets(requests * ahead, tokens * ahead, requests * low, tokens * low)
+        return _Targets(
+            requests * ahead + 1,
+            tokens * ahead + self.spare.tokens,
+            requests * TICK_SECONDS + 1,
+            tokens * TICK_SECONDS + self.spare.tokens,
+        )
 
     def close(self, loan: Loan) -> None:
         """End a loan; permits in use stay in use."""
@@ -171,7 +213,14 @@
         self._links: dict[str, _Link] = {}
         self._active: set[str] = set()
 
-    def set_customer(self, name: str, order: Sequence[str], pooled: bool) -> None:
+    def set_customer(
+        self,
+        name: str,
+        order: Sequence[str],
+        pooled: bool,
+        burst_seconds: float = 1.0,
+        spare: Need | None = None,
+    ) -> None:
         """Set the homes of a customer in the order in which they are asked.
 
         Parameters
@@ -183,9 +232,16 @@
         pooled : bool
             Whether single homes own too little for a call, so that amounts are gathered from
             several; the order must then be the same in all daemons.
+        burst_seconds : float
+            Burst of the contract; with a longer one more is kept in stock and reported later.
+        spare : Need, optional
+            Call for which stock is kept beyond the demand, so that few calls wait for an ask;
+            for customers whose burst is many times as large.
         """
         known = self._customers.setdefault(name, _Customer(name, tuple(order)))
         known.order, known.pooled = tuple(order), pooled
+        known.pace = min(burst_seconds, LONGEST_PACE_S)
+        known.spare = spare
 
     def set_home(self, slot: str, epoch: int) -> None:
         """Note the epoch of the home that holds a slot now."""
@@ -262,18 +318,15 @@
         self._customers[name].waiting.remove(need)
 
     def slots_wanted(self, now: float) -> set[str]:
-        """Return the slots to ask now for calls that wait and for demand that is not met."""
+        """Return the slots to ask now for calls that wait, or to report to for pooled ones."""
         found = set()
         for name in list(self._active):
             customer = self._customers[name]
             if customer.pooled:
                 # Small parts accrue again only once their spending is reported.
                 found.update(loan.slot for loan in customer.loans if loan.changed)
-            if customer.asking or not (customer.waiting or customer.chasing):
-                continue
-            slot = self._choose_slot(customer, now)
-            customer.chasing = customer.chasing and bool(slot)
-            found.add(slot)
+            if customer.waiting and not customer.asking:
+                found.add(self._choose_slot(customer, now))
         return found - {""}
 
     def build_ask(self, slot: str, now: float) -> Ask | None:
@@ -295,12 +348,12 @@
             for customer in map(self._customers.__getitem__, list(self._active))
             if customer.concerns(slot, now)
         ]
-        lines = self._build_lines(concerned, link, slot, sequence, now, REPORT_S)
+        lines = self._build_lines(concerned, link, slot, sequence, now, along=False)
         if lines:
             # An ask that is sent anyway carries all that is new.
             said = {line.customer for line in lines}
             others = [customer for customer in concerned if customer.name not in said]
-            lines += self._build_lines(others, link, slot, sequence, now, 0.0)
+            lines += self._build_lines(others, link, slot, sequence, now, along=True)
         for name in list(self._active):
             self._rest(self._customers[name], now)
         if not lines:
@@ -332,7 +385,8 @@
             loan.acked, loan.stamp, loan.expires = ask.sequence, grant.stamp, expires
             _take_grant(loan, customer.permits[ask.slot], granted)
             _pay_debt(customer)
-            customer.chasing = _note_source(customer.sources[ask.slot], line, granted, now)
+            if _note_source(customer.sources[ask.slot], line, granted, now):
+                customer.short_until = now + SHORT_MEMORY_S
 
     def fail(self, ask: Ask, now: float) -> None:
         """Note that no answer to an ask came in time, or that the slot was not held there."""
@@ -419,10 +473,10 @@
         slot: str,
         sequence: int,
         now: float,
-        report_after: float,
+        along: bool,
     ) -> list[AskLine]:
         lines = (
-            self._build_line(customer, slot, link.epoch, sequence, now, report_after)
+            self._build_line(customer, slot, link.epoch, sequence, now, along)
             for customer in customers
         )
         return [line for line in lines if line is not None]
@@ -434,7 +488,7 @@
         epoch: int,
         sequence: int,
         now: float,
-        report_after: float,
+        along: bool,
     ) -> AskLine | None:
         customer.live(now)
         loan = self._find_loan(customer, slot, epoch)
@@ -442,8 +496,7 @@
         permits = customer.permits.setdefault(slot, Permits())
         if loan is not None and not wants:
             self._return_surplus(customer, loan, permits, now)
-        # Amounts gathered from several homes are missed by others sooner.
-        report_after = 0.0 if customer.pooled else report_after
+        report_after = 0.0 if along else customer.report_age(now)
         if not wants and not _has_news(loan, permits, now, report_after):
             return None
         if loan is None:
@@ -470,16 +523,13 @@
         if customer.asking or self._choose_slot(customer, now) != slot:
             return _Wants()
         requests, tokens, permits = self.stock(customer.name, now)
-        ahead = HORIZON_S if customer.keeps_stock(now) else 0.0
-        request_ahead = customer.requests.rate(now) * ahead
-        request_target = len(customer.waiting) + request_ahead
-        token_target = sum(need.tokens for need in customer.waiting)
-        token_target += customer.tokens.rate(now) * ahead
-        permit_target = len(customer.waiting) + round(request_ahead)
+        targets = customer.plan_stock(now)
+        waiting = len(customer.waiting)
+        waiting_tokens = sum(need.tokens for need in customer.waiting)
         return _Wants(
-            _lack(requests, request_target, bool(customer.waiting)),
-            _lack(tokens, token_target, bool(customer.waiting)),
-            permit_target - permits if permits < (permit_target + 1) // 2 else 0,
+            _lack(requests, waiting, targets.requests, targets.low_requests),
+            _lack(tokens, waiting_tokens, targets.tokens, targets.low_tokens),
+            int(_lack(permits, waiting, round(targets.requests), targets.low_requests / 2)),
         )
 
     def _return_surplus(
@@ -488,9 +538,8 @@
         if customer.waiting or customer.asking:
             return
         requests, tokens, idle = self.stock(customer.name, now)
-        keep = 2 * HORIZON_S if customer.keeps_stock(now) else 0.0
-        request_keep = customer.requests.rate(now) * keep
-        token_keep = customer.tokens.rate(now) * keep
+        targets = customer.plan_stock(now)
+        request_keep, token_keep = 2 * targets.requests, 2 * targets.tokens
         given = 0.0
         if requests > request_keep + TOLERANCE:
             given += loan.requests.give_back(requests - request_keep)
@@ -508,11 +557,11 @@
         return None
 
 
-def _lack(stock: float, target: float, waiting: bool) -> float:
-    """Return what is missing, once less than half of the target is there or a call waits."""
-    if stock >= target or (stock > target / 2 and not waiting):
+def _lack(stock: float, waiting: float, target: float, low: float) -> float:
+    """Return what is missing, once stock is low or less than what calls wait for."""
+    if stock >= low and stock >= waiting:
         return 0.0
-    return target - stock
+    return max(0.0, waiting + target - stock)
 
 
 def _describe(stock: Stock, want: float, least: float) -> ResourceAsk:
@@ -549,7 +598,7 @@
 
 
 def _note_source(source: _Source, line: AskLine, granted: GrantLine, now: float) -> bool:
-    """Decide when a home is asked again, and return whether it lent less than was wanted."""
+    """Decide when a home is asked again, and return whether it was short."""
     source.request_wait, source.token_wait = granted.request_wait, granted.token_wait
     short = (
         granted.requests < line.requests.want - TOLERANCE
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -33,6 +33,7 @@
 from magnoliarouter.pipeline.meter import Meter
 from magnoliarouter.pipeline.once import OnceCalls
 from magnoliarouter.pipeline.place import Placement, create_policy
+from magnoliarouter.pipeline.queue import WaitingRoom
 from magnoliarouter.pipeline.retry import Forwarder
 from magnoliarouter.platform.backoff import CallBudget
 from magnoliarouter.platform.claims import ClaimStore
@@ -44,6 +45,7 @@
     from magnoliarouter.pipeline.admit import Admission
     from magnoliarouter.pipeline.call import Call
     from magnoliarouter.pipeline.dispatch import Answer
+    from magnoliarouter.pipeline.retry import Forwarded
 
 __all__ = ["EntryDaemon"]
 
@@ -161,6 +163,12 @@
             vms,
             self.group_health.extra_load,
         )
+        self._waiting = WaitingRoom(
+            self._placement,
+            self.settings.queue_length,
+            clock,
+            self.metrics.add_gauge("waiting", "Requests that wait for an endpoint"),
+        )
         self._forwarder = Forwarder(self._placement, self._session, clock, self.metrics)
         self._reports = ReportDuty(
             self.settings,
@@ -223,6 +231,7 @@
             self.settings.name,
             self._platform,
             self._session,
+            self.settings.peer_key,
             self._loop.time,
             self.metrics,
             self.settings.group_lease_seconds,
@@ -276,15 +285,18 @@
             metrics.tokens,
         )
 
-    async def _run_once(self, exchange: Exchange, call: Call) -> None:
+    async def _run_once(self, exchange: Exchange, call: Call, meter: Meter) -> None:
+        # A caller that goes away cancels this coroutine, not the call.
+        meter.ran = True
         reply = await self._once.run(call)
+        meter.ran = not isinstance(reply.outcome, NotRun)
         self._record(reply.outcome, call, reply.endpoint)
         headers = {REQUEST_HEADER: call.request_id, **reply.headers}
         await exchange.send(reply.status, reply.body, headers)
 
     async def _forward(self, exchange: Exchange, call: Call, meter: Meter) -> None:
         if isinstance(call.work, ApplicationCall) and not call.work.repeatable:
-            await self._run_once(exchange, call)
+            await self._run_once(exchange, call, meter)
             return
 
         async def deliver(answer: Answer) -> Outcome:
@@ -292,8 +304,11 @@
                 meter.prompt = call.work.prompt_tokens
             return await self._deliver(exchange, call, answer, meter)
 
-        meter.ran = True
-        end = await self._forwarder.forward(call, deliver, lambda: exchange.started)
+        async def forward() -> Forwarded:
+            meter.ran = True
+            return await self._forwarder.forward(call, deliver, lambda: exchange.started)
+
+        end = await self._waiting.carry(call, forward)
         if not end.answered and not isinstance(end.outcome, Completed):
             meter.ran, meter.exact = not isinstance(end.outcome, NotRun), False
             await self._answer_error(exchange, end.outcome, call=call)
--- a/magnoliarouter/daemon/groups.py
+++ b/magnoliarouter/daemon/groups.py
@@ -32,7 +32,7 @@
 from magnoliarouter.platform.leases import LeaseKeeper
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     import aiohttp
 
@@ -48,6 +48,7 @@
 STORE_TIMEOUT_S = 1.0
 RETRY_S = 0.5
 CANDIDATES = 3
+LONG_SWITCH_S = 2.0
 # Ranks fence by epoch, so that a decision begun in time may be carried to its end.
 CLOSING = (Phase.COMMIT_WRITE, Phase.CONFIRM, Phase.SPREAD)
 
@@ -80,6 +81,8 @@
         Client of the object API.
     session : aiohttp.ClientSession
         Session towards the ranks' agents.
+    key : str
+        Key shared by all of the system's processes.
     clock : callable
         Loop time in seconds.
     metrics : GroupMetrics
@@ -95,6 +98,7 @@
         spec: GroupSpec,
         platform: PlatformClient,
         session: aiohttp.ClientSession,
+        key: str,
         clock: Callable[[], float],
         metrics: GroupMetrics,
         lease_seconds: float,
@@ -105,13 +109,15 @@
         self._platform = platform
         self._clock = clock
         self._metrics = metrics
-        self._ranks = RankClient(spec.ranks, session)
+        self._ranks = RankClient(spec.ranks, session, key)
         self._balance = GroupBalance(spec, platform, self._ranks, clock, metrics)
         self._lease_seconds = lease_seconds
         self._is_candidate = is_candidate
         self._keeper = self._create_keeper()
         self._keeping: asyncio.Task[None] | None = None
         self._effects: set[asyncio.Task[None]] = set()
+        self._idle_at = clock()
+        self._told_switching = False
 
     async def run(self) -> None:
         """Hold the lease and control the group until cancelled."""
@@ -163,6 +169,7 @@
             return
         version, record = found
         size = len(self.spec.ranks)
+        self._idle_at = self._clock()
         self._take(mapcontrol.start_controller(size, record, version, self._clock(), SwitchTimes()))
         while self._may_act():
             busy = self.state.phase is not Phase.IDLE
@@ -170,6 +177,7 @@
             if not self._may_act():
                 break
             self._take(mapcontrol.tick(self.state, self._clock()))
+            self._tell_switching()
             if self.state.phase is Phase.IDLE:
                 await self._rebalance()
         stopped = self.state.phase is Phase.STOPPED
@@ -179,6 +187,16 @@
         phase = self.state.phase
         return phase is not Phase.STOPPED and (self._keeper.epoch() is not None or phase in CLOSING)
 
+    def _tell_switching(self) -> None:
+        """Publish that a switch takes long, and its end."""
+        now = self._clock()
+        if self.state.phase is Phase.IDLE:
+            self._idle_at = now
+        switching = now >= self._idle_at + LONG_SWITCH_S
+        if switching is not self._told_switching:
+            self._told_switching = switching
+            self._spawn(self._balance.publish(switching))
+
     async def _rebalance(self) -> None:
         record = self.state.record
         plan = await self._balance.consider(record.schedule.version, record.text_of)
@@ -193,9 +211,12 @@
         if before is not None and before.phase is not self.state.phase:
             self._note(before, self.state)
         for effect in effects:
-            task = asyncio.create_task(self._perform(effect))
-            self._effects.add(task)
-            task.add_done_callback(self._effects.discard)
+            self._spawn(self._perform(effect))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._effects.add(task)
+        task.add_done_callback(self._effects.discard)
 
     def _note(self, before: ControllerState, after: ControllerState) -> None:
         name = self.spec.name
@@ -274,7 +295,7 @@
     ----------
     name : str
         Entry VM of this daemon.
-    platform, session, clock, lease_seconds
+    platform, session, key, clock, lease_seconds
         As for `GroupController`.
     metrics : Metrics
         Registry of the daemon.
@@ -287,6 +308,7 @@
         name: str,
         platform: PlatformClient,
         session: aiohttp.ClientSession,
+        key: str,
         clock: Callable[[], float],
         metrics: Metrics,
         lease_seconds: float,
@@ -295,7 +317,7 @@
         self._name = name
         self._list_vms = list_vms
         self.controllers: dict[str, GroupController] = {}
-        self._arguments = (platform, session, clock, GroupMetrics(metrics), lease_seconds)
+        self._arguments = (platform, session, key, clock, GroupMetrics(metrics), lease_seconds)
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     async def stop(self) -> None:
