--- a/magnoliarouter/endpoints/messages.py
+++ b/magnoliarouter/endpoints/messages.py
@@ -16,7 +16,14 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-__all__ = ["FenceReply", "FenceRequest", "GuardStatus", "is_answer_of", "is_end_to_end"]
+__all__ = [
+    "FenceReply",
+    "FenceRequest",
+    "GuardClock",
+    "GuardStatus",
+    "is_answer_of",
+    "is_end_to_end",
+]
 
 ATTEMPT_HEADER = "x-attempt-id"
 REQUEST_HEADER = "x-request-id"
@@ -30,6 +37,9 @@
 DEADLINE_HEADER = "x-deadline-ms"
 IDEMPOTENCY_HEADER = "idempotency-key"
 
+OTHER_INCARNATION = "other incarnation"
+TABLE_FULL = "table full"
+
 # Statements of the guard, which an endpoint's answer must not make in its place.
 GUARD_HEADERS = frozenset(
     (NOT_STARTED_HEADER, GUARD_CLOCK_HEADER, VERDICT_HEADER, FAILURE_HEADER, LOAD_HEADER)
@@ -99,6 +109,21 @@
     cache: CacheRun | None = None
 
 
+class GuardClock(msgspec.Struct, frozen=True):
+    """Part of `GuardStatus` that tells the guard's time.
+
+    Parameters
+    ----------
+    incarnation : str
+        Id of the guard's present start.
+    clock : float
+        Loop time of the guard in seconds.
+    """
+
+    incarnation: str
+    clock: float
+
+
 class FenceRequest(msgspec.Struct, frozen=True):
     """Asks a guard to keep an attempt from starting, or to tell what became of it.
 
@@ -108,10 +133,13 @@
         Attempt id.
     incarnation : str
         Incarnation of the guard that the attempt was made for.
+    not_after : float
+        Last start time that the attempt carries, on the guard's clock.
     """
 
     attempt: str
     incarnation: str
+    not_after: float
 
 
 class FenceReply(msgspec.Struct, frozen=True):
