Let the engine stand-in's step grow with how full the batch is

Cause: growth was counted by request, so an engine with 2,000 slots became slow under a few dozen requests and 'path' missed 43 ms between tokens even directly.

--- a/magnoliarouter/standins/batching.py
+++ b/magnoliarouter/standins/batching.py
@@ -29,7 +29,7 @@
     step_seconds : float
         Time of a step of one request.
     step_growth : float
-        Part by which each further request in the batch lengthens the step.
+        Part by which a full batch lengthens the step; less for one that is less full.
     block_seconds : float
         Time to compute one block of a prompt that is not in the cache.
     cache_blocks : int
@@ -44,7 +44,7 @@
 
     slots: int = 8
     step_seconds: float = 0.02
-    step_growth: float = 0.02
+    step_growth: float = 0.15
     block_seconds: float = 0.002
     cache_blocks: int = 2048
     speed: float = 1.0
@@ -175,7 +175,8 @@
     def step_seconds(self) -> float:
         """Time of a step of the present batch without prompts to compute."""
         options = self.options
-        growth = 1 + options.step_growth * max(0, len(self.running) - 1)
+        fullness = max(0, len(self.running) - 1) / max(1, options.slots - 1)
+        growth = 1 + options.step_growth * fullness
         return options.step_seconds * growth / options.speed
 
     def submit(self, job: Job) -> None:
--- a/magnoliarouter/standins/engine.py
+++ b/magnoliarouter/standins/engine.py
@@ -209,7 +209,7 @@
     for name, default in (
         ("slots", 8),
         ("step-seconds", 0.02),
-        ("step-growth", 0.02),
+        ("step-growth", 0.15),
         ("block-seconds", 0.002),
         ("cache-blocks", 2048),
         ("speed", 1.0),
