--- a/magnoliarouter/pipeline/place.py
+++ b/magnoliarouter/pipeline/place.py
@@ -128,11 +128,6 @@
         """Return an endpoint as registered."""
         return self._registry.find(name)
 
-    def find_endpoint(self, call: Call) -> EndpointSpec | None:
-        """Return the endpoint chosen for a call, or None when none can take it now."""
-        choice = self.place(call)
-        return self.find(choice.name) if isinstance(choice, Chosen) else None
-
     @contextmanager
     def track(self, endpoint: EndpointSpec, call: Call) -> Iterator[None]:
         """Count an attempt of a call as in progress on an endpoint."""
