Judge an endpoint's health by what does not depend on the caller

Cause: three calls with a deadline of 1 ms, or three answers 500 to a bad prompt, ejected an endpoint for all customers. Change: only broken answers, statuses 502 to 504 and 10 s without an answer count.

--- a/magnoliarouter/pipeline/retry.py
+++ b/magnoliarouter/pipeline/retry.py
@@ -35,7 +35,9 @@
 NO_ENDPOINT_RETRY_S = 1.0
 # Refusals that cost the endpoint work although they did not run the call.
 BUDGETED_REFUSALS = (ResultCode.QUEUE_FULL, ResultCode.DEADLINE_UNREACHABLE)
-SERVER_ERROR = 500
+# Statuses by which an endpoint says that it cannot serve, whoever asks.
+UNHEALTHY_STATUSES = (502, 503, 504)
+HANG_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,10 +147,10 @@
         async with open_attempt(self._session, endpoint, call, now, on_head) as answer:
             if isinstance(answer, Answer):
                 outcome = await deliver(answer)
-                self._judge(endpoint.name, outcome, answer.status)
+                self._judge(endpoint.name, outcome, now, answer.status)
                 is_final = outcome.code is ResultCode.CALLER_GONE or isinstance(outcome, Completed)
                 return Forwarded(outcome, is_final or has_answered(), endpoint.name)
-        self._judge(endpoint.name, answer)
+        self._judge(endpoint.name, answer, now)
         return Forwarded(answer, False, endpoint.name)
 
     def _take_head(self, endpoint: EndpointSpec, headers: Mapping[str, str]) -> None:
@@ -158,16 +160,20 @@
             self._placement.take_incarnation(endpoint.name, endpoint.incarnation)
             self._placement.take_report(endpoint.name, report, self._clock())
 
-    def _judge(self, name: str, outcome: Outcome, status: int = 0) -> None:
+    def _judge(self, name: str, outcome: Outcome, began: float, status: int = 0) -> None:
+        """Count an attempt for or against its endpoint's health."""
         now, outliers = self._clock(), self._placement.outliers
         match outcome:
-            case Completed() if status < SERVER_ERROR:
+            case Completed() if status not in UNHEALTHY_STATUSES:
                 outliers.note_success(name)
                 self._budget.note_success(now)
             case NotRun(code=ResultCode.ENDPOINT_UNREACHABLE):
                 self._count_ejection(outliers.note_failure(name, now, at_once=True))
             case NotRun() | Unknown(code=ResultCode.CALLER_GONE):
                 return
+            case Unknown(code=ResultCode.DEADLINE_EXCEEDED) if now - began < HANG_S:
+                # A caller with a short deadline must not get an endpoint ejected.
+                return
             case _:
                 self._count_ejection(outliers.note_failure(name, now))
 
--- a/magnoliarouter/tests/test_retry.py
+++ b/magnoliarouter/tests/test_retry.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import itertools
 import unittest
 from contextlib import asynccontextmanager
 from unittest import mock
@@ -21,6 +22,7 @@
 DRAINING = NotRun(ResultCode.DRAINING, "draining")
 UNREACHABLE = NotRun(ResultCode.ENDPOINT_UNREACHABLE, "no connection")
 FULL = NotRun(ResultCode.QUEUE_FULL, "full")
+LATE = Unknown(ResultCode.DEADLINE_EXCEEDED, "late")
 BROKEN = Unknown(ResultCode.ENDPOINT_ERROR, "reset")
 ANSWER = Answer(200, "application/json", None)
 DONE = Completed(ResultCode.OK, 200)
@@ -40,7 +42,9 @@
         self.metrics = Metrics()
         self.sent = []
 
-    async def forward(self, *outcomes, call=None, budget=None, delivery=DONE, started=True):
+    async def forward(
+        self, *outcomes, call=None, budget=None, delivery=DONE, started=True, clock=None
+    ):
         script = iter(outcomes)
 
         @asynccontextmanager
@@ -53,7 +57,8 @@
         async def deliver(answer):
             return next(deliveries)
 
-        forwarder = Forwarder(self.placement, None, lambda: 1000.0, self.metrics, budget)
+        clock = clock or (lambda: 1000.0)
+        forwarder = Forwarder(self.placement, None, clock, self.metrics, budget)
         with mock.patch("magnoliarouter.pipeline.retry.open_attempt", open_attempt):
             return await forwarder.forward(call or build_call(), deliver, lambda: started)
 
@@ -99,6 +104,26 @@
         end = await self.forward(ANSWER, ANSWER, delivery=gone, started=False)
         self.assertEqual((end.answered, len(self.sent)), (True, 1))
 
+    async def eject_by(self, *outcomes, status=200, clock=None):
+        answer = Answer(status, "application/json", None)
+        self.placement = build_placement("a")
+        for outcome in outcomes:
+            step = answer if isinstance(outcome, Completed) else outcome
+            await self.forward(step, budget=RetryBudget(floor=0), delivery=outcome, clock=clock)
+        return self.placement.outliers.is_ejected("a", 1000.0)
+
+    async def test_short_deadlines_do_not_eject(self):
+        self.assertFalse(await self.eject_by(LATE, LATE, LATE))
+
+    async def test_hanging_endpoint_is_ejected(self):
+        times = itertools.count(900.0, 10.0)
+        await self.eject_by(LATE, LATE, LATE, clock=lambda: next(times))
+        self.assertEqual(self.metrics.ejections._value.get(), 1)
+
+    async def test_only_statuses_of_bad_health_eject(self):
+        self.assertFalse(await self.eject_by(DONE, DONE, DONE, status=500))
+        self.assertTrue(await self.eject_by(DONE, DONE, DONE, status=503))
+
     async def test_failed_connection_ejects_at_once(self):
         await self.forward(UNREACHABLE, ANSWER)
         self.assertTrue(self.placement.outliers.is_ejected(self.sent[0], 1000.0))
