--- a/magnoliarouter/daemon/configuration.py
+++ b/magnoliarouter/daemon/configuration.py
@@ -14,7 +14,7 @@
 from magnoliarouter.peers.relay import RELAY_METHOD, RelayLog, RelayRequest
 from magnoliarouter.peers.status import KindStatus
 from magnoliarouter.platform.backoff import Backoff
-from magnoliarouter.platform.feed import ObjectFeed
+from magnoliarouter.platform.feed import WATCH_WAIT_S, ObjectFeed
 from magnoliarouter.platform.objects import decode_object
 
 if TYPE_CHECKING:
@@ -158,7 +158,8 @@
     @property
     def source(self) -> str:
         """Where the configuration comes from: ``"platform"``, ``"peers"`` or ``"none"``."""
-        if self._watches and any(not feed.failures for feed in self._feeds.values()):
+        served = [feed.served_at for feed in self._feeds.values() if feed.served_at is not None]
+        if self._watches and served and self._clock() - max(served) < 2 * WATCH_WAIT_S:
             return "platform"
         return "none" if self._silent_since() is not None else "peers"
 
--- a/magnoliarouter/platform/feed.py
+++ b/magnoliarouter/platform/feed.py
@@ -35,6 +35,8 @@
     ----------
     failures : int
         Calls in a row that the platform did not serve.
+    served_at : float, optional
+        Loop time at which the platform last served a call of this feed.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
     ) -> None:
         super().__init__(kind, decode, on_change, **options)
         self.failures = 0
+        self.served_at: float | None = None
         self._gap = False
         self._client = client
         self._backoff = backoff or Backoff()
@@ -87,7 +90,8 @@
     def _note(self, served: bool) -> bool:
         if served:
             self.failures = 0
-            self.touch(asyncio.get_running_loop().time())
+            self.served_at = asyncio.get_running_loop().time()
+            self.touch(self.served_at)
         else:
             self.failures += 1
         return served
--- a/magnoliarouter/standins/bench/rollout.py
+++ b/magnoliarouter/standins/bench/rollout.py
@@ -199,7 +199,10 @@
 
 
 async def _measure_idle(report: Report, rollout: _Rollout, seconds: float) -> None:
-    """Count the platform's calls and the processor time of daemons while nothing changes."""
+    """Count the platform's calls and the processor time of daemons while nothing changes.
+
+    The processor time holds the status calls of the observers.
+    """
     members = list(rollout.fleet.members.values())
     calls = await rollout.fleet.read_calls()
     used = [read_process(m.process.child.pid).cpu_seconds for m in members if m.process]
@@ -209,7 +212,7 @@
     per_second = {kind: (after[kind] - calls[kind]) / (2 * seconds) for kind in calls}
     report.figures["idle_platform_calls_per_s"] = round(sum(per_second.values()), 2)
     shares = [(b - a) / (2 * seconds) for a, b in zip(used, now, strict=True)]
-    report.figures["idle_cpu_share_most"] = round(max(shares), 4)
+    report.figures["core_share_most_under_observation"] = round(max(shares), 4)
 
 
 async def _calm(rollout: _Rollout, seconds: float) -> None:
--- a/magnoliarouter/tests/test_configuration.py
+++ b/magnoliarouter/tests/test_configuration.py
@@ -31,9 +31,10 @@
         )
         self.server, self.client = PeerServer(KEY), PeerClient(KEY)
         self.metrics = Metrics()
+        calls = self.metrics.add_counter("platform_calls", "Calls", "operation", "result")
         self.configuration = Configuration(
             self.settings,
-            PlatformClient(platform, session),
+            PlatformClient(platform, session, on_call=lambda *call: calls.labels(*call).inc()),
             self.client,
             self.server,
             self.metrics,
@@ -79,10 +80,11 @@
         self.session = open_session()
         self.addAsyncCleanup(self.session.close)
 
-    async def start(self, *names, zone="zone-1", seeds=()):
+    async def start(self, *names, zone="zone-1", seeds=(), platform=None):
         daemons = []
         for name in names:
-            daemon = await Daemon(name, zone, self.platform, self.session, seeds).start()
+            url = platform or self.platform
+            daemon = await Daemon(name, zone, url, self.session, seeds).start()
             self.addAsyncCleanup(daemon.stop)
             daemons.append(daemon)
             vm = {"name": name, "zone": zone, "role": "entry", "address": daemon.address}
@@ -144,6 +146,19 @@
             await relay.stop()
         await self.wait_for(others, await self.write())
 
+    async def test_zone_cut_off_from_the_platform_follows_another_zone(self):
+        near = await self.start("a", "b")
+        await self.synchronize(near)
+        seeds = tuple(daemon.address for daemon in near)
+        nowhere = "http://127.0.0.1:1"
+        far = await self.start("c", "d", "e", zone="zone-2", seeds=seeds, platform=nowhere)
+        await self.synchronize(far)
+        await self.wait_for(far, await self.write())
+        for daemon in far:
+            self.assertEqual(daemon.configuration.source, "peers")
+            self.assertLess(daemon.contracts.contact, daemon.configuration._clock())
+            self.assertIn(b'result="connect"', daemon.metrics.render())
+
     async def test_status_tells_versions_refusals_and_age(self):
         good = await self.write()
         self.store.write("contract", "grower", {"customer": 5}, None)
