--- a/magnoliarouter/tests/test_mapswitch.py
+++ b/magnoliarouter/tests/test_mapswitch.py
@@ -6,9 +6,11 @@
 
 from magnoliarouter.core import mapcontrol, mapstate, mapswitch
 from magnoliarouter.core.mapmessages import NO_STEP, Arm, Commit, Form, Pending, Propose, Schedule
+from magnoliarouter.core.maporders import list_orders
 from magnoliarouter.core.mapstate import Phase, StoreOutcome
 from magnoliarouter.core.mapswitch import Grant, RankState, Wait
 from magnoliarouter.tests.groupmodel import GroupModel, TwoMaps
+from magnoliarouter.tests.groupsearch import search
 
 PHASES = (Phase.PREPARE, Phase.ARM, Phase.COMMIT_WRITE, Phase.CONFIRM, Phase.SPREAD)
 ACTIONS_PER_WALK = 250
@@ -25,12 +27,31 @@
     return model
 
 
+# Size, seed and actions of walks that ended in two maps or in a standstill before.
+FORMER_FAULTS = (
+    (2, 110470, 300),
+    (4, 307551, 800),
+    (3, 203161, 400),
+    (4, 300259, 800),
+    (4, 302085, 800),
+)
+
+
 def build_rank(**changes) -> RankState:
     state = RankState(0, 2, "a", joined=True, seen=("a", "b"), schedule=Schedule(1), closed=1)
     return replace(state, loaded=frozenset((1, 2)), generation=("a", "b"), **changes)
 
 
 class InterleavingTest(unittest.TestCase):
+    def test_former_faults(self):
+        for size, seed, actions in FORMER_FAULTS:
+            with self.subTest(seed=seed):
+                model = GroupModel(size, seed)
+                model.reach(PHASES[seed % len(PHASES)])
+                for _ in range(actions):
+                    model.act()
+                self.assertTrue(model.recover())
+
     def test_one_map_in_every_step_and_recovery(self):
         steps = switches = 0
         for seed in range(1500):
@@ -54,6 +75,29 @@
         self.assertGreater(state.target.since, step)
 
 
+class SuccessionTest(unittest.TestCase):
+    def test_next_switch_waits_until_the_last_one_took_effect(self):
+        # A rank remembers two versions; with two switches ahead it would forget the first.
+        model = GroupModel(2, 1)
+        model.reach(Phase.SPREAD)
+        frozen = mock.patch.object(model, "step")
+        with frozen:
+            for _ in range(20):
+                model._run_round()
+                model.begin_switch(0)
+        state = model.controllers[0]
+        self.assertEqual((state.phase, state.truth.version), (Phase.PREPARE, 2))
+        self.assertTrue(model.recover())
+
+    def test_mixed_generations_with_a_joining_rank_are_formed_anew(self):
+        model = GroupModel(3, 1)
+        model.reach(Phase.PREPARE)
+        stray = replace(model.ranks[2], generation=("x", "y", model.ranks[2].incarnation))
+        model.ranks[2] = stray
+        model.restart(0)
+        self.assertTrue(model.recover())
+
+
 def pass_armed_step(state, step, grant=mapswitch.grant_step):
     after, verdict = grant(replace(state, pending=None), step)
     return replace(after, pending=state.pending), verdict
@@ -104,6 +148,57 @@
     return receive(state, outcome, version, now)
 
 
+def release_and_forget() -> None:
+    """Let one rank of two learn the commit, act on it and restart, then recover."""
+    model = GroupModel(2, 1)
+    model.reach(Phase.CONFIRM)
+    model.load(0)
+    model.deliver_order(0, 0, list_orders(model.controllers[0])[0].order)
+    model.deliver_report(0, mapswitch.create_report(model.ranks[0]))
+    released = [order for _, rank, order in model.orders if rank == 0]
+    model.deliver_order(0, 0, released[-1])
+    for _ in range(20):
+        model.step(0)
+        model.step(1)
+    model.restart(0)
+    model.greet(0, 1)
+    model.deliver_answer(*model.answers[-1])
+    if not model.recover():
+        raise AssertionError("the group does not step on")
+
+
+class ReleaseTest(unittest.TestCase):
+    def test_commit_known_to_one_rank_is_not_acted_on(self):
+        release_and_forget()
+
+    def test_acting_on_it_would_be_caught(self):
+        def know_any(state):
+            return any(report.pending.known for report in state.known_reports if report.pending)
+
+        with mock.patch.object(mapcontrol, "all_know", know_any), self.assertRaises(TwoMaps):
+            release_and_forget()
+
+
+def search_from(phase: Phase, depth: int) -> int:
+    """Search all sequences with a restart and a takeover, from a phase reached without faults."""
+    model = GroupModel(2, 1)
+    model.reach(phase)
+    model.orders, model.reports = model.orders[-4:], []
+    return search(model, depth, restarts=1, controllers=1)
+
+
+class SearchTest(unittest.TestCase):
+    def test_no_sequence_of_actions_leads_to_two_maps(self):
+        depths = {Phase.ARM: 7, Phase.COMMIT_WRITE: 8, Phase.CONFIRM: 8, Phase.SPREAD: 8}
+        states = sum(search_from(phase, depth) for phase, depth in depths.items())
+        self.assertGreater(states, 40_000)
+
+    def test_search_catches_a_rank_that_passes_its_confirmed_step(self):
+        patched = mock.patch.object(mapswitch, "grant_step", pass_armed_step)
+        with patched, self.assertRaises(TwoMaps):
+            search_from(Phase.SPREAD, 8)
+
+
 class MutationTest(unittest.TestCase):
     """Each weakened rule is caught by the walks that pass with the real rules."""
 
@@ -170,6 +265,19 @@
         state = build_rank(epoch=3)
         self.assertEqual(mapswitch.apply_order(state, Propose(2, 2)), state)
 
+    def test_learns_decisions_from_the_record(self):
+        state = build_rank(pending=Pending(2, 5))
+        learn = mapswitch.learn_record
+        self.assertEqual(learn(state, Schedule(1), 1, 0), state)
+        self.assertEqual(learn(state, Schedule(1), 2, 2), state)
+        self.assertIsNone(learn(state, Schedule(1), 2, 0).pending)
+        committed = learn(state, Schedule(2, 5, 1), 2, 0)
+        self.assertEqual((committed.schedule.version, committed.pending), (2, None))
+
+    def test_record_does_not_abort_what_is_known_to_be_committed(self):
+        state = build_rank(pending=Pending(2, 5, known=True))
+        self.assertEqual(mapswitch.learn_record(state, Schedule(1), 2, 0), state)
+
     def test_restarted_rank_knows_nothing(self):
         state = RankState(0, 2, "c")
         self.assertEqual(mapswitch.grant_step(state, 0)[1], Wait("joining"))
