--- a/magnoliarouter/daemon/quota.py
+++ b/magnoliarouter/daemon/quota.py
@@ -49,6 +49,7 @@
 STEP_SECONDS = 0.5
 CANDIDATES = 4
 ASK_DEADLINE_S = 0.5
+NO_INCARNATION = ""
 PROMISE_DEADLINE_S = 1.0
 
 
@@ -137,6 +138,7 @@
             self._clock,
             settings.quota_slots_per_zone,
         )
+        self._reported_zones: set[str] = set()
         self._looked: set[str] = set()
         self._next_look: dict[str, float] = {}
         self._told: dict[str, int] = {}
@@ -150,6 +152,9 @@
         self._announced = homes
         self._asks = metrics.add_counter("quota_asks", "Asks to quota homes", "result")
         self._writes = metrics.add_counter("quota_slot_writes", "Slot lease writes", "result")
+        self._unlisted = metrics.add_gauge(
+            "quota_unlisted_zones", "Zones of entry VMs that the settings leave out"
+        )
         self._held = metrics.add_gauge("quota_slots_held", "Home slots that this daemon holds")
         peer_server.add_method(ASK_METHOD, Ask, self._handle_ask)
         peer_server.add_method(PROMISE_METHOD, PromiseAsk, self._handle_promise)
@@ -177,7 +182,8 @@
         return grant
 
     async def release(self) -> None:
-        """Give up all slots, for a shutdown."""
+        """Return the stock and give up all slots, for a shutdown."""
+        await self.admission.stop()
         for slot in self.slots.values():
             write = slot.plan_release()
             self.homes.pop(slot.name, None)
@@ -207,7 +213,11 @@
         return self._self
 
     async def _confirm_borrowers(self, home: QuotaHome) -> None:
-        """Ask borrowers known by several incarnations which one runs."""
+        """Forget borrowers whose VM is gone, and ask which one of several incarnations runs."""
+        listed = self._vms.values()
+        if self._settings.name in listed:
+            for name in home.find_borrowers() - set(listed):
+                home.confirm(name, NO_INCARNATION)
         for name in home.find_contested():
             vm = self._vms.get(name)
             if vm is None:
@@ -234,23 +244,35 @@
         self._looked.add(slot.name)
         self._next_look[slot.name] = self._clock() + slot.renew_seconds
 
-    def _observe(self, slot: Slot, item: StoredObject | None) -> None:
+    def _observe(self, slot: Slot, item: StoredObject | None, sure: bool = False) -> None:
         now = self._clock()
         if item is None or item.value is None:
+            if sure:
+                slot.observe(None, 0, now, sure)
             return
         try:
             record = msgspec.convert(item.value, type=SlotRecord)
         except msgspec.ValidationError as error:
             log_event("quota_lease_malformed", slot=slot.name, reason=str(error))
             return
-        slot.observe(record, item.version, now)
+        slot.observe(record, item.version, now, sure)
 
     async def _keep(self) -> None:
         while True:
             await asyncio.gather(*(self._step(slot) for slot in self._list_concerned()))
             self._held.set(sum(1 for slot in self.slots.values() if slot.may_grant(self._clock())))
+            self._note_zones()
             await asyncio.sleep(STEP_SECONDS)
 
+    def _note_zones(self) -> None:
+        """Note zones that own no part here, so that the parts may not add up to the contracts."""
+        vms = self._vms.values().values()
+        unlisted = {vm.zone for vm in vms if vm.role == "entry"} - set(self._zones)
+        if unlisted - self._reported_zones:
+            log_event("quota_zones_unlisted", zones=sorted(unlisted))
+        self._reported_zones = unlisted
+        self._unlisted.set(len(unlisted))
+
     def _list_concerned(self) -> list[Slot]:
         """Return the slots that this daemon holds, may inherit, or is among the first to claim."""
         return [slot for slot in self.slots.values() if self._is_concerned(slot)]
@@ -307,7 +329,7 @@
                 slot.end_write(write, version, sent, self._clock())
             case Conflict(current):
                 slot.end_write(write, None, sent, self._clock())
-                self._observe(slot, current)
+                self._observe(slot, current, sure=True)
             case Ambiguous():
                 self._unresolved[slot.name] = (write, sent)
             case _:
