Keep calls on a peer's stream from harming one another

Fuzzing the peers' port showed: a call given up while it was written ended the stream of all others (gRPC cancels a stream whose write is cancelled), and so did a slow method on an otherwise silent stream, a reply above 4 MB, and a deeply nested frame; a malformed frame raised in a task of its own; a stream that the caller half-closed hung; nothing bounded the calls that wait for a silent peer; a connection was given 100 ms to open.

Calls are now written by one task of the stream, at most 1,024 wait for a peer, a silent stream is retired while its waiting calls run out, messages are bounded by 4 MB on both sides, any unreadable bytes end in a refusal that is counted by reason, and a connection has 1 s to open. The client moved to a module of its own.

--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -73,7 +73,12 @@
         self._session = open_session()
         self._platform = self._open_platform()
         self.peer_client = PeerClient(self.settings.peer_key)
-        self.peer_server = PeerServer(self.settings.peer_key)
+        refused = self.metrics.add_counter(
+            "peer_refusals", "Streams of peers refused, by reason", "reason"
+        )
+        self.peer_server = PeerServer(
+            self.settings.peer_key, lambda reason: refused.labels(reason).inc()
+        )
         self._open_configuration()
         self._open_placement()
         self._open_admission()
--- a/magnoliarouter/peers/channel.py
+++ b/magnoliarouter/peers/channel.py
@@ -1,4 +1,4 @@
-"""Calls between entry daemons: gRPC with generic handlers and MessagePack bodies.
+"""Serving of calls between entry daemons: gRPC with generic handlers and MessagePack bodies.
 
 Each pair of daemons keeps one bidirectional stream on which calls and replies are numbered, since
 a call of its own costs several times the bytes and processor time of a message on an open stream.
@@ -18,29 +18,24 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
-__all__ = ["PeerClient", "PeerError", "PeerServer"]
+__all__ = ["PeerError", "PeerServer"]
 
 METHOD_PATH = "/magnoliarouter.Peers/exchange"
 KEY_FIELD = "magnoliarouter-key"
-DEFAULT_DEADLINE_S = 1.0
 SHUTDOWN_GRACE_S = 0.5
 MAX_CALLS_PER_STREAM = 256
-CHANNEL_OPTIONS = (
-    ("grpc.enable_http_proxy", 0),
-    ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.min_reconnect_backoff_ms", 100),
-    ("grpc.max_reconnect_backoff_ms", 1000),
-)
+MAX_MESSAGE_BYTES = 4_000_000
+# What msgspec raises for bytes that are not the expected message.
+UNREADABLE = (msgspec.MsgspecError, ValueError, RecursionError)
 
 Request = TypeVar("Request", bound=msgspec.Struct)
-Reply = TypeVar("Reply", bound=msgspec.Struct)
 
 
 class PeerError(Exception):
     """A call to a peer got no valid reply; whether the peer acted on it is not known."""
 
 
-class _Call(msgspec.Struct, array_like=True):
+class Call(msgspec.Struct, array_like=True):
     """Call on a stream; `number` is unique on it."""
 
     number: int
@@ -48,7 +43,7 @@
     body: msgspec.Raw
 
 
-class _Answer(msgspec.Struct, array_like=True):
+class Answer(msgspec.Struct, array_like=True):
     """Reply to the call of the same number, or why there is none."""
 
     number: int
@@ -56,10 +51,9 @@
     error: str = ""
 
 
-_decode_call = msgspec.msgpack.Decoder(_Call).decode
-_decode_answer = msgspec.msgpack.Decoder(_Answer).decode
-_encode = msgspec.msgpack.encode
-_NOTHING = msgspec.Raw(_encode(None))
+decode_call = msgspec.msgpack.Decoder(Call).decode
+encode = msgspec.msgpack.encode
+NOTHING = msgspec.Raw(encode(None))
 
 
 class PeerServer:
@@ -69,6 +63,8 @@
     ----------
     key : str
         Key that callers must send.
+    on_refuse : callable, optional
+        Called with ``"key"`` or ``"malformed"`` for each stream that is refused or ended.
 
     Attributes
     ----------
@@ -76,12 +72,16 @@
         Port that is listened on.
     refused : int
         Streams refused for a wrong key.
+    malformed : int
+        Streams ended because a message on them was no call.
     """
 
-    def __init__(self, key: str) -> None:
+    def __init__(self, key: str, on_refuse: Callable[[str], None] = lambda reason: None) -> None:
         self.port = 0
         self.refused = 0
+        self.malformed = 0
         self._key = key.encode()
+        self._on_refuse = on_refuse
         self._methods: dict[str, Callable[[bytes], Awaitable[bytes]]] = {}
         self._server: grpc.aio.Server | None = None
 
@@ -105,7 +105,11 @@
         decode = msgspec.msgpack.Decoder(request_type).decode
 
         async def serve(raw: bytes) -> bytes:
-            return _encode(await handle(decode(raw)))
+            try:
+                request = decode(raw)
+            except UNREADABLE as error:
+                raise _RequestUnreadable(str(error)) from error
+            return encode(await handle(request))
 
         self._methods[name] = serve
 
@@ -126,46 +130,59 @@
     ) -> None:
         if not self._is_peer(context):
             self.refused += 1
+            self._on_refuse("key")
             await context.abort(grpc.StatusCode.UNAUTHENTICATED, "peer key is wrong")
         serving: set[asyncio.Task[None]] = set()
         writing = asyncio.Lock()
+        readable = True
         try:
             async for raw in calls:
+                call = _read_call(raw)
+                if call is None:
+                    readable = False
+                    break
                 if len(serving) >= MAX_CALLS_PER_STREAM:
                     await asyncio.wait(serving, return_when=asyncio.FIRST_COMPLETED)
-                task = asyncio.create_task(self._serve_call(raw, context, writing))
+                task = asyncio.create_task(self._serve_call(call, context, writing))
                 serving.add(task)
                 task.add_done_callback(serving.discard)
+            # A write that is cancelled on a live stream would keep it from ending.
+            if serving:
+                await asyncio.wait(serving)
         finally:
             for task in serving:
                 task.cancel()
+        if not readable:
+            self.malformed += 1
+            self._on_refuse("malformed")
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "call cannot be read")
 
     async def _serve_call(
-        self, raw: bytes, context: grpc.aio.ServicerContext, writing: asyncio.Lock
+        self, call: Call, context: grpc.aio.ServicerContext, writing: asyncio.Lock
     ) -> None:
-        try:
-            call = _decode_call(raw)
-        except msgspec.DecodeError:
-            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "call cannot be read")
-            return
-        answer = _encode(await self._answer(call))
+        answer = encode(await self._answer(call))
+        if len(answer) > MAX_MESSAGE_BYTES:
+            answer = encode(Answer(call.number, NOTHING, "RESOURCE_EXHAUSTED: reply too large"))
         # One writer at a time, as the stream demands.
         async with writing:
-            await context.write(answer)
+            try:
+                await context.write(answer)
+            except (grpc.RpcError, grpc.aio.UsageError, grpc.aio.InternalError):
+                return  # the stream has ended, and the caller knows from that
 
-    async def _answer(self, call: _Call) -> _Answer:
+    async def _answer(self, call: Call) -> Answer:
         serve = self._methods.get(call.method)
         if serve is None:
             valid = ", ".join(sorted(self._methods))
-            return _Answer(call.number, _NOTHING, f"UNIMPLEMENTED: valid methods: {valid}")
+            return Answer(call.number, NOTHING, f"UNIMPLEMENTED: valid methods: {valid}")
         try:
-            return _Answer(call.number, msgspec.Raw(await serve(bytes(call.body))))
-        except msgspec.DecodeError as error:
-            return _Answer(call.number, _NOTHING, f"INVALID_ARGUMENT: {error}")
+            return Answer(call.number, msgspec.Raw(await serve(bytes(call.body))))
+        except _RequestUnreadable as error:
+            return Answer(call.number, NOTHING, f"INVALID_ARGUMENT: {error}")
         except Exception as error:  # one call's fault leaves the stream's other calls unharmed
             context = {"message": f"peer method {call.method} failed", "exception": error}
             asyncio.get_running_loop().call_exception_handler(context)
-            return _Answer(call.number, _NOTHING, f"INTERNAL: {type(error).__name__}")
+            return Answer(call.number, NOTHING, f"INTERNAL: {type(error).__name__}")
 
     def _is_peer(self, context: grpc.aio.ServicerContext) -> bool:
         for name, value in context.invocation_metadata() or ():
@@ -184,162 +201,12 @@
         return self._handler if details.method == METHOD_PATH else None
 
 
-class PeerClient:
-    """Calls other entry daemons, one stream for each address.
-
-    Parameters
-    ----------
-    key : str
-        Key of the system's processes.
-    """
-
-    def __init__(self, key: str) -> None:
-        self._metadata = ((KEY_FIELD, key),)
-        self._streams: dict[str, _Stream] = {}
-
-    async def call(
-        self,
-        address: str,
-        method: str,
-        request: msgspec.Struct,
-        reply_type: type[Reply],
-        deadline: float = DEFAULT_DEADLINE_S,
-    ) -> Reply:
-        """Call a method of a peer.
-
-        Parameters
-        ----------
-        address : str
-            ``host:port`` of the peer.
-        method : str
-            Name of the method.
-        request : msgspec.Struct
-            Message to send.
-        reply_type : type
-            Message expected back.
-        deadline : float
-            Longest wait in seconds.
-
-        Raises
-        ------
-        PeerError
-            No valid reply in time.
-        """
-        stream = self._open_stream(address)
-        try:
-            async with asyncio.timeout(deadline):
-                answer = await stream.ask(method, msgspec.Raw(_encode(request)))
-        except TimeoutError as error:
-            self._drop_if_silent(address, stream, deadline)
-            raise PeerError(f"{address} {method}: DEADLINE_EXCEEDED") from error
-        except _StreamEnded as error:
-            raise PeerError(f"{address} {method}: {error}") from error
-        if answer.error:
-            raise PeerError(f"{address} {method}: {answer.error}")
-        try:
-            return msgspec.msgpack.decode(answer.body, type=reply_type)
-        except msgspec.DecodeError as error:
-            raise PeerError(f"{address} {method}: {error}") from error
-
-    async def close(self) -> None:
-        """Close all streams."""
-        streams, self._streams = list(self._streams.values()), {}
-        for stream in streams:
-            await stream.close()
-
-    def _open_stream(self, address: str) -> _Stream:
-        stream = self._streams.get(address)
-        if stream is None or stream.ended:
-            stream = self._streams[address] = _Stream(address, self._metadata)
-        return stream
-
-    def _drop_if_silent(self, address: str, stream: _Stream, deadline: float) -> None:
-        # Nothing came for the whole deadline: the connection may be half open.
-        if stream.silence() >= deadline and self._streams.get(address) is stream:
-            del self._streams[address]
-            stream.abandon()
-
-
-class _StreamEnded(Exception):
-    """The stream broke off before the reply came."""
-
-
-class _Stream:
-    """Open stream to one peer and the calls that wait for replies on it."""
-
-    def __init__(self, address: str, metadata: tuple[tuple[str, str], ...]) -> None:
-        self.ended = False
-        self._loop = asyncio.get_running_loop()
-        self._heard = self._loop.time()
-        self._channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
-        self._call = self._channel.stream_stream(METHOD_PATH)(metadata=metadata)
-        self._number = 0
-        self._waiting: dict[int, asyncio.Future[_Answer]] = {}
-        self._writing = asyncio.Lock()
-        self._reader = self._loop.create_task(self._read())
-
-    async def ask(self, method: str, body: msgspec.Raw) -> _Answer:
-        """Send a call and wait for its reply."""
-        self._number += 1
-        number = self._number
-        reply: asyncio.Future[_Answer] = self._loop.create_future()
-        self._waiting[number] = reply
-        try:
-            await self._send(_encode(_Call(number, method, body)))
-            return await reply
-        finally:
-            self._waiting.pop(number, None)
-
-    def silence(self) -> float:
-        """Return the seconds since the peer was last heard."""
-        return self._loop.time() - self._heard
-
-    async def close(self) -> None:
-        """End the stream and its connection."""
-        self.ended = True
-        self._call.cancel()
-        await asyncio.gather(self._reader, return_exceptions=True)
-        await self._channel.close()
-
-    def abandon(self) -> None:
-        """End the stream without waiting."""
-        self.ended = True
-        self._closing = self._loop.create_task(self.close())
+def _read_call(raw: bytes) -> Call | None:
+    try:
+        return decode_call(raw)
+    except UNREADABLE:
+        return None
 
-    async def _send(self, raw: bytes) -> None:
-        try:
-            async with self._writing:
-                await self._call.write(raw)
-        except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as error:
-            raise _StreamEnded(_explain(error)) from error
 
-    async def _read(self) -> None:
-        reason: BaseException | None = None
-        try:
-            async for raw in self._call:
-                self._heard = self._loop.time()
-                self._deliver(raw)
-        except (grpc.aio.AioRpcError, asyncio.CancelledError, msgspec.DecodeError) as error:
-            reason = error
-        finally:
-            self._end(reason)
-
-    def _deliver(self, raw: bytes) -> None:
-        answer = _decode_answer(raw)
-        reply = self._waiting.get(answer.number)
-        if reply is not None and not reply.done():
-            reply.set_result(answer)
-
-    def _end(self, reason: BaseException | None) -> None:
-        self.ended = True
-        for reply in self._waiting.values():
-            if not reply.done():
-                reply.set_exception(_StreamEnded(_explain(reason)))
-        # The channel may be closed only once its last call has ended.
-        self._closing = self._loop.create_task(self._channel.close())
-
-
-def _explain(error: BaseException | None) -> str:
-    if isinstance(error, grpc.aio.AioRpcError):
-        return error.code().name
-    return "UNAVAILABLE"
+class _RequestUnreadable(Exception):
+    """The body of a call is not the message that the method takes."""
--- /dev/null
+++ b/magnoliarouter/peers/client.py
@@ -0,0 +1,236 @@
+"""Calling of other entry daemons, each over one stream that is kept open."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TypeVar
+
+import grpc
+import msgspec
+
+from magnoliarouter.peers.channel import (
+    KEY_FIELD,
+    MAX_MESSAGE_BYTES,
+    METHOD_PATH,
+    UNREADABLE,
+    Answer,
+    Call,
+    PeerError,
+    encode,
+)
+
+__all__ = ["PeerClient"]
+
+DEFAULT_DEADLINE_S = 1.0
+MAX_WAITING_CALLS = 1024
+CLOCK_STEP_S = 0.001
+CHANNEL_OPTIONS = (
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 1000),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+)
+
+Reply = TypeVar("Reply", bound=msgspec.Struct)
+
+_decode_answer = msgspec.msgpack.Decoder(Answer).decode
+
+
+class PeerClient:
+    """Calls other entry daemons, one stream for each address.
+
+    Parameters
+    ----------
+    key : str
+        Key of the system's processes.
+    """
+
+    def __init__(self, key: str) -> None:
+        self._metadata = ((KEY_FIELD, key),)
+        self._streams: dict[str, _Stream] = {}
+        self._retired: set[_Stream] = set()
+        self._closing: set[asyncio.Task[None]] = set()
+
+    async def call(
+        self,
+        address: str,
+        method: str,
+        request: msgspec.Struct,
+        reply_type: type[Reply],
+        deadline: float = DEFAULT_DEADLINE_S,
+    ) -> Reply:
+        """Call a method of a peer.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of the peer.
+        method : str
+            Name of the method.
+        request : msgspec.Struct
+            Message to send.
+        reply_type : type
+            Message expected back.
+        deadline : float
+            Longest wait in seconds.
+
+        Raises
+        ------
+        PeerError
+            No valid reply in time.
+        """
+        body = encode(request)
+        if len(body) > MAX_MESSAGE_BYTES:
+            raise PeerError(f"{address} {method}: RESOURCE_EXHAUSTED: request too large")
+        stream = self._open_stream(address)
+        try:
+            async with asyncio.timeout(deadline):
+                answer = await stream.ask(method, msgspec.Raw(body))
+        except TimeoutError as error:
+            self._retire_if_silent(address, stream, deadline)
+            raise PeerError(f"{address} {method}: DEADLINE_EXCEEDED") from error
+        except _StreamEnded as error:
+            raise PeerError(f"{address} {method}: {error}") from error
+        if answer.error:
+            raise PeerError(f"{address} {method}: {answer.error}")
+        try:
+            return msgspec.msgpack.decode(answer.body, type=reply_type)
+        except UNREADABLE as error:
+            raise PeerError(f"{address} {method}: {error}") from error
+
+    async def close(self) -> None:
+        """Close all streams."""
+        streams = [*self._streams.values(), *self._retired]
+        self._streams.clear()
+        for stream in streams:
+            await stream.close()
+        await asyncio.gather(*self._closing)
+
+    def _open_stream(self, address: str) -> _Stream:
+        stream = self._streams.get(address)
+        if stream is not None and not stream.ended:
+            return stream
+        if stream is not None:
+            self._close_later(stream)
+        stream = self._streams[address] = _Stream(address, self._metadata)
+        return stream
+
+    def _retire_if_silent(self, address: str, stream: _Stream, deadline: float) -> None:
+        # Nothing came for the whole deadline: the connection may be half open, or the method is
+        # slow. New calls take a new connection; those that wait on the old one are left to it.
+        if stream.silence() >= deadline - CLOCK_STEP_S and self._streams.get(address) is stream:
+            del self._streams[address]
+            self._close_later(stream)
+
+    def _close_later(self, stream: _Stream) -> None:
+        task = asyncio.get_running_loop().create_task(self._close_unused(stream))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+    async def _close_unused(self, stream: _Stream) -> None:
+        self._retired.add(stream)
+        await stream.unused.wait()
+        await stream.close()
+        self._retired.discard(stream)
+
+
+class _StreamEnded(Exception):
+    """The stream broke off before the reply came."""
+
+
+class _Stream:
+    """Open stream to one peer and the calls that wait for replies on it.
+
+    `unused` is set while no call waits.
+
+    Calls are written by one task that outlives them: gRPC ends a stream when a write on it is
+    cancelled, and a caller's deadline may not end the calls of others.
+    """
+
+    def __init__(self, address: str, metadata: tuple[tuple[str, str], ...]) -> None:
+        self.ended = False
+        self._loop = asyncio.get_running_loop()
+        self._heard = self._loop.time()
+        self._channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
+        self._call = self._channel.stream_stream(METHOD_PATH)(metadata=metadata)
+        self._number = 0
+        self._waiting: dict[int, asyncio.Future[Answer]] = {}
+        self._unsent: dict[int, bytes] = {}
+        self._filled = asyncio.Event()
+        self.unused = asyncio.Event()
+        self.unused.set()
+        self._reader = self._loop.create_task(self._read())
+        self._writer = self._loop.create_task(self._write())
+
+    async def ask(self, method: str, body: msgspec.Raw) -> Answer:
+        """Send a call and wait for its reply."""
+        if len(self._waiting) >= MAX_WAITING_CALLS:
+            raise _StreamEnded("RESOURCE_EXHAUSTED: too many calls wait for this peer")
+        self._number += 1
+        number = self._number
+        reply: asyncio.Future[Answer] = self._loop.create_future()
+        self._waiting[number] = reply
+        self.unused.clear()
+        self._unsent[number] = encode(Call(number, method, body))
+        self._filled.set()
+        try:
+            return await reply
+        finally:
+            self._waiting.pop(number, None)
+            self._unsent.pop(number, None)
+            if not self._waiting:
+                self.unused.set()
+
+    def silence(self) -> float:
+        """Return the seconds since the peer was last heard."""
+        return self._loop.time() - self._heard
+
+    async def close(self) -> None:
+        """End the stream and its connection."""
+        self.ended = True
+        self._call.cancel()
+        self._writer.cancel()
+        await asyncio.gather(self._reader, self._writer, return_exceptions=True)
+        # The channel may be closed only once its last call has ended.
+        await self._channel.close()
+
+    async def _write(self) -> None:
+        try:
+            while not self.ended:
+                await self._filled.wait()
+                self._filled.clear()
+                while self._unsent:
+                    await self._call.write(self._unsent.pop(next(iter(self._unsent))))
+        except (grpc.aio.AioRpcError, asyncio.InvalidStateError):
+            self._call.cancel()  # the reader learns why, and tells all that wait
+
+    async def _read(self) -> None:
+        reason: BaseException | None = None
+        try:
+            async for raw in self._call:
+                self._heard = self._loop.time()
+                self._deliver(raw)
+        except (grpc.aio.AioRpcError, asyncio.CancelledError, *UNREADABLE) as error:
+            reason = error
+        finally:
+            self._end(reason)
+
+    def _deliver(self, raw: bytes) -> None:
+        answer = _decode_answer(raw)
+        reply = self._waiting.get(answer.number)
+        if reply is not None and not reply.done():
+            reply.set_result(answer)
+
+    def _end(self, reason: BaseException | None) -> None:
+        self.ended = True
+        self._writer.cancel()
+        self._call.cancel()
+        for reply in self._waiting.values():
+            if not reply.done():
+                reply.set_exception(_StreamEnded(_explain(reason)))
+
+
+def _explain(error: BaseException | None) -> str:
+    if isinstance(error, grpc.aio.AioRpcError):
+        return error.code().name
+    return "UNAVAILABLE"
--- a/magnoliarouter/peers/follower.py
+++ b/magnoliarouter/peers/follower.py
@@ -13,7 +13,7 @@
     import random
     from collections.abc import Callable, Mapping, Sequence
 
-    from magnoliarouter.peers.channel import PeerClient
+    from magnoliarouter.peers.client import PeerClient
     from magnoliarouter.platform.replica import Replica
 
 __all__ = ["RelayChooser", "RelayFollower"]
--- /dev/null
+++ b/magnoliarouter/tests/test_peer_fuzz.py
@@ -0,0 +1,291 @@
+from __future__ import annotations
+
+import asyncio
+import gc
+import random
+import unittest
+
+import grpc
+import msgspec
+
+from magnoliarouter.core.attempts import AttemptTable
+from magnoliarouter.core.quota_lines import Ask as QuotaAsk
+from magnoliarouter.daemon.loop import Runtime
+from magnoliarouter.daemon.web import WebServer
+from magnoliarouter.endpoints.client import open_session
+from magnoliarouter.endpoints.guard import Guard
+from magnoliarouter.peers import PeerClient, PeerError, PeerServer
+from magnoliarouter.peers.channel import KEY_FIELD, MAX_MESSAGE_BYTES, METHOD_PATH, encode
+from magnoliarouter.peers.client import MAX_WAITING_CALLS
+from magnoliarouter.peers.messages import DigestRequest
+from magnoliarouter.peers.quota_messages import IncarnationAsk, PromiseAsk
+from magnoliarouter.peers.relay import RelayRequest
+from magnoliarouter.peers.status import StatusRequest
+
+KEY = "0123456789abcdef"
+METHODS = {
+    "digest": DigestRequest,
+    "incarnation": IncarnationAsk,
+    "promise": PromiseAsk,
+    "quota": QuotaAsk,
+    "relay": RelayRequest,
+    "status": StatusRequest,
+}
+NESTED = b"\x91" * 100_000
+BAD_TEXT = b"\x93\x01\xa2\xff\xfe\xc0"
+
+
+class Text(msgspec.Struct):
+    text: str
+    pause: float = 0.0
+
+
+async def echo(request: Text) -> Text:
+    await asyncio.sleep(request.pause)
+    return request
+
+
+def draw_bytes(draw: random.Random) -> bytes:
+    """Return random bytes, or a valid call with some of its bytes changed."""
+    if draw.random() < 0.5:
+        return draw.randbytes(draw.randrange(64))
+    call = bytearray(encode([draw.randrange(9), draw.choice(list(METHODS)), ["a", 1, 2.5]]))
+    for _ in range(draw.randrange(1, 4)):
+        call[draw.randrange(len(call))] = draw.randrange(256)
+    return bytes(call)
+
+
+class PeerFuzzTest(unittest.IsolatedAsyncioTestCase):
+    """No bytes on the peers' port raise an exception or harm calls on other streams."""
+
+    async def asyncSetUp(self):
+        self.faults: list[dict] = []
+        self.loop = asyncio.get_running_loop()
+        self.loop.set_exception_handler(lambda loop, context: self.faults.append(context))
+        self.reasons: list[str] = []
+        self.server = PeerServer(KEY, self.reasons.append)
+        self.server.add_method("echo", Text, echo)
+        for name, kind in METHODS.items():
+            self.server.add_method(name, kind, self.take)
+        await self.server.start("127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.port}"
+        self.client = PeerClient(KEY)
+        self.draw = random.Random(7)
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        await self.server.stop()
+        await asyncio.sleep(0)
+        gc.collect()
+        await asyncio.sleep(0)
+        self.assertEqual(self.faults, [])
+        left = [t for t in asyncio.all_tasks() if "magnoliarouter/peers" in repr(t)]
+        self.assertEqual(left, [])
+
+    async def take(self, request):
+        return Text("taken")
+
+    async def call(self, text="x", pause=0.0, deadline=5.0, address=None):
+        request = Text(text, pause)
+        reply = await self.client.call(address or self.address, "echo", request, Text, deadline)
+        self.assertEqual(reply.text, text)
+        return reply
+
+    async def send_raw(self, *frames: bytes, key: str = KEY) -> grpc.StatusCode:
+        """Send frames on a stream of their own and return how it ended."""
+        async with grpc.aio.insecure_channel(self.address) as channel:
+            stream = channel.stream_stream(METHOD_PATH)(metadata=((KEY_FIELD, key),))
+            try:
+                for frame in frames:
+                    await stream.write(frame)
+                await stream.done_writing()
+                async for _ in stream:
+                    pass
+            except (grpc.aio.AioRpcError, asyncio.InvalidStateError):
+                pass
+            return await stream.code()
+
+    async def test_random_frames(self):
+        long_call = asyncio.create_task(self.call("long", 0.2))
+        frames = [draw_bytes(self.draw) for _ in range(150)]
+        frames += [NESTED, BAD_TEXT, b"", b"\x00" * 1_000_000]
+        for start in range(0, len(frames), 25):
+            await asyncio.gather(*(self.send_raw(frame) for frame in frames[start : start + 25]))
+            await self.call()
+        await long_call
+        self.assertGreater(self.server.malformed, 50)
+        self.assertEqual(set(self.reasons), {"malformed"})
+
+    async def test_malformed_frame_ends_its_own_stream_only(self):
+        calls = [encode([n, "echo", Text(str(n), 0.05)]) for n in range(20)]
+        kept = asyncio.create_task(self.call("kept", 0.1))
+        self.assertEqual(await self.send_raw(*calls, NESTED), grpc.StatusCode.INVALID_ARGUMENT)
+        await kept
+
+    async def test_wrong_keys(self):
+        keys = ["", "x", KEY[:-1], KEY + "0", KEY.upper()]
+        codes = [await self.send_raw(b"\x93", key=key) for key in keys]
+        self.assertEqual(set(codes), {grpc.StatusCode.UNAUTHENTICATED})
+        self.assertEqual(self.reasons, ["key"] * len(keys))
+        await self.call()
+
+    async def test_bodies_of_every_method(self):
+        for name in METHODS:
+            for _ in range(60):
+                body = msgspec.Raw(draw_bytes(self.draw))
+                answers = await self.exchange_raw(name, body)
+                self.assertIn(answers, ("taken", "refused", "ended"))
+            for body in (NESTED, b"\xa2\xff\xfe", b"\x93\xa2\xff\xfe\x01\xa1z", b"\xc1"):
+                answer = await self.exchange_raw(name, msgspec.Raw(body))
+                # A message without fields ignores what its array holds.
+                taken = ("taken",) if not METHODS[name].__struct_fields__ else ()
+                self.assertIn(answer, ("refused", "ended", *taken), f"{name} {body[:9]!r}")
+        await self.call()
+
+    async def exchange_raw(self, method: str, body: msgspec.Raw) -> str:
+        stream = self.client._open_stream(self.address)
+        try:
+            async with asyncio.timeout(5):
+                answer = await stream.ask(method, body)
+        except Exception as error:
+            self.assertEqual(type(error).__name__, "_StreamEnded")
+            return "ended"
+        return "refused" if answer.error else "taken"
+
+    async def test_unknown_method_and_large_messages(self):
+        with self.assertRaisesRegex(PeerError, "UNIMPLEMENTED: valid methods: digest, echo"):
+            await self.client.call(self.address, "no", Text(""), Text)
+        kept = asyncio.create_task(self.call("kept", 0.2))
+        with self.assertRaisesRegex(PeerError, "request too large"):
+            await self.call("x" * (MAX_MESSAGE_BYTES + 1))
+        await self.call("x" * 3_500_000)
+        await kept
+
+    async def test_large_reply_is_refused_alone(self):
+        async def grow(request):
+            return Text("x" * (MAX_MESSAGE_BYTES + 1))
+
+        self.server.add_method("grow", Text, grow)
+        kept = asyncio.create_task(self.call("kept", 0.2))
+        with self.assertRaisesRegex(PeerError, "reply too large"):
+            await self.client.call(self.address, "grow", Text(""), Text)
+        await kept
+
+    async def test_reply_of_another_type(self):
+        for text in ("a", "\ud7ff"):
+            with self.assertRaisesRegex(PeerError, "Expected `array`"):
+                await self.client.call(self.address, "echo", Text(text), DigestRequest)
+
+    async def test_calls_that_time_out_leave_the_others_and_replies_never_cross(self):
+        async def ask(number: int) -> str:
+            pause, deadline = self.draw.choice([(0.0, 5.0), (0.02, 5.0), (5.0, 0.05), (0.0, 1e-4)])
+            try:
+                await self.call(f"{number} " + "x" * self.draw.randrange(20_000), pause, deadline)
+            except PeerError as error:
+                self.assertIn("DEADLINE_EXCEEDED", str(error))
+                self.assertLess(deadline, 1.0)
+                return "late"
+            return "right"
+
+        results = await asyncio.gather(*(ask(number) for number in range(400)))
+        self.assertGreater(results.count("right"), 150)
+        self.assertGreater(results.count("late"), 50)
+        for stream in (*self.client._streams.values(), *self.client._retired):
+            self.assertEqual((len(stream._waiting), len(stream._unsent)), (0, 0))
+
+    async def test_slow_method_costs_other_calls_nothing(self):
+        kept = asyncio.create_task(self.call("kept", 0.4))
+        for _ in range(3):
+            with self.assertRaisesRegex(PeerError, "DEADLINE"):
+                await self.call("slow", 5.0, 0.05)
+            await self.call()
+        await kept
+
+    async def test_call_given_up_while_it_is_written_does_not_end_the_stream(self):
+        await self.call()
+        stream = self.client._streams[self.address]
+        kept = asyncio.create_task(self.call("kept", 0.3))
+        for _ in range(50):
+            given_up = asyncio.create_task(self.call("x" * 500_000))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            given_up.cancel()
+        await kept
+        self.assertIs(self.client._streams[self.address], stream)
+
+    async def test_silent_peer_is_bounded_and_left(self):
+        held = []
+        silent = await asyncio.start_server(lambda *pair: held.append(pair), "127.0.0.1", 0)
+        address = f"127.0.0.1:{silent.sockets[0].getsockname()[1]}"
+        calls = (self.call("x" * 1000, 0, 0.3, address) for _ in range(MAX_WAITING_CALLS + 50))
+        results = await asyncio.gather(*calls, return_exceptions=True)
+        self.assertEqual({type(result) for result in results}, {PeerError})
+        refused = sum("RESOURCE_EXHAUSTED" in str(result) for result in results)
+        self.assertEqual(refused, 50)
+        self.assertNotIn(address, self.client._streams)
+        await self.call()
+        for _, writer in held:
+            writer.close()
+        silent.close()
+
+    async def test_stream_broken_in_the_middle_of_calls(self):
+        calls = [asyncio.create_task(self.call(str(n), 30.0)) for n in range(20)]
+        await self.call()
+        port = self.server.port
+        await self.server.stop()
+        results = await asyncio.gather(*calls, return_exceptions=True)
+        self.assertEqual({type(result) for result in results}, {PeerError})
+        self.server = PeerServer(KEY)
+        self.server.add_method("echo", Text, echo)
+        await self.server.start("127.0.0.1", port)
+        async with asyncio.timeout(10):
+            while True:
+                try:
+                    await self.call("again", deadline=0.5)
+                    return
+                except PeerError:
+                    await asyncio.sleep(0.05)
+
+
+class GuardControlFuzzTest(unittest.IsolatedAsyncioTestCase):
+    """No body or query of a control request to a guard raises an exception."""
+
+    async def asyncSetUp(self):
+        self.faults: list[dict] = []
+        self.loop = asyncio.get_running_loop()
+        self.loop.set_exception_handler(lambda loop, context: self.faults.append(context))
+        self.session = await self.enterAsyncContext(open_session())
+        guard = Guard(AttemptTable("i"), "http://127.0.0.1:1", self.session, self.loop.time)
+        server = WebServer(Runtime(self.loop), ("127.0.0.1", 0), guard.handle)
+        self.addCleanup(server.stop_listening)
+        self.url = f"http://127.0.0.1:{server.port}"
+
+    async def asyncTearDown(self):
+        self.assertEqual(self.faults, [])
+
+    async def fence(self, body: bytes) -> int:
+        async with self.session.post(f"{self.url}/guard/fence", data=body) as answer:
+            msgspec.json.decode(await answer.read())
+            return answer.status
+
+    async def test_bodies_of_a_fence(self):
+        draw = random.Random(11)
+        whole = b'{"attempt": "a", "incarnation": "i", "not_after": 1.0}'
+        bodies = [draw.randbytes(draw.randrange(40)) for _ in range(100)]
+        for _ in range(200):
+            body = bytearray(whole)
+            body[draw.randrange(len(body))] = draw.randrange(256)
+            bodies.append(bytes(body))
+        bodies += [b"", b"null", b"[" * 100_000, b'{"attempt": "\xff"}', whole + whole]
+        statuses = {await self.fence(body) for body in bodies}
+        self.assertEqual(statuses, {200, 400})
+        self.assertEqual(await self.fence(whole), 200)
+
+    async def test_queries_of_the_status(self):
+        values = ("", "x", "nan", "inf", "-inf", "1e999", "9" * 5000, "-1", "%00", "1_0")
+        for name in ("after", "wait", "pause", "cache"):
+            for value in values:
+                with self.subTest(f"{name}={value[:9]}"):
+                    url = f"{self.url}/guard/status?{name}={value}"
+                    async with asyncio.timeout(3), self.session.get(url) as answer:
+                        self.assertIn(answer.status, (200, 400, 414, 431))
