--- a/magnoliarouter/endpoints/guard.py
+++ b/magnoliarouter/endpoints/guard.py
@@ -28,7 +28,9 @@
     INCARNATION_HEADER,
     NOT_AFTER_HEADER,
     NOT_STARTED_HEADER,
+    OTHER_INCARNATION,
     RUN_ONCE_HEADER,
+    TABLE_FULL,
     VERDICT_HEADER,
     FenceReply,
     FenceRequest,
@@ -190,10 +192,10 @@
 
     def _fence_attempt(self, request: FenceRequest) -> FenceReply:
         if request.incarnation != self._attempts.incarnation:
-            return FenceReply(request.attempt, "other incarnation")
-        state = self._attempts.fence(request.attempt, self._clock())
+            return FenceReply(request.attempt, OTHER_INCARNATION)
+        state = self._attempts.fence(request.attempt, self._clock(), request.not_after)
         if state is None:
-            return FenceReply(request.attempt, "table full")
+            return FenceReply(request.attempt, TABLE_FULL)
         return FenceReply(request.attempt, state.value, self._attempts.find_answer(request.attempt))
 
     def _head(self, attempt: str) -> dict[str, str]:
