--- /dev/null
+++ b/magnoliarouter/standins/bench/matrixstage.py
@@ -0,0 +1,237 @@
+"""Small site for scenes of the fault matrix: two endpoints behind a fault proxy, one entry daemon."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import msgspec
+
+from magnoliarouter.pipeline.deliver import LAST_FRAME
+from magnoliarouter.platform.client import PlatformClient
+from magnoliarouter.standins.launch import Process, Site, contract_value, find_port
+from magnoliarouter.standins.load import CompletionRequest, Result, send_completion
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+__all__ = ["ENDPOINTS", "Refusal", "Stage"]
+
+ENDPOINTS = 2
+HOST = "127.0.1.1"
+ZONE = "zone-1"
+KEY = "key-of-the-matrix"
+LIMITS = {"requests_per_second": 500, "tokens_per_second": 500_000, "concurrent_requests": 500}
+POLL_S = 0.02
+WAIT_S = 20.0
+STREAM_TOKENS = 60
+RECOVERY_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Error that a caller was told.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    outcome : str
+        ``"not_run"`` or ``"unknown"``; empty for a completed call.
+    """
+
+    status: int
+    outcome: str = ""
+
+
+class _ErrorDetail(msgspec.Struct):
+    outcome: str
+
+
+class _ErrorBody(msgspec.Struct):
+    error: _ErrorDetail
+
+
+class Stage:
+    """Processes of one scene.
+
+    Parameters
+    ----------
+    site : Site
+        Owner of the processes.
+    session : aiohttp.ClientSession
+        Session of callers and controls.
+    """
+
+    def __init__(self, site: Site, session: aiohttp.ClientSession) -> None:
+        self.violations: list[str] = []
+        self.engines: list[Process] = []
+        self.guards: list[Process] = []
+        self._site = site
+        self._session = session
+        self._guard_settings: list[dict[str, Any]] = []
+
+    async def start(self) -> None:
+        """Start all processes and wait until a request is served."""
+        self.platform = await self._site.start_standin("platform", "127.0.0.1")
+        client = PlatformClient(self.platform.url, self._session)
+        await client.write("contract", "grower", contract_value("grower", KEY, current=LIMITS))
+        ports = [find_port(HOST) for _ in range(2 * ENDPOINTS + 1)]
+        routes = [
+            f"--route=guard-{n}={HOST}:{ports[2 * n]}={HOST}:{ports[2 * n + 1]}"
+            for n in range(ENDPOINTS)
+        ]
+        to_platform = f"{HOST}:{ports[-1]}"
+        routes.append(f"--route=platform={to_platform}={self.platform.address}")
+        self.proxy = await self._site.start_standin("proxy", HOST, *routes)
+        for number in range(ENDPOINTS):
+            await self._start_endpoint(number, ports[2 * number], ports[2 * number + 1])
+        self._entry_settings: dict[str, Any] = {
+            "role": "entry",
+            "name": "entry-1",
+            "zone": ZONE,
+            "zones": [ZONE],
+            "platform": f"http://{to_platform}",
+            "listen": {"host": HOST, "port": find_port(HOST)},
+            "shutdown_seconds": 0.1,
+            "admission": "static",
+        }
+        await self.start_entry()
+        await self.wait_until(self.is_served)
+
+    async def start_entry(self) -> None:
+        """Start the entry daemon, again after a kill."""
+        self.entry = await self._site.start_daemon(self._entry_settings)
+
+    async def restart_guard(self, number: int) -> None:
+        """Kill a guard and start it with an empty memory."""
+        await self.guards[number].kill()
+        self.guards[number] = await self._site.start_daemon(self._guard_settings[number])
+
+    async def set_routes(self, name: str, **faults: Any) -> None:
+        """Set the faults of the routes whose names begin like this."""
+        for number in range(ENDPOINTS):
+            if f"guard-{number}".startswith(name):
+                await self._put(f"{self.proxy.url}/routes/guard-{number}", faults)
+        if name == "platform":
+            await self._put(f"{self.proxy.url}/routes/platform", faults)
+
+    async def set_platform_faults(self, **faults: Any) -> None:
+        """Set what goes wrong in the platform."""
+        await self._put(f"{self.platform.url}/faults", faults)
+
+    async def ask(self, tokens: int = 3, prompt: str = "Batch note", stream: bool = True) -> Result:
+        """Send one request and read its answer."""
+        request = CompletionRequest(self.entry.url, KEY, prompt, tokens, stream)
+        return await send_completion(self._session, request)
+
+    async def ask_within(self, seconds: float, tokens: int = 3) -> Refusal:
+        """Send a request with a deadline and return what its caller was told."""
+        headers = {"Authorization": f"Bearer {KEY}", "x-deadline-ms": str(int(seconds * 1000))}
+        body = {"model": "draft", "prompt": "Batch note", "max_tokens": tokens}
+        url = f"{self.entry.url}/v1/completions"
+        async with self._session.post(url, json=body, headers=headers) as answer:
+            data = await answer.read()
+        if answer.status == 200:
+            return Refusal(200)
+        return Refusal(answer.status, msgspec.json.decode(data, type=_ErrorBody).error.outcome)
+
+    async def open_stream(self) -> tuple[asyncio.Task[Result], int]:
+        """Start a long stream, wait for its first bytes, and return it with its endpoint."""
+        before = await self.count("started")
+        begun = asyncio.Event()
+        task = asyncio.create_task(self._stream(begun))
+        async with asyncio.timeout(WAIT_S):
+            await begun.wait()
+        after = await self.count("started")
+        return task, [new > old for new, old in zip(after, before, strict=True)].index(True)
+
+    async def _stream(self, begun: asyncio.Event) -> Result:
+        body = {"model": "draft", "prompt": "x", "max_tokens": STREAM_TOKENS, "stream": True}
+        headers = {"Authorization": f"Bearer {KEY}"}
+        result = Result()
+        try:
+            url = f"{self.entry.url}/v1/completions"
+            async with self._session.post(url, json=body, headers=headers) as answer:
+                result.status = answer.status
+                async for part in answer.content.iter_any():
+                    result.body += part
+                    begun.set()
+                result.complete = result.body.endswith(LAST_FRAME)
+        except aiohttp.ClientError:
+            result.complete = False
+        return result
+
+    async def count(self, name: str) -> list[int]:
+        """Return a count of each engine; -1 for one that has ended."""
+        counts = []
+        for engine in self.engines:
+            try:
+                async with self._session.get(f"{engine.url}/stats") as answer:
+                    counts.append((await answer.json(content_type=None))[name])
+            except aiohttp.ClientError:
+                counts.append(-1)
+        return counts
+
+    async def is_served(self) -> bool:
+        """Return whether a request is served now."""
+        return (await self.ask()).complete
+
+    async def wait_until(self, check: Callable[[], Awaitable[bool]]) -> None:
+        """Wait until something holds."""
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                if await check():
+                    return
+                await asyncio.sleep(POLL_S)
+
+    def check(self, holds: bool, text: str) -> None:
+        """Note a violation unless something holds."""
+        if not holds:
+            self.violations.append(text)
+
+    async def check_served(self, count: int = 10) -> None:
+        """Note a violation unless all of some new requests are served in whole."""
+        results = await asyncio.gather(*(self.ask(prompt=f"note {n}") for n in range(count)))
+        whole = sum(result.complete for result in results)
+        self.check(whole == count, f"{whole} of {count} new requests were served")
+
+    async def check_recovers(self, count: int = 10) -> None:
+        """Note a violation unless all of some requests are served soon, after visible errors."""
+        end = asyncio.get_running_loop().time() + RECOVERY_S
+        while asyncio.get_running_loop().time() < end:
+            results = await asyncio.gather(*(self.ask(prompt=f"note {n}") for n in range(count)))
+            if all(result.complete for result in results):
+                return
+            for result in results:
+                if not result.complete:
+                    self.check_error_shown(result)
+        self.check(False, f"not all new requests were served after {RECOVERY_S} s")
+
+    def check_error_shown(self, result: Result) -> None:
+        """Note a violation if a broken stream looks whole to its caller."""
+        self.check(not result.complete, "a broken stream looks whole")
+        shown = b"event: error" in result.body or result.status != 200
+        self.check(shown, "a broken stream shows no error")
+
+    async def _start_endpoint(self, number: int, listed: int, port: int) -> None:
+        engine = await self._site.start_standin("engine", HOST)
+        settings = {
+            "role": "endpoint",
+            "name": f"engine-{number}",
+            "zone": ZONE,
+            "platform": self.platform.url,
+            "listen": {"host": HOST, "port": port},
+            "advertise": f"{HOST}:{listed}",
+            "target": engine.url,
+            "models": ["draft"],
+        }
+        self.engines.append(engine)
+        self._guard_settings.append(settings)
+        self.guards.append(await self._site.start_daemon(settings))
+
+    async def _put(self, url: str, value: dict[str, Any]) -> None:
+        async with self._session.put(url, data=msgspec.json.encode(value)) as answer:
+            assert answer.status == 200, await answer.text()
