--- /dev/null
+++ b/magnoliarouter/standins/bench/matrixtests.py
@@ -0,0 +1,39 @@
+"""Runs the unit tests named on the command line and prints, as JSON, what became of each."""
+
+from __future__ import annotations
+
+import sys
+import unittest
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+__all__ = ["run_tests"]
+
+
+def run_tests(names: list[str]) -> dict[str, str]:
+    """Run tests by id and return their states: passed, failed or skipped."""
+    suite = unittest.defaultTestLoader.loadTestsFromNames(names)
+    states = {case.id(): "passed" for case in _list_cases(suite)}
+    result = unittest.TextTestRunner(verbosity=0).run(suite)
+    states |= {case.id(): "skipped" for case, _ in result.skipped}
+    failed = [case for case, _ in (*result.failures, *result.errors)]
+    for case in (*failed, *result.unexpectedSuccesses):
+        # A failed subtest has an id of its own that begins with its test's.
+        states[case.id().split(" ")[0]] = "failed"
+    return states
+
+
+def _list_cases(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
+    for part in suite:
+        if isinstance(part, unittest.TestSuite):
+            yield from _list_cases(part)
+        else:
+            yield part
+
+
+if __name__ == "__main__":
+    print(msgspec.json.encode(run_tests(sys.argv[1:])).decode())
