--- a/magnoliarouter/tests/test_bench.py
+++ b/magnoliarouter/tests/test_bench.py
@@ -8,7 +8,8 @@
 from magnoliarouter.standins.bench.experiment import Report, percentile
 from magnoliarouter.standins.bench.fit import fit_line
 from magnoliarouter.standins.bench.main import load_experiments
-from magnoliarouter.standins.bench.measure import read_process
+from magnoliarouter.standins.bench.measure import ProcessReading, read_process
+from magnoliarouter.standins.bench.soak import Series
 from magnoliarouter.standins.load import CompletionRequest, Result
 from magnoliarouter.standins.unruly import expected_words
 
@@ -51,3 +52,22 @@
         self.assertEqual(judge_answer(request, Result(200, complete=True, body=right)), "right")
         self.assertEqual(judge_answer(request, Result(200, complete=True, body=short)), "wrong")
         self.assertEqual(judge_answer(request, Result(200, complete=False, body=short)), "error")
+
+
+class SeriesTest(unittest.TestCase):
+    """What a soak reads from a process over time."""
+
+    def read(self, resident, descriptors):
+        series = Series()
+        for second, (megabytes, count) in enumerate(zip(resident, descriptors, strict=True)):
+            series.times.append(float(second))
+            reading = ProcessReading(0.0, int(megabytes * 1_000_000), 0, count)
+            series.readings.append(reading)
+        return series
+
+    def test_growth_of_the_second_half_counts(self):
+        levelled = self.read([10.0 + min(n, 30) for n in range(60)], [20] * 60)
+        self.assertAlmostEqual(levelled.measure_growth(), 0.0, places=6)
+        growing = self.read([10.0 + n / 60 for n in range(60)], range(60))
+        self.assertAlmostEqual(growing.measure_growth(), 1.0, places=3)
+        self.assertEqual(growing.count_descriptor_growth(), 30)
