--- a/magnoliarouter/standins/bench/matrixduties.py
+++ b/magnoliarouter/standins/bench/matrixduties.py
@@ -5,6 +5,7 @@
 from magnoliarouter.standins.bench.matrixcells import (
     Bench,
     Procedure,
+    Scene,
     UnitTest,
     cover,
     exclude,
@@ -17,6 +18,7 @@
 LEASE = "lease.LeaseTest."
 ROLLOUT = Bench("rollout")
 DRAIN = Bench("drain")
+EXITS = "0 cut off, exit 0 within 10 s"
 LEAVING = Bench("leaving")
 MAP = Bench("map")
 INTERLEAVED = UnitTest("mapswitch.InterleavingTest.test_one_map_in_every_step_and_recovery")
@@ -81,6 +83,7 @@
             UnitTest("configuration.ConfigurationTest.test_others_take_over_when_the_relays_die"),
             ROLLOUT,
         ),
+        cover("watch apply", "p-flood", "in force", Scene("flood-of-changes")),
         cover("relay", "k-pause n-half two", "in force, no revert", ROLLOUT),
         cover(
             "relay",
@@ -136,6 +139,10 @@
         exclude("finish", "e-slow e-gap e-old e-stale", "placed before the daemon leaves"),
         cover("notice finish exit", "k-term", "0 cut off, exit 0", DRAIN),
         cover("hand-back", "k-term", "leases handed back", DRAIN),
+        cover("hand-back", "p-down", EXITS, Scene("entry-leaves-platform-down")),
+        cover("hand-back", "p-slow", EXITS, Scene("entry-leaves-platform-slow")),
+        cover("hand-back", "p-lost", EXITS, Scene("entry-leaves-answers-lost")),
+        cover("hand-back", "n-half n-zone", EXITS, Scene("entry-leaves-platform-cut-off")),
         cover(
             "finish",
             "two",
@@ -158,6 +165,8 @@
         exclude("refuse finish", "p-*", "the step does not use the platform"),
         exclude("*", "e-slow e-gap e-crossed e-second", "see request: the same attempts are made"),
         cover("ask spread refuse finish exit", "k-term", "last new work within 3 s, exit 0", DRAIN),
+        cover("ask exit", "p-down", EXITS, Scene("guard-leaves-platform-down")),
+        cover("ask exit", "p-slow", EXITS, Scene("guard-leaves-platform-slow")),
         cover("spread", "p-down", "last new work within 3 s", LEAVING),
         cover("finish", "k-kill", "only its own streams break", LEAVING),
         cover(
--- a/magnoliarouter/standins/bench/matrixscenes.py
+++ b/magnoliarouter/standins/bench/matrixscenes.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from magnoliarouter.standins.bench import matrixoutages
 from magnoliarouter.standins.bench.matrixstage import Stage
 from magnoliarouter.standins.launch import Site
 from magnoliarouter.standins.load import open_load_session
@@ -24,7 +25,8 @@
 async def run_scene(name: str) -> list[str]:
     """Run one scene with processes of its own and return the violations."""
     async with Site() as site, open_load_session() as session:
-        stage = Stage(site, session)
+        admission = "escrow" if name in matrixoutages.SCENES else "static"
+        stage = Stage(site, session, admission)
         try:
             async with asyncio.timeout(SCENE_LIMIT_S):
                 await stage.start()
@@ -212,4 +214,5 @@
     "guards-paused-past-deadline": _guards_paused_past_deadline,
     "entry-restarted": _entry_restarted,
     "guard-killed-and-platform-down": _guard_killed_and_platform_down,
+    **matrixoutages.SCENES,
 }
--- a/magnoliarouter/standins/bench/matrixstage.py
+++ b/magnoliarouter/standins/bench/matrixstage.py
@@ -63,9 +63,14 @@
         Owner of the processes.
     session : aiohttp.ClientSession
         Session of callers and controls.
+    admission : {"static", "escrow"}
+        How the entry daemon keeps limits.
     """
 
-    def __init__(self, site: Site, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self, site: Site, session: aiohttp.ClientSession, admission: str = "static"
+    ) -> None:
+        self._admission = admission
         self.violations: list[str] = []
         self.engines: list[Process] = []
         self.guards: list[Process] = []
@@ -76,8 +81,8 @@
     async def start(self) -> None:
         """Start all processes and wait until a request is served."""
         self.platform = await self._site.start_standin("platform", "127.0.0.1")
-        client = PlatformClient(self.platform.url, self._session)
-        await client.write("contract", "grower", contract_value("grower", KEY, current=LIMITS))
+        self.client = PlatformClient(self.platform.url, self._session)
+        await self.client.write("contract", "grower", contract_value("grower", KEY, current=LIMITS))
         ports = [find_port(HOST) for _ in range(2 * ENDPOINTS + 1)]
         routes = [
             f"--route=guard-{n}={HOST}:{ports[2 * n]}={HOST}:{ports[2 * n + 1]}"
@@ -96,7 +101,7 @@
             "platform": f"http://{to_platform}",
             "listen": {"host": HOST, "port": find_port(HOST)},
             "shutdown_seconds": 0.1,
-            "admission": "static",
+            "admission": self._admission,
         }
         await self.start_entry()
         await self.wait_until(self.is_served)
@@ -122,9 +127,11 @@
         """Set what goes wrong in the platform."""
         await self._put(f"{self.platform.url}/faults", faults)
 
-    async def ask(self, tokens: int = 3, prompt: str = "Batch note", stream: bool = True) -> Result:
+    async def ask(
+        self, tokens: int = 3, prompt: str = "Batch note", stream: bool = True, key: str = KEY
+    ) -> Result:
         """Send one request and read its answer."""
-        request = CompletionRequest(self.entry.url, KEY, prompt, tokens, stream)
+        request = CompletionRequest(self.entry.url, key, prompt, tokens, stream)
         return await send_completion(self._session, request)
 
     async def ask_within(self, seconds: float, tokens: int = 3) -> Refusal:
@@ -138,19 +145,25 @@
             return Refusal(200)
         return Refusal(answer.status, msgspec.json.decode(data, type=_ErrorBody).error.outcome)
 
-    async def open_stream(self) -> tuple[asyncio.Task[Result], int]:
-        """Start a long stream, wait for its first bytes, and return it with its endpoint."""
+    async def open_stream(self, seconds: float = WAIT_S) -> tuple[asyncio.Task[Result], int]:
+        """Start a long stream, wait for its first bytes, and return it with its endpoint.
+
+        Parameters
+        ----------
+        seconds : float
+            Deadline of the stream.
+        """
         before = await self.count("started")
         begun = asyncio.Event()
-        task = asyncio.create_task(self._stream(begun))
+        task = asyncio.create_task(self._stream(begun, seconds))
         async with asyncio.timeout(WAIT_S):
             await begun.wait()
         after = await self.count("started")
         return task, [new > old for new, old in zip(after, before, strict=True)].index(True)
 
-    async def _stream(self, begun: asyncio.Event) -> Result:
+    async def _stream(self, begun: asyncio.Event, seconds: float) -> Result:
         body = {"model": "draft", "prompt": "x", "max_tokens": STREAM_TOKENS, "stream": True}
-        headers = {"Authorization": f"Bearer {KEY}"}
+        headers = {"Authorization": f"Bearer {KEY}", "x-deadline-ms": str(int(seconds * 1000))}
         result = Result()
         try:
             url = f"{self.entry.url}/v1/completions"
