--- a/magnoliarouter/standins/bench/matrixquota.py
+++ b/magnoliarouter/standins/bench/matrixquota.py
@@ -24,6 +24,8 @@
 SLOW = UnitTest(STORM + "test_rates_in_a_slow_network")
 HOLDERS = UnitTest(STORM + "test_rates_across_changes_of_holder")
 BOUND = "bound kept"
+ONE_HOLDER = "one holder at most"
+WALKS = UnitTest("slot_walks.SlotWalkTest.test_one_holder_at_most_and_one_in_the_end")
 
 LEND = Procedure(
     "quota lend",
@@ -117,6 +119,9 @@
         exclude("*", "e-*", NO_ENDPOINT),
         exclude("lapse", "p-* n-*", "decided by the holder's own clock"),
         exclude("take renew release", "n-oneway n-dup n-reorder", "one call to the platform"),
+        cover("take renew take-over", "p-down p-slow p-lost p-stale", ONE_HOLDER, WALKS),
+        cover("take renew take-over", "p-conflict n-half n-zone", ONE_HOLDER, WALKS),
+        cover("take renew lapse take-over", "k-pause k-restart two", ONE_HOLDER, WALKS),
         cover(
             "renew",
             "p-down",
--- /dev/null
+++ b/magnoliarouter/tests/test_slot_walks.py
@@ -0,0 +1,154 @@
+from __future__ import annotations
+
+import random
+import unittest
+from dataclasses import dataclass, field
+from unittest import mock
+
+from magnoliarouter.core.slots import LEASE_MARGIN_S, LEASE_SECONDS, Slot, SlotRecord, Write
+from magnoliarouter.tests.test_slots import NAMES, STEP_S, Zone
+
+WALKS = 150
+STEPS = 160
+CALM_S = 6 * LEASE_SECONDS + LEASE_MARGIN_S
+FATES = ("ok",) * 6 + ("dropped", "lost", "late")
+LATEST_S = 4.0
+STALE_READS = 3
+
+
+@dataclass
+class FaultyZone(Zone):
+    """Zone whose store loses, delays and repeats, and whose daemons pause, end and restart."""
+
+    seed: int = 0
+    calm: bool = True
+    history: list[tuple[SlotRecord | None, int]] = field(default_factory=lambda: [(None, 0)])
+    late: list[tuple[float, Write]] = field(default_factory=list)
+    unsettled: dict[str, tuple[Write, float]] = field(default_factory=dict)
+    taken: set[str] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.random = random.Random(self.seed)
+        super().__post_init__()
+
+    def write(self, write: Write) -> int | None:
+        version = super().write(write)
+        if version is not None:
+            self.history.append((self.record, version))
+            self.taken.add(write.record.holder)
+        return version
+
+    def read(self) -> tuple[SlotRecord | None, int]:
+        back = 0 if self.calm else self.random.choice((0, 0, 0, *range(STALE_READS)))
+        return self.history[-1 - min(back, len(self.history) - 1)]
+
+    def step(self, name: str) -> None:
+        for due, write in [entry for entry in self.late if entry[0] <= self.now]:
+            self.late.remove((due, write))
+            self.write(write)
+        slot = self.slots[name]
+        if name not in self.cut_from_store:
+            if name in self.unsettled:
+                self.settle(name)
+            slot.observe(*self.read(), self.now)
+            self.try_write(name)
+        if slot.needs_promise(self.now) and slot.record is not None:
+            self.ask_promise(slot)
+
+    def try_write(self, name: str) -> None:
+        slot, rank = self.slots[name], NAMES.index(name)
+        successor = NAMES[(rank + 1) % len(NAMES)]
+        write = slot.plan_write(self.now, successor, frozenset(self.listed), rank)
+        if write is None:
+            return
+        slot.begin_write()
+        match "ok" if self.calm else self.random.choice(FATES):
+            case "ok":
+                slot.end_write(write, self.write(write), self.now, self.now)
+            case "lost":
+                self.write(write)
+                self.unsettled[name] = (write, self.now)
+            case "late":
+                self.late.append((self.now + self.random.uniform(0, LATEST_S), write))
+                self.unsettled[name] = (write, self.now)
+            case "dropped":
+                self.unsettled[name] = (write, self.now)
+
+    def settle(self, name: str) -> None:
+        """Read back what became of an update; the store's newest state decides."""
+        write, sent = self.unsettled.pop(name)
+        record, version = self.history[-1]
+        done = version if record == write.record and version == write.expect + 1 else None
+        self.slots[name].end_write(write, done, sent, self.now)
+
+    def disturb(self) -> None:
+        """Start or end one fault."""
+        name = self.random.choice(NAMES)
+        kind = self.random.choice(("store", "peers", "pause", "restart", "heal", "heal"))
+        match kind:
+            case "store":
+                self.cut_from_store ^= {name}
+            case "peers":
+                self.cut_from_peers ^= {name}
+            case "pause":
+                self.paused ^= {name}
+            case "restart":
+                self.unsettled.pop(name, None)
+                self.start(name)
+            case "heal":
+                for faults in (self.cut_from_store, self.cut_from_peers, self.paused):
+                    faults.clear()
+
+
+def walk(seed: int) -> FaultyZone:
+    """Run one zone through random faults and then in peace."""
+    zone = FaultyZone(seed=seed)
+    zone.run(2 * STEP_S)
+    zone.calm = False
+    for _ in range(STEPS):
+        if zone.random.random() < 0.3:
+            zone.disturb()
+        zone.run(zone.random.choice((STEP_S, 2 * STEP_S, LEASE_SECONDS / 2)))
+    zone.calm = True
+    for faults in (zone.cut_from_store, zone.cut_from_peers, zone.paused):
+        faults.clear()
+    zone.run(CALM_S)
+    return zone
+
+
+class SlotWalkTest(unittest.TestCase):
+    def test_one_holder_at_most_and_one_in_the_end(self):
+        epochs, holders = 0, set()
+        for seed in range(WALKS):
+            zone = walk(seed)
+            self.assertEqual(zone.doubled, [], f"seed {seed}")
+            self.assertEqual(len(zone.holders()), 1, f"seed {seed}")
+            epochs += zone.record.epoch
+            holders |= zone.taken
+        # The walks do bring about changes of holder.
+        self.assertGreater(epochs, 3 * WALKS)
+        self.assertEqual(holders, set(NAMES))
+
+
+def forget_promise(slot, epoch, incarnation, now, promise=Slot.promise):
+    seconds = promise(slot, epoch, incarnation, now)
+    slot.promised_until = 0.0
+    return seconds
+
+
+def count_from_the_answer(slot, write, version, sent, now, end_write=Slot.end_write):
+    end_write(slot, write, version, now + LEASE_SECONDS, now)
+
+
+class WeakenedRuleTest(unittest.TestCase):
+    """The walks that pass with the real rules catch each weakened one."""
+
+    def assert_caught(self, method, weakened):
+        with mock.patch.object(Slot, method, weakened):
+            self.assertTrue(any(walk(seed).doubled for seed in range(WALKS)))
+
+    def test_successor_forgets_its_promise(self):
+        self.assert_caught("promise", forget_promise)
+
+    def test_tenure_counts_from_after_the_answer(self):
+        self.assert_caught("end_write", count_from_the_answer)
