Relay a service's header fields and name the attempt in the log

Cause: a service's callers got only the content type of its answers; HEAD left its request behind in circuits.web, which took it for the next one on the connection; percent-encoded paths were quoted anew.

--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -318,6 +318,7 @@
             return
 
         async def deliver(answer: Answer) -> Outcome:
+            meter.attempt = answer.attempt
             if isinstance(call.work, ModelCall):
                 meter.prompt = call.work.prompt_tokens
             return await self._deliver(exchange, call, answer, meter)
@@ -331,7 +332,7 @@
             meter.ran, meter.exact = not isinstance(end.outcome, NotRun), False
             await self._answer_error(exchange, end.outcome, call=call)
             return
-        self._record(end.outcome, call, end.endpoint)
+        self._record(end.outcome, call, end.endpoint, meter.attempt)
 
     async def _deliver(
         self, exchange: Exchange, call: Call, answer: Answer, meter: Meter
@@ -361,7 +362,9 @@
         body = error_body(outcome.code, _name_outcome(outcome), outcome.reason)
         await exchange.send(status_of(outcome.code), body, headers)
 
-    def _record(self, outcome: Outcome, call: Call | None, endpoint: str) -> None:
+    def _record(
+        self, outcome: Outcome, call: Call | None, endpoint: str, attempt: str = ""
+    ) -> None:
         code = outcome.code.name.lower()
         kind = _name_outcome(outcome)
         self.metrics.requests.labels(code, kind).inc()
@@ -372,6 +375,7 @@
             request_id=call.request_id if call else "",
             customer=call.contract.customer if call else "",
             endpoint=endpoint,
+            attempt=attempt,
             code=int(outcome.code),
             outcome=kind,
         )
--- a/magnoliarouter/daemon/web.py
+++ b/magnoliarouter/daemon/web.py
@@ -373,6 +373,8 @@
         if connection is None or connection.task is not task:
             return
         connection.task = None
+        # circuits.web keeps the request of a HEAD, and would take it for the next one.
+        self.http._clients.pop(sock, None)
         if task.cancelled():
             self.close_connection(sock)
             return
--- a/magnoliarouter/endpoints/messages.py
+++ b/magnoliarouter/endpoints/messages.py
@@ -23,6 +23,7 @@
     "GuardStatus",
     "is_answer_of",
     "is_end_to_end",
+    "select_relayed",
 ]
 
 ATTEMPT_HEADER = "x-attempt-id"
@@ -45,6 +46,25 @@
     (NOT_STARTED_HEADER, GUARD_CLOCK_HEADER, VERDICT_HEADER, FAILURE_HEADER, LOAD_HEADER)
 )
 
+OWN_HEADERS = frozenset(
+    (
+        "authorization",
+        "x-load",
+        "x-priority",
+        ATTEMPT_HEADER,
+        REQUEST_HEADER,
+        INCARNATION_HEADER,
+        NOT_STARTED_HEADER,
+        RUN_ONCE_HEADER,
+        NOT_AFTER_HEADER,
+        GUARD_CLOCK_HEADER,
+        VERDICT_HEADER,
+        FAILURE_HEADER,
+        DEADLINE_HEADER,
+        IDEMPOTENCY_HEADER,
+    )
+)
+
 # RFC 9110 section 7.6.1, and the fields by which a message is framed anew on each hop.
 HOP_HEADERS = frozenset(
     (
@@ -160,6 +180,20 @@
     answer: StoredAnswer | None = None
 
 
+def select_relayed(headers: Mapping[str, str]) -> dict[str, str]:
+    """Return the header fields of a message that concern only a caller and a service.
+
+    Left out are those of one hop, the caller's key, and those by which the system's own processes
+    talk to each other.
+    """
+    connection = headers.get("connection", "")
+    return {
+        name: value
+        for name, value in headers.items()
+        if is_end_to_end(name, connection) and name.lower() not in OWN_HEADERS
+    }
+
+
 def is_end_to_end(name: str, connection: str = "") -> bool:
     """Return whether a header field may be relayed.
 
--- a/magnoliarouter/pipeline/call.py
+++ b/magnoliarouter/pipeline/call.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -75,6 +75,8 @@
         Loop time after which the answer is of no use.
     work : ModelCall or ApplicationCall
         What kind of endpoint it needs.
+    headers : dict of str to str
+        Further header fields of the caller for a plain service.
     """
 
     request_id: str
@@ -86,3 +88,4 @@
     body: bytes
     deadline: float
     work: ModelCall | ApplicationCall
+    headers: dict[str, str] = field(default_factory=dict)
--- a/magnoliarouter/pipeline/deliver.py
+++ b/magnoliarouter/pipeline/deliver.py
@@ -76,7 +76,7 @@
         meter.exact = False
         return TRUNCATED
     _note_usage(body, meter)
-    await exchange.send(answer.status, body, {**headers, "Content-Type": answer.content_type})
+    await exchange.send(answer.status, body, {**answer.headers, **headers})
     return Completed(ResultCode.OK, answer.status)
 
 
@@ -93,7 +93,7 @@
     first = await _read_first(chunks)
     if not first:
         return TRUNCATED
-    await exchange.start(answer.status, {**headers, "Content-Type": EVENT_STREAM})
+    await exchange.start(answer.status, {**answer.headers, **headers, "Content-Type": EVENT_STREAM})
     scanner = FrameScanner()
     complete = await _carry(exchange, first, chunks, scanner, meter)
     if not complete:
--- a/magnoliarouter/pipeline/dispatch.py
+++ b/magnoliarouter/pipeline/dispatch.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
+from yarl import URL
 
 from magnoliarouter.core.attempts import StartVerdict
 from magnoliarouter.core.outcome import NotRun, ResultCode, Unknown
@@ -19,6 +20,7 @@
     INCARNATION_HEADER,
     REQUEST_HEADER,
     VERDICT_HEADER,
+    select_relayed,
 )
 from magnoliarouter.pipeline.proof import UNNAMED_REFUSAL, find_refusal, was_unsent
 
@@ -44,10 +46,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """Head of an endpoint's answer whose body is still to be read."""
+    """Head of an endpoint's answer whose body is still to be read.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    attempt : str
+        Id of the attempt that is answered.
+    headers : dict of str to str
+        Header fields for the caller.
+    body : aiohttp.StreamReader
+        The body as it comes.
+    """
 
     status: int
-    content_type: str
+    attempt: str
+    headers: dict[str, str]
     body: aiohttp.StreamReader
 
 
@@ -83,6 +98,7 @@
     """
     attempt = uuid.uuid4().hex
     headers = {
+        **call.headers,
         ATTEMPT_HEADER: attempt,
         REQUEST_HEADER: call.request_id,
         INCARNATION_HEADER: endpoint.incarnation,
@@ -90,7 +106,7 @@
         DEADLINE_HEADER: str(max(0, int((call.deadline - now) * 1000))),
         "content-type": call.content_type,
     }
-    url = f"http://{endpoint.address}{call.path}"
+    url = URL(f"http://{endpoint.address}{call.path}", encoded=True)
     try:
         async with asyncio.timeout(call.deadline - now):
             response = await session.request(
@@ -123,7 +139,8 @@
     if FAILURE_HEADER in response.headers:
         code = _parse_code(response.headers[FAILURE_HEADER])
         return Unknown(code, "the endpoint's answer was lost behind its guard")
-    return Answer(response.status, response.content_type, response.content)
+    relayed = select_relayed(response.headers)
+    return Answer(response.status, attempt, relayed, response.content)
 
 
 def _parse_code(value: str) -> ResultCode:
--- a/magnoliarouter/pipeline/guards.py
+++ b/magnoliarouter/pipeline/guards.py
@@ -89,6 +89,7 @@
     async def send(self, call: Call, target: Target) -> Answered | NotStarted | AttemptDoubt:
         """Send an attempt to its guard once."""
         headers = {
+            **call.headers,
             ATTEMPT_HEADER: target.attempt,
             REQUEST_HEADER: call.request_id,
             INCARNATION_HEADER: target.incarnation,
--- a/magnoliarouter/pipeline/identify.py
+++ b/magnoliarouter/pipeline/identify.py
@@ -12,6 +12,7 @@
 
 from magnoliarouter.core.contract import effective_limits
 from magnoliarouter.core.outcome import NotRun, ResultCode
+from magnoliarouter.endpoints.messages import select_relayed
 from magnoliarouter.pipeline.call import ApplicationCall, Call, ModelCall
 
 if TYPE_CHECKING:
@@ -101,6 +102,7 @@
         body=request.body,
         deadline=now + seconds,
         work=work,
+        headers=select_relayed(request.headers) if isinstance(work, ApplicationCall) else {},
     )
 
 
--- a/magnoliarouter/pipeline/meter.py
+++ b/magnoliarouter/pipeline/meter.py
@@ -31,6 +31,8 @@
         Tokens of the prompt; 0 until an endpoint began to work.
     generated : int
         Tokens that were generated and carried.
+    attempt : str
+        Id of the attempt whose answer was delivered last; empty if there was none.
     ran : bool
         Whether an endpoint may have begun the call.
     exact : bool
@@ -45,6 +47,7 @@
     prompt: int = 0
     generated: int = 0
     ran: bool = False
+    attempt: str = ""
     exact: bool = True
     _last: float = 0.0
 
--- a/magnoliarouter/standins/bench/capacity.py
+++ b/magnoliarouter/standins/bench/capacity.py
@@ -27,6 +27,7 @@
 ENTRIES = (3, 9, 18)
 ZONES = 3
 DAEMONS = 380
+FLEET = 600
 SETTLE_S = 4.0
 MEGABYTE = 1_000_000
 CORE_TARGET = 0.014
@@ -157,6 +158,7 @@
             f"--platform={platform.url}",
             f"--count={shape.endpoints}",
             f"--zones={ZONES}",
+            f"--rate={PEAK_REQUESTS_PER_S * DAEMONS / FLEET}",
         )
         await _wait_for_fleet(session, fleet, shape.endpoints)
         entries, proxy = await _start_entries(site, platform, shape.entries)
--- a/magnoliarouter/standins/bench/main.py
+++ b/magnoliarouter/standins/bench/main.py
@@ -7,7 +7,9 @@
 import importlib
 import pkgutil
 import sys
-from typing import TYPE_CHECKING
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -46,15 +48,25 @@
         "ok": report.ok,
     }
     print(msgspec.json.encode(line).decode())
+    if options.write:
+        _write_figures(Path(options.write), line)
     return 0 if report.ok else 1
 
 
+def _write_figures(folder: Path, line: dict[str, Any]) -> None:
+    """Keep the figures of a run, with its date, for the pages that quote them."""
+    dated = {"date": datetime.now(tz=UTC).date().isoformat(), **line}
+    path = folder / f"{line['experiment']}.json"
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(dated), indent=1) + b"\n")
+
+
 def _parse(arguments: list[str] | None, experiments: dict[str, Experiment]) -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="magnolia-bench", description=__doc__)
     parser.add_argument("experiment", choices=["list", *experiments])
     parser.add_argument("--seed", type=int, default=1, help="seed of all random choices")
     parser.add_argument("--seconds", type=float, default=None, help="length of the load")
     parser.add_argument("--minutes", type=float, default=1.0, help="length of a soak")
+    parser.add_argument("--write", metavar="FOLDER", help="also write the figures to a file there")
     return parser.parse_args(arguments)
 
 
--- a/magnoliarouter/tests/test_deliver.py
+++ b/magnoliarouter/tests/test_deliver.py
@@ -54,6 +54,7 @@
 
     async def send(self, status, body, headers):
         self.status, self.sent, self.finished = status, body, True
+        self.headers = headers
 
 
 def split_into(data: bytes, size: int) -> list[bytes]:
@@ -70,7 +71,7 @@
         self.exchange = FakeExchange()
 
     async def stream(self, parts, error=None):
-        answer = Answer(200, "text/event-stream", FakeBody(parts, error))
+        answer = Answer(200, "a1", {}, FakeBody(parts, error))
         return await deliver_stream(self.exchange, answer, {}, self.meter)
 
     async def test_stream_is_the_same_however_it_is_split(self):
@@ -102,13 +103,14 @@
         await self.assert_truncated([FRAMES[0], LAST_FRAME + FRAMES[1]])
 
     async def test_whole_answer_gives_its_usage(self):
-        answer = Answer(200, "application/json", FakeBody([WHOLE]))
+        answer = Answer(200, "a1", {"ETag": "7"}, FakeBody([WHOLE]))
         outcome = await deliver_whole(self.exchange, answer, {}, self.meter)
         self.assertEqual(outcome, Completed(ResultCode.OK, 200))
         self.assertEqual((self.exchange.sent, self.meter.total), (WHOLE, 8))
+        self.assertEqual(self.exchange.headers["ETag"], "7")
 
     async def test_cut_whole_answer_is_an_error_of_which_nothing_is_sent(self):
-        answer = Answer(200, "application/json", FakeBody([], aiohttp.ClientPayloadError()))
+        answer = Answer(200, "a1", {}, FakeBody([], aiohttp.ClientPayloadError()))
         outcome = await deliver_whole(self.exchange, answer, {}, self.meter)
         self.assertIsInstance(outcome, Unknown)
         self.assertEqual(status_of(outcome.code), 502)
--- a/magnoliarouter/tests/test_identify.py
+++ b/magnoliarouter/tests/test_identify.py
@@ -65,3 +65,9 @@
             result = identify_with(build_contract(), build_request(x_deadline_ms=value))
             self.assert_refused(result, 400, ResultCode.MALFORMED_HTTP)
             self.assertIn("x-deadline-ms", result.reason)
+
+    def test_service_gets_the_callers_fields_but_not_those_of_the_system(self):
+        fields = {"accept": "text/csv", "x-run-once": "1", "connection": "x-hop", "x-hop": "1"}
+        request = build_request("/services/tanks/levels", "GET", **fields)
+        call = identify_with(build_contract(), request)
+        self.assertEqual(call.headers, {"accept": "text/csv"})
--- a/magnoliarouter/tests/test_retry.py
+++ b/magnoliarouter/tests/test_retry.py
@@ -24,7 +24,7 @@
 FULL = NotRun(ResultCode.QUEUE_FULL, "full")
 LATE = Unknown(ResultCode.DEADLINE_EXCEEDED, "late")
 BROKEN = Unknown(ResultCode.ENDPOINT_ERROR, "reset")
-ANSWER = Answer(200, "application/json", None)
+ANSWER = Answer(200, "a1", {}, None)
 DONE = Completed(ResultCode.OK, 200)
 ONCE = ApplicationCall("tanks", "k1", repeatable=False)
 
@@ -105,7 +105,7 @@
         self.assertEqual((end.answered, len(self.sent)), (True, 1))
 
     async def eject_by(self, *outcomes, status=200, clock=None):
-        answer = Answer(status, "application/json", None)
+        answer = Answer(status, "a1", {}, None)
         self.placement = build_placement("a")
         for outcome in outcomes:
             step = answer if isinstance(outcome, Completed) else outcome
--- a/magnoliarouter/tests/test_web.py
+++ b/magnoliarouter/tests/test_web.py
@@ -103,6 +103,14 @@
         self.assertEqual((first.count(b"200 OK"), second.count(b"200 OK")), (1, 1))
         writer.close()
 
+    async def test_request_after_head_on_the_same_connection(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(b"HEAD /a HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.assertIn(b"X-Path: /a", await reader.readuntil(b"\r\n\r\n"))
+        writer.write(GOOD)
+        self.assertIn(b"X-Path: /echo", await reader.readuntil(b"hello"))
+        writer.close()
+
     async def test_large_header(self):
         data = b"GET /a HTTP/1.1\r\nHost: a\r\nA: " + b"b" * 10_000
         await self.assert_rejected(data, b"431", ResultCode.HEADER_TOO_LARGE)
