End the processes of an experiment when it ends

Change: the kernel ends them with their parent. Conclusion: seen with a parent that exits at once; its stand-in is gone.

--- a/magnoliarouter/standins/launch.py
+++ b/magnoliarouter/standins/launch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import signal
 import socket
 import sys
@@ -21,6 +22,7 @@
 
 PEER_KEY = "peer-key-of-the-demonstration"
 START_TIMEOUT_S = 20.0
+PR_SET_PDEATHSIG = 1
 STOP_TIMEOUT_S = 20.0
 
 
@@ -68,6 +70,11 @@
         self.child.send_signal(signal.SIGCONT)
 
 
+def _end_with_parent() -> None:
+    """Have the kernel end this process when the one that started it ends."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def find_port(host: str) -> int:
     """Return a port that is free on an address now."""
     with socket.socket() as probe:
@@ -165,7 +172,10 @@
 
     async def _start(self, name: str, address: str, arguments: tuple[str, ...]) -> Process:
         child = await asyncio.create_subprocess_exec(
-            sys.executable, *arguments, stdout=asyncio.subprocess.DEVNULL
+            sys.executable,
+            *arguments,
+            stdout=asyncio.subprocess.DEVNULL,
+            preexec_fn=_end_with_parent,
         )
         process = Process(name, address, child)
         self.processes.append(process)
