--- a/magnoliarouter/core/__init__.py
+++ b/magnoliarouter/core/__init__.py
@@ -1,17 +1,47 @@
-"""Decisions of the router: pure functions and state machines without I/O or clock reads."""
+"""Decisions of the router: pure functions and state machines without I/O or clock reads.
+
+What is named here can be used alone; ``docs/EMBEDDING.md`` shows how.
+"""
 
 from __future__ import annotations
 
+from magnoliarouter.core.borrowing import Borrower, Need, Shortage
+from magnoliarouter.core.cache import VersionedCache
+from magnoliarouter.core.claims import ClaimRun
+from magnoliarouter.core.claimsteps import ClaimKey, Target
 from magnoliarouter.core.contract import Contract, Limits, effective_limits
+from magnoliarouter.core.lease import Lease, LeaseRecord, ReadLease, Wait, WriteLease
 from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
+from magnoliarouter.core.placement import Candidate, PrefixAffinity, choose_endpoint
+from magnoliarouter.core.quota import HomeTerms, QuotaHome
+from magnoliarouter.core.slots import Slot, SlotRecord
 
 __all__ = [
+    "Borrower",
+    "Candidate",
+    "ClaimKey",
+    "ClaimRun",
     "Completed",
     "Contract",
+    "HomeTerms",
+    "Lease",
+    "LeaseRecord",
     "Limits",
+    "Need",
     "NotRun",
     "Outcome",
+    "PrefixAffinity",
+    "QuotaHome",
+    "ReadLease",
     "ResultCode",
+    "Shortage",
+    "Slot",
+    "SlotRecord",
+    "Target",
     "Unknown",
+    "VersionedCache",
+    "Wait",
+    "WriteLease",
+    "choose_endpoint",
     "effective_limits",
 ]
--- a/magnoliarouter/daemon/configuration.py
+++ b/magnoliarouter/daemon/configuration.py
@@ -293,17 +293,25 @@
 
     def _export(self) -> None:
         """Show ages, versions and refusals as metrics."""
-        add = self._metrics.add_gauge
-        age = add("configuration_age_seconds", "Time since the platform was heard of", "kind")
-        version = add("configuration_version", "Version known completely", "kind")
-        refused = add("configuration_refused", "Objects whose newest version is refused", "kind")
-        behind = add("configuration_regressed", "Whether the platform went back", "kind")
+        metrics = self._metrics
+        age = metrics.add_gauge(
+            "configuration_age_seconds", "Time since the platform was heard of", "kind"
+        )
+        version = metrics.add_gauge("configuration_version", "Version known completely", "kind")
+        refused = metrics.add_gauge(
+            "configuration_refused", "Objects whose newest version is refused", "kind"
+        )
+        behind = metrics.add_gauge(
+            "configuration_regressed", "Whether the platform went back", "kind"
+        )
         for kind, feed in self._feeds.items():
             age.labels(kind).set_function(lambda feed=feed: self._measure_age(feed))
             version.labels(kind).set_function(lambda feed=feed: feed.version)
             refused.labels(kind).set_function(lambda feed=feed: len(feed.refused))
             behind.labels(kind).set_function(lambda feed=feed: float(bool(feed.regressed)))
-        watching = add("configuration_watching", "Whether this daemon watches the platform")
+        watching = metrics.add_gauge(
+            "configuration_watching", "Whether this daemon watches the platform"
+        )
         watching.set_function(lambda: float(bool(self._watches)))
 
     def _measure_age(self, feed: ObjectFeed) -> float:
--- /dev/null
+++ b/magnoliarouter/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Small programs that use single parts of the library without the daemons."""
--- /dev/null
+++ b/magnoliarouter/examples/claim_once.py
@@ -0,0 +1,84 @@
+"""A call with an idempotency key runs once, and a repeat of it gets the stored answer."""
+
+from __future__ import annotations
+
+from hashlib import sha256
+
+from magnoliarouter.core.attempts import StoredAnswer
+from magnoliarouter.core.claims import ClaimRun
+from magnoliarouter.core.claimsteps import (
+    Answered,
+    Claim,
+    ClaimKey,
+    Effect,
+    Event,
+    FoundClaim,
+    NoClaim,
+    PlaceAttempt,
+    Placed,
+    Ran,
+    ReadClaim,
+    SendAttempt,
+    Stored,
+    Target,
+    WriteClaim,
+)
+
+__all__ = ["Shop", "main", "run_call", "store_answer"]
+
+TARGET = Target("attempt-1", "tanks-1", "127.0.0.1:7000", "incarnation-1", not_after=60.0)
+KEY = ClaimKey("grower", "key-digest", "body-digest")
+
+
+class Shop:
+    """Store of one claim, and the application that must act once; both in memory."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.claim: Claim | None = None
+        self.runs = 0
+
+    def perform(self, effect: Effect) -> Event:
+        """Perform an effect of a claim and return its result."""
+        match effect:
+            case PlaceAttempt():
+                return Placed(TARGET)
+            case ReadClaim():
+                return FoundClaim(self.version, self.claim) if self.claim else NoClaim()
+            case WriteClaim(claim, expect) if expect == self.version:
+                self.version, self.claim = self.version + 1, claim
+                return Stored(self.version)
+            case WriteClaim():
+                return FoundClaim(self.version, self.claim)
+            case SendAttempt():
+                self.runs += 1
+                return Answered(store_answer(b"tank 3 is full"))
+        raise NotImplementedError(f"no way to perform {effect!r} here")
+
+
+def store_answer(body: bytes) -> StoredAnswer:
+    """Return an application's answer as it is kept for repeats."""
+    return StoredAnswer(200, "text/plain", sha256(body).hexdigest(), len(body), body)
+
+
+def run_call(shop: Shop) -> Effect:
+    """Perform the effects of one request until it has ended, and return how it ended."""
+    run = ClaimRun(KEY)
+    effect = run.start()
+    while isinstance(effect, PlaceAttempt | ReadClaim | WriteClaim | SendAttempt):
+        effect = run.step(shop.perform(effect))
+    return effect
+
+
+def main() -> None:
+    """Print the ends of a call and its repeat, and how often the application acted."""
+    shop = Shop()
+    for _ in range(2):
+        match run_call(shop):
+            case Ran(answer, replayed):
+                print(answer.body.decode(), "- replayed" if replayed else "- ran")
+    print("runs:", shop.runs)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/magnoliarouter/examples/map_switch.py
@@ -0,0 +1,87 @@
+"""A controller switches a group of two ranks to a new expert map while they step."""
+
+from __future__ import annotations
+
+from magnoliarouter.core import mapcontrol, mapswitch
+from magnoliarouter.core.mapmessages import Schedule
+from magnoliarouter.core.mapstate import (
+    ControllerState,
+    Effect,
+    MapRecord,
+    Phase,
+    Send,
+    Store,
+    StoreOutcome,
+)
+
+__all__ = ["Group", "main"]
+
+RANKS = 2
+STEP_S = 0.02
+MAX_ROUNDS = 200
+
+
+class Group:
+    """Two ranks, a controller and the stored record; every message arrives at once."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.record = MapRecord(0, Schedule(1), 1, texts=((1, "old map"),))
+        self.version = 1
+        self.ranks = [
+            mapswitch.RankState(rank, RANKS, f"start-{rank}", loaded=frozenset((1,)))
+            for rank in range(RANKS)
+        ]
+        self.steps: list[tuple[int, ...]] = []
+        self.controller: ControllerState
+        self.follow(mapcontrol.start_controller(RANKS, self.record, self.version, self.now))
+
+    def follow(self, step: tuple[ControllerState, list[Effect]]) -> None:
+        """Take the controller's new state and perform its effects."""
+        self.controller, effects = step
+        for effect in effects:
+            match effect:
+                case Send(rank, order):
+                    self.ranks[rank] = mapswitch.apply_order(self.ranks[rank], order)
+                    report = mapswitch.create_report(self.ranks[rank])
+                    self.follow(mapcontrol.receive_report(self.controller, report, self.now))
+                case Store(record, expect):
+                    self.follow(self.write(record, expect))
+
+    def write(self, record: MapRecord, expect: int) -> tuple[ControllerState, list[Effect]]:
+        """Update the record if its version is `expect`, and tell the controller."""
+        outcome = StoreOutcome.CONFLICT
+        if expect == self.version:
+            self.record, self.version = record, self.version + 1
+            outcome = StoreOutcome.WRITTEN
+        return mapcontrol.receive_outcome(self.controller, outcome, self.version, self.now)
+
+    def run_round(self) -> None:
+        """Let every rank load what it lacks and begin one step, then let the controller act."""
+        step, versions = len(self.steps), []
+        for number, state in enumerate(self.ranks):
+            for version in mapswitch.list_missing(state, step):
+                state = mapswitch.mark_loaded(state, version)
+            self.ranks[number], verdict = mapswitch.grant_step(state, step)
+            if isinstance(verdict, mapswitch.Grant):
+                versions.append(verdict.version)
+        if len(versions) == RANKS:
+            self.steps.append(tuple(versions))
+        self.now += STEP_S
+        self.follow(mapcontrol.tick(self.controller, self.now))
+
+
+def main() -> None:
+    """Print the maps that were used and whether both ranks used one map in every step."""
+    group = Group()
+    for _ in range(MAX_ROUNDS):
+        if group.controller.phase is Phase.IDLE and group.record.proposed == 1:
+            group.follow(mapcontrol.begin_switch(group.controller, "new map", group.now))
+        group.run_round()
+    print("maps used:", sorted({version for step in group.steps for version in step}))
+    print("one map in every step:", all(len(set(step)) == 1 for step in group.steps))
+    print("in force:", group.record.text_of(group.record.schedule.version))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/magnoliarouter/examples/prefix_placement.py
@@ -0,0 +1,32 @@
+"""Equal prompt prefixes meet the same endpoint until it is overloaded."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+from magnoliarouter.core.placement import Candidate, Chosen, PrefixAffinity, choose_endpoint
+
+__all__ = ["choose", "main"]
+
+PREFIX = "You are the librarian of a small town."
+
+
+def choose(candidates: list[Candidate]) -> str:
+    """Return the name of the endpoint for the prefix, or why there is none."""
+    choice = choose_endpoint(PREFIX, "zone-1", candidates, PrefixAffinity(), random.Random(1))
+    return choice.name if isinstance(choice, Chosen) else repr(choice)
+
+
+def main() -> None:
+    """Print whether the prefix stays at its home, and leaves it when it is full."""
+    candidates = [Candidate(f"engine-{n}", "zone-1", in_system=0.0, slots=4) for n in range(3)]
+    home = choose(candidates)
+    print("stays:", all(choose(candidates) == home for _ in range(100)))
+    busy = [replace(c, in_system=12.0) if c.name == home else c for c in candidates]
+    print("leaves when full:", choose(busy) != home)
+    print("all full:", choose([replace(c, in_system=12.0) for c in candidates]))
+
+
+if __name__ == "__main__":
+    main()
