--- a/magnoliarouter/pages.py
+++ b/magnoliarouter/pages.py
@@ -22,7 +22,7 @@
 
 PACKAGE = Path(__file__).parent
 DOCS = PACKAGE.parent / "docs"
-FILLED_PAGES = (DOCS / "EMBEDDING.md",)
+FILLED_PAGES = (DOCS / "EMBEDDING.md", DOCS / "operators" / "README.md")
 BLOCK = re.compile(
     r"(?P<head><!-- (?P<kind>source|output|metrics)(?: (?P<name>\w+))? -->\n)```\w*\n.*?^```$",
     re.DOTALL | re.MULTILINE,
