Divide the amounts in the quota example, and give each attempt its own id

Cause: the example of quotas left out the division over home slots; that of claims used one attempt id twice, which its effect forbids.

--- a/magnoliarouter/examples/claim_once.py
+++ b/magnoliarouter/examples/claim_once.py
@@ -26,7 +26,6 @@
 
 __all__ = ["Shop", "main", "run_call", "store_answer"]
 
-TARGET = Target("attempt-1", "tanks-1", "127.0.0.1:7000", "incarnation-1", not_after=60.0)
 KEY = ClaimKey("grower", "key-digest", "body-digest")
 
 
@@ -36,13 +35,15 @@
     def __init__(self) -> None:
         self.version = 0
         self.claim: Claim | None = None
-        self.runs = 0
+        self.attempts = self.runs = 0
 
     def perform(self, effect: Effect) -> Event:
         """Perform an effect of a claim and return its result."""
         match effect:
             case PlaceAttempt():
-                return Placed(TARGET)
+                self.attempts += 1
+                attempt = f"attempt-{self.attempts}"
+                return Placed(Target(attempt, "tanks-1", "127.0.0.1:7000", "start-1", 60.0))
             case ReadClaim():
                 return FoundClaim(self.version, self.claim) if self.claim else NoClaim()
             case WriteClaim(claim, expect) if expect == self.version:
--- a/magnoliarouter/examples/quota_share.py
+++ b/magnoliarouter/examples/quota_share.py
@@ -1,25 +1,33 @@
-"""Two daemons share one customer's rate through a quota home."""
+"""Two daemons share one customer's rate through the quota homes of one zone."""
 
 from __future__ import annotations
 
 from magnoliarouter.core.borrowing import Borrower, Need
+from magnoliarouter.core.division import HomePart, divide, divide_permits
 from magnoliarouter.core.loans import Charge
 from magnoliarouter.core.quota import HomeTerms, QuotaHome
 
-__all__ = ["exchange", "main", "serve"]
+__all__ = ["exchange", "main", "open_home", "serve"]
 
 CUSTOMER = "grower"
-SLOT = "quota.zone-1.0"
-TERMS = HomeTerms(
-    request_rate=10.0, request_cap=10.0, token_rate=1000.0, token_cap=1000.0, permits=100
-)
+RATE, BURST = 10.0, 20.0
+TOKEN_RATE, TOKEN_BURST = 1000.0, 2000.0
+PERMITS = 100
 NEED = Need(10.0)
 TICK_S = 0.05
+SECONDS = 10.0
+
+
+def open_home(part: HomePart, permits: int) -> QuotaHome:
+    """Return the first holder of a slot, which owns the slot's part of the customer's amounts."""
+    share = part.share
+    terms = HomeTerms(share * RATE, share * BURST, share * TOKEN_RATE, share * TOKEN_BURST, permits)
+    return QuotaHome(part.slot, 1, {CUSTOMER: terms}.get, now=0.0, first=True)
 
 
 def exchange(borrower: Borrower, home: QuotaHome, now: float) -> None:
     """Carry a borrower's ask to the home and the answer back, if it has something to say."""
-    ask = borrower.build_ask(SLOT, now)
+    ask = borrower.build_ask(home.slot, now)
     if ask is not None:
         borrower.apply(ask, home.answer(ask, now), now)
 
@@ -36,19 +44,24 @@
 
 def main() -> None:
     """Print whether both daemons together stayed within burst and rate over ten seconds."""
-    home = QuotaHome(SLOT, 1, {CUSTOMER: TERMS}.get, now=0.0, first=True)
+    parts = divide(CUSTOMER, ["zone-1"])
+    permits = divide_permits(PERMITS, parts)
+    homes = [open_home(part, permits[part.slot]) for part in parts]
     borrowers = [Borrower(f"entry-{number}", "start-1", 60.0) for number in range(2)]
     for borrower in borrowers:
-        borrower.set_customer(CUSTOMER, [SLOT], pooled=False)
-        borrower.set_home(SLOT, 1)
+        borrower.set_customer(CUSTOMER, [home.slot for home in homes], pooled=False)
+        for home in homes:
+            borrower.set_home(home.slot, home.epoch)
     admitted, asked = 0, 0
-    for tick in range(200):
+    for tick in range(round(SECONDS / TICK_S)):
         for borrower in borrowers:
             asked += 1
             admitted += serve(borrower, tick * TICK_S)
-            exchange(borrower, home, tick * TICK_S)
+            for home in homes:
+                exchange(borrower, home, tick * TICK_S)
+    print("shares:", *(part.share for part in parts))
     print("asked:", asked, "admitted:", admitted)
-    print("within burst and rate:", admitted <= TERMS.request_cap + TERMS.request_rate * 10)
+    print("within burst and rate:", admitted <= BURST + RATE * SECONDS)
 
 
 if __name__ == "__main__":
--- a/magnoliarouter/tests/test_examples.py
+++ b/magnoliarouter/tests/test_examples.py
@@ -36,10 +36,11 @@
                 self.assertEqual([line.strip() for line in printed], lines)
 
     def test_quota_is_used_and_kept(self):
-        asked, verdict = run_example("quota_share").splitlines()
+        shares, asked, verdict = run_example("quota_share").splitlines()
         admitted = int(asked.rpartition(" ")[2])
         self.assertEqual(verdict, "within burst and rate: True")
-        self.assertGreaterEqual(admitted, 0.9 * 10 * 10)
+        self.assertEqual(shares, "shares: 0.75 0.25")
+        self.assertGreaterEqual(admitted, 0.95 * 10 * 10)
 
     def test_every_example_is_tested_and_quoted(self):
         names = {info.name for info in pkgutil.iter_modules(examples.__path__)}
