--- a/magnoliarouter/daemon/quota.py
+++ b/magnoliarouter/daemon/quota.py
@@ -10,24 +10,20 @@
 
 from magnoliarouter.core.borrowing import Borrower
 from magnoliarouter.core.contract import effective_limits
-from magnoliarouter.core.division import HomePart, divide, divide_permits, name_slots
-from magnoliarouter.core.hashing import rendezvous_order
+from magnoliarouter.core.division import HomePart, divide, divide_permits
 from magnoliarouter.core.quota import HomeTerms, QuotaHome
 from magnoliarouter.core.quota_lines import Ask, Grant
-from magnoliarouter.core.slots import Slot, SlotRecord, Write
 from magnoliarouter.daemon.logs import log_event
+from magnoliarouter.daemon.tenure import SlotKeeper
 from magnoliarouter.peers.channel import PeerError
 from magnoliarouter.peers.quota_messages import (
     ASK_METHOD,
     INCARNATION_METHOD,
-    PROMISE_METHOD,
     Incarnation,
     IncarnationAsk,
-    Promise,
-    PromiseAsk,
 )
 from magnoliarouter.pipeline.escrow import EscrowAdmission
-from magnoliarouter.platform.client import Ambiguous, Conflict, Found, Unavailable, Written
+from magnoliarouter.platform.client import Written
 from magnoliarouter.platform.objects import ObjectError
 
 if TYPE_CHECKING:
@@ -35,22 +31,20 @@
 
     from magnoliarouter.core.cache import VersionedCache
     from magnoliarouter.core.contract import Contract, Limits
+    from magnoliarouter.core.slots import Slot
     from magnoliarouter.daemon.metrics import Metrics
     from magnoliarouter.daemon.settings import EntrySettings
     from magnoliarouter.peers import PeerClient, PeerServer
     from magnoliarouter.platform.client import PlatformClient
     from magnoliarouter.platform.feed import ObjectFeed
-    from magnoliarouter.platform.objects import StoredObject, VmSpec
+    from magnoliarouter.platform.objects import VmSpec
 
 __all__ = ["HOME_KIND", "HomeAnnouncement", "QuotaDuty", "decode_home"]
 
-LEASE_KIND = "quota-lease"
 HOME_KIND = "quota-home"
 STEP_SECONDS = 0.5
-CANDIDATES = 4
 ASK_DEADLINE_S = 0.5
 NO_INCARNATION = ""
-PROMISE_DEADLINE_S = 1.0
 
 
 class HomeAnnouncement(msgspec.Struct, frozen=True):
@@ -139,25 +133,17 @@
             settings.quota_slots_per_zone,
         )
         self._reported_zones: set[str] = set()
-        self._looked: set[str] = set()
-        self._next_look: dict[str, float] = {}
         self._told: dict[str, int] = {}
         self.homes: dict[str, QuotaHome] = {}
-        self.slots = {
-            name: Slot(name, settings.name, incarnation, clock(), settings.quota_lease_seconds)
-            for name in name_slots(settings.zone, settings.quota_slots_per_zone)
-        }
-        self._unresolved: dict[str, tuple[Write, float]] = {}
+        self._keeper = SlotKeeper(settings, incarnation, platform, peers, self._vms, metrics, clock)
+        self.slots = self._keeper.slots
         self._terms_cache: dict[str, tuple[Limits, tuple[HomePart, ...], dict[str, int]]] = {}
         self._announced = homes
         self._asks = metrics.add_counter("quota_asks", "Asks to quota homes", "result")
-        self._writes = metrics.add_counter("quota_slot_writes", "Slot lease writes", "result")
         self._unlisted = metrics.add_gauge(
             "quota_unlisted_zones", "Zones of entry VMs that the settings leave out"
         )
-        self._held = metrics.add_gauge("quota_slots_held", "Home slots that this daemon holds")
         peer_server.add_method(ASK_METHOD, Ask, self._handle_ask)
-        peer_server.add_method(PROMISE_METHOD, PromiseAsk, self._handle_promise)
         peer_server.add_method(INCARNATION_METHOD, IncarnationAsk, self._handle_incarnation)
 
     def tasks(self) -> list[Coroutine[Any, Any, None]]:
@@ -184,14 +170,8 @@
     async def release(self) -> None:
         """Return the stock and give up all slots, for a shutdown."""
         await self.admission.stop()
-        writes = []
-        for slot in self.slots.values():
-            write = slot.plan_release()
-            self.homes.pop(slot.name, None)
-            if write is not None:
-                value = msgspec.to_builtins(write.record)
-                writes.append(self._platform.write(LEASE_KIND, slot.name, value, write.expect))
-        await asyncio.gather(*writes)
+        self.homes.clear()
+        await asyncio.gather(*(self._keeper.release(slot) for slot in self.slots.values()))
 
     async def _handle_ask(self, ask: Ask) -> Grant:
         return self._answer(ask)
@@ -204,12 +184,6 @@
             return Grant(0, False, 0.0)
         return home.answer(ask, now)
 
-    async def _handle_promise(self, ask: PromiseAsk) -> Promise:
-        slot = self.slots.get(ask.slot)
-        if slot is None:
-            return Promise(0.0)
-        return Promise(slot.promise(ask.epoch, ask.incarnation, self._clock()))
-
     async def _handle_incarnation(self, ask: IncarnationAsk) -> Incarnation:
         return self._self
 
@@ -232,36 +206,9 @@
             if running.name == name:
                 home.confirm(name, running.incarnation)
 
-    async def _look(self, slot: Slot) -> None:
-        """Read a slot that others hold as often as its holder renews it."""
-        if slot.name in self._looked and self._clock() < self._next_look.get(slot.name, 0.0):
-            return
-        outcome = await self._platform.read(LEASE_KIND, slot.name)
-        match outcome:
-            case Found(_, (item,)):
-                self._observe(slot, item)
-            case Unavailable():
-                return
-        self._looked.add(slot.name)
-        self._next_look[slot.name] = self._clock() + slot.renew_seconds
-
-    def _observe(self, slot: Slot, item: StoredObject | None, sure: bool = False) -> None:
-        now = self._clock()
-        if item is None or item.value is None:
-            if sure:
-                slot.observe(None, 0, now, sure)
-            return
-        try:
-            record = msgspec.convert(item.value, type=SlotRecord)
-        except msgspec.ValidationError as error:
-            log_event("quota_lease_malformed", slot=slot.name, reason=str(error))
-            return
-        slot.observe(record, item.version, now, sure)
-
     async def _keep(self) -> None:
         while True:
-            await asyncio.gather(*(self._step(slot) for slot in self._list_concerned()))
-            self._held.set(sum(1 for slot in self.slots.values() if slot.may_grant(self._clock())))
+            await asyncio.gather(*(self._step(slot) for slot in self._keeper.list_concerned()))
             self._note_zones()
             await asyncio.sleep(STEP_SECONDS)
 
@@ -274,80 +221,13 @@
         self._reported_zones = unlisted
         self._unlisted.set(len(unlisted))
 
-    def _list_concerned(self) -> list[Slot]:
-        """Return the slots that this daemon holds, may inherit, or is among the first to claim."""
-        return [slot for slot in self.slots.values() if self._is_concerned(slot)]
-
-    def _is_concerned(self, slot: Slot) -> bool:
-        name, record = self._settings.name, slot.record
-        if record is not None and name in (record.holder, record.successor):
-            return True
-        return name in self._order_vms(slot.name)[:CANDIDATES]
-
     async def _step(self, slot: Slot) -> None:
-        if slot.name in self._unresolved:
-            await self._resolve(slot)
-        if not slot.mine:
-            await self._look(slot)
-        if slot.name not in self._looked:
-            return
-        write = self._plan(slot)
-        if write is not None:
-            slot.begin_write()
-            await self._write(slot, write)
+        await self._keeper.keep(slot)
         self._open_home(slot)
-        if slot.needs_promise(self._clock()):
-            await self._ask_promise(slot)
         await self._announce(slot)
         if slot.name in self.homes:
             await self._confirm_borrowers(self.homes[slot.name])
 
-    def _plan(self, slot: Slot) -> Write | None:
-        vms = self._vms.values()
-        order = self._order_vms(slot.name)
-        if self._settings.name not in order:
-            return None
-        others = [name for name in order if name != self._settings.name]
-        successor = next((name for name in others if not vms[name].leaving), "")
-        rank = order.index(self._settings.name)
-        return slot.plan_write(self._clock(), successor, frozenset(vms), rank)
-
-    def _order_vms(self, slot: str) -> list[str]:
-        """Return the zone's entry VMs by preference; each slot prefers another VM."""
-        vms = self._vms.values().values()
-        names = [vm.name for vm in vms if vm.role == "entry" and vm.zone == self._settings.zone]
-        order = rendezvous_order(self._settings.zone, names)
-        shift = list(self.slots).index(slot) % max(1, len(order))
-        return order[shift:] + order[:shift]
-
-    async def _write(self, slot: Slot, write: Write) -> None:
-        sent = self._clock()
-        value = msgspec.to_builtins(write.record)
-        outcome = await self._platform.write(LEASE_KIND, slot.name, value, write.expect)
-        self._writes.labels(type(outcome).__name__.lower()).inc()
-        match outcome:
-            case Written(version):
-                slot.end_write(write, version, sent, self._clock())
-            case Conflict(current):
-                slot.end_write(write, None, sent, self._clock())
-                self._observe(slot, current, sure=True)
-            case Ambiguous():
-                self._unresolved[slot.name] = (write, sent)
-            case _:
-                slot.end_write(write, None, sent, self._clock())
-
-    async def _resolve(self, slot: Slot) -> None:
-        """Read a slot back after a write whose answer was lost."""
-        write, sent = self._unresolved[slot.name]
-        outcome = await self._platform.read(LEASE_KIND, slot.name)
-        if not isinstance(outcome, Found):
-            return
-        item = outcome.items[0]
-        del self._unresolved[slot.name]
-        applied = msgspec.convert(item.value, type=SlotRecord) == write.record
-        slot.end_write(write, item.version if applied else None, sent, self._clock())
-        self._observe(slot, item)
-
     def _open_home(self, slot: Slot) -> None:
         now = self._clock()
         if not slot.may_grant(now) or slot.record is None:
@@ -381,21 +261,6 @@
             known[2].get(slot, 0),
         )
 
-    async def _ask_promise(self, slot: Slot) -> None:
-        record = slot.record
-        vm = self._vms.get(record.successor) if record is not None else None
-        if record is None or vm is None:
-            return
-        sent = self._clock()
-        ask = PromiseAsk(slot.name, record.epoch, record.incarnation)
-        try:
-            promise = await self._peer_client.call(
-                vm.address, PROMISE_METHOD, ask, Promise, PROMISE_DEADLINE_S
-            )
-        except PeerError:
-            return
-        slot.accept_promise(promise.seconds, sent, self._clock())
-
     async def _announce(self, slot: Slot) -> None:
         record = slot.record
         if record is None or not slot.may_grant(self._clock()):
--- /dev/null
+++ b/magnoliarouter/daemon/tenure.py
@@ -0,0 +1,211 @@
+"""Tenure of home slots: reads, claims and renews their leases, and asks for promises."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from magnoliarouter.core.division import name_slots
+from magnoliarouter.core.hashing import rendezvous_order
+from magnoliarouter.core.slots import Slot, SlotRecord, Write
+from magnoliarouter.daemon.logs import log_event
+from magnoliarouter.peers.channel import PeerError
+from magnoliarouter.peers.quota_messages import PROMISE_METHOD, Promise, PromiseAsk
+from magnoliarouter.platform.client import Ambiguous, Conflict, Found, Unavailable, Written
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliarouter.core.cache import VersionedCache
+    from magnoliarouter.daemon.metrics import Metrics
+    from magnoliarouter.daemon.settings import EntrySettings
+    from magnoliarouter.peers import PeerClient, PeerServer
+    from magnoliarouter.platform.client import PlatformClient
+    from magnoliarouter.platform.objects import StoredObject, VmSpec
+
+__all__ = ["LEASE_KIND", "SlotKeeper"]
+
+LEASE_KIND = "quota-lease"
+CANDIDATES = 4
+PROMISE_DEADLINE_S = 1.0
+
+
+class SlotKeeper:
+    """Home slots of one availability zone as one daemon keeps them.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Settings of the daemon.
+    incarnation : str
+        Id of this start of the daemon.
+    platform : PlatformClient
+        Where the leases are.
+    peers : tuple of (PeerClient, PeerServer)
+        Calls to and from other entry daemons.
+    vms : VersionedCache
+        VMs by name, as the platform lists them.
+    metrics : Metrics
+        Metrics of the daemon.
+    clock : callable
+        Loop time in seconds.
+
+    Attributes
+    ----------
+    slots : dict of str to Slot
+        All slots of the zone.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        incarnation: str,
+        platform: PlatformClient,
+        peers: tuple[PeerClient, PeerServer],
+        vms: VersionedCache[VmSpec],
+        metrics: Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self.slots = {
+            name: Slot(name, settings.name, incarnation, clock(), settings.quota_lease_seconds)
+            for name in name_slots(settings.zone, settings.quota_slots_per_zone)
+        }
+        self._settings = settings
+        self._platform = platform
+        self._peer_client, peer_server = peers
+        self._vms = vms
+        self._clock = clock
+        self._looked: set[str] = set()
+        self._next_look: dict[str, float] = {}
+        self._unresolved: dict[str, tuple[Write, float]] = {}
+        self._writes = metrics.add_counter("quota_slot_writes", "Slot lease writes", "result")
+        self._held = metrics.add_gauge("quota_slots_held", "Home slots that this daemon holds")
+        peer_server.add_method(PROMISE_METHOD, PromiseAsk, self._handle_promise)
+
+    def list_concerned(self) -> list[Slot]:
+        """Return the slots that this daemon holds, may inherit, or is among the first to claim."""
+        return [slot for slot in self.slots.values() if self._is_concerned(slot)]
+
+    def _is_concerned(self, slot: Slot) -> bool:
+        name, record = self._settings.name, slot.record
+        if record is not None and name in (record.holder, record.successor):
+            return True
+        return name in self._order_vms(slot.name)[:CANDIDATES]
+
+    async def keep(self, slot: Slot) -> None:
+        """Look at a slot, and claim or renew it if that is this daemon's part now."""
+        if slot.name in self._unresolved:
+            await self._resolve(slot)
+        if not slot.mine:
+            await self._look(slot)
+        if slot.name not in self._looked:
+            return
+        write = self._plan(slot)
+        if write is not None:
+            slot.begin_write()
+            await self._write(slot, write)
+        if slot.needs_promise(self._clock()):
+            await self._ask_promise(slot)
+        now = self._clock()
+        self._held.set(sum(1 for known in self.slots.values() if known.may_grant(now)))
+
+    async def release(self, slot: Slot) -> None:
+        """Give a slot up if this daemon holds it."""
+        write = slot.plan_release()
+        if write is not None:
+            value = msgspec.to_builtins(write.record)
+            await self._platform.write(LEASE_KIND, slot.name, value, write.expect)
+
+    async def _handle_promise(self, ask: PromiseAsk) -> Promise:
+        slot = self.slots.get(ask.slot)
+        if slot is None:
+            return Promise(0.0)
+        return Promise(slot.promise(ask.epoch, ask.incarnation, self._clock()))
+
+    async def _look(self, slot: Slot) -> None:
+        """Read a slot that others hold as often as its holder renews it."""
+        if slot.name in self._looked and self._clock() < self._next_look.get(slot.name, 0.0):
+            return
+        outcome = await self._platform.read(LEASE_KIND, slot.name)
+        match outcome:
+            case Found(_, (item,)):
+                self._observe(slot, item)
+            case Unavailable():
+                return
+        self._looked.add(slot.name)
+        self._next_look[slot.name] = self._clock() + slot.renew_seconds
+
+    def _observe(self, slot: Slot, item: StoredObject | None, sure: bool = False) -> None:
+        now = self._clock()
+        if item is None or item.value is None:
+            if sure:
+                slot.observe(None, 0, now, sure)
+            return
+        try:
+            record = msgspec.convert(item.value, type=SlotRecord)
+        except msgspec.ValidationError as error:
+            log_event("quota_lease_malformed", slot=slot.name, reason=str(error))
+            return
+        slot.observe(record, item.version, now, sure)
+
+    def _plan(self, slot: Slot) -> Write | None:
+        vms = self._vms.values()
+        order = self._order_vms(slot.name)
+        if self._settings.name not in order:
+            return None
+        others = [name for name in order if name != self._settings.name]
+        successor = next((name for name in others if not vms[name].leaving), "")
+        rank = order.index(self._settings.name)
+        return slot.plan_write(self._clock(), successor, frozenset(vms), rank)
+
+    def _order_vms(self, slot: str) -> list[str]:
+        """Return the zone's entry VMs by preference; each slot prefers another VM."""
+        vms = self._vms.values().values()
+        names = [vm.name for vm in vms if vm.role == "entry" and vm.zone == self._settings.zone]
+        order = rendezvous_order(self._settings.zone, names)
+        shift = list(self.slots).index(slot) % max(1, len(order))
+        return order[shift:] + order[:shift]
+
+    async def _write(self, slot: Slot, write: Write) -> None:
+        sent = self._clock()
+        value = msgspec.to_builtins(write.record)
+        outcome = await self._platform.write(LEASE_KIND, slot.name, value, write.expect)
+        self._writes.labels(type(outcome).__name__.lower()).inc()
+        match outcome:
+            case Written(version):
+                slot.end_write(write, version, sent, self._clock())
+            case Conflict(current):
+                slot.end_write(write, None, sent, self._clock())
+                self._observe(slot, current, sure=True)
+            case Ambiguous():
+                self._unresolved[slot.name] = (write, sent)
+            case _:
+                slot.end_write(write, None, sent, self._clock())
+
+    async def _resolve(self, slot: Slot) -> None:
+        """Read a slot back after a write whose answer was lost."""
+        write, sent = self._unresolved[slot.name]
+        outcome = await self._platform.read(LEASE_KIND, slot.name)
+        if not isinstance(outcome, Found):
+            return
+        item = outcome.items[0]
+        del self._unresolved[slot.name]
+        applied = msgspec.convert(item.value, type=SlotRecord) == write.record
+        slot.end_write(write, item.version if applied else None, sent, self._clock())
+        self._observe(slot, item)
+
+    async def _ask_promise(self, slot: Slot) -> None:
+        record = slot.record
+        vm = self._vms.get(record.successor) if record is not None else None
+        if record is None or vm is None:
+            return
+        sent = self._clock()
+        ask = PromiseAsk(slot.name, record.epoch, record.incarnation)
+        try:
+            promise = await self._peer_client.call(
+                vm.address, PROMISE_METHOD, ask, Promise, PROMISE_DEADLINE_S
+            )
+        except PeerError:
+            return
+        slot.accept_promise(promise.seconds, sent, self._clock())
