--- a/magnoliarouter/peers/channel.py
+++ b/magnoliarouter/peers/channel.py
@@ -25,6 +25,19 @@
 SHUTDOWN_GRACE_S = 0.5
 MAX_CALLS_PER_STREAM = 256
 MAX_MESSAGE_BYTES = 4_000_000
+MAX_STREAMS_PER_CONNECTION = 16
+SERVER_OPTIONS = (
+    ("grpc.so_reuseport", 0),
+    ("grpc.max_concurrent_streams", MAX_STREAMS_PER_CONNECTION),
+    ("grpc.max_connection_idle_ms", 300_000),
+    # Ends streams of peers that vanished without closing their connection.
+    ("grpc.keepalive_time_ms", 20_000),
+    ("grpc.keepalive_timeout_ms", 10_000),
+    ("grpc.http2.ping_timeout_ms", 10_000),
+    ("grpc.http2.max_pings_without_data", 0),
+    # Below the time between pings of callers, which would otherwise be taken for abuse.
+    ("grpc.http2.min_ping_interval_without_data_ms", 20_000),
+)
 # What msgspec raises for bytes that are not the expected message.
 UNREADABLE = (msgspec.MsgspecError, ValueError, RecursionError)
 
@@ -74,12 +87,15 @@
         Streams refused for a wrong key.
     malformed : int
         Streams ended because a message on them was no call.
+    streams : int
+        Streams open now.
     """
 
     def __init__(self, key: str, on_refuse: Callable[[str], None] = lambda reason: None) -> None:
         self.port = 0
         self.refused = 0
         self.malformed = 0
+        self.streams = 0
         self._key = key.encode()
         self._on_refuse = on_refuse
         self._methods: dict[str, Callable[[bytes], Awaitable[bytes]]] = {}
@@ -115,7 +131,7 @@
 
     async def start(self, host: str, port: int) -> None:
         """Listen on an address; port 0 takes a free one, found in `port` afterwards."""
-        self._server = grpc.aio.server(options=(("grpc.so_reuseport", 0),))
+        self._server = grpc.aio.server(options=SERVER_OPTIONS)
         self._server.add_generic_rpc_handlers((_SingleMethod(self._serve_stream),))
         self.port = self._server.add_insecure_port(f"{host}:{port}")
         await self._server.start()
@@ -135,6 +151,7 @@
         serving: set[asyncio.Task[None]] = set()
         writing = asyncio.Lock()
         readable = True
+        self.streams += 1
         try:
             async for raw in calls:
                 call = _read_call(raw)
@@ -150,6 +167,7 @@
             if serving:
                 await asyncio.wait(serving)
         finally:
+            self.streams -= 1
             for task in serving:
                 task.cancel()
         if not readable:
--- a/magnoliarouter/peers/client.py
+++ b/magnoliarouter/peers/client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 import grpc
 import msgspec
@@ -19,6 +19,9 @@
     encode,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 __all__ = ["PeerClient"]
 
 DEFAULT_DEADLINE_S = 1.0
@@ -29,6 +32,11 @@
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 1000),
     ("grpc.max_reconnect_backoff_ms", 1000),
+    # Ends streams to peers that vanished without closing their connection.
+    ("grpc.keepalive_time_ms", 60_000),
+    ("grpc.keepalive_timeout_ms", 10_000),
+    ("grpc.http2.ping_timeout_ms", 10_000),
+    ("grpc.http2.max_pings_without_data", 0),
 )
 
 Reply = TypeVar("Reply", bound=msgspec.Struct)
@@ -108,21 +116,22 @@
 
     def _open_stream(self, address: str) -> _Stream:
         stream = self._streams.get(address)
-        if stream is not None and not stream.ended:
-            return stream
-        if stream is not None:
-            self._close_later(stream)
-        stream = self._streams[address] = _Stream(address, self._metadata)
+        if stream is None or stream.ended:
+            stream = _Stream(address, self._metadata, lambda ended: self._retire(address, ended))
+            self._streams[address] = stream
         return stream
 
     def _retire_if_silent(self, address: str, stream: _Stream, deadline: float) -> None:
         # Nothing came for the whole deadline: the connection may be half open, or the method is
         # slow. New calls take a new connection; those that wait on the old one are left to it.
-        if stream.silence() >= deadline - CLOCK_STEP_S and self._streams.get(address) is stream:
-            del self._streams[address]
-            self._close_later(stream)
-
-    def _close_later(self, stream: _Stream) -> None:
+        if stream.silence() >= deadline - CLOCK_STEP_S:
+            self._retire(address, stream)
+
+    def _retire(self, address: str, stream: _Stream) -> None:
+        """Forget a stream and close it once no call waits on it."""
+        if self._streams.get(address) is not stream:
+            return
+        del self._streams[address]
         task = asyncio.get_running_loop().create_task(self._close_unused(stream))
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
@@ -147,8 +156,14 @@
     cancelled, and a caller's deadline may not end the calls of others.
     """
 
-    def __init__(self, address: str, metadata: tuple[tuple[str, str], ...]) -> None:
+    def __init__(
+        self,
+        address: str,
+        metadata: tuple[tuple[str, str], ...],
+        on_end: Callable[[_Stream], None],
+    ) -> None:
         self.ended = False
+        self._on_end = on_end
         self._loop = asyncio.get_running_loop()
         self._heard = self._loop.time()
         self._channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
@@ -228,6 +243,7 @@
         for reply in self._waiting.values():
             if not reply.done():
                 reply.set_exception(_StreamEnded(_explain(reason)))
+        self._on_end(self)
 
 
 def _explain(error: BaseException | None) -> str:
--- a/magnoliarouter/tests/test_peer_fuzz.py
+++ b/magnoliarouter/tests/test_peer_fuzz.py
@@ -4,6 +4,7 @@
 import gc
 import random
 import unittest
+from unittest import mock
 
 import grpc
 import msgspec
@@ -15,8 +16,14 @@
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.guard import Guard
 from magnoliarouter.peers import PeerClient, PeerError, PeerServer
-from magnoliarouter.peers.channel import KEY_FIELD, MAX_MESSAGE_BYTES, METHOD_PATH, encode
-from magnoliarouter.peers.client import MAX_WAITING_CALLS
+from magnoliarouter.peers.channel import (
+    KEY_FIELD,
+    MAX_MESSAGE_BYTES,
+    METHOD_PATH,
+    SERVER_OPTIONS,
+    encode,
+)
+from magnoliarouter.peers.client import CHANNEL_OPTIONS, MAX_WAITING_CALLS
 from magnoliarouter.peers.messages import DigestRequest
 from magnoliarouter.peers.quota_messages import IncarnationAsk, PromiseAsk
 from magnoliarouter.peers.relay import RelayRequest
@@ -247,6 +254,91 @@
                     await asyncio.sleep(0.05)
 
 
+QUICKLY = {
+    "grpc.keepalive_time_ms": 200,
+    "grpc.keepalive_timeout_ms": 200,
+    "grpc.http2.ping_timeout_ms": 200,
+    "grpc.http2.min_ping_interval_without_data_ms": 50,
+}
+
+
+class Relay:
+    """TCP relay in the test's own process that can stop carrying bytes."""
+
+    def __init__(self, target: int) -> None:
+        self.target = target
+        self.carrying = asyncio.Event()
+        self.carrying.set()
+        self.pumps: list[asyncio.Task] = []
+
+    async def start(self) -> str:
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def accept(self, reader, writer):
+        other_reader, other_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        for source, sink in ((reader, other_writer), (other_reader, writer)):
+            self.pumps.append(asyncio.create_task(self.pump(source, sink)))
+
+    async def pump(self, source, sink):
+        while block := await source.read(65_536):
+            await self.carrying.wait()
+            sink.write(block)
+        sink.close()
+
+    def stop(self) -> None:
+        self.server.close()
+        for pump in self.pumps:
+            pump.cancel()
+
+
+def hasten(options):
+    return tuple((name, QUICKLY.get(name, value)) for name, value in options)
+
+
+class VanishedPeerTest(unittest.IsolatedAsyncioTestCase):
+    """A peer whose connection carries nothing any more, without having been closed."""
+
+    async def asyncSetUp(self):
+        with mock.patch("magnoliarouter.peers.channel.SERVER_OPTIONS", hasten(SERVER_OPTIONS)):
+            self.server = PeerServer(KEY)
+            self.server.add_method("echo", Text, echo)
+            await self.server.start("127.0.0.1", 0)
+        self.relay = Relay(self.server.port)
+        self.client = PeerClient(KEY)
+        self.address = await self.relay.start()
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        await self.server.stop()
+        self.relay.stop()
+
+    async def call(self):
+        await self.client.call(self.address, "echo", Text("x"), Text)
+
+    async def test_server_ends_the_stream(self):
+        await self.call()
+        self.assertEqual(self.server.streams, 1)
+        self.relay.carrying.clear()
+        async with asyncio.timeout(10):
+            while self.server.streams:  # noqa: ASYNC110 - the library ends it
+                await asyncio.sleep(0.02)
+
+    async def test_client_forgets_the_stream(self):
+        options = hasten(CHANNEL_OPTIONS)
+        with mock.patch("magnoliarouter.peers.client.CHANNEL_OPTIONS", options):
+            await self.call()
+        # Pings of an idle client are not taken for abuse.
+        stream = self.client._streams[self.address]
+        await asyncio.sleep(1.0)
+        await self.call()
+        self.assertIs(self.client._streams[self.address], stream)
+        self.relay.carrying.clear()
+        async with asyncio.timeout(10):
+            while self.client._streams or self.client._retired:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+
+
 class GuardControlFuzzTest(unittest.IsolatedAsyncioTestCase):
     """No body or query of a control request to a guard raises an exception."""
 
