--- /dev/null
+++ b/magnoliarouter/standins/child.py
@@ -0,0 +1,26 @@
+"""Runs a module as a process that the kernel ends together with its parent.
+
+``python -m magnoliarouter.standins.child MODULE [ARGUMENT ...]``
+"""
+
+from __future__ import annotations
+
+import ctypes
+import runpy
+import signal
+import sys
+
+__all__ = ["run_module"]
+
+PR_SET_PDEATHSIG = 1
+
+
+def run_module(arguments: list[str]) -> None:
+    """Run the module named first with the other arguments as its command line."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+    sys.argv = list(arguments)
+    runpy.run_module(arguments[0], run_name="__main__", alter_sys=True)
+
+
+if __name__ == "__main__":
+    run_module(sys.argv[1:])
--- a/magnoliarouter/standins/launch.py
+++ b/magnoliarouter/standins/launch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import ctypes
 import signal
 import socket
 import sys
@@ -22,7 +21,6 @@
 
 PEER_KEY = "peer-key-of-the-demonstration"
 START_TIMEOUT_S = 20.0
-PR_SET_PDEATHSIG = 1
 STOP_TIMEOUT_S = 20.0
 
 
@@ -70,11 +68,6 @@
         self.child.send_signal(signal.SIGCONT)
 
 
-def _end_with_parent() -> None:
-    """Have the kernel end this process when the one that started it ends."""
-    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-
-
 def find_port(host: str) -> int:
     """Return a port that is free on an address now."""
     with socket.socket() as probe:
@@ -125,7 +118,7 @@
         """Start a stand-in module of this package and wait until it listens."""
         port = port or find_port(host)
         name = f"magnoliarouter.standins.{module}"
-        arguments = ("-m", name, "--bind", f"{host}:{port}", *options)
+        arguments = (name, "--bind", f"{host}:{port}", *options)
         return await self._start(module, f"{host}:{port}", arguments)
 
     async def start_daemon(
@@ -157,7 +150,7 @@
         path = self.folder / f"{name}.json"
         path.write_bytes(msgspec.json.encode(complete))
         address = f"{listen['host']}:{listen['port']}"
-        return await self._start(name, address, ("-m", "magnoliarouter.daemon.main", str(path)))
+        return await self._start(name, address, ("magnoliarouter.daemon.main", str(path)))
 
     async def _list_entry_vm(self, settings: dict[str, Any], listed_port: int | None) -> None:
         peers = dict(settings.get("peers", {}))
@@ -173,9 +166,10 @@
     async def _start(self, name: str, address: str, arguments: tuple[str, ...]) -> Process:
         child = await asyncio.create_subprocess_exec(
             sys.executable,
+            "-m",
+            "magnoliarouter.standins.child",
             *arguments,
             stdout=asyncio.subprocess.DEVNULL,
-            preexec_fn=_end_with_parent,
         )
         process = Process(name, address, child)
         self.processes.append(process)
