Put HTTP serving, logs and metrics into packages of their own

Cause: endpoints and pipeline imported from the daemon that assembles them, against the layout. Change: packages web and telemetry; endpoints/proof.py; tests follow their modules' names; a deliberate failure inside a test no longer shows in the runner's output. Conclusion: no behaviour changed.

--- a/magnoliarouter/daemon/configuration.py
+++ b/magnoliarouter/daemon/configuration.py
@@ -9,21 +9,21 @@
 
 from magnoliarouter.core.membership import EntryVm
 from magnoliarouter.core.relays import RelayView, plan_relays, should_watch
-from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.peers.follower import RelayChooser, RelayFollower
 from magnoliarouter.peers.relay import RELAY_METHOD, RelayLog, RelayRequest
 from magnoliarouter.peers.status import KindStatus
 from magnoliarouter.platform.backoff import Backoff
 from magnoliarouter.platform.feed import WATCH_WAIT_S, ObjectFeed
 from magnoliarouter.platform.objects import decode_object
+from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
-    from magnoliarouter.daemon.metrics import Metrics
     from magnoliarouter.daemon.settings import EntrySettings
     from magnoliarouter.peers import PeerClient, PeerServer
     from magnoliarouter.platform.client import PlatformClient
+    from magnoliarouter.telemetry.metrics import Metrics
 
 __all__ = ["Configuration"]
 
--- a/magnoliarouter/daemon/digests.py
+++ b/magnoliarouter/daemon/digests.py
@@ -20,11 +20,11 @@
 
     from magnoliarouter.core.cache import VersionedCache
     from magnoliarouter.core.digest import DigestRow
-    from magnoliarouter.daemon.metrics import Metrics
     from magnoliarouter.daemon.settings import EntrySettings
     from magnoliarouter.peers import PeerClient, PeerServer
     from magnoliarouter.pipeline.place import Placement
     from magnoliarouter.platform.objects import EndpointSpec, VmSpec
+    from magnoliarouter.telemetry.metrics import Metrics
 
 __all__ = ["DigestFollower", "ReportDuty", "order_collectors"]
 
--- a/magnoliarouter/daemon/endpoint.py
+++ b/magnoliarouter/daemon/endpoint.py
@@ -7,19 +7,19 @@
 from typing import TYPE_CHECKING
 
 from magnoliarouter.core.attempts import AttemptTable
-from magnoliarouter.daemon.loop import Runtime
-from magnoliarouter.daemon.metrics import Metrics
 from magnoliarouter.daemon.registration import Registration
-from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.guard import Guard
 from magnoliarouter.endpoints.monitor import EndpointMonitor
 from magnoliarouter.endpoints.orders import OrderService
 from magnoliarouter.platform.client import PlatformClient
+from magnoliarouter.telemetry.metrics import Metrics
+from magnoliarouter.web.loop import Runtime
+from magnoliarouter.web.server import WebServer
 
 if TYPE_CHECKING:
-    from magnoliarouter.daemon.exchange import Exchange
     from magnoliarouter.daemon.settings import EndpointSettings
+    from magnoliarouter.web.exchange import Exchange
 
 __all__ = ["EndpointDaemon"]
 
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -12,16 +12,11 @@
 from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
 from magnoliarouter.daemon.configuration import Configuration
 from magnoliarouter.daemon.digests import ReportDuty
-from magnoliarouter.daemon.exchange import CallerGone, Exchange, error_body
 from magnoliarouter.daemon.grouphealth import GroupHealth
 from magnoliarouter.daemon.groups import GroupDuty
-from magnoliarouter.daemon.logs import log_event
-from magnoliarouter.daemon.loop import Runtime
-from magnoliarouter.daemon.metrics import Metrics
 from magnoliarouter.daemon.quota import HOME_KIND, QuotaDuty, decode_home
 from magnoliarouter.daemon.status import StatusService
 from magnoliarouter.daemon.upkeep import Upkeep
-from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.peers import PeerClient, PeerServer
 from magnoliarouter.pipeline.admit import LocalAdmission
@@ -39,6 +34,11 @@
 from magnoliarouter.platform.claims import ClaimStore
 from magnoliarouter.platform.client import PlatformClient
 from magnoliarouter.platform.objects import decode_contract
+from magnoliarouter.telemetry.logs import log_event
+from magnoliarouter.telemetry.metrics import Metrics
+from magnoliarouter.web.exchange import CallerGone, Exchange, error_body
+from magnoliarouter.web.loop import Runtime
+from magnoliarouter.web.server import WebServer
 
 if TYPE_CHECKING:
     from magnoliarouter.daemon.settings import EntrySettings
--- a/magnoliarouter/daemon/groupbalance.py
+++ b/magnoliarouter/daemon/groupbalance.py
@@ -23,9 +23,9 @@
     choose_share,
     judge_rank,
 )
-from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.platform.client import Written
 from magnoliarouter.platform.groups import GROUP_HEALTH_KIND, GroupHealthSpec
+from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/magnoliarouter/daemon/groups.py
+++ b/magnoliarouter/daemon/groups.py
@@ -25,11 +25,11 @@
     SwitchTimes,
 )
 from magnoliarouter.daemon.groupbalance import GroupBalance
-from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.endpoints.group import MAP_KIND
 from magnoliarouter.endpoints.ranks import RankClient
 from magnoliarouter.platform.client import Conflict, Found, Missing, Unavailable, Written
 from magnoliarouter.platform.leases import LeaseKeeper
+from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -37,9 +37,9 @@
     import aiohttp
 
     from magnoliarouter.core.membership import EntryVm
-    from magnoliarouter.daemon.metrics import Metrics
     from magnoliarouter.platform.client import PlatformClient
     from magnoliarouter.platform.groups import GroupSpec
+    from magnoliarouter.telemetry.metrics import Metrics
 
 __all__ = ["GroupController", "GroupDuty", "GroupMetrics"]
 
--- a/magnoliarouter/daemon/main.py
+++ b/magnoliarouter/daemon/main.py
@@ -7,7 +7,6 @@
 import signal
 import sys
 
-from magnoliarouter.daemon.logs import log_event, open_log
 from magnoliarouter.daemon.settings import (
     EndpointSettings,
     EntrySettings,
@@ -15,6 +14,7 @@
     SettingsError,
     load_settings,
 )
+from magnoliarouter.telemetry.logs import log_event, open_log
 
 __all__ = ["main"]
 
--- a/magnoliarouter/daemon/orders.py
+++ b/magnoliarouter/daemon/orders.py
@@ -13,10 +13,10 @@
 import msgspec
 
 from magnoliarouter.core.orders import Order, OrderState
-from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.endpoints.orders import OrderReply, OrderRequest
 from magnoliarouter.platform.client import Found
 from magnoliarouter.platform.objects import EndpointSpec, ObjectError, decode_object
+from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/magnoliarouter/daemon/quota.py
+++ b/magnoliarouter/daemon/quota.py
@@ -13,7 +13,6 @@
 from magnoliarouter.core.division import HomePart, divide, divide_permits
 from magnoliarouter.core.quota import HomeTerms, QuotaHome
 from magnoliarouter.core.quota_lines import Ask, Grant
-from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.daemon.tenure import SlotKeeper
 from magnoliarouter.peers.channel import PeerError
 from magnoliarouter.peers.quota_messages import (
@@ -25,6 +24,7 @@
 from magnoliarouter.pipeline.escrow import EscrowAdmission
 from magnoliarouter.platform.client import Written
 from magnoliarouter.platform.objects import ObjectError
+from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -32,12 +32,12 @@
     from magnoliarouter.core.cache import VersionedCache
     from magnoliarouter.core.contract import Contract, Limits
     from magnoliarouter.core.slots import Slot
-    from magnoliarouter.daemon.metrics import Metrics
     from magnoliarouter.daemon.settings import EntrySettings
     from magnoliarouter.peers import PeerClient, PeerServer
     from magnoliarouter.platform.client import PlatformClient
     from magnoliarouter.platform.feed import ObjectFeed
     from magnoliarouter.platform.objects import VmSpec
+    from magnoliarouter.telemetry.metrics import Metrics
 
 __all__ = ["HOME_KIND", "HomeAnnouncement", "QuotaDuty", "decode_home"]
 
--- a/magnoliarouter/daemon/registration.py
+++ b/magnoliarouter/daemon/registration.py
@@ -17,9 +17,9 @@
     from collections.abc import Callable
 
     from magnoliarouter.core.attempts import AttemptTable
-    from magnoliarouter.daemon.exchange import Exchange
     from magnoliarouter.daemon.settings import EndpointSettings
     from magnoliarouter.platform.client import PlatformClient
+    from magnoliarouter.web.exchange import Exchange
 
 __all__ = ["DrainRequest", "Registration"]
 
--- a/magnoliarouter/daemon/upkeep.py
+++ b/magnoliarouter/daemon/upkeep.py
@@ -7,10 +7,10 @@
 from typing import TYPE_CHECKING
 
 from magnoliarouter.core.hashing import rendezvous_order
-from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.daemon.orders import OrderController
 from magnoliarouter.daemon.sweep import ClaimSweeper
 from magnoliarouter.platform.leases import LeaseKeeper
+from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/magnoliarouter/endpoints/execution.py
+++ b/magnoliarouter/endpoints/execution.py
@@ -10,7 +10,7 @@
 
 from magnoliarouter.core.attempts import StoredAnswer
 from magnoliarouter.endpoints.messages import ATTEMPT_HEADER, is_answer_of
-from magnoliarouter.pipeline.proof import was_unsent
+from magnoliarouter.endpoints.proof import was_unsent
 
 if TYPE_CHECKING:
     from yarl import URL
--- a/magnoliarouter/endpoints/guard.py
+++ b/magnoliarouter/endpoints/guard.py
@@ -17,7 +17,6 @@
 
 from magnoliarouter.core.attempts import AttemptTable, StartVerdict
 from magnoliarouter.core.outcome import ResultCode
-from magnoliarouter.daemon.exchange import error_body
 from magnoliarouter.endpoints.execution import CROSSED, Broken, Executed, NotReached, execute
 from magnoliarouter.endpoints.messages import (
     ATTEMPT_HEADER,
@@ -39,14 +38,15 @@
     is_end_to_end,
 )
 from magnoliarouter.endpoints.monitor import EndpointMonitor
+from magnoliarouter.endpoints.proof import was_unsent
 from magnoliarouter.endpoints.relay import parse_time, read_message, shows_truncation
 from magnoliarouter.endpoints.report import LOAD_HEADER, encode_load_header
-from magnoliarouter.pipeline.proof import was_unsent
+from magnoliarouter.web.exchange import error_body
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from magnoliarouter.daemon.exchange import Exchange
+    from magnoliarouter.web.exchange import Exchange
 
 __all__ = ["Guard", "GuardStatus"]
 
--- a/magnoliarouter/endpoints/orders.py
+++ b/magnoliarouter/endpoints/orders.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from magnoliarouter.daemon.exchange import Exchange
+    from magnoliarouter.web.exchange import Exchange
 
 __all__ = ["OrderReply", "OrderRequest", "OrderService"]
 
--- a/magnoliarouter/endpoints/relay.py
+++ b/magnoliarouter/endpoints/relay.py
@@ -7,12 +7,12 @@
 import msgspec
 
 from magnoliarouter.core.outcome import ResultCode
-from magnoliarouter.daemon.exchange import error_body
+from magnoliarouter.web.exchange import error_body
 
 if TYPE_CHECKING:
     import aiohttp
 
-    from magnoliarouter.daemon.exchange import Exchange
+    from magnoliarouter.web.exchange import Exchange
 
 __all__ = ["parse_time", "read_message", "shows_truncation"]
 
--- a/magnoliarouter/pipeline/deadline.py
+++ b/magnoliarouter/pipeline/deadline.py
@@ -6,12 +6,12 @@
 from typing import TYPE_CHECKING
 
 from magnoliarouter.core.outcome import Completed, Outcome, ResultCode, Unknown
-from magnoliarouter.daemon.exchange import error_body
+from magnoliarouter.web.exchange import error_body
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
-    from magnoliarouter.daemon.exchange import Exchange
+    from magnoliarouter.web.exchange import Exchange
 
 __all__ = ["deliver_in_time"]
 
--- a/magnoliarouter/pipeline/deliver.py
+++ b/magnoliarouter/pipeline/deliver.py
@@ -9,14 +9,14 @@
 import msgspec
 
 from magnoliarouter.core.outcome import Completed, Outcome, ResultCode, Unknown
-from magnoliarouter.daemon.exchange import error_body
+from magnoliarouter.web.exchange import error_body
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from magnoliarouter.daemon.exchange import Exchange
     from magnoliarouter.pipeline.dispatch import Answer
     from magnoliarouter.pipeline.meter import Meter
+    from magnoliarouter.web.exchange import Exchange
 
 __all__ = ["FrameScanner", "deliver_stream", "deliver_whole"]
 
--- a/magnoliarouter/pipeline/dispatch.py
+++ b/magnoliarouter/pipeline/dispatch.py
@@ -22,7 +22,7 @@
     VERDICT_HEADER,
     select_relayed,
 )
-from magnoliarouter.pipeline.proof import UNNAMED_REFUSAL, find_refusal, was_unsent
+from magnoliarouter.endpoints.proof import UNNAMED_REFUSAL, find_refusal, was_unsent
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Mapping
--- a/magnoliarouter/pipeline/guards.py
+++ b/magnoliarouter/pipeline/guards.py
@@ -35,7 +35,7 @@
     FenceRequest,
     GuardClock,
 )
-from magnoliarouter.pipeline.proof import find_refusal, is_fenced, was_unsent
+from magnoliarouter.endpoints.proof import find_refusal, is_fenced, was_unsent
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
--- a/magnoliarouter/pipeline/identify.py
+++ b/magnoliarouter/pipeline/identify.py
@@ -19,8 +19,8 @@
     from collections.abc import Mapping
 
     from magnoliarouter.core.contract import Contract, Limits
-    from magnoliarouter.daemon.web import HttpRequest
     from magnoliarouter.platform.objects import ServiceSpec
+    from magnoliarouter.web.server import HttpRequest
 
 __all__ = ["hash_key", "identify"]
 
--- a/magnoliarouter/pipeline/once.py
+++ b/magnoliarouter/pipeline/once.py
@@ -31,21 +31,21 @@
 from magnoliarouter.core.codes import status_of
 from magnoliarouter.core.outcome import Completed, NotRun, ResultCode, Unknown
 from magnoliarouter.core.placement import Chosen
-from magnoliarouter.daemon.exchange import error_body
-from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.platform.claims import build_key
+from magnoliarouter.telemetry.logs import log_event
+from magnoliarouter.web.exchange import error_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
     from magnoliarouter.core.claimsteps import Claim, Effect, Event, Result
     from magnoliarouter.core.outcome import Outcome
-    from magnoliarouter.daemon.metrics import Metrics
     from magnoliarouter.pipeline.call import Call
     from magnoliarouter.pipeline.guards import GuardCalls
     from magnoliarouter.pipeline.place import Placement
     from magnoliarouter.platform.claims import ClaimStore
     from magnoliarouter.platform.objects import EndpointSpec
+    from magnoliarouter.telemetry.metrics import Metrics
 
 __all__ = ["OnceCalls", "OnceReply"]
 
--- a/magnoliarouter/pipeline/retry.py
+++ b/magnoliarouter/pipeline/retry.py
@@ -24,10 +24,10 @@
 
     import aiohttp
 
-    from magnoliarouter.daemon.metrics import Metrics
     from magnoliarouter.pipeline.call import Call
     from magnoliarouter.pipeline.place import Placement
     from magnoliarouter.platform.objects import EndpointSpec
+    from magnoliarouter.telemetry.metrics import Metrics
 
 __all__ = ["Forwarded", "Forwarder", "explain_choice"]
 
--- a/magnoliarouter/platform/leases.py
+++ b/magnoliarouter/platform/leases.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from magnoliarouter.core.lease import DEFAULT_DURATION_S, Lease, LeaseRecord, Wait, WriteLease
-from magnoliarouter.daemon.logs import log_event
 from magnoliarouter.platform.client import Conflict, Found, Missing, Written
 from magnoliarouter.platform.objects import StoredObject
+from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/magnoliarouter/standins/bench/matrixrequests.py
+++ b/magnoliarouter/standins/bench/matrixrequests.py
@@ -68,7 +68,7 @@
                 "test_new_daemon_starts_from_peers_while_the_platform_is_down"
             ),
         ),
-        cover("identify", "n-delay", "ended", UnitTest("web.WebServerTest.test_slow_request")),
+        cover("identify", "n-delay", "ended", UnitTest("server.WebServerTest.test_slow_request")),
         cover("identify place dispatch stream", "n-zone", "served", Scene("platform-cut-off")),
         cover("dispatch stream", "n-delay", "served", Scene("routes-slow")),
         cover("dispatch", "n-dup", "started once", Scene("requests-duplicated")),
@@ -79,7 +79,7 @@
             "n-cut",
             "error shown, work cancelled",
             Scene("answer-cut"),
-            UnitTest("web.WebServerTest.test_caller_that_goes_away_cancels_its_request"),
+            UnitTest("server.WebServerTest.test_caller_that_goes_away_cancels_its_request"),
         ),
         cover(
             "whole",
--- a/magnoliarouter/standins/bench/matrixtests.py
+++ b/magnoliarouter/standins/bench/matrixtests.py
@@ -10,15 +10,24 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
+    from typing import TextIO
 
 __all__ = ["run_tests"]
 
 
-def run_tests(names: list[str]) -> dict[str, str]:
-    """Run tests by id and return their states: passed, failed or skipped."""
+def run_tests(names: list[str], report: TextIO | None = None) -> dict[str, str]:
+    """Run tests by id and return their states: passed, failed or skipped.
+
+    Parameters
+    ----------
+    names : list of str
+        Ids of the tests.
+    report : file object, optional
+        Takes the runner's report; standard error by default.
+    """
     suite = unittest.defaultTestLoader.loadTestsFromNames(names)
     states = {case.id(): "passed" for case in _list_cases(suite)}
-    result = unittest.TextTestRunner(verbosity=0).run(suite)
+    result = unittest.TextTestRunner(report, verbosity=0).run(suite)
     states |= {case.id(): "skipped" for case, _ in result.skipped}
     failed = [case for case, _ in (*result.failures, *result.errors)]
     for case in (*failed, *result.unexpectedSuccesses):
--- a/magnoliarouter/standins/echo.py
+++ b/magnoliarouter/standins/echo.py
@@ -10,18 +10,18 @@
 from circuits.core.pollers import EPoll, Poll
 from circuits.web import BaseServer
 
-from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.standins.process import run_standin
+from magnoliarouter.web.server import WebServer
 
 if TYPE_CHECKING:
-    from magnoliarouter.daemon.exchange import Exchange
+    from magnoliarouter.web.exchange import Exchange
 
 __all__ = ["LOOPS"]
 
 LOOPS = ("asyncio", "epoll", "poll")
 DATA_PATH_MODULES = (
-    "magnoliarouter.daemon.logs",
-    "magnoliarouter.daemon.metrics",
+    "magnoliarouter.telemetry.logs",
+    "magnoliarouter.telemetry.metrics",
     "magnoliarouter.endpoints.client",
 )
 TEXT = b'{"echo": true}'
--- a/magnoliarouter/standins/engine.py
+++ b/magnoliarouter/standins/engine.py
@@ -13,9 +13,9 @@
 
 import msgspec
 
-from magnoliarouter.daemon.web import Exchange, WebServer
 from magnoliarouter.standins.batching import Batch, BatchOptions, Job
 from magnoliarouter.standins.process import run_standin
+from magnoliarouter.web.server import Exchange, WebServer
 
 __all__ = ["EngineLoad", "EngineStandin"]
 
--- a/magnoliarouter/standins/fleet.py
+++ b/magnoliarouter/standins/fleet.py
@@ -16,18 +16,18 @@
 import msgspec
 
 from magnoliarouter.core.attempts import AttemptTable
-from magnoliarouter.daemon.web import Exchange, WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.guard import Guard
 from magnoliarouter.endpoints.monitor import EndpointMonitor
 from magnoliarouter.platform.client import PlatformClient, Written
 from magnoliarouter.platform.objects import EndpointSpec
 from magnoliarouter.standins.process import run_standin
+from magnoliarouter.web.server import Exchange, WebServer
 
 if TYPE_CHECKING:
     import aiohttp
 
-    from magnoliarouter.daemon.loop import Runtime
+    from magnoliarouter.web.loop import Runtime
 
 __all__ = ["Fleet"]
 
--- a/magnoliarouter/standins/orders.py
+++ b/magnoliarouter/standins/orders.py
@@ -15,15 +15,15 @@
 import aiohttp
 import msgspec
 
-from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.platform.client import PlatformClient
 from magnoliarouter.platform.leases import LeaseKeeper
 from magnoliarouter.standins.process import run_standin
+from magnoliarouter.web.server import WebServer
 
 if TYPE_CHECKING:
-    from magnoliarouter.daemon.exchange import Exchange
-    from magnoliarouter.daemon.loop import Runtime
+    from magnoliarouter.web.exchange import Exchange
+    from magnoliarouter.web.loop import Runtime
 
 __all__ = ["Effect", "OrderHolder", "OrderedEngine"]
 
--- a/magnoliarouter/standins/platform.py
+++ b/magnoliarouter/standins/platform.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
-from magnoliarouter.daemon.web import Exchange, ServerLimits, WebServer
 from magnoliarouter.platform.objects import StoredObject, WatchBatch
 from magnoliarouter.standins.process import run_standin
+from magnoliarouter.web.server import Exchange, ServerLimits, WebServer
 
 __all__ = ["Faults", "ObjectStore", "PlatformStandin"]
 
--- a/magnoliarouter/standins/process.py
+++ b/magnoliarouter/standins/process.py
@@ -7,12 +7,12 @@
 import signal
 from typing import TYPE_CHECKING
 
-from magnoliarouter.daemon.loop import Runtime
+from magnoliarouter.web.loop import Runtime
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from magnoliarouter.daemon.web import WebServer
+    from magnoliarouter.web.server import WebServer
 
 __all__ = ["run_standin"]
 
--- a/magnoliarouter/standins/proxy.py
+++ b/magnoliarouter/standins/proxy.py
@@ -14,8 +14,8 @@
 
 import msgspec
 
-from magnoliarouter.daemon.web import Exchange, WebServer
 from magnoliarouter.standins.process import run_standin
+from magnoliarouter.web.server import Exchange, WebServer
 
 __all__ = ["Route", "RouteFaults", "RouteProxy"]
 
--- a/magnoliarouter/standins/rank.py
+++ b/magnoliarouter/standins/rank.py
@@ -19,18 +19,18 @@
 import msgspec
 import xxhash
 
-from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.group import RankAgent, RankLoad, RankSite
 from magnoliarouter.platform.client import PlatformClient
 from magnoliarouter.standins.drift import DRIFT_KINDS, Drift
 from magnoliarouter.standins.group import Arrival, Position
 from magnoliarouter.standins.process import run_standin
+from magnoliarouter.web.server import WebServer
 
 if TYPE_CHECKING:
     from typing import TextIO
 
-    from magnoliarouter.daemon.loop import Runtime
+    from magnoliarouter.web.loop import Runtime
 
 __all__ = ["RankOptions", "RankStandin"]
 
--- a/magnoliarouter/standins/unruly.py
+++ b/magnoliarouter/standins/unruly.py
@@ -13,13 +13,13 @@
 
 import msgspec
 
-from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.messages import ATTEMPT_HEADER
 from magnoliarouter.pipeline.deliver import LAST_FRAME
 from magnoliarouter.standins.process import run_standin
+from magnoliarouter.web.server import WebServer
 
 if TYPE_CHECKING:
-    from magnoliarouter.daemon.exchange import Exchange
+    from magnoliarouter.web.exchange import Exchange
 
 __all__ = ["UnrulyEngine", "expected_words"]
 
--- a/magnoliarouter/standins/weights.py
+++ b/magnoliarouter/standins/weights.py
@@ -13,11 +13,11 @@
 
 import msgspec
 
-from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.standins.process import run_standin
+from magnoliarouter.web.server import WebServer
 
 if TYPE_CHECKING:
-    from magnoliarouter.daemon.exchange import Exchange
+    from magnoliarouter.web.exchange import Exchange
 
 __all__ = ["WeightStoreStandin"]
 
--- a/magnoliarouter/tests/builders.py
+++ b/magnoliarouter/tests/builders.py
@@ -5,10 +5,10 @@
 from typing import Any
 
 from magnoliarouter.core.contract import Contract, Limits
-from magnoliarouter.daemon.web import HttpRequest
 from magnoliarouter.pipeline.call import ApplicationCall, Call, ModelCall
 from magnoliarouter.pipeline.identify import hash_key
 from magnoliarouter.platform.objects import EndpointSpec
+from magnoliarouter.web.server import HttpRequest
 
 
 def build_limits(**changes: Any) -> Limits:
--- a/magnoliarouter/tests/test_cli.py
+++ b/magnoliarouter/tests/test_cli.py
@@ -10,12 +10,12 @@
 
 from magnoliarouter.cli.main import build_application
 from magnoliarouter.cli.result import ExitCode
-from magnoliarouter.daemon.loop import Runtime
-from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.peers import PeerServer
 from magnoliarouter.peers.status import KindStatus, StatusReply, StatusRequest
 from magnoliarouter.pipeline.identify import hash_key
 from magnoliarouter.standins.platform import Faults, PlatformStandin
+from magnoliarouter.web.loop import Runtime
+from magnoliarouter.web.server import WebServer
 
 PEER_KEY = "0123456789abcdef"
 RATES = (
--- a/magnoliarouter/tests/test_cli_group.py
+++ b/magnoliarouter/tests/test_cli_group.py
@@ -9,11 +9,11 @@
 from magnoliarouter.core.mapmessages import Schedule
 from magnoliarouter.core.mapstate import MapRecord
 from magnoliarouter.daemon.grouphealth import GroupHealth
-from magnoliarouter.daemon.loop import Runtime
-from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.group import RankLoad
 from magnoliarouter.platform.groups import GroupHealthSpec
 from magnoliarouter.tests import test_cli
+from magnoliarouter.web.loop import Runtime
+from magnoliarouter.web.server import WebServer
 
 TOKENS = [[9, 1, 1, 1]]
 
--- a/magnoliarouter/tests/test_client.py
+++ b/magnoliarouter/tests/test_client.py
@@ -6,8 +6,6 @@
 import unittest
 from collections import Counter
 
-from magnoliarouter.daemon.loop import Runtime
-from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.platform.backoff import Backoff, CallBudget
 from magnoliarouter.platform.client import (
@@ -25,6 +23,8 @@
 from magnoliarouter.platform.settle import delete_settled, write_settled
 from magnoliarouter.standins.platform import Faults, PlatformStandin
 from magnoliarouter.tests.clock import run_paused
+from magnoliarouter.web.loop import Runtime
+from magnoliarouter.web.server import WebServer
 
 ANSWERS = (
     b'{"kind": "contract", "name": "grower", "version": 4, "value": {"a": 1}}',
--- a/magnoliarouter/tests/test_configuration.py
+++ b/magnoliarouter/tests/test_configuration.py
@@ -6,18 +6,18 @@
 
 from magnoliarouter.core.keys import KeyIndex
 from magnoliarouter.daemon.configuration import Configuration
-from magnoliarouter.daemon.loop import Runtime
-from magnoliarouter.daemon.metrics import Metrics
 from magnoliarouter.daemon.settings import EntrySettings
 from magnoliarouter.daemon.status import StatusService
-from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.peers import PeerClient, PeerServer
 from magnoliarouter.peers.status import StatusReply, StatusRequest
 from magnoliarouter.platform.client import PlatformClient
 from magnoliarouter.platform.objects import decode_contract
 from magnoliarouter.standins.platform import Faults, PlatformStandin
+from magnoliarouter.telemetry.metrics import Metrics
 from magnoliarouter.tests.builders import build_contract_value
+from magnoliarouter.web.loop import Runtime
+from magnoliarouter.web.server import WebServer
 
 KEY = "0123456789abcdef"
 
--- a/magnoliarouter/tests/test_deliver.py
+++ b/magnoliarouter/tests/test_deliver.py
@@ -7,10 +7,10 @@
 
 from magnoliarouter.core.codes import status_of
 from magnoliarouter.core.outcome import Completed, ResultCode, Unknown
-from magnoliarouter.daemon.metrics import Metrics
 from magnoliarouter.pipeline.deliver import LAST_FRAME, deliver_stream, deliver_whole
 from magnoliarouter.pipeline.dispatch import Answer
 from magnoliarouter.pipeline.meter import Meter
+from magnoliarouter.telemetry.metrics import Metrics
 
 FRAMES = [b'data: {"text": "data: a"}\n\n', b'data: {"text": "b"}\n\n', LAST_FRAME]
 WHOLE = b'{"usage": {"prompt_tokens": 3, "completion_tokens": 5}}'
--- a/magnoliarouter/tests/test_digests.py
+++ b/magnoliarouter/tests/test_digests.py
@@ -12,12 +12,12 @@
 from magnoliarouter.core.prefixes import CacheChange, hash_head
 from magnoliarouter.daemon.collector import Collector
 from magnoliarouter.daemon.digests import DigestFollower, order_collectors
-from magnoliarouter.daemon.metrics import Metrics
 from magnoliarouter.endpoints.monitor import EndpointMonitor, _CacheEvent
 from magnoliarouter.peers import PeerError
 from magnoliarouter.pipeline.call import ModelCall
 from magnoliarouter.pipeline.place import Placement
 from magnoliarouter.platform.objects import VmSpec
+from magnoliarouter.telemetry.metrics import Metrics
 from magnoliarouter.tests.builders import build_call, build_endpoint
 from magnoliarouter.tests.clock import advance, run_paused, settle
 
--- a/magnoliarouter/tests/test_groupbalance.py
+++ b/magnoliarouter/tests/test_groupbalance.py
@@ -7,10 +7,10 @@
 from magnoliarouter.core.stragglers import RankCare
 from magnoliarouter.daemon.groupbalance import GroupBalance
 from magnoliarouter.daemon.groups import GroupMetrics
-from magnoliarouter.daemon.metrics import Metrics
 from magnoliarouter.endpoints.group import RankLoad
 from magnoliarouter.platform.client import Unavailable, Written
 from magnoliarouter.platform.groups import GroupSpec
+from magnoliarouter.telemetry.metrics import Metrics
 
 RANKS = 4
 
--- a/magnoliarouter/tests/test_guard.py
+++ b/magnoliarouter/tests/test_guard.py
@@ -8,11 +8,11 @@
 from yarl import URL
 
 from magnoliarouter.core.attempts import START_WINDOW_S, AttemptTable
-from magnoliarouter.daemon.loop import Runtime
-from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.guard import Guard
 from magnoliarouter.endpoints.messages import FenceReply, FenceRequest
+from magnoliarouter.web.loop import Runtime
+from magnoliarouter.web.server import WebServer
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain; charset=x\r\nContent-Length: 2\r\n"
 
--- a/magnoliarouter/tests/test_guard_load.py
+++ b/magnoliarouter/tests/test_guard_load.py
@@ -7,8 +7,6 @@
 
 from magnoliarouter.core.attempts import AttemptTable
 from magnoliarouter.core.outcome import NotRun, ResultCode, Unknown
-from magnoliarouter.daemon.loop import Runtime
-from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.guard import Guard
 from magnoliarouter.endpoints.messages import GuardStatus
@@ -16,6 +14,8 @@
 from magnoliarouter.endpoints.report import LOAD_HEADER, decode_load_header
 from magnoliarouter.pipeline.dispatch import Answer, open_attempt
 from magnoliarouter.tests.builders import build_call, build_endpoint
+from magnoliarouter.web.loop import Runtime
+from magnoliarouter.web.server import WebServer
 
 
 class GuardLoadTest(unittest.IsolatedAsyncioTestCase):
--- a/magnoliarouter/tests/test_matrix.py
+++ b/magnoliarouter/tests/test_matrix.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import importlib
+import io
 import unittest
 from pathlib import Path
 
@@ -98,7 +99,9 @@
 
     def test_failure_of_a_test_is_told_by_its_id(self):
         name = "magnoliarouter.tests.test_matrix.Missing.test_none"
-        self.assertEqual(set(run_tests([name]).values()), {"failed"})
+        report = io.StringIO()
+        self.assertEqual(set(run_tests([name], report).values()), {"failed"})
+        self.assertIn("Missing", report.getvalue())
 
 
 class SceneTest(unittest.IsolatedAsyncioTestCase):
--- a/magnoliarouter/tests/test_once_calls.py
+++ b/magnoliarouter/tests/test_once_calls.py
@@ -7,11 +7,11 @@
 from magnoliarouter.core.claimsteps import Answered, ClaimState, Stored, StoreDown
 from magnoliarouter.core.outcome import Completed, ResultCode
 from magnoliarouter.core.placement import Chosen
-from magnoliarouter.daemon.metrics import Metrics
 from magnoliarouter.pipeline.call import ApplicationCall
 from magnoliarouter.pipeline.identify import hash_key, identify
 from magnoliarouter.pipeline.once import LAST_RECORD_WAIT_S, RECORD_WAIT_S, OnceCalls
 from magnoliarouter.platform.objects import EndpointSpec, ServiceSpec
+from magnoliarouter.telemetry.metrics import Metrics
 from magnoliarouter.tests.builders import build_contract, build_request
 from magnoliarouter.tests.claim_model import ANSWER
 from magnoliarouter.tests.clock import advance, run_paused, settle
--- a/magnoliarouter/tests/test_peer_fuzz.py
+++ b/magnoliarouter/tests/test_peer_fuzz.py
@@ -11,8 +11,6 @@
 
 from magnoliarouter.core.attempts import AttemptTable
 from magnoliarouter.core.quota_lines import Ask as QuotaAsk
-from magnoliarouter.daemon.loop import Runtime
-from magnoliarouter.daemon.web import WebServer
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.guard import Guard
 from magnoliarouter.peers import PeerClient, PeerError, PeerServer
@@ -28,6 +26,8 @@
 from magnoliarouter.peers.quota_messages import IncarnationAsk, PromiseAsk
 from magnoliarouter.peers.relay import RelayRequest
 from magnoliarouter.peers.status import StatusRequest
+from magnoliarouter.web.loop import Runtime
+from magnoliarouter.web.server import WebServer
 
 KEY = "0123456789abcdef"
 METHODS = {
--- a/magnoliarouter/tests/test_quota_duty.py
+++ b/magnoliarouter/tests/test_quota_duty.py
@@ -7,7 +7,6 @@
 
 from magnoliarouter.core.cache import VersionedCache
 from magnoliarouter.core.outcome import NotRun, ResultCode
-from magnoliarouter.daemon.metrics import Metrics
 from magnoliarouter.daemon.quota import HOME_KIND, QuotaDuty, decode_home
 from magnoliarouter.daemon.settings import EntrySettings
 from magnoliarouter.peers import PeerError
@@ -24,6 +23,7 @@
 from magnoliarouter.platform.feed import ObjectFeed
 from magnoliarouter.platform.objects import VmSpec, WatchBatch
 from magnoliarouter.standins.platform import ObjectStore
+from magnoliarouter.telemetry.metrics import Metrics
 from magnoliarouter.tests.builders import build_contract, build_limits
 from magnoliarouter.tests.clock import advance, run_paused
 
--- a/magnoliarouter/tests/test_retry.py
+++ b/magnoliarouter/tests/test_retry.py
@@ -11,12 +11,12 @@
 from magnoliarouter.core.placement import Chosen, NoEndpoint
 from magnoliarouter.core.prefixes import CacheChange, hash_head
 from magnoliarouter.core.retries import RetryBudget
-from magnoliarouter.daemon.metrics import Metrics
 from magnoliarouter.pipeline.call import ApplicationCall, ModelCall
 from magnoliarouter.pipeline.dispatch import Answer
 from magnoliarouter.pipeline.place import Placement
 from magnoliarouter.pipeline.retry import Forwarder
 from magnoliarouter.platform.objects import VmSpec
+from magnoliarouter.telemetry.metrics import Metrics
 from magnoliarouter.tests.builders import build_call, build_endpoint
 
 DRAINING = NotRun(ResultCode.DRAINING, "draining")
--- a/magnoliarouter/tests/test_web.py
+++ b/magnoliarouter/tests/test_server.py
@@ -7,8 +7,8 @@
 import aiohttp
 
 from magnoliarouter.core.outcome import ResultCode
-from magnoliarouter.daemon.loop import Runtime
-from magnoliarouter.daemon.web import ServerLimits, WebServer
+from magnoliarouter.web.loop import Runtime
+from magnoliarouter.web.server import ServerLimits, WebServer
 
 LIMITS = ServerLimits(header_bytes=2000, body_bytes=4000, request_seconds=0.2, connections=50)
 GOOD = b"POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello"
--- a/magnoliarouter/daemon/exchange.py
+++ b/magnoliarouter/web/exchange.py
@@ -14,7 +14,7 @@
     from circuits.web.wrappers import Response
 
     from magnoliarouter.core.outcome import ResultCode
-    from magnoliarouter.daemon.web import WebServer
+    from magnoliarouter.web.server import WebServer
 
 __all__ = ["JSON_TYPE", "CallerGone", "Exchange", "HttpRequest", "error_body"]
 
--- a/magnoliarouter/daemon/web.py
+++ b/magnoliarouter/web/server.py
@@ -18,14 +18,14 @@
 from circuits.web.http import HTTP
 
 from magnoliarouter.core.outcome import ResultCode
-from magnoliarouter.daemon.exchange import (
+from magnoliarouter.web.exchange import (
     JSON_TYPE,
     CallerGone,
     Exchange,
     HttpRequest,
     error_body,
 )
-from magnoliarouter.daemon.wellformed import find_fault, split_body
+from magnoliarouter.web.wellformed import find_fault, split_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -34,7 +34,7 @@
     from circuits.web.errors import httperror
     from circuits.web.wrappers import Request, Response
 
-    from magnoliarouter.daemon.loop import Runtime
+    from magnoliarouter.web.loop import Runtime
 
 __all__ = ["CallerGone", "Exchange", "HttpRequest", "ServerLimits", "WebServer", "error_body"]
 
