Separate the handling of calls from the assembly of an entry daemon

Change: daemon/calls.py carries calls through the stages; daemon/entry.py builds them; a cancelled call is recorded as caller_gone. Conclusion: tests of both kinds of end.

--- /dev/null
+++ b/magnoliarouter/daemon/calls.py
@@ -0,0 +1,228 @@
+"""Calls of one entry daemon: carries each through the pipeline and records how it ended."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from magnoliarouter.core.codes import status_of
+from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
+from magnoliarouter.pipeline.call import ApplicationCall, ModelCall
+from magnoliarouter.pipeline.deadline import deliver_in_time
+from magnoliarouter.pipeline.deliver import deliver_stream, deliver_whole
+from magnoliarouter.pipeline.identify import identify
+from magnoliarouter.pipeline.meter import Meter
+from magnoliarouter.telemetry.logs import log_event
+from magnoliarouter.web.exchange import CallerGone, Exchange, error_body
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from magnoliarouter.core.keys import KeyIndex
+    from magnoliarouter.pipeline.admit import Admission
+    from magnoliarouter.pipeline.call import Call
+    from magnoliarouter.pipeline.dispatch import Answer
+    from magnoliarouter.pipeline.once import OnceCalls
+    from magnoliarouter.pipeline.queue import WaitingRoom
+    from magnoliarouter.pipeline.retry import Forwarded, Forwarder
+    from magnoliarouter.platform.objects import ServiceSpec
+    from magnoliarouter.telemetry.metrics import Metrics
+
+__all__ = ["CallHandler", "Stages"]
+
+REQUEST_HEADER = "x-request-id"
+CONFIGURATION_MISSING = NotRun(
+    ResultCode.CONFIGURATION_MISSING, "this daemon does not know the contracts yet", 1.0
+)
+GONE = Unknown(ResultCode.CALLER_GONE, "the caller went away")
+
+
+@dataclass(frozen=True, slots=True)
+class Stages:
+    """Stages of the pipeline, in the order in which a call passes them.
+
+    Parameters
+    ----------
+    keys : KeyIndex
+        Contracts by key.
+    services : mapping of str to ServiceSpec
+        Services by name.
+    admission : Admission
+        Limits of the contract.
+    waiting : WaitingRoom
+        Queue in front of placement.
+    forwarder : Forwarder
+        Placement, attempts and retries of calls that may be repeated.
+    once : OnceCalls
+        Way of calls that may run only once.
+    """
+
+    keys: KeyIndex
+    services: Mapping[str, ServiceSpec]
+    admission: Admission
+    waiting: WaitingRoom
+    forwarder: Forwarder
+    once: OnceCalls
+
+
+class CallHandler:
+    """Answers the calls of customers.
+
+    Parameters
+    ----------
+    stages : Stages
+        Stages of the pipeline.
+    request_seconds : float
+        Longest time of a call that names no deadline.
+    clock : callable
+        Loop time in seconds.
+    metrics : Metrics
+        Metrics of the daemon.
+    is_synchronized : callable
+        Whether all contracts are known.
+    """
+
+    def __init__(
+        self,
+        stages: Stages,
+        request_seconds: float,
+        clock: Callable[[], float],
+        metrics: Metrics,
+        is_synchronized: Callable[[], bool],
+    ) -> None:
+        self._stages = stages
+        self._request_seconds = request_seconds
+        self._clock = clock
+        self._metrics = metrics
+        self._is_synchronized = is_synchronized
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Answer one call, or say why not."""
+        call = identify(
+            exchange.request,
+            self._stages.keys.by_key,
+            self._stages.services,
+            self._clock(),
+            self._request_seconds,
+        )
+        if isinstance(call, NotRun):
+            if call.code is ResultCode.KEY_UNKNOWN and not self._is_synchronized():
+                call = CONFIGURATION_MISSING
+            await self._answer_error(exchange, call)
+            return
+        permit = await self._stages.admission.admit(call)
+        if isinstance(permit, NotRun):
+            await self._answer_error(exchange, permit, call=call)
+            return
+        meter = self._open_meter()
+        try:
+            with self._metrics.in_flight.track_inprogress():
+                await self._forward(exchange, call, meter)
+        except asyncio.CancelledError:
+            if not exchange.finished:
+                self._record(GONE, call, "", meter.attempt)
+            raise
+        finally:
+            permit.settle(meter.total) if meter.ran else permit.cancel()
+
+    def _open_meter(self) -> Meter:
+        metrics = self._metrics
+        return Meter(
+            self._clock,
+            self._clock(),
+            metrics.first_token,
+            metrics.inter_token,
+            metrics.tokens,
+        )
+
+    async def _run_once(self, exchange: Exchange, call: Call, meter: Meter) -> None:
+        # A caller that goes away cancels this coroutine, not the call.
+        meter.ran = True
+        reply = await self._stages.once.run(call)
+        meter.ran = not isinstance(reply.outcome, NotRun)
+        self._record(reply.outcome, call, reply.endpoint)
+        headers = {REQUEST_HEADER: call.request_id, **reply.headers}
+        await exchange.send(reply.status, reply.body, headers)
+
+    async def _forward(self, exchange: Exchange, call: Call, meter: Meter) -> None:
+        if isinstance(call.work, ApplicationCall) and not call.work.repeatable:
+            await self._run_once(exchange, call, meter)
+            return
+
+        async def deliver(answer: Answer) -> Outcome:
+            meter.attempt = answer.attempt
+            if isinstance(call.work, ModelCall):
+                meter.prompt = call.work.prompt_tokens
+            return await self._deliver(exchange, call, answer, meter)
+
+        async def forward() -> Forwarded:
+            meter.ran = True
+            return await self._stages.forwarder.forward(call, deliver, lambda: exchange.started)
+
+        end = await self._stages.waiting.carry(call, forward)
+        if not end.answered and not isinstance(end.outcome, Completed):
+            meter.ran, meter.exact = not isinstance(end.outcome, NotRun), False
+            await self._answer_error(exchange, end.outcome, call=call)
+            return
+        self._record(end.outcome, call, end.endpoint, meter.attempt)
+
+    async def _deliver(
+        self, exchange: Exchange, call: Call, answer: Answer, meter: Meter
+    ) -> Outcome:
+        headers = {REQUEST_HEADER: call.request_id}
+        try:
+            if isinstance(call.work, ModelCall) and call.work.stream and answer.status == 200:
+                delivery = deliver_stream(exchange, answer, headers, meter)
+            else:
+                delivery = deliver_whole(exchange, answer, headers, meter)
+            outcome = await deliver_in_time(exchange, delivery, call.deadline, headers)
+            meter.exact &= outcome.code is not ResultCode.DEADLINE_EXCEEDED or meter.generated > 0
+            return outcome
+        except CallerGone:
+            return GONE
+
+    async def _answer_error(
+        self,
+        exchange: Exchange,
+        outcome: NotRun | Unknown,
+        call: Call | None = None,
+    ) -> None:
+        headers = {REQUEST_HEADER: call.request_id} if call else {}
+        if isinstance(outcome, NotRun) and outcome.retry_after is not None:
+            headers["Retry-After"] = str(max(1, round(outcome.retry_after)))
+        self._record(outcome, call, "")
+        body = error_body(outcome.code, _name_outcome(outcome), outcome.reason)
+        await exchange.send(status_of(outcome.code), body, headers)
+
+    def _record(
+        self, outcome: Outcome, call: Call | None, endpoint: str, attempt: str = ""
+    ) -> None:
+        code = outcome.code.name.lower()
+        kind = _name_outcome(outcome)
+        self._metrics.requests.labels(code, kind).inc()
+        if isinstance(outcome, NotRun):
+            self._metrics.refusals.labels(code).inc()
+        log_event(
+            "request",
+            request_id=call.request_id if call else "",
+            customer=call.contract.customer if call else "",
+            endpoint=endpoint,
+            attempt=attempt,
+            code=int(outcome.code),
+            outcome=kind,
+        )
+
+    def count_rejected(self, code: ResultCode) -> None:
+        """Record a request that the HTTP server refused."""
+        self._record(NotRun(code, "rejected by the HTTP server"), None, "")
+
+
+def _name_outcome(outcome: Outcome) -> str:
+    match outcome:
+        case NotRun():
+            return "not_run"
+        case Completed():
+            return "completed"
+        case Unknown():
+            return "unknown"
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -7,9 +7,8 @@
 
 import msgspec
 
-from magnoliarouter.core.codes import status_of
 from magnoliarouter.core.keys import KeyIndex
-from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
+from magnoliarouter.daemon.calls import CallHandler, Stages
 from magnoliarouter.daemon.configuration import Configuration
 from magnoliarouter.daemon.digests import ReportDuty
 from magnoliarouter.daemon.grouphealth import GroupHealth
@@ -20,12 +19,7 @@
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.peers import PeerClient, PeerServer
 from magnoliarouter.pipeline.admit import LocalAdmission
-from magnoliarouter.pipeline.call import ApplicationCall, ModelCall
-from magnoliarouter.pipeline.deadline import deliver_in_time
-from magnoliarouter.pipeline.deliver import deliver_stream, deliver_whole
 from magnoliarouter.pipeline.guards import GuardCalls
-from magnoliarouter.pipeline.identify import identify
-from magnoliarouter.pipeline.meter import Meter
 from magnoliarouter.pipeline.once import OnceCalls
 from magnoliarouter.pipeline.place import Placement, create_policy
 from magnoliarouter.pipeline.queue import WaitingRoom
@@ -36,25 +30,18 @@
 from magnoliarouter.platform.objects import decode_contract
 from magnoliarouter.telemetry.logs import log_event
 from magnoliarouter.telemetry.metrics import Metrics
-from magnoliarouter.web.exchange import CallerGone, Exchange, error_body
 from magnoliarouter.web.loop import Runtime
 from magnoliarouter.web.server import WebServer
 
 if TYPE_CHECKING:
     from magnoliarouter.daemon.settings import EntrySettings
     from magnoliarouter.pipeline.admit import Admission
-    from magnoliarouter.pipeline.call import Call
-    from magnoliarouter.pipeline.dispatch import Answer
-    from magnoliarouter.pipeline.retry import Forwarded
+    from magnoliarouter.web.exchange import Exchange
 
 __all__ = ["EntryDaemon"]
 
-REQUEST_HEADER = "x-request-id"
 CALL_BURST_S = 4.0
 HAND_BACK_S = 3.0
-CONFIGURATION_MISSING = NotRun(
-    ResultCode.CONFIGURATION_MISSING, "this daemon does not know the contracts yet", 1.0
-)
 
 
 class EntryDaemon:
@@ -91,12 +78,13 @@
         self._open_once_calls()
         self._open_upkeep()
         self._open_admission()
+        self._calls = self._open_calls()
         listen = self.settings.listen
         self._server = WebServer(
             Runtime(self._loop),
             (listen.host, listen.port),
             self.handle,
-            on_reject=self._count_rejected,
+            on_reject=self._calls.count_rejected,
         )
         self.port = self._server.port
         peers = self.settings.peers
@@ -146,7 +134,7 @@
             case "/v1/models":
                 await exchange.send(200, self._list_models())
             case _:
-                await self._serve(exchange)
+                await self._calls.serve(exchange)
 
     def _open_platform(self) -> PlatformClient:
         calls = self.metrics.add_counter(
@@ -225,6 +213,23 @@
         )
         self._tasks.append(self._loop.create_task(self._upkeep.run()))
 
+    def _open_calls(self) -> CallHandler:
+        stages = Stages(
+            self._keys,
+            self._services.cache.values(),
+            self._admission,
+            self._waiting,
+            self._forwarder,
+            self._once,
+        )
+        return CallHandler(
+            stages,
+            self.settings.request_seconds,
+            self._loop.time,
+            self.metrics,
+            self.configuration.synchronized.is_set,
+        )
+
     def _list_entry_names(self) -> list[str]:
         vms = self.configuration.vms.cache.values().values()
         return [vm.name for vm in vms if vm.role == "entry" and not vm.leaving]
@@ -267,128 +272,3 @@
         models = sorted({model for endpoint in endpoints for model in endpoint.models})
         data = [{"id": model, "object": "model"} for model in models]
         return msgspec.json.encode({"object": "list", "data": data})
-
-    async def _serve(self, exchange: Exchange) -> None:
-        call = identify(
-            exchange.request,
-            self._keys.by_key,
-            self._services.cache.values(),
-            self._loop.time(),
-            self.settings.request_seconds,
-        )
-        if isinstance(call, NotRun):
-            known = self.configuration.synchronized.is_set()
-            if call.code is ResultCode.KEY_UNKNOWN and not known:
-                call = CONFIGURATION_MISSING
-            await self._answer_error(exchange, call)
-            return
-        permit = await self._admission.admit(call)
-        if isinstance(permit, NotRun):
-            await self._answer_error(exchange, permit, call=call)
-            return
-        meter = self._open_meter()
-        try:
-            with self.metrics.in_flight.track_inprogress():
-                await self._forward(exchange, call, meter)
-        finally:
-            permit.settle(meter.total) if meter.ran else permit.cancel()
-
-    def _open_meter(self) -> Meter:
-        metrics = self.metrics
-        return Meter(
-            self._loop.time,
-            self._loop.time(),
-            metrics.first_token,
-            metrics.inter_token,
-            metrics.tokens,
-        )
-
-    async def _run_once(self, exchange: Exchange, call: Call, meter: Meter) -> None:
-        # A caller that goes away cancels this coroutine, not the call.
-        meter.ran = True
-        reply = await self._once.run(call)
-        meter.ran = not isinstance(reply.outcome, NotRun)
-        self._record(reply.outcome, call, reply.endpoint)
-        headers = {REQUEST_HEADER: call.request_id, **reply.headers}
-        await exchange.send(reply.status, reply.body, headers)
-
-    async def _forward(self, exchange: Exchange, call: Call, meter: Meter) -> None:
-        if isinstance(call.work, ApplicationCall) and not call.work.repeatable:
-            await self._run_once(exchange, call, meter)
-            return
-
-        async def deliver(answer: Answer) -> Outcome:
-            meter.attempt = answer.attempt
-            if isinstance(call.work, ModelCall):
-                meter.prompt = call.work.prompt_tokens
-            return await self._deliver(exchange, call, answer, meter)
-
-        async def forward() -> Forwarded:
-            meter.ran = True
-            return await self._forwarder.forward(call, deliver, lambda: exchange.started)
-
-        end = await self._waiting.carry(call, forward)
-        if not end.answered and not isinstance(end.outcome, Completed):
-            meter.ran, meter.exact = not isinstance(end.outcome, NotRun), False
-            await self._answer_error(exchange, end.outcome, call=call)
-            return
-        self._record(end.outcome, call, end.endpoint, meter.attempt)
-
-    async def _deliver(
-        self, exchange: Exchange, call: Call, answer: Answer, meter: Meter
-    ) -> Outcome:
-        headers = {REQUEST_HEADER: call.request_id}
-        try:
-            if isinstance(call.work, ModelCall) and call.work.stream and answer.status == 200:
-                delivery = deliver_stream(exchange, answer, headers, meter)
-            else:
-                delivery = deliver_whole(exchange, answer, headers, meter)
-            outcome = await deliver_in_time(exchange, delivery, call.deadline, headers)
-            meter.exact &= outcome.code is not ResultCode.DEADLINE_EXCEEDED or meter.generated > 0
-            return outcome
-        except CallerGone:
-            return Unknown(ResultCode.CALLER_GONE, "the caller went away")
-
-    async def _answer_error(
-        self,
-        exchange: Exchange,
-        outcome: NotRun | Unknown,
-        call: Call | None = None,
-    ) -> None:
-        headers = {REQUEST_HEADER: call.request_id} if call else {}
-        if isinstance(outcome, NotRun) and outcome.retry_after is not None:
-            headers["Retry-After"] = str(max(1, round(outcome.retry_after)))
-        self._record(outcome, call, "")
-        body = error_body(outcome.code, _name_outcome(outcome), outcome.reason)
-        await exchange.send(status_of(outcome.code), body, headers)
-
-    def _record(
-        self, outcome: Outcome, call: Call | None, endpoint: str, attempt: str = ""
-    ) -> None:
-        code = outcome.code.name.lower()
-        kind = _name_outcome(outcome)
-        self.metrics.requests.labels(code, kind).inc()
-        if isinstance(outcome, NotRun):
-            self.metrics.refusals.labels(code).inc()
-        log_event(
-            "request",
-            request_id=call.request_id if call else "",
-            customer=call.contract.customer if call else "",
-            endpoint=endpoint,
-            attempt=attempt,
-            code=int(outcome.code),
-            outcome=kind,
-        )
-
-    def _count_rejected(self, code: ResultCode) -> None:
-        self._record(NotRun(code, "rejected by the HTTP server"), None, "")
-
-
-def _name_outcome(outcome: Outcome) -> str:
-    match outcome:
-        case NotRun():
-            return "not_run"
-        case Completed():
-            return "completed"
-        case Unknown():
-            return "unknown"
--- a/magnoliarouter/tests/test_entry.py
+++ b/magnoliarouter/tests/test_calls.py
@@ -1,18 +1,17 @@
 from __future__ import annotations
 
+import asyncio
 import unittest
 from types import SimpleNamespace
 
 from magnoliarouter.core.outcome import Completed, NotRun, ResultCode, Unknown
-from magnoliarouter.daemon.entry import EntryDaemon
-from magnoliarouter.daemon.settings import EntrySettings
+from magnoliarouter.daemon.calls import CallHandler, Stages
 from magnoliarouter.pipeline.call import ApplicationCall, Call
+from magnoliarouter.pipeline.identify import hash_key
 from magnoliarouter.pipeline.meter import Meter
-from magnoliarouter.tests.builders import build_contract, build_limits
-
-SETTINGS = EntrySettings(
-    name="entry-1", zone="zone-1", platform="http://127.0.0.1:1", peer_key="0123456789abcdef"
-)
+from magnoliarouter.platform.objects import ServiceSpec
+from magnoliarouter.telemetry.metrics import Metrics
+from magnoliarouter.tests.builders import build_contract, build_limits, build_request
 
 
 def build_once_call() -> Call:
@@ -31,10 +30,10 @@
         async def send(status, body, headers):
             return None
 
-        daemon = EntryDaemon(SETTINGS)
-        daemon._once = SimpleNamespace(run=run)
+        stages = Stages(None, {}, None, None, None, SimpleNamespace(run=run))
+        handler = CallHandler(stages, 9.0, lambda: 0.0, Metrics(), lambda: True)
         meter = Meter(lambda: 0.0, 0.0, *[None] * 3)
-        await daemon._forward(SimpleNamespace(send=send), build_once_call(), meter)
+        await handler._forward(SimpleNamespace(send=send), build_once_call(), meter)
         return meter.ran
 
     async def test_completed_call_is_charged(self):
@@ -45,3 +44,21 @@
 
     async def test_refused_call_is_not_charged(self):
         self.assertFalse(await self.forward(NotRun(ResultCode.PLATFORM_UNAVAILABLE, "down")))
+
+    async def test_caller_that_goes_away_is_counted(self):
+        async def admit(call):
+            return SimpleNamespace(settle=lambda tokens: None, cancel=lambda: None)
+
+        async def run(call):
+            raise asyncio.CancelledError
+
+        metrics = Metrics()
+        admission, once = SimpleNamespace(admit=admit), SimpleNamespace(run=run)
+        keys = SimpleNamespace(by_key={hash_key("grower"): build_contract()})
+        services = {"tanks": ServiceSpec("tanks", ("POST /release",))}
+        stages = Stages(keys, services, admission, None, None, once)
+        handler = CallHandler(stages, 9.0, lambda: 0.0, metrics, lambda: True)
+        request = build_request("/services/tanks/release", idempotency_key="k1")
+        with self.assertRaises(asyncio.CancelledError):
+            await handler.serve(SimpleNamespace(request=request, finished=False))
+        self.assertIn(b'code="caller_gone",outcome="unknown"} 1.0', metrics.render())
