Let all threads of a daemon share one memory arena

Cause: gRPC's idle threads kept arenas of their own; control's part of the memory was 32.7 MB. Change: mallopt at the start.

--- a/magnoliarouter/daemon/main.py
+++ b/magnoliarouter/daemon/main.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import ctypes
 import signal
 import sys
 
@@ -20,6 +21,7 @@
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
+M_ARENA_MAX = -8
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -39,6 +41,7 @@
     if options.check:
         print(f"{options.settings}: valid settings of role {type(settings).__struct_config__.tag}")
         return EXIT_OK
+    _share_one_arena()
     open_log(settings.log_file)
     asyncio.run(_run(settings))
     return EXIT_OK
@@ -51,6 +54,11 @@
     return parser.parse_args(arguments)
 
 
+def _share_one_arena() -> None:
+    """Let all threads take memory from one arena, so that gRPC's idle threads keep none."""
+    ctypes.CDLL(None).mallopt(M_ARENA_MAX, 1)
+
+
 async def _run(settings: Settings) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
