Select relayed header fields in one place and name each field once

Cause: the filter of end-to-end fields stood three times, four header names twice, and the standing that grants no service was written out beside its constant. Change: the guard calls select_relayed with the names that it withholds; header names are imported from endpoints/messages.py; NO_SERVICE_STANDING is used; WebServer.close_idle_connections, which nobody called, is gone.

--- a/magnoliarouter/daemon/calls.py
+++ b/magnoliarouter/daemon/calls.py
@@ -8,6 +8,7 @@
 
 from magnoliarouter.core.codes import status_of
 from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
+from magnoliarouter.endpoints.messages import REQUEST_HEADER
 from magnoliarouter.pipeline.call import ApplicationCall, ModelCall
 from magnoliarouter.pipeline.deadline import deliver_in_time
 from magnoliarouter.pipeline.deliver import deliver_stream, deliver_whole
@@ -31,7 +32,6 @@
 
 __all__ = ["CallHandler", "Stages"]
 
-REQUEST_HEADER = "x-request-id"
 CONFIGURATION_MISSING = NotRun(
     ResultCode.CONFIGURATION_MISSING, "this daemon does not know the contracts yet", 1.0
 )
--- a/magnoliarouter/endpoints/guard.py
+++ b/magnoliarouter/endpoints/guard.py
@@ -35,7 +35,7 @@
     FenceRequest,
     GuardStatus,
     is_answer_of,
-    is_end_to_end,
+    select_relayed,
 )
 from magnoliarouter.endpoints.monitor import EndpointMonitor
 from magnoliarouter.endpoints.proof import was_unsent
@@ -50,7 +50,7 @@
 
 __all__ = ["Guard", "GuardStatus"]
 
-OWN_HEADERS = frozenset((INCARNATION_HEADER, NOT_AFTER_HEADER, RUN_ONCE_HEADER))
+ENTRY_HEADERS = frozenset((INCARNATION_HEADER, NOT_AFTER_HEADER, RUN_ONCE_HEADER))
 UNPROVEN = (StartVerdict.ALREADY_STARTED, StartVerdict.UNRECORDED)
 EVENT_STREAM = "text/event-stream"
 FRAME_START = b"data: "
@@ -305,12 +305,7 @@
             reason = "answer without a length"
             await self._tell_failure(exchange, attempt, ResultCode.ENDPOINT_ERROR, reason)
             return
-        connection = answer.headers.get("connection", "")
-        relayed = {
-            name: value
-            for name, value in answer.headers.items()
-            if is_end_to_end(name, connection) and name.lower() not in GUARD_HEADERS
-        }
+        relayed = select_relayed(answer.headers, GUARD_HEADERS)
         await exchange.start(answer.status, {**relayed, **self._head(attempt)})
         streamed = answer.content_type == EVENT_STREAM
         last: float | None = None
@@ -331,10 +326,4 @@
         return URL(self._target + exchange.request.target, encoded=True)
 
     def _relayed_headers(self, exchange: Exchange) -> dict[str, str]:
-        headers = exchange.request.headers
-        connection = headers.get("connection", "")
-        return {
-            name: value
-            for name, value in headers.items()
-            if is_end_to_end(name, connection) and name not in OWN_HEADERS
-        }
+        return select_relayed(exchange.request.headers, ENTRY_HEADERS)
--- a/magnoliarouter/endpoints/messages.py
+++ b/magnoliarouter/endpoints/messages.py
@@ -36,6 +36,7 @@
 VERDICT_HEADER = "x-start-verdict"
 FAILURE_HEADER = "x-guard-failure"
 DEADLINE_HEADER = "x-deadline-ms"
+PRIORITY_HEADER = "x-priority"
 IDEMPOTENCY_HEADER = "idempotency-key"
 
 OTHER_INCARNATION = "other incarnation"
@@ -49,8 +50,8 @@
 OWN_HEADERS = frozenset(
     (
         "authorization",
-        "x-load",
-        "x-priority",
+        LOAD_HEADER,
+        PRIORITY_HEADER,
         ATTEMPT_HEADER,
         REQUEST_HEADER,
         INCARNATION_HEADER,
@@ -180,17 +181,24 @@
     answer: StoredAnswer | None = None
 
 
-def select_relayed(headers: Mapping[str, str]) -> dict[str, str]:
-    """Return the header fields of a message that concern only a caller and a service.
+def select_relayed(
+    headers: Mapping[str, str], withheld: frozenset[str] = OWN_HEADERS
+) -> dict[str, str]:
+    """Return the header fields of a message that are passed on.
 
-    Left out are those of one hop, the caller's key, and those by which the system's own processes
-    talk to each other.
+    Parameters
+    ----------
+    headers : mapping of str to str
+        All fields of the message.
+    withheld : frozenset of str
+        Names in lower case that are left out besides those of one hop; by default the caller's
+        key and those by which the system's own processes talk to each other.
     """
     connection = headers.get("connection", "")
     return {
         name: value
         for name, value in headers.items()
-        if is_end_to_end(name, connection) and name.lower() not in OWN_HEADERS
+        if is_end_to_end(name, connection) and name.lower() not in withheld
     }
 
 
--- a/magnoliarouter/pipeline/dispatch.py
+++ b/magnoliarouter/pipeline/dispatch.py
@@ -18,6 +18,7 @@
     DEADLINE_HEADER,
     FAILURE_HEADER,
     INCARNATION_HEADER,
+    PRIORITY_HEADER,
     REQUEST_HEADER,
     VERDICT_HEADER,
     select_relayed,
@@ -32,7 +33,6 @@
 
 __all__ = ["ATTEMPT_HEADER", "Answer", "open_attempt"]
 
-PRIORITY_HEADER = "x-priority"
 REFUSED_RETRY_S = 1.0
 REFUSAL_CODES = {
     StartVerdict.DRAINING.value: ResultCode.DRAINING,
--- a/magnoliarouter/pipeline/identify.py
+++ b/magnoliarouter/pipeline/identify.py
@@ -12,7 +12,7 @@
 
 from magnoliarouter.core.contract import effective_limits
 from magnoliarouter.core.outcome import NotRun, ResultCode
-from magnoliarouter.endpoints.messages import select_relayed
+from magnoliarouter.endpoints.messages import DEADLINE_HEADER, REQUEST_HEADER, select_relayed
 from magnoliarouter.pipeline.call import ApplicationCall, Call, ModelCall
 
 if TYPE_CHECKING:
@@ -28,7 +28,6 @@
 PREFIX_CHARACTERS = 256
 DEFAULT_MAX_TOKENS = 256
 MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
-DEADLINE_HEADER = "x-deadline-ms"
 MAX_DEADLINE_MS = 86_400_000
 DEADLINE = re.compile(r"^[0-9]{1,8}$")
 REQUEST_ID = re.compile(r"^[A-Za-z0-9._-]{1,64}$")
@@ -118,7 +117,7 @@
 
 
 def _request_id(request: HttpRequest) -> str:
-    given = request.headers.get("x-request-id", "")
+    given = request.headers.get(REQUEST_HEADER, "")
     return given if REQUEST_ID.match(given) else uuid.uuid4().hex
 
 
--- a/magnoliarouter/platform/objects.py
+++ b/magnoliarouter/platform/objects.py
@@ -10,7 +10,7 @@
 import msgspec
 from msgspec import Meta
 
-from magnoliarouter.core.contract import Contract, Limits
+from magnoliarouter.core.contract import NO_SERVICE_STANDING, Contract, Limits
 from magnoliarouter.platform.groups import (
     GROUP_HEALTH_KIND,
     GROUP_KIND,
@@ -300,8 +300,8 @@
     if len(set(spec.key_hashes)) < len(spec.key_hashes):
         twice = next(key for key in spec.key_hashes if spec.key_hashes.count(key) > 1)
         raise ObjectError(f"contract: key_hashes lists {twice} twice; each may stand there once")
-    if spec.standing not in spec.limits and spec.standing != "suspended":
-        valid = ", ".join(sorted({*spec.limits, "suspended"}))
+    if spec.standing not in spec.limits and spec.standing != NO_SERVICE_STANDING:
+        valid = ", ".join(sorted({*spec.limits, NO_SERVICE_STANDING}))
         raise ObjectError(f"contract: standing {spec.standing!r} has no limits; valid: {valid}")
     limits = {
         standing: Limits(**msgspec.structs.asdict(limit)) for standing, limit in spec.limits.items()
--- a/magnoliarouter/web/server.py
+++ b/magnoliarouter/web/server.py
@@ -13,7 +13,7 @@
 from urllib.parse import parse_qsl
 
 from circuits import BaseComponent, Event, handler
-from circuits.net.events import close, read, write
+from circuits.net.events import read, write
 from circuits.net.sockets import TCPServer
 from circuits.web.http import HTTP
 
@@ -181,12 +181,6 @@
         """Close a connection without waiting for unsent bytes."""
         self.server._close(sock)
 
-    def close_idle_connections(self) -> None:
-        """Close connections on which no request is in progress."""
-        for sock, connection in list(self._connections.items()):
-            if connection.task is None:
-                self.fire(close(sock))
-
     def send_event(self, event: Event) -> None:
         """Fire an event and dispatch it now, so that its bytes count as unsent at once."""
         # Nobody listens for the event's success, and announcing it costs another event.
