Let calls wait at the daemon for a place at any endpoint

Change: a waiting room hands out places by urgency and arrival as loads change; one attempt in doubt makes the whole outcome unknown, whatever ends the call. A test that reached into the client's private fields now hands its transport on, and checks the same.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -15,6 +15,7 @@
 from magnoliarouter.gateway.freshness import Freshness
 from magnoliarouter.gateway.handler import GatewayHandler
 from magnoliarouter.gateway.peers import PeerLoads
+from magnoliarouter.gateway.waiting import WaitingRoom
 from magnoliarouter.store.backoff import Backoff, CallBudget
 from magnoliarouter.store.client import PlatformClient
 from magnoliarouter.store.feed import ObjectFeed
@@ -131,11 +132,13 @@
             settings.name,
             random.getrandbits(48),
             lambda: self.table.own,
-            lambda peer, loads: self.table.take_peer_load(peer, loads, clock()),
+            self._take_peer_loads,
         )
         await self._peers.open(*_split(settings.peers))
+        self._waiting = WaitingRoom(self.table, clock)
         forwarder = GatewayForwarder(
             self.table,
+            self._waiting,
             self._pool,
             interface.headers,
             self._budget,
@@ -212,6 +215,10 @@
         for run in (self._configuration.run, self._endpoints.run, self._keep_registered):
             self._tasks.append(self._loop.create_task(run()))
 
+    def _take_peer_loads(self, peer: str, loads: dict[str, int]) -> None:
+        self.table.take_peer_load(peer, loads, self._loop.time())
+        self._waiting.wake()
+
     def _confirm(self, sent_at: float) -> None:
         if self.config is not None:
             self.freshness.confirm(sent_at)
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -17,9 +17,6 @@
 FULL_SPAN_S = 0.15
 # What another daemon said of its load is forgotten when it was not renewed for so long.
 PEER_LOAD_SPAN_S = 1.5
-# Waiting requests that an endpoint may have beyond its slots, in slots: more would wait longer
-# than callers do.
-WAITING_SHARE = 0.7
 # Another zone is this many requests worse: a hop costs little beside a place in a batch.
 ZONE_BIAS = 0.3
 
@@ -133,7 +130,7 @@
         best, best_score = None, float("inf")
         for endpoint in candidates:
             load = self.load_of(endpoint.identity, now)
-            if load >= endpoint.slots * (1 + WAITING_SHARE):
+            if load >= endpoint.slots:
                 continue
             score = load / endpoint.slots
             score += ZONE_BIAS / endpoint.slots if endpoint.zone != self.zone else 0.0
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -23,6 +23,7 @@
     from magnoliarouter.core.retries import SharedRetryBudget
     from magnoliarouter.gateway.call import AnswerTerms, GatewayCall, HeaderCodec
     from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
+    from magnoliarouter.gateway.waiting import WaitingRoom
     from magnoliarouter.telemetry.metrics import Metrics
     from magnoliarouter.web.ingress import IngressExchange
     from magnoliarouter.web.upstream import AnswerHead, UpstreamConnection, UpstreamPool
@@ -35,7 +36,9 @@
 ROOM_RETRY_S = 0.3
 # An endpoint that is silent for so long before or between events has failed or stands still;
 # callers leave after two seconds.
-SILENCE_S = 1.0
+SILENCE_S = 1.2
+# Part of a route's target after which a call that got no place is refused: a later start is late.
+WAIT_SHARE = 1.5
 # Part of the time left that the first attempt of a repeatable request gets.
 FIRST_TRY_SHARE = 0.5
 MIN_TRY_S = 0.1
@@ -83,6 +86,8 @@
     ----------
     table : EndpointTable
         Endpoints and their load.
+    waiting : WaitingRoom
+        Queue for places at endpoints.
     pool : UpstreamPool
         Connections to endpoints.
     codec : HeaderCodec
@@ -100,6 +105,7 @@
     def __init__(
         self,
         table: EndpointTable,
+        waiting: WaitingRoom,
         pool: UpstreamPool,
         codec: HeaderCodec,
         budget: SharedRetryBudget,
@@ -108,6 +114,7 @@
         on_load: Callable[[], None] = lambda: None,
     ) -> None:
         self._table = table
+        self._waiting = waiting
         self._pool = pool
         self._codec = codec
         self._budget = budget
@@ -140,15 +147,23 @@
             refusal = self._check(call, exchange, progress, recheck)
             if refusal is not None:
                 return await self._give_up(call, exchange, progress, refusal)
-            endpoint = self._table.choose(call.service, progress.tried, self._clock())
+            endpoint = await self._waiting.take(
+                call.service, progress.tried, call.urgency, self._limit_wait(call)
+            )
             if endpoint is None:
                 return await self._give_up(call, exchange, progress, self._explain(call.service))
-            if progress.sends and not self._budget.take(call.service, self._clock()):
-                self._metrics.retries_refused.labels(_name(progress.last)).inc()
-                refusal = NotRun(ResultCode.RETRY_BUDGET, "retry budget is used up", ROOM_RETRY_S)
+            try:
+                refusal = self._check_send(call, exchange, progress, recheck)
+                if refusal is None:
+                    progress.tried.add(endpoint.identity)
+                    self._on_load()
+                    result = await self._attempt(call, exchange, endpoint, progress)
+            finally:
+                self._table.end(endpoint.identity)
+                self._waiting.wake()
+                self._on_load()
+            if refusal is not None:
                 return await self._give_up(call, exchange, progress, refusal)
-            progress.tried.add(endpoint.identity)
-            result = await self._attempt(call, exchange, endpoint, progress)
             if isinstance(result, Completed):
                 return result
             self._note_failure(call, endpoint, progress, result)
@@ -173,6 +188,26 @@
             return NotRun(ResultCode.ENDPOINT_UNREACHABLE, reason, ROOM_RETRY_S)
         return recheck()
 
+    def _check_send(
+        self,
+        call: GatewayCall,
+        exchange: IngressExchange,
+        progress: _Progress,
+        recheck: Callable[[], NotRun | None],
+    ) -> NotRun | None:
+        """Return why the next send may not be made, or None; a repeat draws on the budget."""
+        refusal = self._check(call, exchange, progress, recheck)
+        if refusal is None and progress.sends:
+            if not self._budget.take(call.service, self._clock()):
+                self._metrics.retries_refused.labels(_name(progress.last)).inc()
+                reason = "the budget of repeats is used up"
+                refusal = NotRun(ResultCode.RETRY_BUDGET, reason, ROOM_RETRY_S)
+        return refusal
+
+    def _limit_wait(self, call: GatewayCall) -> float:
+        now = self._clock()
+        return min(call.began + WAIT_SHARE * call.route.target_s, call.deadline) - now
+
     def _explain(self, service: str) -> NotRun:
         if self._table.is_known(service):
             return NotRun(ResultCode.QUEUE_FULL, "every endpoint is full", ROOM_RETRY_S)
@@ -192,18 +227,14 @@
             return Unknown(ResultCode.STREAM_TRUNCATED, last.reason if last else "broken off")
         if last is not None and last.answer is not None and self._may_relay(call, last.answer):
             return await self._relay(exchange, last.answer)
-        if progress.in_doubt and not call.route.repeatable:
+        if progress.in_doubt:
+            # One attempt that may have run forbids to call the whole request not run.
             assert last is not None
             code = last.code if last.ran is not False else ResultCode.ENDPOINT_ERROR
             return Unknown(code, last.reason)
-        if refusal is not None and refusal.code is not ResultCode.DEADLINE_EXCEEDED:
-            return refusal
-        if last is not None and not progress.in_doubt:
+        if last is not None and (refusal is None or refusal.code is ResultCode.DEADLINE_EXCEEDED):
             return NotRun(last.code, last.reason, ROOM_RETRY_S)
-        code = last.code if last is not None else ResultCode.DEADLINE_UNREACHABLE
-        if last is None:
-            return NotRun(code, "no endpoint took it in time", ROOM_RETRY_S)
-        return Unknown(code, last.reason)
+        return refusal or self._explain(call.service)
 
     @staticmethod
     def _may_relay(call: GatewayCall, answer: _Whole) -> bool:
@@ -263,8 +294,6 @@
         endpoint: Endpoint,
         progress: _Progress,
     ) -> Completed | _Failed:
-        self._table.begin(endpoint.identity)
-        self._on_load()
         connection: UpstreamConnection | None = None
         try:
             connection = await self._pool.take(endpoint.address)
@@ -278,8 +307,6 @@
         except Broken as error:
             result = _describe(error)
         finally:
-            self._table.end(endpoint.identity)
-            self._on_load()
             if connection is not None:
                 self._pool.give_back(endpoint.address, connection)
         if isinstance(result, Completed):
--- /dev/null
+++ b/magnoliarouter/gateway/waiting.py
@@ -0,0 +1,136 @@
+"""Queue of calls for which no endpoint has a place yet.
+
+A call waits here rather than at an endpoint, so that it goes to whichever endpoint has a place
+first. Places are handed out by urgency, then in the order of arrival.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+from dataclasses import dataclass, field
+from itertools import count
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
+
+__all__ = ["WaitingRoom"]
+
+# Calls that wait at one daemon for one service; the places of its endpoints are shared by all
+# daemons, so a longer queue would not end within the wait.
+MAX_WAITING = 12
+# Loads of other daemons also change without a message, when they are forgotten.
+RECHECK_S = 0.1
+
+
+@dataclass(order=True, slots=True)
+class _Waiter:
+    urgency: int
+    number: int
+    tried: set[str] = field(compare=False)
+    place: asyncio.Future[Endpoint | None] = field(compare=False)
+
+
+class WaitingRoom:
+    """Hands out places at endpoints.
+
+    Parameters
+    ----------
+    table : EndpointTable
+        Endpoints and their load.
+    clock : callable
+        Loop time in seconds.
+    """
+
+    def __init__(self, table: EndpointTable, clock: Callable[[], float]) -> None:
+        self._table = table
+        self._clock = clock
+        self._queues: dict[str, list[_Waiter]] = {}
+        self._numbers = count()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def length(self, service: str) -> int:
+        """Return how many calls wait for a service."""
+        return len(self._queues.get(service, ()))
+
+    async def take(
+        self, service: str, tried: set[str], urgency: int, wait_s: float
+    ) -> Endpoint | None:
+        """Return an endpoint at which a place was taken, or None if there is none in time.
+
+        Parameters
+        ----------
+        service : str
+            Service that is asked for.
+        tried : set of str
+            Endpoints that are not to be tried again.
+        urgency : int
+            0 goes first.
+        wait_s : float
+            Longest wait in seconds.
+        """
+        if not self._queues.get(service):
+            endpoint = self._choose(service, tried)
+            if endpoint is not None:
+                return endpoint
+        if wait_s <= 0 or self.length(service) >= MAX_WAITING:
+            return None
+        if not self._table.is_known(service):
+            return None
+        place = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(urgency, next(self._numbers), tried, place)
+        heapq.heappush(self._queues.setdefault(service, []), waiter)
+        self._watch()
+        try:
+            async with asyncio.timeout(wait_s):
+                return await place
+        except TimeoutError:
+            return None
+        finally:
+            self._leave(service, waiter)
+
+    def wake(self) -> None:
+        """Hand out the places that have become free."""
+        for service, queue in self._queues.items():
+            while queue:
+                endpoint = self._choose(service, queue[0].tried)
+                if endpoint is None:
+                    break
+                waiter = heapq.heappop(queue)
+                if waiter.place.done():
+                    self._table.end(endpoint.identity)
+                else:
+                    waiter.place.set_result(endpoint)
+
+    def _choose(self, service: str, tried: set[str]) -> Endpoint | None:
+        endpoint = self._table.choose(service, tried, self._clock())
+        if endpoint is not None:
+            self._table.begin(endpoint.identity)
+        return endpoint
+
+    def _leave(self, service: str, waiter: _Waiter) -> None:
+        queue = self._queues[service]
+        if waiter in queue:
+            queue.remove(waiter)
+            heapq.heapify(queue)
+        elif waiter.place.done() and not waiter.place.cancelled():
+            # The place came in the same turn as the end of the wait or the caller's leaving.
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                endpoint = waiter.place.result()
+                if endpoint is not None:
+                    self._table.end(endpoint.identity)
+
+    def _watch(self) -> None:
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(RECHECK_S, self._recheck)
+
+    def _recheck(self) -> None:
+        self._timer = None
+        self.wake()
+        if any(self._queues.values()):
+            self._watch()
--- a/magnoliarouter/tests/test_client.py
+++ b/magnoliarouter/tests/test_client.py
@@ -131,7 +131,7 @@
                 outcome = await super().write(*arguments)
                 return Ambiguous("lost") if first else outcome
 
-        client = Losing(self.client._base.removesuffix("/v1"), self.client._session)
+        client = Losing("", self.client._transport)
         outcome = await write_settled(client, "service", "a", {"n": 2}, 0, backoff=self.backoff)
         self.assertEqual((outcome.current.value, outcome.doubtful), ({"n": "other"}, True))
 
