Switch maps in shorter steps, and leave a silent endpoint only for a place elsewhere

Change: at most four copies a rank and switch, experts trusted to be there after the time worked out unless an order went unanswered, the step read afresh right before the hold; places that another daemon reports free are left to it for 10 to 50 ms; silence ends an attempt only if the budget allows a repeat and another endpoint has a place. Tests: a model of ranks that loses answers and carries orders out late, 30 seeds without a step on two maps.

--- a/magnoliarouter/core/retries.py
+++ b/magnoliarouter/core/retries.py
@@ -48,14 +48,18 @@
         """Count a success at a loop time."""
         self._current(now).successes += 1
 
-    def take(self, now: float) -> bool:
-        """Take one retry out of the budget, and return whether there was one."""
-        current = self._current(now)
+    def has(self, now: float) -> bool:
+        """Return whether a retry may be taken."""
+        self._current(now)
         successes = sum(bucket.successes for bucket in self._buckets)
         retries = sum(bucket.retries for bucket in self._buckets)
-        if retries + 1 > self.floor + self.share * successes:
+        return retries + 1 <= self.floor + self.share * successes
+
+    def take(self, now: float) -> bool:
+        """Take one retry out of the budget, and return whether there was one."""
+        if not self.has(now):
             return False
-        current.retries += 1
+        self._current(now).retries += 1
         return True
 
     def _current(self, now: float) -> _Bucket:
@@ -95,11 +99,13 @@
         """Count a request that callers sent to a service."""
         self._of(service).note_success(now)
 
+    def has(self, service: str, now: float) -> bool:
+        """Return whether a repeat for a service may be taken."""
+        return self._of(service).has(now)
+
     def take(self, service: str, now: float) -> bool:
         """Take one repeat for a service, and return whether there was one."""
-        budget = self._of(service)
-        budget.floor = int(SHARED_MARGIN * self.slack / max(1, self.daemons))
-        return budget.take(now)
+        return self._of(service).take(now)
 
     def _of(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
@@ -107,4 +113,5 @@
             # A repeat is forgotten with its bucket, which may begin a bucket's length before it.
             budget = RetryBudget(self.ratio * SHARED_MARGIN, 0, self.window + BUCKET_S)
             self._budgets[service] = budget
+        budget.floor = int(SHARED_MARGIN * self.slack / max(1, self.daemons))
         return budget
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -13,8 +13,8 @@
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
 from magnoliarouter.gateway.forward import GatewayForwarder
 from magnoliarouter.gateway.freshness import Freshness
-from magnoliarouter.gateway.groups import MapDuty
 from magnoliarouter.gateway.handler import GatewayHandler
+from magnoliarouter.gateway.mapduty import MapDuty
 from magnoliarouter.gateway.peers import PeerLoads
 from magnoliarouter.gateway.waiting import WaitingRoom
 from magnoliarouter.store.backoff import Backoff, CallBudget
@@ -191,8 +191,9 @@
         if self._server.active:
             log_event("broken_off_at_stop", requests=self._server.active)
             self._server.abort_all()
-        for task in self._tasks:
+        for task in (*self._tasks, *self._maps.list_tasks()):
             task.cancel()
+        await self._lease.release()
         self._peers.close()
 
     def _open_store(self) -> PlatformClient:
@@ -232,7 +233,7 @@
 
     def _take_peer_loads(self, peer: str, loads: dict[str, int]) -> None:
         self.table.take_peer_load(peer, loads, self._loop.time())
-        self._waiting.wake()
+        self._waiting.wake_later()
 
     def _open_maps(self, start: int) -> None:
         holder = f"{self.settings.name}.{start:x}"
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
 from magnoliarouter.gateway.frames import FrameSplitter
@@ -18,7 +18,7 @@
 from magnoliarouter.web.upstream import Broken, Fault
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from magnoliarouter.core.retries import SharedRetryBudget
     from magnoliarouter.gateway.call import AnswerTerms, GatewayCall, HeaderCodec
@@ -43,6 +43,8 @@
 FIRST_TRY_SHARE = 0.5
 MIN_TRY_S = 0.1
 
+T = TypeVar("T")
+
 
 @dataclass(slots=True)
 class _Whole:
@@ -320,18 +322,46 @@
         connection: UpstreamConnection,
         progress: _Progress,
     ) -> Completed | _Failed:
-        streams = call.route.kind is RouteKind.STREAM
-        limit = self._limit_try(call, progress)
+        found = await self._wait_for(call, progress, lambda: self._read_own_head(call, connection))
+        if isinstance(found, _Failed):
+            return found
+        head, terms = found
+        if call.route.kind is RouteKind.STREAM and head.status == 200:
+            return await self._relay_stream(call, exchange, connection, terms, progress)
+        left = max(0.0, call.deadline - self._clock())
         try:
-            async with asyncio.timeout(limit):
-                head, terms = await self._read_own_head(call, connection)
-                if not (streams and head.status == 200):
-                    body = await connection.read_body()
-                    return await self._judge(call, exchange, _Whole(head.status, terms, body))
+            async with asyncio.timeout(left):
+                body = await connection.read_body()
         except TimeoutError:
-            reason = f"no answer within {limit:.3f} s"
+            reason = f"the rest of the answer did not come within {left:.3f} s"
             return _Failed(ResultCode.DEADLINE_EXCEEDED, reason, None)
-        return await self._relay_stream(call, exchange, connection, terms, progress)
+        return await self._judge(call, exchange, _Whole(head.status, terms, body))
+
+    async def _wait_for(
+        self, call: GatewayCall, progress: _Progress, read: Callable[[], Awaitable[T]]
+    ) -> T | _Failed:
+        """Return what an endpoint sends next.
+
+        An endpoint that is silent is given up before the deadline only for another one that has a
+        place: elsewhere the call would have to wait as well.
+        """
+        while True:
+            limit = self._limit_try(call, progress)
+            try:
+                async with asyncio.timeout(limit):
+                    return await read()
+            except TimeoutError:
+                now = self._clock()
+                if now < call.deadline and not self._could_move(call, progress, now):
+                    continue
+                reason = f"nothing came within {limit:.3f} s"
+                return _Failed(ResultCode.DEADLINE_EXCEEDED, reason, None)
+
+    def _could_move(self, call: GatewayCall, progress: _Progress, now: float) -> bool:
+        return (
+            self._budget.has(call.service, now)
+            and self._table.choose(call.service, progress.tried, now) is not None
+        )
 
     async def _read_own_head(
         self, call: GatewayCall, connection: UpstreamConnection
@@ -410,13 +440,8 @@
     async def _read_part(
         self, call: GatewayCall, connection: UpstreamConnection, progress: _Progress
     ) -> bytes | None | _Failed:
-        limit = self._limit_try(call, progress)
         try:
-            async with asyncio.timeout(limit):
-                return await connection.read_part()
-        except TimeoutError:
-            reason = f"no event within {limit:.3f} s"
-            return _Failed(ResultCode.DEADLINE_EXCEEDED, reason, None)
+            return await self._wait_for(call, progress, connection.read_part)
         except Broken as error:
             return _describe(error)
 
--- a/magnoliarouter/gateway/groups.py
+++ b/magnoliarouter/gateway/groups.py
@@ -1,18 +1,17 @@
-"""Keeps the expert maps of groups balanced, with one daemon in charge of all of them.
+"""Switches the expert map of one group without a step on two maps.
 
 A switch holds the group before a later step, arms every rank for it, and lets the group go on once
-each rank has confirmed; no step begins while two ranks differ. Nothing is ever taken back: an
-order whose answer was lost is given again until it is confirmed, or until the group forms anew and
-forgets it. The next daemon in charge finishes what it finds.
+each rank has confirmed. Nothing is ever taken back: an order whose answer was lost is given again
+until it is confirmed, or until the group forms anew and forgets it. The next daemon in charge
+finishes what it finds.
 """
 
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from magnoliarouter.gateway.mapplan import MapPlan, plan_map
 from magnoliarouter.gateway.ranks import Arm, Go, Hold, Order, OrderResult, Prepare
 from magnoliarouter.telemetry.logs import log_event
 
@@ -20,29 +19,24 @@
     from collections.abc import Callable, Iterable
 
     from magnoliarouter.gateway.endpoints import Endpoint
+    from magnoliarouter.gateway.mapplan import MapPlan
     from magnoliarouter.gateway.ranks import RankClient, RankReport, Row
     from magnoliarouter.gateway.routes import ExpertProfile
 
-__all__ = ["GroupKeeper", "MapDuty"]
+__all__ = ["GroupKeeper", "SwitchAbandoned"]
 
-# Popularity changes every few seconds, and each read costs the group a pause.
-READ_EVERY_S = 0.8
-# Choices below which nothing can be told; a busy rank makes a million in a second.
-LEAST_CHOICES = 50_000
-# A step takes 30 to 120 ms and all orders of a switch some 15 ms.
-HOLD_AHEAD_S = 0.35
-LEAST_HOLD_AHEAD = 4
-# Reports are old, so the first step may have begun; each further one is later by as much again.
-HOLD_TRIES = 4
+# Steps between reading a rank's step and holding a later one: all orders of a switch take some
+# 15 ms, and a step 30 to 120 ms.
+LEAST_HOLD_AHEAD = 3
+# The read step may be older than it looks; each further try is twice as far ahead.
+HOLD_TRIES = 5
 USUAL_STEP_S = 0.06
 REPORT_POLL_S = 0.1
+# Beyond the time worked out for the copies, a rank needs a moment to notice that they are there.
+COPY_MARGIN_S = 0.06
+REFUSED_POLL_S = 0.03
 # Copies may be slower than worked out while the link is shared; then the version is given up.
 PREPARE_SLACK_S = 2.5
-# A group that forms anew is back after 0.6 s.
-REDISCOVER_S = 0.5
-FIND_AGAIN_S = 2.0
-# Versions of one lease; each lease begins above all versions of earlier ones.
-VERSIONS_A_LEASE = 10_000
 
 
 class SwitchAbandoned(Exception):
@@ -75,9 +69,12 @@
     rows: tuple[Row, ...] | None = None
     epoch: int = 0
     version: int = 0
+    step: int = 0
     step_s: float = USUAL_STEP_S
+    choices: tuple[int, ...] = ()
     _last_step: tuple[float, int] | None = None
     _last_counts: tuple[int, ...] | None = None
+    _unanswered: int = 0
 
     async def read_rows(self, profile: ExpertProfile) -> bool:
         """Learn the map in force from the ranks, and return whether all agree on one."""
@@ -99,20 +96,21 @@
         self.epoch, self._last_counts = held[0].epoch, None
         return True
 
-    async def read_choices(self) -> tuple[int, ...] | None:
-        """Return the choices of one rank's requests since the last call, or None."""
+    async def read_choices(self) -> bool:
+        """Take the choices of one rank's requests since the last call, and return whether it did."""
         rank = self.ranks[min(self.ranks)]
         counts = await self.client.read_counts(rank.address)
         if counts is None:
-            return None
+            return False
         if counts.epoch != self.epoch:
             self.rows = None
-            return None
+            return False
         self._note_step(counts.step)
         last, self._last_counts = self._last_counts, counts.counts
         if last is None or len(last) != len(counts.counts):
-            return None
-        return tuple(max(0, now - before) for now, before in zip(counts.counts, last))
+            return False
+        self.choices = tuple(max(0, now - before) for now, before in zip(counts.counts, last))
+        return True
 
     async def recover(self, reports: Iterable[RankReport]) -> bool:
         """Finish a switch that another daemon left behind, and return whether all is well."""
@@ -141,15 +139,18 @@
             The map in force stays, or the group formed anew.
         """
         began = self.clock()
-        copy_s = plan.most_copies * profile.copy_s
-        await self._order_all(Prepare(version, plan.rows), patience_s=copy_s + PREPARE_SLACK_S)
-        await asyncio.sleep(copy_s)
-        step = await self._wait_prepared(version, began + copy_s + PREPARE_SLACK_S)
+        copy_s = plan.most_copies * profile.copy_s + COPY_MARGIN_S
+        until = began + copy_s + PREPARE_SLACK_S
+        smooth = await self._order_all(Prepare(version, plan.rows), until)
+        await asyncio.sleep(max(0.0, began + copy_s - self.clock()))
+        if not smooth:
+            # A copy of the order may still be on its way to a rank, so the ranks are asked.
+            await self._wait_prepared(version, until)
         prepared = self.clock()
-        step = await self._hold(step)
+        await self.read_choices()
+        step = await self._hold()
         await self._order_all(Arm(version, step))
         await self._release(step)
-        self.rows, self.version = plan.rows, version
         log_event(
             "map_switched",
             group=self.name,
@@ -162,15 +163,19 @@
             switch_s=round(self.clock() - prepared, 3),
         )
         # A rank that is still armed takes no further version.
-        await asyncio.sleep(HOLD_AHEAD_S)
+        await asyncio.sleep((step - self.step + 1) * self.step_s)
+        self.rows, self.version = plan.rows, version
 
-    async def _hold(self, step: int) -> int:
+    async def _hold(self) -> int:
         """Hold the group before a step that has not begun, and return it."""
         first = self.ranks[min(self.ranks)]
+        step, ahead = self.step, LEAST_HOLD_AHEAD
         for _ in range(HOLD_TRIES):
-            step += max(LEAST_HOLD_AHEAD, int(HOLD_AHEAD_S / self.step_s))
+            step += ahead
             if await self._order(first, Hold(step)):
                 return step
+            report = await self.client.read_report(first.address)
+            step, ahead = max(step, report.step if report else 0), 2 * ahead
         raise SwitchAbandoned(f"step {step} had begun")
 
     async def _release(self, step: int) -> None:
@@ -180,14 +185,14 @@
         """Return the ranks at which a hold may stand: a daemon in charge uses the first."""
         return [self.ranks[min(self.ranks)]]
 
-    async def _wait_prepared(self, version: int, until: float) -> int:
-        """Wait until all ranks have a version's experts, and return the newest step."""
+    async def _wait_prepared(self, version: int, until: float) -> None:
+        """Wait until all ranks say that they have a version's experts."""
         while True:
             reports = await self.read_reports()
             if reports is not None:
                 self._check_epoch(reports)
                 if all(report.prepared == version for report in reports):
-                    return max(report.step for report in reports)
+                    return
             if self.clock() > until:
                 raise SwitchAbandoned(f"version {version} was not prepared in time")
             await asyncio.sleep(REPORT_POLL_S)
@@ -204,22 +209,21 @@
             self.rows = None
             raise SwitchAbandoned("the group formed anew")
 
-    async def _order_all(self, order: Order, patience_s: float | None = None) -> None:
+    async def _order_all(self, order: Prepare | Arm, until: float | None = None) -> bool:
+        """Give an order to all ranks, and return whether each answered the first time."""
+        asked = self._unanswered
         taken = await asyncio.gather(
-            *(self._order(rank, order, patience_s) for rank in self.ranks.values())
+            *(self._order(rank, order, until) for rank in self.ranks.values())
         )
         if not all(taken):
-            if not isinstance(order, Prepare):
-                await self._find_why(order)
             raise SwitchAbandoned(f"a rank refused {order.__class__.__name__.lower()}")
+        return self._unanswered == asked
 
-    async def _find_why(self, order: Order) -> None:
-        log_event("order_refused", group=self.name, order=order.__class__.__name__.lower())
-        self.rows = None
+    async def _order(self, rank: Endpoint, order: Order, until: float | None = None) -> bool:
+        """Give an order until it is answered, and return whether it was taken.
 
-    async def _order(self, rank: Endpoint, order: Order, patience_s: float | None = None) -> bool:
-        """Give an order until it is answered, and return whether it was taken."""
-        until = None if patience_s is None else self.clock() + patience_s
+        Arms come only after a hold is confirmed, so a rank that refuses one is still copying.
+        """
         while True:
             fence = self.fence()
             if fence is None:
@@ -228,10 +232,14 @@
             match result:
                 case OrderResult.TAKEN:
                     return True
-                case OrderResult.REFUSED:
+                case OrderResult.REFUSED if not isinstance(order, Arm):
                     return False
                 case OrderResult.FENCED:
                     raise SwitchAbandoned("another daemon is in charge")
+                case OrderResult.REFUSED:
+                    await asyncio.sleep(REFUSED_POLL_S)
+                case OrderResult.UNKNOWN:
+                    self._unanswered += 1
             if until is not None and self.clock() > until:
                 raise SwitchAbandoned(f"rank {rank.identity} does not answer")
             await self._check_formed(rank)
@@ -246,136 +254,9 @@
             raise SwitchAbandoned("the group formed anew")
 
     def _note_step(self, step: int) -> None:
-        now = self.clock()
+        now, self.step = self.clock(), step
         if self._last_step is not None:
             seconds, steps = now - self._last_step[0], step - self._last_step[1]
             if steps > 0:
                 self.step_s = min(0.5, max(0.005, seconds / steps))
         self._last_step = (now, step)
-
-
-@dataclass(slots=True)
-class MapDuty:
-    """Balances all groups while this daemon is in charge.
-
-    Parameters
-    ----------
-    client : RankClient
-        Calls to ranks.
-    list_ranks : callable
-        Returns the endpoints that may be ranks, with the profile of their experts.
-    fence : callable
-        Returns the fencing number while this daemon is in charge, else None.
-    clock : callable
-        Loop time in seconds.
-    """
-
-    client: RankClient
-    list_ranks: Callable[[], list[tuple[Endpoint, ExpertProfile]]]
-    fence: Callable[[], int | None]
-    clock: Callable[[], float]
-    groups: dict[str, GroupKeeper] = field(default_factory=dict)
-    _profile: ExpertProfile | None = None
-    _known: frozenset[str] = frozenset()
-    _found_at: float = float("-inf")
-    _lease: int | None = None
-    _versions: int = 0
-    _busy: dict[str, asyncio.Task[None]] = field(default_factory=dict)
-
-    async def run(self) -> None:
-        """Work whenever the lease is held, for ever."""
-        while True:
-            fence = self.fence()
-            if fence is None:
-                self._lease = None
-                await asyncio.sleep(READ_EVERY_S)
-                continue
-            if fence != self._lease:
-                self._lease, self._versions = fence, 0
-                self.groups, self._known = {}, frozenset()
-            await self._work()
-            await asyncio.sleep(READ_EVERY_S)
-
-    def stop(self) -> list[asyncio.Task[None]]:
-        """Return the switches that are under way."""
-        return list(self._busy.values())
-
-    async def _work(self) -> None:
-        listed = self.list_ranks()
-        names = frozenset(endpoint.identity for endpoint, _ in listed)
-        stale = self.clock() - self._found_at > FIND_AGAIN_S
-        if listed and (names != self._known or (stale and not self._is_complete())):
-            await self._find_groups(listed)
-        ready = [group for group in self.groups.values() if group.name not in self._busy]
-        choices = await asyncio.gather(*(group.read_choices() for group in ready))
-        known = [found for found in choices if found is not None]
-        if not known or self._profile is None:
-            return
-        # Callers are spread over all groups, so each group's choices tell of all.
-        total = [sum(column) for column in zip(*known)]
-        if sum(total) < LEAST_CHOICES:
-            return
-        for group in ready:
-            if group.rows is not None and group.name not in self._busy:
-                plan = plan_map(group.rows, total, len(group.ranks), self._profile)
-                if plan is not None:
-                    self._begin(group, plan)
-
-    def _begin(self, group: GroupKeeper, plan: MapPlan) -> None:
-        assert self._lease is not None
-        self._versions += 1
-        version = self._lease * VERSIONS_A_LEASE + self._versions
-        task = asyncio.get_running_loop().create_task(self._switch(group, plan, version))
-        self._busy[group.name] = task
-        task.add_done_callback(lambda done: self._busy.pop(group.name, None))
-
-    async def _switch(self, group: GroupKeeper, plan: MapPlan, version: int) -> None:
-        assert self._profile is not None
-        try:
-            await group.switch(plan, version, self._profile)
-        except SwitchAbandoned as error:
-            log_event("map_switch_abandoned", group=group.name, version=version, reason=str(error))
-
-    def _is_complete(self) -> bool:
-        known = [group for group in self.groups.values() if group.rows is not None]
-        return sum(len(group.ranks) for group in known) >= len(self._known)
-
-    async def _find_groups(self, listed: list[tuple[Endpoint, ExpertProfile]]) -> None:
-        """Learn which endpoint is which rank of which group, and which map is in force."""
-        self._found_at = self.clock()
-        reports = await asyncio.gather(
-            *(self.client.read_report(endpoint.address) for endpoint, _ in listed)
-        )
-        members: dict[str, dict[int, tuple[Endpoint, RankReport]]] = {}
-        for (endpoint, profile), report in zip(listed, reports):
-            if report is not None and report.group:
-                self._profile = profile
-                members.setdefault(report.group, {})[report.rank] = (endpoint, report)
-        self._known = frozenset(endpoint.identity for endpoint, _ in listed)
-        for name, ranks in members.items():
-            if name in self._busy:
-                continue
-            await self._find_group(name, ranks)
-
-    async def _find_group(self, name: str, ranks: dict[int, tuple[Endpoint, RankReport]]) -> None:
-        reports = [report for _, report in ranks.values()]
-        complete = len(ranks) == reports[0].size and all(report.open for report in reports)
-        known = self.groups.get(name)
-        endpoints = {rank: endpoint for rank, (endpoint, _) in sorted(ranks.items())}
-        if not complete:
-            self.groups.pop(name, None)
-            return
-        if known is not None and known.ranks == endpoints and known.rows is not None:
-            return
-        group = GroupKeeper(name, endpoints, self.client, self.fence, self.clock)
-        assert self._profile is not None
-        try:
-            well = await group.recover(reports) and await group.read_rows(self._profile)
-        except SwitchAbandoned as error:
-            log_event("map_recovery_abandoned", group=name, reason=str(error))
-            well = False
-        if well:
-            self.groups[name] = group
-            log_event("group_found", group=name, ranks=len(endpoints), epoch=group.epoch)
-        else:
-            self.groups.pop(name, None)
--- /dev/null
+++ b/magnoliarouter/gateway/mapduty.py
@@ -0,0 +1,156 @@
+"""Balances the expert maps of all groups while this daemon is in charge of them."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from magnoliarouter.gateway.groups import GroupKeeper, SwitchAbandoned
+from magnoliarouter.gateway.mapplan import plan_map
+from magnoliarouter.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliarouter.gateway.endpoints import Endpoint
+    from magnoliarouter.gateway.ranks import RankClient, RankReport
+    from magnoliarouter.gateway.routes import ExpertProfile
+
+__all__ = ["MapDuty"]
+
+# Popularity changes every few seconds, and each read from afar costs the group a pause.
+READ_EVERY_S = 0.5
+# Without traffic there is nothing to balance.
+IDLE_READ_EVERY_S = 1.5
+# Choices below which nothing can be told; a busy rank makes a million in a second.
+LEAST_CHOICES = 50_000
+# How often the duty looks for groups that came or went.
+LOOK_EVERY_S = 0.5
+# A group that forms anew is back after 0.6 s, and asking all ranks is priced.
+FIND_AGAIN_S = 2.0
+# Versions of one lease; each lease begins above all versions of earlier ones.
+VERSIONS_A_LEASE = 10_000
+
+
+@dataclass(slots=True)
+class MapDuty:
+    """Keeps one task for each group.
+
+    Parameters
+    ----------
+    client : RankClient
+        Calls to ranks.
+    list_ranks : callable
+        Returns the endpoints that may be ranks, with the profile of their experts.
+    fence : callable
+        Returns the fencing number while this daemon is in charge, else None.
+    clock : callable
+        Loop time in seconds.
+    """
+
+    client: RankClient
+    list_ranks: Callable[[], list[tuple[Endpoint, ExpertProfile]]]
+    fence: Callable[[], int | None]
+    clock: Callable[[], float]
+    groups: dict[str, GroupKeeper] = field(default_factory=dict)
+    _profiles: dict[str, ExpertProfile] = field(default_factory=dict)
+    _tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
+    _known: frozenset[str] = frozenset()
+    _found_at: float = float("-inf")
+    _lease: int | None = None
+    _versions: int = 0
+
+    async def run(self) -> None:
+        """Work whenever the lease is held, for ever."""
+        while True:
+            fence = self.fence()
+            if fence is not None:
+                if fence != self._lease:
+                    self._lease, self._versions = fence, 0
+                    self.groups, self._known = {}, frozenset()
+                await self._look()
+            await asyncio.sleep(LOOK_EVERY_S)
+
+    def list_tasks(self) -> list[asyncio.Task[None]]:
+        """Return the tasks of all groups."""
+        return list(self._tasks.values())
+
+    async def _look(self) -> None:
+        listed = self.list_ranks()
+        names = frozenset(endpoint.identity for endpoint, _ in listed)
+        stale = self.clock() - self._found_at > FIND_AGAIN_S
+        if listed and (names != self._known or (stale and not self._is_complete())):
+            await self._find_groups(listed)
+
+    def _is_complete(self) -> bool:
+        known = [group for group in self.groups.values() if group.rows is not None]
+        return sum(len(group.ranks) for group in known) >= len(self._known)
+
+    async def _tend(self, group: GroupKeeper) -> None:
+        """Balance one group until it forms anew or the lease is lost."""
+        while group.rows is not None and self.fence() == self._lease:
+            plan, total = None, self._sum_choices(group)
+            if sum(total) >= LEAST_CHOICES:
+                plan = plan_map(group.rows, total, len(group.ranks), self._profiles[group.name])
+            if plan is None:
+                idle = sum(total) < LEAST_CHOICES
+                await asyncio.sleep(IDLE_READ_EVERY_S if idle else READ_EVERY_S)
+                await group.read_choices()
+                continue
+            version = self._take_version()
+            try:
+                await group.switch(plan, version, self._profiles[group.name])
+            except SwitchAbandoned as error:
+                log_event(
+                    "map_switch_abandoned", group=group.name, version=version, reason=str(error)
+                )
+                await asyncio.sleep(READ_EVERY_S)
+
+    def _sum_choices(self, group: GroupKeeper) -> list[int]:
+        """Return the last choices of all groups of the same size of map.
+
+        Callers are spread over all groups, so each group's choices tell of all.
+        """
+        size = len(group.choices)
+        known = [other.choices for other in self.groups.values() if len(other.choices) == size]
+        return [sum(column) for column in zip(*known)]
+
+    def _take_version(self) -> int:
+        assert self._lease is not None
+        self._versions += 1
+        return self._lease * VERSIONS_A_LEASE + self._versions
+
+    async def _find_groups(self, listed: list[tuple[Endpoint, ExpertProfile]]) -> None:
+        """Learn which endpoint is which rank of which group, and which map is in force."""
+        self._found_at = self.clock()
+        reports = await asyncio.gather(
+            *(self.client.read_report(endpoint.address) for endpoint, _ in listed)
+        )
+        members: dict[str, dict[int, tuple[Endpoint, RankReport]]] = {}
+        for (endpoint, profile), report in zip(listed, reports):
+            if report is not None and report.group:
+                self._profiles[report.group] = profile
+                members.setdefault(report.group, {})[report.rank] = (endpoint, report)
+        self._known = frozenset(endpoint.identity for endpoint, _ in listed)
+        for name, ranks in members.items():
+            task = self._tasks.get(name)
+            if task is None or task.done():
+                await self._find_group(name, ranks)
+
+    async def _find_group(self, name: str, ranks: dict[int, tuple[Endpoint, RankReport]]) -> None:
+        reports = [report for _, report in ranks.values()]
+        self.groups.pop(name, None)
+        if len(ranks) != reports[0].size or not all(report.open for report in reports):
+            return
+        endpoints = {rank: endpoint for rank, (endpoint, _) in sorted(ranks.items())}
+        group = GroupKeeper(name, endpoints, self.client, self.fence, self.clock)
+        try:
+            well = await group.recover(reports) and await group.read_rows(self._profiles[name])
+        except SwitchAbandoned as error:
+            log_event("map_recovery_abandoned", group=name, reason=str(error))
+            return
+        if well:
+            self.groups[name] = group
+            log_event("group_found", group=name, ranks=len(endpoints), epoch=group.epoch)
+            self._tasks[name] = asyncio.get_running_loop().create_task(self._tend(group))
--- a/magnoliarouter/gateway/mapplan.py
+++ b/magnoliarouter/gateway/mapplan.py
@@ -25,6 +25,9 @@
 SKEW_GOOD_ENOUGH = 1.1
 # Three to six changes a set gave the same mean skew in replays of a trace; four move fewest.
 CHANGES_A_SET = 4
+# Copies of a rank for one switch, each of 0.15 s: what is popular changes every few seconds, so two
+# short switches help more than one that comes when it is over.
+MOST_COPIES_A_RANK = 4
 # Mean skew over the sets that a switch must save; each switch copies experts and costs orders.
 LEAST_SAVING = 0.1
 
@@ -68,42 +71,55 @@
     profile : ExpertProfile
         Places of a rank, and how many new experts it takes at once.
     """
-    planned, fetched = [], [0] * ranks
-    before = after = 0.0
+    states, planned = [], list(rows)
     for index, row in enumerate(rows):
         start = index * profile.experts
         # Experts that nobody chose must not look free of charge.
         tokens = [count + 1.0 for count in counts[start : start + profile.experts]]
-        state = LayerState(row, tokens, [1.0] * ranks, profile.places)
-        skew = _skew(state)
-        before += skew
-        new_row = row
-        if skew > SKEW_WORTH_A_MOVE:
-            new_row = _improve(state, row, ranks, profile.spare)
-        for rank in _list_fetches(row, new_row):
+        states.append(LayerState(row, tokens, [1.0] * ranks, profile.places))
+    skews = [_skew(state) for state in states]
+    fetched, after = [0] * ranks, sum(skews)
+    for index in sorted(range(len(rows)), key=skews.__getitem__, reverse=True):
+        if skews[index] <= SKEW_WORTH_A_MOVE:
+            break
+        changed, skew = _improve(states[index], rows[index], fetched, profile.spare)
+        for rank in _list_fetches(rows[index], changed):
             fetched[rank] += 1
-        planned.append(new_row)
-        after += _skew(LayerState(new_row, tokens, [1.0] * ranks, profile.places))
-    saving = (before - after) / len(rows)
-    if saving < LEAST_SAVING:
-        return None
+        planned[index] = changed
+        after -= skews[index] - skew
     sets = len(rows)
-    return MapPlan(tuple(planned), sum(fetched), max(fetched), before / sets, after / sets)
+    if sum(skews) - after < LEAST_SAVING * sets:
+        return None
+    return MapPlan(tuple(planned), sum(fetched), max(fetched), sum(skews) / sets, after / sets)
+
 
+def _improve(state: LayerState, row: Row, fetched: list[int], spare: int) -> tuple[Row, float]:
+    """Return the set after some changes, and its skew.
 
-def _improve(state: LayerState, row: Row, ranks: int, spare: int) -> Row:
-    best = row
+    Parameters
+    ----------
+    state : LayerState
+        Working state of the set; it is changed.
+    row : Row
+        Ranks of each expert so far.
+    fetched : list of int
+        Experts that each rank has to fetch already for other sets.
+    spare : int
+        Experts of one set that a rank takes at once.
+    """
+    best, skew = row, _skew(state)
     for _ in range(CHANGES_A_SET):
-        change = state.find_change() if _skew(state) > SKEW_GOOD_ENOUGH else None
+        change = state.find_change() if skew > SKEW_GOOD_ENOUGH else None
         if change is None:
             break
         state.apply(change)
         changed = state.copy_row()
         fetches = _list_fetches(row, changed)
-        if max((fetches.count(rank) for rank in range(ranks)), default=0) > spare:
+        new = [fetches.count(rank) for rank in range(len(fetched))]
+        if max(new) > spare or max(map(sum, zip(new, fetched))) > MOST_COPIES_A_RANK:
             break
-        best = changed
-    return best
+        best, skew = changed, _skew(state)
+    return best, skew
 
 
 def _skew(state: LayerState) -> float:
--- a/magnoliarouter/gateway/waiting.py
+++ b/magnoliarouter/gateway/waiting.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import heapq
+import random
 from dataclasses import dataclass, field
 from itertools import count
 from typing import TYPE_CHECKING
@@ -22,6 +23,9 @@
 # Calls that wait at one daemon for one service; the places of its endpoints are shared by all
 # daemons, so a longer queue would not end within the wait.
 MAX_WAITING = 12
+# A place that another daemon reports free is left to that daemon's own calls for a while; all
+# daemons at once would send more calls there than it has places.
+YIELD_S = (0.01, 0.05)
 # Loads of other daemons also change without a message, when they are forgotten.
 RECHECK_S = 0.1
 
@@ -51,6 +55,7 @@
         self._queues: dict[str, list[_Waiter]] = {}
         self._numbers = count()
         self._timer: asyncio.TimerHandle | None = None
+        self._yielding = False
 
     def length(self, service: str) -> int:
         """Return how many calls wait for a service."""
@@ -105,6 +110,16 @@
                 else:
                     waiter.place.set_result(endpoint)
 
+    def wake_later(self) -> None:
+        """Hand out the places that other daemons have left free, after leaving them a while."""
+        if not self._yielding and any(self._queues.values()):
+            self._yielding = True
+            asyncio.get_running_loop().call_later(random.uniform(*YIELD_S), self._end_yield)
+
+    def _end_yield(self) -> None:
+        self._yielding = False
+        self.wake()
+
     def _choose(self, service: str, tried: set[str]) -> Endpoint | None:
         endpoint = self._table.choose(service, tried, self._clock())
         if endpoint is not None:
--- a/magnoliarouter/tests/clock.py
+++ b/magnoliarouter/tests/clock.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
 
 SETTLE_ROUNDS = 50
 
@@ -26,7 +26,11 @@
 class _ImpatientSelector(selectors.DefaultSelector):
     """Selector that never sleeps, since paused time would not pass meanwhile."""
 
+    jump: Callable[[float], None] = staticmethod(lambda seconds: None)
+
     def select(self, timeout: float | None = None) -> Any:
+        if timeout:
+            self.jump(timeout)
         return super().select(0)
 
 
@@ -57,3 +61,20 @@
     """Run a coroutine on a `PausedLoop` and return its result."""
     with asyncio.Runner(loop_factory=PausedLoop) as runner:
         return runner.run(main)
+
+
+class JumpingLoop(PausedLoop):
+    """Loop whose time jumps to the next timer whenever nothing else is left to do."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._selector.jump = self._jump
+
+    def _jump(self, seconds: float) -> None:
+        self.now += seconds
+
+
+def run_jumping(main: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine on a `JumpingLoop` and return its result."""
+    with asyncio.Runner(loop_factory=JumpingLoop) as runner:
+        return runner.run(main)
--- /dev/null
+++ b/magnoliarouter/tests/rank_model.py
@@ -0,0 +1,153 @@
+"""Model of a group of ranks that takes orders, loses answers and carries orders out late."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from magnoliarouter.gateway.ranks import (
+    Arm,
+    Go,
+    HeldExperts,
+    Hold,
+    OrderResult,
+    Prepare,
+    RankCounts,
+    RankReport,
+)
+
+
+class RankModel:
+    """One rank; `address` is its name."""
+
+    def __init__(self, group, number):
+        self.group = group
+        self.number = number
+        self.reset()
+
+    def reset(self):
+        self.version = 0
+        self.experts = self.group.first_experts(self.number)
+        self.offered = {}
+        self.highest = 0
+        self.armed = None
+        self.held = None
+        self.fence = 0
+
+    def take(self, order, epoch, fence):
+        if epoch != self.group.epoch:
+            return OrderResult.REFUSED
+        if fence < self.fence:
+            return OrderResult.FENCED
+        self.fence = fence
+        match order:
+            case Prepare(version, rows):
+                if version in self.offered:
+                    return OrderResult.TAKEN
+                if version <= self.highest or self.armed:
+                    return OrderResult.REFUSED
+                self.highest = version
+                self.offered = {version: rows}
+            case Arm(version, step):
+                if self.armed == (version, step):
+                    return OrderResult.TAKEN
+                if version not in self.offered or step <= self.group.step:
+                    return OrderResult.REFUSED
+                self.armed = (version, step)
+            case Hold(step):
+                if self.held == step:
+                    return OrderResult.TAKEN
+                if step <= self.group.step or self.held is not None:
+                    return OrderResult.REFUSED
+                self.held = step
+            case Go(step):
+                if self.held == step:
+                    self.held = None
+        return OrderResult.TAKEN
+
+    def begin(self, step):
+        if self.armed and self.armed[1] <= step:
+            version = self.armed[0]
+            rows = self.offered.pop(version)
+            self.version, self.armed = version, None
+            self.experts = tuple(
+                tuple(expert for expert, ranks in enumerate(row) if self.number in ranks)
+                for row in rows
+            )
+
+
+class GroupModel:
+    """Ranks that step together, and a `RankClient` of them."""
+
+    def __init__(self, size=4, sets=2, experts=8, step_s=0.05, lost=0.0, seed=1):
+        self.size, self.sets, self.experts = size, sets, experts
+        self.step_s, self.lost = step_s, lost
+        self.random = random.Random(seed)
+        self.step, self.epoch = 0, 1
+        self.mixed = []
+        self.held_s = 0.0
+        self.sent = []
+        self.ranks = [RankModel(self, number) for number in range(size)]
+        self.popularity = [
+            [1000 if expert == 0 else 10 for expert in range(experts)] for _ in range(sets)
+        ]
+        self.counts = [0] * (sets * experts)
+
+    def first_experts(self, number):
+        own = tuple(range(number, self.experts, self.size))
+        return (own,) * self.sets
+
+    async def run(self):
+        while True:
+            await asyncio.sleep(self.step_s)
+            if any(rank.held is not None and rank.held <= self.step + 1 for rank in self.ranks):
+                self.held_s += self.step_s
+                continue
+            self.step += 1
+            for rank in self.ranks:
+                rank.begin(self.step)
+            versions = {(rank.version, rank.experts and rank.version) for rank in self.ranks}
+            if len(versions) > 1:
+                self.mixed.append((self.step, sorted(versions)))
+            flat = [count for row in self.popularity for count in row]
+            self.counts = [before + now * 10 for before, now in zip(self.counts, flat)]
+
+    def form_anew(self):
+        self.epoch += 1
+        for rank in self.ranks:
+            rank.reset()
+
+    # --- RankClient ---
+
+    async def read_report(self, address):
+        rank = self.ranks[int(address)]
+        await asyncio.sleep(0.002)
+        armed = rank.armed[0] if rank.armed else None
+        prepared = max(rank.offered, default=None)
+        return RankReport(
+            "g", self.epoch, rank.number, self.size, True, self.step, rank.version, prepared,
+            armed, rank.held,
+        )  # fmt: skip
+
+    async def read_counts(self, address):
+        await asyncio.sleep(0.002)
+        return RankCounts(self.step, self.epoch, tuple(self.counts))
+
+    async def read_held(self, address):
+        await asyncio.sleep(0.002)
+        rank = self.ranks[int(address)]
+        return HeldExperts(self.epoch, rank.version, rank.experts)
+
+    async def send(self, address, order, epoch, fence, size):
+        rank = self.ranks[int(address)]
+        self.sent.append((address, order, epoch, fence))
+        if self.random.random() < self.lost:
+            if self.random.random() < 0.8:
+                delay = self.random.uniform(2.0, 12.0)
+                asyncio.get_running_loop().call_later(delay, rank.take, order, epoch, fence)
+            else:
+                rank.take(order, epoch, fence)
+            await asyncio.sleep(0.25)
+            return OrderResult.UNKNOWN
+        await asyncio.sleep(0.002)
+        return rank.take(order, epoch, fence)
--- /dev/null
+++ b/magnoliarouter/tests/test_groups.py
@@ -0,0 +1,250 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from magnoliarouter.gateway.endpoints import Endpoint
+from magnoliarouter.gateway.groups import GroupKeeper
+from magnoliarouter.gateway.mapduty import MapDuty
+from magnoliarouter.gateway.mapplan import plan_map
+from magnoliarouter.gateway.ranks import Arm, Hold, Prepare
+from magnoliarouter.gateway.routes import ExpertProfile
+from magnoliarouter.tests.clock import run_jumping
+from magnoliarouter.tests.rank_model import GroupModel
+
+PROFILE = ExpertProfile(sets=2, experts=8, places=4, spare=2, copy_s=0.1)
+SEEDS = range(30)
+
+
+def build_ranks(model):
+    return [
+        (Endpoint(f"i{number}", "llm", str(number), "zone-1", 6), PROFILE)
+        for number in range(model.size)
+    ]
+
+
+class Charge:
+    """Lease that a test gives and takes."""
+
+    def __init__(self, fence=1):
+        self.fence = fence
+
+    def __call__(self):
+        return self.fence
+
+
+def start_duty(model, charge):
+    loop = asyncio.get_running_loop()
+    duty = MapDuty(model, lambda: build_ranks(model), charge, loop.time)
+    return duty, loop.create_task(duty.run())
+
+
+async def end(*tasks):
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def measure_skew(model):
+    loads = [0.0] * model.size
+    for index, row in enumerate(model.popularity):
+        holders = [
+            [rank.number for rank in model.ranks if expert in rank.experts[index]]
+            for expert in range(model.experts)
+        ]
+        for expert, ranks in enumerate(holders):
+            for rank in ranks:
+                loads[rank] += row[expert] / len(ranks)
+    return max(loads) * model.size / sum(loads)
+
+
+class PlanTest(unittest.TestCase):
+    def test_popular_expert_is_spread(self):
+        rows = tuple(tuple((expert % 4,) for expert in range(8)) for _ in range(2))
+        counts = ([100_000] + [1000] * 7) * 2
+        plan = plan_map(rows, counts, 4, PROFILE)
+        self.assertGreater(len(plan.rows[0][0]), 2)
+        self.assertLess(plan.after, plan.before)
+        for row in plan.rows:
+            self.assertTrue(all(row))
+            for rank in range(4):
+                self.assertLessEqual(sum(rank in ranks for ranks in row), PROFILE.places)
+
+    def test_rank_takes_no_more_new_experts_than_it_may(self):
+        rows = tuple(tuple((expert % 4,) for expert in range(8)) for _ in range(2))
+        counts = [90_000, 1, 1, 1, 80_000, 1, 1, 1] * 2
+        plan = plan_map(rows, counts, 4, PROFILE)
+        for before, after in zip(rows, plan.rows):
+            for rank in range(4):
+                new = sum(rank in ranks and rank not in old for old, ranks in zip(before, after))
+                self.assertLessEqual(new, PROFILE.spare)
+
+    def test_even_choices_move_nothing(self):
+        rows = tuple(tuple((expert % 4,) for expert in range(8)) for _ in range(2))
+        self.assertIsNone(plan_map(rows, [1000] * 16, 4, PROFILE))
+
+
+class SwitchTest(unittest.TestCase):
+    def test_map_follows_popularity(self):
+        async def main():
+            model = GroupModel()
+            stepping = asyncio.get_running_loop().create_task(model.run())
+            _, task = start_duty(model, Charge())
+            before = measure_skew(model)
+            await asyncio.sleep(8.0)
+            first = measure_skew(model)
+            model.popularity = [[10, 10, 10, 1000, 10, 10, 10, 10] for _ in range(2)]
+            worse = measure_skew(model)
+            await asyncio.sleep(8.0)
+            await end(task, stepping)
+            return model, before, first, worse, measure_skew(model)
+
+        model, before, first, worse, last = run_jumping(main())
+        self.assertLess(first, before)
+        self.assertLess(last, worse)
+        self.assertEqual((model.mixed, model.held_s), ([], 0.0))
+
+    def test_no_step_with_two_maps_when_orders_are_late(self):
+        """Every third answer is lost, and most of those orders are carried out seconds later."""
+
+        async def main(seed):
+            model = GroupModel(lost=0.35, seed=seed)
+            stepping = asyncio.get_running_loop().create_task(model.run())
+            _, task = start_duty(model, Charge())
+            for turn in range(10):
+                model.popularity = [
+                    [1000 if expert == (turn * 3) % 8 else 10 for expert in range(8)]
+                    for _ in range(2)
+                ]
+                await asyncio.sleep(4.0)
+            await end(task)
+            await asyncio.sleep(15.0)
+            await end(stepping)
+            return model
+
+        switched = 0
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                model = run_jumping(main(seed))
+                self.assertEqual(model.mixed, [])
+                switched += model.ranks[0].version > 0
+        self.assertGreater(switched, len(SEEDS) * 0.8)
+
+    def test_next_in_charge_finishes_what_it_finds(self):
+        """The daemon in charge dies after each order of a switch; the next one ends the hold."""
+
+        async def main(last):
+            model = GroupModel()
+            loop = asyncio.get_running_loop()
+            stepping = loop.create_task(model.run())
+            charge = Charge()
+            duty, task = start_duty(model, charge)
+            give = model.send
+
+            async def die_after(address, order, *rest):
+                result = await give(address, order, *rest)
+                if isinstance(order, Hold | Arm):
+                    died.append(order)
+                    if len(died) >= last:
+                        charge.fence = None
+                return result
+
+            died = []
+            model.send = die_after
+            await asyncio.sleep(6.0)
+            model.send = give
+            heir, heir_task = start_duty(model, Charge(2))
+            await asyncio.sleep(12.0)
+            await end(task, heir_task, stepping, *duty.list_tasks(), *heir.list_tasks())
+            return model
+
+        for last in range(1, 6):
+            with self.subTest(last=last):
+                model = run_jumping(main(last))
+                self.assertEqual(model.mixed, [])
+                self.assertGreater(model.step, 200)
+                self.assertTrue(all(rank.held is None for rank in model.ranks))
+
+    def test_older_fence_is_refused(self):
+        async def main():
+            model = GroupModel()
+            stepping = asyncio.get_running_loop().create_task(model.run())
+            for rank in model.ranks:
+                rank.fence = 9
+            duty, task = start_duty(model, Charge(3))
+            await asyncio.sleep(5.0)
+            sent = len(model.sent)
+            await end(task, stepping, *duty.list_tasks())
+            return model, sent
+
+        model, _ = run_jumping(main())
+        self.assertTrue(all(rank.version == 0 for rank in model.ranks))
+        self.assertEqual(model.mixed, [])
+
+    def test_group_that_forms_anew_is_found_again(self):
+        async def main():
+            model = GroupModel()
+            loop = asyncio.get_running_loop()
+            stepping = loop.create_task(model.run())
+            duty, task = start_duty(model, Charge())
+            await asyncio.sleep(6.0)
+            first = model.ranks[0].version
+            model.form_anew()
+            await asyncio.sleep(8.0)
+            await end(task, stepping, *duty.list_tasks())
+            return model, first
+
+        model, first = run_jumping(main())
+        self.assertGreater(first, 0)
+        self.assertGreater(model.ranks[0].version, first)
+        self.assertEqual(model.mixed, [])
+
+    def test_hold_that_comes_too_late_is_tried_at_a_later_step(self):
+        async def main():
+            model = GroupModel(step_s=0.005)
+            loop = asyncio.get_running_loop()
+            stepping = loop.create_task(model.run())
+            keeper = GroupKeeper(
+                "g", {n: e for n, (e, _) in enumerate(build_ranks(model))}, model, lambda: 1,
+                loop.time, step_s=10.0,
+            )  # fmt: skip
+            keeper.epoch = 1
+            give, slowed = model.send, []
+
+            async def slow(address, order, *rest):
+                if isinstance(order, Hold) and not slowed:
+                    slowed.append(order)
+                    await asyncio.sleep(1.0)
+                return await give(address, order, *rest)
+
+            model.send = slow
+            await keeper.read_rows(PROFILE)
+            plan = plan_map(keeper.rows, ([100_000] + [1000] * 7) * 2, 4, PROFILE)
+            switching = loop.create_task(keeper.switch(plan, 5, PROFILE))
+            await asyncio.sleep(6.0)
+            await end(stepping, switching)
+            return model
+
+        model = run_jumping(main())
+        holds = [order for _, order, *_ in model.sent if isinstance(order, Hold)]
+        self.assertGreater(len(holds), 1)
+        self.assertEqual({rank.version for rank in model.ranks}, {5})
+        self.assertEqual(model.mixed, [])
+
+    def test_orders_name_lease_and_epoch(self):
+        async def main():
+            model = GroupModel()
+            stepping = asyncio.get_running_loop().create_task(model.run())
+            duty, task = start_duty(model, Charge(7))
+            await asyncio.sleep(6.0)
+            await end(task, stepping, *duty.list_tasks())
+            return model
+
+        model = run_jumping(main())
+        self.assertEqual({(epoch, fence) for _, _, epoch, fence in model.sent}, {(1, 7)})
+        versions = {order.version for _, order, *_ in model.sent if isinstance(order, Prepare)}
+        self.assertTrue(all(version > 7 * 10_000 for version in versions))
+
+
+if __name__ == "__main__":
+    unittest.main()
