Test the gateway's connections, server and attempts; strip white space behind header values

Found by these tests: a request for a protocol upgrade was answered as served although what follows it is no HTTP; white space behind a value was passed on as part of it.

--- /dev/null
+++ b/magnoliarouter/tests/test_forward.py
@@ -0,0 +1,390 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from magnoliarouter.core.outcome import Completed, NotRun, ResultCode, Unknown
+from magnoliarouter.core.retries import SharedRetryBudget
+from magnoliarouter.gateway.call import GatewayCall
+from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
+from magnoliarouter.gateway.forward import GatewayForwarder
+from magnoliarouter.gateway.routes import Route, RouteKind
+from magnoliarouter.gateway.waiting import WaitingRoom
+from magnoliarouter.platform.headers import PlatformHeaders
+from magnoliarouter.telemetry.metrics import Metrics
+from magnoliarouter.tests.raw_server import RawServer, build_answer
+from magnoliarouter.web.upstream import UpstreamPool
+
+EVENTS = [b"id: %d\ndata: %d\n\n" % (number, number) for number in range(1, 7)]
+STREAM = "text/event-stream"
+
+
+def build_route(kind=RouteKind.SAFE, attempts=2, timeout_s=2.0, resumable=False):
+    return Route(
+        "r", "h", "/", kind, (("app", 1.0),), timeout_s, 0.2, 1, attempts, False, resumable, 0.1
+    )
+
+
+def build_gateway_call(route, request_id=b"r1", **fields):
+    headers = [(b"X-Request-Id", request_id), (b"Host", b"h"), (b"X-Deadline-Ms", b"2000")]
+    headers += [(name.encode(), value) for name, value in fields.items()]
+    now = asyncio.get_running_loop().time()
+    return GatewayCall(
+        PlatformHeaders().read_request(headers),
+        b"POST",
+        b"/p//%20?q",
+        b"body",
+        route,
+        "app",
+        "tenant-1",
+        1,
+        now,
+        now + route.timeout_s,
+        1,
+    )
+
+
+class FakeExchange:
+    """Exchange that records what a caller gets."""
+
+    def __init__(self):
+        self.started = self.finished = self.gone = self.aborted = False
+        self.status = 0
+        self.body = b""
+        self.fields = []
+
+    async def send(self, status, fields, body):
+        self.started = self.finished = True
+        self.status, self.fields, self.body = status, fields, body
+
+    def start(self, status, fields, data):
+        self.started = True
+        self.status, self.fields, self.body = status, fields, data
+
+    async def write(self, data):
+        self.body += data
+
+    async def finish(self):
+        self.finished = True
+
+    def abort(self):
+        self.aborted = self.finished = True
+
+
+class ForwardCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock = asyncio.get_running_loop().time
+        self.table = EndpointTable("zone-1")
+        self.pool = UpstreamPool(self.clock)
+        self.addCleanup(self.pool.close)
+        self.metrics = Metrics()
+        self.budget = SharedRetryBudget(0.2, 100, 10.0)
+        self.waiting = WaitingRoom(self.table, self.clock)
+        self.forwarder = GatewayForwarder(
+            self.table,
+            self.waiting,
+            self.pool,
+            PlatformHeaders(),
+            self.budget,
+            self.clock,
+            self.metrics,
+        )
+        self.exchange = FakeExchange()
+        self.heads = []
+
+    async def add(self, handle, name="e1", zone="zone-1", slots=6):
+        async def record(peer):
+            while True:
+                head, body = await peer.read_message()
+                self.heads.append((name, head, body))
+                await handle(peer)
+
+        server = await RawServer(record).start()
+        self.addAsyncCleanup(server.stop)
+        self.table.put(Endpoint(name, "app", server.address, zone, slots))
+        return server
+
+    async def add_two(self, first, second):
+        """Add an endpoint that is chosen first, and another one."""
+        await self.add(first, "e1", "zone-1", slots=100)
+        await self.add(second, "e2", "zone-2", slots=1)
+        self.table.own["e2"] = 0
+        self.table.random.random = lambda: 0.0
+
+    async def forward(self, route, recheck=lambda: None, **fields):
+        call = build_gateway_call(route, **fields)
+        return await self.forwarder.forward(call, self.exchange, recheck)
+
+    def tried(self):
+        return [name for name, *_ in self.heads]
+
+
+class ForwardTest(ForwardCase):
+    async def test_request_and_answer_pass_unchanged(self):
+        async def handle(peer):
+            await peer.send(build_answer(b"\x00\xff", 201, X_Own="a, b", Connection="keep-alive"))
+
+        await self.add(handle)
+        fields = {"Authorization": b"Bearer k", "X-Tenant": b"forged", "X-Other": b"o"}
+        outcome = await self.forward(build_route(), **fields)
+        self.assertEqual(outcome, Completed(ResultCode.OK, 201))
+        self.assertEqual((self.exchange.status, self.exchange.body), (201, b"\x00\xff"))
+        self.assertIn((b"X-Own", b"a, b"), self.exchange.fields)
+        self.assertIn((b"X-Server-Stamp", b"s1"), self.exchange.fields)
+        _, head, body = self.heads[0]
+        self.assertTrue(head.startswith("POST /p//%20?q HTTP/1.1\r\n"))
+        self.assertEqual(body, b"body")
+        self.assertIn("X-Other: o", head)
+        self.assertIn("X-Tenant: tenant-1", head)
+        self.assertIn("X-Expect-Instance: e1", head)
+        self.assertIn("X-Request-Id: r1", head)
+        for absent in ("Authorization", "forged", "keep-alive"):
+            self.assertNotIn(absent, head)
+        self.assertNotIn(b"connection", {name.lower() for name, _ in self.exchange.fields})
+
+    async def test_once_only_request_is_never_sent_again_in_doubt(self):
+        async def reset(peer):
+            peer.reset()
+
+        async def fine(peer):
+            await peer.send(build_answer())
+
+        await self.add_two(reset, fine)
+        outcome = await self.forward(build_route(RouteKind.ONCE, attempts=3))
+        self.assertIsInstance(outcome, Unknown)
+        self.assertEqual(self.tried(), ["e1"])
+
+    async def test_proof_of_not_run_goes_elsewhere_within_attempts(self):
+        for marker in ({"status": 503, "X_Not_Executed": "1"}, {"status": 421, "stamp": None}):
+            for attempts, outcome in ((2, Completed), (1, NotRun)):
+                with self.subTest(marker=marker, attempts=attempts):
+                    self.heads.clear()
+                    self.exchange = FakeExchange()
+
+                    async def refuse(peer, marker=marker):
+                        await peer.send(build_answer(**marker))
+
+                    async def fine(peer):
+                        await peer.send(build_answer())
+
+                    await self.add_two(refuse, fine)
+                    self.table._full_until.clear()
+                    result = await self.forward(build_route(RouteKind.ONCE, attempts))
+                    self.assertIsInstance(result, outcome)
+                    self.assertEqual(self.tried(), ["e1", "e2"][:attempts])
+
+    async def test_promise_status_of_a_run_is_not_relayed(self):
+        async def busy(peer):
+            await peer.send(build_answer(status=503))
+
+        await self.add(busy)
+        outcome = await self.forward(build_route(RouteKind.ONCE, attempts=1))
+        self.assertIsInstance(outcome, Unknown)
+        self.assertFalse(self.exchange.started)
+
+    async def test_other_failures_are_relayed_as_given(self):
+        async def fail(peer):
+            await peer.send(build_answer(b"why", 500))
+
+        await self.add(fail)
+        outcome = await self.forward(build_route(RouteKind.ONCE, attempts=1))
+        self.assertEqual(outcome, Completed(ResultCode.OK, 500))
+        self.assertEqual((self.exchange.status, self.exchange.body), (500, b"why"))
+
+    async def test_safe_request_is_repeated_after_a_failure(self):
+        async def fail(peer):
+            await peer.send(build_answer(status=500))
+
+        async def fine(peer):
+            await peer.send(build_answer())
+
+        await self.add_two(fail, fine)
+        outcome = await self.forward(build_route())
+        self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+        self.assertEqual(self.tried(), ["e1", "e2"])
+
+    async def test_refusal_after_doubt_is_not_called_not_run(self):
+        """An attempt that may have run, then no budget: the caller must not hear 'not run'."""
+
+        async def reset(peer):
+            peer.reset()
+
+        async def fine(peer):
+            await peer.send(build_answer())
+
+        await self.add_two(reset, fine)
+        self.budget.slack = self.budget.ratio = 0
+        outcome = await self.forward(build_route())
+        self.assertIsInstance(outcome, Unknown)
+        self.assertEqual(self.tried(), ["e1"])
+
+    async def test_answer_to_another_request_is_dropped(self):
+        async def handle(peer):
+            await peer.send(build_answer(b"not yours", request_id="r0") + build_answer(b"yours"))
+
+        await self.add(handle)
+        await self.forward(build_route())
+        self.assertEqual(self.exchange.body, b"yours")
+
+    async def test_success_without_signature_is_no_answer(self):
+        async def handle(peer):
+            await peer.send(build_answer(stamp=None))
+
+        await self.add(handle)
+        outcome = await self.forward(build_route(RouteKind.ONCE, attempts=1))
+        self.assertEqual(outcome.code, ResultCode.WRONG_ATTEMPT)
+
+    async def test_cut_answer_never_reaches_the_caller(self):
+        async def handle(peer):
+            await peer.send(build_answer(b"long body")[:-3])
+            peer.close()
+
+        await self.add(handle)
+        outcome = await self.forward(build_route(RouteKind.ONCE, attempts=1))
+        self.assertEqual(outcome.code, ResultCode.STREAM_TRUNCATED)
+        self.assertFalse(self.exchange.started)
+
+    async def test_deadline_given_to_the_endpoint_is_what_is_left(self):
+        async def handle(peer):
+            await peer.send(build_answer())
+
+        await self.add(handle)
+        await self.forward(build_route(timeout_s=0.8))
+        line = next(line for line in self.heads[0][1].split("\r\n") if "Deadline" in line)
+        self.assertTrue(700 <= int(line.split(":")[1]) <= 800, line)
+
+    async def test_nothing_is_sent_when_the_recheck_refuses(self):
+        async def handle(peer):
+            await peer.send(build_answer())
+
+        await self.add(handle)
+        refusal = NotRun(ResultCode.KEY_UNKNOWN, "withdrawn")
+        outcome = await self.forward(build_route(), recheck=lambda: refusal)
+        self.assertEqual((outcome, self.heads), (refusal, []))
+
+    async def test_key_withdrawn_while_waiting_is_not_sent(self):
+        async def handle(peer):
+            await peer.send(build_answer())
+
+        await self.add(handle, slots=1)
+        self.table.begin("e1")
+        answers = [None, NotRun(ResultCode.KEY_UNKNOWN, "withdrawn")]
+        task = asyncio.create_task(self.forward(build_route(), recheck=lambda: answers.pop(0)))
+        await asyncio.sleep(0.05)
+        self.table.end("e1")
+        self.waiting.wake()
+        self.assertEqual((await task).code, ResultCode.KEY_UNKNOWN)
+        self.assertEqual((self.heads, self.table.own), ([], {}))
+
+    async def test_timeout_of_the_route_ends_the_wait(self):
+        async def handle(peer):
+            await asyncio.sleep(5)
+
+        await self.add(handle)
+        began = self.clock()
+        outcome = await self.forward(build_route(RouteKind.ONCE, 1, timeout_s=0.2))
+        self.assertEqual(outcome.code, ResultCode.DEADLINE_EXCEEDED)
+        self.assertLess(self.clock() - began, 0.4)
+
+    async def test_no_endpoint_is_refused_at_once(self):
+        began = self.clock()
+        outcome = await self.forward(build_route())
+        self.assertEqual(outcome.code, ResultCode.NO_ENDPOINT)
+        self.assertLess(self.clock() - began, 0.05)
+
+    async def test_full_endpoints_are_refused_in_time(self):
+        async def handle(peer):
+            await peer.send(build_answer())
+
+        await self.add(handle, slots=1)
+        self.table.begin("e1")
+        outcome = await self.forward(build_route())
+        self.assertEqual(outcome.code, ResultCode.QUEUE_FULL)
+        self.assertIsNotNone(outcome.retry_after)
+
+
+class StreamTest(ForwardCase):
+    def head(self, **fields):
+        named = {"X-Request-Id": "r1", "X-Server-Stamp": "s1", "Content-Type": STREAM, **fields}
+        lines = "".join(f"{name}: {value}\r\n" for name, value in named.items())
+        return f"HTTP/1.1 200 OK\r\n{lines}Transfer-Encoding: chunked\r\n\r\n".encode()
+
+    @staticmethod
+    def chunk(data):
+        return b"%x\r\n%b\r\n" % (len(data), data)
+
+    def serve(self, events, cut=None):
+        async def handle(peer):
+            await peer.send(self.head())
+            for event in events:
+                await peer.send(self.chunk(event))
+            if cut is None:
+                await peer.send(b"0\r\n\r\n")
+            else:
+                await peer.send(self.chunk(cut) if cut else b"")
+                await asyncio.sleep(0.02)
+                peer.reset()
+
+        return handle
+
+    async def test_stream_passes_whole(self):
+        await self.add(self.serve(EVENTS))
+        outcome = await self.forward(build_route(RouteKind.STREAM, 2, resumable=True))
+        self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+        self.assertEqual(self.exchange.body, b"".join(EVENTS))
+        self.assertTrue(self.exchange.finished)
+        self.assertFalse(self.exchange.aborted)
+
+    async def test_stream_goes_on_elsewhere_behind_the_last_whole_event(self):
+        await self.add_two(self.serve(EVENTS[:3], cut=b"id: 4\nda"), self.serve(EVENTS[3:]))
+        outcome = await self.forward(build_route(RouteKind.STREAM, 2, resumable=True))
+        self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+        self.assertEqual(self.exchange.body, b"".join(EVENTS))
+        self.assertIn("Last-Event-Id: 3", self.heads[1][1])
+
+    async def test_repeated_events_are_dropped(self):
+        await self.add_two(self.serve(EVENTS[:3], cut=b""), self.serve(EVENTS[1:]))
+        await self.forward(build_route(RouteKind.STREAM, 2, resumable=True))
+        self.assertEqual(self.exchange.body, b"".join(EVENTS))
+
+    async def test_stream_that_may_not_be_resumed_is_broken_off_visibly(self):
+        await self.add_two(self.serve(EVENTS[:3], cut=b""), self.serve(EVENTS))
+        outcome = await self.forward(build_route(RouteKind.STREAM, 2))
+        self.assertIsInstance(outcome, Unknown)
+        self.assertTrue(self.exchange.aborted)
+        self.assertEqual(self.tried(), ["e1"])
+
+    async def test_stream_without_another_attempt_is_broken_off_visibly(self):
+        await self.add_two(self.serve(EVENTS[:3], cut=b""), self.serve(EVENTS))
+        await self.forward(build_route(RouteKind.STREAM, 1, resumable=True))
+        self.assertTrue(self.exchange.aborted)
+        self.assertEqual(self.exchange.body, b"".join(EVENTS[:3]))
+
+    async def test_silent_endpoint_is_kept_while_no_other_has_a_place(self):
+        async def slow(peer):
+            await asyncio.sleep(1.4)
+            await self.serve(EVENTS)(peer)
+
+        await self.add_two(slow, self.serve(EVENTS))
+        self.table.begin("e2")
+        outcome = await self.forward(build_route(RouteKind.STREAM, 2, 4.0, resumable=True))
+        self.assertEqual((outcome, self.tried()), (Completed(ResultCode.OK, 200), ["e1"]))
+
+    async def test_silent_endpoint_is_left_for_a_place_elsewhere(self):
+        async def silent(peer):
+            await asyncio.sleep(9)
+
+        await self.add_two(silent, self.serve(EVENTS))
+        outcome = await self.forward(build_route(RouteKind.STREAM, 2, 4.0, resumable=True))
+        self.assertEqual((outcome, self.tried()), (Completed(ResultCode.OK, 200), ["e1", "e2"]))
+
+    async def test_caller_that_resumes_is_served_from_there(self):
+        await self.add(self.serve(EVENTS[2:]))
+        fields = {"Last-Event-Id": b"2"}
+        await self.forward(build_route(RouteKind.STREAM, 2, resumable=True), **fields)
+        self.assertIn("Last-Event-Id: 2", self.heads[0][1])
+        self.assertEqual(self.exchange.body, b"".join(EVENTS[2:]))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/magnoliarouter/tests/test_ingress.py
@@ -0,0 +1,147 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from magnoliarouter.core.outcome import ResultCode
+from magnoliarouter.tests.raw_server import RawPeer
+from magnoliarouter.web.ingress import IngressServer
+from magnoliarouter.web.limits import ServerLimits
+
+LIMITS = ServerLimits(header_bytes=500, body_bytes=1000, request_seconds=0.2, idle_seconds=0.5)
+
+
+class IngressTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.seen = []
+        self.rejected = []
+        self.cancelled = 0
+        self.server = IngressServer(self.handle, self.rejected.append, LIMITS)
+        port = await self.server.start("127.0.0.1", 0)
+        self.address = f"127.0.0.1:{port}"
+        self.addCleanup(self.server.abort_all)
+        self.addCleanup(self.server.stop_listening)
+
+    async def handle(self, exchange):
+        request = exchange.request
+        self.seen.append((request.method, request.target, request.fields, bytes(request.body)))
+        if request.target.startswith(b"/slow"):
+            try:
+                await asyncio.sleep(0.1 if request.target == b"/slow" else 5)
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                raise
+        if request.target == b"/fail":
+            raise RuntimeError("on purpose")
+        if request.target == b"/stream":
+            exchange.start(200, [(b"X-A", b"1")], b"one")
+            await exchange.write(b"two")
+            await exchange.finish()
+            return
+        await exchange.send(200, [(b"X-A", b"1")], request.target)
+
+    async def ask(self, data):
+        peer = await RawPeer.connect(self.address)
+        self.addCleanup(peer.close)
+        await peer.send(data)
+        return peer
+
+    async def test_request_arrives_byte_for_byte(self):
+        peer = await self.ask(
+            b"POST /a//b/%2e/../c?x=%20&y HTTP/1.1\r\nHost: H\r\nx-Odd:  v 1 \r\nX-Odd: 2\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        await peer.read_message()
+        method, target, fields, body = self.seen[0]
+        self.assertEqual((method, target, body), (b"POST", b"/a//b/%2e/../c?x=%20&y", b"abcde"))
+        odd = [(name, value) for name, value in fields if name.lower() == b"x-odd"]
+        self.assertEqual(odd, [(b"x-Odd", b"v 1"), (b"X-Odd", b"2")])
+
+    async def test_requests_sent_ahead_are_answered_in_order(self):
+        peer = await self.ask(
+            b"".join(
+                b"GET /%b HTTP/1.1\r\nHost: x\r\n\r\n" % path for path in (b"slow", b"b", b"c")
+            )
+        )
+        bodies = [(await peer.read_message())[1] for _ in range(3)]
+        self.assertEqual(bodies, [b"/slow", b"/b", b"/c"])
+
+    async def test_streamed_answer(self):
+        peer = await self.ask(b"GET /stream HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        answer = await peer.read_all()
+        self.assertTrue(answer.endswith(b"\r\n\r\n3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n"))
+
+    async def test_refused_requests(self):
+        cases = (
+            (b"GET / HTTP/1.1\r\nX: " + b"a" * 600, 431, ResultCode.HEADER_TOO_LARGE),
+            (
+                b"POST / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n" + b"a" * 1500,
+                413,
+                ResultCode.BODY_TOO_LARGE,
+            ),
+            (b"GET / HTTP/1.1\r\nHost: x\r\n", 408, ResultCode.SLOW_REQUEST),
+            (b"GARBAGE\r\n\r\n", 400, ResultCode.MALFORMED_HTTP),
+            (
+                b"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+                400,
+                ResultCode.MALFORMED_HTTP,
+            ),
+            (b"GET / HTTP/1.1\r\nX: a\r\n folded\r\n\r\n", 400, ResultCode.MALFORMED_HTTP),
+            (b"GET / HTTP/1.1\r\nUpgrade: a\r\nConnection: upgrade\r\n\r\n", 400, None),
+        )
+        for data, status, code in cases:
+            with self.subTest(data=data[:60]):
+                self.rejected.clear()
+                peer = await self.ask(data)
+                answer = await peer.read_all()
+                self.assertIn(b"HTTP/1.1 %d " % status, answer)
+                self.assertIn(b"Connection: close", answer)
+                self.assertEqual(self.rejected, [code or ResultCode.MALFORMED_HTTP])
+        self.assertEqual(self.seen, [])
+
+    async def test_caller_that_leaves_cancels_the_work(self):
+        peer = await self.ask(b"GET /slow5 HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(0.05)
+        peer.close()
+        await asyncio.sleep(0.05)
+        self.assertEqual((self.cancelled, self.server.active), (1, 0))
+
+    async def test_failing_handler_answers_as_unknown(self):
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        peer = await self.ask(b"GET /fail HTTP/1.1\r\nHost: x\r\n\r\n")
+        head, body = await peer.read_message()
+        self.assertIn(" 500 ", head)
+        self.assertIn(b'"unknown"', body)
+
+    async def test_idle_connection_is_closed_in_its_time(self):
+        peer = await self.ask(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        await peer.read_message()
+        await asyncio.sleep(0.4)
+        await peer.send(b"GET /b HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertEqual((await peer.read_message())[1], b"/b")
+        self.assertEqual(await asyncio.wait_for(peer.read_all(), 1.0), b"")
+
+    async def test_leaving_server_closes_after_the_next_answer(self):
+        peer = await self.ask(b"GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
+        idle = await self.ask(b"")
+        await asyncio.sleep(0.03)
+        self.server.start_leaving()
+        self.server.stop_listening()
+        head, body = await peer.read_message()
+        self.assertIn("Connection: close", head)
+        self.assertEqual(body, b"/slow")
+        self.assertEqual(await idle.read_all(), b"")
+        await self.server.wait_until_idle(1.0)
+        self.assertEqual(self.server.active, 0)
+
+    async def test_expected_continue_is_given(self):
+        peer = await self.ask(
+            b"POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+        )
+        self.assertIn("100 Continue", (await peer.read_message())[0])
+        await peer.send(b"ab")
+        self.assertEqual((await peer.read_message())[1], b"/a")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/magnoliarouter/tests/test_upstream.py
@@ -0,0 +1,160 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from magnoliarouter.tests.raw_server import RawServer, build_answer
+from magnoliarouter.web.upstream import Broken, Fault, UpstreamPool
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class UpstreamTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, handle):
+        server = await RawServer(handle).start()
+        self.addAsyncCleanup(server.stop)
+        self.pool = UpstreamPool(asyncio.get_running_loop().time)
+        self.addCleanup(self.pool.close)
+        return server
+
+    async def ask(self, server):
+        connection = await self.pool.take(server.address)
+        try:
+            connection.send(REQUEST)
+            head = await connection.read_head()
+            return head.status, await connection.read_body()
+        finally:
+            self.pool.give_back(server.address, connection)
+
+    async def test_connection_serves_again(self):
+        async def handle(peer):
+            while True:
+                await peer.read_message()
+                await peer.send(build_answer())
+
+        server = await self.start(handle)
+        self.assertEqual([await self.ask(server) for _ in range(3)], [(200, b"ok")] * 3)
+        self.assertEqual(server.connections, 1)
+
+    async def test_connection_that_owes_an_answer_is_not_used_again(self):
+        async def handle(peer):
+            await peer.read_message()
+            await asyncio.sleep(0.1)
+            await peer.send(build_answer(b"late"))
+            await peer.read_message()
+            await peer.send(build_answer(b"second"))
+
+        server = await self.start(handle)
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.03):
+                await self.ask(server)
+        await self.ask(server)
+        self.assertEqual(server.connections, 2)
+
+    async def test_surplus_bytes_end_the_connection(self):
+        for surplus in (b"garbage", build_answer(b"twice")):
+            with self.subTest(surplus=surplus):
+
+                async def handle(peer, surplus=surplus):
+                    while True:
+                        await peer.read_message()
+                        await peer.send(build_answer() + surplus)
+
+                server = await self.start(handle)
+                for _ in range(2):
+                    self.assertEqual(await self.ask(server), (200, b"ok"))
+                self.assertEqual(server.connections, 2)
+
+    async def test_bytes_on_an_idle_connection_end_it(self):
+        async def handle(peer):
+            await peer.read_message()
+            await peer.send(build_answer())
+            await asyncio.sleep(0.02)
+            await peer.send(build_answer(b"late"))
+            await asyncio.sleep(1)
+
+        server = await self.start(handle)
+        await self.ask(server)
+        await asyncio.sleep(0.05)
+        self.assertEqual(await self.ask(server), (200, b"ok"))
+        self.assertEqual(server.connections, 2)
+
+    async def test_cut_answers(self):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        cases = (
+            (b"", Fault.RESET),
+            (b"HTTP/1.1 20", Fault.TRUNCATED),
+            (head + b"half", Fault.TRUNCATED),
+            (chunked + b"4\r\nhalf\r\n", Fault.TRUNCATED),
+            (b"what is this\r\n\r\n", Fault.MALFORMED),
+        )
+        for data, fault in cases:
+            with self.subTest(data=data):
+
+                async def handle(peer, data=data):
+                    await peer.read_message()
+                    await peer.send(data)
+
+                server = await self.start(handle)
+                with self.assertRaises(Broken) as caught:
+                    await self.ask(server)
+                self.assertEqual(caught.exception.fault, fault)
+
+    async def test_answer_without_length_ends_with_its_connection(self):
+        async def handle(peer):
+            await peer.read_message()
+            await peer.send(b"HTTP/1.1 200 OK\r\n\r\nall of it")
+
+        server = await self.start(handle)
+        self.assertEqual(await self.ask(server), (200, b"all of it"))
+
+    async def test_answer_without_length_that_is_reset_is_cut(self):
+        async def handle(peer):
+            await peer.read_message()
+            await peer.send(b"HTTP/1.1 200 OK\r\n\r\nsome of it")
+            await asyncio.sleep(0.02)
+            peer.reset()
+
+        server = await self.start(handle)
+        with self.assertRaises(Broken) as caught:
+            await self.ask(server)
+        self.assertEqual(caught.exception.fault, Fault.TRUNCATED)
+
+    async def test_informational_answers_are_passed_over(self):
+        async def handle(peer):
+            await peer.read_message()
+            await peer.send(b"HTTP/1.1 100 Continue\r\n\r\n" + build_answer())
+
+        server = await self.start(handle)
+        self.assertEqual(await self.ask(server), (200, b"ok"))
+
+    async def test_refused_connection_proves_that_nothing_was_sent(self):
+        async def handle(peer):
+            return
+
+        server = await self.start(handle)
+        await server.stop()
+        with self.assertRaises(Broken) as caught:
+            await self.pool.take(server.address)
+        self.assertEqual(caught.exception.fault, Fault.UNREACHABLE)
+
+    async def test_announced_idle_time_is_kept(self):
+        async def handle(peer):
+            while True:
+                await peer.read_message()
+                await peer.send(build_answer())
+
+        server = await self.start(handle)
+        connection = await self.pool.take(server.address)
+        connection.note_keep(0.0)
+        connection.send(REQUEST)
+        await connection.read_head()
+        await connection.read_body()
+        self.pool.give_back(server.address, connection)
+        await self.ask(server)
+        self.assertEqual(server.connections, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/magnoliarouter/web/ingress.py
+++ b/magnoliarouter/web/ingress.py
@@ -322,7 +322,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """One header field."""
         assert self._incoming is not None
-        self._incoming.fields.append((name, value))
+        self._incoming.fields.append((name, value.rstrip(b" \t")))
 
     def on_headers_complete(self) -> None:
         """End of the head."""
@@ -348,6 +348,9 @@
         incoming, self._incoming = self._incoming, None
         assert incoming is not None
         self._header_bytes = 0
+        if self._parser.should_upgrade():
+            # What follows would not be HTTP; the parser says so next.
+            return
         self._queue.append(
             IngressRequest(
                 self._parser.get_method(),
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -259,7 +259,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """One header field."""
-        self._fields.append((name, value))
+        self._fields.append((name, value.rstrip(b" \t")))
 
     def on_headers_complete(self) -> None:
         """End of the head."""
