Move experts only where steps are long, and take charge of the maps sooner

Change: switches only while steps exceed half of the shortest pause called late; a found group is read at once; lease of 2 s; a refusal after endpoints refused says to come back after as long as the outage has lasted.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -45,8 +45,9 @@
 STORE_TIMEOUT_S = 0.8
 # A watch confirms the configuration from when it was sent, so two of them must fit into the
 # age at which keys are honoured.
-CONFIGURATION_WAIT_S = 1.5
-ENDPOINTS_WAIT_S = 1.5
+CONFIGURATION_WAIT_S = 2.0
+# Longer than the span after which a disturbed daemon counts as in touch would miss a silent path.
+ENDPOINTS_WAIT_S = 2.2
 # Several daemons that lost the store come back one after the other.
 FIRST_BACKOFF_S = 0.1
 LAST_BACKOFF_S = 0.5
@@ -61,13 +62,14 @@
 LISTEN_AFTER_TERM_S = 3.5
 GRACE_MARGIN_S = 0.6
 PEER_KIND = "gateway-daemons"
-# The daemon in charge of the expert maps renews every second; a longer lease would leave the maps
-# alone for longer when it dies.
+# A longer lease would leave the maps alone for longer when the daemon in charge dies or stands
+# still; popularity changes every few seconds.
 MAPS_LEASE = "expert-maps"
-MAPS_LEASE_S = 3.0
-CHARGE_CHECK_S = 0.5
-CHARGE_SILENCE_S = 2.0
-CHARGE_STAGGER_S = 0.5
+MAPS_LEASE_S = 2.0
+CHARGE_CHECK_S = 0.25
+# Two renewals of a peer's message lost, and one on its way.
+CHARGE_SILENCE_S = 1.2
+CHARGE_STAGGER_S = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -256,7 +258,8 @@
             service = self.config.services.get(endpoint.service)
             profile = service.profile if service is not None else None
             if profile is not None and profile.experts is not None:
-                ranks.append((endpoint, profile.experts))
+                pause = self.config.find_pause(endpoint.service)
+                ranks.append((endpoint, replace(profile.experts, pause_s=pause)))
         return ranks
 
     @staticmethod
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -17,6 +17,9 @@
 FULL_SPAN_S = 0.15
 # What another daemon said of its load is forgotten when it was not renewed for so long.
 PEER_LOAD_SPAN_S = 1.5
+# A group forms anew in 0.6 s; callers wait 8 s and come back once within a third of it.
+LEAST_OUTAGE_S = 0.6
+MOST_OUTAGE_S = 4.0
 # Another zone is this many requests worse: a hop costs little beside a place in a batch.
 ZONE_BIAS = 0.3
 
@@ -73,6 +76,7 @@
     _services: dict[str, dict[str, Endpoint]] = field(default_factory=dict)
     _full_until: dict[str, float] = field(default_factory=dict)
     _peers: dict[str, _PeerLoad] = field(default_factory=dict)
+    _served_at: dict[str, float] = field(default_factory=dict)
 
     def put(self, endpoint: Endpoint) -> None:
         """Take an endpoint as it is now."""
@@ -111,6 +115,19 @@
         """Note that an endpoint refused a request for want of room."""
         self._full_until[identity] = now + FULL_SPAN_S
 
+    def note_served(self, endpoint: Endpoint, now: float) -> None:
+        """Note that an endpoint served a request."""
+        self.outliers.note_success(endpoint.identity)
+        self._served_at[endpoint.service] = now
+
+    def guess_return(self, service: str, now: float) -> float:
+        """Return the seconds after which a service that serves nothing may serve again.
+
+        An outage lasts on about as long as it has lasted.
+        """
+        since = now - self._served_at.get(service, now)
+        return min(max(since, LEAST_OUTAGE_S), MOST_OUTAGE_S)
+
     def take_peer_load(self, peer: str, loads: dict[str, int], now: float) -> None:
         """Take the requests that another daemon has at each endpoint."""
         self._peers[peer] = _PeerLoad(now, loads)
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -187,7 +187,8 @@
             return NotRun(ResultCode.DEADLINE_EXCEEDED, "no endpoint took it in time")
         if progress.unreachable >= MAX_UNREACHABLE:
             reason = f"{progress.unreachable} endpoints could not be connected to"
-            return NotRun(ResultCode.ENDPOINT_UNREACHABLE, reason, ROOM_RETRY_S)
+            wait_s = self._table.guess_return(call.service, self._clock())
+            return NotRun(ResultCode.ENDPOINT_UNREACHABLE, reason, wait_s)
         return recheck()
 
     def _check_send(
@@ -235,7 +236,9 @@
             code = last.code if last.ran is not False else ResultCode.ENDPOINT_ERROR
             return Unknown(code, last.reason)
         if last is not None and (refusal is None or refusal.code is ResultCode.DEADLINE_EXCEEDED):
-            return NotRun(last.code, last.reason, ROOM_RETRY_S)
+            return NotRun(
+                last.code, last.reason, self._table.guess_return(call.service, self._clock())
+            )
         return refusal or self._explain(call.service)
 
     @staticmethod
@@ -312,7 +315,7 @@
             if connection is not None:
                 self._pool.give_back(endpoint.address, connection)
         if isinstance(result, Completed):
-            self._table.outliers.note_success(endpoint.identity)
+            self._table.note_served(endpoint, self._clock())
         return result
 
     async def _read_answer(
--- a/magnoliarouter/gateway/mapduty.py
+++ b/magnoliarouter/gateway/mapduty.py
@@ -25,6 +25,9 @@
 IDLE_READ_EVERY_S = 1.5
 # Choices below which nothing can be told; a busy rank makes a million in a second.
 LEAST_CHOICES = 50_000
+# Part of the shortest pause called late up to which steps are left alone: half of it leaves room
+# for a burst, a prompt being read, and the way to the caller.
+COMFORTABLE_SHARE = 0.5
 # How often the duty looks for groups that came or went.
 LOOK_EVERY_S = 0.5
 # A group that forms anew is back after 0.6 s, and asking all ranks is priced.
@@ -91,10 +94,11 @@
         """Balance one group until it forms anew or the lease is lost."""
         while group.rows is not None and self.fence() == self._lease:
             plan, total = None, self._sum_choices(group)
-            if sum(total) >= LEAST_CHOICES:
+            if sum(total) >= LEAST_CHOICES and self._is_slow(group):
                 plan = plan_map(group.rows, total, len(group.ranks), self._profiles[group.name])
             if plan is None:
-                idle = sum(total) < LEAST_CHOICES
+                # A group that was just found has no earlier counts to compare with.
+                idle = bool(group.choices) and sum(total) < LEAST_CHOICES
                 await asyncio.sleep(IDLE_READ_EVERY_S if idle else READ_EVERY_S)
                 await group.read_choices()
                 continue
@@ -107,6 +111,11 @@
                 )
                 await asyncio.sleep(READ_EVERY_S)
 
+    def _is_slow(self, group: GroupKeeper) -> bool:
+        """Return whether steps are so long that copies of experts are worth their price."""
+        pause_s = self._profiles[group.name].pause_s
+        return pause_s is None or group.step_s > COMFORTABLE_SHARE * pause_s
+
     def _sum_choices(self, group: GroupKeeper) -> list[int]:
         """Return the last choices of all groups of the same size of map.
 
@@ -151,6 +160,7 @@
             log_event("map_recovery_abandoned", group=name, reason=str(error))
             return
         if well:
+            await group.read_choices()
             self.groups[name] = group
             log_event("group_found", group=name, ranks=len(endpoints), epoch=group.epoch)
             self._tasks[name] = asyncio.get_running_loop().create_task(self._tend(group))
--- a/magnoliarouter/gateway/routes.py
+++ b/magnoliarouter/gateway/routes.py
@@ -107,6 +107,8 @@
         Experts of a set that a rank takes at once.
     copy_s : float
         Time in which a rank fetches one expert.
+    pause_s : float, optional
+        Shortest pause between events that some route calls late.
     """
 
     sets: int
@@ -114,6 +116,7 @@
     places: int
     spare: int
     copy_s: float
+    pause_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,6 +221,8 @@
         Customers by key; None where no key is asked for at all.
     limits : RequestLimits
         Bounds on callers.
+    pauses : dict of str to list of float
+        Pauses that routes call late, by service.
     """
 
     version: int
@@ -225,6 +230,11 @@
     services: dict[str, Service]
     tenants: dict[str, Tenant] | None
     limits: RequestLimits
+    pauses: dict[str, list[float]] = field(default_factory=dict)
+
+    def find_pause(self, service: str) -> float | None:
+        """Return the shortest pause that a route to a service calls late, if any does."""
+        return min(self.pauses.get(service, ()), default=None)
 
     def urgency_of(self, route: Route, tenant: Tenant | None) -> int:
         """Return the urgency of a request; the customer's goes before the route's."""
--- a/magnoliarouter/platform/configuration.py
+++ b/magnoliarouter/platform/configuration.py
@@ -102,9 +102,15 @@
     """
     raw = check_value(value, _Config)
     limits = raw.limits
+    routes = [_decode_route(route) for route in raw.routes]
+    pauses: dict[str, list[float]] = {}
+    for route in routes:
+        for service, _ in route.shares:
+            if route.pause_s is not None:
+                pauses.setdefault(service, []).append(route.pause_s)
     return GatewayConfig(
         raw.version,
-        RouteTable.build(_decode_route(route) for route in raw.routes),
+        RouteTable.build(routes),
         {service.name: _decode_service(service) for service in raw.services},
         _decode_tenants(raw.tenants),
         RequestLimits(
@@ -113,6 +119,7 @@
             limits.header_timeout_ms / 1000,
             limits.idle_timeout_ms / 1000,
         ),
+        pauses,
     )
 
 
--- /dev/null
+++ b/magnoliarouter/tests/test_gateway_parts.py
@@ -0,0 +1,232 @@
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from magnoliarouter.core.retries import SharedRetryBudget
+from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
+from magnoliarouter.gateway.frames import FrameSplitter
+from magnoliarouter.gateway.freshness import Freshness
+from magnoliarouter.gateway.routes import (
+    GatewayConfig,
+    RequestLimits,
+    Route,
+    RouteKind,
+    RouteTable,
+    Tenant,
+)
+from magnoliarouter.gateway.waiting import MAX_WAITING, WaitingRoom
+from magnoliarouter.tests.clock import run_jumping
+
+
+def build_route(name, prefix, host="h", shares=(("app", 1.0),), urgency=3):
+    return Route(name, host, prefix, RouteKind.SAFE, shares, 1.0, 0.2, urgency)
+
+
+class RouteTest(unittest.TestCase):
+    def test_longest_prefix_of_the_host(self):
+        table = RouteTable.build(
+            [build_route("a", "/a/"), build_route("ab", "/a/b/"), build_route("o", "/", "other")]
+        )
+        found = [
+            table.find(host, path)
+            for host, path in (("h", "/a/b/c"), ("h", "/a/bc"), ("h", "/"), ("other", "/a/"))
+        ]
+        self.assertEqual([route and route.name for route in found], ["ab", "a", None, "o"])
+
+    def test_share_of_services_follows_weights(self):
+        route = build_route("a", "/", shares=(("one", 90), ("two", 10)))
+        picked = [route.pick_service(b"%d" % number) for number in range(5000)]
+        self.assertAlmostEqual(picked.count("two") / 5000, 0.1, delta=0.02)
+        self.assertEqual(route.pick_service(b"7"), route.pick_service(b"7"))
+
+    def test_customers_urgency_goes_first(self):
+        config = GatewayConfig(1, RouteTable(), {}, {}, RequestLimits(1, 1, 1, 1))
+        route = build_route("a", "/", urgency=3)
+        urgencies = [
+            config.urgency_of(route, tenant)
+            for tenant in (None, Tenant("t"), Tenant("t", 0), Tenant("t", 99))
+        ]
+        self.assertEqual(urgencies, [3, 3, 0, 9])
+
+
+class FreshnessTest(unittest.TestCase):
+    def test_confirmation_counts_from_when_it_was_asked_for(self):
+        fresh = Freshness(key_age_s=4.0, absence_age_s=3.0)
+        self.assertFalse(fresh.honours_keys(0.0))
+        fresh.confirm(10.0)
+        fresh.confirm(9.0)
+        self.assertEqual((fresh.honours_keys(13.9), fresh.honours_keys(14.0)), (True, False))
+        self.assertEqual((fresh.proves_absence(12.9), fresh.proves_absence(13.0)), (True, False))
+
+
+class FrameTest(unittest.TestCase):
+    def test_any_cut_gives_whole_events_only(self):
+        data = b"".join(b"id: %d\r\ndata: x\r\n\r\n" % number for number in range(20))
+        for seed in range(30):
+            chooser, splitter, passed, start = random.Random(seed), FrameSplitter(), b"", 0
+            while start < len(data):
+                size = chooser.randint(1, 40)
+                passed += splitter.feed(data[start : start + size])
+                start += size
+                self.assertTrue(not passed or passed.endswith(b"\r\n\r\n"))
+            self.assertEqual((passed, splitter.last_id), (data, b"19"))
+
+    def test_part_of_an_event_is_dropped_before_going_on(self):
+        splitter = FrameSplitter()
+        splitter.feed(b"id: 1\n\nid: 2\nda")
+        splitter.restart()
+        self.assertEqual(splitter.feed(b"id: 2\ndata: whole\n\n"), b"id: 2\ndata: whole\n\n")
+
+
+class BudgetTest(unittest.TestCase):
+    def test_daemons_together_keep_the_bound_in_every_window(self):
+        ratio, slack, window, daemons = 0.2, 90.0, 10.0, 9
+        chooser = random.Random(1)
+        budgets = [SharedRetryBudget(ratio, slack, window, daemons) for _ in range(daemons)]
+        requests, repeats = [], []
+        for tick in range(4000):
+            now = tick * 0.01
+            for budget in budgets:
+                if chooser.random() < 0.1:
+                    budget.note_request("app", now)
+                    requests.append(now)
+                if chooser.random() < 0.5 and budget.take("app", now):
+                    repeats.append(now)
+        for start in range(30):
+            taken = sum(start <= at < start + window for at in repeats)
+            asked = max(
+                sum(start - back <= at < start - back + window for at in requests)
+                for back in (0.0, window / 2, window)
+            )
+            self.assertLessEqual(taken, ratio * asked + slack)
+        self.assertGreater(len(repeats), 100)
+
+    def test_services_have_budgets_of_their_own(self):
+        budget = SharedRetryBudget(0.0, 2.0, 10.0)
+        self.assertEqual([budget.take("a", 0.0) for _ in range(2)], [True, False])
+        self.assertTrue(budget.take("b", 0.0))
+
+
+class TableTest(unittest.TestCase):
+    def setUp(self):
+        self.table = EndpointTable("z1", random.Random(1))
+        for name, zone in (("a", "z1"), ("b", "z1"), ("c", "z2")):
+            self.table.put(Endpoint(name, "app", f"{name}:1", zone, 2))
+
+    def choose(self, tried=(), now=0.0):
+        endpoint = self.table.choose("app", set(tried), now)
+        return endpoint and endpoint.identity
+
+    def test_least_loaded_counts_other_daemons(self):
+        self.table.begin("a")
+        self.table.take_peer_load("peer", {"b": 1, "c": 2}, 0.0)
+        self.assertIn(self.choose(), "ab")
+        self.table.begin("a")
+        self.assertEqual(self.choose(), "b")
+        self.table.begin("b")
+        self.assertIsNone(self.choose())
+        self.assertEqual(self.choose(now=5.0), "c")
+
+    def test_draining_and_tried_endpoints_are_left_out(self):
+        self.table.put(Endpoint("a", "app", "a:1", "z1", 2, draining=True))
+        self.assertEqual(self.choose(tried=["b"]), "c")
+        self.assertIsNone(self.choose(tried=["b", "c"]))
+
+    def test_full_endpoint_is_passed_over_for_a_while(self):
+        self.table.note_full("a", 0.0)
+        self.assertNotEqual(self.choose(tried=["c"]), "a")
+        self.assertEqual(self.choose(tried=["b", "c"]), "a")
+
+    def test_endpoint_that_cannot_be_connected_to_is_ejected(self):
+        self.table.outliers.note_failure("a", 0.0, at_once=True)
+        self.assertNotIn("a", {self.choose(now=0.1) for _ in range(20)})
+
+
+class WaitingTest(unittest.TestCase):
+    def run_room(self, scenario):
+        async def main():
+            loop = asyncio.get_running_loop()
+            table = EndpointTable("z1")
+            table.put(Endpoint("a", "app", "a:1", "z1", 1))
+            return await scenario(table, WaitingRoom(table, loop.time), loop)
+
+        return run_jumping(main())
+
+    def test_places_go_by_urgency_then_arrival(self):
+        async def scenario(table, room, loop):
+            order = []
+
+            async def call(name, urgency):
+                endpoint = await room.take("app", set(), urgency, 5.0)
+                order.append(name)
+                await asyncio.sleep(0.01)
+                table.end(endpoint.identity)
+                room.wake()
+
+            first = loop.create_task(call("first", 5))
+            await asyncio.sleep(0)
+            rest = [("late", 5), ("later", 5), ("urgent", 0)]
+            await asyncio.gather(first, *(call(*arguments) for arguments in rest))
+            return order, dict(table.own)
+
+        order, own = self.run_room(scenario)
+        self.assertEqual((order, own), (["first", "urgent", "late", "later"], {}))
+
+    def test_wait_ends_in_its_time(self):
+        async def scenario(table, room, loop):
+            table.begin("a")
+            began = loop.time()
+            place = await room.take("app", set(), 1, 0.3)
+            return place, loop.time() - began, room.length("app"), table.own
+
+        place, seconds, length, own = self.run_room(scenario)
+        self.assertIsNone(place)
+        self.assertAlmostEqual(seconds, 0.3, delta=0.01)
+        self.assertEqual((length, own), (0, {"a": 1}))
+
+    def test_queue_is_bounded(self):
+        async def scenario(table, room, loop):
+            table.begin("a")
+            waiting = [
+                loop.create_task(room.take("app", set(), 1, 1.0)) for _ in range(MAX_WAITING)
+            ]
+            await asyncio.sleep(0.01)
+            began = loop.time()
+            place = await room.take("app", set(), 1, 1.0)
+            seconds = loop.time() - began
+            await asyncio.gather(*waiting)
+            return place, seconds
+
+        self.assertEqual(self.run_room(scenario), (None, 0.0))
+
+    def test_caller_that_leaves_gives_its_place_back(self):
+        async def scenario(table, room, loop):
+            table.begin("a")
+            task = loop.create_task(room.take("app", set(), 1, 5.0))
+            await asyncio.sleep(0.01)
+            table.end("a")
+            room.wake()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return dict(table.own), room.length("app")
+
+        self.assertEqual(self.run_room(scenario), ({}, 0))
+
+    def test_place_another_daemon_reports_free_is_taken_after_a_while(self):
+        async def scenario(table, room, loop):
+            table.take_peer_load("peer", {"a": 1}, loop.time())
+            task = loop.create_task(room.take("app", set(), 1, 5.0))
+            await asyncio.sleep(0.001)
+            table.take_peer_load("peer", {}, loop.time())
+            room.wake_later()
+            at_once = task.done()
+            await asyncio.sleep(0.06)
+            return at_once, task.done()
+
+        self.assertEqual(self.run_room(scenario), (False, True))
+
+
+if __name__ == "__main__":
+    unittest.main()
