--- a/magnoliarouter/tests/clock.py
+++ b/magnoliarouter/tests/clock.py
@@ -78,3 +78,13 @@
     """Run a coroutine on a `JumpingLoop` and return its result."""
     with asyncio.Runner(loop_factory=JumpingLoop) as runner:
         return runner.run(main)
+
+
+async def wait_until(condition: Callable[[], bool], seconds: float = 5.0) -> None:
+    """Wait until a condition holds on a loop whose time passes, or fail."""
+    step = 0.02
+    for _ in range(int(seconds / step)):
+        if condition():
+            return
+        await asyncio.sleep(step)
+    raise AssertionError(f"condition did not hold within {seconds} s")
--- /dev/null
+++ b/magnoliarouter/tests/test_gateway.py
@@ -0,0 +1,252 @@
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+
+import msgspec
+
+from magnoliarouter.daemon.gateway import GatewayDaemon
+from magnoliarouter.gateway.settings import GatewayBounds, GatewaySettings
+from magnoliarouter.platform.main import INTERFACE
+from magnoliarouter.tests.clock import wait_until
+from magnoliarouter.tests.platform_standin import EngineStandin, StoreStandin, build_configuration
+from magnoliarouter.tests.raw_server import RawPeer
+
+
+def find_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class GatewayTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = await StoreStandin().start()
+        self.addCleanup(self.store.server.abort_all)
+        self.addCleanup(self.store.server.stop_listening)
+        await self.store.put("config", "main", build_configuration())
+        self.engine = await self.add_engine("e1")
+
+    async def add_engine(self, name, **changes):
+        engine = await EngineStandin(name).start()
+        self.addAsyncCleanup(engine.server.stop)
+        await self.store.put("servers", name, engine.entry(**changes))
+        return engine
+
+    async def start(self, name="front-1", **bounds):
+        addresses = [f"127.0.0.1:{find_port()}" for _ in range(3)]
+        settings = GatewaySettings(
+            name=name,
+            zone="zone-1",
+            listen=addresses[0],
+            ready=addresses[1],
+            peers=addresses[2],
+            store=self.store.address,
+            bounds=GatewayBounds(**bounds),
+        )
+        daemon = GatewayDaemon(settings, INTERFACE)
+        await daemon.start()
+        self.addAsyncCleanup(self.end, daemon)
+        return daemon
+
+    async def end(self, daemon):
+        for task in (*daemon._tasks, *daemon._maps.list_tasks()):
+            task.cancel()
+        daemon._peers.close()
+        for server in (daemon._server, daemon._ready_server):
+            server.stop_listening()
+            server.abort_all()
+        daemon._pool.close()
+        daemon._store_pool.close()
+
+    async def ask(self, daemon, path="/a/x", key="key-1", request_id="r1", host="h.example"):
+        peer = await RawPeer.connect(daemon.settings.listen)
+        self.addCleanup(peer.close)
+        fields = f"Host: {host}\r\nX-Request-Id: {request_id}\r\nX-Deadline-Ms: 1500\r\n"
+        if key:
+            fields += f"Authorization: Bearer {key}\r\n"
+        await peer.send(f"GET {path} HTTP/1.1\r\n{fields}\r\n".encode())
+        head, body = await asyncio.wait_for(peer.read_message(), 5.0)
+        return int(head.split()[1]), head, body
+
+    async def is_ready(self, daemon):
+        peer = await RawPeer.connect(daemon.settings.ready)
+        self.addCleanup(peer.close)
+        await peer.send(b"GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        return " 200 " in (await peer.read_message())[0]
+
+    async def wait_ready(self, daemon, ready=True, seconds=5.0):
+        for _ in range(int(seconds / 0.02)):
+            if await self.is_ready(daemon) is ready:
+                return
+            await asyncio.sleep(0.02)
+        self.fail(f"not ready within {seconds} s")
+
+    async def test_whole_path(self):
+        daemon = await self.start()
+        await self.wait_ready(daemon)
+        status, head, body = await self.ask(daemon)
+        self.assertEqual((status, body), (200, b"e1"))
+        self.assertIn("X-Server-Stamp: s1", head)
+        self.assertIn("X-Tenant: tenant-1", self.engine.heads[0])
+        statuses = [
+            (await self.ask(daemon, **changes))[0]
+            for changes in ({"path": "/none"}, {"host": "x"}, {"key": "other"}, {"key": None})
+        ]
+        self.assertEqual(statuses, [404, 404, 401, 401])
+        self.assertEqual(len(self.engine.heads), 1)
+
+    async def test_nothing_is_denied_before_a_configuration_is_known(self):
+        self.store.fault = "busy"
+        daemon = await self.start()
+        status, head, _ = await self.ask(daemon)
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After: 0.", head)
+        self.assertFalse(await self.is_ready(daemon))
+        self.store.fault = ""
+        await self.wait_ready(daemon)
+
+    async def test_newer_configuration_is_in_force_at_once(self):
+        daemon = await self.start()
+        await self.wait_ready(daemon)
+        await self.store.put("config", "main", build_configuration(5, ("key-2",), ("/b/",)))
+        await asyncio.sleep(0.1)
+        cases = (("/b/x", "key-2"), ("/b/x", "key-1"), ("/a/x", "key-2"))
+        statuses = [(await self.ask(daemon, path, key))[0] for path, key in cases]
+        self.assertEqual(statuses, [200, 401, 404])
+
+    async def test_older_or_malformed_configuration_changes_nothing(self):
+        daemon = await self.start()
+        await self.store.put("config", "main", build_configuration(7))
+        await self.wait_ready(daemon)
+        for value in (build_configuration(6, ("old",)), {"version": "x"}, None, 5):
+            await self.store.put("config", "main", value if value is not None else [])
+            await asyncio.sleep(0.05)
+            self.assertEqual((await self.ask(daemon))[0], 200)
+
+    async def test_keys_are_dropped_when_the_store_is_silent_for_long(self):
+        daemon = await self.start(revocation_s=1.0)
+        await self.wait_ready(daemon)
+        self.store.fault = "silent"
+        self.store.server.abort_all()
+        await asyncio.sleep(0.8)
+        status, head, body = await self.ask(daemon)
+        self.assertEqual(status, 503)
+        self.assertIn(b"configuration_stale", body)
+        self.assertFalse(await self.is_ready(daemon))
+
+    async def test_unknown_routes_are_not_denied_on_an_old_configuration(self):
+        daemon = await self.start()
+        await self.wait_ready(daemon)
+        daemon.freshness.absence_age_s = 0.0
+        self.assertEqual((await self.ask(daemon, "/none"))[0], 503)
+        self.assertEqual((await self.ask(daemon, key="other"))[0], 503)
+
+    async def test_draining_and_removed_engines_get_nothing(self):
+        other = await self.add_engine("e2")
+        daemon = await self.start()
+        await self.wait_ready(daemon)
+        await self.store.put("servers", "e1", self.engine.entry("draining"))
+        await asyncio.sleep(0.1)
+        for _ in range(4):
+            self.assertEqual((await self.ask(daemon))[2], b"e2")
+        await self.store.put("servers", "e1", self.engine.entry())
+        await self.store.put("servers", "e2", None)
+        await asyncio.sleep(0.1)
+        for _ in range(4):
+            self.assertEqual((await self.ask(daemon))[2], b"e1")
+        self.assertEqual(len(other.heads), 4)
+
+    async def test_malformed_entries_name_no_engine(self):
+        entries = {
+            "bad-1": {"service": "app"},
+            "bad-2": self.engine.entry(slots="6"),
+            "bad-3": self.engine.entry(state="asleep"),
+            "bad-4": self.engine.entry(address="nowhere"),
+            "bad-5": "text",
+        }
+        for name, entry in entries.items():
+            await self.store.put("servers", name, entry)
+        daemon = await self.start()
+        await self.wait_ready(daemon)
+        self.assertEqual([endpoint.identity for endpoint in daemon.table.list()], ["e1"])
+        await self.store.put("servers", "e1", {"service": 5})
+        await asyncio.sleep(0.1)
+        self.assertEqual((await self.ask(daemon))[0], 503)
+
+    async def test_lost_history_is_listed_anew(self):
+        daemon = await self.start()
+        await self.wait_ready(daemon)
+        self.store.fault = "gap"
+        for number in range(5):
+            await self.add_engine(f"f{number}")
+        await self.store.put("servers", "e1", None)
+        await asyncio.sleep(1.0)
+        names = sorted(endpoint.identity for endpoint in daemon.table.list())
+        self.assertEqual(names, [f"f{number}" for number in range(5)])
+
+    async def test_entries_that_lapse_with_the_store_are_kept_for_a_while(self):
+        daemon = await self.start()
+        await self.wait_ready(daemon)
+        self.store.fault = "silent"
+        self.store.server.abort_all()
+        await asyncio.sleep(0.3)
+        self.store.store.write("servers", "e1", None, None)
+        self.store.fault = ""
+        self.store.server.abort_all()
+        await wait_until(lambda: not daemon._endpoints.failures)
+        await asyncio.sleep(0.1)
+        self.assertEqual((await self.ask(daemon))[0], 200)
+        await asyncio.sleep(2.2)
+        self.assertEqual((await self.ask(daemon))[0], 503)
+
+    async def test_stopping_daemon_finishes_its_work(self):
+        slow = await EngineStandin("slow", delay=0.5).start()
+        self.addAsyncCleanup(slow.server.stop)
+        await self.store.put("servers", "e1", None)
+        await self.store.put("servers", "slow", slow.entry())
+        daemon = await self.start(grace_s=2.0)
+        await self.wait_ready(daemon)
+        asking = asyncio.create_task(self.ask(daemon))
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(daemon.stop())
+        await asyncio.sleep(0.05)
+        self.assertFalse(await self.is_ready(daemon))
+        status, head, _ = await asking
+        self.assertEqual(status, 200)
+        self.assertIn("Connection: close", head)
+        self.assertEqual((await self.ask(daemon, request_id="r2"))[0], 200)
+        await asyncio.wait_for(stopping, 5.0)
+
+    async def test_daemons_learn_each_others_loads(self):
+        first, second = await self.start("front-1"), await self.start("front-2")
+        for daemon in (first, second):
+            await self.wait_ready(daemon)
+        daemons = (first, second)
+        await wait_until(lambda: all(one._peers.count_daemons() == 2 for one in daemons))
+        first.table.begin("e1")
+        first._peers.note_change()
+        clock = asyncio.get_running_loop().time
+        await wait_until(lambda: second.table.load_of("e1", clock()) == 1)
+
+    async def test_one_daemon_takes_charge_of_the_maps(self):
+        first, second = await self.start("front-1"), await self.start("front-2")
+        await wait_until(lambda: first._lease.epoch() or second._lease.epoch())
+        await asyncio.sleep(1.0)
+        held = [daemon._lease.epoch() for daemon in (first, second)]
+        self.assertEqual(sorted(held, key=str), [1, None])
+
+    async def test_malformed_datagrams_are_ignored(self):
+        daemon = await self.start()
+        host, port = daemon.settings.peers.split(":")
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for data in (b"", b"\xc1", msgspec.msgpack.encode(["x"]), b"\x94" * 50):
+                sender.sendto(data, (host, int(port)))
+        await asyncio.sleep(0.1)
+        self.assertEqual(daemon._peers.count_daemons(), 1)
+        await self.wait_ready(daemon)
+
+
+if __name__ == "__main__":
+    unittest.main()
