--- a/magnoliarouter/platform/registry.py
+++ b/magnoliarouter/platform/registry.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from magnoliarouter.gateway.endpoints import Endpoint
-from magnoliarouter.store.validation import check_value
+from magnoliarouter.store.validation import ValidationFailure, check_value
 
 __all__ = ["REGISTRY_KIND", "decode_entry"]
 
@@ -33,8 +33,6 @@
     entry = check_value(value, _Entry)
     host, _, port = entry.address.rpartition(":")
     if not host or not port.isdigit() or entry.slots < 1:
-        from magnoliarouter.store.validation import ValidationFailure
-
         raise ValidationFailure(f"address is {entry.address!r}, slots is {entry.slots}")
     return Endpoint(
         name, entry.service, entry.address, entry.zone, entry.slots, entry.state == "draining"
