Give places to calls that can be on time before late ones; read counts only while steps are long

Change: the waiting room puts calls that have passed half of their target behind the others; the step alone is watched while steps are short, and maps are evened out hard only when steps exceed 0.7 of the shortest pause called late.

--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -17,8 +17,9 @@
 FULL_SPAN_S = 0.15
 # What another daemon said of its load is forgotten when it was not renewed for so long.
 PEER_LOAD_SPAN_S = 1.5
-# A group forms anew in 0.6 s; callers wait 8 s and come back once within a third of it.
-LEAST_OUTAGE_S = 0.6
+# A rank that is back lets its group form anew in 0.6 s, and is seldom back within a second; callers
+# wait 8 s and come back once within a third of it.
+LEAST_OUTAGE_S = 2.0
 MOST_OUTAGE_S = 4.0
 # Another zone is this many requests worse: a hop costs little beside a place in a batch.
 ZONE_BIAS = 0.3
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -32,13 +32,16 @@
 
 # Endpoints that could not be connected to, after which a call is refused as not run.
 MAX_UNREACHABLE = 4
-# A refusal for want of room names about the time in which a place becomes free.
-ROOM_RETRY_S = 0.3
+# A refusal for want of room names about the time in which a full queue is served.
+ROOM_RETRY_S = 0.8
 # An endpoint that is silent for so long before or between events has failed or stands still;
 # callers leave after two seconds.
 SILENCE_S = 1.2
-# Part of a route's target after which a call that got no place is refused: a later start is late.
-WAIT_SHARE = 1.5
+# Targets after which a call that got no place is refused; callers leave after five.
+WAIT_SHARE = 3.0
+# Part of the target within which a call must get its place to be answered on time: a stream's
+# first event takes some 0.2 s of 0.4 s.
+FRESH_SHARE = 0.5
 # Part of the time left that the first attempt of a repeatable request gets.
 FIRST_TRY_SHARE = 0.5
 MIN_TRY_S = 0.1
@@ -150,7 +153,11 @@
             if refusal is not None:
                 return await self._give_up(call, exchange, progress, refusal)
             endpoint = await self._waiting.take(
-                call.service, progress.tried, call.urgency, self._limit_wait(call)
+                call.service,
+                progress.tried,
+                call.urgency,
+                self._limit_wait(call),
+                call.began + FRESH_SHARE * call.route.target_s,
             )
             if endpoint is None:
                 return await self._give_up(call, exchange, progress, self._explain(call.service))
--- a/magnoliarouter/gateway/groups.py
+++ b/magnoliarouter/gateway/groups.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from magnoliarouter.gateway.ranks import Arm, Go, Hold, Order, OrderResult, Prepare
@@ -72,7 +72,7 @@
     step: int = 0
     step_s: float = USUAL_STEP_S
     choices: tuple[int, ...] = ()
-    _last_step: tuple[float, int] | None = None
+    _last_steps: dict[str, tuple[float, int]] = field(default_factory=dict)
     _last_counts: tuple[int, ...] | None = None
     _unanswered: int = 0
 
@@ -105,13 +105,24 @@
         if counts.epoch != self.epoch:
             self.rows = None
             return False
-        self._note_step(counts.step)
+        self._note_step("counts", counts.step)
         last, self._last_counts = self._last_counts, counts.counts
         if last is None or len(last) != len(counts.counts):
             return False
         self.choices = tuple(max(0, now - before) for now, before in zip(counts.counts, last))
         return True
 
+    async def read_step(self) -> None:
+        """Take the group's step, which costs far less than its counts do."""
+        report = await self.client.read_report(self.ranks[min(self.ranks)].address)
+        self._last_counts, self.choices = None, ()
+        if report is None:
+            return
+        if report.epoch != self.epoch or not report.open:
+            self.rows = None
+            return
+        self._note_step("report", report.step)
+
     async def recover(self, reports: Iterable[RankReport]) -> bool:
         """Finish a switch that another daemon left behind, and return whether all is well."""
         reports = list(reports)
@@ -253,10 +264,11 @@
             self.rows = None
             raise SwitchAbandoned("the group formed anew")
 
-    def _note_step(self, step: int) -> None:
+    def _note_step(self, source: str, step: int) -> None:
+        """Take a step; those of reports are older than those of counts."""
         now, self.step = self.clock(), step
-        if self._last_step is not None:
-            seconds, steps = now - self._last_step[0], step - self._last_step[1]
+        if source in self._last_steps:
+            seconds, steps = now - self._last_steps[source][0], step - self._last_steps[source][1]
             if steps > 0:
                 self.step_s = min(0.5, max(0.005, seconds / steps))
-        self._last_step = (now, step)
+        self._last_steps = {source: (now, step)}
--- a/magnoliarouter/gateway/mapduty.py
+++ b/magnoliarouter/gateway/mapduty.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from magnoliarouter.gateway.groups import GroupKeeper, SwitchAbandoned
-from magnoliarouter.gateway.mapplan import plan_map
+from magnoliarouter.gateway.mapplan import EASY, HARD, MapEffort, plan_map
 from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -21,6 +21,8 @@
 
 # Popularity changes every few seconds, and each read from afar costs the group a pause.
 READ_EVERY_S = 0.5
+# Time between the first two reads, in which a busy rank makes some 300,000 choices.
+FIRST_READ_S = 0.3
 # Without traffic there is nothing to balance.
 IDLE_READ_EVERY_S = 1.5
 # Choices below which nothing can be told; a busy rank makes a million in a second.
@@ -28,6 +30,8 @@
 # Part of the shortest pause called late up to which steps are left alone: half of it leaves room
 # for a burst, a prompt being read, and the way to the caller.
 COMFORTABLE_SHARE = 0.5
+# Part above which a burst makes events late.
+STRAINED_SHARE = 0.7
 # How often the duty looks for groups that came or went.
 LOOK_EVERY_S = 0.5
 # A group that forms anew is back after 0.6 s, and asking all ranks is priced.
@@ -94,13 +98,12 @@
         """Balance one group until it forms anew or the lease is lost."""
         while group.rows is not None and self.fence() == self._lease:
             plan, total = None, self._sum_choices(group)
-            if sum(total) >= LEAST_CHOICES and self._is_slow(group):
-                plan = plan_map(group.rows, total, len(group.ranks), self._profiles[group.name])
+            effort = self._choose_effort(group)
+            if sum(total) >= LEAST_CHOICES and effort is not None:
+                profile = self._profiles[group.name]
+                plan = plan_map(group.rows, total, len(group.ranks), profile, effort)
             if plan is None:
-                # A group that was just found has no earlier counts to compare with.
-                idle = bool(group.choices) and sum(total) < LEAST_CHOICES
-                await asyncio.sleep(IDLE_READ_EVERY_S if idle else READ_EVERY_S)
-                await group.read_choices()
+                await self._watch(group, effort, sum(total))
                 continue
             version = self._take_version()
             try:
@@ -111,17 +114,33 @@
                 )
                 await asyncio.sleep(READ_EVERY_S)
 
-    def _is_slow(self, group: GroupKeeper) -> bool:
-        """Return whether steps are so long that copies of experts are worth their price."""
+    async def _watch(self, group: GroupKeeper, effort: MapEffort | None, choices: int) -> None:
+        """Wait for a while and learn how the group fares."""
+        if effort is None:
+            await asyncio.sleep(READ_EVERY_S)
+            await group.read_step()
+        elif group.choices:
+            await asyncio.sleep(IDLE_READ_EVERY_S if choices < LEAST_CHOICES else READ_EVERY_S)
+            await group.read_choices()
+        else:
+            # There are no earlier counts to compare with.
+            await group.read_choices()
+            await asyncio.sleep(FIRST_READ_S)
+            await group.read_choices()
+
+    def _choose_effort(self, group: GroupKeeper) -> MapEffort | None:
+        """Return how even the map should be, or None while steps are short enough as they are."""
         pause_s = self._profiles[group.name].pause_s
-        return pause_s is None or group.step_s > COMFORTABLE_SHARE * pause_s
+        if pause_s is None or group.step_s > STRAINED_SHARE * pause_s:
+            return HARD
+        return EASY if group.step_s > COMFORTABLE_SHARE * pause_s else None
 
     def _sum_choices(self, group: GroupKeeper) -> list[int]:
         """Return the last choices of all groups of the same size of map.
 
         Callers are spread over all groups, so each group's choices tell of all.
         """
-        size = len(group.choices)
+        size = max(len(other.choices) for other in self.groups.values())
         known = [other.choices for other in self.groups.values() if len(other.choices) == size]
         return [sum(column) for column in zip(*known)]
 
--- a/magnoliarouter/gateway/mapplan.py
+++ b/magnoliarouter/gateway/mapplan.py
@@ -17,12 +17,10 @@
     from magnoliarouter.gateway.ranks import Row
     from magnoliarouter.gateway.routes import ExpertProfile
 
-__all__ = ["MapPlan", "plan_map"]
+__all__ = ["EASY", "HARD", "MapEffort", "MapPlan", "plan_map"]
 
-# Most loaded rank over the mean. Sets below are left alone: with the map of a second ago, sets
-# whose experts did not change stand at 1.1 to 1.3 in every trace.
-SKEW_WORTH_A_MOVE = 1.35
-SKEW_GOOD_ENOUGH = 1.1
+# Most loaded rank over the mean. With the map of a second ago, sets whose experts did not change
+# stand at 1.1 to 1.3 in every trace.
 # Three to six changes a set gave the same mean skew in replays of a trace; four move fewest.
 CHANGES_A_SET = 4
 # Copies of a rank for one switch, each of 0.15 s: what is popular changes every few seconds, so two
@@ -32,6 +30,26 @@
 LEAST_SAVING = 0.1
 
 
+@dataclass(frozen=True, slots=True)
+class MapEffort:
+    """How even a map should be; every copy of an expert has its price.
+
+    Parameters
+    ----------
+    worth_a_move : float
+        Skew up to which a set is left alone.
+    good_enough : float
+        Skew at which no further change is made.
+    """
+
+    worth_a_move: float
+    good_enough: float
+
+
+HARD = MapEffort(1.35, 1.1)
+EASY = MapEffort(1.7, 1.35)
+
+
 @dataclass(frozen=True, slots=True)
 class MapPlan:
     """Next map of a group.
@@ -56,7 +74,11 @@
 
 
 def plan_map(
-    rows: tuple[Row, ...], counts: Sequence[int], ranks: int, profile: ExpertProfile
+    rows: tuple[Row, ...],
+    counts: Sequence[int],
+    ranks: int,
+    profile: ExpertProfile,
+    effort: MapEffort = HARD,
 ) -> MapPlan | None:
     """Return the map to switch to, or None if none is worth it.
 
@@ -70,6 +92,8 @@
         Ranks of the group.
     profile : ExpertProfile
         Places of a rank, and how many new experts it takes at once.
+    effort : MapEffort
+        How even the map should be.
     """
     states, planned = [], list(rows)
     for index, row in enumerate(rows):
@@ -80,9 +104,11 @@
     skews = [_skew(state) for state in states]
     fetched, after = [0] * ranks, sum(skews)
     for index in sorted(range(len(rows)), key=skews.__getitem__, reverse=True):
-        if skews[index] <= SKEW_WORTH_A_MOVE:
+        if skews[index] <= effort.worth_a_move:
             break
-        changed, skew = _improve(states[index], rows[index], fetched, profile.spare)
+        changed, skew = _improve(
+            states[index], rows[index], fetched, profile.spare, effort.good_enough
+        )
         for rank in _list_fetches(rows[index], changed):
             fetched[rank] += 1
         planned[index] = changed
@@ -93,7 +119,9 @@
     return MapPlan(tuple(planned), sum(fetched), max(fetched), sum(skews) / sets, after / sets)
 
 
-def _improve(state: LayerState, row: Row, fetched: list[int], spare: int) -> tuple[Row, float]:
+def _improve(
+    state: LayerState, row: Row, fetched: list[int], spare: int, good_enough: float
+) -> tuple[Row, float]:
     """Return the set after some changes, and its skew.
 
     Parameters
@@ -106,10 +134,12 @@
         Experts that each rank has to fetch already for other sets.
     spare : int
         Experts of one set that a rank takes at once.
+    good_enough : float
+        Skew at which no further change is made.
     """
     best, skew = row, _skew(state)
     for _ in range(CHANGES_A_SET):
-        change = state.find_change() if skew > SKEW_GOOD_ENOUGH else None
+        change = state.find_change() if skew > good_enough else None
         if change is None:
             break
         state.apply(change)
--- a/magnoliarouter/gateway/waiting.py
+++ b/magnoliarouter/gateway/waiting.py
@@ -1,15 +1,15 @@
 """Queue of calls for which no endpoint has a place yet.
 
 A call waits here rather than at an endpoint, so that it goes to whichever endpoint has a place
-first. Places are handed out by urgency, then in the order of arrival.
+first. Places are handed out by urgency, then to calls that can still be answered on time, in the
+order of arrival, and then to late ones: under overload all would be late otherwise.
 """
 
 from __future__ import annotations
 
 import asyncio
-import heapq
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from itertools import count
 from typing import TYPE_CHECKING
 
@@ -22,7 +22,7 @@
 
 # Calls that wait at one daemon for one service; the places of its endpoints are shared by all
 # daemons, so a longer queue would not end within the wait.
-MAX_WAITING = 12
+MAX_WAITING = 8
 # A place that another daemon reports free is left to that daemon's own calls for a while; all
 # daemons at once would send more calls there than it has places.
 YIELD_S = (0.01, 0.05)
@@ -30,12 +30,17 @@
 RECHECK_S = 0.1
 
 
-@dataclass(order=True, slots=True)
+@dataclass(slots=True, eq=False)
 class _Waiter:
     urgency: int
     number: int
-    tried: set[str] = field(compare=False)
-    place: asyncio.Future[Endpoint | None] = field(compare=False)
+    fresh_until: float
+    tried: set[str]
+    place: asyncio.Future[Endpoint | None]
+
+    def rank(self, now: float) -> tuple[int, bool, int]:
+        """Return what orders waiting calls; the least goes first."""
+        return self.urgency, now > self.fresh_until, self.number
 
 
 class WaitingRoom:
@@ -62,7 +67,12 @@
         return len(self._queues.get(service, ()))
 
     async def take(
-        self, service: str, tried: set[str], urgency: int, wait_s: float
+        self,
+        service: str,
+        tried: set[str],
+        urgency: int,
+        wait_s: float,
+        fresh_until: float = float("inf"),
     ) -> Endpoint | None:
         """Return an endpoint at which a place was taken, or None if there is none in time.
 
@@ -76,6 +86,8 @@
             0 goes first.
         wait_s : float
             Longest wait in seconds.
+        fresh_until : float
+            Loop time until which a place is in time for an answer that is not late.
         """
         if not self._queues.get(service):
             endpoint = self._choose(service, tried)
@@ -86,8 +98,8 @@
         if not self._table.is_known(service):
             return None
         place = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(urgency, next(self._numbers), tried, place)
-        heapq.heappush(self._queues.setdefault(service, []), waiter)
+        waiter = _Waiter(urgency, next(self._numbers), fresh_until, tried, place)
+        self._queues.setdefault(service, []).append(waiter)
         self._watch()
         try:
             async with asyncio.timeout(wait_s):
@@ -101,10 +113,11 @@
         """Hand out the places that have become free."""
         for service, queue in self._queues.items():
             while queue:
-                endpoint = self._choose(service, queue[0].tried)
+                waiter = min(queue, key=lambda one: one.rank(self._clock()))
+                endpoint = self._choose(service, waiter.tried)
                 if endpoint is None:
                     break
-                waiter = heapq.heappop(queue)
+                queue.remove(waiter)
                 if waiter.place.done():
                     self._table.end(endpoint.identity)
                 else:
@@ -130,7 +143,6 @@
         queue = self._queues[service]
         if waiter in queue:
             queue.remove(waiter)
-            heapq.heapify(queue)
         elif waiter.place.done() and not waiter.place.cancelled():
             # The place came in the same turn as the end of the wait or the caller's leaving.
             task = asyncio.current_task()
--- a/magnoliarouter/tests/test_gateway_parts.py
+++ b/magnoliarouter/tests/test_gateway_parts.py
@@ -174,6 +174,23 @@
         order, own = self.run_room(scenario)
         self.assertEqual((order, own), (["first", "urgent", "late", "later"], {}))
 
+    def test_late_calls_go_behind_those_that_can_be_on_time(self):
+        async def scenario(table, room, loop):
+            order = []
+
+            async def call(name, fresh_s):
+                endpoint = await room.take("app", set(), 5, 5.0, loop.time() + fresh_s)
+                order.append(name)
+                await asyncio.sleep(0.2)
+                table.end(endpoint.identity)
+                room.wake()
+
+            calls = [("first", 1.0), ("late", 0.1), ("later", 0.1), ("on time", 1.0)]
+            await asyncio.gather(*(call(*arguments) for arguments in calls))
+            return order
+
+        self.assertEqual(self.run_room(scenario), ["first", "on time", "late", "later"])
+
     def test_wait_ends_in_its_time(self):
         async def scenario(table, room, loop):
             table.begin("a")
