Explain a request from log lines, bound the logs, and show a gateway's beliefs

Logs went through a file object that waits for its reader, and a request's endpoint, load and configuration stood nowhere.

--- /dev/null
+++ b/magnoliarouter/cli/explain.py
@@ -0,0 +1,168 @@
+"""Command ``explain``: the story of one request out of the daemons' log lines."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from cleo.helpers import argument, option
+
+from magnoliarouter.cli.output import OperatorCommand
+from magnoliarouter.cli.result import Done, ExitCode, Failed
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from cleo.commands.command import Command
+
+__all__ = ["Story", "commands", "tell"]
+
+# A belief counts as close to a request if it changed within this time of it: what was believed
+# longer ago shows in the request's own lines.
+NEAR_S = 5.0
+HIDDEN = {"timestamp", "task_uuid", "task_level", "message_type", "request_id"}
+ENDPOINT_BELIEFS = {
+    "endpoint_seen",
+    "endpoint_draining",
+    "endpoint_gone",
+    "endpoint_held",
+    "endpoint_malformed",
+    "endpoint_suspected",
+}
+DAEMON_BELIEFS = {
+    "configuration_applied",
+    "configuration_older",
+    "feed_lost",
+    "feed_regained",
+    "maps_lease_lost",
+    "maps_lease_won",
+    "started",
+    "stopping",
+    "broken_off_at_stop",
+    "log_lines_dropped",
+}
+
+
+class Story(msgspec.Struct):
+    """Lines about one request.
+
+    Parameters
+    ----------
+    lines : list of dict
+        The request's lines and the beliefs near them, in order of time; ``daemon`` names the
+        source.
+    passed_over : int
+        Lines that are not of this program.
+    """
+
+    lines: list[dict[str, Any]]
+    passed_over: int = 0
+
+
+def tell(request_id: str, sources: Iterable[tuple[str, Iterable[str]]]) -> Story:
+    """Return the story of a request.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the request.
+    sources : iterable of (str, iterable of str)
+        Name and lines of each daemon's log.
+    """
+    story = Story([])
+    for name, lines in sources:
+        decoded = []
+        for line in lines:
+            message = _decode(line)
+            if message is None:
+                story.passed_over += bool(line.strip())
+            else:
+                decoded.append({**message, "daemon": name})
+        story.lines += _select(request_id, decoded)
+    story.lines.sort(key=lambda message: message["timestamp"])
+    return story
+
+
+def _decode(line: str) -> dict[str, Any] | None:
+    # Collectors may put a time and a name in front of a line.
+    start = line.find("{")
+    if start < 0:
+        return None
+    try:
+        message = msgspec.json.decode(line[start:])
+    except (msgspec.MsgspecError, ValueError):
+        return None
+    if not isinstance(message, dict) or "message_type" not in message:
+        return None
+    return message if isinstance(message.get("timestamp"), int | float) else None
+
+
+def _select(request_id: str, messages: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    own = [message for message in messages if message.get("request_id") == request_id]
+    if not own:
+        return []
+    first = min(message["timestamp"] for message in own) - NEAR_S
+    last = max(message["timestamp"] for message in own)
+    touched = {message["endpoint"] for message in own if message.get("endpoint")}
+    near = [
+        message
+        for message in messages
+        if first <= message["timestamp"] <= last
+        and (
+            message["message_type"] in DAEMON_BELIEFS
+            or (message["message_type"] in ENDPOINT_BELIEFS and message.get("endpoint") in touched)
+        )
+    ]
+    return own + near
+
+
+class Explain(OperatorCommand):
+    """Command ``explain``."""
+
+    name = "explain"
+    description = "Tell what happened to one request, from log lines of one or more daemons"
+    arguments = [
+        argument("request", "Id of the request"),
+        argument("files", "Log files; standard input if none", optional=True, multiple=True),
+    ]
+    options = [option("json", None, "Print one JSON value instead of lines")]
+
+    def handle(self) -> int:
+        """Read the lines and print the story."""
+        files = self.argument("files")
+        try:
+            sources = [
+                (path, Path(path).read_text(encoding="utf-8", errors="replace").splitlines())
+                for path in files
+            ]
+        except OSError as error:
+            message = f"cannot read log {error.filename}: {error.strerror}"
+            return self.report(Failed(ExitCode.USAGE, message))
+        if not files:
+            sources = [("-", sys.stdin.read().splitlines())]
+        story = tell(self.argument("request"), sources)
+        if not story.lines:
+            message = f"no line about request {self.argument('request')!r}"
+            return self.report(Failed(ExitCode.NOT_FOUND, message))
+        text = "\n".join(_format(message, story.lines[0]["timestamp"]) for message in story.lines)
+        if story.passed_over:
+            text += f"\n{story.passed_over} other lines were passed over"
+        return self.report(Done(text, msgspec.to_builtins(story)))
+
+
+def commands() -> list[Command]:
+    """Return the commands of this module."""
+    return [Explain()]
+
+
+def _format(message: dict[str, Any], start: float) -> str:
+    shown = {
+        name: value
+        for name, value in message.items()
+        if name not in HIDDEN and name != "daemon" and value not in ("", None)
+    }
+    fields = " ".join(f"{name}={value}" for name, value in shown.items())
+    seconds = message["timestamp"] - start
+    return f"{seconds:+9.3f} s {message['daemon']} {message['message_type']}: {fields}"
--- a/magnoliarouter/cli/main.py
+++ b/magnoliarouter/cli/main.py
@@ -24,10 +24,12 @@
     "codes",
     "contract",
     "endpoint",
+    "explain",
     "group",
     "key",
     "model",
     "service",
+    "settings",
     "status",
 )
 
--- a/magnoliarouter/cli/status.py
+++ b/magnoliarouter/cli/status.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
+from urllib.request import urlopen
 
 import msgspec
-from cleo.helpers import option
+from cleo.helpers import argument, option
 
 from magnoliarouter.cli.confirmation import ask_daemons, list_daemons
 from magnoliarouter.cli.output import SHARED_OPTIONS, OperatorCommand, explain, format_table
-from magnoliarouter.cli.result import CommandResult, Done, ExitCode
+from magnoliarouter.cli.result import CommandResult, Done, ExitCode, Failed
 from magnoliarouter.cli.view import encode_value
 from magnoliarouter.peers.status import StatusReply, StatusRequest
 from magnoliarouter.store.client import Unavailable
@@ -22,6 +23,8 @@
 
 __all__ = ["commands"]
 
+# A daemon answers its status at once; one that does not in this time stands still.
+STATUS_TIMEOUT_S = 3.0
 DAEMON_HEADERS = ("daemon", "zone", "state", "source", "contracts", "version", "age s", "problems")
 
 
@@ -47,9 +50,52 @@
         return Done(text, value, ExitCode.NOT_FOUND if chosen and not replies else code)
 
 
+class GatewayStatus(OperatorCommand):
+    """Command ``status gateway``."""
+
+    name = "status gateway"
+    description = "Show what one gateway daemon believes: configuration, store, endpoints, groups"
+    arguments = [argument("address", "Status address of the daemon, HOST:PORT")]
+    options = [option("json", None, "Print one JSON value instead of tables")]
+
+    def handle(self) -> int:
+        """Ask the daemon and print its answer."""
+        address = self.argument("address")
+        try:
+            with urlopen(f"http://{address}/status", timeout=STATUS_TIMEOUT_S) as answer:
+                value = msgspec.json.decode(answer.read())
+        except (OSError, ValueError, msgspec.MsgspecError) as error:
+            message = f"daemon at {address!r} gives no status: {error}"
+            return self.report(Failed(ExitCode.UNAVAILABLE, message))
+        return self.report(Done(_format_gateway(value), value))
+
+
 def commands() -> list[Command]:
     """Return the commands of this module."""
-    return [Status()]
+    return [Status(), GatewayStatus()]
+
+
+def _format_gateway(value: dict[str, Any]) -> str:
+    configuration = value["configuration"]
+    lines = [
+        f"{value['name']} in {value['zone']}: {'ready' if value['ready'] else 'not ready'}",
+        f"configuration {configuration['version']}, confirmed {configuration['age_s']} s ago",
+        f"{value['daemons']} daemons; in charge of expert maps: {value['in_charge']}",
+    ]
+    for kind, feed in value["store"].items():
+        state = f"failing: {feed['reason']}" if feed["failures"] else "served"
+        lines.append(f"store, {kind}: {state}, last {feed['served_s_ago']} s ago")
+    endpoints = [
+        (name, one["service"], one["zone"], one["state"], f"{one['load']}/{one['slots']}")
+        for name, one in value["endpoints"].items()
+    ]
+    lines.append(format_table(("endpoint", "service", "zone", "state", "load"), endpoints))
+    groups = [
+        (name, one["epoch"], one["map"], one["step"]) for name, one in value["groups"].items()
+    ]
+    if groups:
+        lines.append(format_table(("group", "epoch", "map", "step"), groups))
+    return "\n".join(lines)
 
 
 def _format(replies: dict[str, StatusReply | PeerError]) -> str:
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
@@ -169,6 +170,9 @@
         self._open_maps(start)
         self._server = IngressServer(handler.handle, handler.count_rejected)
         self._ready_server = IngressServer(self._answer_ready)
+        self._status_server = IngressServer(self._answer_status)
+        if settings.status:
+            await self._status_server.start(*_split(settings.status))
         await self._ready_server.start(*_split(settings.ready))
         self.port = await self._server.start(*_split(settings.listen))
 
@@ -375,6 +379,63 @@
         else:
             await exchange.send(200 if self.is_ready() else 503, [], b"")
 
+    async def _answer_status(self, exchange: IngressExchange) -> None:
+        match exchange.request.target:
+            case b"/metrics":
+                await exchange.send(200, [(b"Content-Type", b"text/plain")], self.metrics.render())
+            case b"/status":
+                body = msgspec.json.encode(self.describe())
+                await exchange.send(200, [(b"Content-Type", b"application/json")], body)
+            case _:
+                await exchange.send(404, [], b"")
+
+    def describe(self) -> dict[str, Any]:
+        """Return what this daemon believes, for operators."""
+        now = self._loop.time()
+        outliers, groups = self.table.outliers, self._maps.groups.values()
+        return {
+            "name": self.settings.name,
+            "zone": self.settings.zone,
+            "ready": self.is_ready(),
+            "leaving": self.leaving,
+            "configuration": {
+                "version": self.config.version if self.config else None,
+                "age_s": _round(self.freshness.age(now)),
+                "honours_keys": self.freshness.honours_keys(now),
+            },
+            "store": {
+                feed.kind: {
+                    "failures": feed.failures,
+                    "reason": feed.reason if feed.failures else "",
+                    "served_s_ago": (
+                        None if feed.served_at is None else _round(now - feed.served_at)
+                    ),
+                    "refused": feed.errors,
+                }
+                for feed in (self._configuration, self._endpoints)
+            },
+            "endpoints": {
+                endpoint.identity: {
+                    "service": endpoint.service,
+                    "zone": endpoint.zone,
+                    "load": self.table.load_of(endpoint.identity, now),
+                    "slots": endpoint.slots,
+                    "state": (
+                        "draining"
+                        if endpoint.draining
+                        else "suspected" if outliers.is_ejected(endpoint.identity, now) else "ready"
+                    ),
+                }
+                for endpoint in self.table.list()
+            },
+            "daemons": self._peers.count_daemons(),
+            "in_charge": self._lease.epoch() is not None,
+            "groups": {
+                group.name: {"epoch": group.epoch, "map": group.version, "step": group.step}
+                for group in groups
+            },
+        }
+
     def is_ready(self) -> bool:
         """Return whether callers should come here."""
         now = self._loop.time()
@@ -391,6 +452,11 @@
     return host, int(port)
 
 
+def _round(seconds: float) -> float | None:
+    """Return seconds for JSON, which knows no infinity."""
+    return round(seconds, 2) if math.isfinite(seconds) else None
+
+
 def _open_backoff() -> Backoff:
     return Backoff(FIRST_BACKOFF_S, LAST_BACKOFF_S)
 
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -181,6 +181,24 @@
             if result.sent:
                 self._metrics.retries.labels(_name(result)).inc()
 
+    def _log_send(self, call: GatewayCall, endpoint: Endpoint, progress: _Progress) -> None:
+        now = self._clock()
+        if progress.sends == 1:
+            self._metrics.queued.observe(now - call.began)
+        log_event(
+            "attempt",
+            request_id=call.terms.request_id.decode("latin-1"),
+            attempt=progress.sends,
+            endpoint=endpoint.identity,
+            zone=endpoint.zone,
+            load=self._table.load_of(endpoint.identity, now),
+            slots=endpoint.slots,
+            version=call.version,
+            waited=round(now - call.began, 4),
+            left=round(call.deadline - now, 4),
+            after_event=(progress.splitter.last_id or b"").decode("latin-1"),
+        )
+
     def _check(
         self,
         call: GatewayCall,
@@ -285,6 +303,7 @@
             reason=result.reason,
             ran=result.ran,
             waited=round(now - call.began, 4),
+            important=True,
         )
 
     def _note_ejection(self, endpoint: Endpoint, now: float, at_once: bool) -> None:
@@ -314,6 +333,7 @@
                 call, endpoint.identity, left, progress.splitter.last_id
             )
             progress.sends += 1
+            self._log_send(call, endpoint, progress)
             connection.send(_encode_request(call, fields), call.method == b"HEAD")
             result = await self._read_answer(call, exchange, connection, progress)
         except Broken as error:
@@ -427,6 +447,7 @@
             return _Failed(ResultCode.WRONG_ATTEMPT, "answer without a signature", None)
         splitter = progress.splitter
         splitter.restart()
+        last = self._clock()
         while True:
             part = await self._read_part(call, connection, progress)
             if isinstance(part, _Failed):
@@ -436,10 +457,14 @@
             events = splitter.feed(part)
             if not events:
                 continue
+            now = self._clock()
             if exchange.started:
+                self._metrics.inter_token.observe(now - last)
                 await exchange.write(events)
             else:
+                self._metrics.first_token.observe(now - call.began)
                 exchange.start(200, terms.passed, events)
+            last = now
         if not exchange.started:
             exchange.start(200, terms.passed, bytes(splitter.rest))
         elif splitter.rest:
--- a/magnoliarouter/gateway/handler.py
+++ b/magnoliarouter/gateway/handler.py
@@ -35,7 +35,10 @@
 TRIP_MARGIN_S = 0.015
 # Another daemon may know the configuration when this one does not.
 UNSURE_RETRY_S = 0.2
+# A caller honours a wait of up to this part of the time that it has left.
 MAX_RETRY_SHARE = 1 / 3
+# Without any confirmation the age is infinite, which is no JSON.
+MAX_AGE_SHOWN_S = 1e6
 
 
 class GatewayHandler:
@@ -200,7 +203,11 @@
             status=outcome.status if isinstance(outcome, Completed) else 0,
             reason="" if isinstance(outcome, Completed) else outcome.reason,
             seconds=round(self._clock() - call.began, 4) if call else 0.0,
+            age=round(min(self._freshness.age(self._clock()), MAX_AGE_SHOWN_S), 2),
+            important=not isinstance(outcome, Completed),
         )
+        if call is not None and isinstance(outcome, Completed):
+            self._metrics.answered.observe(self._clock() - call.began)
 
     def count_rejected(self, code: ResultCode) -> None:
         """Record a request that the HTTP server refused."""
--- a/magnoliarouter/gateway/settings.py
+++ b/magnoliarouter/gateway/settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 from msgspec import Meta
@@ -63,6 +63,8 @@
         Address for datagrams between gateway daemons.
     store : str
         Address of the platform's object store.
+    status : str
+        Address at which metrics and the daemon's status are served; empty for none.
     bounds : GatewayBounds
         What operators were promised.
     """
@@ -73,4 +75,5 @@
     ready: HostPort
     peers: HostPort
     store: HostPort
+    status: HostPort | Literal[""] = ""
     bounds: GatewayBounds = GatewayBounds()
--- a/magnoliarouter/platform/main.py
+++ b/magnoliarouter/platform/main.py
@@ -51,9 +51,12 @@
     except SettingsError as error:
         print(f"magnoliarouter: {error}", file=sys.stderr)
         return EXIT_SETTINGS
-    open_log("-")
+    daemon = GatewayDaemon(settings, INTERFACE)
+    drops = daemon.metrics.log_drops
+    sink = open_log("-", lambda reason, lines: drops.labels(reason).inc(lines))
     with asyncio.Runner(loop_factory=BootClockLoop) as runner:
-        runner.run(_run(GatewayDaemon(settings, INTERFACE), path))
+        runner.run(_run(daemon, path))
+    sink.flush()
     return EXIT_OK
 
 
--- a/magnoliarouter/platform/settings.py
+++ b/magnoliarouter/platform/settings.py
@@ -17,6 +17,8 @@
 PATH_VARIABLE = "MAGNOLIAROUTER_BOOT"
 # First port of those for traffic between daemons.
 PEER_PORT = 0
+# Named in deploy/system.toml as well.
+STATUS_PORT = 9464
 
 
 class _Listen(msgspec.Struct):
@@ -97,6 +99,7 @@
         ready=file.listen.ready,
         peers=f"{file.ip}:{file.port_range[PEER_PORT]}",
         store=file.platform.address,
+        status=f"{file.ip}:{STATUS_PORT}",
         bounds=GatewayBounds(
             drain_s=bounds.drain_ms / 1000,
             configuration_s=bounds.config_ms / 1000,
--- a/magnoliarouter/telemetry/logs.py
+++ b/magnoliarouter/telemetry/logs.py
@@ -2,28 +2,39 @@
 
 from __future__ import annotations
 
+import os
 import sys
-from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import eliot
 
+from magnoliarouter.telemetry.sink import LineSink
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 __all__ = ["log_event", "open_log"]
 
 
-def open_log(path: str) -> None:
+def open_log(
+    path: str, on_drop: Callable[[str, int], None] = lambda reason, lines: None
+) -> LineSink:
     """Send all log messages to a file as JSON lines.
 
     Parameters
     ----------
     path : str
         File to append to; ``"-"`` is standard output.
+    on_drop : callable, optional
+        Called with the reason and number of lines dropped.
     """
     if path == "-":
-        eliot.to_file(sys.stdout)
-        return
-    stream = Path(path).open("a", buffering=1, encoding="utf-8")  # noqa: SIM115 - open for life
-    eliot.to_file(stream)
+        descriptor = sys.stdout.fileno()
+    else:
+        descriptor = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
+    sink = LineSink(descriptor, on_drop=on_drop)
+    eliot.add_destinations(sink)
+    return sink
 
 
 def log_event(event: str, **fields: Any) -> None:
@@ -34,6 +45,7 @@
     event : str
         Kind of event, such as ``"request"``.
     **fields
-        JSON-serializable details, such as ``request_id`` or ``code``.
+        JSON-serializable details, such as ``request_id`` or ``code``. ``important=True`` keeps
+        the line when there are too many.
     """
     eliot.log_message(message_type=event, **fields)
--- a/magnoliarouter/telemetry/metrics.py
+++ b/magnoliarouter/telemetry/metrics.py
@@ -37,6 +37,10 @@
         Answers dropped because they belong to no attempt in progress, by reason.
     first_token, inter_token : Histogram
         Seconds to the first token and between tokens.
+    queued, answered : Histogram
+        Seconds that a request waited for a place, and until its answer was complete.
+    log_drops : Counter
+        Log lines that were not written, by reason.
     in_flight : Gauge
         Requests in progress.
     """
@@ -59,6 +63,13 @@
         self.inter_token = self.add_histogram(
             "inter_token_seconds", "Time between tokens", INTER_TOKEN_BUCKETS_S
         )
+        self.queued = self.add_histogram(
+            "queued_seconds", "Time waiting for a place at an endpoint", FIRST_TOKEN_BUCKETS_S
+        )
+        self.answered = self.add_histogram(
+            "answered_seconds", "Time to the end of the answer", FIRST_TOKEN_BUCKETS_S
+        )
+        self.log_drops = self.add_counter("log_lines_dropped", "Log lines not written", "reason")
         self.in_flight = self.add_gauge("in_flight", "Requests in progress")
         for code in ResultCode:
             self.refusals.labels(code.name.lower())
--- a/magnoliarouter/tests/test_gateway.py
+++ b/magnoliarouter/tests/test_gateway.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from magnoliarouter.cli.status import _format_gateway
 from magnoliarouter.daemon.gateway import GatewayDaemon
 from magnoliarouter.gateway.settings import GatewayBounds, GatewaySettings
 from magnoliarouter.platform.main import INTERFACE
@@ -35,13 +36,14 @@
         return engine
 
     async def start(self, name="front-1", **bounds):
-        addresses = [f"127.0.0.1:{find_port()}" for _ in range(3)]
+        addresses = [f"127.0.0.1:{find_port()}" for _ in range(4)]
         settings = GatewaySettings(
             name=name,
             zone="zone-1",
             listen=addresses[0],
             ready=addresses[1],
             peers=addresses[2],
+            status=addresses[3],
             store=self.store.address,
             bounds=GatewayBounds(**bounds),
         )
@@ -54,7 +56,7 @@
         for task in (*daemon._tasks, *daemon._maps.list_tasks()):
             task.cancel()
         daemon._peers.close()
-        for server in (daemon._server, daemon._ready_server):
+        for server in (daemon._server, daemon._ready_server, daemon._status_server):
             server.stop_listening()
             server.abort_all()
         daemon._pool.close()
@@ -237,6 +239,24 @@
         held = [daemon._lease.epoch() for daemon in (first, second)]
         self.assertEqual(sorted(held, key=str), [1, None])
 
+    async def test_status_and_metrics(self):
+        daemon = await self.start()
+        await self.wait_ready(daemon)
+        await self.ask(daemon)
+        bodies = {}
+        for path in ("/status", "/metrics", "/none"):
+            peer = await RawPeer.connect(daemon.settings.status)
+            self.addCleanup(peer.close)
+            await peer.send(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            head, bodies[path] = await peer.read_message()
+            self.assertEqual(" 404 " in head, path == "/none")
+        status = msgspec.json.decode(bodies["/status"])
+        self.assertEqual(status["configuration"]["version"], 1)
+        self.assertEqual(status["endpoints"]["e1"]["state"], "ready")
+        counted = b'magnoliarouter_requests_total{code="ok",outcome="completed"} 1.0'
+        self.assertIn(counted, bodies["/metrics"])
+        self.assertIn("ready", _format_gateway(status))
+
     async def test_malformed_datagrams_are_ignored(self):
         daemon = await self.start()
         host, port = daemon.settings.peers.split(":")
