Take no request that a stopping daemon could not finish

Change: while leaving, a connection ends with its answer whatever the head said, and from 2.8 s after SIGTERM on, when the balancer has moved away, requests are refused as not run. Tests: both cases failed before.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -61,6 +61,8 @@
 PEERS_REFRESH_S = 10.0
 # The balancer in front asks once a second and needs two refusals.
 LISTEN_AFTER_TERM_S = 3.5
+# Two refusals of readiness take at most so long; what comes later could not be finished in time.
+TAKE_AFTER_TERM_S = 2.8
 GRACE_MARGIN_S = 0.6
 PEER_KIND = "gateway-daemons"
 # A longer lease would leave the maps alone for longer when the daemon in charge dies or stands
@@ -163,7 +165,7 @@
             self.metrics,
             self._peers.note_change,
         )
-        handler = GatewayHandler(
+        self._handler = handler = GatewayHandler(
             lambda: self.config, self.freshness, interface.headers, forwarder, clock, self.metrics
         )
         self._open_feeds()
@@ -189,6 +191,7 @@
         began = self._loop.time()
         self.leaving = True
         self._server.start_leaving()
+        self._handler.refuse_from = began + TAKE_AFTER_TERM_S
         self._tasks.append(self._loop.create_task(self._unregister()))
         await asyncio.sleep(LISTEN_AFTER_TERM_S)
         self._server.stop_listening()
--- a/magnoliarouter/gateway/handler.py
+++ b/magnoliarouter/gateway/handler.py
@@ -58,6 +58,11 @@
         Loop time in seconds.
     metrics : Metrics
         Counters of requests and refusals.
+
+    Attributes
+    ----------
+    refuse_from : float
+        Loop time from which requests are refused, since they could not be finished.
     """
 
     def __init__(
@@ -75,6 +80,7 @@
         self._forwarder = forwarder
         self._clock = clock
         self._metrics = metrics
+        self.refuse_from = float("inf")
 
     async def handle(self, exchange: IngressExchange) -> None:
         """Answer one request."""
@@ -102,6 +108,9 @@
     def admit(self, request: IngressRequest, terms: RequestTerms) -> GatewayCall | NotRun:
         """Return the call that a request makes, or why it is refused."""
         now, config = self._clock(), self._config()
+        if now >= self.refuse_from:
+            reason = "this daemon is stopping"
+            return NotRun(ResultCode.DRAINING, reason, UNSURE_RETRY_S)
         if config is None:
             reason = "this daemon has no configuration yet"
             return NotRun(ResultCode.CONFIGURATION_MISSING, reason, UNSURE_RETRY_S)
--- a/magnoliarouter/tests/test_gateway.py
+++ b/magnoliarouter/tests/test_gateway.py
@@ -221,6 +221,17 @@
         self.assertEqual((await self.ask(daemon, request_id="r2"))[0], 200)
         await asyncio.wait_for(stopping, 5.0)
 
+    async def test_daemon_that_stopped_takes_no_further_request(self):
+        daemon = await self.start(grace_s=5.0)
+        await self.wait_ready(daemon)
+        peer = await RawPeer.connect(daemon.settings.listen)
+        self.addCleanup(peer.close)
+        daemon._handler.refuse_from = asyncio.get_running_loop().time()
+        status, head, body = await self.ask(daemon)
+        self.assertEqual((status, self.engine.heads), (503, []))
+        self.assertIn("Retry-After", head)
+        self.assertIn(b"not_run", body)
+
     async def test_daemons_learn_each_others_loads(self):
         first, second = await self.start("front-1"), await self.start("front-2")
         for daemon in (first, second):
--- a/magnoliarouter/tests/test_ingress.py
+++ b/magnoliarouter/tests/test_ingress.py
@@ -134,6 +134,24 @@
         await self.server.wait_until_idle(1.0)
         self.assertEqual(self.server.active, 0)
 
+    async def test_answer_begun_before_leaving_ends_its_connection_too(self):
+        """Its head promised to keep the connection, but a later request could not be finished."""
+        release = asyncio.Event()
+
+        async def stream(exchange):
+            exchange.start(200, [], b"one")
+            await release.wait()
+            await exchange.finish()
+
+        self.server.handle = stream
+        peer = await self.ask(b"GET /s HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(0.03)
+        self.server.start_leaving()
+        self.server.stop_listening()
+        release.set()
+        answer = await asyncio.wait_for(peer.read_all(), 0.4)
+        self.assertTrue(answer.endswith(b"0\r\n\r\n"))
+
     async def test_expected_continue_is_given(self):
         peer = await self.ask(
             b"POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
--- a/magnoliarouter/web/ingress.py
+++ b/magnoliarouter/web/ingress.py
@@ -406,7 +406,7 @@
             )
         if self.lost:
             return
-        if self.close_after_answer or task.cancelled():
+        if self.close_after_answer or task.cancelled() or self.server.leaving:
             self._transport.close()
             return
         if self._paused and len(self._queue) <= MAX_PIPELINED:
