--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -72,7 +72,7 @@
 CHARGE_CHECK_S = 0.25
 # Two renewals of a peer's message lost, and one on its way.
 CHARGE_SILENCE_S = 1.2
-CHARGE_STAGGER_S = 0.4
+CHARGE_STAGGER_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -269,9 +269,9 @@
                 ranks.append((endpoint, replace(profile.experts, pause_s=pause)))
         return ranks
 
-    @staticmethod
-    def _log_charge(epoch: int | None) -> None:
+    def _log_charge(self, epoch: int | None) -> None:
         log_event("maps_lease_won" if epoch is not None else "maps_lease_lost", epoch=epoch)
+        self._peers.note_change()
 
     async def _stand_for_charge(self) -> None:
         """Ask for the lease while no other daemon says that it holds it.
--- a/magnoliarouter/gateway/peers.py
+++ b/magnoliarouter/gateway/peers.py
@@ -88,6 +88,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
+        self._in_charge = ""
         self._charge_heard = float("-inf")
         self.is_in_charge: Callable[[], bool] = lambda: False
 
@@ -157,7 +158,10 @@
         self._last[message.name] = (message.start, message.number)
         self._heard[message.name] = self._loop.time()
         if message.in_charge:
-            self._charge_heard = self._loop.time()
+            self._in_charge, self._charge_heard = message.name, self._loop.time()
+        elif message.name == self._in_charge:
+            # It lost the lease and says so; its silence need not be waited for.
+            self._in_charge, self._charge_heard = "", float("-inf")
         self._take_loads(message.name, message.loads)
 
     def error_received(self, exc: OSError) -> None:
--- a/magnoliarouter/tests/test_gateway_parts.py
+++ b/magnoliarouter/tests/test_gateway_parts.py
@@ -4,10 +4,13 @@
 import random
 import unittest
 
+import msgspec
+
 from magnoliarouter.core.retries import SharedRetryBudget
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
 from magnoliarouter.gateway.frames import FrameSplitter
 from magnoliarouter.gateway.freshness import Freshness
+from magnoliarouter.gateway.peers import PeerLoads, PeerMessage
 from magnoliarouter.gateway.routes import (
     GatewayConfig,
     RequestLimits,
@@ -144,6 +147,35 @@
         self.assertNotIn("a", {self.choose(now=0.1) for _ in range(20)})
 
 
+class PeersTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.taken = []
+        self.peers = PeerLoads("b", 1, dict, lambda name, loads: self.taken.append((name, loads)))
+
+    def hear(self, name, number, in_charge=False, start=1, loads=None):
+        message = PeerMessage(name, start, number, loads or {}, in_charge)
+        self.peers.datagram_received(msgspec.msgpack.encode(message), ("127.0.0.1", 9))
+
+    async def test_older_messages_of_a_start_are_ignored(self):
+        for number, start in ((1, 1), (3, 1), (2, 1), (1, 2)):
+            self.hear("a", number, start=start, loads={"e": number})
+        self.assertEqual([loads["e"] for _, loads in self.taken], [1, 3, 1])
+
+    async def test_place_among_daemons_heard(self):
+        self.assertEqual((self.peers.place(), self.peers.count_daemons()), (0, 1))
+        self.hear("a", 1)
+        self.hear("c", 1)
+        self.assertEqual((self.peers.place(), self.peers.count_daemons()), (1, 3))
+
+    async def test_daemon_that_says_it_lost_the_lease_is_not_waited_for(self):
+        self.assertEqual(self.peers.silence_in_charge(), float("inf"))
+        self.hear("a", 1, in_charge=True)
+        self.hear("c", 1)
+        self.assertLess(self.peers.silence_in_charge(), 1.0)
+        self.hear("a", 2)
+        self.assertEqual(self.peers.silence_in_charge(), float("inf"))
+
+
 class WaitingTest(unittest.TestCase):
     def run_room(self, scenario):
         async def main():
