Leave a zone that cannot be reached at once

Change: after an endpoint of another zone could not be connected to, the call passes over the rest of that zone. Test fails before.

--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -100,6 +100,16 @@
         """Return all endpoints."""
         return self._known.values()
 
+    def list_beside(self, endpoint: Endpoint) -> set[str]:
+        """Return the endpoints that are likely cut off if one cannot be connected to.
+
+        Those are all of its zone, unless that is this daemon's own.
+        """
+        if endpoint.zone == self.zone:
+            return {endpoint.identity}
+        known = self._services.get(endpoint.service, {})
+        return {name for name, other in known.items() if other.zone == endpoint.zone}
+
     def begin(self, identity: str) -> None:
         """Count a request that is sent to an endpoint."""
         self.own[identity] = self.own.get(identity, 0) + 1
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -287,6 +287,7 @@
         progress.last = result
         if not result.sent:
             progress.unreachable += 1
+            progress.tried |= self._table.list_beside(endpoint)
             self._note_ejection(endpoint, now, at_once=True)
         elif result.ran is False:
             self._table.note_full(endpoint.identity, now)
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -286,6 +286,21 @@
         self.assertEqual(outcome.code, ResultCode.DEADLINE_EXCEEDED)
         self.assertLess(self.clock() - began, 0.4)
 
+    async def test_zone_that_cannot_be_reached_is_left_at_once(self):
+        """Each further endpoint of a zone that is cut off would cost a whole connect time-out."""
+
+        async def handle(peer):
+            await peer.send(build_answer())
+
+        # Nobody listens at these addresses.
+        for number in range(1, 6):
+            self.table.put(Endpoint(f"far{number}", "app", f"127.0.0.1:{number}", "zone-2", 600))
+        await self.add(handle, "near", "zone-3", slots=6)
+        self.table.own["near"] = 5
+        outcome = await self.forward(build_route(RouteKind.ONCE, attempts=1))
+        self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+        self.assertEqual(self.metrics.ejections._value.get(), 1.0)
+
     async def test_no_endpoint_is_refused_at_once(self):
         began = self.clock()
         outcome = await self.forward(build_route())
