Let two daemons confirm for all others what is the newest

Change: two daemons watch with short waits and tell digest and age of what they know; the others wait 20 s and ask themselves as soon as a digest differs or no confirmation comes. A confirmation counts from when this daemon sent the message that the peer had heard, so that one that lay in a buffer during a suspension confirms nothing. Ruled out: a time in the peer's message alone, for that reason.

--- a/magnoliarouter/cli/status.py
+++ b/magnoliarouter/cli/status.py
@@ -51,9 +51,9 @@
 
 
 class GatewayStatus(OperatorCommand):
-    """Command ``status gateway``."""
+    """Command ``gateway status``."""
 
-    name = "status gateway"
+    name = "gateway status"
     description = "Show what one gateway daemon believes: configuration, store, endpoints, groups"
     arguments = [argument("address", "Status address of the daemon, HOST:PORT")]
     options = [option("json", None, "Print one JSON value instead of tables")]
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -11,6 +11,11 @@
 import msgspec
 
 from magnoliarouter.core.retries import SharedRetryBudget
+from magnoliarouter.gateway.confirmations import (
+    CONFIGURATION_WAIT_S,
+    ENDPOINTS_WAIT_S,
+    Confirmations,
+)
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
 from magnoliarouter.gateway.forward import GatewayForwarder
 from magnoliarouter.gateway.freshness import Freshness
@@ -44,11 +49,6 @@
 
 # The store answers in 4 ms, and within 0.3 s on the slowest days seen.
 STORE_TIMEOUT_S = 0.8
-# A watch confirms the configuration from when it was sent, so two of them must fit into the
-# age at which keys are honoured.
-CONFIGURATION_WAIT_S = 2.0
-# Longer than the span after which a disturbed daemon counts as in touch would miss a silent path.
-ENDPOINTS_WAIT_S = 2.2
 # Several daemons that lost the store come back one after the other.
 FIRST_BACKOFF_S = 0.1
 LAST_BACKOFF_S = 0.5
@@ -237,9 +237,24 @@
             _open_backoff(),
             ENDPOINTS_WAIT_S,
         )
-        for run in (self._configuration.run, self._endpoints.run, self._keep_registered):
+        self._confirmations = Confirmations(
+            (self._configuration, self._endpoints), self._peers, self._loop.time
+        )
+        self._peers.read_known = self._confirmations.read
+        self._peers.take_known = self._take_known
+        for run in (
+            self._configuration.run,
+            self._endpoints.run,
+            self._confirmations.run,
+            self._keep_registered,
+        ):
             self._tasks.append(self._loop.create_task(run()))
 
+    def _take_known(self, kind: str, digest: int, at: float) -> None:
+        if self._confirmations.take(kind, digest, at):
+            if kind == self.interface.configuration_kind:
+                self._confirm(at)
+
     def _take_peer_loads(self, peer: str, loads: dict[str, int]) -> None:
         self.table.take_peer_load(peer, loads, self._loop.time())
         self._waiting.wake_later()
--- /dev/null
+++ b/magnoliarouter/gateway/confirmations.py
@@ -0,0 +1,130 @@
+"""Lets two daemons confirm for all others that what they know is the newest.
+
+Each call to the store is priced, and a confirmation of the configuration is needed every few
+seconds at every daemon. Two daemons watch with short waits and tell the others a digest of what
+they know and how long ago it was confirmed; the others watch with long waits. A daemon whose
+digest differs asks the store itself, and so does one that hears of no confirmation.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from magnoliarouter.gateway.peers import PeerLoads
+    from magnoliarouter.store.feed import ObjectFeed
+
+__all__ = ["CONFIGURATION_WAIT_S", "ENDPOINTS_WAIT_S", "Confirmations"]
+
+# A watch confirms the configuration from when it was sent, so two of them must fit into the
+# age at which keys are honoured.
+CONFIGURATION_WAIT_S = 2.0
+# The same for a daemon that confirms for others, with a second for the way to them and back.
+CONFIRMING_WAIT_S = 1.0
+# Longer than the span after which a disturbed daemon counts as in touch would miss a silent path.
+ENDPOINTS_WAIT_S = 2.2
+# The store holds a watch for 30 s at most.
+LONG_WAIT_S = 20.0
+# One may be cut off or turned away by the store.
+CONFIRMING_DAEMONS = 2
+# A confirmation counts until two short watches and the way to the others and back are over; an
+# older one means that a watch did not come back.
+WAY_S = 1.4
+CHECK_S = 0.25
+# A change reaches all watches within some milliseconds; a digest that differs longer was missed.
+MISSED_S = 0.3
+# Lists are made no more often than this, whatever others say.
+LEAST_BETWEEN_S = 2.0
+
+
+class Confirmations:
+    """What this daemon's feeds know, and until when others have confirmed it.
+
+    Parameters
+    ----------
+    feeds : iterable of ObjectFeed
+        Feeds of the store.
+    peers : PeerLoads
+        The other daemons.
+    clock : callable
+        Loop time in seconds.
+    """
+
+    def __init__(
+        self, feeds: Iterable[ObjectFeed], peers: PeerLoads, clock: Callable[[], float]
+    ) -> None:
+        self._feeds = {feed.kind: feed for feed in feeds}
+        self._short = {kind: feed.wait for kind, feed in self._feeds.items()}
+        self._confirming_wait = {
+            kind: min(wait, CONFIRMING_WAIT_S) if wait <= CONFIGURATION_WAIT_S else wait
+            for kind, wait in self._short.items()
+        }
+        self._peers = peers
+        self._clock = clock
+        self._relayed: dict[str, float] = {}
+        self._differs_since: dict[str, float] = {}
+        self._hurried: dict[str, float] = {}
+
+    def read(self) -> dict[str, tuple[int, float]]:
+        """Return digest and age of each kind, if this daemon confirms for the others."""
+        if not self._is_confirming():
+            return {}
+        now = self._clock()
+        return {
+            kind: (feed.digest(), round(now - feed.confirmed_at, 3))
+            for kind, feed in self._feeds.items()
+            if feed.confirmed_at is not None
+        }
+
+    def take(self, kind: str, digest: int, at: float) -> bool:
+        """Take a peer's confirmation, and return whether it holds for what is known here.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of object.
+        digest : int
+            Digest of the peer's objects.
+        at : float
+            Loop time at which they were the newest.
+        """
+        feed = self._feeds.get(kind)
+        if feed is None or not feed.synchronized.is_set():
+            return False
+        if feed.digest() == digest:
+            self._differs_since.pop(kind, None)
+            self._relayed[kind] = max(at, self._relayed.get(kind, at))
+            return True
+        now = self._clock()
+        since = self._differs_since.setdefault(kind, now)
+        if now - since > MISSED_S:
+            self._hurry(kind, feed, now)
+        return False
+
+    async def run(self) -> None:
+        """Choose how long watches wait, for ever."""
+        while True:
+            await asyncio.sleep(CHECK_S)
+            confirming, now = self._is_confirming(), self._clock()
+            for kind, feed in self._feeds.items():
+                fresh_s = 2 * self._confirming_wait[kind] + WAY_S
+                relayed = now - self._relayed.get(kind, float("-inf")) < fresh_s
+                feed.wait = self._choose_wait(kind, confirming, relayed)
+                if not relayed and feed.is_waiting_longer(self._short[kind]):
+                    self._hurry(kind, feed, now)
+
+    def _choose_wait(self, kind: str, confirming: bool, relayed: bool) -> float:
+        if confirming:
+            return self._confirming_wait[kind]
+        return LONG_WAIT_S if relayed else self._short[kind]
+
+    def _is_confirming(self) -> bool:
+        return self._peers.place() < CONFIRMING_DAEMONS
+
+    def _hurry(self, kind: str, feed: ObjectFeed, now: float) -> None:
+        if now - self._hurried.get(kind, float("-inf")) > LEAST_BETWEEN_S:
+            self._hurried[kind] = now
+            feed.hurry()
--- a/magnoliarouter/gateway/peers.py
+++ b/magnoliarouter/gateway/peers.py
@@ -25,6 +25,8 @@
 RENEW_S = 0.5
 # A peer that was not heard for so long does not count as a sharer any longer.
 SILENT_S = 6.0
+# Messages whose time of sending is kept: two seconds of the most that are sent.
+SENT_KEPT = 200
 # A peer that was heard within this time is there.
 PRESENT_S = 1.5
 # A reordered datagram is older than this at most; a higher number is a daemon that started anew.
@@ -46,6 +48,11 @@
         Requests in progress at each endpoint.
     in_charge : bool
         Whether the sender holds the lease on the expert maps.
+    known : dict of str to (int, float)
+        Digest of what the sender knows of a kind of object, and the seconds since it was
+        confirmed; from daemons that confirm for the others.
+    heard : dict of str to (int, int)
+        Start and number of the last message heard from each daemon; from the same.
     """
 
     name: str
@@ -53,6 +60,8 @@
     number: int
     loads: dict[str, int]
     in_charge: bool = False
+    known: dict[str, tuple[int, float]] = {}
+    heard: dict[str, tuple[int, int]] = {}
 
 
 class PeerLoads(asyncio.DatagramProtocol):
@@ -90,6 +99,9 @@
         self._loop = asyncio.get_running_loop()
         self._in_charge = ""
         self._charge_heard = float("-inf")
+        self._sent_at: dict[int, float] = {}
+        self.read_known: Callable[[], dict[str, tuple[int, float]]] = dict
+        self.take_known: Callable[[str, int, float], None] = lambda kind, digest, at: None
         self.is_in_charge: Callable[[], bool] = lambda: False
 
     async def open(self, host: str, port: int) -> None:
@@ -163,10 +175,23 @@
             # It lost the lease and says so; its silence need not be waited for.
             self._in_charge, self._charge_heard = "", float("-inf")
         self._take_loads(message.name, message.loads)
+        self._take_known(message)
 
     def error_received(self, exc: OSError) -> None:
         """Do nothing: a daemon that is gone refuses, and its silence says enough."""
 
+    def _take_known(self, message: PeerMessage) -> None:
+        """Take what a peer knows, as of when this daemon sent what the peer had heard.
+
+        The message itself may have lain in a buffer for long, as while a VM was suspended.
+        """
+        start, number = message.heard.get(self._name, (0, 0))
+        sent_at = self._sent_at.get(number)
+        if start != self._start or sent_at is None:
+            return
+        for kind, (digest, age) in message.known.items():
+            self.take_known(kind, digest, sent_at - age)
+
     def _set_timer(self, seconds: float) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -177,8 +202,17 @@
         if self._transport is None:
             return
         self._number += 1
+        self._sent_at[self._number] = self._loop.time()
+        self._sent_at.pop(self._number - SENT_KEPT, None)
+        known = self.read_known()
         message = PeerMessage(
-            self._name, self._start, self._number, self._read_loads(), self.is_in_charge()
+            self._name,
+            self._start,
+            self._number,
+            self._read_loads(),
+            self.is_in_charge(),
+            known,
+            self._last if known else {},
         )
         data = msgspec.msgpack.encode(message)
         for address in self._addresses.values():
--- a/magnoliarouter/store/feed.py
+++ b/magnoliarouter/store/feed.py
@@ -32,7 +32,7 @@
     backoff : Backoff, optional
         Waits after failures.
     wait : float
-        Longest wait of a watch in seconds.
+        Longest wait of a watch in seconds; may be changed at any time.
     on_served : callable, optional
         Called after each call that the platform served, with the loop time at which it was sent.
 
@@ -44,6 +44,9 @@
         Why the last of them failed.
     served_at : float, optional
         Loop time at which the platform last served a call of this feed.
+    confirmed_at : float, optional
+        Loop time at which the last call that it served was sent: what is known here was the newest
+        then.
     failed_at : float
         Loop time at which it last failed to.
     """
@@ -67,18 +70,41 @@
         self._gap = False
         self._client = client
         self._backoff = backoff or Backoff()
-        self._wait = wait
+        self.wait = wait
+        self.confirmed_at: float | None = None
+        self._waiting = 0.0
+        self._pending: asyncio.Future[bool] | None = None
+        self._hurried = False
         self._on_served = on_served
 
     async def run(self) -> None:
         """Watch from the version known, or list first, for ever."""
         while True:
-            served = await (self.watch() if self.synchronized.is_set() else self.list())
+            known = self.synchronized.is_set() and not self._hurried
+            self._hurried = False
+            self._pending = asyncio.ensure_future(self.watch() if known else self.list())
+            try:
+                served = await self._pending
+            except asyncio.CancelledError:
+                task = asyncio.current_task()
+                if not self._hurried or (task is not None and task.cancelling()):
+                    raise
+                continue
             if served and not self.regressed and not self._gap:
                 self._backoff.reset()
             else:
                 await asyncio.sleep(self._backoff.next_wait())
 
+    def is_waiting_longer(self, wait: float) -> bool:
+        """Return whether the watch under way may wait for longer than some seconds."""
+        return self._waiting > wait
+
+    def hurry(self) -> None:
+        """List at once instead of waiting for what a watch will say."""
+        if self._pending is not None and not self._pending.done() and not self.failures:
+            self._hurried = True
+            self._pending.cancel()
+
     async def list(self) -> bool:
         """List the kind once, and return whether the platform served the call."""
         known, sent_at = self.version, self._now()
@@ -94,8 +120,12 @@
         """Wait for changes once, and return whether the platform served the call."""
         after, sent_at = self.version, self._now()
         # After a failure the question is whether the platform answers at all.
-        wait = self._wait if not self.failures else 0.0
-        outcome = await self._client.watch(self.kind, after, wait)
+        wait = self.wait if not self.failures else 0.0
+        self._waiting = wait
+        try:
+            outcome = await self._client.watch(self.kind, after, wait)
+        finally:
+            self._waiting = 0.0
         if isinstance(outcome, Unavailable):
             self.reason = outcome.reason
         self._gap = isinstance(outcome, Gone)
@@ -119,6 +149,7 @@
             self.failures = 0
             self.served_at = self._now()
             self.touch(self.served_at)
+            self.confirmed_at = sent_at
             self._on_served(sent_at)
         else:
             self.failures += 1
--- a/magnoliarouter/store/replica.py
+++ b/magnoliarouter/store/replica.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+import xxhash
+
 from magnoliarouter.core.cache import VersionedCache
 from magnoliarouter.store.objects import StoredObject
 
@@ -99,6 +101,7 @@
         self.version = 0
         self.contact: float | None = None
         self.regressed = ""
+        self._digest = (-1, 0)
         self.on_item = on_item
         self._decode = decode
         self._on_change = on_change
@@ -112,6 +115,15 @@
             for name, refused in self.refused.items()
         }
 
+    def digest(self) -> int:
+        """Return a number that is the same wherever the same versions of objects are in force."""
+        if self._digest[0] != self.cache.revision:
+            entries = self.cache.entries.items()
+            present = sorted((name, one.version) for name, one in entries if one.value is not None)
+            value = xxhash.xxh64_intdigest(repr(present).encode())
+            self._digest = (self.cache.revision, value)
+        return self._digest[1]
+
     def apply(self, item: StoredObject) -> bool:
         """Take an object if it is newer and valid, and return whether it changed what is in force.
 
--- a/magnoliarouter/tests/raw_server.py
+++ b/magnoliarouter/tests/raw_server.py
@@ -37,8 +37,9 @@
         self._tasks.add(task)
         try:
             await self._handle(RawPeer(reader, writer))
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            # Tests end connections at any time.
+            return
         finally:
             self._tasks.discard(task)
             writer.close()
--- a/magnoliarouter/tests/test_explain.py
+++ b/magnoliarouter/tests/test_explain.py
@@ -102,7 +102,7 @@
         self.assertIn("valid roles", error)
 
     def test_status_of_a_silent_gateway(self):
-        code, _, error = self.run_command("status gateway", "127.0.0.1:1")
+        code, _, error = self.run_command("gateway status", "127.0.0.1:1")
         self.assertEqual(code, ExitCode.UNAVAILABLE)
         self.assertIn("127.0.0.1:1", error)
 
--- a/magnoliarouter/tests/test_gateway_parts.py
+++ b/magnoliarouter/tests/test_gateway_parts.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from magnoliarouter.core.retries import SharedRetryBudget
+from magnoliarouter.gateway.confirmations import LONG_WAIT_S, Confirmations
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
 from magnoliarouter.gateway.frames import FrameSplitter
 from magnoliarouter.gateway.freshness import Freshness
@@ -167,6 +168,17 @@
         self.hear("c", 1)
         self.assertEqual((self.peers.place(), self.peers.count_daemons()), (1, 3))
 
+    async def test_knowledge_counts_from_when_the_peer_was_last_told(self):
+        """The peer's message may have waited in a buffer while this VM was suspended."""
+        taken = []
+        self.peers.take_known = lambda kind, digest, at: taken.append((kind, digest, at))
+        self.peers._sent_at = {7: 100.0}
+        known = {"config": (5, 0.4)}
+        for heard in ({"b": (1, 7)}, {"b": (2, 7)}, {"b": (1, 8)}, {}):
+            message = PeerMessage("a", 1, len(taken) + 9 + len(heard), {}, False, known, heard)
+            self.peers._take_known(message)
+        self.assertEqual(taken, [("config", 5, 99.6)])
+
     async def test_daemon_that_says_it_lost_the_lease_is_not_waited_for(self):
         self.assertEqual(self.peers.silence_in_charge(), float("inf"))
         self.hear("a", 1, in_charge=True)
@@ -176,6 +188,90 @@
         self.assertEqual(self.peers.silence_in_charge(), float("inf"))
 
 
+class FakeFeed:
+    """Feed whose calls are counted and not made."""
+
+    def __init__(self, kind="config", digest=5, confirmed_at=None):
+        self.kind, self.value, self.confirmed_at = kind, digest, confirmed_at
+        self.wait, self.waiting, self.hurries = 2.0, 0.0, 0
+        self.synchronized = asyncio.Event()
+        self.synchronized.set()
+
+    def digest(self):
+        return self.value
+
+    def is_waiting_longer(self, wait):
+        return self.waiting > wait
+
+    def hurry(self):
+        self.hurries += 1
+
+
+class FakePeers:
+    """Peers of which this daemon is the n-th."""
+
+    def __init__(self, place):
+        self.number = place
+
+    def place(self):
+        return self.number
+
+
+class ConfirmationsTest(unittest.TestCase):
+    def run_feed(self, scenario, place=5):
+        async def main():
+            loop, feed = asyncio.get_running_loop(), FakeFeed()
+            confirmations = Confirmations((feed,), FakePeers(place), loop.time)
+            task = loop.create_task(confirmations.run())
+            try:
+                return await scenario(feed, confirmations, loop)
+            finally:
+                task.cancel()
+
+        return run_jumping(main())
+
+    def test_confirmed_daemon_waits_long_and_asks_soon_when_it_is_confirmed_no_longer(self):
+        async def scenario(feed, confirmations, loop):
+            waits = []
+            for _ in range(10):
+                self.assertTrue(confirmations.take("config", 5, loop.time()))
+                await asyncio.sleep(0.5)
+                waits.append(feed.wait)
+            feed.waiting = feed.wait
+            last = loop.time() - 0.5
+            for _ in range(200):
+                if feed.hurries:
+                    break
+                await asyncio.sleep(0.05)
+            return waits[-1], loop.time() - last, feed.wait
+
+        long, seconds, short = self.run_feed(scenario)
+        self.assertEqual((long, short), (LONG_WAIT_S, 2.0))
+        # Keys are honoured for 4.6 s, and a list takes up to 0.8 s.
+        self.assertLess(seconds, 3.8)
+
+    def test_digest_that_differs_is_no_confirmation_and_leads_to_a_list(self):
+        async def scenario(feed, confirmations, loop):
+            results = []
+            for _ in range(20):
+                results.append(confirmations.take("config", 6, loop.time()))
+                await asyncio.sleep(0.1)
+            return results, feed.hurries
+
+        results, hurries = self.run_feed(scenario)
+        self.assertEqual((set(results), hurries), ({False}, 1))
+
+    def test_first_two_daemons_confirm_for_the_others(self):
+        async def scenario(feed, confirmations, loop):
+            feed.confirmed_at = loop.time() - 1.5
+            confirmations.take("config", 5, loop.time())
+            await asyncio.sleep(0.3)
+            return confirmations.read(), feed.wait
+
+        self.assertEqual(self.run_feed(scenario, place=1), ({"config": (5, 1.8)}, 1.0))
+        self.assertEqual(self.run_feed(scenario, place=2), ({}, LONG_WAIT_S))
+
+
 class WaitingTest(unittest.TestCase):
     def run_room(self, scenario):
         async def main():
