--- /dev/null
+++ b/magnoliarouter/gateway/attempt.py
@@ -0,0 +1,329 @@
+"""One attempt of a call at one endpoint: sends it, reads the answer, passes it on.
+
+Nothing is decided here about a next attempt; `gateway.forward` does that from what an attempt
+proves.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, TypeVar
+
+from magnoliarouter.core.outcome import Completed, ResultCode
+from magnoliarouter.gateway.frames import FrameSplitter
+from magnoliarouter.gateway.routes import RouteKind
+from magnoliarouter.telemetry.logs import log_event
+from magnoliarouter.web.upstream import Broken, Fault
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from magnoliarouter.core.retries import SharedRetryBudget
+    from magnoliarouter.gateway.call import AnswerTerms, GatewayCall, HeaderCodec
+    from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
+    from magnoliarouter.telemetry.metrics import Metrics
+    from magnoliarouter.web.ingress import IngressExchange
+    from magnoliarouter.web.upstream import AnswerHead, UpstreamConnection, UpstreamPool
+
+__all__ = ["AttemptRunner", "FailedAttempt", "Progress", "WholeAnswer", "may_relay", "relay"]
+
+# An endpoint that is silent for so long before or between events has failed or stands still;
+# callers leave after two seconds.
+SILENCE_S = 1.2
+# Part of the time left that the first attempt of a repeatable request gets.
+FIRST_TRY_SHARE = 0.5
+MIN_TRY_S = 0.1
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True)
+class WholeAnswer:
+    """Answer that was read whole."""
+
+    status: int
+    terms: AnswerTerms
+    body: bytes
+
+
+@dataclass(slots=True)
+class FailedAttempt:
+    """Attempt without an answer for the caller.
+
+    `ran` is None where it is not known whether the request ran.
+    """
+
+    code: ResultCode
+    reason: str
+    ran: bool | None
+    sent: bool = True
+    answer: WholeAnswer | None = None
+
+
+@dataclass(slots=True)
+class Progress:
+    """How far a call has come."""
+
+    tried: set[str] = field(default_factory=set)
+    sends: int = 0
+    unreachable: int = 0
+    in_doubt: bool = False
+    last: FailedAttempt | None = None
+    splitter: FrameSplitter = field(default_factory=FrameSplitter)
+
+
+class AttemptRunner:
+    """Runs the attempts of one daemon.
+
+    Parameters
+    ----------
+    table : EndpointTable
+        Endpoints and their load.
+    pool : UpstreamPool
+        Connections to endpoints.
+    codec : HeaderCodec
+        Spelling of header fields.
+    budget : SharedRetryBudget
+        This daemon's share of the repeats that each service may get.
+    clock : callable
+        Loop time in seconds.
+    metrics : Metrics
+        Counters and histograms.
+    """
+
+    def __init__(
+        self,
+        table: EndpointTable,
+        pool: UpstreamPool,
+        codec: HeaderCodec,
+        budget: SharedRetryBudget,
+        clock: Callable[[], float],
+        metrics: Metrics,
+    ) -> None:
+        self._table = table
+        self._pool = pool
+        self._codec = codec
+        self._budget = budget
+        self._clock = clock
+        self._metrics = metrics
+
+    async def run(
+        self,
+        call: GatewayCall,
+        exchange: IngressExchange,
+        endpoint: Endpoint,
+        progress: Progress,
+    ) -> Completed | FailedAttempt:
+        """Send a call to an endpoint and pass its answer on.
+
+        Returns
+        -------
+        Completed or FailedAttempt
+            A failed attempt has sent nothing to the caller, but for the events of a stream.
+        """
+        connection: UpstreamConnection | None = None
+        try:
+            connection = await self._pool.take(endpoint.address)
+            left = call.deadline - self._clock()
+            fields = self._codec.write_attempt(
+                call, endpoint.identity, left, progress.splitter.last_id
+            )
+            progress.sends += 1
+            self._log_send(call, endpoint, progress)
+            connection.send(_encode_request(call, fields), call.method == b"HEAD")
+            result = await self._read_answer(call, exchange, connection, progress)
+        except Broken as error:
+            result = _describe(error)
+        finally:
+            if connection is not None:
+                self._pool.give_back(endpoint.address, connection)
+        if isinstance(result, Completed):
+            self._table.note_served(endpoint, self._clock())
+        return result
+
+    async def _read_answer(
+        self,
+        call: GatewayCall,
+        exchange: IngressExchange,
+        connection: UpstreamConnection,
+        progress: Progress,
+    ) -> Completed | FailedAttempt:
+        found = await self._wait_for(call, progress, lambda: self._read_own_head(call, connection))
+        if isinstance(found, FailedAttempt):
+            return found
+        head, terms = found
+        if call.route.kind is RouteKind.STREAM and head.status == 200:
+            return await self._relay_stream(call, exchange, connection, terms, progress)
+        left = max(0.0, call.deadline - self._clock())
+        try:
+            async with asyncio.timeout(left):
+                body = await connection.read_body()
+        except TimeoutError:
+            reason = f"the rest of the answer did not come within {left:.3f} s"
+            return FailedAttempt(ResultCode.DEADLINE_EXCEEDED, reason, None)
+        return await self._judge(call, exchange, WholeAnswer(head.status, terms, body))
+
+    async def _wait_for(
+        self, call: GatewayCall, progress: Progress, read: Callable[[], Awaitable[T]]
+    ) -> T | FailedAttempt:
+        """Return what an endpoint sends next.
+
+        An endpoint that is silent is given up before the deadline only for another one that has a
+        place: elsewhere the call would have to wait as well.
+        """
+        while True:
+            limit = self._limit_try(call, progress)
+            try:
+                async with asyncio.timeout(limit):
+                    return await read()
+            except TimeoutError:
+                now = self._clock()
+                if now < call.deadline and not self._could_move(call, progress, now):
+                    continue
+                reason = f"nothing came within {limit:.3f} s"
+                return FailedAttempt(ResultCode.DEADLINE_EXCEEDED, reason, None)
+
+    def _could_move(self, call: GatewayCall, progress: Progress, now: float) -> bool:
+        return (
+            self._budget.has(call.service, now)
+            and self._table.choose(call.service, progress.tried, now) is not None
+        )
+
+    async def _read_own_head(
+        self, call: GatewayCall, connection: UpstreamConnection
+    ) -> tuple[AnswerHead, AnswerTerms]:
+        """Return the head of this request's answer, passing over late answers to others."""
+        while True:
+            head = await connection.read_head()
+            terms = self._codec.read_answer(head.status, head.fields)
+            connection.note_keep(terms.keep_s)
+            if terms.request_id in (None, call.terms.request_id):
+                return head, terms
+            self._metrics.dropped_answers.labels("other_request").inc()
+            log_event(
+                "answer_dropped",
+                request_id=call.terms.request_id.decode("latin-1"),
+                answered=terms.request_id.decode("latin-1"),
+            )
+            await connection.read_body()
+
+    def _limit_try(self, call: GatewayCall, progress: Progress) -> float:
+        """Return the seconds within which an attempt has to answer."""
+        left = max(0.0, call.deadline - self._clock())
+        if not call.route.repeatable or progress.sends >= call.route.attempts:
+            return left
+        if call.route.kind is RouteKind.STREAM:
+            return min(left, SILENCE_S)
+        return min(left, max(MIN_TRY_S, left * FIRST_TRY_SHARE))
+
+    async def _judge(
+        self, call: GatewayCall, exchange: IngressExchange, answer: WholeAnswer
+    ) -> Completed | FailedAttempt:
+        terms = answer.terms
+        if terms.not_run:
+            code = ResultCode.ENDPOINT_REFUSED if terms.misdirected else ResultCode.QUEUE_FULL
+            return FailedAttempt(code, f"endpoint refused with status {answer.status}", ran=False)
+        if 200 <= answer.status < 500:
+            if not terms.signed and answer.status < 300:
+                return FailedAttempt(ResultCode.WRONG_ATTEMPT, "answer without a signature", None)
+            if may_relay(call, answer):
+                return await relay(exchange, answer)
+        reason = f"endpoint answered {answer.status}"
+        return FailedAttempt(ResultCode.ENDPOINT_ERROR, reason, True, answer=answer)
+
+    async def _relay_stream(
+        self,
+        call: GatewayCall,
+        exchange: IngressExchange,
+        connection: UpstreamConnection,
+        terms: AnswerTerms,
+        progress: Progress,
+    ) -> Completed | FailedAttempt:
+        if not terms.signed:
+            return FailedAttempt(ResultCode.WRONG_ATTEMPT, "answer without a signature", None)
+        splitter = progress.splitter
+        splitter.restart()
+        last = self._clock()
+        while True:
+            part = await self._read_part(call, connection, progress)
+            if isinstance(part, FailedAttempt):
+                return part
+            if part is None:
+                break
+            events = splitter.feed(part)
+            if not events:
+                continue
+            now = self._clock()
+            if exchange.started:
+                self._metrics.inter_token.observe(now - last)
+                await exchange.write(events)
+            else:
+                self._metrics.first_token.observe(now - call.began)
+                exchange.start(200, terms.passed, events)
+            last = now
+        if not exchange.started:
+            exchange.start(200, terms.passed, bytes(splitter.rest))
+        elif splitter.rest:
+            await exchange.write(bytes(splitter.rest))
+        await exchange.finish()
+        return Completed(ResultCode.OK, 200)
+
+    async def _read_part(
+        self, call: GatewayCall, connection: UpstreamConnection, progress: Progress
+    ) -> bytes | None | FailedAttempt:
+        try:
+            return await self._wait_for(call, progress, connection.read_part)
+        except Broken as error:
+            return _describe(error)
+
+    def _log_send(self, call: GatewayCall, endpoint: Endpoint, progress: Progress) -> None:
+        now = self._clock()
+        if progress.sends == 1:
+            self._metrics.queued.observe(now - call.began)
+        log_event(
+            "attempt",
+            request_id=call.terms.request_id.decode("latin-1"),
+            attempt=progress.sends,
+            endpoint=endpoint.identity,
+            zone=endpoint.zone,
+            load=self._table.load_of(endpoint.identity, now),
+            slots=endpoint.slots,
+            version=call.version,
+            waited=round(now - call.began, 4),
+            left=round(call.deadline - now, 4),
+            after_event=(progress.splitter.last_id or b"").decode("latin-1"),
+        )
+
+
+def may_relay(call: GatewayCall, answer: WholeAnswer) -> bool:
+    """Return whether a failure may reach the caller as the endpoint gave it.
+
+    A status that promises "not run" is relayed only where a second run does no harm.
+    """
+    if answer.terms.not_run or not answer.terms.signed:
+        return False
+    return call.route.repeatable or answer.status not in (408, 421, 429, 503)
+
+
+async def relay(exchange: IngressExchange, answer: WholeAnswer) -> Completed:
+    """Pass a whole answer on as the endpoint gave it."""
+    await exchange.send(answer.status, answer.terms.passed, answer.body)
+    return Completed(ResultCode.OK, answer.status)
+
+
+def _describe(error: Broken) -> FailedAttempt:
+    if error.fault is Fault.UNREACHABLE:
+        return FailedAttempt(ResultCode.ENDPOINT_UNREACHABLE, str(error), ran=False, sent=False)
+    code = (
+        ResultCode.STREAM_TRUNCATED if error.fault is Fault.TRUNCATED else ResultCode.ENDPOINT_ERROR
+    )
+    return FailedAttempt(code, str(error), ran=None)
+
+
+def _encode_request(call: GatewayCall, fields: list[tuple[bytes, bytes]]) -> bytes:
+    lines = [call.method + b" " + call.target + b" HTTP/1.1"]
+    lines += [name + b": " + value for name, value in fields]
+    if call.body or call.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+        lines.append(b"Content-Length: %d" % len(call.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + call.body
--- a/magnoliarouter/manual.py
+++ b/magnoliarouter/manual.py
@@ -15,6 +15,7 @@
 from magnoliarouter.cli.desk import DeskSettings
 from magnoliarouter.core.contract import Limits
 from magnoliarouter.daemon.settings import Address, EndpointSettings, EntrySettings
+from magnoliarouter.gateway.settings import GatewayBounds, GatewaySettings
 from magnoliarouter.store.objects import MODELS, LimitsSpec, RevisionSpec
 
 __all__ = ["describe_fields", "find_unit", "write_manual"]
@@ -22,6 +23,8 @@
 UNITS = {
     "concurrent_requests": "requests",
     "experts": "experts a layer",
+    "retry_ratio": "repeats a request",
+    "retry_slack": "repeats a window",
     "extra_load": "requests a slot",
     "layers": "layers",
     "number": "revisions",
@@ -71,6 +74,8 @@
         _section('Settings of an entry daemon (`"role": "entry"`)', EntrySettings),
         _section('Settings of an endpoint daemon (`"role": "endpoint"`)', EndpointSettings),
         _section("Address in settings", Address),
+        _section("Settings of a gateway daemon", GatewaySettings),
+        _section("What operators were promised: `bounds`", GatewayBounds),
         _section("Settings of `magnoliactl`", DeskSettings),
         _section("Limit set within a contract", LimitsSpec),
         _section("Revision within a contract", RevisionSpec),
--- a/magnoliarouter/tests/test_manual.py
+++ b/magnoliarouter/tests/test_manual.py
@@ -7,11 +7,20 @@
 
 from magnoliarouter.cli.desk import DeskSettings
 from magnoliarouter.daemon.settings import EndpointSettings, EntrySettings
+from magnoliarouter.gateway.settings import GatewayBounds, GatewaySettings
 from magnoliarouter.manual import describe_fields, find_unit, write_manual
 from magnoliarouter.store.objects import MODELS, LimitsSpec, RevisionSpec
 
 PAGE = Path(__file__).parents[2] / "docs" / "CONFIGURATION.md"
-DESCRIBED = (EntrySettings, EndpointSettings, DeskSettings, LimitsSpec, RevisionSpec)
+DESCRIBED = (
+    EntrySettings,
+    EndpointSettings,
+    GatewaySettings,
+    GatewayBounds,
+    DeskSettings,
+    LimitsSpec,
+    RevisionSpec,
+)
 
 
 class ManualTest(unittest.TestCase):
