--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -229,6 +229,7 @@
             _open_backoff(),
             CONFIGURATION_WAIT_S,
             self._confirm,
+            lambda reason: _log_feed(interface.configuration_kind, reason),
         )
         self._endpoints = ObjectFeed(
             self._store,
@@ -237,6 +238,7 @@
             self._take_endpoint,
             _open_backoff(),
             ENDPOINTS_WAIT_S,
+            on_state=lambda reason: _log_feed(interface.endpoint_kind, reason),
         )
         self._confirmations = Confirmations(
             (self._configuration, self._endpoints), self._peers, self._loop.time
@@ -471,6 +473,13 @@
     return host, int(port)
 
 
+def _log_feed(kind: str, reason: str) -> None:
+    if reason:
+        log_event("feed_lost", kind=kind, reason=reason)
+    else:
+        log_event("feed_regained", kind=kind)
+
+
 def _round(seconds: float) -> float | None:
     """Return seconds for JSON, which knows no infinity."""
     return round(seconds, 2) if math.isfinite(seconds) else None
--- a/magnoliarouter/store/feed.py
+++ b/magnoliarouter/store/feed.py
@@ -8,7 +8,6 @@
 from magnoliarouter.store.backoff import Backoff
 from magnoliarouter.store.replica import Replica
 from magnoliarouter.store.results import Changes, Found, Gone, Unavailable
-from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,6 +34,8 @@
         Longest wait of a watch in seconds; may be changed at any time.
     on_served : callable, optional
         Called after each call that the platform served, with the loop time at which it was sent.
+    on_state : callable, optional
+        Called with the reason when the platform stops to serve, and with "" when it does again.
 
     Attributes
     ----------
@@ -60,6 +61,7 @@
         backoff: Backoff | None = None,
         wait: float = WATCH_WAIT_S,
         on_served: Callable[[float], None] = lambda asked_at: None,
+        on_state: Callable[[str], None] = lambda reason: None,
         **options: Any,
     ) -> None:
         super().__init__(kind, decode, on_change, **options)
@@ -76,6 +78,7 @@
         self._pending: asyncio.Future[bool] | None = None
         self._hurried = False
         self._on_served = on_served
+        self._on_state = on_state
 
     async def run(self) -> None:
         """Watch from the version known, or list first, for ever."""
@@ -145,7 +148,7 @@
     def _note(self, served: bool, sent_at: float) -> bool:
         if served:
             if self.failures:
-                log_event("feed_regained", kind=self.kind, failures=self.failures)
+                self._on_state("")
             self.failures = 0
             self.served_at = self._now()
             self.touch(self.served_at)
@@ -154,6 +157,6 @@
         else:
             self.failures += 1
             if self.failures == 1:
-                log_event("feed_lost", kind=self.kind, reason=self.reason)
+                self._on_state(self.reason)
             self.failed_at = self._now()
         return served
