--- a/magnoliarouter/gateway/peers.py
+++ b/magnoliarouter/gateway/peers.py
@@ -29,8 +29,6 @@
 SENT_KEPT = 200
 # A peer that was heard within this time is there.
 PRESENT_S = 1.5
-# A reordered datagram is older than this at most; a higher number is a daemon that started anew.
-MAX_DATAGRAM_BYTES = 60_000
 
 
 class PeerMessage(msgspec.Struct, array_like=True):
