Give back a place that comes in the turn in which its call stops waiting

Cause (read-through of the change): a place handed out in the same turn of the loop as the end of the wait was recognised by the task's pending cancellation, which the time-out has taken back by then, so the place counted as taken for ever. Change: the call takes such a place, and one whose caller left gives it back; the future itself says which. Test: fails before, with the place still counted.

--- a/magnoliarouter/gateway/waiting.py
+++ b/magnoliarouter/gateway/waiting.py
@@ -36,7 +36,7 @@
     number: int
     fresh_until: float
     tried: set[str]
-    place: asyncio.Future[Endpoint | None]
+    place: asyncio.Future[Endpoint]
 
     def rank(self, now: float) -> tuple[int, bool, int]:
         """Return what orders waiting calls; the least goes first."""
@@ -105,9 +105,15 @@
             async with asyncio.timeout(wait_s):
                 return await place
         except TimeoutError:
-            return None
+            # A place may have come in the same turn; otherwise the time-out cancelled the future.
+            return None if place.cancelled() else place.result()
+        except asyncio.CancelledError:
+            if not place.cancelled():
+                self._table.end(place.result().identity)
+            raise
         finally:
-            self._leave(service, waiter)
+            if waiter in self._queues[service]:
+                self._queues[service].remove(waiter)
 
     def wake(self) -> None:
         """Hand out the places that have become free."""
@@ -139,18 +145,6 @@
             self._table.begin(endpoint.identity)
         return endpoint
 
-    def _leave(self, service: str, waiter: _Waiter) -> None:
-        queue = self._queues[service]
-        if waiter in queue:
-            queue.remove(waiter)
-        elif waiter.place.done() and not waiter.place.cancelled():
-            # The place came in the same turn as the end of the wait or the caller's leaving.
-            task = asyncio.current_task()
-            if task is not None and task.cancelling():
-                endpoint = waiter.place.result()
-                if endpoint is not None:
-                    self._table.end(endpoint.identity)
-
     def _watch(self) -> None:
         if self._timer is None:
             loop = asyncio.get_running_loop()
--- a/magnoliarouter/tests/test_gateway_parts.py
+++ b/magnoliarouter/tests/test_gateway_parts.py
@@ -364,6 +364,24 @@
 
         self.assertEqual(self.run_room(scenario), ({}, 0))
 
+    def test_place_that_comes_as_the_wait_ends_is_not_lost(self):
+        """Both are due in one turn of the loop; a place that nobody has would stay taken."""
+
+        async def scenario(table, room, loop):
+            table.begin("a")
+            end = loop.time() + 0.05
+
+            def free():
+                table.end("a")
+                room.wake()
+
+            loop.call_at(end, free)
+            place = await room.take("app", set(), 1, end - loop.time())
+            return place, dict(table.own)
+
+        place, own = self.run_room(scenario)
+        self.assertEqual(own, {} if place is None else {place.identity: 1})
+
     def test_place_another_daemon_reports_free_is_taken_after_a_while(self):
         async def scenario(table, room, loop):
             table.take_peer_load("peer", {"a": 1}, loop.time())
