Name the rank that holds a group once, and drop a minimum that has one outcome

Releasing went through a list of one rank and a gather; the same rank was looked up in five places. A request is never handled before it came, so the lesser of both deadlines is always the same.

--- a/magnoliarouter/gateway/groups.py
+++ b/magnoliarouter/gateway/groups.py
@@ -100,8 +100,7 @@
 
     async def read_choices(self) -> bool:
         """Take the choices of one rank's requests since the last call, and return whether it did."""
-        rank = self.ranks[min(self.ranks)]
-        counts = await self.client.read_counts(rank.address)
+        counts = await self.client.read_counts(self._first.address)
         if counts is None:
             return False
         if counts.epoch != self.epoch:
@@ -116,7 +115,7 @@
 
     async def read_step(self) -> None:
         """Take the group's step, which costs far less than its counts do."""
-        report = await self.client.read_report(self.ranks[min(self.ranks)].address)
+        report = await self.client.read_report(self._first.address)
         self._last_counts, self.choices = None, ()
         if report is None:
             return
@@ -187,22 +186,22 @@
         ahead_s : float
             Time that the orders after it may take before the group has to wait for them.
         """
-        first = self.ranks[min(self.ranks)]
         step, ahead = self.step, LEAST_HOLD_AHEAD + round(ahead_s / self.step_s)
         for _ in range(HOLD_TRIES):
             step += ahead
-            if await self._order(first, Hold(step)):
+            if await self._order(self._first, Hold(step)):
                 return step
-            report = await self.client.read_report(first.address)
+            report = await self.client.read_report(self._first.address)
             step, ahead = max(step, report.step if report else 0), 2 * ahead
         raise SwitchAbandoned(f"step {step} had begun")
 
     async def _release(self, step: int) -> None:
-        await asyncio.gather(*(self._order(rank, Go(step)) for rank in self._holders()))
+        await self._order(self._first, Go(step))
 
-    def _holders(self) -> list[Endpoint]:
-        """Return the ranks at which a hold may stand: a daemon in charge uses the first."""
-        return [self.ranks[min(self.ranks)]]
+    @property
+    def _first(self) -> Endpoint:
+        """Rank that is read and that holds the group, whichever daemon is in charge."""
+        return self.ranks[min(self.ranks)]
 
     async def _wait_prepared(self, version: int, until: float) -> None:
         """Wait until all ranks say that they have a version's experts."""
--- a/magnoliarouter/gateway/handler.py
+++ b/magnoliarouter/gateway/handler.py
@@ -139,7 +139,7 @@
             tenant.name if tenant is not None else None,
             config.urgency_of(route, tenant),
             now,
-            min(now + patience, request.received_at + patience),
+            request.received_at + patience,
             config.version,
         )
 
