Name the wait of each confirming feed instead of guessing it from the length of its own

Which feed is watched more often was told by comparing its wait with the configuration's; the caller now says it.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -13,6 +13,7 @@
 from magnoliarouter.core.retries import SharedRetryBudget
 from magnoliarouter.gateway.confirmations import (
     CONFIGURATION_WAIT_S,
+    CONFIRMING_WAIT_S,
     ENDPOINTS_WAIT_S,
     Confirmations,
 )
@@ -241,7 +242,9 @@
             on_state=lambda reason: _log_feed(interface.endpoint_kind, reason),
         )
         self._confirmations = Confirmations(
-            (self._configuration, self._endpoints), self._peers, self._loop.time
+            {self._configuration: CONFIRMING_WAIT_S, self._endpoints: ENDPOINTS_WAIT_S},
+            self._peers,
+            self._loop.time,
         )
         self._peers.read_known = self._confirmations.read
         self._peers.take_known = self._take_known
--- a/magnoliarouter/gateway/confirmations.py
+++ b/magnoliarouter/gateway/confirmations.py
@@ -12,12 +12,17 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Mapping
 
     from magnoliarouter.gateway.peers import PeerLoads
     from magnoliarouter.store.feed import ObjectFeed
 
-__all__ = ["CONFIGURATION_WAIT_S", "ENDPOINTS_WAIT_S", "Confirmations"]
+__all__ = [
+    "CONFIGURATION_WAIT_S",
+    "CONFIRMING_WAIT_S",
+    "ENDPOINTS_WAIT_S",
+    "Confirmations",
+]
 
 # A watch confirms the configuration from when it was sent, so two of them must fit into the
 # age at which keys are honoured.
@@ -45,8 +50,9 @@
 
     Parameters
     ----------
-    feeds : iterable of ObjectFeed
-        Feeds of the store.
+    feeds : mapping of ObjectFeed to float
+        Feeds of the store, each with the wait in seconds of its watches while this daemon confirms
+        for the others; their own wait is for a daemon that nobody confirms for.
     peers : PeerLoads
         The other daemons.
     clock : callable
@@ -54,14 +60,11 @@
     """
 
     def __init__(
-        self, feeds: Iterable[ObjectFeed], peers: PeerLoads, clock: Callable[[], float]
+        self, feeds: Mapping[ObjectFeed, float], peers: PeerLoads, clock: Callable[[], float]
     ) -> None:
         self._feeds = {feed.kind: feed for feed in feeds}
         self._short = {kind: feed.wait for kind, feed in self._feeds.items()}
-        self._confirming_wait = {
-            kind: min(wait, CONFIRMING_WAIT_S) if wait <= CONFIGURATION_WAIT_S else wait
-            for kind, wait in self._short.items()
-        }
+        self._confirming_wait = {feed.kind: wait for feed, wait in feeds.items()}
         self._peers = peers
         self._clock = clock
         self._relayed: dict[str, float] = {}
--- a/magnoliarouter/tests/test_gateway_parts.py
+++ b/magnoliarouter/tests/test_gateway_parts.py
@@ -226,7 +226,7 @@
     def run_feed(self, scenario, place=5):
         async def main():
             loop, feed = asyncio.get_running_loop(), FakeFeed()
-            confirmations = Confirmations((feed,), FakePeers(place), loop.time)
+            confirmations = Confirmations({feed: 1.0}, FakePeers(place), loop.time)
             task = loop.create_task(confirmations.run())
             try:
                 return await scenario(feed, confirmations, loop)
