Switch expert maps in short steps over all sets together

Cause: popularity moves every 3 to 4 s, while one switch took some 1.1 s: four copies of 0.15 s each on a rank, in which steps take 15 in 100 longer, three steps ahead of the hold, and changes set after set, of which the last sets got none.

--- a/magnoliarouter/core/layerplan.py
+++ b/magnoliarouter/core/layerplan.py
@@ -7,6 +7,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
 
 __all__ = ["LayerPlan", "LayerState", "improve_layer", "measure_times"]
 
@@ -108,23 +112,33 @@
         """Return the holders of each expert."""
         return tuple(tuple(sorted(holders)) for holders in self.holders)
 
-    def find_change(self) -> _Change | None:
-        """Return the change that helps the slowest rank most, or None if none does."""
+    def find_change(self, closed: Collection[int] = ()) -> _Change | None:
+        """Return the change that helps the slowest rank most, or None if none does.
+
+        Parameters
+        ----------
+        closed : collection of int
+            Ranks that may not fetch a further expert.
+        """
         order = sorted(range(len(self.times)), key=self.times.__getitem__)
         slow = order[-1]
         limit = self.times[slow] * (1 - LEAST_GAIN)
         for start in range(0, len(order) - 1, CANDIDATE_RANKS):
             fast = order[start : start + CANDIDATE_RANKS]
-            best = self._find_best(slow, fast, limit)
+            best = self._find_best(slow, fast, limit, closed)
             if best is not None:
                 return best
         return None
 
-    def _find_best(self, slow: int, fast: list[int], limit: float) -> _Change | None:
+    def _find_best(
+        self, slow: int, fast: list[int], limit: float, closed: Collection[int]
+    ) -> _Change | None:
         best = None
         for expert in self.held[slow]:
             for change in self._list_changes(slow, expert, fast):
                 if change.slowest < limit:
+                    if closed and any(rank in closed for _, rank in change.adds):
+                        continue
                     best, limit = change, change.slowest
         return best
 
--- a/magnoliarouter/gateway/groups.py
+++ b/magnoliarouter/gateway/groups.py
@@ -26,9 +26,10 @@
 __all__ = ["GroupKeeper", "SwitchAbandoned"]
 
 # Steps between reading a rank's step and holding a later one: all orders of a switch take some
-# 15 ms, and a step 30 to 120 ms.
-LEAST_HOLD_AHEAD = 3
-# Where an order went unanswered, others will: eight ranks need three or four tries of 0.1 s each.
+# 15 to 30 ms, and a step 30 to 120 ms.
+LEAST_HOLD_AHEAD = 2
+# Where an order of this switch or the last one went unanswered, others will: eight ranks need
+# three or four tries of 0.1 s each.
 UNANSWERED_AHEAD_S = 0.6
 # The read step may be older than it looks; each further try is twice as far ahead.
 HOLD_TRIES = 5
@@ -77,6 +78,7 @@
     _last_steps: dict[str, tuple[float, int]] = field(default_factory=dict)
     _last_counts: tuple[int, ...] | None = None
     _unanswered: int = 0
+    _calm: bool = True
 
     async def read_rows(self, profile: ExpertProfile) -> bool:
         """Learn the map in force from the ranks, and return whether all agree on one."""
@@ -150,9 +152,10 @@
         SwitchAbandoned
             The map in force stays, or the group formed anew.
         """
-        began = self.clock()
+        began, unanswered, calm = self.clock(), self._unanswered, self._calm
         copy_s = plan.most_copies * profile.copy_s + COPY_MARGIN_S
         until = began + copy_s + PREPARE_SLACK_S
+        self._calm = False
         smooth = await self._order_all(Prepare(version, plan.rows), until)
         await asyncio.sleep(max(0.0, began + copy_s - self.clock()))
         if not smooth:
@@ -160,9 +163,10 @@
             await self._wait_prepared(version, until)
         prepared = self.clock()
         await self.read_choices()
-        step = await self._hold(0.0 if smooth else UNANSWERED_AHEAD_S)
+        step = await self._hold(0.0 if smooth and calm else UNANSWERED_AHEAD_S)
         await self._order_all(Arm(version, step))
         await self._release(step)
+        self._calm = self._unanswered == unanswered
         log_event(
             "map_switched",
             group=self.name,
--- a/magnoliarouter/gateway/mapplan.py
+++ b/magnoliarouter/gateway/mapplan.py
@@ -1,7 +1,7 @@
 """Plans the next expert map of a group from recent choices.
 
-A step lasts as long as the most loaded rank of each set, so a map is improved set by set: a few
-changes each, as long as the set is skewed and its ranks may take further experts.
+A step lasts as long as the most loaded rank of each set, so each change goes to the set that is the
+most skewed then, as long as its ranks may take further experts.
 """
 
 from __future__ import annotations
@@ -19,13 +19,6 @@
 
 __all__ = ["EASY", "HARD", "MapEffort", "MapPlan", "plan_map"]
 
-# Most loaded rank over the mean. With the map of a second ago, sets whose experts did not change
-# stand at 1.1 to 1.3 in every trace.
-# Three to six changes a set gave the same mean skew in replays of a trace; four move fewest.
-CHANGES_A_SET = 4
-# Copies of a rank for one switch, each of 0.15 s: what is popular changes every few seconds, so two
-# short switches help more than one that comes when it is over.
-MOST_COPIES_A_RANK = 4
 # Mean skew over the sets that a switch must save; each switch copies experts and costs orders.
 LEAST_SAVING = 0.1
 
@@ -34,6 +27,9 @@
 class MapEffort:
     """How even a map should be; every copy of an expert has its price.
 
+    Skew is the most loaded rank's part over the mean. With the map of a second ago, sets whose
+    experts did not change stand at 1.1 to 1.3 in every trace.
+
     Parameters
     ----------
     worth_a_move : float
@@ -79,6 +75,7 @@
     ranks: int,
     profile: ExpertProfile,
     effort: MapEffort = HARD,
+    copies: int = 4,
 ) -> MapPlan | None:
     """Return the map to switch to, or None if none is worth it.
 
@@ -94,62 +91,69 @@
         Places of a rank, and how many new experts it takes at once.
     effort : MapEffort
         How even the map should be.
+    copies : int
+        Experts that one rank may fetch.
     """
-    states, planned = [], list(rows)
+    states = []
     for index, row in enumerate(rows):
         start = index * profile.experts
         # Experts that nobody chose must not look free of charge.
         tokens = [count + 1.0 for count in counts[start : start + profile.experts]]
         states.append(LayerState(row, tokens, [1.0] * ranks, profile.places))
-    skews = [_skew(state) for state in states]
-    fetched, after = [0] * ranks, sum(skews)
-    for index in sorted(range(len(rows)), key=skews.__getitem__, reverse=True):
-        if skews[index] <= effort.worth_a_move:
-            break
-        changed, skew = _improve(
-            states[index], rows[index], fetched, profile.spare, effort.good_enough
-        )
-        for rank in _list_fetches(rows[index], changed):
-            fetched[rank] += 1
-        planned[index] = changed
-        after -= skews[index] - skew
-    sets = len(rows)
-    if sum(skews) - after < LEAST_SAVING * sets:
+    before = [_skew(state) for state in states]
+    planned = _improve(rows, states, profile.spare, effort, copies)
+    after = sum(map(_skew, states)) / len(rows)
+    if sum(before) / len(rows) - after < LEAST_SAVING:
         return None
-    return MapPlan(tuple(planned), sum(fetched), max(fetched), sum(skews) / sets, after / sets)
+    fetches = [
+        rank for old, new in zip(rows, planned) if old != new for rank in _list_fetches(old, new)
+    ]
+    most = max(map(fetches.count, range(ranks)))
+    return MapPlan(planned, len(fetches), most, sum(before) / len(rows), after)
 
 
 def _improve(
-    state: LayerState, row: Row, fetched: list[int], spare: int, good_enough: float
-) -> tuple[Row, float]:
-    """Return the set after some changes, and its skew.
+    rows: tuple[Row, ...],
+    states: list[LayerState],
+    spare: int,
+    effort: MapEffort,
+    copies: int,
+) -> tuple[Row, ...]:
+    """Return the map after changes to the most skewed set, then to what is the next one.
 
     Parameters
     ----------
-    state : LayerState
-        Working state of the set; it is changed.
-    row : Row
-        Ranks of each expert so far.
-    fetched : list of int
-        Experts that each rank has to fetch already for other sets.
+    rows : tuple of Row
+        Map in force.
+    states : list of LayerState
+        Working state of each set; they are changed.
     spare : int
         Experts of one set that a rank takes at once.
-    good_enough : float
-        Skew at which no further change is made.
+    effort : MapEffort
+        How even the map should be.
+    copies : int
+        Experts that one rank may fetch.
     """
-    best, skew = row, _skew(state)
-    for _ in range(CHANGES_A_SET):
-        change = state.find_change() if skew > good_enough else None
+    planned, ranks = list(rows), range(len(states[0].times))
+    fetched = [[0] * len(ranks) for _ in rows]
+    left = {index for index, state in enumerate(states) if _skew(state) > effort.worth_a_move}
+    while left:
+        index = max(left, key=lambda one: _skew(states[one]))
+        state, own = states[index], fetched[index]
+        closed = [
+            rank
+            for rank in ranks
+            if own[rank] >= spare or sum(one[rank] for one in fetched) >= copies
+        ]
+        change = state.find_change(closed) if _skew(state) > effort.good_enough else None
         if change is None:
-            break
+            left.discard(index)
+            continue
         state.apply(change)
-        changed = state.copy_row()
-        fetches = _list_fetches(row, changed)
-        new = [fetches.count(rank) for rank in range(len(fetched))]
-        if max(new) > spare or max(map(sum, zip(new, fetched))) > MOST_COPIES_A_RANK:
-            break
-        best, skew = changed, _skew(state)
-    return best, skew
+        planned[index] = state.copy_row()
+        fetches = _list_fetches(rows[index], planned[index])
+        fetched[index] = [fetches.count(rank) for rank in ranks]
+    return tuple(planned)
 
 
 def _skew(state: LayerState) -> float:
--- a/magnoliarouter/tests/test_groups.py
+++ b/magnoliarouter/tests/test_groups.py
@@ -79,6 +79,27 @@
                 new = sum(rank in ranks and rank not in old for old, ranks in zip(before, after))
                 self.assertLessEqual(new, PROFILE.spare)
 
+    def test_rank_copies_no_more_than_asked(self):
+        rows = tuple(tuple((expert % 4,) for expert in range(8)) for _ in range(2))
+        counts = ([100_000] + [1000] * 7) * 2
+        for copies in (1, 2):
+            plan = plan_map(rows, counts, 4, PROFILE, copies=copies)
+            fetched = [
+                rank
+                for old, new in zip(rows, plan.rows)
+                for before, after in zip(old, new)
+                for rank in set(after) - set(before)
+            ]
+            self.assertEqual(max(map(fetched.count, range(4))), copies)
+            self.assertEqual((plan.most_copies, plan.copies), (copies, len(fetched)))
+
+    def test_few_copies_go_to_the_most_skewed_set(self):
+        rows = tuple(tuple((expert % 4,) for expert in range(8)) for _ in range(2))
+        mild, strong = [4000] + [1000] * 7, [100_000] + [1000] * 7
+        plan = plan_map(rows, mild + strong, 4, PROFILE, copies=1)
+        self.assertEqual(len(plan.rows[0][0]), 1)
+        self.assertGreater(len(plan.rows[1][0]), 1)
+
     def test_even_choices_move_nothing(self):
         rows = tuple(tuple((expert % 4,) for expert in range(8)) for _ in range(2))
         self.assertIsNone(plan_map(rows, [1000] * 16, 4, PROFILE))
