Leave a group that stands still at once, and refuse while all do

Cause: all ranks of a group step together, but each daemon learnt of a dead or cut off rank call by call and rank by rank: each call waited up to 1.5 s for a refusal, used up its attempts and the budget of repeats on other ranks of the same group, and was refused although another group worked. Ruled out: health of single endpoints, which keeps half of them in use; asking the daemon in charge of the maps, which may be the one that is cut off. Change: each daemon asks each rank once for its group, takes a refusal that names another rank as word that the group stands still, asks up to three ranks every 0.25 s until one reports it open, and asks also after silence or a failed connection. Logs: group_lost, group_regained, at_fault of a failed attempt.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -20,6 +20,7 @@
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
 from magnoliarouter.gateway.forward import GatewayForwarder
 from magnoliarouter.gateway.freshness import Freshness
+from magnoliarouter.gateway.groupwatch import GroupWatch
 from magnoliarouter.gateway.handler import GatewayHandler
 from magnoliarouter.gateway.mapduty import MapDuty
 from magnoliarouter.gateway.peers import PeerLoads
@@ -157,6 +158,9 @@
         )
         await self._peers.open(*_split(settings.peers))
         self._waiting = WaitingRoom(self.table, clock)
+        self._ranks = interface.open_ranks(self._pool)
+        self._watch = GroupWatch(self._ranks, self._list_members, clock, self._waiting.wake)
+        self.table.stands_still = self._watch.stands_still
         forwarder = GatewayForwarder(
             self.table,
             self._waiting,
@@ -165,6 +169,7 @@
             self._budget,
             clock,
             self.metrics,
+            self._watch,
             self._peers.note_change,
         )
         self._handler = handler = GatewayHandler(
@@ -272,10 +277,8 @@
             self._store, MAPS_LEASE, holder, clock, MAPS_LEASE_S, self._log_charge
         )
         self._peers.is_in_charge = lambda: self._lease.epoch() is not None
-        self._maps = MapDuty(
-            self.interface.open_ranks(self._pool), self._list_ranks, self._lease.epoch, clock
-        )
-        for run in (self._maps.run, self._stand_for_charge):
+        self._maps = MapDuty(self._ranks, self._list_ranks, self._lease.epoch, clock)
+        for run in (self._maps.run, self._watch.run, self._stand_for_charge):
             self._tasks.append(self._loop.create_task(run()))
 
     def _list_ranks(self) -> list[tuple[Endpoint, ExpertProfile]]:
@@ -290,6 +293,9 @@
                 ranks.append((endpoint, replace(profile.experts, pause_s=pause)))
         return ranks
 
+    def _list_members(self) -> list[Endpoint]:
+        return [endpoint for endpoint, _ in self._list_ranks()]
+
     def _log_charge(self, epoch: int | None) -> None:
         log_event("maps_lease_won" if epoch is not None else "maps_lease_lost", epoch=epoch)
         self._peers.note_change()
--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -51,7 +51,20 @@
 class FailedAttempt:
     """Attempt without an answer for the caller.
 
-    `ran` is None where it is not known whether the request ran.
+    Parameters
+    ----------
+    code, reason : ResultCode, str
+        What the caller is told if there is no further attempt.
+    ran : bool, optional
+        Whether the request ran; None where that is not known.
+    sent : bool
+        Whether anything was sent.
+    answer : WholeAnswer, optional
+        What the endpoint answered.
+    at_fault : str
+        Endpoint that the refusing one names as the cause.
+    silent : bool
+        Whether the endpoint was given up because nothing came.
     """
 
     code: ResultCode
@@ -59,6 +72,8 @@
     ran: bool | None
     sent: bool = True
     answer: WholeAnswer | None = None
+    at_fault: str = ""
+    silent: bool = False
 
 
 @dataclass(slots=True)
@@ -182,7 +197,7 @@
                 if now < call.deadline and not self._could_move(call, progress, now):
                     continue
                 reason = f"nothing came within {limit:.3f} s"
-                return FailedAttempt(ResultCode.DEADLINE_EXCEEDED, reason, None)
+                return FailedAttempt(ResultCode.DEADLINE_EXCEEDED, reason, None, silent=True)
 
     def _could_move(self, call: GatewayCall, progress: Progress, now: float) -> bool:
         return (
@@ -223,7 +238,8 @@
         terms = answer.terms
         if terms.not_run:
             code = ResultCode.ENDPOINT_REFUSED if terms.misdirected else ResultCode.QUEUE_FULL
-            return FailedAttempt(code, f"endpoint refused with status {answer.status}", ran=False)
+            reason = f"endpoint refused with status {answer.status}"
+            return FailedAttempt(code, reason, ran=False, at_fault=terms.at_fault)
         if 200 <= answer.status < 500:
             if not terms.signed and answer.status < 300:
                 return FailedAttempt(ResultCode.WRONG_ATTEMPT, "answer without a signature", None)
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -9,7 +9,7 @@
 from magnoliarouter.core.outliers import OutlierPolicy, Outliers
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
 __all__ = ["Endpoint", "EndpointTable"]
 
@@ -65,10 +65,13 @@
         Availability zone of this daemon.
     random : random.Random
         Breaks ties, so that daemons with equal beliefs do not all choose the same endpoint.
+    stands_still : callable
+        Returns whether an endpoint cannot serve because its group stands still.
     """
 
     zone: str
     random: random.Random = field(default_factory=random.Random)
+    stands_still: Callable[[str], bool] = lambda identity: False
     outliers: Outliers = field(
         default_factory=lambda: Outliers(OutlierPolicy(failures=3, last_seconds=4.0))
     )
@@ -170,12 +173,22 @@
 
     def is_known(self, service: str) -> bool:
         """Return whether any endpoint of a service takes requests."""
-        return any(not endpoint.draining for endpoint in self._services.get(service, {}).values())
+        return bool(self._list_taking(service))
+
+    def is_served(self, service: str) -> bool:
+        """Return whether any endpoint of a service takes requests and can work."""
+        return any(not self.stands_still(name) for name in self._list_taking(service))
+
+    def _list_taking(self, service: str) -> list[str]:
+        known = self._services.get(service, {})
+        return [name for name, endpoint in known.items() if not endpoint.draining]
 
     def _list_usable(self, service: str, tried: set[str], now: float) -> list[Endpoint]:
         known = self._services.get(service, {})
         names = [
-            name for name, endpoint in known.items() if not endpoint.draining and name not in tried
+            name
+            for name in self._list_taking(service)
+            if name not in tried and not self.stands_still(name)
         ]
         usable = self.outliers.select_usable(names, now)
         return [known[name] for name in names if name in usable]
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -26,6 +26,7 @@
     from magnoliarouter.core.retries import SharedRetryBudget
     from magnoliarouter.gateway.call import GatewayCall, HeaderCodec
     from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
+    from magnoliarouter.gateway.groupwatch import GroupWatch
     from magnoliarouter.gateway.waiting import WaitingRoom
     from magnoliarouter.telemetry.metrics import Metrics
     from magnoliarouter.web.ingress import IngressExchange
@@ -63,6 +64,8 @@
         Loop time in seconds.
     metrics : Metrics
         Counters of retries and refusals.
+    watch : GroupWatch
+        Groups that stand still.
     on_load : callable
         Called when the load that this daemon puts on endpoints has changed.
     """
@@ -76,6 +79,7 @@
         budget: SharedRetryBudget,
         clock: Callable[[], float],
         metrics: Metrics,
+        watch: GroupWatch,
         on_load: Callable[[], None] = lambda: None,
     ) -> None:
         self._table = table
@@ -83,6 +87,7 @@
         self._budget = budget
         self._clock = clock
         self._metrics = metrics
+        self._watch = watch
         self._on_load = on_load
         self._attempts = AttemptRunner(table, pool, codec, budget, clock, metrics)
 
@@ -178,6 +183,9 @@
         return min(call.began + WAIT_SHARE * call.route.target_s, call.deadline) - now
 
     def _explain(self, service: str) -> NotRun:
+        if self._table.is_known(service) and not self._table.is_served(service):
+            wait_s = self._table.guess_return(service, self._clock())
+            return NotRun(ResultCode.GROUP_STALLED, "every group stands still", wait_s)
         if self._table.is_known(service):
             return NotRun(ResultCode.QUEUE_FULL, "every endpoint is full", ROOM_RETRY_S)
         return NotRun(ResultCode.NO_ENDPOINT, "no endpoint serves this now", ROOM_RETRY_S)
@@ -215,11 +223,17 @@
         if not result.sent:
             progress.unreachable += 1
             progress.tried |= self._table.list_beside(endpoint)
+            self._watch.suspect(endpoint.identity)
             self._note_ejection(endpoint, now, at_once=True)
         elif result.ran is False:
             self._table.note_full(endpoint.identity, now)
+            if result.at_fault not in ("", endpoint.identity):
+                self._watch.note_stall(endpoint.identity)
         else:
             progress.in_doubt = True
+            if result.silent:
+                progress.tried |= self._watch.list_mates(endpoint.identity)
+                self._watch.suspect(endpoint.identity)
             self._note_ejection(endpoint, now, at_once=False)
         log_event(
             "attempt_failed",
@@ -230,6 +244,7 @@
             code=int(result.code),
             reason=result.reason,
             ran=result.ran,
+            at_fault=result.at_fault,
             waited=round(now - call.began, 4),
             important=True,
         )
--- /dev/null
+++ b/magnoliarouter/gateway/groupwatch.py
@@ -0,0 +1,155 @@
+"""Which groups stand still, as one daemon believes.
+
+All ranks of a group step together: if one is dead or cut off, none serves. A call that is sent to
+any of them would wait in vain and use up one of its attempts, so what one call learns of a group
+holds for all of its ranks. A group that stands still is asked for its state until it works again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from magnoliarouter.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from magnoliarouter.gateway.endpoints import Endpoint
+    from magnoliarouter.gateway.ranks import RankClient, RankReport
+
+__all__ = ["GroupWatch"]
+
+# A report is priced like a probe and some 0.2 s old; a group takes 0.6 s to form anew.
+POLL_S = 0.25
+# Reports of before a rank refused may still say that the group works.
+REPORT_AGE_S = 0.4
+# Ranks asked at once, one of which answers unless a zone is cut off.
+ASKED_RANKS = 3
+# A rank that did not say to which group it belongs is asked again after this time.
+ASK_AGAIN_S = 1.0
+
+
+class GroupWatch:
+    """Groups of ranks, and which of them stand still.
+
+    Parameters
+    ----------
+    client : RankClient
+        Calls to ranks.
+    list_ranks : callable
+        Returns the endpoints that may be ranks.
+    clock : callable
+        Loop time in seconds.
+    on_change : callable
+        Called when a group stops or works again.
+    """
+
+    def __init__(
+        self,
+        client: RankClient,
+        list_ranks: Callable[[], Iterable[Endpoint]],
+        clock: Callable[[], float],
+        on_change: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._client = client
+        self._list_ranks = list_ranks
+        self._clock = clock
+        self._on_change = on_change
+        self._groups: dict[str, str] = {}
+        self._asked: dict[str, float] = {}
+        self._stalled: dict[str, float] = {}
+        self._suspected: set[str] = set()
+        self._wake = asyncio.Event()
+
+    def stands_still(self, identity: str) -> bool:
+        """Return whether an endpoint belongs to a group that stands still."""
+        return self._groups.get(identity) in self._stalled
+
+    def list_mates(self, identity: str) -> set[str]:
+        """Return the ranks of an endpoint's group, or the endpoint alone if it has none."""
+        group = self._groups.get(identity)
+        if not group:
+            return {identity}
+        return {name for name, other in self._groups.items() if other == group}
+
+    def note_stall(self, identity: str) -> None:
+        """Take a rank's word that its group stands still."""
+        group = self._groups.get(identity)
+        if group:
+            self._set_stalled(group, "a rank refused")
+
+    def suspect(self, identity: str) -> None:
+        """Ask whether the group of an endpoint that was silent or out of reach still works."""
+        group = self._groups.get(identity)
+        if group and group not in self._stalled:
+            self._suspected.add(group)
+            self._wake.set()
+
+    async def run(self) -> None:
+        """Learn which endpoint belongs to which group, and ask those in doubt, for ever."""
+        while True:
+            self._wake.clear()
+            ranks = {endpoint.identity: endpoint for endpoint in self._list_ranks()}
+            await self._learn_groups(ranks)
+            suspected, self._suspected = self._suspected, set()
+            await asyncio.gather(
+                *(self._ask(group, ranks) for group in suspected | self._stalled.keys())
+            )
+            try:
+                async with asyncio.timeout(POLL_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    async def _learn_groups(self, ranks: dict[str, Endpoint]) -> None:
+        now = self._clock()
+        for identity in self._groups.keys() - ranks.keys():
+            del self._groups[identity]
+        self._asked = {name: at for name, at in self._asked.items() if name in ranks}
+        new = [
+            endpoint
+            for name, endpoint in ranks.items()
+            if name not in self._groups and now - self._asked.get(name, -ASK_AGAIN_S) >= ASK_AGAIN_S
+        ]
+        self._asked.update({endpoint.identity: now for endpoint in new})
+        await asyncio.gather(*(self._learn_group(endpoint) for endpoint in new))
+
+    async def _learn_group(self, endpoint: Endpoint) -> None:
+        report = await self._client.read_report(endpoint.address)
+        if report is not None:
+            self._groups[endpoint.identity] = report.group
+
+    async def _ask(self, group: str, ranks: dict[str, Endpoint]) -> None:
+        """Ask some ranks of a group for its state; the first to answer decides."""
+        members = [endpoint for name, endpoint in ranks.items() if self._groups.get(name) == group]
+        if not members:
+            self._stalled.pop(group, None)
+            return
+        turn = int(self._clock() / POLL_S) % len(members)
+        asked = (members[turn:] + members[:turn])[:ASKED_RANKS]
+        calls = [asyncio.ensure_future(self._client.read_report(one.address)) for one in asked]
+        try:
+            for call in asyncio.as_completed(calls):
+                report = await call
+                if report is not None and report.group == group:
+                    self._take_state(group, report)
+                    return
+        finally:
+            for call in calls:
+                call.cancel()
+
+    def _take_state(self, group: str, report: RankReport) -> None:
+        if not report.open:
+            self._set_stalled(group, "a rank reports it")
+        elif self._clock() - self._stalled.get(group, float("inf")) > REPORT_AGE_S:
+            seconds = round(self._clock() - self._stalled.pop(group), 3)
+            log_event("group_regained", group=group, epoch=report.epoch, seconds=seconds)
+            self._on_change()
+
+    def _set_stalled(self, group: str, reason: str) -> None:
+        if group not in self._stalled:
+            self._stalled[group] = self._clock()
+            log_event("group_lost", group=group, reason=reason)
+            self._wake.set()
+            self._on_change()
--- a/magnoliarouter/gateway/waiting.py
+++ b/magnoliarouter/gateway/waiting.py
@@ -36,7 +36,7 @@
     number: int
     fresh_until: float
     tried: set[str]
-    place: asyncio.Future[Endpoint]
+    place: asyncio.Future[Endpoint | None]
 
     def rank(self, now: float) -> tuple[int, bool, int]:
         """Return what orders waiting calls; the least goes first."""
@@ -95,7 +95,7 @@
                 return endpoint
         if wait_s <= 0 or self.length(service) >= MAX_WAITING:
             return None
-        if not self._table.is_known(service):
+        if not self._table.is_served(service):
             return None
         place = asyncio.get_running_loop().create_future()
         waiter = _Waiter(urgency, next(self._numbers), fresh_until, tried, place)
@@ -108,16 +108,19 @@
             # A place may have come in the same turn; otherwise the time-out cancelled the future.
             return None if place.cancelled() else place.result()
         except asyncio.CancelledError:
-            if not place.cancelled():
-                self._table.end(place.result().identity)
+            endpoint = None if place.cancelled() else place.result()
+            if endpoint is not None:
+                self._table.end(endpoint.identity)
             raise
         finally:
             if waiter in self._queues[service]:
                 self._queues[service].remove(waiter)
 
     def wake(self) -> None:
-        """Hand out the places that have become free."""
+        """Hand out the places that have become free, and end waits that would be in vain."""
         for service, queue in self._queues.items():
+            if queue and not self._table.is_served(service):
+                self._end_all(queue)
             while queue:
                 waiter = min(queue, key=lambda one: one.rank(self._clock()))
                 endpoint = self._choose(service, waiter.tried)
@@ -129,6 +132,13 @@
                 else:
                     waiter.place.set_result(endpoint)
 
+    @staticmethod
+    def _end_all(queue: list[_Waiter]) -> None:
+        for waiter in queue:
+            if not waiter.place.done():
+                waiter.place.set_result(None)
+        queue.clear()
+
     def wake_later(self) -> None:
         """Hand out the places that other daemons have left free, after leaving them a while."""
         if not self._yielding and any(self._queues.values()):
--- a/magnoliarouter/tests/builders.py
+++ b/magnoliarouter/tests/builders.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from magnoliarouter.core.contract import Contract, Limits
+from magnoliarouter.gateway.ranks import RankReport
 from magnoliarouter.pipeline.call import ApplicationCall, Call, ModelCall
 from magnoliarouter.pipeline.identify import hash_key
 from magnoliarouter.store.objects import EndpointSpec
@@ -69,3 +70,18 @@
         "services": ("tanks",),
     }
     return EndpointSpec(name, **{**values, **changes})
+
+
+def build_rank_report(group: str = "g0", **changes: Any) -> RankReport:
+    values = {
+        "epoch": 1,
+        "rank": 0,
+        "size": 2,
+        "open": True,
+        "step": 1,
+        "map_version": 0,
+        "prepared": None,
+        "armed": None,
+        "held": None,
+    }
+    return RankReport(group, **{**values, **changes})
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -8,10 +8,12 @@
 from magnoliarouter.gateway.call import GatewayCall
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
 from magnoliarouter.gateway.forward import GatewayForwarder
+from magnoliarouter.gateway.groupwatch import GroupWatch
 from magnoliarouter.gateway.routes import Route, RouteKind
 from magnoliarouter.gateway.waiting import WaitingRoom
 from magnoliarouter.platform.headers import PlatformHeaders
 from magnoliarouter.telemetry.metrics import Metrics
+from magnoliarouter.tests.builders import build_rank_report
 from magnoliarouter.tests.raw_server import RawServer, build_answer
 from magnoliarouter.web.upstream import UpstreamPool
 
@@ -71,6 +73,18 @@
         self.aborted = self.finished = True
 
 
+class FakeRanks:
+    """Ranks that report what `reports` holds by address, and count how often they were asked."""
+
+    def __init__(self):
+        self.reports = {}
+        self.asked = 0
+
+    async def read_report(self, address):
+        self.asked += 1
+        return self.reports.get(address)
+
+
 class ForwardCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.clock = asyncio.get_running_loop().time
@@ -80,6 +94,9 @@
         self.metrics = Metrics()
         self.budget = SharedRetryBudget(0.2, 100, 10.0)
         self.waiting = WaitingRoom(self.table, self.clock)
+        self.ranks = FakeRanks()
+        self.watch = GroupWatch(self.ranks, self.table.list, self.clock, self.waiting.wake)
+        self.table.stands_still = self.watch.stands_still
         self.forwarder = GatewayForwarder(
             self.table,
             self.waiting,
@@ -88,6 +105,7 @@
             self.budget,
             self.clock,
             self.metrics,
+            self.watch,
         )
         self.exchange = FakeExchange()
         self.heads = []
@@ -318,6 +336,63 @@
         self.assertIsNotNone(outcome.retry_after)
 
 
+class GroupTest(ForwardCase):
+    """Endpoints e1 and e2 are ranks of one group, e3 is one of another."""
+
+    async def start(self, first):
+        async def fine(peer):
+            await peer.send(build_answer())
+
+        for name, handle, slots in (("e1", first, 100), ("e2", fine, 50), ("e3", fine, 1)):
+            server = await self.add(handle, name, slots=slots)
+            group = "g1" if name == "e3" else "g0"
+            self.ranks.reports[server.address] = build_rank_report(group)
+        self.table.random.random = lambda: 0.0
+        task = asyncio.get_running_loop().create_task(self.watch.run())
+        self.addCleanup(task.cancel)
+        await asyncio.sleep(0.05)
+
+    async def test_refusal_that_names_another_rank_closes_the_whole_group(self):
+        async def refuse(peer):
+            await peer.send(build_answer(status=503, X_Not_Executed="1", At_Server="e7"))
+
+        await self.start(refuse)
+        outcome = await self.forward(build_route(RouteKind.ONCE, attempts=2))
+        self.assertIsInstance(outcome, Completed)
+        self.assertEqual(self.tried(), ["e1", "e3"])
+
+    async def test_refusal_for_want_of_room_closes_no_group(self):
+        async def refuse(peer):
+            await peer.send(build_answer(status=503, X_Not_Executed="1", At_Server="e1"))
+
+        await self.start(refuse)
+        await self.forward(build_route(RouteKind.ONCE, attempts=2))
+        self.assertEqual(self.tried(), ["e1", "e2"])
+
+    async def test_silent_rank_is_not_followed_by_one_of_its_group(self):
+        async def silent(peer):
+            await asyncio.sleep(5)
+
+        await self.start(silent)
+        outcome = await self.forward(build_route(RouteKind.SAFE, attempts=2))
+        self.assertIsInstance(outcome, Completed)
+        self.assertEqual(self.tried(), ["e1", "e3"])
+
+    async def test_call_is_refused_at_once_while_every_group_stands_still(self):
+        async def fine(peer):
+            await peer.send(build_answer())
+
+        await self.start(fine)
+        for name in ("e1", "e3"):
+            self.watch.note_stall(name)
+        began = self.clock()
+        outcome = await self.forward(build_route(RouteKind.STREAM, attempts=2))
+        self.assertEqual(outcome.code, ResultCode.GROUP_STALLED)
+        self.assertGreater(outcome.retry_after, 0)
+        self.assertLess(self.clock() - began, 0.1)
+        self.assertEqual(self.tried(), [])
+
+
 class StreamTest(ForwardCase):
     def head(self, **fields):
         named = {"X-Request-Id": "r1", "X-Server-Stamp": "s1", "Content-Type": STREAM, **fields}
--- /dev/null
+++ b/magnoliarouter/tests/test_groupwatch.py
@@ -0,0 +1,142 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
+from magnoliarouter.gateway.groupwatch import POLL_S, GroupWatch
+from magnoliarouter.gateway.waiting import WaitingRoom
+from magnoliarouter.tests.builders import build_rank_report
+from magnoliarouter.tests.clock import run_jumping
+
+RANKS = {f"e{number}": f"g{number // 2}" for number in range(4)}
+
+
+class Ranks:
+    """Four ranks of two groups; those named in `silent` do not answer."""
+
+    def __init__(self):
+        self.open = {"g0": True, "g1": True}
+        self.silent = set()
+        self.asked = []
+
+    async def read_report(self, address):
+        self.asked.append(address)
+        if address in self.silent:
+            await asyncio.sleep(0.25)
+            return None
+        group = RANKS[address]
+        return build_rank_report(group, open=self.open[group])
+
+
+class Case:
+    def __init__(self):
+        self.clock = asyncio.get_running_loop().time
+        self.table = EndpointTable("zone-1")
+        for name in RANKS:
+            self.table.put(Endpoint(name, "model", name, "zone-1", 2))
+        self.ranks = Ranks()
+        self.waiting = WaitingRoom(self.table, self.clock)
+        self.watch = GroupWatch(self.ranks, self.table.list, self.clock, self.waiting.wake)
+        self.table.stands_still = self.watch.stands_still
+        self.task = asyncio.get_running_loop().create_task(self.watch.run())
+
+    def stalled(self):
+        return [name for name in RANKS if self.watch.stands_still(name)]
+
+
+def play(steps):
+    async def main():
+        case = Case()
+        await asyncio.sleep(0.1)
+        try:
+            return await steps(case)
+        finally:
+            case.task.cancel()
+
+    return run_jumping(main())
+
+
+class GroupWatchTest(unittest.TestCase):
+    def test_each_rank_is_asked_once_while_all_is_well(self):
+        async def steps(case):
+            await asyncio.sleep(10.0)
+            return sorted(case.ranks.asked)
+
+        self.assertEqual(play(steps), sorted(RANKS))
+
+    def test_word_of_one_rank_holds_for_its_group_until_it_is_back(self):
+        async def steps(case):
+            case.ranks.open["g1"] = False
+            case.watch.note_stall("e2")
+            first = case.stalled()
+            await asyncio.sleep(3.0)
+            during = case.stalled()
+            case.ranks.open["g1"] = True
+            await asyncio.sleep(2 * POLL_S)
+            return first, during, case.stalled()
+
+        self.assertEqual(play(steps), (["e2", "e3"], ["e2", "e3"], []))
+
+    def test_old_report_does_not_overrule_a_refusal(self):
+        async def steps(case):
+            case.watch.note_stall("e0")
+            await asyncio.sleep(POLL_S)
+            early = case.stalled()
+            await asyncio.sleep(2 * POLL_S)
+            return early, case.stalled()
+
+        self.assertEqual(play(steps), (["e0", "e1"], []))
+
+    def test_suspicion_is_settled_by_a_rank_that_answers(self):
+        async def steps(case):
+            case.ranks.silent.add("e0")
+            case.watch.suspect("e0")
+            await asyncio.sleep(0.5)
+            well = case.stalled()
+            case.ranks.open["g0"] = False
+            case.watch.suspect("e0")
+            await asyncio.sleep(0.5)
+            return well, case.stalled()
+
+        self.assertEqual(play(steps), ([], ["e0", "e1"]))
+
+    def test_new_ranks_are_asked_and_those_gone_are_forgotten(self):
+        async def steps(case):
+            case.watch.note_stall("e0")
+            for name in ("e0", "e1"):
+                case.table.remove(name)
+            await asyncio.sleep(1.0)
+            known = case.watch.list_mates("e0")
+            case.table.put(Endpoint("e1", "model", "e1", "zone-1", 2))
+            await asyncio.sleep(1.0)
+            return known, case.watch.list_mates("e1")
+
+        self.assertEqual(play(steps), ({"e0"}, {"e1"}))
+
+    def test_place_is_never_taken_at_a_group_that_stands_still(self):
+        async def steps(case):
+            case.ranks.open["g0"] = False
+            case.watch.note_stall("e0")
+            taken = [await case.waiting.take("model", set(), 1, 0.0) for _ in range(5)]
+            return [endpoint and endpoint.identity for endpoint in taken]
+
+        taken = play(steps)
+        self.assertEqual(sorted(taken[:4]), ["e2", "e2", "e3", "e3"])
+        self.assertIsNone(taken[4])
+
+    def test_call_that_waits_is_told_at_once_when_the_last_group_stops(self):
+        async def steps(case):
+            for _ in range(8):
+                await case.waiting.take("model", set(), 1, 0.0)
+            began = case.clock()
+            case.ranks.open.update(g0=False, g1=False)
+            waiting = asyncio.ensure_future(case.waiting.take("model", set(), 1, 5.0))
+            await asyncio.sleep(0.01)
+            case.watch.note_stall("e0")
+            case.watch.note_stall("e2")
+            return await waiting, case.clock() - began
+
+        place, seconds = play(steps)
+        self.assertIsNone(place)
+        self.assertLess(seconds, 0.05)
