Leave a zone that is out of reach until a connection of the daemon's own succeeds

Ruled out: believing silence of the other daemons' datagrams, which are lost where packets are. Change: the first failed connection takes the zone out, and a connection to two of its endpoints at once and every 0.5 s tells whether it was one endpoint alone; silence is tried first and believed after. Logs: zone_lost, zone_regained.

--- a/magnoliarouter/core/codes.py
+++ b/magnoliarouter/core/codes.py
@@ -81,8 +81,8 @@
     ResultCode.DISPLACED: CodeDescription(
         503, "Work of a better standing took the place in the queue.", _LATER
     ),
-    ResultCode.GROUP_STALLED: CodeDescription(
-        503, "Every group that serves this stands still.", _LATER
+    ResultCode.SERVICE_STALLED: CodeDescription(
+        503, "Every endpoint of the service is cut off or stands still.", _LATER
     ),
     ResultCode.ENDPOINT_REFUSED: CodeDescription(
         503, "The endpoint's guard did not start the request.", _LATER
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -25,6 +25,7 @@
 from magnoliarouter.gateway.mapduty import MapDuty
 from magnoliarouter.gateway.peers import PeerLoads
 from magnoliarouter.gateway.waiting import WaitingRoom
+from magnoliarouter.gateway.zonewatch import ZoneWatch
 from magnoliarouter.store.backoff import Backoff, CallBudget
 from magnoliarouter.store.client import PlatformClient
 from magnoliarouter.store.feed import ObjectFeed
@@ -159,8 +160,11 @@
         await self._peers.open(*_split(settings.peers))
         self._waiting = WaitingRoom(self.table, clock)
         self._ranks = interface.open_ranks(self._pool)
-        self._watch = GroupWatch(self._ranks, self._list_members, clock, self._waiting.wake)
-        self.table.stands_still = self._watch.stands_still
+        self._groups = GroupWatch(self._ranks, self._list_members, clock, self._waiting.wake)
+        self._zones = ZoneWatch(
+            settings.zone, self._pool.can_connect, self.table.list, self._take_zone
+        )
+        self.table.is_out = self._is_out
         forwarder = GatewayForwarder(
             self.table,
             self._waiting,
@@ -169,7 +173,8 @@
             self._budget,
             clock,
             self.metrics,
-            self._watch,
+            self._groups,
+            self._zones,
             self._peers.note_change,
         )
         self._handler = handler = GatewayHandler(
@@ -278,7 +283,12 @@
         )
         self._peers.is_in_charge = lambda: self._lease.epoch() is not None
         self._maps = MapDuty(self._ranks, self._list_ranks, self._lease.epoch, clock)
-        for run in (self._maps.run, self._watch.run, self._stand_for_charge):
+        for run in (
+            self._maps.run,
+            self._groups.run,
+            self._zones.run,
+            self._stand_for_charge,
+        ):
             self._tasks.append(self._loop.create_task(run()))
 
     def _list_ranks(self) -> list[tuple[Endpoint, ExpertProfile]]:
@@ -293,6 +303,16 @@
                 ranks.append((endpoint, replace(profile.experts, pause_s=pause)))
         return ranks
 
+    def _is_out(self, endpoint: Endpoint) -> bool:
+        return self._zones.is_cut(endpoint.zone) or self._groups.stands_still(endpoint.identity)
+
+    def _take_zone(self, zone: str) -> None:
+        """Take a zone that was lost or regained; what failed there failed with it."""
+        self.table.outliers.forget(
+            [endpoint.identity for endpoint in self.table.list() if endpoint.zone == zone]
+        )
+        self._waiting.wake()
+
     def _list_members(self) -> list[Endpoint]:
         return [endpoint for endpoint, _ in self._list_ranks()]
 
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -9,7 +9,7 @@
 from magnoliarouter.core.outliers import OutlierPolicy, Outliers
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Iterator
 
 __all__ = ["Endpoint", "EndpointTable"]
 
@@ -65,13 +65,13 @@
         Availability zone of this daemon.
     random : random.Random
         Breaks ties, so that daemons with equal beliefs do not all choose the same endpoint.
-    stands_still : callable
-        Returns whether an endpoint cannot serve because its group stands still.
+    is_out : callable
+        Returns whether an endpoint cannot serve: its group stands still, or its zone is cut off.
     """
 
     zone: str
     random: random.Random = field(default_factory=random.Random)
-    stands_still: Callable[[str], bool] = lambda identity: False
+    is_out: Callable[[Endpoint], bool] = lambda endpoint: False
     outliers: Outliers = field(
         default_factory=lambda: Outliers(OutlierPolicy(failures=3, last_seconds=4.0))
     )
@@ -103,16 +103,6 @@
         """Return all endpoints."""
         return self._known.values()
 
-    def list_beside(self, endpoint: Endpoint) -> set[str]:
-        """Return the endpoints that are likely cut off if one cannot be connected to.
-
-        Those are all of its zone, unless that is this daemon's own.
-        """
-        if endpoint.zone == self.zone:
-            return {endpoint.identity}
-        known = self._services.get(endpoint.service, {})
-        return {name for name, other in known.items() if other.zone == endpoint.zone}
-
     def begin(self, identity: str) -> None:
         """Count a request that is sent to an endpoint."""
         self.own[identity] = self.own.get(identity, 0) + 1
@@ -173,22 +163,22 @@
 
     def is_known(self, service: str) -> bool:
         """Return whether any endpoint of a service takes requests."""
-        return bool(self._list_taking(service))
+        return any(self._list_taking(service))
 
     def is_served(self, service: str) -> bool:
         """Return whether any endpoint of a service takes requests and can work."""
-        return any(not self.stands_still(name) for name in self._list_taking(service))
+        return any(not self.is_out(endpoint) for endpoint in self._list_taking(service))
 
-    def _list_taking(self, service: str) -> list[str]:
-        known = self._services.get(service, {})
-        return [name for name, endpoint in known.items() if not endpoint.draining]
+    def _list_taking(self, service: str) -> Iterator[Endpoint]:
+        for endpoint in self._services.get(service, {}).values():
+            if not endpoint.draining:
+                yield endpoint
 
     def _list_usable(self, service: str, tried: set[str], now: float) -> list[Endpoint]:
-        known = self._services.get(service, {})
-        names = [
-            name
-            for name in self._list_taking(service)
-            if name not in tried and not self.stands_still(name)
-        ]
-        usable = self.outliers.select_usable(names, now)
-        return [known[name] for name in names if name in usable]
+        known = {
+            endpoint.identity: endpoint
+            for endpoint in self._list_taking(service)
+            if endpoint.identity not in tried and not self.is_out(endpoint)
+        }
+        usable = self.outliers.select_usable(known, now)
+        return [endpoint for name, endpoint in known.items() if name in usable]
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -28,6 +28,7 @@
     from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
     from magnoliarouter.gateway.groupwatch import GroupWatch
     from magnoliarouter.gateway.waiting import WaitingRoom
+    from magnoliarouter.gateway.zonewatch import ZoneWatch
     from magnoliarouter.telemetry.metrics import Metrics
     from magnoliarouter.web.ingress import IngressExchange
     from magnoliarouter.web.upstream import UpstreamPool
@@ -64,8 +65,10 @@
         Loop time in seconds.
     metrics : Metrics
         Counters of retries and refusals.
-    watch : GroupWatch
+    groups : GroupWatch
         Groups that stand still.
+    zones : ZoneWatch
+        Zones that are out of reach.
     on_load : callable
         Called when the load that this daemon puts on endpoints has changed.
     """
@@ -79,7 +82,8 @@
         budget: SharedRetryBudget,
         clock: Callable[[], float],
         metrics: Metrics,
-        watch: GroupWatch,
+        groups: GroupWatch,
+        zones: ZoneWatch,
         on_load: Callable[[], None] = lambda: None,
     ) -> None:
         self._table = table
@@ -87,7 +91,8 @@
         self._budget = budget
         self._clock = clock
         self._metrics = metrics
-        self._watch = watch
+        self._groups = groups
+        self._zones = zones
         self._on_load = on_load
         self._attempts = AttemptRunner(table, pool, codec, budget, clock, metrics)
 
@@ -185,7 +190,8 @@
     def _explain(self, service: str) -> NotRun:
         if self._table.is_known(service) and not self._table.is_served(service):
             wait_s = self._table.guess_return(service, self._clock())
-            return NotRun(ResultCode.GROUP_STALLED, "every group stands still", wait_s)
+            reason = "every endpoint is cut off or stands still"
+            return NotRun(ResultCode.SERVICE_STALLED, reason, wait_s)
         if self._table.is_known(service):
             return NotRun(ResultCode.QUEUE_FULL, "every endpoint is full", ROOM_RETRY_S)
         return NotRun(ResultCode.NO_ENDPOINT, "no endpoint serves this now", ROOM_RETRY_S)
@@ -222,18 +228,19 @@
         progress.last = result
         if not result.sent:
             progress.unreachable += 1
-            progress.tried |= self._table.list_beside(endpoint)
-            self._watch.suspect(endpoint.identity)
+            self._zones.note_unreachable(endpoint)
+            self._groups.suspect(endpoint.identity)
             self._note_ejection(endpoint, now, at_once=True)
         elif result.ran is False:
             self._table.note_full(endpoint.identity, now)
             if result.at_fault not in ("", endpoint.identity):
-                self._watch.note_stall(endpoint.identity)
+                self._groups.note_stall(endpoint.identity)
         else:
             progress.in_doubt = True
             if result.silent:
-                progress.tried |= self._watch.list_mates(endpoint.identity)
-                self._watch.suspect(endpoint.identity)
+                progress.tried |= self._groups.list_mates(endpoint.identity)
+                self._groups.suspect(endpoint.identity)
+                self._zones.suspect(endpoint)
             self._note_ejection(endpoint, now, at_once=False)
         log_event(
             "attempt_failed",
--- /dev/null
+++ b/magnoliarouter/gateway/zonewatch.py
@@ -0,0 +1,109 @@
+"""Which zones are out of reach, as one daemon believes.
+
+A call that is sent into a zone that is cut off waits for a connection time-out, so what one call
+learns holds for all endpoints there until a connection of the daemon's own succeeds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from magnoliarouter.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterable
+
+    from magnoliarouter.gateway.endpoints import Endpoint
+
+__all__ = ["ZoneWatch"]
+
+# A connection is cheap beside the calls that wait for the zone's return.
+POLL_S = 0.5
+# Endpoints connected to at once; one alone may have failed by itself.
+TRIED_ENDPOINTS = 2
+
+
+class ZoneWatch:
+    """Zones that cannot be reached; a daemon's own zone always counts as reachable.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this daemon.
+    connect : callable
+        Coroutine function that returns whether a new connection to an address could be opened.
+    list_endpoints : callable
+        Returns all endpoints.
+    on_change : callable
+        Called with a zone when it is lost or regained.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        connect: Callable[[str], Awaitable[bool]],
+        list_endpoints: Callable[[], Iterable[Endpoint]],
+        on_change: Callable[[str], None] = lambda zone: None,
+    ) -> None:
+        self._zone = zone
+        self._connect = connect
+        self._list_endpoints = list_endpoints
+        self._on_change = on_change
+        self._cut: set[str] = set()
+        self._suspected: set[str] = set()
+        self._failed: dict[str, str] = {}
+        self._wake = asyncio.Event()
+
+    def is_cut(self, zone: str) -> bool:
+        """Return whether a zone is out of reach."""
+        return zone in self._cut
+
+    def note_unreachable(self, endpoint: Endpoint) -> None:
+        """Leave a zone out until it is known whether more than one endpoint is out of reach."""
+        if endpoint.zone != self._zone and endpoint.zone not in self._cut:
+            self._failed[endpoint.zone] = endpoint.identity
+            self._set_cut(endpoint.zone, f"no connection to {endpoint.identity}")
+            self._wake.set()
+
+    def suspect(self, endpoint: Endpoint) -> None:
+        """Try whether the zone of a silent endpoint can be reached."""
+        if endpoint.zone != self._zone and endpoint.zone not in self._cut:
+            self._suspected.add(endpoint.zone)
+            self._wake.set()
+
+    async def run(self) -> None:
+        """Try to reach the zones in doubt, for ever."""
+        while True:
+            self._wake.clear()
+            zones, self._suspected = self._cut | self._suspected, set()
+            await asyncio.gather(*(self._try_zone(zone) for zone in zones))
+            try:
+                async with asyncio.timeout(POLL_S if self._cut else None):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    async def _try_zone(self, zone: str) -> None:
+        known = [endpoint for endpoint in self._list_endpoints() if endpoint.zone == zone]
+        # The one that failed is tried only if there is no other.
+        known.sort(key=lambda endpoint: endpoint.identity == self._failed.get(zone))
+        reached = await asyncio.gather(
+            *(self._connect(endpoint.address) for endpoint in known[:TRIED_ENDPOINTS])
+        )
+        if any(reached) or not known:
+            self._set_reached(zone)
+        elif zone not in self._cut:
+            self._set_cut(zone, "no connection after silence")
+
+    def _set_cut(self, zone: str, reason: str) -> None:
+        self._cut.add(zone)
+        log_event("zone_lost", zone=zone, reason=reason)
+        self._on_change(zone)
+
+    def _set_reached(self, zone: str) -> None:
+        self._failed.pop(zone, None)
+        if zone in self._cut:
+            self._cut.discard(zone)
+            log_event("zone_regained", zone=zone)
+            self._on_change(zone)
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -11,6 +11,7 @@
 from magnoliarouter.gateway.groupwatch import GroupWatch
 from magnoliarouter.gateway.routes import Route, RouteKind
 from magnoliarouter.gateway.waiting import WaitingRoom
+from magnoliarouter.gateway.zonewatch import ZoneWatch
 from magnoliarouter.platform.headers import PlatformHeaders
 from magnoliarouter.telemetry.metrics import Metrics
 from magnoliarouter.tests.builders import build_rank_report
@@ -95,8 +96,11 @@
         self.budget = SharedRetryBudget(0.2, 100, 10.0)
         self.waiting = WaitingRoom(self.table, self.clock)
         self.ranks = FakeRanks()
-        self.watch = GroupWatch(self.ranks, self.table.list, self.clock, self.waiting.wake)
-        self.table.stands_still = self.watch.stands_still
+        self.groups = GroupWatch(self.ranks, self.table.list, self.clock, self.waiting.wake)
+        self.zones = ZoneWatch("zone-1", self.pool.can_connect, self.table.list)
+        self.table.is_out = lambda endpoint: (
+            self.zones.is_cut(endpoint.zone) or self.groups.stands_still(endpoint.identity)
+        )
         self.forwarder = GatewayForwarder(
             self.table,
             self.waiting,
@@ -105,7 +109,8 @@
             self.budget,
             self.clock,
             self.metrics,
-            self.watch,
+            self.groups,
+            self.zones,
         )
         self.exchange = FakeExchange()
         self.heads = []
@@ -348,7 +353,7 @@
             group = "g1" if name == "e3" else "g0"
             self.ranks.reports[server.address] = build_rank_report(group)
         self.table.random.random = lambda: 0.0
-        task = asyncio.get_running_loop().create_task(self.watch.run())
+        task = asyncio.get_running_loop().create_task(self.groups.run())
         self.addCleanup(task.cancel)
         await asyncio.sleep(0.05)
 
@@ -384,10 +389,10 @@
 
         await self.start(fine)
         for name in ("e1", "e3"):
-            self.watch.note_stall(name)
+            self.groups.note_stall(name)
         began = self.clock()
         outcome = await self.forward(build_route(RouteKind.STREAM, attempts=2))
-        self.assertEqual(outcome.code, ResultCode.GROUP_STALLED)
+        self.assertEqual(outcome.code, ResultCode.SERVICE_STALLED)
         self.assertGreater(outcome.retry_after, 0)
         self.assertLess(self.clock() - began, 0.1)
         self.assertEqual(self.tried(), [])
--- a/magnoliarouter/tests/test_groupwatch.py
+++ b/magnoliarouter/tests/test_groupwatch.py
@@ -38,7 +38,7 @@
         self.ranks = Ranks()
         self.waiting = WaitingRoom(self.table, self.clock)
         self.watch = GroupWatch(self.ranks, self.table.list, self.clock, self.waiting.wake)
-        self.table.stands_still = self.watch.stands_still
+        self.table.is_out = lambda endpoint: self.watch.stands_still(endpoint.identity)
         self.task = asyncio.get_running_loop().create_task(self.watch.run())
 
     def stalled(self):
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -332,6 +332,10 @@
             if connection.is_usable(self._clock()):
                 return connection
             connection.close()
+        return await self.connect(address)
+
+    async def connect(self, address: str) -> UpstreamConnection:
+        """Return a new connection to an address; raises as `take` does."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
@@ -344,6 +348,15 @@
         self.opened += 1
         return connection
 
+    async def can_connect(self, address: str) -> bool:
+        """Return whether a new connection to an address can be opened, and keep it."""
+        try:
+            connection = await self.connect(address)
+        except Broken:
+            return False
+        self.give_back(address, connection)
+        return True
+
     def give_back(self, address: str, connection: UpstreamConnection) -> None:
         """Keep a connection whose exchange ended cleanly; close any other."""
         if connection.release() and connection.keep_s > 0:
