Let maps and places follow the pauses that a daemon's own streams show

The daemon in charge learnt of long steps from a report, 0.5 s later and 0.2 s old, and read counts twice after that. Change: each daemon keeps the mean of the last pauses of its own streams by group. Endpoints of a group get one or two requests less while it nears the pause that is late, and the daemon in charge reads counts as soon as it shows. Its report is asked for only without a stream there.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -23,6 +23,7 @@
 from magnoliarouter.gateway.groupwatch import GroupWatch
 from magnoliarouter.gateway.handler import GatewayHandler
 from magnoliarouter.gateway.mapduty import MapDuty
+from magnoliarouter.gateway.pauses import PauseMeter, limit_load
 from magnoliarouter.gateway.peers import PeerLoads
 from magnoliarouter.gateway.waiting import WaitingRoom
 from magnoliarouter.gateway.zonewatch import ZoneWatch
@@ -164,7 +165,8 @@
         self._zones = ZoneWatch(
             settings.zone, self._pool.can_connect, self.table.list, self._take_zone
         )
-        self.table.is_out = self._is_out
+        self._pauses = PauseMeter(clock, self._groups.find_group)
+        self.table.is_out, self.table.limit_of = self._is_out, self._limit_load
         forwarder = GatewayForwarder(
             self.table,
             self._waiting,
@@ -175,6 +177,7 @@
             self.metrics,
             self._groups,
             self._zones,
+            self._pauses,
             self._peers.note_change,
         )
         self._handler = handler = GatewayHandler(
@@ -282,7 +285,9 @@
             self._store, MAPS_LEASE, holder, clock, MAPS_LEASE_S, self._log_charge
         )
         self._peers.is_in_charge = lambda: self._lease.epoch() is not None
-        self._maps = MapDuty(self._ranks, self._list_ranks, self._lease.epoch, clock)
+        self._maps = MapDuty(
+            self._ranks, self._list_ranks, self._lease.epoch, clock, self._pauses.recent
+        )
         for run in (
             self._maps.run,
             self._groups.run,
@@ -299,13 +304,17 @@
             service = self.config.services.get(endpoint.service)
             profile = service.profile if service is not None else None
             if profile is not None and profile.experts is not None:
-                pause = self.config.find_pause(endpoint.service)
+                pause = self.config.pauses.get(endpoint.service)
                 ranks.append((endpoint, replace(profile.experts, pause_s=pause)))
         return ranks
 
     def _is_out(self, endpoint: Endpoint) -> bool:
         return self._zones.is_cut(endpoint.zone) or self._groups.stands_still(endpoint.identity)
 
+    def _limit_load(self, endpoint: Endpoint) -> int:
+        pause_s = self.config.pauses.get(endpoint.service) if self.config is not None else None
+        return limit_load(endpoint.slots, self._pauses.recent_at(endpoint.identity), pause_s)
+
     def _take_zone(self, zone: str) -> None:
         """Take a zone that was lost or regained; what failed there failed with it."""
         self.table.outliers.forget(
--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -22,6 +22,7 @@
     from magnoliarouter.core.retries import SharedRetryBudget
     from magnoliarouter.gateway.call import AnswerTerms, GatewayCall, HeaderCodec
     from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
+    from magnoliarouter.gateway.pauses import PauseMeter
     from magnoliarouter.telemetry.metrics import Metrics
     from magnoliarouter.web.ingress import IngressExchange
     from magnoliarouter.web.upstream import AnswerHead, UpstreamConnection, UpstreamPool
@@ -105,6 +106,8 @@
         Loop time in seconds.
     metrics : Metrics
         Counters and histograms.
+    pauses : PauseMeter
+        Takes the pauses of streams.
     """
 
     def __init__(
@@ -115,6 +118,7 @@
         budget: SharedRetryBudget,
         clock: Callable[[], float],
         metrics: Metrics,
+        pauses: PauseMeter,
     ) -> None:
         self._table = table
         self._pool = pool
@@ -122,6 +126,7 @@
         self._budget = budget
         self._clock = clock
         self._metrics = metrics
+        self._pauses = pauses
 
     async def run(
         self,
@@ -147,7 +152,7 @@
             progress.sends += 1
             self._log_send(call, endpoint, progress)
             connection.send(_encode_request(call, fields), call.method == b"HEAD")
-            result = await self._read_answer(call, exchange, connection, progress)
+            result = await self._read_answer(call, exchange, connection, endpoint, progress)
         except Broken as error:
             result = _describe(error)
         finally:
@@ -162,6 +167,7 @@
         call: GatewayCall,
         exchange: IngressExchange,
         connection: UpstreamConnection,
+        endpoint: Endpoint,
         progress: Progress,
     ) -> Completed | FailedAttempt:
         found = await self._wait_for(call, progress, lambda: self._read_own_head(call, connection))
@@ -169,7 +175,7 @@
             return found
         head, terms = found
         if call.route.kind is RouteKind.STREAM and head.status == 200:
-            return await self._relay_stream(call, exchange, connection, terms, progress)
+            return await self._relay_stream(call, exchange, connection, endpoint, terms, progress)
         left = max(0.0, call.deadline - self._clock())
         try:
             async with asyncio.timeout(left):
@@ -253,6 +259,7 @@
         call: GatewayCall,
         exchange: IngressExchange,
         connection: UpstreamConnection,
+        endpoint: Endpoint,
         terms: AnswerTerms,
         progress: Progress,
     ) -> Completed | FailedAttempt:
@@ -260,7 +267,7 @@
             return FailedAttempt(ResultCode.WRONG_ATTEMPT, "answer without a signature", None)
         splitter = progress.splitter
         splitter.restart()
-        last = self._clock()
+        last, first = self._clock(), True
         while True:
             part = await self._read_part(call, connection, progress)
             if isinstance(part, FailedAttempt):
@@ -271,6 +278,9 @@
             if not events:
                 continue
             now = self._clock()
+            if not first:
+                self._pauses.note(endpoint.identity, now - last)
+            first = False
             if exchange.started:
                 self._metrics.inter_token.observe(now - last)
                 await exchange.write(events)
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -65,12 +65,15 @@
         Availability zone of this daemon.
     random : random.Random
         Breaks ties, so that daemons with equal beliefs do not all choose the same endpoint.
+    limit_of : callable
+        Returns how many requests an endpoint may have at once.
     is_out : callable
         Returns whether an endpoint cannot serve: its group stands still, or its zone is cut off.
     """
 
     zone: str
     random: random.Random = field(default_factory=random.Random)
+    limit_of: Callable[[Endpoint], int] = lambda endpoint: endpoint.slots
     is_out: Callable[[Endpoint], bool] = lambda endpoint: False
     outliers: Outliers = field(
         default_factory=lambda: Outliers(OutlierPolicy(failures=3, last_seconds=4.0))
@@ -151,7 +154,7 @@
         best, best_score = None, float("inf")
         for endpoint in candidates:
             load = self.load_of(endpoint.identity, now)
-            if load >= endpoint.slots:
+            if load >= self.limit_of(endpoint):
                 continue
             score = load / endpoint.slots
             score += ZONE_BIAS / endpoint.slots if endpoint.zone != self.zone else 0.0
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -27,6 +27,7 @@
     from magnoliarouter.gateway.call import GatewayCall, HeaderCodec
     from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
     from magnoliarouter.gateway.groupwatch import GroupWatch
+    from magnoliarouter.gateway.pauses import PauseMeter
     from magnoliarouter.gateway.waiting import WaitingRoom
     from magnoliarouter.gateway.zonewatch import ZoneWatch
     from magnoliarouter.telemetry.metrics import Metrics
@@ -69,6 +70,8 @@
         Groups that stand still.
     zones : ZoneWatch
         Zones that are out of reach.
+    pauses : PauseMeter
+        Takes the pauses of streams.
     on_load : callable
         Called when the load that this daemon puts on endpoints has changed.
     """
@@ -84,6 +87,7 @@
         metrics: Metrics,
         groups: GroupWatch,
         zones: ZoneWatch,
+        pauses: PauseMeter,
         on_load: Callable[[], None] = lambda: None,
     ) -> None:
         self._table = table
@@ -94,7 +98,7 @@
         self._groups = groups
         self._zones = zones
         self._on_load = on_load
-        self._attempts = AttemptRunner(table, pool, codec, budget, clock, metrics)
+        self._attempts = AttemptRunner(table, pool, codec, budget, clock, metrics, pauses)
 
     async def forward(
         self, call: GatewayCall, exchange: IngressExchange, recheck: Callable[[], NotRun | None]
--- a/magnoliarouter/gateway/groups.py
+++ b/magnoliarouter/gateway/groups.py
@@ -115,10 +115,14 @@
         self.choices = tuple(max(0, now - before) for now, before in zip(counts.counts, last))
         return True
 
+    def forget_choices(self) -> None:
+        """Forget the choices of earlier steps, which no later ones may be compared with."""
+        self._last_counts, self.choices = None, ()
+
     async def read_step(self) -> None:
         """Take the group's step, which costs far less than its counts do."""
         report = await self.client.read_report(self._first.address)
-        self._last_counts, self.choices = None, ()
+        self.forget_choices()
         if report is None:
             return
         if report.epoch != self.epoch or not report.open:
--- a/magnoliarouter/gateway/groupwatch.py
+++ b/magnoliarouter/gateway/groupwatch.py
@@ -62,6 +62,10 @@
         self._suspected: set[str] = set()
         self._wake = asyncio.Event()
 
+    def find_group(self, identity: str) -> str:
+        """Return the group of an endpoint, or "" if it is in none or that is not known."""
+        return self._groups.get(identity, "")
+
     def stands_still(self, identity: str) -> bool:
         """Return whether an endpoint belongs to a group that stands still."""
         return self._groups.get(identity) in self._stalled
--- a/magnoliarouter/gateway/mapduty.py
+++ b/magnoliarouter/gateway/mapduty.py
@@ -21,8 +21,10 @@
 
 # Popularity changes every few seconds, and each read from afar costs the group a pause.
 READ_EVERY_S = 0.5
-# Time between the first two reads, in which a busy rank makes some 300,000 choices.
-FIRST_READ_S = 0.3
+# Time between the first two reads, in which a busy rank makes some 200,000 choices.
+FIRST_READ_S = 0.2
+# Own streams are listened to without a call.
+LISTEN_EVERY_S = 0.05
 # Without traffic there is nothing to balance.
 IDLE_READ_EVERY_S = 1.5
 # Choices below which nothing can be told; a busy rank makes a million in a second.
@@ -57,12 +59,15 @@
         Returns the fencing number while this daemon is in charge, else None.
     clock : callable
         Loop time in seconds.
+    recent_pause : callable
+        Returns the recent pause between events of a group's streams, or None if there were none.
     """
 
     client: RankClient
     list_ranks: Callable[[], list[tuple[Endpoint, ExpertProfile]]]
     fence: Callable[[], int | None]
     clock: Callable[[], float]
+    recent_pause: Callable[[str], float | None] = lambda group: None
     groups: dict[str, GroupKeeper] = field(default_factory=dict)
     _profiles: dict[str, ExpertProfile] = field(default_factory=dict)
     _tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
@@ -120,8 +125,7 @@
     async def _watch(self, group: GroupKeeper, effort: MapEffort | None, choices: int) -> None:
         """Wait for a while and learn how the group fares."""
         if effort is None:
-            await asyncio.sleep(READ_EVERY_S)
-            await group.read_step()
+            await self._rest(group)
         elif group.choices:
             await asyncio.sleep(IDLE_READ_EVERY_S if choices < LEAST_CHOICES else READ_EVERY_S)
             await group.read_choices()
@@ -131,12 +135,26 @@
             await asyncio.sleep(FIRST_READ_S)
             await group.read_choices()
 
+    async def _rest(self, group: GroupKeeper) -> None:
+        """Wait until steps are no longer short enough, as this daemon's own streams show them.
+
+        Without a stream there, a report is asked for.
+        """
+        group.forget_choices()
+        end = self.clock() + READ_EVERY_S
+        while self.recent_pause(group.name) is not None or self.clock() < end:
+            await asyncio.sleep(LISTEN_EVERY_S)
+            if self._choose_effort(group) is not None or self.fence() != self._lease:
+                return
+        await group.read_step()
+
     def _choose_effort(self, group: GroupKeeper) -> MapEffort | None:
         """Return how even the map should be, or None while steps are short enough as they are."""
-        pause_s = self._profiles[group.name].pause_s
-        if pause_s is None or group.step_s > STRAINED_SHARE * pause_s:
+        late_s = self._profiles[group.name].pause_s
+        step_s = self.recent_pause(group.name) or group.step_s
+        if late_s is None or step_s > STRAINED_SHARE * late_s:
             return HARD
-        return EASY if group.step_s > COMFORTABLE_SHARE * pause_s else None
+        return EASY if step_s > COMFORTABLE_SHARE * late_s else None
 
     def _sum_choices(self, group: GroupKeeper) -> list[int]:
         """Return the last choices of all groups of the same size of map.
--- a/magnoliarouter/gateway/routes.py
+++ b/magnoliarouter/gateway/routes.py
@@ -221,8 +221,8 @@
         Customers by key; None where no key is asked for at all.
     limits : RequestLimits
         Bounds on callers.
-    pauses : dict of str to list of float
-        Pauses that routes call late, by service.
+    pauses : dict of str to float
+        Shortest pause that a route calls late, by service.
     """
 
     version: int
@@ -230,11 +230,7 @@
     services: dict[str, Service]
     tenants: dict[str, Tenant] | None
     limits: RequestLimits
-    pauses: dict[str, list[float]] = field(default_factory=dict)
-
-    def find_pause(self, service: str) -> float | None:
-        """Return the shortest pause that a route to a service calls late, if any does."""
-        return min(self.pauses.get(service, ()), default=None)
+    pauses: dict[str, float] = field(default_factory=dict)
 
     def urgency_of(self, route: Route, tenant: Tenant | None) -> int:
         """Return the urgency of a request; the customer's goes before the route's."""
--- a/magnoliarouter/platform/configuration.py
+++ b/magnoliarouter/platform/configuration.py
@@ -103,11 +103,11 @@
     raw = check_value(value, _Config)
     limits = raw.limits
     routes = [_decode_route(route) for route in raw.routes]
-    pauses: dict[str, list[float]] = {}
+    pauses: dict[str, float] = {}
     for route in routes:
         for service, _ in route.shares:
             if route.pause_s is not None:
-                pauses.setdefault(service, []).append(route.pause_s)
+                pauses[service] = min(route.pause_s, pauses.get(service, route.pause_s))
     return GatewayConfig(
         raw.version,
         RouteTable.build(routes),
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -9,6 +9,7 @@
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
 from magnoliarouter.gateway.forward import GatewayForwarder
 from magnoliarouter.gateway.groupwatch import GroupWatch
+from magnoliarouter.gateway.pauses import PauseMeter
 from magnoliarouter.gateway.routes import Route, RouteKind
 from magnoliarouter.gateway.waiting import WaitingRoom
 from magnoliarouter.gateway.zonewatch import ZoneWatch
@@ -111,6 +112,7 @@
             self.metrics,
             self.groups,
             self.zones,
+            PauseMeter(self.clock, self.groups.find_group),
         )
         self.exchange = FakeExchange()
         self.heads = []
--- a/magnoliarouter/tests/test_platform.py
+++ b/magnoliarouter/tests/test_platform.py
@@ -107,7 +107,7 @@
         self.assertEqual(kinds, [RouteKind.SAFE, RouteKind.STREAM, RouteKind.ONCE, RouteKind.ONCE])
         stream = config.routes.find("h.example", "/s/")
         self.assertEqual((stream.shares, stream.repeatable), ((("app", 90), ("b", 10)), True))
-        self.assertEqual((config.find_pause("b"), config.find_pause("c")), (0.12, None))
+        self.assertEqual(config.pauses, {"app": 0.12, "b": 0.12})
 
     def test_experts_of_a_service(self):
         value = build_configuration()
