Copy as many experts for one switch as take 0.15 s, and log what made an answer late

Change: copies by time instead of by number. The line of a request holds the time of its first event and its longest pause, which tell late first events from late pauses.

--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -79,7 +79,23 @@
 
 @dataclass(slots=True)
 class Progress:
-    """How far a call has come."""
+    """How far a call has come.
+
+    Parameters
+    ----------
+    tried : set of str
+        Endpoints that are not to be tried again.
+    sends, unreachable : int
+        Attempts that were sent, and endpoints that could not be connected to.
+    in_doubt : bool
+        Whether an attempt may have run without an answer.
+    last : FailedAttempt, optional
+        Last attempt that failed.
+    splitter : FrameSplitter
+        Events passed on so far.
+    event_at : float
+        Loop time at which the last event came, whichever endpoint it came from.
+    """
 
     tried: set[str] = field(default_factory=set)
     sends: int = 0
@@ -87,6 +103,7 @@
     in_doubt: bool = False
     last: FailedAttempt | None = None
     splitter: FrameSplitter = field(default_factory=FrameSplitter)
+    event_at: float = 0.0
 
 
 class AttemptRunner:
@@ -267,7 +284,7 @@
             return FailedAttempt(ResultCode.WRONG_ATTEMPT, "answer without a signature", None)
         splitter = progress.splitter
         splitter.restart()
-        last, first = self._clock(), True
+        first = True
         while True:
             part = await self._read_part(call, connection, progress)
             if isinstance(part, FailedAttempt):
@@ -278,16 +295,18 @@
             if not events:
                 continue
             now = self._clock()
+            pause_s, progress.event_at = now - progress.event_at, now
             if not first:
-                self._pauses.note(endpoint.identity, now - last)
+                self._pauses.note(endpoint.identity, pause_s)
             first = False
             if exchange.started:
-                self._metrics.inter_token.observe(now - last)
+                self._metrics.inter_token.observe(pause_s)
+                call.longest_pause_s = max(call.longest_pause_s, pause_s)
                 await exchange.write(events)
             else:
-                self._metrics.first_token.observe(now - call.began)
+                call.first_s = now - call.began
+                self._metrics.first_token.observe(call.first_s)
                 exchange.start(200, terms.passed, events)
-            last = now
         if not exchange.started:
             exchange.start(200, terms.passed, bytes(splitter.rest))
         elif splitter.rest:
--- a/magnoliarouter/gateway/call.py
+++ b/magnoliarouter/gateway/call.py
@@ -129,6 +129,10 @@
         Loop time by which it must be answered.
     version : int
         Version of the configuration that admitted it.
+    first_s : float, optional
+        Seconds until the first event of a stream went to the caller.
+    longest_pause_s : float
+        Longest pause between two events that went to the caller.
     """
 
     terms: RequestTerms
@@ -142,3 +146,5 @@
     began: float
     deadline: float
     version: int
+    first_s: float | None = None
+    longest_pause_s: float = 0.0
--- a/magnoliarouter/gateway/handler.py
+++ b/magnoliarouter/gateway/handler.py
@@ -212,6 +212,7 @@
             status=outcome.status if isinstance(outcome, Completed) else 0,
             reason="" if isinstance(outcome, Completed) else outcome.reason,
             seconds=round(self._clock() - call.began, 4) if call else 0.0,
+            **_describe_events(call),
             age=round(min(self._freshness.age(self._clock()), MAX_AGE_SHOWN_S), 2),
             important=not isinstance(outcome, Completed),
         )
@@ -221,3 +222,12 @@
     def count_rejected(self, code: ResultCode) -> None:
         """Record a request that the HTTP server refused."""
         self._record(None, NotRun(code, "rejected by the HTTP server"), None)
+
+
+def _describe_events(call: GatewayCall | None) -> dict[str, float]:
+    if call is None or call.first_s is None:
+        return {}
+    return {
+        "first_s": round(call.first_s, 4),
+        "longest_pause_s": round(call.longest_pause_s, 4),
+    }
--- a/magnoliarouter/gateway/mapduty.py
+++ b/magnoliarouter/gateway/mapduty.py
@@ -38,9 +38,9 @@
 LOOK_EVERY_S = 0.5
 # A group that forms anew is back after 0.6 s, and asking all ranks is priced.
 FIND_AGAIN_S = 2.0
-# Experts that a rank copies for one switch, each in 0.15 s in which steps take 15 in 100 longer: what
-# is popular changes every few seconds, so short switches help more than one that comes too late.
-COPIES_A_RANK = 1
+# Seconds in which a rank copies experts for one switch, and steps take 15 in 100 longer: what is
+# popular changes every few seconds, so short switches help more than one that comes too late.
+COPYING_S = 0.15
 # Versions of one lease; each lease begins above all versions of earlier ones.
 VERSIONS_A_LEASE = 10_000
 
@@ -109,7 +109,8 @@
             effort = self._choose_effort(group)
             if sum(total) >= LEAST_CHOICES and effort is not None:
                 profile = self._profiles[group.name]
-                plan = plan_map(group.rows, total, len(group.ranks), profile, effort, COPIES_A_RANK)
+                copies = max(1, round(COPYING_S / profile.copy_s))
+                plan = plan_map(group.rows, total, len(group.ranks), profile, effort, copies)
             if plan is None:
                 await self._watch(group, effort, sum(total))
                 continue
