End a daemon properly whose logs nobody reads

Cause: without a loop, a flush that finds the reader stuck asked for another flush, which began at once: a daemon that was stopped while nobody read its standard output ended by a recursion error, exit code 1. Change: a flush without a loop writes what the reader takes and leaves the rest.

--- a/magnoliarouter/telemetry/sink.py
+++ b/magnoliarouter/telemetry/sink.py
@@ -89,7 +89,9 @@
             return
         self._lines.append(line)
         self._waiting += len(line)
-        self._schedule(0.0)
+        if not self._schedule(0.0):
+            # Before and after the loop runs, nobody waits for the daemon.
+            self.flush()
 
     def _drop(self, reason: str) -> None:
         self.dropped += 1
@@ -102,14 +104,13 @@
             self.dropped = 0
             self._put(msgspec.json.encode(told) + b"\n")
 
-    def _schedule(self, seconds: float) -> None:
-        if self._scheduled:
-            return
-        try:
-            loop = asyncio.get_running_loop()
-        except RuntimeError:
-            # Before and after the loop runs, nobody waits for the daemon.
-            self.flush()
-            return
-        self._scheduled = True
-        loop.call_later(seconds, self.flush)
+    def _schedule(self, seconds: float) -> bool:
+        """Flush after some seconds, and return whether there is a loop to do so."""
+        if not self._scheduled:
+            try:
+                loop = asyncio.get_running_loop()
+            except RuntimeError:
+                return False
+            self._scheduled = True
+            loop.call_later(seconds, self.flush)
+        return True
