Send confirmations with few of the messages between daemons, and cut places sooner

(2) Since changes gather, a daemon may be 0.4 s behind, and one that was ahead took the difference for a missed change after 0.3 s and listed. Change: confirmations every 0.4 s, or as soon as they change; 0.6 s until a difference counts as missed; places are cut from 0.68 and 0.8 of the late pause on instead of 0.75 and 0.9.

--- a/magnoliarouter/gateway/confirmations.py
+++ b/magnoliarouter/gateway/confirmations.py
@@ -39,8 +39,9 @@
 # older one means that a watch did not come back.
 WAY_S = 1.4
 CHECK_S = 0.25
-# A change reaches all watches within some milliseconds; a digest that differs longer was missed.
-MISSED_S = 0.3
+# A change reaches all watches within some milliseconds, or after the 0.4 s in which changes gather; a
+# digest that differs longer was missed.
+MISSED_S = 0.6
 # Lists are made no more often than this, whatever others say.
 LEAST_BETWEEN_S = 2.0
 
--- a/magnoliarouter/gateway/pauses.py
+++ b/magnoliarouter/gateway/pauses.py
@@ -19,8 +19,8 @@
 WEIGHT = 0.2
 # Part of the pause called late above which an endpoint gets one request less than it has places for,
 # and two less: each further request makes all steps of its group longer.
-STRAINED_SHARE = 0.75
-OVERLOADED_SHARE = 0.9
+STRAINED_SHARE = 0.68
+OVERLOADED_SHARE = 0.8
 # Without a pause for so long, nothing is known.
 FORGET_S = 1.0
 
--- a/magnoliarouter/gateway/peers.py
+++ b/magnoliarouter/gateway/peers.py
@@ -21,12 +21,15 @@
 
 # Two changes within this time go into one datagram; a later one lets others take the same place.
 COALESCE_S = 0.001
+# What is known is confirmed no more often than this, unless it changed: with forty daemons these
+# parts are ten times as long as the loads, and bytes between zones are priced.
+KNOWN_EVERY_S = 0.4
 # Without changes, a datagram says that the daemon lives and renews its loads.
 RENEW_S = 0.5
 # A peer that was not heard for so long does not count as a sharer any longer.
 SILENT_S = 6.0
-# Messages whose time of sending is kept: two seconds of the most that are sent.
-SENT_KEPT = 200
+# Messages whose time of sending is kept: one second of the most that are sent.
+SENT_KEPT = 1_000
 # A peer that was heard within this time is there.
 PRESENT_S = 1.5
 
@@ -98,6 +101,8 @@
         self._in_charge = ""
         self._charge_heard = float("-inf")
         self._sent_at: dict[int, float] = {}
+        self._known_at = float("-inf")
+        self._known_digests: dict[str, int] = {}
         self.read_known: Callable[[], dict[str, tuple[int, float]]] = dict
         self.take_known: Callable[[str, int, float], None] = lambda kind, digest, at: None
         self.is_in_charge: Callable[[], bool] = lambda: False
@@ -191,6 +196,15 @@
         for kind, (digest, age) in message.known.items():
             self.take_known(kind, digest, sent_at - age)
 
+    def _choose_known(self) -> dict[str, tuple[int, float]]:
+        """Return what is to be confirmed with the next message."""
+        known, now = self.read_known(), self._loop.time()
+        digests = {kind: digest for kind, (digest, _) in known.items()}
+        if digests == self._known_digests and now - self._known_at < KNOWN_EVERY_S:
+            return {}
+        self._known_at, self._known_digests = now, digests
+        return known
+
     def _set_timer(self, seconds: float) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -203,7 +217,7 @@
         self._number += 1
         self._sent_at[self._number] = self._loop.time()
         self._sent_at.pop(self._number - SENT_KEPT, None)
-        known = self.read_known()
+        known = self._choose_known()
         message = PeerMessage(
             self._name,
             self._start,
--- a/magnoliarouter/tests/test_gateway_parts.py
+++ b/magnoliarouter/tests/test_gateway_parts.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+import unittest.mock
 
 import msgspec
 
@@ -11,7 +12,7 @@
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
 from magnoliarouter.gateway.frames import FrameSplitter
 from magnoliarouter.gateway.freshness import Freshness
-from magnoliarouter.gateway.peers import PeerLoads, PeerMessage
+from magnoliarouter.gateway.peers import KNOWN_EVERY_S, PeerLoads, PeerMessage
 from magnoliarouter.gateway.routes import (
     GatewayConfig,
     RequestLimits,
@@ -157,6 +158,27 @@
         message = PeerMessage(name, start, number, loads or {}, in_charge)
         self.peers.datagram_received(msgspec.msgpack.encode(message), ("127.0.0.1", 9))
 
+    async def test_confirmations_go_with_few_of_the_messages(self):
+        sent = []
+        self.peers._transport = unittest.mock.Mock()
+        self.peers._transport.sendto = lambda data, address: sent.append(
+            msgspec.msgpack.decode(data, type=PeerMessage)
+        )
+        self.peers.set_peers({"a": ("127.0.0.1", 9)})
+        digest = 5
+        self.peers.read_known = lambda: {"config": (digest, 0.1)}
+        for _ in range(20):
+            self.peers.note_change()
+            await asyncio.sleep(0.005)
+        self.assertGreater(len(sent), 10)
+        self.assertEqual(sum(1 for message in sent if message.known), 1)
+        digest = 6
+        self.peers.note_change()
+        await asyncio.sleep(0.01)
+        self.assertEqual(sent[-1].known, {"config": (6, 0.1)})
+        await asyncio.sleep(2 * KNOWN_EVERY_S)
+        self.assertEqual(sum(1 for message in sent if message.known), 3)
+
     async def test_older_messages_of_a_start_are_ignored(self):
         for number, start in ((1, 1), (3, 1), (2, 1), (1, 2)):
             self.hear("a", number, start=start, loads={"e": number})
