--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -62,8 +62,8 @@
         Whether anything was sent.
     answer : WholeAnswer, optional
         What the endpoint answered.
-    at_fault : str
-        Endpoint that the refusing one names as the cause.
+    stalled : bool
+        Whether the endpoint refused because its group stands still.
     silent : bool
         Whether the endpoint was given up because nothing came.
     """
@@ -73,7 +73,7 @@
     ran: bool | None
     sent: bool = True
     answer: WholeAnswer | None = None
-    at_fault: str = ""
+    stalled: bool = False
     silent: bool = False
 
 
@@ -262,7 +262,7 @@
         if terms.not_run:
             code = ResultCode.ENDPOINT_REFUSED if terms.misdirected else ResultCode.QUEUE_FULL
             reason = f"endpoint refused with status {answer.status}"
-            return FailedAttempt(code, reason, ran=False, at_fault=terms.at_fault)
+            return FailedAttempt(code, reason, ran=False, stalled=terms.stalled)
         if 200 <= answer.status < 500:
             if not terms.signed and answer.status < 300:
                 return FailedAttempt(ResultCode.WRONG_ATTEMPT, "answer without a signature", None)
--- a/magnoliarouter/gateway/call.py
+++ b/magnoliarouter/gateway/call.py
@@ -61,8 +61,8 @@
         Whether another endpoint has the address, or another version was asked for.
     signed : bool
         Whether the answer bears the endpoint's signature.
-    at_fault : str
-        Identity of the endpoint that caused a failure, if named.
+    stalled : bool
+        Whether the endpoint refused because its group stands still, not for want of room.
     keep_s : float, optional
         Idle time after which the endpoint closes the connection.
     passed : list of (bytes, bytes)
@@ -73,7 +73,7 @@
     not_run: bool
     misdirected: bool
     signed: bool
-    at_fault: str
+    stalled: bool
     keep_s: float | None
     passed: Fields
 
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -237,7 +237,7 @@
             self._note_ejection(endpoint, now, at_once=True)
         elif result.ran is False:
             self._table.note_full(endpoint.identity, now)
-            if result.at_fault not in ("", endpoint.identity):
+            if result.stalled:
                 self._groups.note_stall(endpoint.identity)
         else:
             progress.in_doubt = True
@@ -255,7 +255,7 @@
             code=int(result.code),
             reason=result.reason,
             ran=result.ran,
-            at_fault=result.at_fault,
+            stalled=result.stalled,
             waited=round(now - call.began, 4),
             important=True,
         )
--- a/magnoliarouter/platform/headers.py
+++ b/magnoliarouter/platform/headers.py
@@ -98,7 +98,8 @@
             misdirected or b"x-not-executed" in named,
             misdirected,
             b"x-server-stamp" in named,
-            named.get(b"at-server", b"").decode("latin-1"),
+            # It names the engine that refuses, and a full engine names none.
+            b"at-server" in named and not misdirected,
             float(keep[1]) if keep else None,
             [(name, value) for name, value in fields if name.lower() not in dropped],
         )
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -359,9 +359,9 @@
         self.addCleanup(task.cancel)
         await asyncio.sleep(0.05)
 
-    async def test_refusal_that_names_another_rank_closes_the_whole_group(self):
+    async def test_refusal_that_names_the_engine_at_fault_closes_its_group(self):
         async def refuse(peer):
-            await peer.send(build_answer(status=503, X_Not_Executed="1", At_Server="e7"))
+            await peer.send(build_answer(status=503, X_Not_Executed="1", At_Server="127.0.0.1:1"))
 
         await self.start(refuse)
         outcome = await self.forward(build_route(RouteKind.ONCE, attempts=2))
@@ -369,12 +369,18 @@
         self.assertEqual(self.tried(), ["e1", "e3"])
 
     async def test_refusal_for_want_of_room_closes_no_group(self):
-        async def refuse(peer):
-            await peer.send(build_answer(status=503, X_Not_Executed="1", At_Server="e1"))
-
-        await self.start(refuse)
-        await self.forward(build_route(RouteKind.ONCE, attempts=2))
-        self.assertEqual(self.tried(), ["e1", "e2"])
+        for status, fields in ((503, {}), (421, {"At_Server": "127.0.0.1:1"})):
+            with self.subTest(status=status):
+
+                async def refuse(peer, status=status, fields=fields):
+                    await peer.send(build_answer(status=status, X_Not_Executed="1", **fields))
+
+                self.heads.clear()
+                self.table._full_until.clear()
+                self.exchange = FakeExchange()
+                await self.start(refuse)
+                await self.forward(build_route(RouteKind.ONCE, attempts=2))
+                self.assertEqual(self.tried(), ["e1", "e2"])
 
     async def test_silent_rank_is_not_followed_by_one_of_its_group(self):
         async def silent(peer):
