Ask again for a rank's group, try other endpoints of a zone, and plan without the size of an expert

Found by reading the watches once more, each with a test that failed first: - a rank that belonged to no group when it was first asked was never asked again, so that its group's standing still was not known of it; - a zone was tried at the same two endpoints each time, so that two dead ones kept a sound zone out; - a configuration that tells no size of an expert ended the task that balances the maps (division by zero).

--- a/magnoliarouter/gateway/groupwatch.py
+++ b/magnoliarouter/gateway/groupwatch.py
@@ -121,7 +121,7 @@
 
     async def _learn_group(self, endpoint: Endpoint) -> None:
         report = await self._client.read_report(endpoint.address)
-        if report is not None:
+        if report is not None and report.group:
             self._groups[endpoint.identity] = report.group
 
     async def _ask(self, group: str, ranks: dict[str, Endpoint]) -> None:
--- a/magnoliarouter/gateway/mapduty.py
+++ b/magnoliarouter/gateway/mapduty.py
@@ -41,6 +41,8 @@
 # Seconds in which a rank copies experts for one switch, and steps take 15 in 100 longer: what is
 # popular changes every few seconds, so short switches help more than one that comes too late.
 COPYING_S = 0.08
+# The size of an expert may not be told.
+LEAST_COPY_S = 0.01
 # A switch takes some 0.5 s, and longer while orders go unanswered.
 FINISH_S = 2.0
 # Versions of one lease; each lease begins above all versions of earlier ones.
@@ -119,7 +121,7 @@
             effort = self._choose_effort(group)
             if sum(total) >= LEAST_CHOICES and effort is not None:
                 profile = self._profiles[group.name]
-                copies = max(1, round(COPYING_S / profile.copy_s))
+                copies = max(1, round(COPYING_S / max(profile.copy_s, LEAST_COPY_S)))
                 plan = plan_map(group.rows, total, len(group.ranks), profile, effort, copies)
             if plan is None:
                 await self._watch(group, effort, sum(total))
--- a/magnoliarouter/gateway/zonewatch.py
+++ b/magnoliarouter/gateway/zonewatch.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING
 
 from magnoliarouter.telemetry.logs import log_event
@@ -86,7 +87,8 @@
 
     async def _try_zone(self, zone: str) -> None:
         known = [endpoint for endpoint in self._list_endpoints() if endpoint.zone == zone]
-        # The one that failed is tried only if there is no other.
+        # Others each time, since several may be dead; the one that failed only if there is no other.
+        random.shuffle(known)
         known.sort(key=lambda endpoint: endpoint.identity == self._failed.get(zone))
         reached = await asyncio.gather(
             *(self._connect(endpoint.address) for endpoint in known[:TRIED_ENDPOINTS])
--- a/magnoliarouter/tests/test_groups.py
+++ b/magnoliarouter/tests/test_groups.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from magnoliarouter.gateway.endpoints import Endpoint
 from magnoliarouter.gateway.groups import GroupKeeper
@@ -125,6 +126,19 @@
         self.assertLess(last, worse)
         self.assertEqual((model.mixed, model.held_s), ([], 0.0))
 
+    def test_maps_are_switched_though_the_size_of_experts_is_not_told(self):
+        async def main():
+            model = GroupModel()
+            loop = asyncio.get_running_loop()
+            stepping = loop.create_task(model.run())
+            ranks = [(rank, replace(profile, copy_s=0.0)) for rank, profile in build_ranks(model)]
+            task = loop.create_task(MapDuty(model, lambda: ranks, Charge(), loop.time).run())
+            await asyncio.sleep(8.0)
+            await end(task, stepping)
+            return model.ranks[0].version
+
+        self.assertGreater(run_jumping(main()), 0)
+
     def test_no_step_with_two_maps_when_orders_are_late(self):
         """Every third answer is lost, and most of those orders are carried out seconds later."""
 
--- a/magnoliarouter/tests/test_groupwatch.py
+++ b/magnoliarouter/tests/test_groupwatch.py
@@ -18,6 +18,7 @@
     def __init__(self):
         self.open = {"g0": True, "g1": True}
         self.silent = set()
+        self.groups = dict(RANKS)
         self.asked = []
 
     async def read_report(self, address):
@@ -25,8 +26,8 @@
         if address in self.silent:
             await asyncio.sleep(0.25)
             return None
-        group = RANKS[address]
-        return build_rank_report(group, open=self.open[group])
+        group = self.groups[address]
+        return build_rank_report(group, open=self.open.get(group, True))
 
 
 class Case:
@@ -114,6 +115,19 @@
 
         self.assertEqual(play(steps), ({"e0"}, {"e1"}))
 
+    def test_rank_that_joins_a_group_later_is_asked_again(self):
+        async def steps(case):
+            case.ranks.groups["e0"] = ""
+            case.table.remove("e0")
+            await asyncio.sleep(0.5)
+            case.table.put(Endpoint("e0", "model", "e0", "zone-1", 2))
+            await asyncio.sleep(1.0)
+            case.ranks.groups["e0"] = "g0"
+            await asyncio.sleep(2.0)
+            return case.watch.find_group("e0")
+
+        self.assertEqual(play(steps), "g0")
+
     def test_place_is_never_taken_at_a_group_that_stands_still(self):
         async def steps(case):
             case.ranks.open["g0"] = False
--- a/magnoliarouter/tests/test_zonewatch.py
+++ b/magnoliarouter/tests/test_zonewatch.py
@@ -51,6 +51,16 @@
 
         self.assertEqual(play(steps), (True, False, False))
 
+    def test_some_dead_endpoints_take_no_zone_away_for_long(self):
+        async def steps(case):
+            case.down.update(("f0", "f1", "f2"))
+            case.watch.note_unreachable(FAR[0])
+            await asyncio.sleep(10 * POLL_S)
+            return case.watch.is_cut("zone-2")
+
+        more = [Endpoint(f"f{number}", "app", f"f{number}", "zone-2", 2) for number in (3, 4)]
+        self.assertFalse(play(steps, (NEAR, *FAR, *more)))
+
     def test_zone_is_out_until_a_connection_succeeds(self):
         async def steps(case):
             case.down.update(("f0", "f1", "f2"))
