Leave engines that belong to no group, and those at whose address another one answers

An engine that is added where all groups are full belongs to none and answers 421 to every request. It was passed over for 0.15 s after each, had the least load of all, and so was tried first by nearly each call, which allows two engines. Ruled out: stale entries; the registry named it from 5.3 s to the end. Change: a rank that reports no group is left out until it reports one (rank_without_group in the logs), and an endpoint that answers for another is ejected for a second, then longer. Two subtests that use one endpoint again forget that it was ejected.

--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -239,6 +239,9 @@
             self._table.note_full(endpoint.identity, now)
             if result.stalled:
                 self._groups.note_stall(endpoint.identity)
+            if result.code is ResultCode.ENDPOINT_REFUSED:
+                # Another one has its address; its load would stay the least of all.
+                self._note_ejection(endpoint, now, at_once=True)
         else:
             progress.in_doubt = True
             if result.silent:
--- a/magnoliarouter/gateway/groupwatch.py
+++ b/magnoliarouter/gateway/groupwatch.py
@@ -2,7 +2,8 @@
 
 All ranks of a group step together: if one is dead or cut off, none serves. A call that is sent to
 any of them would wait in vain and use up one of its attempts, so what one call learns of a group
-holds for all of its ranks. A group that stands still is asked for its state until it works again.
+holds for all of its ranks. A group that stands still is asked for its state until it works again, and
+a rank that belongs to no group, as one that was added beyond the groups' sizes, until it does.
 """
 
 from __future__ import annotations
@@ -58,6 +59,7 @@
         self._on_change = on_change
         self._groups: dict[str, str] = {}
         self._asked: dict[str, float] = {}
+        self._alone: set[str] = set()
         self._stalled: dict[str, float] = {}
         self._suspected: set[str] = set()
         self._wake = asyncio.Event()
@@ -67,8 +69,8 @@
         return self._groups.get(identity, "")
 
     def stands_still(self, identity: str) -> bool:
-        """Return whether an endpoint belongs to a group that stands still."""
-        return self._groups.get(identity) in self._stalled
+        """Return whether an endpoint belongs to a group that stands still, or to none."""
+        return self._groups.get(identity) in self._stalled or identity in self._alone
 
     def list_mates(self, identity: str) -> set[str]:
         """Return the ranks of an endpoint's group, or the endpoint alone if it has none."""
@@ -110,6 +112,7 @@
         now = self._clock()
         for identity in self._groups.keys() - ranks.keys():
             del self._groups[identity]
+        self._alone &= ranks.keys()
         self._asked = {name: at for name, at in self._asked.items() if name in ranks}
         new = [
             endpoint
@@ -121,8 +124,14 @@
 
     async def _learn_group(self, endpoint: Endpoint) -> None:
         report = await self._client.read_report(endpoint.address)
-        if report is not None and report.group:
+        if report is None:
+            return
+        if report.group:
             self._groups[endpoint.identity] = report.group
+            self._alone.discard(endpoint.identity)
+        elif endpoint.identity not in self._alone:
+            self._alone.add(endpoint.identity)
+            log_event("rank_without_group", endpoint=endpoint.identity)
 
     async def _ask(self, group: str, ranks: dict[str, Endpoint]) -> None:
         """Ask some ranks of a group for its state; the first to answer decides."""
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -167,6 +167,22 @@
             self.assertNotIn(absent, head)
         self.assertNotIn(b"connection", {name.lower() for name, _ in self.exchange.fields})
 
+    async def test_endpoint_at_whose_address_another_answers_is_left(self):
+        """Its load stays the least of all, so that each call would try it first."""
+
+        async def misdirected(peer):
+            await peer.send(build_answer(status=421, stamp=None))
+
+        async def fine(peer):
+            await peer.send(build_answer())
+
+        await self.add_two(misdirected, fine)
+        for _ in range(3):
+            self.exchange = FakeExchange()
+            await self.forward(build_route(RouteKind.ONCE, attempts=2))
+            await asyncio.sleep(0.2)
+        self.assertEqual(self.tried(), ["e1", "e2", "e2", "e2"])
+
     async def test_once_only_request_is_never_sent_again_in_doubt(self):
         async def reset(peer):
             peer.reset()
@@ -194,6 +210,7 @@
 
                     await self.add_two(refuse, fine)
                     self.table._full_until.clear()
+                    self.table.outliers.forget(["e1"])
                     result = await self.forward(build_route(RouteKind.ONCE, attempts))
                     self.assertIsInstance(result, outcome)
                     self.assertEqual(self.tried(), ["e1", "e2"][:attempts])
@@ -377,6 +394,7 @@
 
                 self.heads.clear()
                 self.table._full_until.clear()
+                self.table.outliers.forget(["e1"])
                 self.exchange = FakeExchange()
                 await self.start(refuse)
                 await self.forward(build_route(RouteKind.ONCE, attempts=2))
