--- a/magnoliarouter/tests/clock.py
+++ b/magnoliarouter/tests/clock.py
@@ -88,3 +88,17 @@
             return
         await asyncio.sleep(step)
     raise AssertionError(f"condition did not hold within {seconds} s")
+
+
+def run_steps(build, steps):
+    """Return what `steps` returns of a case whose `task` runs beside it, on a clock that jumps."""
+
+    async def main():
+        case = build()
+        await asyncio.sleep(0.1)
+        try:
+            return await steps(case)
+        finally:
+            case.task.cancel()
+
+    return run_jumping(main())
--- a/magnoliarouter/tests/test_groupwatch.py
+++ b/magnoliarouter/tests/test_groupwatch.py
@@ -7,7 +7,7 @@
 from magnoliarouter.gateway.groupwatch import POLL_S, GroupWatch
 from magnoliarouter.gateway.waiting import WaitingRoom
 from magnoliarouter.tests.builders import build_rank_report
-from magnoliarouter.tests.clock import run_jumping
+from magnoliarouter.tests.clock import run_steps
 
 RANKS = {f"e{number}": f"g{number // 2}" for number in range(4)}
 
@@ -47,15 +47,7 @@
 
 
 def play(steps):
-    async def main():
-        case = Case()
-        await asyncio.sleep(0.1)
-        try:
-            return await steps(case)
-        finally:
-            case.task.cancel()
-
-    return run_jumping(main())
+    return run_steps(Case, steps)
 
 
 class GroupWatchTest(unittest.TestCase):
--- a/magnoliarouter/tests/test_zonewatch.py
+++ b/magnoliarouter/tests/test_zonewatch.py
@@ -5,7 +5,7 @@
 
 from magnoliarouter.gateway.endpoints import Endpoint
 from magnoliarouter.gateway.zonewatch import POLL_S, ZoneWatch
-from magnoliarouter.tests.clock import run_jumping
+from magnoliarouter.tests.clock import run_steps
 
 NEAR = Endpoint("n1", "app", "n1", "zone-1", 2)
 FAR = [Endpoint(f"f{number}", "app", f"f{number}", "zone-2", 2) for number in range(3)]
@@ -29,15 +29,7 @@
 
 
 def play(steps, endpoints=(NEAR, *FAR)):
-    async def main():
-        case = Case(endpoints)
-        await asyncio.sleep(0.1)
-        try:
-            return await steps(case)
-        finally:
-            case.task.cancel()
-
-    return run_jumping(main())
+    return run_steps(lambda: Case(endpoints), steps)
 
 
 class ZoneWatchTest(unittest.TestCase):
