Find a service's experts and late pause in one place each

The watch of groups asked for the ranks with their profiles, a copy of each, several times a second, to use only their names; the pause that is late was looked up in two ways. Behaviour is unchanged.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -312,23 +312,31 @@
             self._tasks.append(self._loop.create_task(run()))
 
     def _list_ranks(self) -> list[tuple[Endpoint, ExpertProfile]]:
-        if self.config is None:
-            return []
         ranks = []
         for endpoint in self.table.list():
-            service = self.config.services.get(endpoint.service)
-            profile = service.profile if service is not None else None
-            if profile is not None and profile.experts is not None:
-                pause = self.config.pauses.get(endpoint.service)
-                ranks.append((endpoint, replace(profile.experts, pause_s=pause)))
+            experts = self._find_experts(endpoint)
+            if experts is not None:
+                ranks.append((endpoint, replace(experts, pause_s=self._find_pause(endpoint))))
         return ranks
 
+    def _list_members(self) -> list[Endpoint]:
+        return [one for one in self.table.list() if self._find_experts(one) is not None]
+
+    def _find_experts(self, endpoint: Endpoint) -> ExpertProfile | None:
+        """Return the experts of an endpoint's service, if its endpoints are ranks of groups."""
+        service = self.config.services.get(endpoint.service) if self.config is not None else None
+        return service.profile.experts if service is not None and service.profile else None
+
+    def _find_pause(self, endpoint: Endpoint) -> float | None:
+        """Return the shortest pause that some route to an endpoint's service calls late."""
+        return self.config.pauses.get(endpoint.service) if self.config is not None else None
+
     def _is_out(self, endpoint: Endpoint) -> bool:
         return self._zones.is_cut(endpoint.zone) or self._groups.stands_still(endpoint.identity)
 
     def _limit_load(self, endpoint: Endpoint) -> int:
-        pause_s = self.config.pauses.get(endpoint.service) if self.config is not None else None
-        return limit_load(endpoint.slots, self._pauses.recent_at(endpoint.identity), pause_s)
+        recent_s = self._pauses.recent_at(endpoint.identity)
+        return limit_load(endpoint.slots, recent_s, self._find_pause(endpoint))
 
     def _take_zone(self, zone: str) -> None:
         """Take a zone that was lost or regained; what failed there failed with it."""
@@ -337,9 +345,6 @@
         )
         self._waiting.wake()
 
-    def _list_members(self) -> list[Endpoint]:
-        return [endpoint for endpoint, _ in self._list_ranks()]
-
     def _confirm(self, sent_at: float) -> None:
         if self.config is not None:
             self.freshness.confirm(sent_at)
