Take from the counts what their number proves, at any size of group

Cause: the map duty took fewer than 50,000 choices as not significant. One rank of sixteen makes 11,000 to 25,000 between two reads, one of 72 or 96 no more. The duty then dropped the counts and read anew for 0.2 s: too few again.

Ruled out: the relaxed policy alone (shared trial, no change); a lower absolute number (depends on the group again).

Change: a set of layers is changed only if its skew exceeds what chance produces with the choices counted there, and a switch only if it reduces the mean skew by two standard errors. Older counts are added to a new read only as far as the estimate of a rank's load needs them, and are dropped as soon as two reads differ by more than chance. A read in which the rank processed a prompt has 30 to 100 times the choices and the same content for all: two such reads differed 10 to 15 times as much as independent choices do (trial), so it weighs as much as one without. The map of a newly formed group is evened out with the first traffic. Each decision to keep a map is logged with its inputs.

--- a/magnoliarouter/gateway/groups.py
+++ b/magnoliarouter/gateway/groups.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from magnoliarouter.gateway.choices import ChoiceWindow
 from magnoliarouter.gateway.ranks import Arm, Go, Hold, Order, OrderResult, Prepare
 from magnoliarouter.telemetry.logs import log_event
 
@@ -81,9 +82,10 @@
     version: int = 0
     step: int = 0
     step_s: float = TYPICAL_STEP_S
-    recent_counts: tuple[int, ...] = ()
+    choices: ChoiceWindow = field(default_factory=lambda: ChoiceWindow(1, 1))
     _last_steps: dict[str, tuple[float, int]] = field(default_factory=dict)
     _last_counts: tuple[int, ...] | None = None
+    _counted_at: float = 0.0
     _lost_responses: int = 0
     _last_switch_confirmed: bool = True
 
@@ -104,11 +106,12 @@
                 for expert in experts:
                     holders[index][expert].append(rank)
         self.rows = tuple(tuple(tuple(sorted(ranks)) for ranks in row) for row in holders)
-        self.epoch, self._last_counts = responses[0].epoch, None
+        self.epoch, self.version = responses[0].epoch, responses[0].version
+        self._last_counts, self.choices = None, ChoiceWindow(profile.sets, len(self.ranks))
         return True
 
     async def read_recent_counts(self) -> bool:
-        """Read how often one rank's requests chose each expert since the last read.
+        """Read how often one rank's requests chose each expert, and add that to `choices`.
 
         Returns False if the rank did not respond, the group formed again, or there are no earlier
         counts to compare with.
@@ -121,23 +124,29 @@
             return False
         self._record_step("counts", counts.step)
         last, self._last_counts = self._last_counts, counts.counts
+        now = self.clock()
+        elapsed_s, self._counted_at = now - self._counted_at, now
+        if len(counts.counts) != sum(map(len, self.rows or ())):
+            log_event("counts_malformed", group=self.name, length=len(counts.counts))
+            return False
         if last is None or len(last) != len(counts.counts):
             return False
-        self.recent_counts = tuple(max(0, now - before) for now, before in zip(counts.counts, last))
+        recent = [max(0, count - before) for count, before in zip(counts.counts, last)]
+        self.choices.add(recent, elapsed_s)
         return True
 
     def reset_counts(self) -> None:
         """Drop the counts of earlier steps, so that later counts start a new series."""
-        self._last_counts, self.recent_counts = None, ()
+        self._last_counts = None
+        self.choices.clear()
 
     async def read_step(self) -> None:
-        """Read the group's step, drop the counts of earlier steps, and release a late hold.
+        """Read the group's step, and release a late hold.
 
         Reading the step costs far less than reading the counts. No switch is in progress at this
         point, so any hold found here was executed late.
         """
         report = await self.client.read_report(self._control_rank.address)
-        self.reset_counts()
         if report is None:
             return
         if report.epoch != self.epoch or not report.open:
--- a/magnoliarouter/gateway/mapduty.py
+++ b/magnoliarouter/gateway/mapduty.py
@@ -10,7 +10,14 @@
 from typing import TYPE_CHECKING
 
 from magnoliarouter.gateway.groups import GroupMapSwitcher, SwitchAbandoned
-from magnoliarouter.gateway.mapplan import RELAXED_BALANCE, STRICT_BALANCE, BalancePolicy, plan_map
+from magnoliarouter.gateway.mapplan import (
+    RELAXED_BALANCE,
+    STRICT_BALANCE,
+    BalancePolicy,
+    MapPlan,
+    NoChange,
+    plan_map,
+)
 from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -25,14 +32,12 @@
 # Interval between reads of the counts. The popularity of experts changes every few seconds, and
 # each read from a distant daemon delays the group's events.
 READ_INTERVAL_S = 0.5
-# Time between the first two reads, in which a busy rank makes about 200,000 choices.
+# Time between the first two reads.
 FIRST_READ_DELAY_S = 0.2
 # Interval between checks of the event gaps of this daemon's own streams, which need no call.
 GAP_CHECK_INTERVAL_S = 0.05
 # Longer interval between reads of a group without traffic, which needs no balancing.
 IDLE_READ_INTERVAL_S = 1.5
-# Fewer choices are not significant. A busy rank makes a million per second.
-MIN_CHOICES = 50_000
 # Share of the longest acceptable event gap up to which a group is not balanced. The other half is
 # reserved for a burst, the processing of a prompt, and the network path to the caller.
 RELAXED_FROM_SHARE = 0.5
@@ -126,14 +131,10 @@
         while (
             group.rows is not None and self.fencing_number() == self._lease and not self._finishing
         ):
-            plan, total = None, self._sum_recent_counts(group)
             policy = self._choose_policy(group)
-            if sum(total) >= MIN_CHOICES and policy is not None:
-                profile = self._profiles[group.name]
-                copies = max(1, round(COPY_TIME_PER_SWITCH_S / max(profile.copy_s, MIN_COPY_S)))
-                plan = plan_map(group.rows, total, len(group.ranks), profile, policy, copies)
-            if plan is None:
-                await self._wait_and_read(group, policy, sum(total))
+            plan = None if policy is None else self._plan(group, policy)
+            if not isinstance(plan, MapPlan):
+                await self._wait_and_read(group, policy)
                 continue
             version = self._next_version()
             switch = asyncio.ensure_future(group.switch(plan, version, self._profiles[group.name]))
@@ -148,31 +149,56 @@
             finally:
                 self._switching.discard(switch)
 
-    async def _wait_and_read(
-        self, group: GroupMapSwitcher, policy: BalancePolicy | None, choices: int
-    ) -> None:
+    def _plan(self, group: GroupMapSwitcher, policy: BalancePolicy) -> MapPlan | NoChange | None:
+        """Return the group's next map or why it keeps its map, or None without counts."""
+        choices = self._sum_choices(group)
+        if not any(choices):
+            return None
+        profile = self._profiles[group.name]
+        copies = max(1, round(COPY_TIME_PER_SWITCH_S / max(profile.copy_s, MIN_COPY_S)))
+        plan = plan_map(group.rows, choices, len(group.ranks), profile, policy, copies)
+        if isinstance(plan, NoChange):
+            log_event(
+                "map_kept",
+                group=group.name,
+                version=group.version,
+                reason=plan.reason,
+                choices=round(sum(choices)),
+                recent=group.choices.recent,
+                skew=round(plan.skew, 2),
+                reduction=round(plan.reduction, 2),
+                error=round(plan.error, 2),
+                step_s=round(self._read_step_s(group), 3),
+                target=policy.target_skew,
+            )
+        return plan
+
+    async def _wait_and_read(self, group: GroupMapSwitcher, policy: BalancePolicy | None) -> None:
         """Wait, then read the group's counts or step."""
         if policy is None:
             await self._wait_until_slow(group)
-        elif group.recent_counts and choices >= MIN_CHOICES:
+        elif group.choices.recent:
             await asyncio.sleep(READ_INTERVAL_S)
             await group.read_recent_counts()
-        elif group.recent_counts:
+        elif group.choices.counts and self.recent_gap(group.name) is None:
             # The group is idle or held.
             await asyncio.sleep(IDLE_READ_INTERVAL_S)
+            group.reset_counts()
             await group.read_step()
         else:
-            # There are no earlier counts to compare with, so read twice.
-            await group.read_recent_counts()
-            await asyncio.sleep(FIRST_READ_DELAY_S)
+            # Without earlier counts to compare with, or without choices in between, read twice.
             await group.read_recent_counts()
+            if not group.choices.recent:
+                await asyncio.sleep(FIRST_READ_DELAY_S)
+                await group.read_recent_counts()
 
     async def _wait_until_slow(self, group: GroupMapSwitcher) -> None:
         """Wait until the group's steps become too long, as seen in this daemon's own streams.
 
         Without such streams, return after `READ_INTERVAL_S` and a read of the group's step.
         """
-        group.reset_counts()
+        if group.version != 0:
+            group.reset_counts()
         end = self.clock() + READ_INTERVAL_S
         while self.recent_gap(group.name) is not None or self.clock() < end:
             await asyncio.sleep(GAP_CHECK_INTERVAL_S)
@@ -181,23 +207,32 @@
         await group.read_step()
 
     def _choose_policy(self, group: GroupMapSwitcher) -> BalancePolicy | None:
-        """Return the balance policy, or None while the steps are short enough without balancing."""
+        """Return the balance policy, or None while the steps are short enough without balancing.
+
+        The map of a newly formed group follows no counts, so it is balanced as soon as there is
+        traffic, before the queue of calls grows.
+        """
         max_gap_s = self._profiles[group.name].max_event_gap_s
-        step_s = self.recent_gap(group.name) or group.step_s
+        step_s = self._read_step_s(group)
+        fresh = group.version == 0 and self.recent_gap(group.name) is not None
         if max_gap_s is None or step_s > STRICT_FROM_SHARE * max_gap_s:
             return STRICT_BALANCE
-        return RELAXED_BALANCE if step_s > RELAXED_FROM_SHARE * max_gap_s else None
+        slow = step_s > RELAXED_FROM_SHARE * max_gap_s
+        return RELAXED_BALANCE if slow or fresh else None
+
+    def _read_step_s(self, group: GroupMapSwitcher) -> float:
+        """Return the length of the group's steps as seen in its event gaps, else in its reports."""
+        return self.recent_gap(group.name) or group.step_s
 
-    def _sum_recent_counts(self, group: GroupMapSwitcher) -> list[int]:
-        """Return the sum of the recent counts over all groups whose maps have the largest size.
+    def _sum_choices(self, group: GroupMapSwitcher) -> list[float]:
+        """Return the sum of the counted choices over all groups with as many experts.
 
         Callers are spread over all groups, so every group's counts are a sample for all groups.
         """
-        size = max(len(other.recent_counts) for other in self.groups.values())
         known = [
-            other.recent_counts
+            other.choices.counts
             for other in self.groups.values()
-            if len(other.recent_counts) == size
+            if len(other.choices.counts) == len(group.choices.counts)
         ]
         return [sum(column) for column in zip(*known)]
 
--- a/magnoliarouter/gateway/mapplan.py
+++ b/magnoliarouter/gateway/mapplan.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from magnoliarouter.core.layerplan import LayerState
+from magnoliarouter.gateway.choices import estimate_noise_skew, estimate_skew_error
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -17,11 +19,14 @@
     from magnoliarouter.gateway.ranks import Row
     from magnoliarouter.gateway.routes import ExpertProfile
 
-__all__ = ["RELAXED_BALANCE", "STRICT_BALANCE", "BalancePolicy", "MapPlan", "plan_map"]
+__all__ = ["RELAXED_BALANCE", "STRICT_BALANCE", "BalancePolicy", "MapPlan", "NoChange", "plan_map"]
 
 # Minimum reduction of the mean skew over the sets that justifies a switch, since each switch copies
 # experts and sends orders.
 MIN_SKEW_REDUCTION = 0.1
+# The reduction must also exceed its standard error this many times, so that chance explains it in
+# about one of forty cases.
+SIGNIFICANT_ERRORS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,21 +75,43 @@
     skew_after: float
 
 
+@dataclass(frozen=True, slots=True)
+class NoChange:
+    """Reason to keep the current map.
+
+    Parameters
+    ----------
+    reason : str
+        Why no plan is carried out.
+    skew : float
+        Mean measured skew over the sets.
+    reduction, error : float
+        Reduction of the mean skew that the best plan promises, and its standard error.
+    """
+
+    reason: str
+    skew: float
+    reduction: float
+    error: float
+
+
 def plan_map(
     rows: tuple[Row, ...],
-    counts: Sequence[int],
+    counts: Sequence[float],
     ranks: int,
     profile: ExpertProfile,
     policy: BalancePolicy = STRICT_BALANCE,
     max_copies: int = 4,
-) -> MapPlan | None:
-    """Return the map to switch to, or None if no map reduces the skew enough.
+) -> MapPlan | NoChange:
+    """Return the map to switch to, or why no map reduces the skew enough.
+
+    Differences between ranks that the number of counted choices does not prove are left alone.
 
     Parameters
     ----------
     rows : tuple of Row
         Current map: ranks of each expert, by set.
-    counts : sequence of int
+    counts : sequence of float
         Recent choices of each expert, concatenated over the sets.
     ranks : int
         Number of ranks of the group.
@@ -95,27 +122,39 @@
     max_copies : int
         Maximum number of experts that one rank may fetch.
     """
-    states = []
+    states, choices = [], []
     for index, row in enumerate(rows):
         start = index * profile.experts
+        of_set = counts[start : start + profile.experts]
+        choices.append(sum(of_set))
         # Experts without choices must not count as free of load.
-        tokens = [count + 1.0 for count in counts[start : start + profile.experts]]
+        tokens = [count + 1.0 for count in of_set]
         states.append(LayerState(row, tokens, [1.0] * ranks, profile.experts_per_rank))
+    noise = [estimate_noise_skew(one, ranks) for one in choices]
     before = [_skew(state) for state in states]
-    planned = _reduce_skew(rows, states, profile.max_new_experts, policy, max_copies)
+    mean_before = sum(before) / len(rows)
+    planned = _reduce_skew(rows, states, noise, profile.max_new_experts, policy, max_copies)
+    changed = [index for index, (old, new) in enumerate(zip(rows, planned)) if old != new]
+    if not changed:
+        return NoChange("no set is skewed beyond policy and chance", mean_before, 0.0, 0.0)
     after = sum(map(_skew, states)) / len(rows)
-    if sum(before) / len(rows) - after < MIN_SKEW_REDUCTION:
-        return None
+    reduction = mean_before - after
+    errors = (estimate_skew_error(before[one], choices[one], ranks) for one in changed)
+    error = math.sqrt(sum(error**2 for error in errors)) / len(rows)
+    if reduction < max(MIN_SKEW_REDUCTION, SIGNIFICANT_ERRORS * error):
+        reason = "too little gain" if reduction < MIN_SKEW_REDUCTION else "too few choices"
+        return NoChange(reason, mean_before, reduction, error)
     fetches = [
         rank for old, new in zip(rows, planned) if old != new for rank in _list_fetches(old, new)
     ]
     most = max(map(fetches.count, range(ranks)))
-    return MapPlan(planned, len(fetches), most, sum(before) / len(rows), after)
+    return MapPlan(planned, len(fetches), most, mean_before, after)
 
 
 def _reduce_skew(
     rows: tuple[Row, ...],
     states: list[LayerState],
+    noise: list[float],
     max_new_experts: int,
     policy: BalancePolicy,
     max_copies: int,
@@ -128,6 +167,8 @@
         Current map.
     states : list of LayerState
         Working state of each set; modified in place.
+    noise : list of float
+        Skew of each set that chance explains.
     max_new_experts : int
         Maximum number of new experts of one set that a rank accepts in one switch.
     policy : BalancePolicy
@@ -138,7 +179,9 @@
     planned, ranks = list(rows), range(len(states[0].times))
     fetched = [[0] * len(ranks) for _ in rows]
     remaining_sets = {
-        index for index, state in enumerate(states) if _skew(state) > policy.start_skew
+        index
+        for index, state in enumerate(states)
+        if _skew(state) > max(policy.start_skew, noise[index])
     }
     while remaining_sets:
         index = max(remaining_sets, key=lambda one: _skew(states[one]))
@@ -149,7 +192,8 @@
             if fetched_in_set[rank] >= max_new_experts
             or sum(one[rank] for one in fetched) >= max_copies
         ]
-        change = state.find_change(full_ranks) if _skew(state) > policy.target_skew else None
+        target_skew = max(policy.target_skew, noise[index])
+        change = state.find_change(full_ranks) if _skew(state) > target_skew else None
         if change is None:
             remaining_sets.discard(index)
             continue
--- a/magnoliarouter/tests/test_groups.py
+++ b/magnoliarouter/tests/test_groups.py
@@ -7,7 +7,7 @@
 from magnoliarouter.gateway.endpoints import Endpoint
 from magnoliarouter.gateway.groups import GroupMapSwitcher
 from magnoliarouter.gateway.mapduty import MapDuty
-from magnoliarouter.gateway.mapplan import plan_map
+from magnoliarouter.gateway.mapplan import NoChange, plan_map
 from magnoliarouter.gateway.ranks import Arm, Hold, Prepare
 from magnoliarouter.gateway.routes import ExpertProfile
 from magnoliarouter.tests.clock import run_auto_advance
@@ -103,7 +103,7 @@
 
     def test_even_load_moves_nothing(self):
         rows = tuple(tuple((expert % 4,) for expert in range(8)) for _ in range(2))
-        self.assertIsNone(plan_map(rows, [1000] * 16, 4, PROFILE))
+        self.assertIsInstance(plan_map(rows, [1000] * 16, 4, PROFILE), NoChange)
 
 
 class SwitchTest(unittest.TestCase):
