Move requests, streams and experts away from slow ranks

Cause: all ranks of a group step together and a step waits for the slowest. Reports name the rank's pace; nothing read it.

Ruled out: skew of the maps (1.2 to 1.4 as counted, without the pace); fewer requests at the slow rank alone (its streams stay for all their events and hold up the group: steps 0.19 s instead of 0.27 s).

Change: the map leader reads the reports of the ranks while steps are late, once a second, and tells the other daemons which ranks are slow against their group's median. A rank of twice the usual pace gets no request, streams that may be repeated leave it within the retry budget, and the plan counts a rank's tokens times its pace. A stream that its caller is reading goes before all new calls, and waits for a place as long as its caller does (it used to be cut three targets after its call came).

At 12 times the pace steps stay above 0.2 s whatever is moved: that long the rank takes for its part without any request.

--- a/magnoliarouter/core/layerplan.py
+++ b/magnoliarouter/core/layerplan.py
@@ -1,8 +1,9 @@
 """Improves the placement of one layer's experts by successive local changes.
 
 The tokens of a replicated expert are split among the ranks that hold it in proportion to their
-shares. A rank's share is its speed, so each holder of an expert spends the same time on it:
-tokens / sum of the holders' shares.
+shares. If a rank's share is its speed, each holder of an expert spends the same time on it:
+tokens / sum of the holders' shares. Where ranks split tokens evenly whatever their speed, all shares
+are 1, and a rank's pace is how many times as long as a rank of pace 1 it takes for a token.
 """
 
 from __future__ import annotations
@@ -60,7 +61,10 @@
 
 
 def measure_times(
-    row: tuple[tuple[int, ...], ...], tokens: list[float], shares: list[float]
+    row: tuple[tuple[int, ...], ...],
+    tokens: list[float],
+    shares: list[float],
+    paces: list[float] | None = None,
 ) -> list[float]:
     """Return the time that each rank spends on a layer.
 
@@ -71,7 +75,9 @@
     tokens : list of float
         Tokens for each expert.
     shares : list of float
-        Speed of each rank.
+        Share of each rank in the tokens of the experts that it holds.
+    paces : list of float, optional
+        Time of each rank for a token; 1 for each by default.
     """
     times = [0.0] * len(shares)
     for holders, load in zip(row, tokens):
@@ -81,7 +87,7 @@
         time = load / sum([shares[rank] for rank in holders])
         for rank in holders:
             times[rank] += time
-    return times
+    return times if paces is None else [time * pace for time, pace in zip(times, paces)]
 
 
 class LayerState:
@@ -95,6 +101,8 @@
         Tokens for each expert; speed of each rank.
     slots : int
         Experts of the layer that fit on a rank.
+    paces : list of float, optional
+        Time of each rank for a token; 1 for each by default.
     """
 
     def __init__(
@@ -103,6 +111,7 @@
         tokens: list[float],
         shares: list[float],
         slots: int,
+        paces: list[float] | None = None,
     ) -> None:
         self.fetches = 0
         self.tokens = tokens
@@ -115,7 +124,8 @@
         for expert, holders in enumerate(row):
             for rank in holders:
                 self.held[rank].add(expert)
-        self.times = measure_times(row, tokens, shares)
+        self.paces = paces or [1.0] * len(shares)
+        self.times = measure_times(row, tokens, shares, paces)
 
     def copy_row(self) -> tuple[tuple[int, ...], ...]:
         """Return the ranks that hold each expert."""
@@ -166,7 +176,7 @@
             self.fetches += 1 if present else -1
         time = load / self.share_sums[expert] if holders else 0.0
         for holder in holders:
-            self.times[holder] -= time
+            self.times[holder] -= time * self.paces[holder]
         if present:
             holders.add(rank)
             self.held[rank].add(expert)
@@ -178,7 +188,7 @@
         if holders:
             time = load / self.share_sums[expert]
             for holder in holders:
-                self.times[holder] += time
+                self.times[holder] += time * self.paces[holder]
 
     def _list_changes(self, slow: int, expert: int, fast: list[int]) -> list[_Change]:
         changes = []
@@ -202,24 +212,31 @@
 
     def _drop(self, slow: int, expert: int, load: float, total: float) -> _Change:
         rise = load / (total - self.shares[slow]) - load / total
-        others = [self.times[rank] + rise for rank in self.holders[expert] if rank != slow]
-        slowest = max(self.times[slow] - load / total, *others)
+        others = [
+            self.times[rank] + rise * self.paces[rank]
+            for rank in self.holders[expert]
+            if rank != slow
+        ]
+        slowest = max(self.times[slow] - load / total * self.paces[slow], *others)
         return _Change(slowest, (), ((expert, slow),))
 
     def _replicate(self, slow: int, expert: int, rank: int) -> _Change:
         load, total = self.tokens[expert], self.share_sums[expert]
         time = load / (total + self.shares[rank])
-        slowest = max(self.times[slow] - load / total + time, self.times[rank] + time)
+        slowest = max(
+            self.times[slow] - (load / total - time) * self.paces[slow],
+            self.times[rank] + time * self.paces[rank],
+        )
         return _Change(slowest, ((expert, rank),), ())
 
     def _move(self, slow: int, expert: int, rank: int) -> _Change:
         load, total = self.tokens[expert], self.share_sums[expert]
         time = load / (total + self.shares[rank] - self.shares[slow])
-        slowest = max(self.times[slow] - load / total, self.times[rank] + time)
-        rise = time - load / total
-        if len(self.holders[expert]) > 1 and rise > 0:
-            others = [self.times[other] for other in self.holders[expert] if other != slow]
-            slowest = max(slowest, max(others) + rise)
+        slowest = max(
+            self.times[slow] - load / total * self.paces[slow],
+            self.times[rank] + time * self.paces[rank],
+        )
+        slowest = max(slowest, self._slowest_other_holder(expert, slow, time - load / total))
         return _Change(slowest, ((expert, rank),), ((expert, slow),))
 
     def _replace(self, slow: int, expert: int, rank: int, replaced: int) -> _Change:
@@ -229,12 +246,14 @@
         freed = self.tokens[replaced] / self.share_sums[replaced]
         rise = self.tokens[replaced] / (self.share_sums[replaced] - self.shares[rank]) - freed
         others = [
-            self.times[other] + rise - (load / total - time) * (other == slow)
+            self.times[other] + (rise - (load / total - time) * (other == slow)) * self.paces[other]
             for other in self.holders[replaced]
             if other != rank
         ]
         slowest = max(
-            self.times[slow] - load / total + time, self.times[rank] - freed + time, *others
+            self.times[slow] - (load / total - time) * self.paces[slow],
+            self.times[rank] + (time - freed) * self.paces[rank],
+            *others,
         )
         return _Change(slowest, ((expert, rank),), ((replaced, rank),))
 
@@ -243,8 +262,9 @@
         share_difference = self.shares[rank] - self.shares[slow]
         load, total = self.tokens[expert], self.share_sums[expert]
         time = load / (total + share_difference)
-        slow_rest = self.times[slow] - load / total
-        fast_rest = self.times[rank] + time
+        slow_pace, fast_pace = self.paces[slow], self.paces[rank]
+        slow_rest = self.times[slow] - load / total * slow_pace
+        fast_rest = self.times[rank] + time * fast_pace
         slowest_other = self._slowest_other_holder(expert, slow, time - load / total)
         adds_drops = ((expert, rank), (expert, slow))
         changes = []
@@ -255,7 +275,9 @@
             other_time = other_tokens / (share_sums - share_difference)
             rise = other_time - other_tokens / share_sums
             slowest = max(
-                slow_rest + other_time, fast_rest - other_tokens / share_sums, slowest_other
+                slow_rest + other_time * slow_pace,
+                fast_rest - other_tokens / share_sums * fast_pace,
+                slowest_other,
             )
             if rise > 0:
                 slowest = max(slowest, self._slowest_other_holder(other, rank, rise))
@@ -270,7 +292,13 @@
         """
         if rise <= 0 or len(self.holders[expert]) == 1:
             return 0.0
-        return rise + max([self.times[other] for other in self.holders[expert] if other != rank])
+        return max(
+            [
+                self.times[other] + rise * self.paces[other]
+                for other in self.holders[expert]
+                if other != rank
+            ]
+        )
 
 
 def improve_layer(layer: int, state: LayerState, max_changes: int) -> list[LayerPlan]:
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -25,6 +25,7 @@
 from magnoliarouter.gateway.groupwatch import GroupWatch
 from magnoliarouter.gateway.handler import GatewayHandler
 from magnoliarouter.gateway.mapduty import MapDuty
+from magnoliarouter.gateway.paces import RankPaces, limit_by_pace
 from magnoliarouter.gateway.pauses import EventGapMeter, limit_requests
 from magnoliarouter.gateway.peers import PeerLoads
 from magnoliarouter.gateway.waiting import WaitQueue
@@ -183,6 +184,7 @@
             self._gap_meter,
             self.peers.schedule_send,
         )
+        self._paces = RankPaces(clock, forwarder.move_streams)
         self._handler = handler = GatewayHandler(
             lambda: self.config, self.freshness, interface.headers, forwarder, clock, self.metrics
         )
@@ -319,7 +321,10 @@
             self.map_election.fencing_number,
             clock,
             self._gap_meter.mean_gap,
+            on_paces=self._apply_own_paces,
         )
+        self.peers.read_slow_ranks = self.maps.list_slow_ranks
+        self.peers.apply_slow_ranks = self._paces.apply_report
         for run in (
             self.maps.run,
             self._group_watch.run,
@@ -364,7 +369,13 @@
 
     def _find_load_limit(self, endpoint: Endpoint) -> int:
         recent_gap_s = self._gap_meter.mean_gap_at(endpoint.identity)
-        return limit_requests(endpoint.slots, recent_gap_s, self._find_max_event_gap_s(endpoint))
+        limit = limit_requests(endpoint.slots, recent_gap_s, self._find_max_event_gap_s(endpoint))
+        return limit_by_pace(limit, self._paces.pace_of(endpoint.identity))
+
+    def _apply_own_paces(self, slow: dict[str, float]) -> None:
+        """Apply the paces that this daemon read as map leader, and tell the other daemons."""
+        self._paces.apply_report(slow)
+        self.peers.schedule_send()
 
     def _apply_zone_change(self, zone: str) -> None:
         """Forget the outliers of a zone that was lost or regained.
--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -73,6 +73,8 @@
         Whether the endpoint refused because its group is stalled.
     timed_out : bool
         Whether the attempt was abandoned because the endpoint sent nothing.
+    moved : bool
+        Whether this daemon ended the attempt to move the stream to another endpoint.
     """
 
     code: ResultCode
@@ -82,6 +84,7 @@
     response: BufferedResponse | None = None
     stalled: bool = False
     timed_out: bool = False
+    moved: bool = False
 
 
 @dataclass(slots=True)
@@ -102,6 +105,8 @@
         Splits the stream into events and holds the id of the last relayed event.
     last_event_at : float
         Loop time at which the last event arrived, from any endpoint.
+    moving : bool
+        Whether the current attempt was ended to move the stream to another endpoint.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -111,6 +116,14 @@
     last_failure: FailedAttempt | None = None
     splitter: FrameSplitter = field(default_factory=FrameSplitter)
     last_event_at: float = 0.0
+    moving: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class _RunningStream:
+    call: GatewayCall
+    progress: CallProgress
+    connection: UpstreamConnection
 
 
 class AttemptRunner:
@@ -151,6 +164,22 @@
         self._clock = clock
         self._metrics = metrics
         self._gap_meter = gap_meter
+        self._streams: dict[str, set[_RunningStream]] = {}
+
+    def move_streams(self, identity: str) -> int:
+        """End the streams at an endpoint that may resume elsewhere, and return their number.
+
+        Their calls continue at another endpoint after the last event that the caller received.
+        """
+        moved = 0
+        for stream in list(self._streams.get(identity, ())):
+            call, progress = stream.call, stream.progress
+            if progress.moving or progress.sends >= call.route.attempts:
+                continue
+            if self._budget.allows(call.service, self._clock()):
+                progress.moving, moved = True, moved + 1
+                stream.connection.close()
+        return moved
 
     async def run(
         self,
@@ -293,6 +322,26 @@
     ) -> Completed | FailedAttempt:
         if not headers.signed:
             return FailedAttempt(ResultCode.WRONG_ATTEMPT, "answer without a signature", None)
+        running = _RunningStream(call, progress, connection)
+        if call.route.repeatable:
+            self._streams.setdefault(endpoint.identity, set()).add(running)
+        try:
+            return await self._relay_events(call, exchange, connection, endpoint, headers, progress)
+        finally:
+            streams = self._streams.get(endpoint.identity, set())
+            streams.discard(running)
+            if not streams:
+                self._streams.pop(endpoint.identity, None)
+
+    async def _relay_events(
+        self,
+        call: GatewayCall,
+        exchange: IngressExchange,
+        connection: UpstreamConnection,
+        endpoint: Endpoint,
+        headers: ResponseHeaders,
+        progress: CallProgress,
+    ) -> Completed | FailedAttempt:
         splitter = progress.splitter
         splitter.restart()
         first = True
@@ -331,6 +380,10 @@
         try:
             return await self._read_within_limit(call, progress, connection.read_part)
         except UpstreamError as error:
+            if progress.moving:
+                progress.moving = False
+                reason = "the endpoint is slow, so the stream moves"
+                return FailedAttempt(ResultCode.STREAM_TRUNCATED, reason, None, moved=True)
             return _describe_failure(error)
 
     def _log_send(self, call: GatewayCall, endpoint: Endpoint, progress: CallProgress) -> None:
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -21,7 +21,7 @@
 from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from magnoliarouter.core.retries import SharedRetryBudget
     from magnoliarouter.gateway.call import GatewayCall, HeaderCodec
@@ -43,6 +43,15 @@
 # Maximum wait for a concurrency slot, in multiples of the route's target latency. Callers give up
 # after five times the target.
 QUEUE_TIMEOUT_TARGETS = 3.0
+# Callers leave a stream after a gap of this time, or of these multiples of the target latency and of
+# the longest acceptable event gap, whichever is longest.
+STREAM_PATIENCE_S = 2.0
+STREAM_PATIENCE_TARGETS = 4.0
+STREAM_PATIENCE_GAPS = 8.0
+# Time for an endpoint to resume a stream: to read its prompt again and to generate an event.
+RESUME_S = 0.3
+# Urgency of a stream that has started; routes have 0 and more.
+STARTED_URGENCY = -1
 # Share of the target latency within which a call must get its slot to meet the target: the first
 # event of a stream takes about 0.2 s of a target of 0.4 s.
 ON_TIME_START_SHARE = 0.5
@@ -130,8 +139,9 @@
             endpoint = await self._waiting.acquire(
                 call.service,
                 progress.tried,
-                call.urgency,
-                self._queue_timeout_s(call),
+                # A stream that its caller is reading continues before any new call starts.
+                STARTED_URGENCY if exchange.started else call.urgency,
+                self._queue_timeout_s(call, exchange, progress),
                 call.admitted_at + ON_TIME_START_SHARE * call.route.target_latency_s,
             )
             if endpoint is None:
@@ -191,8 +201,25 @@
                 refusal = NotRun(ResultCode.RETRY_BUDGET, reason, FULL_RETRY_AFTER_S)
         return refusal
 
-    def _queue_timeout_s(self, call: GatewayCall) -> float:
+    def move_streams(self, identities: Iterable[str]) -> None:
+        """Move the streams at slow endpoints to others, since they delay all of their group."""
+        for identity in identities:
+            moved = self._attempts.move_streams(identity)
+            if moved:
+                log_event("streams_moved", endpoint=identity, streams=moved)
+
+    def _queue_timeout_s(
+        self, call: GatewayCall, exchange: IngressExchange, progress: CallProgress
+    ) -> float:
+        """Return the seconds that a call may wait for a concurrency slot."""
         now = self._clock()
+        if exchange.started:
+            patience_s = max(
+                STREAM_PATIENCE_S,
+                STREAM_PATIENCE_TARGETS * call.route.target_latency_s,
+                STREAM_PATIENCE_GAPS * (call.route.max_event_gap_s or 0.0),
+            )
+            return min(progress.last_event_at + patience_s - RESUME_S, call.deadline) - now
         return (
             min(
                 call.admitted_at + QUEUE_TIMEOUT_TARGETS * call.route.target_latency_s,
@@ -255,6 +282,7 @@
                 self._record_outlier_failure(endpoint, now, immediate=True)
         else:
             progress.outcome_unknown = True
+        if result.sent and result.ran is not False and not result.moved:
             if result.timed_out:
                 progress.tried |= self._groups.list_members(endpoint.identity)
                 self._groups.suspect(endpoint.identity)
--- a/magnoliarouter/gateway/mapduty.py
+++ b/magnoliarouter/gateway/mapduty.py
@@ -18,6 +18,7 @@
     NoChange,
     plan_map,
 )
+from magnoliarouter.gateway.paces import compare_paces
 from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -44,6 +45,10 @@
 # Share of the longest acceptable event gap above which a burst makes events late, so that the
 # strict policy applies.
 STRICT_FROM_SHARE = 0.7
+# Interval between reads of the reports of all ranks while steps are late, and of those of slow ranks.
+PACE_READ_INTERVAL_S = 0.5
+# The same after a read that showed no slow rank, since the reports of all ranks are billed.
+PACE_REREAD_INTERVAL_S = 1.0
 # Interval between checks for added and removed ranks.
 GROUP_CHECK_INTERVAL_S = 0.5
 # Interval between discoveries of groups while some are missing. A group forms again within 0.6 s,
@@ -77,6 +82,10 @@
         Loop time in seconds.
     recent_gap : callable
         Returns the recent mean event gap of a group's streams in seconds, or None without events.
+    slow_ranks : dict of str to dict
+        Relative paces of the slow ranks, by group and identity.
+    on_paces : callable
+        Called with the relative paces of the slow ranks of all groups after they were read.
     """
 
     client: RankClient
@@ -85,6 +94,9 @@
     clock: Callable[[], float]
     recent_gap: Callable[[str], float | None] = lambda group: None
     groups: dict[str, GroupMapSwitcher] = field(default_factory=dict)
+    slow_ranks: dict[str, dict[str, float]] = field(default_factory=dict)
+    on_paces: Callable[[dict[str, float]], None] = lambda slow: None
+    _paces_read_at: dict[str, float] = field(default_factory=dict)
     _profiles: dict[str, ExpertProfile] = field(default_factory=dict)
     _tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     _known_ranks: frozenset[str] = frozenset()
@@ -102,6 +114,7 @@
                 if fencing_number != self._lease:
                     self._lease, self._versions = fencing_number, 0
                     self.groups, self._known_ranks = {}, frozenset()
+                    self.slow_ranks, self._paces_read_at = {}, {}
                 await self._refresh_groups()
             await asyncio.sleep(GROUP_CHECK_INTERVAL_S)
 
@@ -131,6 +144,7 @@
         while (
             group.rows is not None and self.fencing_number() == self._lease and not self._finishing
         ):
+            await self._read_paces(group)
             policy = self._choose_policy(group)
             plan = None if policy is None else self._plan(group, policy)
             if not isinstance(plan, MapPlan):
@@ -156,7 +170,9 @@
             return None
         profile = self._profiles[group.name]
         copies = max(1, round(COPY_TIME_PER_SWITCH_S / max(profile.copy_s, MIN_COPY_S)))
-        plan = plan_map(group.rows, choices, len(group.ranks), profile, policy, copies)
+        slow = self.slow_ranks.get(group.name, {})
+        paces = [slow.get(rank.identity, 1.0) for rank in group.ranks.values()] if slow else []
+        plan = plan_map(group.rows, choices, len(group.ranks), profile, policy, copies, paces)
         if isinstance(plan, NoChange):
             log_event(
                 "map_kept",
@@ -173,6 +189,34 @@
             )
         return plan
 
+    async def _read_paces(self, group: GroupMapSwitcher) -> None:
+        """Read which ranks are slow while steps are late or a rank is known to be slow."""
+        slow, now = self.slow_ranks.get(group.name, {}), self.clock()
+        max_gap_s = self._profiles[group.name].max_event_gap_s
+        late = max_gap_s is not None and self._read_step_s(group) > max_gap_s
+        if not late and not slow:
+            return
+        interval_s = PACE_READ_INTERVAL_S if slow else PACE_REREAD_INTERVAL_S
+        if now - self._paces_read_at.get(group.name, float("-inf")) < interval_s:
+            return
+        self._paces_read_at[group.name] = now
+        ranks = list(group.ranks.values())
+        reports = await asyncio.gather(*(self.client.read_report(rank.address) for rank in ranks))
+        paces = {
+            rank.identity: report.pace for rank, report in zip(ranks, reports) if report is not None
+        }
+        found = compare_paces(paces)
+        if found != slow:
+            log_event("slow_ranks", group=group.name, paces=found, before=slow, read=len(paces))
+        self.slow_ranks[group.name] = found
+        self.on_paces(self.list_slow_ranks())
+
+    def list_slow_ranks(self) -> dict[str, float]:
+        """Return the relative paces of the slow ranks of all groups."""
+        return {
+            identity: pace for slow in self.slow_ranks.values() for identity, pace in slow.items()
+        }
+
     async def _wait_and_read(self, group: GroupMapSwitcher, policy: BalancePolicy | None) -> None:
         """Wait, then read the group's counts or step."""
         if policy is None:
@@ -204,6 +248,8 @@
             await asyncio.sleep(GAP_CHECK_INTERVAL_S)
             if self._choose_policy(group) is not None or self.fencing_number() != self._lease:
                 return
+            if self.slow_ranks.get(group.name):
+                await self._read_paces(group)
         await group.read_step()
 
     def _choose_policy(self, group: GroupMapSwitcher) -> BalancePolicy | None:
--- a/magnoliarouter/gateway/mapplan.py
+++ b/magnoliarouter/gateway/mapplan.py
@@ -102,6 +102,7 @@
     profile: ExpertProfile,
     policy: BalancePolicy = STRICT_BALANCE,
     max_copies: int = 4,
+    paces: Sequence[float] = (),
 ) -> MapPlan | NoChange:
     """Return the map to switch to, or why no map reduces the skew enough.
 
@@ -121,6 +122,9 @@
         Skew thresholds.
     max_copies : int
         Maximum number of experts that one rank may fetch.
+    paces : sequence of float
+        How many times as long as usual each rank takes for its work; empty if all take as long. A
+        step waits for the slowest rank, so the share of a slow rank goes to the others.
     """
     states, choices = [], []
     for index, row in enumerate(rows):
@@ -129,7 +133,9 @@
         choices.append(sum(of_set))
         # Experts without choices must not count as free of load.
         tokens = [count + 1.0 for count in of_set]
-        states.append(LayerState(row, tokens, [1.0] * ranks, profile.experts_per_rank))
+        states.append(
+            LayerState(row, tokens, [1.0] * ranks, profile.experts_per_rank, list(paces) or None)
+        )
     noise = [estimate_noise_skew(one, ranks) for one in choices]
     before = [_skew(state) for state in states]
     mean_before = sum(before) / len(rows)
@@ -205,7 +211,7 @@
 
 
 def _skew(state: LayerState) -> float:
-    return max(state.times) * len(state.times) / sum(state.times)
+    return max(state.times) * len(state.times) / sum(state.tokens)
 
 
 def _list_fetches(old: Row, new: Row) -> list[int]:
--- a/magnoliarouter/gateway/peers.py
+++ b/magnoliarouter/gateway/peers.py
@@ -56,6 +56,8 @@
         unless the sender confirms for the others.
     last_received : dict of str to (int, int)
         Start and number of the last message received from each daemon; sent along with `confirmed`.
+    slow_ranks : dict of str to float
+        Relative paces of slow ranks; empty unless the sender holds the lease on the expert maps.
     """
 
     name: str
@@ -65,6 +67,7 @@
     holds_map_lease: bool = False
     confirmed: dict[str, tuple[int, float]] = {}
     last_received: dict[str, tuple[int, int]] = {}
+    slow_ranks: dict[str, float] = {}
 
 
 class PeerLoads(asyncio.DatagramProtocol):
@@ -108,6 +111,8 @@
         self.read_confirmations: Callable[[], dict[str, tuple[int, float]]] = dict
         self.apply_confirmation: Callable[[str, int, float], None] = lambda kind, digest, at: None
         self.holds_map_lease: Callable[[], bool] = lambda: False
+        self.read_slow_ranks: Callable[[], dict[str, float]] = dict
+        self.apply_slow_ranks: Callable[[dict[str, float]], None] = lambda slow: None
 
     async def open(self, host: str, port: int) -> None:
         """Listen for datagrams and start to send.
@@ -179,6 +184,7 @@
         self._received_at[message.name] = self._loop.time()
         if message.holds_map_lease:
             self._map_leader, self._leader_received_at = message.name, self._loop.time()
+            self.apply_slow_ranks(message.slow_ranks)
         elif message.name == self._map_leader:
             # The daemon reports that it lost the lease, so no silence has to be awaited.
             self._map_leader, self._leader_received_at = "", float("-inf")
@@ -225,15 +231,16 @@
         self._number += 1
         self._sent_at[self._number] = self._loop.time()
         self._sent_at.pop(self._number - MAX_SENT_TIMES, None)
-        confirmed = self._choose_confirmations()
+        confirmed, leads = self._choose_confirmations(), self.holds_map_lease()
         message = PeerMessage(
             self._name,
             self._start,
             self._number,
             self._read_loads(),
-            self.holds_map_lease(),
+            leads,
             confirmed,
             self._last_received if confirmed else {},
+            self.read_slow_ranks() if leads else {},
         )
         data = msgspec.msgpack.encode(message)
         for address in self._addresses.values():
--- a/magnoliarouter/gateway/ranks.py
+++ b/magnoliarouter/gateway/ranks.py
@@ -50,6 +50,8 @@
         Version to which the rank is set to switch.
     held_step : int, optional
         Step before which the group is held.
+    pace : float
+        How many times as long as usual the rank takes for its part of a step.
     """
 
     group: str
@@ -62,6 +64,7 @@
     prepared_version: int | None
     armed_version: int | None
     held_step: int | None
+    pace: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/magnoliarouter/platform/ranks.py
+++ b/magnoliarouter/platform/ranks.py
@@ -63,6 +63,7 @@
     prepared: Any = None
     armed: Any = None
     held: Any = None
+    pace: float = 1.0
 
 
 class _Counts(msgspec.Struct):
@@ -110,6 +111,7 @@
             _extract_number(report.prepared),
             _extract_number(report.armed),
             _extract_number(report.held),
+            report.pace,
         )
 
     async def read_counts(self, address: str) -> RankCounts | None:
--- a/magnoliarouter/tests/rank_model.py
+++ b/magnoliarouter/tests/rank_model.py
@@ -33,6 +33,7 @@
         self.armed = None
         self.held = None
         self.fencing_number = 0
+        self.pace = 1.0
 
     def apply_order(self, order, epoch, fencing_number):
         if epoch != self.group.epoch:
@@ -131,7 +132,7 @@
         prepared = max(rank.prepared, default=None)
         return RankReport(
             "g", self.epoch, rank.number, self.size, True, self.step, rank.version, prepared,
-            armed, rank.held,
+            armed, rank.held, rank.pace,
         )  # fmt: skip
 
     async def read_counts(self, address):
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -503,6 +503,66 @@
         outcome = await self.forward(build_route(RouteKind.STREAM, 2, 4.0, resumable=True))
         self.assertEqual((outcome, self.tried()), (Completed(ResultCode.OK, 200), ["e1", "e2"]))
 
+    def serve_slowly(self, first, later):
+        """Send some events at once and the rest after a second."""
+
+        async def handle(peer):
+            await peer.send(self.head())
+            for event in first:
+                await peer.send(self.chunk(event))
+            await asyncio.sleep(1.0)
+            for event in later:
+                await peer.send(self.chunk(event))
+            await peer.send(b"0\r\n\r\n")
+
+        return handle
+
+    async def test_stream_moves_from_a_slow_rank_after_its_last_event(self):
+        await self.add_two(self.serve_slowly(EVENTS[:3], EVENTS[3:]), self.serve(EVENTS[3:]))
+        route = build_route(RouteKind.STREAM, 2, 4.0, resumable=True)
+        task = asyncio.create_task(self.forward(route))
+        await asyncio.sleep(0.2)
+        self.forwarder.move_streams(["e1"])
+        self.assertEqual(await task, Completed(ResultCode.OK, 200))
+        self.assertEqual(self.exchange.body, b"".join(EVENTS))
+        self.assertIn("Last-Event-Id: 3", self.heads[1][1])
+        self.assertTrue(self.table.outliers.select_usable(["e1"], self.clock()))
+
+    async def test_stream_stays_where_it_may_not_be_repeated_or_the_budget_is_used_up(self):
+        for route, slack in (
+            (build_route(RouteKind.STREAM, 2, 4.0, resumable=True), 0),
+            (build_route(RouteKind.STREAM, 2, 4.0), 100),
+            (build_route(RouteKind.STREAM, 1, 4.0, resumable=True), 100),
+        ):
+            self.heads, self.exchange = [], FakeExchange()
+            self.budget.slack, self.budget.ratio = slack, 0.0
+            await self.add_two(self.serve_slowly(EVENTS[:3], EVENTS[3:]), self.serve(EVENTS[3:]))
+            task = asyncio.create_task(self.forward(route))
+            await asyncio.sleep(0.2)
+            self.forwarder.move_streams(["e1"])
+            await task
+            with self.subTest(attempts=route.attempts, resumable=route.resumable, slack=slack):
+                self.assertEqual((self.exchange.body, self.tried()), (b"".join(EVENTS), ["e1"]))
+
+    async def test_broken_stream_waits_for_a_slot_as_long_as_its_caller_does(self):
+        async def late_break(peer):
+            await peer.send(self.head())
+            await peer.send(self.chunk(EVENTS[0]))
+            await asyncio.sleep(0.8)
+            await peer.send(self.chunk(EVENTS[1]))
+            await asyncio.sleep(0.02)
+            peer.reset()
+
+        await self.add_two(late_break, self.serve(EVENTS[2:]))
+        self.table.start_request("e2")
+        route = build_route(RouteKind.STREAM, 2, 4.0, resumable=True)
+        task = asyncio.create_task(self.forward(route))
+        await asyncio.sleep(1.2)
+        self.table.finish_request("e2")
+        self.waiting.wake()
+        self.assertEqual(await task, Completed(ResultCode.OK, 200))
+        self.assertEqual(self.exchange.body, b"".join(EVENTS))
+
     async def test_caller_that_resumes_is_served_from_its_last_event(self):
         await self.add(self.serve(EVENTS[2:]))
         fields = {"Last-Event-Id": b"2"}
