--- a/magnoliarouter/core/layerplan.py
+++ b/magnoliarouter/core/layerplan.py
@@ -115,6 +115,7 @@
     ) -> None:
         self.fetches = 0
         self.tokens = tokens
+        self.total_tokens = sum(tokens)
         self.shares = shares
         self.slots = slots
         self.holders = [set(holders) for holders in row]
@@ -142,9 +143,11 @@
             Ranks that must not fetch another expert.
         """
         order = sorted(range(len(self.times)), key=self.times.__getitem__)
-        slow = order[-1]
+        slow = order.pop()
         limit = self.times[slow] * (1 - MIN_GAIN)
-        for start in range(0, len(order) - 1, CANDIDATE_RANKS):
+        if excluded_ranks:
+            order = [rank for rank in order if rank not in excluded_ranks]
+        for start in range(0, max(1, len(order)), CANDIDATE_RANKS):
             fast = order[start : start + CANDIDATE_RANKS]
             best = self._find_best(slow, fast, limit, excluded_ranks)
             if best is not None:
--- a/magnoliarouter/core/lease.py
+++ b/magnoliarouter/core/lease.py
@@ -81,6 +81,9 @@
         Seconds for which a write keeps other candidates from acquiring the lease.
     margin : float, optional
         Seconds before expiry at which the holder stops; covers the drift between clocks.
+    owner : str
+        Prefix that `holder` shares with all starts of this process, of which at most one runs at a
+        time; empty if that is not certain. A lease held by an earlier start is free at once.
 
     Examples
     --------
@@ -95,6 +98,7 @@
     holder: str
     duration: float = DEFAULT_DURATION_S
     margin: float | None = None
+    owner: str = ""
     _version: int = 0
     _record: LeaseRecord | None = None
     _seen_at: float = NEVER
@@ -232,6 +236,8 @@
         record = self._record
         if record is None or record.released or record.holder == self.holder:
             return NEVER
+        if self.owner and record.holder.startswith(self.owner):
+            return NEVER
         return self._seen_at + record.duration
 
     def _write(self, epoch: int, now: float) -> WriteLease:
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -155,13 +155,17 @@
         )
         incarnation = random.getrandbits(48)
         self.peers = PeerLoads(
-            settings.name, incarnation, lambda: self.table.own_requests, self._apply_peer_loads
+            settings.name,
+            incarnation,
+            lambda: self.table.own_requests,
+            self._apply_peer_loads,
+            settings.link_mbps,
         )
         await self.peers.open(*split_address(settings.peers))
         self._queue = WaitQueue(self.table, clock, self.peers.count_daemons)
         self._rank_client = interface.open_ranks(self._pool)
         self._group_watch = GroupWatch(
-            self._rank_client, self._list_members, clock, self._queue.wake
+            self._rank_client, self._list_members, clock, self._apply_group_change
         )
         self._zone_watch = ZoneWatch(
             settings.zone, self._pool.can_connect, self.table.list, self._apply_zone_change
@@ -310,10 +314,14 @@
         self._queue.schedule_wake()
 
     def _start_map_control(self, incarnation: int) -> None:
-        holder = f"{self.settings.name}.{incarnation:x}"
         clock = self._loop.time
         self.map_election = MapLeaderElection(
-            self._store, holder, self.peers, clock, lambda: self.is_ready() and not self.leaving
+            self._store,
+            self.settings.peers,
+            incarnation,
+            self.peers,
+            clock,
+            lambda: self.is_ready() and not self.leaving,
         )
         self.maps = MapDuty(
             self._rank_client,
@@ -372,6 +380,12 @@
         limit = limit_requests(endpoint.slots, recent_gap_s, self._find_max_event_gap_s(endpoint))
         return limit_by_pace(limit, self._paces.pace_of(endpoint.identity))
 
+    def _apply_group_change(self) -> None:
+        """Serve or refuse the waiting calls, and look for a newly formed group at once."""
+        self._queue.wake()
+        if not self._group_watch.has_stalled_group():
+            self.maps.rediscover()
+
     def _apply_own_paces(self, slow: dict[str, float]) -> None:
         """Apply the paces that this daemon read as map leader, and tell the other daemons."""
         self._paces.apply_report(slow)
--- a/magnoliarouter/daemon/mapelection.py
+++ b/magnoliarouter/daemon/mapelection.py
@@ -25,6 +25,8 @@
 # because it only reads the lease.
 LEADER_SILENCE_S = 0.8
 CLAIM_STAGGER_S = 0.3
+# Time after the start in which a daemon hears of the others, so that the first claims go in order too.
+FIRST_CLAIM_DELAY_S = 0.3
 
 
 class MapLeaderElection:
@@ -34,8 +36,11 @@
     ----------
     store : PlatformClient
         Client of the store that holds the lease.
-    holder : str
-        Id of this start of the daemon.
+    address : str
+        Address that this daemon has bound; no other process has it bound at the same time, so an
+        earlier holder with this address has ended.
+    start : int
+        Random number that identifies this start of the daemon.
     peers : PeerLoads
         Exchange with the other daemons, which are notified of changes.
     clock : callable
@@ -47,16 +52,25 @@
     def __init__(
         self,
         store: PlatformClient,
-        holder: str,
+        address: str,
+        start: int,
         peers: PeerLoads,
         clock: Callable[[], float],
         is_eligible: Callable[[], bool],
     ) -> None:
+        owner = f"{address}."
         self._lease = LeaseManager(
-            store, MAPS_LEASE_NAME, holder, clock, MAPS_LEASE_S, self._report_change
+            store,
+            MAPS_LEASE_NAME,
+            f"{owner}{start:x}",
+            clock,
+            MAPS_LEASE_S,
+            self._report_change,
+            owner,
         )
         self._peers = peers
         self._is_eligible = is_eligible
+        self._clock = clock
         self._lease_task: asyncio.Task[None] | None = None
         peers.holds_map_lease = lambda: self.fencing_number() is not None
 
@@ -67,11 +81,14 @@
     async def run(self) -> None:
         """Claim the lease whenever it seems free, until cancelled.
 
-        Daemons claim in order of their names, so that they do not all call the store at once.
+        Daemons claim in order of their position, so that they do not all call the store at once.
         """
+        eligible_since: float | None = None
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            silence = self._peers.map_lease_silence_s()
+            now, silence = self._clock(), self._peers.map_lease_silence_s()
+            eligible_since = (eligible_since or now) if self._is_eligible() else None
+            delay = FIRST_CLAIM_DELAY_S + CLAIM_STAGGER_S * self._peers.position()
             if (
                 self._lease_task is not None
                 and self.fencing_number() is None
@@ -79,8 +96,9 @@
             ):
                 self._lease_task.cancel()
                 self._lease_task = None
-            elif self._lease_task is None and self._is_eligible():
-                if silence > LEADER_SILENCE_S + CLAIM_STAGGER_S * self._peers.position():
+            elif self._lease_task is None and eligible_since is not None:
+                overdue = silence > LEADER_SILENCE_S + CLAIM_STAGGER_S * self._peers.position()
+                if overdue and now - eligible_since >= delay:
                     self._lease.resume()
                     self._lease_task = asyncio.get_running_loop().create_task(self._lease.run())
 
--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -145,6 +145,10 @@
         Counters and histograms.
     gap_meter : EventGapMeter
         Receives the gaps between the events of streams.
+    list_members : callable
+        Returns the ranks of an endpoint's group.
+    on_silence : callable
+        Called with an endpoint that sent nothing for `SILENCE_TIMEOUT_S`.
     """
 
     def __init__(
@@ -156,6 +160,8 @@
         clock: Callable[[], float],
         metrics: Metrics,
         gap_meter: EventGapMeter,
+        list_members: Callable[[str], set[str]],
+        on_silence: Callable[[Endpoint], None],
     ) -> None:
         self._table = table
         self._pool = pool
@@ -164,6 +170,8 @@
         self._clock = clock
         self._metrics = metrics
         self._gap_meter = gap_meter
+        self._list_members = list_members
+        self._on_silence = on_silence
         self._streams: dict[str, set[_RunningStream]] = {}
 
     def move_streams(self, identity: str) -> int:
@@ -224,7 +232,7 @@
         progress: CallProgress,
     ) -> Completed | FailedAttempt:
         found = await self._read_within_limit(
-            call, progress, lambda: self._read_matching_head(call, connection)
+            call, endpoint, progress, lambda: self._read_matching_head(call, connection)
         )
         if isinstance(found, FailedAttempt):
             return found
@@ -243,12 +251,17 @@
         )
 
     async def _read_within_limit(
-        self, call: GatewayCall, progress: CallProgress, read: Callable[[], Awaitable[T]]
+        self,
+        call: GatewayCall,
+        endpoint: Endpoint,
+        progress: CallProgress,
+        read: Callable[[], Awaitable[T]],
     ) -> T | FailedAttempt:
         """Return the next data from an endpoint.
 
-        A silent endpoint is abandoned before the deadline only if another endpoint has free
-        capacity and the retry budget allows a retry; otherwise the call would have to wait anyway.
+        A silent endpoint is abandoned before the deadline only if an endpoint outside its group has
+        free capacity and the retry budget allows a retry; otherwise the call would have to wait
+        anyway. A group that is silent may go on: its work is cut only when the stall lasts.
         """
         while True:
             limit = self._attempt_timeout_s(call, progress)
@@ -257,15 +270,20 @@
                     return await read()
             except TimeoutError:
                 now = self._clock()
-                if now < call.deadline and not self._has_alternative(call, progress, now):
-                    continue
+                if now < call.deadline:
+                    self._on_silence(endpoint)
+                    if not self._has_alternative(call, endpoint, progress, now):
+                        continue
                 reason = f"nothing came within {limit:.3f} s"
                 return FailedAttempt(ResultCode.DEADLINE_EXCEEDED, reason, None, timed_out=True)
 
-    def _has_alternative(self, call: GatewayCall, progress: CallProgress, now: float) -> bool:
+    def _has_alternative(
+        self, call: GatewayCall, endpoint: Endpoint, progress: CallProgress, now: float
+    ) -> bool:
+        excluded = progress.tried | self._list_members(endpoint.identity)
         return (
             self._budget.allows(call.service, now)
-            and self._table.choose(call.service, progress.tried, now) is not None
+            and self._table.choose(call.service, excluded, now) is not None
         )
 
     async def _read_matching_head(
@@ -346,7 +364,7 @@
         splitter.restart()
         first = True
         while True:
-            part = await self._read_part(call, connection, progress)
+            part = await self._read_part(call, connection, endpoint, progress)
             if isinstance(part, FailedAttempt):
                 return part
             if part is None:
@@ -375,10 +393,14 @@
         return Completed(ResultCode.OK, 200)
 
     async def _read_part(
-        self, call: GatewayCall, connection: UpstreamConnection, progress: CallProgress
+        self,
+        call: GatewayCall,
+        connection: UpstreamConnection,
+        endpoint: Endpoint,
+        progress: CallProgress,
     ) -> bytes | None | FailedAttempt:
         try:
-            return await self._read_within_limit(call, progress, connection.read_part)
+            return await self._read_within_limit(call, endpoint, progress, connection.read_part)
         except UpstreamError as error:
             if progress.moving:
                 progress.moving = False
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -108,7 +108,17 @@
         self._groups = groups
         self._zones = zones
         self._on_load_change = on_load_change
-        self._attempts = AttemptRunner(table, pool, codec, budget, clock, metrics, gap_meter)
+        self._attempts = AttemptRunner(
+            table,
+            pool,
+            codec,
+            budget,
+            clock,
+            metrics,
+            gap_meter,
+            groups.list_members,
+            self._suspect,
+        )
 
     async def forward(
         self, call: GatewayCall, exchange: IngressExchange, recheck: Callable[[], NotRun | None]
@@ -285,8 +295,7 @@
         if result.sent and result.ran is not False and not result.moved:
             if result.timed_out:
                 progress.tried |= self._groups.list_members(endpoint.identity)
-                self._groups.suspect(endpoint.identity)
-                self._zones.suspect(endpoint)
+                self._suspect(endpoint)
             self._record_outlier_failure(endpoint, now, immediate=False)
         log_event(
             "attempt_failed",
@@ -302,6 +311,11 @@
             important=True,
         )
 
+    def _suspect(self, endpoint: Endpoint) -> None:
+        """Have the group and the zone of a silent endpoint checked."""
+        self._groups.suspect(endpoint.identity)
+        self._zones.suspect(endpoint)
+
     def _record_outlier_failure(self, endpoint: Endpoint, now: float, immediate: bool) -> None:
         if self._table.outliers.record_failure(endpoint.identity, now, immediate):
             self._metrics.ejections.inc()
--- a/magnoliarouter/gateway/groups.py
+++ b/magnoliarouter/gateway/groups.py
@@ -41,10 +41,19 @@
 # The step read from a rank may be outdated, so each further attempt looks twice as far ahead.
 MAX_HOLD_ATTEMPTS = 5
 TYPICAL_STEP_S = 0.06
+# Counts are read from one of this many ranks. The content of the few prompts that one rank processes
+# between two reads differs from that of all, and what an uneven map costs grows with the group.
+RANKS_PER_SAMPLE = 16
 REPORT_POLL_S = 0.1
 # Added to the calculated copy time, because a rank detects finished copies with a short delay.
 COPY_MARGIN_S = 0.06
 ARM_RETRY_S = 0.03
+# Time in which a rank responds to a prepare order, at first and at the least: all ranks receive their
+# orders over one link, and a repeated order delays those that still wait for theirs.
+FIRST_PREPARE_TIMEOUT_S = 0.5
+MIN_PREPARE_TIMEOUT_S = 0.1
+# Multiple of the time that three of four ranks needed after which an order counts as lost.
+LOST_AFTER_TIMES = 2.0
 # Copies are slower than calculated while the link is shared. The switch is abandoned if the ranks
 # have not responded to the prepare order this long after the calculated copy time.
 PREPARE_SLACK_S = 2.5
@@ -84,10 +93,11 @@
     step_s: float = TYPICAL_STEP_S
     choices: ChoiceWindow = field(default_factory=lambda: ChoiceWindow(1, 1))
     _last_steps: dict[str, tuple[float, int]] = field(default_factory=dict)
-    _last_counts: tuple[int, ...] | None = None
+    _last_counts: dict[str, tuple[int, ...]] = field(default_factory=dict)
     _counted_at: float = 0.0
     _lost_responses: int = 0
     _last_switch_confirmed: bool = True
+    _prepare_timeout_s: float = FIRST_PREPARE_TIMEOUT_S
 
     async def read_map(self, profile: ExpertProfile) -> bool:
         """Read the current map from the ranks, and return whether all ranks agree on it."""
@@ -107,37 +117,43 @@
                     holders[index][expert].append(rank)
         self.rows = tuple(tuple(tuple(sorted(ranks)) for ranks in row) for row in holders)
         self.epoch, self.version = responses[0].epoch, responses[0].version
-        self._last_counts, self.choices = None, ChoiceWindow(profile.sets, len(self.ranks))
+        self._last_counts, self.choices = {}, ChoiceWindow(profile.sets, len(self.ranks))
         return True
 
     async def read_recent_counts(self) -> bool:
-        """Read how often one rank's requests chose each expert, and add that to `choices`.
+        """Read how often the requests of some ranks chose each expert, and add that to `choices`.
 
-        Returns False if the rank did not respond, the group formed again, or there are no earlier
-        counts to compare with.
+        Returns False if no rank responded, the group formed again, or there are no earlier counts
+        to compare with.
         """
-        counts = await self.client.read_counts(self._control_rank.address)
-        if counts is None:
-            return False
-        if counts.epoch != self.epoch:
-            self.rows = None
-            return False
-        self._record_step("counts", counts.step)
-        last, self._last_counts = self._last_counts, counts.counts
+        sampled = self._list_sampled_ranks()
+        reads = await asyncio.gather(*(self.client.read_counts(rank.address) for rank in sampled))
         now = self.clock()
         elapsed_s, self._counted_at = now - self._counted_at, now
-        if len(counts.counts) != sum(map(len, self.rows or ())):
-            log_event("counts_malformed", group=self.name, length=len(counts.counts))
-            return False
-        if last is None or len(last) != len(counts.counts):
-            return False
-        recent = [max(0, count - before) for count, before in zip(counts.counts, last)]
-        self.choices.add(recent, elapsed_s)
-        return True
+        recent: list[int] = []
+        for rank, counts in zip(sampled, reads):
+            last = self._last_counts.pop(rank.identity, None)
+            if counts is None:
+                continue
+            if counts.epoch != self.epoch:
+                self.rows = None
+                return False
+            if len(counts.counts) != sum(map(len, self.rows or ())):
+                log_event("counts_malformed", group=self.name, length=len(counts.counts))
+                continue
+            if rank is self._control_rank:
+                self._record_step("counts", counts.step)
+            self._last_counts[rank.identity] = counts.counts
+            if last is not None:
+                added = [max(0, count - before) for count, before in zip(counts.counts, last)]
+                recent = [one + two for one, two in zip(recent, added)] if recent else added
+        if recent:
+            self.choices.add(recent, elapsed_s)
+        return bool(recent)
 
     def reset_counts(self) -> None:
         """Drop the counts of earlier steps, so that later counts start a new series."""
-        self._last_counts = None
+        self._last_counts = {}
         self.choices.clear()
 
     async def read_step(self) -> None:
@@ -253,12 +269,25 @@
         """Rank that is read and that holds the group; the same one for every map leader."""
         return self.ranks[min(self.ranks)]
 
+    def _list_sampled_ranks(self) -> list[Endpoint]:
+        """Return the ranks whose counts are read, the control rank first."""
+        ranks = [self.ranks[number] for number in sorted(self.ranks)]
+        return ranks[::RANKS_PER_SAMPLE]
+
     async def _order_all(self, order: Prepare | Arm, until: float | None = None) -> bool:
         """Send an order to all ranks, and return whether each responded at the first attempt."""
-        lost_before = self._lost_responses
-        accepted = await asyncio.gather(
-            *(self._order(rank, order, until) for rank in self.ranks.values())
-        )
+        lost_before, began = self._lost_responses, self.clock()
+        seconds: list[float] = []
+
+        async def send(rank: Endpoint) -> bool:
+            accepted = await self._order(rank, order, until)
+            seconds.append(self.clock() - began)
+            return accepted
+
+        accepted = await asyncio.gather(*(send(rank) for rank in self.ranks.values()))
+        if isinstance(order, Prepare):
+            usual = sorted(seconds)[len(seconds) * 3 // 4]
+            self._prepare_timeout_s = max(MIN_PREPARE_TIMEOUT_S, LOST_AFTER_TIMES * usual)
         if not all(accepted):
             raise SwitchAbandoned(f"a rank refused {order.__class__.__name__.lower()}")
         return self._lost_responses == lost_before
@@ -274,7 +303,12 @@
             if fencing_number is None:
                 raise SwitchAbandoned("the map lease was lost")
             result = await self.client.send(
-                rank.address, order, self.epoch, fencing_number, len(self.ranks)
+                rank.address,
+                order,
+                self.epoch,
+                fencing_number,
+                len(self.ranks),
+                self._prepare_timeout_s if isinstance(order, Prepare) else None,
             )
             match result:
                 case OrderResult.TAKEN:
--- a/magnoliarouter/gateway/groupwatch.py
+++ b/magnoliarouter/gateway/groupwatch.py
@@ -72,6 +72,10 @@
         """Return whether an endpoint belongs to a stalled group, or is a rank without a group."""
         return self._groups.get(identity) in self._stalled or identity in self._ungrouped
 
+    def has_stalled_group(self) -> bool:
+        """Return whether any group is stalled."""
+        return bool(self._stalled)
+
     def list_members(self, identity: str) -> set[str]:
         """Return the ranks of an endpoint's group, or only the endpoint if it has no group."""
         group = self._groups.get(identity)
--- a/magnoliarouter/gateway/mapduty.py
+++ b/magnoliarouter/gateway/mapduty.py
@@ -16,13 +16,13 @@
     BalancePolicy,
     MapPlan,
     NoChange,
-    plan_map,
+    iterate_plan,
 )
 from magnoliarouter.gateway.paces import compare_paces
 from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Generator
 
     from magnoliarouter.gateway.endpoints import Endpoint
     from magnoliarouter.gateway.ranks import RankClient, RankReport
@@ -101,6 +101,8 @@
     _tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     _known_ranks: frozenset[str] = frozenset()
     _discovered_at: float = float("-inf")
+    _formed: bool = False
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
     _lease: int | None = None
     _versions: int = 0
     _finishing: bool = False
@@ -109,6 +111,7 @@
     async def run(self) -> None:
         """Discover and balance groups whenever the lease is held, until cancelled."""
         while True:
+            self._changed.clear()
             fencing_number = self.fencing_number()
             if fencing_number is not None and not self._finishing:
                 if fencing_number != self._lease:
@@ -116,7 +119,16 @@
                     self.groups, self._known_ranks = {}, frozenset()
                     self.slow_ranks, self._paces_read_at = {}, {}
                 await self._refresh_groups()
-            await asyncio.sleep(GROUP_CHECK_INTERVAL_S)
+            try:
+                async with asyncio.timeout(GROUP_CHECK_INTERVAL_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def rediscover(self) -> None:
+        """Look for newly formed groups at once, as after a stalled group works again."""
+        self._formed = True
+        self._changed.set()
 
     async def finish(self) -> None:
         """Start no further switch, and wait for the switches in progress."""
@@ -132,7 +144,8 @@
         listed = self.list_ranks()
         names = frozenset(endpoint.identity for endpoint, _ in listed)
         stale = self.clock() - self._discovered_at > REDISCOVERY_INTERVAL_S
-        if listed and (names != self._known_ranks or (stale and not self._is_complete())):
+        formed, self._formed = self._formed, False
+        if listed and (formed or names != self._known_ranks or (stale and not self._is_complete())):
             await self._discover_groups(listed)
 
     def _is_complete(self) -> bool:
@@ -146,7 +159,7 @@
         ):
             await self._read_paces(group)
             policy = self._choose_policy(group)
-            plan = None if policy is None else self._plan(group, policy)
+            plan = None if policy is None else await self._plan(group, policy)
             if not isinstance(plan, MapPlan):
                 await self._wait_and_read(group, policy)
                 continue
@@ -163,7 +176,9 @@
             finally:
                 self._switching.discard(switch)
 
-    def _plan(self, group: GroupMapSwitcher, policy: BalancePolicy) -> MapPlan | NoChange | None:
+    async def _plan(
+        self, group: GroupMapSwitcher, policy: BalancePolicy
+    ) -> MapPlan | NoChange | None:
         """Return the group's next map or why it keeps its map, or None without counts."""
         choices = self._sum_choices(group)
         if not any(choices):
@@ -172,7 +187,9 @@
         copies = max(1, round(COPY_TIME_PER_SWITCH_S / max(profile.copy_s, MIN_COPY_S)))
         slow = self.slow_ranks.get(group.name, {})
         paces = [slow.get(rank.identity, 1.0) for rank in group.ranks.values()] if slow else []
-        plan = plan_map(group.rows, choices, len(group.ranks), profile, policy, copies, paces)
+        plan = await _run_in_slices(
+            iterate_plan(group.rows, choices, len(group.ranks), profile, policy, copies, paces)
+        )
         if isinstance(plan, NoChange):
             log_event(
                 "map_kept",
@@ -300,7 +317,12 @@
                 members.setdefault(report.group, {})[report.rank] = (endpoint, report)
         self._known_ranks = frozenset(endpoint.identity for endpoint, _ in listed)
         for name, ranks in members.items():
-            task = self._tasks.get(name)
+            task, known = self._tasks.get(name), self.groups.get(name)
+            epochs = {report.epoch for _, report in ranks.values()}
+            if task is not None and known is not None and known.epoch not in epochs:
+                # The group formed again; its ranks refuse orders of the former epoch.
+                task.cancel()
+                task = None
             if task is None or task.done():
                 await self._discover_group(name, ranks)
 
@@ -323,3 +345,13 @@
             self.groups[name] = group
             log_event("group_found", group=name, ranks=len(endpoints), epoch=group.epoch)
             self._tasks[name] = asyncio.get_running_loop().create_task(self._balance_group(group))
+
+
+async def _run_in_slices(steps: Generator[None, None, MapPlan | NoChange]) -> MapPlan | NoChange:
+    """Run a plan to its end, and let the loop serve calls between its steps."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as stop:
+            return stop.value
+        await asyncio.sleep(0)
--- a/magnoliarouter/gateway/mapplan.py
+++ b/magnoliarouter/gateway/mapplan.py
@@ -14,12 +14,20 @@
 from magnoliarouter.gateway.choices import estimate_noise_skew, estimate_skew_error
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Generator, Iterable, Sequence
 
     from magnoliarouter.gateway.ranks import Row
     from magnoliarouter.gateway.routes import ExpertProfile
 
-__all__ = ["RELAXED_BALANCE", "STRICT_BALANCE", "BalancePolicy", "MapPlan", "NoChange", "plan_map"]
+__all__ = [
+    "RELAXED_BALANCE",
+    "STRICT_BALANCE",
+    "BalancePolicy",
+    "MapPlan",
+    "NoChange",
+    "iterate_plan",
+    "plan_map",
+]
 
 # Minimum reduction of the mean skew over the sets that justifies a switch, since each switch copies
 # experts and sends orders.
@@ -104,7 +112,25 @@
     max_copies: int = 4,
     paces: Sequence[float] = (),
 ) -> MapPlan | NoChange:
-    """Return the map to switch to, or why no map reduces the skew enough.
+    """Return the map to switch to, or why no map reduces the skew enough; see `iterate_plan`."""
+    steps = iterate_plan(rows, counts, ranks, profile, policy, max_copies, paces)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as stop:
+            return stop.value
+
+
+def iterate_plan(
+    rows: tuple[Row, ...],
+    counts: Sequence[float],
+    ranks: int,
+    profile: ExpertProfile,
+    policy: BalancePolicy,
+    max_copies: int,
+    paces: Sequence[float] = (),
+) -> Generator[None, None, MapPlan | NoChange]:
+    """Plan the map to switch to in short steps, so that a loop can do other work in between.
 
     Differences between ranks that the number of counted choices does not prove are left alone.
 
@@ -125,6 +151,11 @@
     paces : sequence of float
         How many times as long as usual each rank takes for its work; empty if all take as long. A
         step waits for the slowest rank, so the share of a slow rank goes to the others.
+
+    Returns
+    -------
+    MapPlan or NoChange
+        The map to switch to, or why no map reduces the skew enough.
     """
     states, choices = [], []
     for index, row in enumerate(rows):
@@ -136,90 +167,84 @@
         states.append(
             LayerState(row, tokens, [1.0] * ranks, profile.experts_per_rank, list(paces) or None)
         )
+        yield
     noise = [estimate_noise_skew(one, ranks) for one in choices]
-    before = [_skew(state) for state in states]
+    skews = [_skew(state) for state in states]
+    before = list(skews)
     mean_before = sum(before) / len(rows)
-    planned = _reduce_skew(rows, states, noise, profile.max_new_experts, policy, max_copies)
-    changed = [index for index, (old, new) in enumerate(zip(rows, planned)) if old != new]
+    fetches = _FetchCounter(rows, ranks, profile.max_new_experts, max_copies)
+    remaining = {
+        index for index, skew in enumerate(skews) if skew > max(policy.start_skew, noise[index])
+    }
+    changed = set()
+    while remaining:
+        index = max(remaining, key=skews.__getitem__)
+        state, change = states[index], None
+        if skews[index] > max(policy.target_skew, noise[index]):
+            change = state.find_change(fetches.list_full_ranks(index))
+        if change is None:
+            remaining.discard(index)
+            continue
+        state.apply(change)
+        fetches.record(index, change.adds, change.drops)
+        skews[index] = _skew(state)
+        changed.add(index)
+        yield
     if not changed:
         return NoChange("no set is skewed beyond policy and chance", mean_before, 0.0, 0.0)
-    after = sum(map(_skew, states)) / len(rows)
+    after = sum(skews) / len(rows)
     reduction = mean_before - after
     errors = (estimate_skew_error(before[one], choices[one], ranks) for one in changed)
     error = math.sqrt(sum(error**2 for error in errors)) / len(rows)
     if reduction < max(MIN_SKEW_REDUCTION, SIGNIFICANT_ERRORS * error):
         reason = "too little gain" if reduction < MIN_SKEW_REDUCTION else "too few choices"
         return NoChange(reason, mean_before, reduction, error)
-    fetches = [
-        rank for old, new in zip(rows, planned) if old != new for rank in _list_fetches(old, new)
-    ]
-    most = max(map(fetches.count, range(ranks)))
-    return MapPlan(planned, len(fetches), most, mean_before, after)
+    planned = tuple(
+        states[index].copy_row() if index in changed else row for index, row in enumerate(rows)
+    )
+    return MapPlan(planned, sum(fetches.by_rank), max(fetches.by_rank), mean_before, after)
 
 
-def _reduce_skew(
-    rows: tuple[Row, ...],
-    states: list[LayerState],
-    noise: list[float],
-    max_new_experts: int,
-    policy: BalancePolicy,
-    max_copies: int,
-) -> tuple[Row, ...]:
-    """Return the map after repeated changes, each to the then most skewed set.
+class _FetchCounter:
+    """Experts that each rank has to fetch for a planned map, and which ranks may fetch no more.
 
     Parameters
     ----------
     rows : tuple of Row
         Current map.
-    states : list of LayerState
-        Working state of each set; modified in place.
-    noise : list of float
-        Skew of each set that chance explains.
-    max_new_experts : int
-        Maximum number of new experts of one set that a rank accepts in one switch.
-    policy : BalancePolicy
-        Skew thresholds.
-    max_copies : int
-        Maximum number of experts that one rank may fetch over all sets.
+    ranks : int
+        Number of ranks of the group.
+    max_per_set, max_per_rank : int
+        Maximum number of experts that a rank may fetch for one set, and for all sets.
     """
-    planned, ranks = list(rows), range(len(states[0].times))
-    fetched = [[0] * len(ranks) for _ in rows]
-    remaining_sets = {
-        index
-        for index, state in enumerate(states)
-        if _skew(state) > max(policy.start_skew, noise[index])
-    }
-    while remaining_sets:
-        index = max(remaining_sets, key=lambda one: _skew(states[one]))
-        state, fetched_in_set = states[index], fetched[index]
-        full_ranks = [
+
+    def __init__(
+        self, rows: tuple[Row, ...], ranks: int, max_per_set: int, max_per_rank: int
+    ) -> None:
+        self.by_rank = [0] * ranks
+        self._by_set = [[0] * ranks for _ in rows]
+        self._rows = rows
+        self._max_per_set = max_per_set
+        self._max_per_rank = max_per_rank
+
+    def record(
+        self, index: int, adds: Iterable[tuple[int, int]], drops: Iterable[tuple[int, int]]
+    ) -> None:
+        """Record the experts that ranks fetch and drop in one set by a change."""
+        for pairs, step in ((adds, 1), (drops, -1)):
+            for expert, rank in pairs:
+                if rank not in self._rows[index][expert]:
+                    self.by_rank[rank] += step
+                    self._by_set[index][rank] += step
+
+    def list_full_ranks(self, index: int) -> set[int]:
+        """Return the ranks that may fetch no further expert of a set."""
+        return {
             rank
-            for rank in ranks
-            if fetched_in_set[rank] >= max_new_experts
-            or sum(one[rank] for one in fetched) >= max_copies
-        ]
-        target_skew = max(policy.target_skew, noise[index])
-        change = state.find_change(full_ranks) if _skew(state) > target_skew else None
-        if change is None:
-            remaining_sets.discard(index)
-            continue
-        state.apply(change)
-        planned[index] = state.copy_row()
-        fetches = _list_fetches(rows[index], planned[index])
-        fetched[index] = [fetches.count(rank) for rank in ranks]
-    return tuple(planned)
+            for rank, (in_set, in_all) in enumerate(zip(self._by_set[index], self.by_rank))
+            if in_set >= self._max_per_set or in_all >= self._max_per_rank
+        }
 
 
 def _skew(state: LayerState) -> float:
-    return max(state.times) * len(state.times) / sum(state.tokens)
-
-
-def _list_fetches(old: Row, new: Row) -> list[int]:
-    """Return one entry per expert to fetch: the rank that has to fetch it."""
-    return [
-        rank
-        for before, after in zip(old, new)
-        if before != after
-        for rank in after
-        if rank not in before
-    ]
+    return max(state.times) * len(state.times) / state.total_tokens
--- a/magnoliarouter/gateway/peers.py
+++ b/magnoliarouter/gateway/peers.py
@@ -58,6 +58,8 @@
         Start and number of the last message received from each daemon; sent along with `confirmed`.
     slow_ranks : dict of str to float
         Relative paces of slow ranks; empty unless the sender holds the lease on the expert maps.
+    capacity : float
+        Capacity of the sender's VM; duties go to the daemons with the largest.
     """
 
     name: str
@@ -68,6 +70,7 @@
     confirmed: dict[str, tuple[int, float]] = {}
     last_received: dict[str, tuple[int, int]] = {}
     slow_ranks: dict[str, float] = {}
+    capacity: float = 0.0
 
 
 class PeerLoads(asyncio.DatagramProtocol):
@@ -83,6 +86,8 @@
         Returns the number of this daemon's requests at each endpoint.
     apply_loads : callable
         Called with a peer's name and its loads.
+    capacity : float
+        Capacity of this VM, in any unit that all daemons use.
     """
 
     def __init__(
@@ -91,8 +96,11 @@
         start: int,
         read_loads: Callable[[], dict[str, int]],
         apply_loads: Callable[[str, dict[str, int]], None],
+        capacity: float = 0.0,
     ) -> None:
         self._name = name
+        self._capacity = capacity
+        self._capacities: dict[str, float] = {}
         self._start = start
         self._read_loads = read_loads
         self._take_loads = apply_loads
@@ -149,12 +157,12 @@
         return self._loop.time() - self._leader_received_at
 
     def position(self) -> int:
-        """Return this daemon's index among the present daemons, ordered by name."""
-        now = self._loop.time()
+        """Return this daemon's index among the present daemons, by capacity and then by name."""
+        now, own = self._loop.time(), (-self._capacity, self._name)
         return sum(
             1
             for name, at in self._received_at.items()
-            if now - at < PRESENCE_EXPIRY_S and name < self._name
+            if now - at < PRESENCE_EXPIRY_S and (-self._capacities.get(name, 0.0), name) < own
         )
 
     def schedule_send(self) -> None:
@@ -182,6 +190,7 @@
             self._addresses[message.name] = (addr[0], addr[1])
         self._last_received[message.name] = (message.start, message.number)
         self._received_at[message.name] = self._loop.time()
+        self._capacities[message.name] = message.capacity
         if message.holds_map_lease:
             self._map_leader, self._leader_received_at = message.name, self._loop.time()
             self.apply_slow_ranks(message.slow_ranks)
@@ -241,6 +250,7 @@
             confirmed,
             self._last_received if confirmed else {},
             self.read_slow_ranks() if leads else {},
+            self._capacity,
         )
         data = msgspec.msgpack.encode(message)
         for address in self._addresses.values():
--- a/magnoliarouter/gateway/ranks.py
+++ b/magnoliarouter/gateway/ranks.py
@@ -156,7 +156,13 @@
         """Return the experts that a rank holds."""
 
     async def send(
-        self, address: str, order: Order, epoch: int, fencing_number: int, size: int
+        self,
+        address: str,
+        order: Order,
+        epoch: int,
+        fencing_number: int,
+        size: int,
+        timeout_s: float | None = None,
     ) -> OrderResult:
         """Send an order.
 
@@ -172,4 +178,6 @@
             Fencing number of the lease under which the order is sent.
         size : int
             Number of ranks of the group.
+        timeout_s : float, optional
+            Seconds after which an order without a response counts as lost.
         """
--- a/magnoliarouter/gateway/settings.py
+++ b/magnoliarouter/gateway/settings.py
@@ -67,6 +67,8 @@
         Address at which metrics and the daemon's status are served; empty for none.
     bounds : GatewayBounds
         Guaranteed time limits and retry budget.
+    link_mbps : float
+        Bandwidth of the VM's link in Mbit/s. Duties for all daemons go to those with the fastest.
     """
 
     name: Annotated[str, Meta(min_length=1, max_length=253)]
@@ -77,3 +79,4 @@
     store: HostPort
     status: HostPort | Literal[""] = ""
     bounds: GatewayBounds = GatewayBounds()
+    link_mbps: Annotated[float, Meta(gt=0)] = 1000.0
--- a/magnoliarouter/platform/ranks.py
+++ b/magnoliarouter/platform/ranks.py
@@ -29,8 +29,6 @@
 
 # An engine responds in about 5 ms, but reports may queue on a slow link.
 READ_TIMEOUT_S = 0.25
-# Longer than for other orders, since a map is the largest order and ranks may be behind a slow link.
-PREPARE_TIMEOUT_S = 0.1
 # Short, because a held group waits for the next attempt of an order that got no response.
 ORDER_TIMEOUT_S = 0.05
 MAX_RESPONSE_BYTES = 4_194_304
@@ -93,6 +91,7 @@
 
     def __init__(self, pool: UpstreamPool) -> None:
         self._pool = pool
+        self._last_encoded: tuple[Order, int, int, tuple[dict[str, Any], bytes]] | None = None
 
     async def read_report(self, address: str) -> RankReport | None:
         """Return an engine's state as a rank; the group name is empty if it belongs to no group."""
@@ -128,14 +127,19 @@
         return RankExperts(found.epoch, found.map.version, experts)
 
     async def send(
-        self, address: str, order: Order, epoch: int, fencing_number: int, size: int
+        self,
+        address: str,
+        order: Order,
+        epoch: int,
+        fencing_number: int,
+        size: int,
+        timeout_s: float | None = None,
     ) -> OrderResult:
         """Send an order."""
-        body = {**_encode_order(order, size), "epoch": epoch, "fencing_token": fencing_number}
-        call = StoreCall("POST", "/v1/order", body=msgspec.json.encode(body))
-        timeout = PREPARE_TIMEOUT_S if isinstance(order, Prepare) else ORDER_TIMEOUT_S
+        body, encoded = self._encode(order, epoch, fencing_number, size)
+        call = StoreCall("POST", "/v1/order", body=encoded)
         outcome = await UpstreamTransport(address, self._pool).exchange(
-            call, timeout, MAX_RESPONSE_BYTES
+            call, timeout_s or ORDER_TIMEOUT_S, MAX_RESPONSE_BYTES
         )
         if isinstance(outcome, Unavailable):
             status, result, reason = 0, OrderResult.UNKNOWN, outcome.reason
@@ -158,6 +162,18 @@
         )
         return result
 
+    def _encode(
+        self, order: Order, epoch: int, fencing_number: int, size: int
+    ) -> tuple[dict[str, Any], bytes]:
+        """Return the body of an order; all ranks of a group get the same, which may hold a map."""
+        last = self._last_encoded
+        if last is not None and last[0] is order and last[1:3] == (epoch, fencing_number):
+            return last[3]
+        body = {**_encode_order(order, size), "epoch": epoch, "fencing_token": fencing_number}
+        encoded = body, msgspec.json.encode(body)
+        self._last_encoded = order, epoch, fencing_number, encoded
+        return encoded
+
     async def _get(self, address: str, target: str, model: Any) -> Any:
         transport = UpstreamTransport(address, self._pool)
         outcome = await transport.exchange(
--- a/magnoliarouter/platform/settings.py
+++ b/magnoliarouter/platform/settings.py
@@ -41,6 +41,10 @@
     budget_window_s: float = 10
 
 
+class _Limits(msgspec.Struct):
+    link_mbps: float = 1000.0
+
+
 class _File(msgspec.Struct):
     """Fields used by the gateway; the file may contain others."""
 
@@ -52,6 +56,7 @@
     # This section describes only the object store, although it is named after the whole platform.
     platform: _Store
     bounds: _Bounds
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def read_settings(path: str | Path) -> GatewaySettings:
@@ -110,5 +115,6 @@
             retry_slack=bounds.budget_slack,
             retry_window_s=bounds.budget_window_s,
         ),
+        link_mbps=file.limits.link_mbps,
     )
     return check_value(msgspec.to_builtins(settings), GatewaySettings)
--- a/magnoliarouter/store/leases.py
+++ b/magnoliarouter/store/leases.py
@@ -46,6 +46,8 @@
     on_change : callable, optional
         Called with the epoch when the lease is acquired, and with None when its loss is noticed.
         Actions under the lease must not rely on it: call `epoch` immediately before each action.
+    owner : str
+        Prefix of `holder` that identifies this process over its starts; see `Lease`.
 
     Examples
     --------
@@ -70,9 +72,10 @@
         clock: Callable[[], float],
         duration: float = DEFAULT_DURATION_S,
         on_change: Callable[[int | None], None] = lambda epoch: None,
+        owner: str = "",
     ) -> None:
         self.name = name
-        self.lease = Lease(holder, duration)
+        self.lease = Lease(holder, duration, owner=owner)
         self._client = client
         self._clock = clock
         self._on_change = on_change
--- a/magnoliarouter/tests/rank_model.py
+++ b/magnoliarouter/tests/rank_model.py
@@ -144,7 +144,7 @@
         rank = self.ranks[int(address)]
         return RankExperts(self.epoch, rank.version, rank.experts)
 
-    async def send(self, address, order, epoch, fencing_number, size):
+    async def send(self, address, order, epoch, fencing_number, size, timeout_s=None):
         rank = self.ranks[int(address)]
         self.sent.append((address, order, epoch, fencing_number))
         if self.random.random() < self.loss_rate:
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -413,6 +413,19 @@
         self.assertIsInstance(outcome, Completed)
         self.assertEqual(self.tried(), ["e1", "e3"])
 
+    async def test_silent_rank_is_kept_while_only_its_own_group_is_left(self):
+        """Work of a group goes on after a short stall, and all its ranks are silent meanwhile."""
+
+        async def pause(peer):
+            await asyncio.sleep(1.2)
+            await peer.send(build_response(b"whole"))
+
+        await self.start(pause)
+        self.table.remove("e3")
+        outcome = await self.forward(build_route(RouteKind.SAFE, attempts=2))
+        self.assertEqual((outcome, self.tried()), (Completed(ResultCode.OK, 200), ["e1"]))
+        self.assertGreater(self.ranks.read_count, 0)
+
     async def test_call_is_refused_at_once_while_every_group_is_stalled(self):
         async def succeed(peer):
             await peer.send(build_response())
--- a/magnoliarouter/tests/test_gateway_parts.py
+++ b/magnoliarouter/tests/test_gateway_parts.py
@@ -189,6 +189,20 @@
         self.receive("a", 4, start=1)
         self.assertEqual(self.peers._addresses["a"], ("127.0.0.1", 9))
 
+    async def test_duties_go_to_the_largest_machines_first(self):
+        peers = PeerLoads("b", 1, dict, lambda name, loads: None, capacity=40.0)
+        for name, capacity in (("a", 40.0), ("c", 40.0), ("d", 200.0), ("e", 20.0)):
+            message = PeerMessage(name, 1, 1, {}, capacity=capacity)
+            peers.datagram_received(msgspec.msgpack.encode(message), ("127.0.0.1", 9))
+        # Before it come d, which is larger, and a, which is as large and named before.
+        self.assertEqual(peers.position(), 2)
+
+    async def test_message_of_an_older_build_is_understood(self):
+        self.peers.datagram_received(
+            msgspec.msgpack.encode(["a", 1, 1, {"e": 2}, True, {}, {}]), ("127.0.0.1", 9)
+        )
+        self.assertEqual(self.applied, [("a", {"e": 2})])
+
     async def test_position_among_known_daemons(self):
         self.assertEqual((self.peers.position(), self.peers.count_daemons()), (0, 1))
         self.receive("a", 1)
--- a/magnoliarouter/tests/test_groups.py
+++ b/magnoliarouter/tests/test_groups.py
@@ -1,14 +1,15 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import unittest
 from dataclasses import replace
 
 from magnoliarouter.gateway.endpoints import Endpoint
 from magnoliarouter.gateway.groups import GroupMapSwitcher
 from magnoliarouter.gateway.mapduty import MapDuty
-from magnoliarouter.gateway.mapplan import NoChange, plan_map
-from magnoliarouter.gateway.ranks import Arm, Hold, Prepare
+from magnoliarouter.gateway.mapplan import RELAXED_BALANCE, NoChange, iterate_plan, plan_map
+from magnoliarouter.gateway.ranks import Arm, Hold, OrderResult, Prepare
 from magnoliarouter.gateway.routes import ExpertProfile
 from magnoliarouter.tests.clock import run_auto_advance
 from magnoliarouter.tests.rank_model import GroupModel
@@ -106,6 +107,27 @@
         self.assertIsInstance(plan_map(rows, [1000] * 16, 4, PROFILE), NoChange)
 
 
+class SliceTest(unittest.TestCase):
+    def test_plan_of_a_large_group_yields_at_each_change(self):
+        """The loop serves calls between the steps of a plan; each may take 5 ms."""
+        profile = ExpertProfile(16, 192, 3, 2, 0.016)
+        rows = tuple(tuple((expert % 96,) for expert in range(192)) for _ in range(16))
+        counts = ([20_000] * 4 + [1000] * 188) * 16
+        steps, seconds = iterate_plan(rows, counts, 96, profile, RELAXED_BALANCE, 5), []
+        while True:
+            began = time.process_time()
+            try:
+                next(steps)
+            except StopIteration as stop:
+                plan = stop.value
+                break
+            seconds.append(time.process_time() - began)
+        self.assertGreater(len(seconds), plan.copies)
+        # The processor may be taken away within any single step.
+        longest = sorted(seconds)[-5]
+        self.assertLess(longest, 0.005)
+
+
 class SwitchTest(unittest.TestCase):
     def test_map_follows_popularity(self):
         async def main():
@@ -285,6 +307,79 @@
         self.assertGreater(model.ranks[0].version, first)
         self.assertEqual(model.mixed_steps, [])
 
+    def test_newly_formed_group_is_balanced_within_a_second(self):
+        async def main():
+            model = GroupModel()
+            loop = asyncio.get_running_loop()
+            step_task = loop.create_task(model.run())
+            duty, task = start_map_duty(model, FakeMapLease())
+            await asyncio.sleep(6.0)
+            first = model.ranks[0].version
+            model.restart_group()
+            duty.rediscover()
+            await asyncio.sleep(1.0)
+            second = model.ranks[0].version
+            await asyncio.sleep(1.0)
+            await cancel_tasks(task, step_task, *duty.list_tasks())
+            return model, first, second
+
+        model, first, second = run_auto_advance(main())
+        self.assertGreater(second, first)
+        self.assertEqual(model.mixed_steps, [])
+
+    def test_slow_link_does_not_repeat_prepare_orders(self):
+        """The orders to all ranks pass one link, the last ones after 0.4 s."""
+
+        async def main():
+            model = GroupModel()
+            loop = asyncio.get_running_loop()
+            step_task = loop.create_task(model.run())
+            send, repeated, seen = model.send, [], set()
+
+            async def send_slowly(address, order, epoch, number, size, timeout_s=None):
+                if isinstance(order, Prepare):
+                    repeated.extend([address] * ((address, order.version) in seen))
+                    seen.add((address, order.version))
+                    transit_s = 0.1 * (1 + int(address))
+                    if transit_s > timeout_s:
+                        await asyncio.sleep(timeout_s)
+                        return OrderResult.UNKNOWN
+                    await asyncio.sleep(transit_s)
+                return await send(address, order, epoch, number, size, timeout_s)
+
+            model.send = send_slowly
+            duty, task = start_map_duty(model, FakeMapLease())
+            await asyncio.sleep(6.0)
+            await cancel_tasks(task, step_task, *duty.list_tasks())
+            return model, repeated
+
+        model, repeated = run_auto_advance(main())
+        self.assertGreater(model.ranks[0].version, 0)
+        self.assertEqual(repeated, [])
+
+    def test_counts_of_several_ranks_are_added(self):
+        async def main():
+            model = GroupModel(size=40, sets=1, experts=40)
+            loop = asyncio.get_running_loop()
+            ranks = {n: Endpoint(f"i{n}", "llm", str(n), "zone-1", 6) for n in range(40)}
+            switcher = GroupMapSwitcher("g", ranks, model, lambda: 1, loop.time)
+            await switcher.read_map(ExpertProfile(1, 40, 2, 2, 0.1))
+            model.counts = [100] * 40
+            first = await switcher.read_recent_counts()
+            model.counts = [110] * 40
+            read = []
+            read_counts = model.read_counts
+
+            async def record(address):
+                read.append(address)
+                return None if address == "16" else await read_counts(address)
+
+            model.read_counts = record
+            second = await switcher.read_recent_counts()
+            return first, second, read, switcher.choices.recent
+
+        self.assertEqual(run_auto_advance(main()), (False, True, ["0", "16", "32"], 800))
+
     def test_hold_that_arrives_too_late_is_retried_at_a_later_step(self):
         async def main():
             model = GroupModel(step_s=0.005)
--- a/magnoliarouter/tests/test_lease.py
+++ b/magnoliarouter/tests/test_lease.py
@@ -59,6 +59,21 @@
         takeover = other.next_step(109.0)
         self.assertEqual((takeover.record.epoch, takeover.expect), (2, 1))
 
+    def test_lease_of_an_earlier_start_of_the_same_process_is_free_at_once(self):
+        record = LeaseRecord("10.0.0.1:70.a", 4, 9.0, "10.0.0.1:70.a/1")
+        for holder, owner, free in (
+            ("10.0.0.1:70.b", "10.0.0.1:70.", True),
+            ("10.0.0.1:70.b", "", False),
+            ("10.0.0.1:701.b", "10.0.0.1:701.", False),
+        ):
+            lease = Lease(holder, owner=owner)
+            lease.observe(3, record, 100.0)
+            step = lease.next_step(100.0)
+            with self.subTest(holder=holder, owner=owner):
+                self.assertEqual(isinstance(step, WriteLease), free)
+                if free:
+                    self.assertEqual((step.record.epoch, step.expect), (5, 3))
+
     def test_renewal_restarts_the_candidates_wait(self):
         _, step = self.acquire()
         other = Lease("b", duration=9.0)
