Tell callers of a stalled service the longest time they honour, and collect changes by the drain bound

Cause: callers come back once, within a third of the time they have. With an estimate of 2 s those who came in the first three seconds of a group's outage of 6 s were refused for good.

Change: an outage is assumed to last 3 s at the least; changes are collected for a fifth of the lesser of the drain and configuration bounds (0.4 s at 2 s, 0.8 s at 4 s), and a digest may differ that long.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -54,9 +54,9 @@
 
 # The store responds in 4 ms, and within 0.3 s on the slowest days observed.
 STORE_TIMEOUT_S = 0.8
-# Every batch of registry changes costs each daemon one billed store call, and many changes come
-# together while endpoints start. A draining endpoint must be known within two seconds.
-CHANGE_BATCH_S = 0.4
+# Share of the drain bound during which feeds collect changes. Every batch of changes costs each daemon
+# one billed store call, and many changes come together while endpoints start.
+CHANGE_BATCH_SHARE = 0.2
 # The jitter of `Backoff` spreads the calls of daemons that lost the store together, so that they
 # reconnect one after the other.
 MIN_BACKOFF_S = 0.1
@@ -252,7 +252,8 @@
         )
 
     def _open_feeds(self) -> None:
-        interface = self.interface
+        interface, bounds = self.interface, self.settings.bounds
+        batch_s = CHANGE_BATCH_SHARE * min(bounds.drain_s, bounds.configuration_s)
         self.configuration_feed = ObjectFeed(
             self._store,
             interface.configuration_kind,
@@ -262,7 +263,7 @@
             CONFIGURATION_WAIT_S,
             self._confirm_configuration,
             lambda reason: _log_feed(interface.configuration_kind, reason),
-            batch_interval_s=CHANGE_BATCH_S,
+            batch_interval_s=batch_s,
         )
         self.endpoint_feed = ObjectFeed(
             self._store,
@@ -272,12 +273,13 @@
             _create_backoff(),
             ENDPOINTS_WAIT_S,
             on_availability=lambda reason: _log_feed(interface.endpoint_kind, reason),
-            batch_interval_s=CHANGE_BATCH_S,
+            batch_interval_s=batch_s,
         )
         self._confirmations = Confirmations(
             {self.configuration_feed: CONFIRMING_WAIT_S, self.endpoint_feed: ENDPOINTS_WAIT_S},
             self.peers,
             self._loop.time,
+            batch_s,
         )
         self.peers.read_confirmations = self._confirmations.collect
         self.peers.apply_confirmation = self._apply_confirmation
--- a/magnoliarouter/gateway/confirmations.py
+++ b/magnoliarouter/gateway/confirmations.py
@@ -41,9 +41,9 @@
 # other daemons and back. An older one means that a watch did not return.
 ROUND_TRIP_MARGIN_S = 1.4
 CHECK_INTERVAL_S = 0.25
-# A change reaches all watches within a few milliseconds, or after the 0.4 s during which feeds
-# collect changes. A digest that differs for longer means that a change was missed.
-DIGEST_MISMATCH_S = 0.6
+# A change reaches all watches within a few milliseconds, or after the time during which feeds collect
+# changes. A digest that differs for longer than that and this margin means that a change was missed.
+DIGEST_MISMATCH_MARGIN_S = 0.2
 # Minimum time between two lists of a kind from the store, regardless of what other daemons report.
 MIN_REFRESH_INTERVAL_S = 2.0
 
@@ -60,11 +60,18 @@
         The other daemons.
     clock : callable
         Loop time in seconds.
+    batch_s : float
+        Time in seconds during which the feeds collect changes.
     """
 
     def __init__(
-        self, feeds: Mapping[ObjectFeed, float], peers: PeerLoads, clock: Callable[[], float]
+        self,
+        feeds: Mapping[ObjectFeed, float],
+        peers: PeerLoads,
+        clock: Callable[[], float],
+        batch_s: float = 0.4,
     ) -> None:
+        self._mismatch_s = batch_s + DIGEST_MISMATCH_MARGIN_S
         self._feeds = {feed.kind: feed for feed in feeds}
         self._default_wait = {kind: feed.watch_wait_s for kind, feed in self._feeds.items()}
         self._confirming_wait = {feed.kind: wait for feed, wait in feeds.items()}
@@ -106,7 +113,7 @@
             return True
         now = self._clock()
         since = self._differs_since.setdefault(kind, now)
-        if now - since > DIGEST_MISMATCH_S:
+        if now - since > self._mismatch_s:
             self._refresh(kind, feed, now)
         return False
 
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -17,9 +17,10 @@
 REFUSAL_PENALTY_S = 0.15
 # The load reported by another daemon expires if it is not renewed within this time.
 PEER_LOAD_EXPIRY_S = 1.5
-# Bounds of the estimated outage. A group forms again 0.6 s after a lost rank has returned, and a
-# rank seldom returns within 1 s. Callers wait 8 s and retry once within a third of that time.
-MIN_OUTAGE_S = 2.0
+# Bounds of the estimated outage. A group forms again 0.6 s after a lost rank has returned, and a lost
+# rank or zone seldom returns within 2 s. Callers wait 8 s and come back once, within a third of that
+# time, so one that is told too little is refused for good.
+MIN_OUTAGE_S = 3.0
 MAX_OUTAGE_S = 4.0
 # An endpoint in another zone is ranked as if it had this many more requests: a hop between zones
 # costs little compared with a slot in a batch.
--- a/magnoliarouter/manual.py
+++ b/magnoliarouter/manual.py
@@ -44,7 +44,14 @@
     "weight": "ratio",
 }
 # Units of numeric fields whose names end with the unit.
-UNIT_SUFFIXES = {"_bytes": "bytes", "_ms": "ms", "_s": "s", "_seconds": "s", "_share": "share of 1"}
+UNIT_SUFFIXES = {
+    "_bytes": "bytes",
+    "_mbps": "Mbit/s",
+    "_ms": "ms",
+    "_s": "s",
+    "_seconds": "s",
+    "_share": "share of 1",
+}
 NUMERIC_TYPES = types.IntType | types.FloatType
 RATE_FIELD = re.compile(r"^(?P<unit>\w+)_per_second$")
 # Models whose fields are described in several docstrings; the first class takes precedence.
