End a group's task with its lease, and complete a hold that is found beside armed ranks

The map leader was suspended between the hold and the answers to arm. Awake again it lost the lease and acquired it anew 20 ms later, with the next fencing number. The task of the group was waiting after the abandoned switch; it saw a valid lease, took the hold for one executed late, and sent go while some ranks were armed and others not.

Change: a group's task ends with the lease that it was started under, so that the new one discovers the group and completes the switch; a hold found outside a switch is ended as that of an unfinished switch is: ranks that are armed are completed first.

Tests: the leader loses its lease after each order of a switch in turn and gets it back; a hold beside one armed rank. Both fail before.

--- a/magnoliarouter/gateway/groups.py
+++ b/magnoliarouter/gateway/groups.py
@@ -157,10 +157,11 @@
         self.choices.clear()
 
     async def read_step(self) -> None:
-        """Read the group's step, and release a late hold.
+        """Read the group's step, and end a hold that was executed late.
 
-        Reading the step costs far less than reading the counts. No switch is in progress at this
-        point, so any hold found here was executed late.
+        Reading the step costs far less than reading the counts. No switch of this daemon is in
+        progress at this point. A rank may be armed for the held step all the same, by an order that
+        was executed late as well, so the hold ends as that of an unfinished switch does.
         """
         report = await self.client.read_report(self._control_rank.address)
         if report is None:
@@ -171,8 +172,14 @@
         self._record_step("report", report.step)
         if report.held_step is not None:
             log_event("late_hold_found", group=self.name, held=report.held_step)
+            reports = await asyncio.gather(
+                *(self.client.read_report(rank.address) for rank in self.ranks.values())
+            )
             try:
-                await self._release(report.held_step)
+                if None in reports:
+                    raise SwitchAbandoned("a rank's report could not be read")
+                await self.recover(reports)
+                self.rows = None
             except SwitchAbandoned as error:
                 log_event("late_hold_left", group=self.name, reason=str(error))
 
--- a/magnoliarouter/gateway/mapduty.py
+++ b/magnoliarouter/gateway/mapduty.py
@@ -153,9 +153,16 @@
         return sum(len(group.ranks) for group in known) >= len(self._known_ranks)
 
     async def _balance_group(self, group: GroupMapSwitcher) -> None:
-        """Balance one group until it forms again or the lease is lost."""
+        """Balance one group until it forms again or the lease is lost.
+
+        A lease that is lost and acquired again ends the task too: a switch may have been left
+        unfinished in between, which only a new discovery completes.
+        """
+        lease = self._lease
         while (
-            group.rows is not None and self.fencing_number() == self._lease and not self._finishing
+            group.rows is not None
+            and self.fencing_number() == lease == self._lease
+            and not self._finishing
         ):
             await self._read_paces(group)
             policy = self._choose_policy(group)
@@ -172,7 +179,8 @@
                 log_event(
                     "map_switch_abandoned", group=group.name, version=version, reason=str(error)
                 )
-                await asyncio.sleep(READ_INTERVAL_S)
+                if self.fencing_number() == lease:
+                    await asyncio.sleep(READ_INTERVAL_S)
             finally:
                 self._switching.discard(switch)
 
--- a/magnoliarouter/tests/test_groups.py
+++ b/magnoliarouter/tests/test_groups.py
@@ -273,6 +273,62 @@
                 self.assertGreater(model.step, 200)
                 self.assertTrue(all(rank.held is None for rank in model.ranks))
 
+    def test_leader_that_gets_its_lease_back_completes_the_switch_it_left(self):
+        """The leader is suspended after each order of a switch in turn, and acquires its lease anew."""
+
+        async def main(last):
+            model = GroupModel()
+            loop = asyncio.get_running_loop()
+            step_task = loop.create_task(model.run())
+            lease = FakeMapLease()
+            duty, task = start_map_duty(model, lease)
+            send, sent_orders = model.send, []
+
+            async def send_and_lose_lease(address, order, *rest):
+                if isinstance(order, Hold | Arm):
+                    sent_orders.append(order)
+                    if len(sent_orders) > last:
+                        if lease.fencing_number == 1:
+                            lease.fencing_number = None
+                            loop.call_later(0.02, setattr, lease, "fencing_number", 2)
+                        if rest[1] == 1:
+                            return OrderResult.UNKNOWN
+                return await send(address, order, *rest)
+
+            model.send = send_and_lose_lease
+            await asyncio.sleep(15.0)
+            await cancel_tasks(task, step_task, *duty.list_tasks())
+            return model
+
+        for last in range(1, 6):
+            with self.subTest(last=last):
+                model = run_auto_advance(main(last))
+                self.assertEqual(model.mixed_steps, [])
+                self.assertGreater(model.step, 200)
+                self.assertTrue(all(rank.held is None for rank in model.ranks))
+
+    def test_hold_found_beside_armed_ranks_is_completed_not_released(self):
+        async def main():
+            model = GroupModel()
+            loop = asyncio.get_running_loop()
+            step_task = loop.create_task(model.run())
+            duty, task = start_map_duty(model, FakeMapLease())
+            await asyncio.sleep(6.0)
+            rows = duty.groups["g"].rows
+            changed = (tuple((1,) if not expert else row for expert, row in enumerate(rows[0])),)
+            step = model.step + 2
+            for rank in model.ranks:
+                rank.apply_order(Prepare(19_999, changed + rows[1:]), 1, 1)
+            model.ranks[0].apply_order(Hold(step), 1, 1)
+            model.ranks[2].apply_order(Arm(19_999, step), 1, 1)
+            await asyncio.sleep(6.0)
+            await cancel_tasks(task, step_task, *duty.list_tasks())
+            return model
+
+        model = run_auto_advance(main())
+        self.assertEqual(model.mixed_steps, [])
+        self.assertTrue(all(rank.held is None for rank in model.ranks))
+
     def test_older_fence_is_refused(self):
         async def main():
             model = GroupModel()
