--- a/magnoliarouter/core/lease.py
+++ b/magnoliarouter/core/lease.py
@@ -143,6 +143,10 @@
             return None
         return self.held_epoch(now)
 
+    def last_record(self) -> tuple[int, LeaseRecord] | None:
+        """Return the version and record last observed, or None if there is none."""
+        return None if self._record is None else (self._version, self._record)
+
     def next_step(self, now: float) -> LeaseStep:
         """Return the next step.
 
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -324,6 +324,7 @@
             self.peers,
             clock,
             lambda: self.is_ready() and not self.leaving,
+            lambda: self.maps.rediscover(),
         )
         self.maps = MapDuty(
             self._rank_client,
--- a/magnoliarouter/daemon/mapelection.py
+++ b/magnoliarouter/daemon/mapelection.py
@@ -5,13 +5,14 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from magnoliarouter.core.lease import LeaseRecord
 from magnoliarouter.store.leases import LeaseManager
 from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from magnoliarouter.gateway.peers import PeerLoads
+    from magnoliarouter.gateway.peers import MapLease, PeerLoads
     from magnoliarouter.store.client import PlatformClient
 
 __all__ = ["MapLeaderElection"]
@@ -47,6 +48,8 @@
         Loop time in seconds.
     is_eligible : callable
         Returns whether this daemon may become map leader.
+    on_won : callable
+        Called when this daemon becomes map leader.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         peers: PeerLoads,
         clock: Callable[[], float],
         is_eligible: Callable[[], bool],
+        on_won: Callable[[], None] = lambda: None,
     ) -> None:
         owner = f"{address}."
         self._lease = LeaseManager(
@@ -67,12 +71,16 @@
             MAPS_LEASE_S,
             self._report_change,
             owner,
+            peers.schedule_send,
         )
         self._peers = peers
         self._is_eligible = is_eligible
         self._clock = clock
+        self._on_won = on_won
         self._lease_task: asyncio.Task[None] | None = None
         peers.holds_map_lease = lambda: self.fencing_number() is not None
+        peers.read_map_lease = self._describe_lease
+        peers.apply_map_lease = self._observe_lease
 
     def fencing_number(self) -> int | None:
         """Return the fencing number while this daemon is map leader, else None."""
@@ -111,3 +119,19 @@
     def _report_change(self, epoch: int | None) -> None:
         log_event("maps_lease_won" if epoch is not None else "maps_lease_lost", epoch=epoch)
         self._peers.schedule_send()
+        if epoch is not None:
+            self._on_won()
+
+    def _describe_lease(self) -> MapLease | None:
+        """Return this daemon's last write of the lease, for the other daemons."""
+        held = self._lease.held_record()
+        if held is None:
+            return None
+        version, record = held
+        return version, record.holder, record.epoch, record.duration, record.write
+
+    def _observe_lease(self, lease: MapLease) -> None:
+        """Apply the map leader's last write, unless this daemon competes for the lease."""
+        if self._lease_task is None:
+            version, holder, epoch, duration, write = lease
+            self._lease.observe_holder(version, LeaseRecord(holder, epoch, duration, write))
--- a/magnoliarouter/gateway/peers.py
+++ b/magnoliarouter/gateway/peers.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 import msgspec
 
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["PeerLoads", "PeerMessage"]
+__all__ = ["MapLease", "PeerLoads", "PeerMessage"]
 
 # Changes within this time are sent in one datagram. With a longer delay, other daemons would choose
 # a slot that is already in use.
@@ -36,6 +36,9 @@
 PRESENCE_EXPIRY_S = 1.5
 
 
+MapLease: TypeAlias = tuple[int, str, int, float, str]
+
+
 class PeerMessage(msgspec.Struct, array_like=True):
     """State of one daemon as sent to its peers.
 
@@ -60,6 +63,9 @@
         Relative paces of slow ranks; empty unless the sender holds the lease on the expert maps.
     capacity : float
         Capacity of the sender's VM; duties go to the daemons with the largest.
+    map_lease : (int, str, int, float, str), optional
+        Version, holder, epoch, duration in seconds and write id of the lease on the expert maps, as
+        the sender, which holds it, last wrote it.
     """
 
     name: str
@@ -71,6 +77,7 @@
     last_received: dict[str, tuple[int, int]] = {}
     slow_ranks: dict[str, float] = {}
     capacity: float = 0.0
+    map_lease: MapLease | None = None
 
 
 class PeerLoads(asyncio.DatagramProtocol):
@@ -119,6 +126,8 @@
         self.read_confirmations: Callable[[], dict[str, tuple[int, float]]] = dict
         self.apply_confirmation: Callable[[str, int, float], None] = lambda kind, digest, at: None
         self.holds_map_lease: Callable[[], bool] = lambda: False
+        self.read_map_lease: Callable[[], MapLease | None] = lambda: None
+        self.apply_map_lease: Callable[[MapLease], None] = lambda lease: None
         self.read_slow_ranks: Callable[[], dict[str, float]] = dict
         self.apply_slow_ranks: Callable[[dict[str, float]], None] = lambda slow: None
 
@@ -194,6 +203,8 @@
         if message.holds_map_lease:
             self._map_leader, self._leader_received_at = message.name, self._loop.time()
             self.apply_slow_ranks(message.slow_ranks)
+            if message.map_lease is not None:
+                self.apply_map_lease(message.map_lease)
         elif message.name == self._map_leader:
             # The daemon reports that it lost the lease, so no silence has to be awaited.
             self._map_leader, self._leader_received_at = "", float("-inf")
@@ -251,6 +262,7 @@
             self._last_received if confirmed else {},
             self.read_slow_ranks() if leads else {},
             self._capacity,
+            self.read_map_lease() if leads else None,
         )
         data = msgspec.msgpack.encode(message)
         for address in self._addresses.values():
--- a/magnoliarouter/store/leases.py
+++ b/magnoliarouter/store/leases.py
@@ -48,6 +48,8 @@
         Actions under the lease must not rely on it: call `epoch` immediately before each action.
     owner : str
         Prefix of `holder` that identifies this process over its starts; see `Lease`.
+    on_written : callable, optional
+        Called after each write of the lease that succeeded.
 
     Examples
     --------
@@ -73,8 +75,10 @@
         duration: float = DEFAULT_DURATION_S,
         on_change: Callable[[int | None], None] = lambda epoch: None,
         owner: str = "",
+        on_written: Callable[[], None] = lambda: None,
     ) -> None:
         self.name = name
+        self._on_written = on_written
         self.lease = Lease(holder, duration, owner=owner)
         self._client = client
         self._clock = clock
@@ -92,6 +96,19 @@
             return None
         return self.lease.order_epoch(self._clock(), checks_fencing, delivery)
 
+    def held_record(self) -> tuple[int, LeaseRecord] | None:
+        """Return the version and record of the last write while the lease is held, else None."""
+        return self.lease.last_record() if self.epoch() is not None else None
+
+    def observe_holder(self, version: int, record: LeaseRecord) -> None:
+        """Apply the record that the holder reports of its own last write.
+
+        It counts as a read of the store that came late. A candidate that competes later has thus
+        observed the record since the report, and waits no longer than the holder may act.
+        """
+        if self.epoch() is None:
+            self.lease.observe(version, record, self._clock(), lagging=True)
+
     async def run(self) -> None:
         """Acquire and renew until cancelled."""
         while True:
@@ -156,6 +173,7 @@
         match outcome:
             case Written(version):
                 self.lease.confirm(write, version, now)
+                self._on_written()
             case Conflict(None):
                 self.lease.observe(0, None, now)
             case Conflict(current):
--- a/magnoliarouter/tests/test_mapelection.py
+++ b/magnoliarouter/tests/test_mapelection.py
@@ -15,6 +15,7 @@
         self.index = position
         self.silence_s = float("inf")
         self.holds_map_lease = lambda: False
+        self.other = None
 
     def position(self):
         return self.index
@@ -23,14 +24,16 @@
         return self.silence_s
 
     def schedule_send(self):
-        pass
+        """Pass what this daemon reports as map leader on to the other one."""
+        lease = self.read_map_lease() if self.other is not None else None
+        if lease is not None:
+            self.other.apply_map_lease(lease)
 
 
 def start_election(store, address, start=1, position=0):
     loop = asyncio.get_running_loop()
-    election = MapLeaderElection(
-        store, address, start, FakePeers(position), loop.time, lambda: True
-    )
+    peers = FakePeers(position)
+    election = MapLeaderElection(store, address, start, peers, loop.time, lambda: True)
     return election, loop.create_task(election.run())
 
 
@@ -72,6 +75,42 @@
         self.assertGreater(other[0], MAPS_LEASE_S)
         self.assertEqual((same[1], other[1]), (2, 2))
 
+    def test_next_leader_counts_the_lease_from_the_reports_of_the_last(self):
+        """The leader is suspended at different times after its last renewal."""
+
+        async def main(reports, suspended_after_s):
+            loop, store = asyncio.get_running_loop(), FakePlatform()
+            first, first_task = start_election(store, "a:1")
+            await wait_for_lease(first)
+            second, second_task = start_election(store, "b:1", start=2)
+            first._peers.other = second._peers if reports else None
+            second._peers.silence_s = 0.0
+            await asyncio.sleep(suspended_after_s)
+            first_task.cancel()
+            first._lease_task.cancel()
+            suspended_at = loop.time()
+
+            async def fall_silent():
+                while True:
+                    second._peers.silence_s = loop.time() - suspended_at
+                    await asyncio.sleep(0.01)
+
+            silent = loop.create_task(fall_silent())
+            last_held_until = first._lease.lease._held_until
+            await wait_for_lease(second)
+            won_at = loop.time()
+            silent.cancel()
+            second_task.cancel()
+            return won_at - suspended_at, won_at - last_held_until
+
+        for suspended_after_s in (2.0, 2.1, 2.2, 2.3, 2.4):
+            with self.subTest(suspended_after_s=suspended_after_s):
+                with_reports, margin_s = run_auto_advance(main(True, suspended_after_s))
+                without, _ = run_auto_advance(main(False, suspended_after_s))
+                self.assertLess(with_reports, MAPS_LEASE_S + 0.3)
+                self.assertGreater(margin_s, 0.0)
+                self.assertGreater(without, with_reports + 0.4)
+
 
 if __name__ == "__main__":
     unittest.main()
