Read reports, streams and positions in one place each

From a reading of the whole change; behaviour is unchanged.

- GroupMapSwitcher.read_reports serves both the pace reads of the map duty and the end of a late hold, which had the same loop.
- The streams that may move are one set of records that name their endpoint, instead of a set for each endpoint that was created, emptied and removed by hand.
- The map election asks for its position once a check; each answer goes over all peers.
The tests and their assertions are as they were.

Seen and left: test_groups.py repeats the start and end of a play in nine tests; _relay_stream and _relay_events share a signature; peers.py keeps three tables by name of a daemon that could be one record; the placeholder ChoiceWindow of a GroupMapSwitcher before its map is read.

--- a/magnoliarouter/daemon/mapelection.py
+++ b/magnoliarouter/daemon/mapelection.py
@@ -96,7 +96,7 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             now, silence = self._clock(), self._peers.map_lease_silence_s()
             eligible_since = (eligible_since or now) if self._is_eligible() else None
-            delay = FIRST_CLAIM_DELAY_S + CLAIM_STAGGER_S * self._peers.position()
+            stagger_s = CLAIM_STAGGER_S * self._peers.position()
             if (
                 self._lease_task is not None
                 and self.fencing_number() is None
@@ -105,8 +105,8 @@
                 self._lease_task.cancel()
                 self._lease_task = None
             elif self._lease_task is None and eligible_since is not None:
-                overdue = silence > LEADER_SILENCE_S + CLAIM_STAGGER_S * self._peers.position()
-                if overdue and now - eligible_since >= delay:
+                heard_others = now - eligible_since >= FIRST_CLAIM_DELAY_S + stagger_s
+                if heard_others and silence > LEADER_SILENCE_S + stagger_s:
                     self._lease.resume()
                     self._lease_task = asyncio.get_running_loop().create_task(self._lease.run())
 
--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -121,6 +121,7 @@
 
 @dataclass(slots=True, eq=False)
 class _RunningStream:
+    identity: str
     call: GatewayCall
     progress: CallProgress
     connection: UpstreamConnection
@@ -172,7 +173,7 @@
         self._gap_meter = gap_meter
         self._list_members = list_members
         self._on_silence = on_silence
-        self._streams: dict[str, set[_RunningStream]] = {}
+        self._streams: set[_RunningStream] = set()
 
     def move_streams(self, identity: str) -> int:
         """End the streams at an endpoint that may resume elsewhere, and return their number.
@@ -180,9 +181,11 @@
         Their calls continue at another endpoint after the last event that the caller received.
         """
         moved = 0
-        for stream in list(self._streams.get(identity, ())):
+        for stream in self._streams:
             call, progress = stream.call, stream.progress
-            if progress.moving or progress.sends >= call.route.attempts:
+            if stream.identity != identity or progress.moving:
+                continue
+            if progress.sends >= call.route.attempts:
                 continue
             if self._budget.allows(call.service, self._clock()):
                 progress.moving, moved = True, moved + 1
@@ -340,16 +343,13 @@
     ) -> Completed | FailedAttempt:
         if not headers.signed:
             return FailedAttempt(ResultCode.WRONG_ATTEMPT, "answer without a signature", None)
-        running = _RunningStream(call, progress, connection)
+        running = _RunningStream(endpoint.identity, call, progress, connection)
         if call.route.repeatable:
-            self._streams.setdefault(endpoint.identity, set()).add(running)
+            self._streams.add(running)
         try:
             return await self._relay_events(call, exchange, connection, endpoint, headers, progress)
         finally:
-            streams = self._streams.get(endpoint.identity, set())
-            streams.discard(running)
-            if not streams:
-                self._streams.pop(endpoint.identity, None)
+            self._streams.discard(running)
 
     async def _relay_events(
         self,
--- a/magnoliarouter/gateway/groups.py
+++ b/magnoliarouter/gateway/groups.py
@@ -173,9 +173,7 @@
         self._record_step("report", report.step)
         if report.held_step is not None:
             log_event("late_hold_found", group=self.name, held=report.held_step)
-            reports = await asyncio.gather(
-                *(self.client.read_report(rank.address) for rank in self.ranks.values())
-            )
+            reports = await self.read_reports()
             try:
                 if None in reports:
                     raise SwitchAbandoned("a rank's report could not be read")
@@ -184,6 +182,12 @@
             except SwitchAbandoned as error:
                 log_event("late_hold_left", group=self.name, reason=str(error))
 
+    async def read_reports(self) -> list[RankReport | None]:
+        """Return the reports of all ranks in the order of `ranks`; None for those not read."""
+        return await asyncio.gather(
+            *(self.client.read_report(rank.address) for rank in self.ranks.values())
+        )
+
     async def recover(self, reports: Iterable[RankReport]) -> bool:
         """Complete another daemon's unfinished switch; return False if ranks stay armed."""
         reports = list(reports)
--- a/magnoliarouter/gateway/mapduty.py
+++ b/magnoliarouter/gateway/mapduty.py
@@ -227,10 +227,11 @@
         if now - self._paces_read_at.get(group.name, float("-inf")) < interval_s:
             return
         self._paces_read_at[group.name] = now
-        ranks = list(group.ranks.values())
-        reports = await asyncio.gather(*(self.client.read_report(rank.address) for rank in ranks))
+        reports = await group.read_reports()
         paces = {
-            rank.identity: report.pace for rank, report in zip(ranks, reports) if report is not None
+            rank.identity: report.pace
+            for rank, report in zip(group.ranks.values(), reports)
+            if report is not None
         }
         found = compare_paces(paces)
         if found != slow:
--- a/magnoliarouter/tests/rank_model.py
+++ b/magnoliarouter/tests/rank_model.py
@@ -1,10 +1,12 @@
-"""Model of a group of ranks whose responses to orders may be lost, and orders applied late."""
+"""Model of a group of ranks whose responses to orders may be lost, and a map duty for it."""
 
 from __future__ import annotations
 
 import asyncio
 import random
 
+from magnoliarouter.gateway.endpoints import Endpoint
+from magnoliarouter.gateway.mapduty import MapDuty
 from magnoliarouter.gateway.ranks import (
     Arm,
     Go,
@@ -15,6 +17,7 @@
     RankExperts,
     RankReport,
 )
+from magnoliarouter.gateway.routes import ExpertProfile
 
 
 class RankModel:
@@ -159,3 +162,48 @@
             return OrderResult.UNKNOWN
         await asyncio.sleep(0.002)
         return rank.apply_order(order, epoch, fencing_number)
+
+
+PROFILE = ExpertProfile(sets=2, experts=8, experts_per_rank=4, max_new_experts=2, copy_s=0.1)
+
+
+def build_ranks(model):
+    return [
+        (Endpoint(f"i{number}", "llm", str(number), "zone-1", 6), PROFILE)
+        for number in range(model.size)
+    ]
+
+
+class FakeMapLease:
+    """Map lease that is held while `fencing_number` is not None."""
+
+    def __init__(self, fencing_number=1):
+        self.fencing_number = fencing_number
+
+    def __call__(self):
+        return self.fencing_number
+
+
+def start_map_duty(model, lease):
+    loop = asyncio.get_running_loop()
+    duty = MapDuty(model, lambda: build_ranks(model), lease, loop.time)
+    return duty, loop.create_task(duty.run())
+
+
+async def cancel_tasks(*tasks):
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def measure_skew(model):
+    loads = [0.0] * model.size
+    for index, row in enumerate(model.popularity):
+        holders = [
+            [rank.number for rank in model.ranks if expert in rank.experts[index]]
+            for expert in range(model.experts)
+        ]
+        for expert, ranks in enumerate(holders):
+            for rank in ranks:
+                loads[rank] += row[expert] / len(ranks)
+    return max(loads) * model.size / sum(loads)
--- a/magnoliarouter/tests/test_groups.py
+++ b/magnoliarouter/tests/test_groups.py
@@ -12,54 +12,19 @@
 from magnoliarouter.gateway.ranks import Arm, Hold, OrderResult, Prepare
 from magnoliarouter.gateway.routes import ExpertProfile
 from magnoliarouter.tests.clock import run_auto_advance
-from magnoliarouter.tests.rank_model import GroupModel
+from magnoliarouter.tests.rank_model import (
+    PROFILE,
+    FakeMapLease,
+    GroupModel,
+    build_ranks,
+    cancel_tasks,
+    measure_skew,
+    start_map_duty,
+)
 
-PROFILE = ExpertProfile(sets=2, experts=8, experts_per_rank=4, max_new_experts=2, copy_s=0.1)
 SEEDS = range(30)
 
 
-def build_ranks(model):
-    return [
-        (Endpoint(f"i{number}", "llm", str(number), "zone-1", 6), PROFILE)
-        for number in range(model.size)
-    ]
-
-
-class FakeMapLease:
-    """Map lease that is held while `fencing_number` is not None."""
-
-    def __init__(self, fencing_number=1):
-        self.fencing_number = fencing_number
-
-    def __call__(self):
-        return self.fencing_number
-
-
-def start_map_duty(model, lease):
-    loop = asyncio.get_running_loop()
-    duty = MapDuty(model, lambda: build_ranks(model), lease, loop.time)
-    return duty, loop.create_task(duty.run())
-
-
-async def cancel_tasks(*tasks):
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
-
-
-def measure_skew(model):
-    loads = [0.0] * model.size
-    for index, row in enumerate(model.popularity):
-        holders = [
-            [rank.number for rank in model.ranks if expert in rank.experts[index]]
-            for expert in range(model.experts)
-        ]
-        for expert, ranks in enumerate(holders):
-            for rank in ranks:
-                loads[rank] += row[expert] / len(ranks)
-    return max(loads) * model.size / sum(loads)
-
-
 class PlanTest(unittest.TestCase):
     def test_popular_expert_is_spread(self):
         rows = tuple(tuple((expert % 4,) for expert in range(8)) for _ in range(2))
--- a/magnoliarouter/tests/test_paces.py
+++ b/magnoliarouter/tests/test_paces.py
@@ -16,8 +16,7 @@
 )
 from magnoliarouter.gateway.routes import ExpertProfile
 from magnoliarouter.tests.clock import run_auto_advance
-from magnoliarouter.tests.rank_model import GroupModel
-from magnoliarouter.tests.test_groups import FakeMapLease, build_ranks, cancel_tasks
+from magnoliarouter.tests.rank_model import FakeMapLease, GroupModel, build_ranks, cancel_tasks
 
 
 class PaceTest(unittest.TestCase):
