--- a/magnoliarouter/gateway/mapplan.py
+++ b/magnoliarouter/gateway/mapplan.py
@@ -26,7 +26,6 @@
     "MapPlan",
     "NoChange",
     "iterate_plan",
-    "plan_map",
 ]
 
 # Minimum reduction of the mean skew over the sets that justifies a switch, since each switch copies
@@ -103,24 +102,6 @@
     error: float
 
 
-def plan_map(
-    rows: tuple[Row, ...],
-    counts: Sequence[float],
-    ranks: int,
-    profile: ExpertProfile,
-    policy: BalancePolicy = STRICT_BALANCE,
-    max_copies: int = 4,
-    paces: Sequence[float] = (),
-) -> MapPlan | NoChange:
-    """Return the map to switch to, or why no map reduces the skew enough; see `iterate_plan`."""
-    steps = iterate_plan(rows, counts, ranks, profile, policy, max_copies, paces)
-    while True:
-        try:
-            next(steps)
-        except StopIteration as stop:
-            return stop.value
-
-
 def iterate_plan(
     rows: tuple[Row, ...],
     counts: Sequence[float],
--- a/magnoliarouter/tests/rank_model.py
+++ b/magnoliarouter/tests/rank_model.py
@@ -7,6 +7,7 @@
 
 from magnoliarouter.gateway.endpoints import Endpoint
 from magnoliarouter.gateway.mapduty import MapDuty
+from magnoliarouter.gateway.mapplan import STRICT_BALANCE, iterate_plan
 from magnoliarouter.gateway.ranks import (
     Arm,
     Go,
@@ -207,3 +208,13 @@
             for rank in ranks:
                 loads[rank] += row[expert] / len(ranks)
     return max(loads) * model.size / sum(loads)
+
+
+def plan_map(rows, counts, ranks, profile, policy=STRICT_BALANCE, max_copies=4, paces=()):
+    """Run all steps of a plan at once."""
+    steps = iterate_plan(rows, counts, ranks, profile, policy, max_copies, paces)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as stop:
+            return stop.value
--- a/magnoliarouter/tests/test_choices.py
+++ b/magnoliarouter/tests/test_choices.py
@@ -13,10 +13,16 @@
 from magnoliarouter.gateway.endpoints import Endpoint
 from magnoliarouter.gateway.groups import GroupMapSwitcher
 from magnoliarouter.gateway.mapduty import MapDuty
-from magnoliarouter.gateway.mapplan import RELAXED_BALANCE, MapPlan, NoChange, plan_map
+from magnoliarouter.gateway.mapplan import RELAXED_BALANCE, MapPlan, NoChange
 from magnoliarouter.gateway.routes import ExpertProfile
 from magnoliarouter.tests.clock import run_auto_advance
-from magnoliarouter.tests.rank_model import FakeMapLease, GroupModel, cancel_tasks, measure_skew
+from magnoliarouter.tests.rank_model import (
+    FakeMapLease,
+    GroupModel,
+    cancel_tasks,
+    measure_skew,
+    plan_map,
+)
 
 # Ranks, sets, experts of a set, and experts of a set that fit on a rank.
 SHAPES = ((8, 6, 64, 11), (16, 4, 64, 5), (72, 12, 144, 3), (96, 16, 192, 3))
--- a/magnoliarouter/tests/test_groups.py
+++ b/magnoliarouter/tests/test_groups.py
@@ -8,7 +8,7 @@
 from magnoliarouter.gateway.endpoints import Endpoint
 from magnoliarouter.gateway.groups import GroupMapSwitcher
 from magnoliarouter.gateway.mapduty import MapDuty
-from magnoliarouter.gateway.mapplan import RELAXED_BALANCE, NoChange, iterate_plan, plan_map
+from magnoliarouter.gateway.mapplan import RELAXED_BALANCE, NoChange, iterate_plan
 from magnoliarouter.gateway.ranks import Arm, Hold, OrderResult, Prepare
 from magnoliarouter.gateway.routes import ExpertProfile
 from magnoliarouter.tests.clock import run_auto_advance
@@ -19,6 +19,7 @@
     build_ranks,
     cancel_tasks,
     measure_skew,
+    plan_map,
     start_map_duty,
 )
 
--- a/magnoliarouter/tests/test_paces.py
+++ b/magnoliarouter/tests/test_paces.py
@@ -7,7 +7,7 @@
 
 from magnoliarouter.core.layerplan import LayerState, measure_times
 from magnoliarouter.gateway.mapduty import MapDuty
-from magnoliarouter.gateway.mapplan import MapPlan, plan_map
+from magnoliarouter.gateway.mapplan import MapPlan
 from magnoliarouter.gateway.paces import (
     REPORT_EXPIRY_S,
     RankPaces,
@@ -16,7 +16,13 @@
 )
 from magnoliarouter.gateway.routes import ExpertProfile
 from magnoliarouter.tests.clock import run_auto_advance
-from magnoliarouter.tests.rank_model import FakeMapLease, GroupModel, build_ranks, cancel_tasks
+from magnoliarouter.tests.rank_model import (
+    FakeMapLease,
+    GroupModel,
+    build_ranks,
+    cancel_tasks,
+    plan_map,
+)
 
 
 class PaceTest(unittest.TestCase):
