Log how a response's body was framed and how its stream ended

The request line of a completed stream said neither what marked the end of its body, nor how many events it had, nor whether the last one was whole. What marks the end follows from status and header fields in one function, which the connection uses too; no decision changes.

--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -240,6 +240,7 @@
         if isinstance(found, FailedAttempt):
             return found
         head, headers = found
+        call.framing = head.framing
         if call.route.kind is RouteKind.STREAM and head.status == 200:
             return await self._relay_stream(call, exchange, connection, endpoint, headers, progress)
         remaining_s = max(0.0, call.deadline - self._clock())
@@ -350,6 +351,8 @@
             return await self._relay_events(call, exchange, connection, endpoint, headers, progress)
         finally:
             self._streams.discard(running)
+            call.events = progress.splitter.events
+            call.unfinished_bytes = len(progress.splitter.partial)
 
     async def _relay_events(
         self,
--- a/magnoliarouter/gateway/call.py
+++ b/magnoliarouter/gateway/call.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from magnoliarouter.core.framing import Framing
     from magnoliarouter.gateway.routes import Route
     from magnoliarouter.web.upstream import HeaderFields
 
@@ -133,6 +134,11 @@
         Seconds from admission until the first event of a stream was relayed to the caller.
     longest_event_gap_s : float
         Longest gap in seconds between two events relayed to the caller.
+    framing : Framing, optional
+        What marks the end of the body of the last response.
+    events, unfinished_bytes : int
+        Events of the stream that were relayed to the caller, and size of the incomplete event with which the
+        last response ended.
     """
 
     headers: RequestHeaders
@@ -148,3 +154,6 @@
     version: int
     first_event_s: float | None = None
     longest_event_gap_s: float = 0.0
+    framing: Framing | None = None
+    events: int = 0
+    unfinished_bytes: int = 0
--- a/magnoliarouter/gateway/frames.py
+++ b/magnoliarouter/gateway/frames.py
@@ -20,6 +20,8 @@
     last_id : bytes, optional
         Id of the last event that was passed. Events with a number up to it are dropped, since an
         endpoint that resumes the stream may repeat some.
+    events : int
+        Number of events that were passed.
 
     Examples
     --------
@@ -30,6 +32,7 @@
 
     last_id: bytes | None = None
     partial: bytearray = field(default_factory=bytearray)
+    events: int = 0
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the events that they complete."""
@@ -41,6 +44,7 @@
             start = end.end()
             if self._is_new(event):
                 complete += event
+                self.events += 1
         del self.partial[:start]
         return bytes(complete)
 
--- a/magnoliarouter/gateway/handler.py
+++ b/magnoliarouter/gateway/handler.py
@@ -212,7 +212,7 @@
             status=outcome.status if isinstance(outcome, Completed) else 0,
             reason="" if isinstance(outcome, Completed) else outcome.reason,
             seconds=round(self._clock() - call.admitted_at, 4) if call else 0.0,
-            **_describe_events(call),
+            **_describe_body(call),
             age=round(min(self._freshness.age(self._clock()), MAX_LOGGED_AGE_S), 2),
             important=not isinstance(outcome, Completed),
         )
@@ -224,10 +224,14 @@
         self._record(None, NotRun(code, "rejected by the HTTP server"), None)
 
 
-def _describe_events(call: GatewayCall | None) -> dict[str, float]:
-    if call is None or call.first_event_s is None:
+def _describe_body(call: GatewayCall | None) -> dict[str, float | str]:
+    if call is None or call.framing is None:
         return {}
-    return {
-        "first_s": round(call.first_event_s, 4),
-        "longest_pause_s": round(call.longest_event_gap_s, 4),
-    }
+    described: dict[str, float | str] = {"framing": call.framing.value}
+    if call.route.kind is RouteKind.STREAM:
+        described["events"] = call.events
+        described["unfinished_bytes"] = call.unfinished_bytes
+    if call.first_event_s is not None:
+        described["first_s"] = round(call.first_event_s, 4)
+        described["longest_pause_s"] = round(call.longest_event_gap_s, 4)
+    return described
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from magnoliarouter.core.framing import Framing
 from magnoliarouter.core.outcome import Completed, NotRun, ResultCode, Unknown
 from magnoliarouter.core.retries import SharedRetryBudget
 from magnoliarouter.gateway.call import GatewayCall
@@ -473,6 +474,14 @@
         self.assertTrue(self.exchange.finished)
         self.assertFalse(self.exchange.aborted)
 
+    async def test_call_records_how_its_stream_ended(self):
+        await self.add(self.serve(EVENTS, partial=b"id: 7\nda"))
+        call = build_gateway_call(build_route(RouteKind.STREAM, 1))
+        await self.forwarder.forward(call, self.exchange, lambda: None)
+        self.assertEqual(
+            (call.framing, call.events, call.unfinished_bytes), (Framing.CHUNKED, 6, 8)
+        )
+
     async def test_stream_resumes_elsewhere_after_the_last_whole_event(self):
         await self.add_two(self.serve(EVENTS[:3], partial=b"id: 4\nda"), self.serve(EVENTS[3:]))
         outcome = await self.forward(build_route(RouteKind.STREAM, 2, resumable=True))
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -15,6 +15,8 @@
 
 import httptools
 
+from magnoliarouter.core.framing import Framing, determine_framing
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -49,7 +51,6 @@
 # while the connection is being closed.
 KEEP_ALIVE_MARGIN_S = 0.4
 INFORMATIONAL_STATUSES = range(100, 200)
-BODILESS_STATUSES = (204, 304)
 
 
 class UpstreamErrorKind(Enum):
@@ -79,10 +80,13 @@
         HTTP status.
     fields : list of (bytes, bytes)
         Header fields as received.
+    framing : Framing
+        What marks the end of the body.
     """
 
     status: int
     fields: HeaderFields
+    framing: Framing
 
 
 _END_OF_BODY = object()
@@ -107,7 +111,7 @@
         self._waiter: asyncio.Future[None] | None = None
         self._fields: HeaderFields = []
         self._in_response = False
-        self._body_ends_at_close = False
+        self._framing = Framing.NONE
         self._bodiless = False
         self._close_after_response = False
         self._busy = False
@@ -258,7 +262,7 @@
         self.lost = True
         if not self._busy:
             return
-        if self._in_response and self._body_ends_at_close and exc is None:
+        if self._in_response and self._framing is Framing.CLOSE and exc is None:
             self._in_response = False
             self._add_item(_END_OF_BODY)
         else:
@@ -280,12 +284,10 @@
         status = self._parser.get_status_code()
         if status in INFORMATIONAL_STATUSES:
             return
-        names = {name.lower() for name, _ in self._fields}
-        framed = b"content-length" in names or b"transfer-encoding" in names
-        self._body_ends_at_close = not framed and status not in BODILESS_STATUSES
+        self._framing = determine_framing(status, self._fields, self._bodiless)
         if not self._parser.should_keep_alive():
             self._close_after_response = True
-        self._add_item(ResponseHead(status, self._fields))
+        self._add_item(ResponseHead(status, self._fields, self._framing))
         if self._bodiless:
             self._in_response = False
             self._add_item(_END_OF_BODY)
