Pass over known red tests that fail in a subtest

The id of a failed subtest is that of its test and its parameters, so that a test listed in KNOWN-RED.txt that failed in a subtest was counted as an unexpected failure. Several failed subtests of one test counted as several failed tests.

--- a/magnoliarouter/tests/__main__.py
+++ b/magnoliarouter/tests/__main__.py
@@ -32,7 +32,8 @@
         else loader.discover(str(PACKAGE), top_level_dir=str(PACKAGE.parent.parent))
     )
     result = unittest.TextTestRunner(verbosity=1).run(suite)
-    failed = {case.id(): text for case, text in (*result.failures, *result.errors)}
+    # The id of a subtest is that of its test, followed by a blank and the parameters.
+    failed = {case.id().split(" ")[0]: text for case, text in (*result.failures, *result.errors)}
     failed |= {case.id(): "unexpected success" for case in result.unexpectedSuccesses}
     known = read_known_red() & set(failed)
     for test in sorted(known):
