--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -585,6 +585,71 @@
         self.assertEqual(await task, Completed(ResultCode.OK, 200))
         self.assertEqual(self.exchange.body, b"".join(EVENTS))
 
+    def serve_framed(self, framing, body):
+        """Send a body that is delimited by `framing`, and close the connection."""
+        head = self.head().replace(b"Transfer-Encoding: chunked\r\n", b"")
+
+        async def handle(peer):
+            match framing:
+                case Framing.CHUNKED:
+                    await peer.send(self.head() + self.chunk(body) + b"0\r\n\r\n")
+                case Framing.LENGTH:
+                    await peer.send(head[:-2] + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+                case Framing.CLOSE:
+                    await peer.send(head + body)
+            peer.close()
+
+        return handle
+
+    async def test_stream_that_ends_inside_an_event_does_not_reach_its_caller_as_complete(self):
+        cut = b"".join(EVENTS[:3]) + b"id: 4\ndata: "
+        for framing in (Framing.CLOSE, Framing.CHUNKED, Framing.LENGTH):
+            with self.subTest(framing=framing):
+                self.exchange = FakeExchange()
+                await self.add(self.serve_framed(framing, cut))
+                outcome = await self.forward(build_route(RouteKind.STREAM, 2))
+                self.assertEqual(outcome.code, ResultCode.STREAM_TRUNCATED)
+                self.assertTrue(self.exchange.aborted)
+                self.assertEqual(self.exchange.body, b"".join(EVENTS[:3]))
+
+    async def test_stream_that_ends_inside_its_first_event_does_not_reach_its_caller(self):
+        for framing in (Framing.CLOSE, Framing.CHUNKED, Framing.LENGTH):
+            with self.subTest(framing=framing):
+                self.exchange = FakeExchange()
+                await self.add(self.serve_framed(framing, b"id: 1\nda"))
+                outcome = await self.forward(build_route(RouteKind.STREAM, 2))
+                self.assertEqual(outcome.code, ResultCode.STREAM_TRUNCATED)
+                self.assertFalse(self.exchange.started)
+
+    async def test_stream_that_ends_inside_an_event_resumes_elsewhere(self):
+        cut = b"".join(EVENTS[:3]) + b"id: 4\ndata: "
+        await self.add_two(self.serve_framed(Framing.CLOSE, cut), self.serve(EVENTS[3:]))
+        outcome = await self.forward(build_route(RouteKind.STREAM, 2, resumable=True))
+        self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+        self.assertEqual(self.exchange.body, b"".join(EVENTS))
+        self.assertIn("Last-Event-Id: 3", self.heads[1][1])
+
+    async def test_stream_without_a_frame_passes_whole(self):
+        await self.add(self.serve_framed(Framing.CLOSE, b"".join(EVENTS)))
+        outcome = await self.forward(build_route(RouteKind.STREAM, 2, resumable=True))
+        self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+        self.assertEqual(self.exchange.body, b"".join(EVENTS))
+        self.assertFalse(self.exchange.aborted)
+
+    async def test_stream_without_a_frame_that_is_moved_is_not_taken_as_complete(self):
+        async def slow(peer):
+            await peer.send(self.head().replace(b"Transfer-Encoding: chunked\r\n", b""))
+            await peer.send(b"".join(EVENTS[:3]))
+            await asyncio.sleep(1.0)
+
+        await self.add_two(slow, self.serve(EVENTS[3:]))
+        route = build_route(RouteKind.STREAM, 2, 4.0, resumable=True)
+        task = asyncio.create_task(self.forward(route))
+        await asyncio.sleep(0.2)
+        self.forwarder.move_streams(["e1"])
+        self.assertEqual(await task, Completed(ResultCode.OK, 200))
+        self.assertEqual(self.exchange.body, b"".join(EVENTS))
+
     async def test_caller_that_resumes_is_served_from_its_last_event(self):
         await self.add(self.serve(EVENTS[2:]))
         fields = {"Last-Event-Id": b"2"}
--- a/magnoliarouter/tests/test_guard.py
+++ b/magnoliarouter/tests/test_guard.py
@@ -11,6 +11,7 @@
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.guard import Guard
 from magnoliarouter.endpoints.messages import FenceReply, FenceRequest
+from magnoliarouter.tests.raw_server import RawPeer
 from magnoliarouter.web.loop import Runtime
 from magnoliarouter.web.server import WebServer
 
@@ -20,10 +21,11 @@
 class Origin:
     """Endpoint that sends scripted bytes as responses to the requests of each connection."""
 
-    def __init__(self, *responses: bytes, close: bool = False) -> None:
+    def __init__(self, *responses: bytes, close: bool = False, reset: bool = False) -> None:
         self.responses = list(responses)
         self.heads: list[str] = []
         self.close = close
+        self.reset = reset
         self.release = asyncio.Event()
         self.release.set()
 
@@ -43,13 +45,16 @@
                     break
         except asyncio.IncompleteReadError:
             pass
+        if self.reset:
+            await asyncio.sleep(0.05)
+            RawPeer(reader, writer).reset()
         writer.close()
 
 
 class GuardTest(unittest.IsolatedAsyncioTestCase):
-    async def open(self, *responses: bytes, close: bool = False):
+    async def open(self, *responses: bytes, close: bool = False, reset: bool = False):
         loop = asyncio.get_running_loop()
-        self.origin = Origin(*responses, close=close)
+        self.origin = Origin(*responses, close=close, reset=reset)
         target = await self.origin.start()
         self.table = AttemptTable("one")
         self.session = await self.enterAsyncContext(open_session())
@@ -120,6 +125,17 @@
                     continue
                 self.assertEqual(status, 502)
 
+    async def test_event_stream_without_length_that_is_reset_is_not_relayed_as_complete(self):
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+        await self.open(head + b"data: 1\n\n", reset=True)
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await self.send()
+
+    async def test_response_without_length_that_is_reset_is_not_recorded_as_complete(self):
+        await self.open(b"HTTP/1.1 200 OK\r\n\r\nsome of it", reset=True)
+        self.assertEqual((await self.send_once())[0], 502)
+        self.assertEqual((await self.fence("a")).state, "broken")
+
     async def test_call_that_may_run_once_outlives_its_caller(self):
         await self.open(OK + b"\r\nok")
         self.origin.release.clear()
--- a/magnoliarouter/tests/test_upstream.py
+++ b/magnoliarouter/tests/test_upstream.py
@@ -121,6 +121,20 @@
             await self.send_request(server)
         self.assertEqual(caught.exception.kind, UpstreamErrorKind.TRUNCATED)
 
+    async def test_response_without_length_that_this_side_closes_is_not_complete(self):
+        async def handle(peer):
+            await peer.read_message()
+            await peer.send(b"HTTP/1.1 200 OK\r\n\r\nsome of it")
+            await asyncio.sleep(1)
+
+        server = await self.start(handle)
+        connection = await self.pool.acquire(server.address)
+        connection.send(REQUEST)
+        await connection.read_head()
+        connection.close()
+        with self.assertRaises(UpstreamError):
+            await connection.read_body()
+
     async def test_informational_responses_are_skipped(self):
         async def handle(peer):
             await peer.read_message()
