Take a stream that ends inside an event for broken off

What callers saw: status 200, the engine's signature, half an event and the last chunk. Cause: the end of a body was taken for the end of its stream. A body without a length or chunks ends with its connection, however that comes about, and the rest of an event was relayed and completed. Evidence: the daemons' request lines say completed in the moment in which the engine broke off, and three streams that were reset instead, in the same ten seconds, were detected and resumed; the tests end streams with each framing inside an event and failed for each.

Whether a stream is whole is decided by its events now: it has to end between two of them, whatever framed it. Else the attempt has failed with an unknown outcome, so that the stream resumes behind the last whole event where the route allows it, and is broken off visibly elsewhere. Responses of another type on such a route are read whole before they are relayed, since they have no events.

--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from magnoliarouter.core.outcome import Completed, ResultCode
-from magnoliarouter.gateway.frames import FrameSplitter
+from magnoliarouter.gateway.frames import FrameSplitter, is_event_stream
 from magnoliarouter.gateway.routes import RouteKind
 from magnoliarouter.telemetry.logs import log_event
 from magnoliarouter.web.upstream import UpstreamError, UpstreamErrorKind
@@ -241,7 +241,11 @@
             return found
         head, headers = found
         call.framing = head.framing
-        if call.route.kind is RouteKind.STREAM and head.status == 200:
+        if (
+            call.route.kind is RouteKind.STREAM
+            and head.status == 200
+            and is_event_stream(head.fields)
+        ):
             return await self._relay_stream(call, exchange, connection, endpoint, headers, progress)
         remaining_s = max(0.0, call.deadline - self._clock())
         try:
@@ -388,6 +392,9 @@
                 call.first_event_s = now - call.admitted_at
                 self._metrics.first_token.observe(call.first_event_s)
                 exchange.start(200, headers.forwarded, events)
+        if splitter.inside_event:
+            reason = "the stream ended inside an event"
+            return FailedAttempt(ResultCode.STREAM_TRUNCATED, reason, None)
         if not exchange.started:
             exchange.start(200, headers.forwarded, bytes(splitter.partial))
         elif splitter.partial:
--- a/magnoliarouter/gateway/frames.py
+++ b/magnoliarouter/gateway/frames.py
@@ -5,10 +5,31 @@
 import re
 from dataclasses import dataclass, field
 
-__all__ = ["FrameSplitter"]
+__all__ = ["FrameSplitter", "is_event_stream"]
 
+EVENT_STREAM = b"text/event-stream"
 EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 EVENT_END = re.compile(rb"\r?\n\r?\n")
+LINE_ENDS = b"\r\n"
+
+
+def is_event_stream(fields: list[tuple[bytes, bytes]]) -> bool:
+    """Return whether header fields declare a stream of events, or no other type.
+
+    Parameters
+    ----------
+    fields : list of (bytes, bytes)
+        Header fields of a response.
+
+    Examples
+    --------
+    >>> is_event_stream([(b"Content-Type", b"text/event-stream; charset=utf-8")])
+    True
+    """
+    for name, value in fields:
+        if name.lower() == b"content-type":
+            return value.split(b";")[0].strip().lower() == EVENT_STREAM
+    return True
 
 
 @dataclass(slots=True)
@@ -48,6 +69,11 @@
         del self.partial[:start]
         return bytes(complete)
 
+    @property
+    def inside_event(self) -> bool:
+        """Whether the bytes received so far end inside an event."""
+        return bool(self.partial.strip(LINE_ENDS))
+
     def restart(self) -> None:
         """Drop an incomplete event before the stream resumes at another endpoint."""
         self.partial.clear()
--- a/magnoliarouter/tests/__main__.py
+++ b/magnoliarouter/tests/__main__.py
@@ -19,7 +19,9 @@
     if not KNOWN_RED.exists():
         return set()
     lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
-    return {line.split(";")[0].strip() for line in lines if line.startswith("magnoliarouter.tests.")}
+    return {
+        line.split(";")[0].strip() for line in lines if line.startswith("magnoliarouter.tests.")
+    }
 
 
 def main() -> int:
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -585,14 +585,15 @@
         self.assertEqual(await task, Completed(ResultCode.OK, 200))
         self.assertEqual(self.exchange.body, b"".join(EVENTS))
 
-    def serve_framed(self, framing, body):
+    def serve_framed(self, framing, body, content_type=STREAM):
         """Send a body that is delimited by `framing`, and close the connection."""
-        head = self.head().replace(b"Transfer-Encoding: chunked\r\n", b"")
+        chunked_head = self.head(**{"Content-Type": content_type})
+        head = chunked_head.replace(b"Transfer-Encoding: chunked\r\n", b"")
 
         async def handle(peer):
             match framing:
                 case Framing.CHUNKED:
-                    await peer.send(self.head() + self.chunk(body) + b"0\r\n\r\n")
+                    await peer.send(chunked_head + self.chunk(body) + b"0\r\n\r\n")
                 case Framing.LENGTH:
                     await peer.send(head[:-2] + b"Content-Length: %d\r\n\r\n" % len(body) + body)
                 case Framing.CLOSE:
@@ -629,6 +630,16 @@
         self.assertEqual(self.exchange.body, b"".join(EVENTS))
         self.assertIn("Last-Event-Id: 3", self.heads[1][1])
 
+    async def test_response_of_another_type_on_a_stream_route_passes_whole(self):
+        for framing in (Framing.CLOSE, Framing.CHUNKED, Framing.LENGTH):
+            with self.subTest(framing=framing):
+                self.exchange = FakeExchange()
+                handle = self.serve_framed(framing, b'{"no": "events"}', "application/json")
+                await self.add(handle)
+                outcome = await self.forward(build_route(RouteKind.STREAM, 2))
+                self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+                self.assertEqual(self.exchange.body, b'{"no": "events"}')
+
     async def test_stream_without_a_frame_passes_whole(self):
         await self.add(self.serve_framed(Framing.CLOSE, b"".join(EVENTS)))
         outcome = await self.forward(build_route(RouteKind.STREAM, 2, resumable=True))
--- a/magnoliarouter/tests/test_gateway_parts.py
+++ b/magnoliarouter/tests/test_gateway_parts.py
@@ -78,6 +78,18 @@
                 self.assertTrue(not passed_on or passed_on.endswith(b"\r\n\r\n"))
             self.assertEqual((passed_on, splitter.last_id), (data, b"19"))
 
+    def test_every_prefix_of_an_event_is_inside_it(self):
+        for line_end in (b"\n", b"\r\n"):
+            event = b"id: 1" + line_end + b"data: x" + line_end * 2
+            for size in range(len(event)):
+                with self.subTest(line_end=line_end, size=size):
+                    splitter = FrameSplitter()
+                    splitter.feed(event[:size])
+                    self.assertEqual(splitter.inside_event, size > 0)
+                    splitter.feed(event[size:])
+                    self.assertFalse(splitter.inside_event)
+                    self.assertEqual(splitter.events, 1)
+
     def test_partial_event_is_dropped_on_restart(self):
         splitter = FrameSplitter()
         splitter.feed(b"id: 1\n\nid: 2\nda")
