Do not take a body for complete because this side closed its connection

What callers saw: nothing yet. Where a stream came without a frame and this daemon closed its connection to move it from a slow rank, the close ended the body, and the caller got the events so far as a complete response. Cause: asyncio reports a close by either side alike, without an exception.

Only the end of input from the endpoint ends such a body now, decided by one function of framing and of how the connection ended.

--- a/magnoliarouter/core/framing.py
+++ b/magnoliarouter/core/framing.py
@@ -4,7 +4,7 @@
 
 from enum import Enum
 
-__all__ = ["Framing", "determine_framing"]
+__all__ = ["ConnectionEnd", "Framing", "determine_framing", "is_whole_at_end"]
 
 BODILESS_STATUSES = (204, 304)
 
@@ -18,6 +18,14 @@
     CLOSE = "close"
 
 
+class ConnectionEnd(Enum):
+    """How a connection ended."""
+
+    CLOSED_BY_PEER = "closed by peer"
+    CLOSED_HERE = "closed here"
+    RESET = "reset"
+
+
 def determine_framing(
     status: int, fields: list[tuple[bytes, bytes]], bodiless: bool = False
 ) -> Framing:
@@ -45,3 +53,16 @@
     if b"transfer-encoding" in names:
         return Framing.CHUNKED
     return Framing.LENGTH if b"content-length" in names else Framing.CLOSE
+
+
+def is_whole_at_end(framing: Framing, end: ConnectionEnd) -> bool:
+    """Return whether a body is whole whose end the connection's end is to mark.
+
+    Parameters
+    ----------
+    framing : Framing
+        What marks the end of the body; its own mark has not been received.
+    end : ConnectionEnd
+        How the connection ended.
+    """
+    return framing is Framing.CLOSE and end is ConnectionEnd.CLOSED_BY_PEER
--- a/magnoliarouter/tests/test_framing.py
+++ b/magnoliarouter/tests/test_framing.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from magnoliarouter.core.framing import Framing, determine_framing
+from magnoliarouter.core.framing import ConnectionEnd, Framing, determine_framing, is_whole_at_end
 
 
 class FramingTest(unittest.TestCase):
@@ -22,6 +22,15 @@
             with self.subTest(status=status, fields=fields, bodiless=bodiless):
                 self.assertEqual(determine_framing(status, fields, bodiless), expected)
 
+    def test_only_a_close_by_the_peer_ends_only_a_body_without_a_frame(self):
+        whole = [
+            (framing, end)
+            for framing in Framing
+            for end in ConnectionEnd
+            if is_whole_at_end(framing, end)
+        ]
+        self.assertEqual(whole, [(Framing.CLOSE, ConnectionEnd.CLOSED_BY_PEER)])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -15,7 +15,12 @@
 
 import httptools
 
-from magnoliarouter.core.framing import Framing, determine_framing
+from magnoliarouter.core.framing import (
+    ConnectionEnd,
+    Framing,
+    determine_framing,
+    is_whole_at_end,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -116,6 +121,7 @@
         self._close_after_response = False
         self._busy = False
         self._response_pending = False
+        self._peer_closed = False
         self.lost = False
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self.idle_since = 0.0
@@ -257,17 +263,27 @@
             assert self._transport is not None
             self._transport.pause_reading()
 
+    def eof_received(self) -> None:
+        """Record that the endpoint has sent everything; the transport then closes."""
+        self._peer_closed = True
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Report to the reader whether the response is complete or how it failed."""
         self.lost = True
         if not self._busy:
             return
-        if self._in_response and self._framing is Framing.CLOSE and exc is None:
+        end = self._determine_end(exc)
+        if self._in_response and is_whole_at_end(self._framing, end):
             self._in_response = False
             self._add_item(_END_OF_BODY)
         else:
             kind = UpstreamErrorKind.TRUNCATED if self._in_response else UpstreamErrorKind.RESET
-            self._add_item(UpstreamError(kind, type(exc).__name__ if exc else "end of connection"))
+            self._add_item(UpstreamError(kind, type(exc).__name__ if exc else end.value))
+
+    def _determine_end(self, exc: Exception | None) -> ConnectionEnd:
+        if exc is not None:
+            return ConnectionEnd.RESET
+        return ConnectionEnd.CLOSED_BY_PEER if self._peer_closed else ConnectionEnd.CLOSED_HERE
 
     # --- callbacks of the httptools parser -----------------------------------------------------
 
