Do not write another response into a stream that a caller is reading

What callers saw: in the middle of a chunked body the head of another response, where the endpoint asked to go on with a broken stream answered 404 or with a body of another type; the daemon recorded it as completed. Cause: responses below 500 are relayed without a look at whether the caller has events already. Found while looking for other ends of streams; the test failed before for both.

Such an attempt has failed, and the stream is broken off visibly.

--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -329,6 +329,9 @@
             code = ResultCode.ENDPOINT_REFUSED if headers.misdirected else ResultCode.QUEUE_FULL
             reason = f"endpoint refused with status {response.status}"
             return FailedAttempt(code, reason, ran=False, stalled=headers.stalled)
+        if exchange.started:
+            reason = f"endpoint answered {response.status} to a resumed stream"
+            return FailedAttempt(ResultCode.ENDPOINT_ERROR, reason, None)
         if 200 <= response.status < 500:
             if not headers.signed and response.status < 300:
                 return FailedAttempt(ResultCode.WRONG_ATTEMPT, "answer without a signature", None)
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -640,6 +640,20 @@
                 self.assertEqual(outcome, Completed(ResultCode.OK, 200))
                 self.assertEqual(self.exchange.body, b'{"no": "events"}')
 
+    async def test_response_to_a_resumed_stream_is_not_written_into_it(self):
+        for status, content_type in ((404, "text/plain"), (200, "application/json")):
+            with self.subTest(status=status):
+
+                async def respond(peer, status=status, content_type=content_type):
+                    await peer.send(build_response(b"other", status, Content_Type=content_type))
+
+                self.exchange = FakeExchange()
+                await self.add_two(self.serve(EVENTS[:3], partial=b""), respond)
+                outcome = await self.forward(build_route(RouteKind.STREAM, 2, resumable=True))
+                self.assertIsInstance(outcome, Unknown)
+                self.assertTrue(self.exchange.aborted)
+                self.assertEqual(self.exchange.body, b"".join(EVENTS[:3]))
+
     async def test_stream_without_a_frame_passes_whole(self):
         await self.add(self.serve_framed(Framing.CLOSE, b"".join(EVENTS)))
         outcome = await self.forward(build_route(RouteKind.STREAM, 2, resumable=True))
