Do not complete a stream without a frame that ends before any event

An engine that closes its connection right after the head of a stream without a length or chunks has sent nothing that shows an answer; its caller got an empty complete stream. The test failed before. A stream that resumes may be empty: its caller can have every event already.

--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -395,9 +395,9 @@
                 call.first_event_s = now - call.admitted_at
                 self._metrics.first_token.observe(call.first_event_s)
                 exchange.start(200, headers.forwarded, events)
-        if splitter.inside_event:
-            reason = "the stream ended inside an event"
-            return FailedAttempt(ResultCode.STREAM_TRUNCATED, reason, None)
+        truncation = splitter.find_truncation(call.framing)
+        if truncation is not None:
+            return FailedAttempt(ResultCode.STREAM_TRUNCATED, truncation, None)
         if not exchange.started:
             exchange.start(200, headers.forwarded, bytes(splitter.partial))
         elif splitter.partial:
--- a/magnoliarouter/gateway/frames.py
+++ b/magnoliarouter/gateway/frames.py
@@ -5,6 +5,8 @@
 import re
 from dataclasses import dataclass, field
 
+from magnoliarouter.core.framing import Framing
+
 __all__ = ["FrameSplitter", "is_event_stream"]
 
 EVENT_STREAM = b"text/event-stream"
@@ -74,6 +76,20 @@
         """Whether the bytes received so far end inside an event."""
         return bool(self.partial.strip(LINE_ENDS))
 
+    def find_truncation(self, framing: Framing | None) -> str | None:
+        """Return why a stream whose body has ended is not whole, or None if it is.
+
+        Parameters
+        ----------
+        framing : Framing, optional
+            What marked the end of the body.
+        """
+        if self.inside_event:
+            return "the stream ended inside an event"
+        if framing is Framing.CLOSE and not self.events and self.last_id is None:
+            return "the stream ended with its connection before any event"
+        return None
+
     def restart(self) -> None:
         """Drop an incomplete event before the stream resumes at another endpoint."""
         self.partial.clear()
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -654,6 +654,21 @@
                 self.assertTrue(self.exchange.aborted)
                 self.assertEqual(self.exchange.body, b"".join(EVENTS[:3]))
 
+    async def test_stream_without_a_frame_and_without_events_is_not_complete(self):
+        await self.add(self.serve_framed(Framing.CLOSE, b""))
+        outcome = await self.forward(build_route(RouteKind.STREAM, 1))
+        self.assertEqual(outcome.code, ResultCode.STREAM_TRUNCATED)
+        self.assertFalse(self.exchange.started)
+
+    async def test_stream_that_resumes_after_its_last_event_may_be_empty(self):
+        for framing in (Framing.CLOSE, Framing.CHUNKED, Framing.LENGTH):
+            with self.subTest(framing=framing):
+                self.exchange = FakeExchange()
+                await self.add_two(self.serve(EVENTS, partial=b""), self.serve_framed(framing, b""))
+                outcome = await self.forward(build_route(RouteKind.STREAM, 2, resumable=True))
+                self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+                self.assertEqual(self.exchange.body, b"".join(EVENTS))
+
     async def test_stream_without_a_frame_passes_whole(self):
         await self.add(self.serve_framed(Framing.CLOSE, b"".join(EVENTS)))
         outcome = await self.forward(build_route(RouteKind.STREAM, 2, resumable=True))
