Do not take a body without a length for whole when its connection was reset

What callers saw: nothing reported. The guard relayed an event stream without a frame that was reset as a complete one, and recorded a call that may run once as finished with the part of its response that had arrived, to be replayed to whoever repeats the call; the aiohttp transport of the store returned such a body. Cause: aiohttp ends a body that ends with its connection in the same way for a close and a reset.

Responses of the sessions that open_session opens remember their connection, and one function says whether a body is whole, by the same rule of framing and connection's end as the gateway's own connections.

--- a/magnoliarouter/endpoints/client.py
+++ b/magnoliarouter/endpoints/client.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 
+from magnoliarouter.web.bodies import TrackedResponse
+
 __all__ = ["open_session"]
 
 CONNECT_TIMEOUT_S = 2.0
@@ -28,6 +30,7 @@
     """
     session = aiohttp.ClientSession(
         connector=_open_connector(reuse),
+        response_class=TrackedResponse,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/magnoliarouter/endpoints/execution.py
+++ b/magnoliarouter/endpoints/execution.py
@@ -11,6 +11,7 @@
 from magnoliarouter.core.attempts import StoredResponse
 from magnoliarouter.endpoints.messages import ATTEMPT_HEADER, may_belong_to
 from magnoliarouter.endpoints.proof import was_unsent
+from magnoliarouter.web.bodies import read_body
 
 if TYPE_CHECKING:
     from yarl import URL
@@ -77,15 +78,11 @@
         return NotReached(reason) if was_unsent(error) else ResponseLost(reason)
 
 
-async def _read_response(response: aiohttp.ClientResponse) -> Executed | ResponseLost:
-    body = bytearray()
-    async for chunk in response.content.iter_any():
-        body += chunk
-        if len(body) > MAX_BODY_BYTES:
-            return ResponseLost(f"answer is larger than {MAX_BODY_BYTES} bytes")
-    stored_body = bytes(body) if len(body) <= MAX_STORED_BODY_BYTES else None
+async def _read_response(response: aiohttp.ClientResponse) -> Executed:
+    body = await read_body(response, MAX_BODY_BYTES)
+    stored_body = body if len(body) <= MAX_STORED_BODY_BYTES else None
     content_type = response.headers.get("content-type", "application/octet-stream")
     digest = hashlib.sha256(body).hexdigest()
     return Executed(
-        StoredResponse(response.status, content_type, digest, len(body), stored_body), bytes(body)
+        StoredResponse(response.status, content_type, digest, len(body), stored_body), body
     )
--- a/magnoliarouter/endpoints/guard.py
+++ b/magnoliarouter/endpoints/guard.py
@@ -48,6 +48,7 @@
 from magnoliarouter.endpoints.proof import was_unsent
 from magnoliarouter.endpoints.relay import is_truncation_detectable, parse_not_after, read_message
 from magnoliarouter.endpoints.report import LOAD_HEADER, encode_load_header
+from magnoliarouter.web.bodies import iterate_body
 from magnoliarouter.web.exchange import error_body
 
 if TYPE_CHECKING:
@@ -325,7 +326,7 @@
         await exchange.start(response.status, {**relayed, **self._build_headers(attempt)})
         streamed = response.content_type == EVENT_STREAM
         last: float | None = None
-        async for chunk in response.content.iter_any():
+        async for chunk in iterate_body(response):
             if streamed:
                 last = self._record_event_gaps(chunk, last)
             await exchange.write(chunk)
--- a/magnoliarouter/store/transport.py
+++ b/magnoliarouter/store/transport.py
@@ -16,8 +16,6 @@
 
 __all__ = ["SessionTransport", "Transport", "UpstreamTransport"]
 
-READ_CHUNK_BYTES = 65_536
-
 
 class Transport(Protocol):
     """Sends calls to one address."""
@@ -60,17 +58,22 @@
         import aiohttp
         from yarl import URL
 
+        from magnoliarouter.web.bodies import iterate_body
+
         url = URL(self._base_url + call.target, encoded=True)
         try:
             async with asyncio.timeout(timeout):
                 async with self._session.request(
                     call.method, url, headers=call.headers, data=call.body, allow_redirects=False
                 ) as response:
-                    content = await _read_bounded(response.content, limit)
-                    if content is None:
-                        response.close()
-                        return _too_large(limit)
-                    return response.status, content
+                    parts, size = [], 0
+                    async for part in iterate_body(response):
+                        size += len(part)
+                        if size > limit:
+                            response.close()
+                            return _too_large(limit)
+                        parts.append(part)
+                    return response.status, b"".join(parts)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Unavailable(type(error).__name__, Failure.CONNECT)
         except TimeoutError:
@@ -131,13 +134,3 @@
 
 def _too_large(limit: int) -> Unavailable:
     return Unavailable(f"answer of more than {limit} bytes", Failure.TOO_LARGE)
-
-
-async def _read_bounded(content: aiohttp.StreamReader, limit: int) -> bytes | None:
-    chunks, size = [], 0
-    async for chunk in content.iter_chunked(READ_CHUNK_BYTES):
-        size += len(chunk)
-        if size > limit:
-            return None
-        chunks.append(chunk)
-    return b"".join(chunks)
--- /dev/null
+++ b/magnoliarouter/web/bodies.py
@@ -0,0 +1,90 @@
+"""Reads the bodies of aiohttp responses, and decides whether they are whole.
+
+aiohttp itself detects that a body with a length or in chunks ends early. A body without either ends
+with its connection, and aiohttp ends it in the same way whether the connection was closed or reset.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from magnoliarouter.core.framing import (
+    ConnectionEnd,
+    Framing,
+    determine_framing,
+    is_whole_at_end,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from aiohttp.client_proto import ResponseHandler
+    from aiohttp.connector import Connection
+
+__all__ = ["TrackedResponse", "iterate_body", "read_body"]
+
+
+class TrackedResponse(aiohttp.ClientResponse):
+    """Response that remembers its connection, which aiohttp releases when the body ends."""
+
+    _body_protocol: ResponseHandler | None = None
+
+    async def start(self, connection: Connection) -> aiohttp.ClientResponse:
+        """Read the head of the response."""
+        self._body_protocol = connection.protocol
+        return await super().start(connection)
+
+    def find_connection_end(self) -> ConnectionEnd:
+        """Return how the connection ended, after the body has ended with it."""
+        protocol = self._body_protocol
+        if protocol is None or isinstance(protocol.exception(), OSError):
+            return ConnectionEnd.RESET
+        return ConnectionEnd.CLOSED_BY_PEER
+
+
+async def iterate_body(
+    response: aiohttp.ClientResponse, limit: int | None = None
+) -> AsyncIterator[bytes]:
+    """Yield the parts of a body as they arrive.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        Response of a session that `open_session` opened.
+    limit : int, optional
+        Largest body in bytes.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        The body is not whole, or larger than `limit`. The connection has been closed.
+    """
+    size = 0
+    async for part in response.content.iter_any():
+        size += len(part)
+        if limit is not None and size > limit:
+            response.close()
+            raise aiohttp.ClientPayloadError(f"body has over {limit} bytes")
+        yield part
+    reason = _find_truncation(response)
+    if reason:
+        raise aiohttp.ClientPayloadError(reason)
+
+
+async def read_body(response: aiohttp.ClientResponse, limit: int) -> bytes:
+    """Return a whole body; raises as `iterate_body` does."""
+    return b"".join([part async for part in iterate_body(response, limit)])
+
+
+def _find_truncation(response: aiohttp.ClientResponse) -> str:
+    """Return why a body that has ended may not be whole, or an empty string if it is."""
+    bodiless = response.method == "HEAD"
+    framing = determine_framing(response.status, list(response.raw_headers), bodiless)
+    if framing is not Framing.CLOSE:
+        return ""
+    if not isinstance(response, TrackedResponse):
+        return "body without a length, on a connection that is not tracked"
+    end = response.find_connection_end()
+    return "" if is_whole_at_end(framing, end) else f"body without a length, connection {end.value}"
