Read bodies of aiohttp responses through one bounded reader

Ten places read bodies by themselves, most of them without a bound: an engine, rank, guard or daemon that sends without end would have taken the memory of the process. web/bodies.py reads them all now, up to 4 MiB for a message or a response that is read whole, and decides in one place whether a body is whole. A response of an endpoint that is larger than that ends with the reason in its error.

The tests of deliver and of the guard's load read a body as an iterator now, as the code does; what they check is unchanged.

--- a/magnoliarouter/daemon/collector.py
+++ b/magnoliarouter/daemon/collector.py
@@ -20,6 +20,7 @@
 from magnoliarouter.core.digest import DigestRow, DigestTable
 from magnoliarouter.endpoints.messages import GuardStatus
 from magnoliarouter.peers.messages import Digest, DigestRequest, encode_rows
+from magnoliarouter.web.bodies import read_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -145,6 +146,6 @@
         try:
             async with asyncio.timeout(LONG_POLL_S + interval_s + RESPONSE_MARGIN_S):
                 async with self._session.get(url) as response:
-                    return msgspec.json.decode(await response.read(), type=GuardStatus)
+                    return msgspec.json.decode(await read_body(response), type=GuardStatus)
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.DecodeError):
             return None
--- a/magnoliarouter/daemon/orders.py
+++ b/magnoliarouter/daemon/orders.py
@@ -18,6 +18,7 @@
 from magnoliarouter.store.client import Found
 from magnoliarouter.store.objects import EndpointSpec, ObjectError, decode_object
 from magnoliarouter.telemetry.logs import log_event
+from magnoliarouter.web.bodies import read_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -130,6 +131,6 @@
                 async with self._session.post(
                     url, data=msgspec.json.encode(request), allow_redirects=False
                 ) as response:
-                    return msgspec.json.decode(await response.read(), type=OrderReply)
+                    return msgspec.json.decode(await read_body(response), type=OrderReply)
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.DecodeError) as error:
             return OrderReply(OrderState.PENDING.value, 0, type(error).__name__)
--- a/magnoliarouter/endpoints/execution.py
+++ b/magnoliarouter/endpoints/execution.py
@@ -20,7 +20,6 @@
 
 WRONG_ATTEMPT_REASON = "the answer belongs to another attempt"
 MAX_STORED_BODY_BYTES = 65_536
-MAX_BODY_BYTES = 4_194_304
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +78,7 @@
 
 
 async def _read_response(response: aiohttp.ClientResponse) -> Executed:
-    body = await read_body(response, MAX_BODY_BYTES)
+    body = await read_body(response)
     stored_body = body if len(body) <= MAX_STORED_BODY_BYTES else None
     content_type = response.headers.get("content-type", "application/octet-stream")
     digest = hashlib.sha256(body).hexdigest()
--- a/magnoliarouter/endpoints/group.py
+++ b/magnoliarouter/endpoints/group.py
@@ -22,6 +22,7 @@
 from magnoliarouter.core.mapswitch import Grant, RankState, create_report
 from magnoliarouter.store.client import Found
 from magnoliarouter.telemetry.logs import log_event
+from magnoliarouter.web.bodies import read_body
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -321,7 +322,7 @@
                 async with self._session.request(
                     method, url, data=body, headers=headers
                 ) as response:
-                    raw = await response.read()
+                    raw = await read_body(response)
                     return raw if response.status == 200 else None
         except (aiohttp.ClientError, OSError, TimeoutError):
             return None
--- a/magnoliarouter/endpoints/monitor.py
+++ b/magnoliarouter/endpoints/monitor.py
@@ -15,6 +15,7 @@
 from magnoliarouter.core.load import LoadReport
 from magnoliarouter.core.prefixes import CacheChange, CacheLog
 from magnoliarouter.endpoints.report import CacheChangeRow, LoadRow
+from magnoliarouter.web.bodies import read_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -260,6 +261,6 @@
 async def _read(session: aiohttp.ClientSession, url: str) -> tuple[int, bytes]:
     try:
         async with asyncio.timeout(POLL_TIMEOUT_S), session.get(url) as response:
-            return response.status, await response.read()
+            return response.status, await read_body(response)
     except (aiohttp.ClientError, OSError, TimeoutError):
         return 0, b""
--- a/magnoliarouter/endpoints/ranks.py
+++ b/magnoliarouter/endpoints/ranks.py
@@ -10,6 +10,7 @@
 
 from magnoliarouter.core.mapmessages import Order, Report
 from magnoliarouter.endpoints.group import KEY_HEADER, RankLoad
+from magnoliarouter.web.bodies import read_body
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -55,7 +56,7 @@
                 async with self._session.request(
                     method, url, data=body, headers=self._headers
                 ) as response:
-                    raw = await response.read()
+                    raw = await read_body(response)
                     return raw if response.status == 200 else None
         except (aiohttp.ClientError, OSError, TimeoutError):
             return None
--- a/magnoliarouter/pipeline/deliver.py
+++ b/magnoliarouter/pipeline/deliver.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from magnoliarouter.core.outcome import Completed, Outcome, ResultCode, Unknown
+from magnoliarouter.web.bodies import MAX_MESSAGE_BYTES, limit_parts
 from magnoliarouter.web.exchange import error_body
 
 if TYPE_CHECKING:
@@ -71,10 +72,11 @@
     Nothing of a truncated response is sent, so that the call can be retried on another endpoint.
     """
     try:
-        body = await response.body.read()
-    except (aiohttp.ClientError, OSError):
+        body = b"".join([part async for part in limit_parts(response.body, MAX_MESSAGE_BYTES)])
+    except (aiohttp.ClientError, OSError) as error:
         meter.is_exact = False
-        return TRUNCATED
+        reason = f"{TRUNCATED.reason}: {error}" if str(error) else TRUNCATED.reason
+        return Unknown(TRUNCATED.code, reason)
     _record_usage(body, meter)
     await exchange.send(response.status, body, {**response.headers, **headers})
     return Completed(ResultCode.OK, response.status)
@@ -89,7 +91,7 @@
     without the last frame. Nothing is sent of a stream that breaks off before its first byte, so
     that the call can be retried on another endpoint.
     """
-    chunks = aiter(response.body.iter_any())
+    chunks = aiter(response.body)
     first = await _read_first(chunks)
     if not first:
         return TRUNCATED
--- a/magnoliarouter/pipeline/dispatch.py
+++ b/magnoliarouter/pipeline/dispatch.py
@@ -24,6 +24,7 @@
     select_relayed_headers,
 )
 from magnoliarouter.endpoints.proof import UNREACHABLE_REFUSAL, find_refusal, was_unsent
+from magnoliarouter.web.bodies import iterate_body
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Mapping
@@ -56,14 +57,14 @@
         Id of the attempt that the response belongs to.
     headers : dict of str to str
         Header fields for the caller.
-    body : aiohttp.StreamReader
-        Unread body.
+    body : async iterator of bytes
+        Parts of the unread body; `aiohttp.ClientPayloadError` if it turns out not to be whole.
     """
 
     status: int
     attempt: str
     headers: dict[str, str]
-    body: aiohttp.StreamReader
+    body: AsyncIterator[bytes]
 
 
 @asynccontextmanager
@@ -144,7 +145,7 @@
         code = _parse_code(response.headers[FAILURE_HEADER])
         return Unknown(code, "the endpoint's answer was lost behind its guard")
     relayed = select_relayed_headers(response.headers)
-    return EndpointResponse(response.status, attempt, relayed, response.content)
+    return EndpointResponse(response.status, attempt, relayed, iterate_body(response))
 
 
 def _parse_code(value: str) -> ResultCode:
--- a/magnoliarouter/pipeline/guards.py
+++ b/magnoliarouter/pipeline/guards.py
@@ -36,6 +36,7 @@
     GuardClock,
 )
 from magnoliarouter.endpoints.proof import find_refusal, is_fenced, was_unsent
+from magnoliarouter.web.bodies import read_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -150,7 +151,7 @@
                 ) as response:
                     if response.status != 200:
                         return None
-                    return msgspec.json.decode(await response.read(), type=reply_type)
+                    return msgspec.json.decode(await read_body(response), type=reply_type)
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.DecodeError):
             return None
 
@@ -170,7 +171,7 @@
             return NotStarted(refusal, fenced=refusal == StartVerdict.FENCED.value)
         if VERDICT_HEADER in headers or FAILURE_HEADER in headers:
             return AttemptDoubt("the guard has no answer to it")
-        body = await response.read()
+        body = await read_body(response)
         content_type = headers.get("content-type", "application/octet-stream")
         digest = hashlib.sha256(body).hexdigest()
         return Answered(StoredResponse(response.status, content_type, digest, len(body), body))
--- a/magnoliarouter/store/transport.py
+++ b/magnoliarouter/store/transport.py
@@ -58,7 +58,7 @@
         import aiohttp
         from yarl import URL
 
-        from magnoliarouter.web.bodies import iterate_body
+        from magnoliarouter.web.bodies import BodyTooLarge, read_body
 
         url = URL(self._base_url + call.target, encoded=True)
         try:
@@ -66,14 +66,9 @@
                 async with self._session.request(
                     call.method, url, headers=call.headers, data=call.body, allow_redirects=False
                 ) as response:
-                    parts, size = [], 0
-                    async for part in iterate_body(response):
-                        size += len(part)
-                        if size > limit:
-                            response.close()
-                            return _too_large(limit)
-                        parts.append(part)
-                    return response.status, b"".join(parts)
+                    return response.status, await read_body(response, limit)
+        except BodyTooLarge:
+            return _too_large(limit)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Unavailable(type(error).__name__, Failure.CONNECT)
         except TimeoutError:
--- a/magnoliarouter/tests/test_deliver.py
+++ b/magnoliarouter/tests/test_deliver.py
@@ -23,17 +23,15 @@
         self.parts = parts
         self.error = error
 
-    async def iter_any(self):
+    def __aiter__(self):
+        return self.iterate()
+
+    async def iterate(self):
         for part in self.parts:
             yield part
         if self.error:
             raise self.error
 
-    async def read(self) -> bytes:
-        if self.error:
-            raise self.error
-        return b"".join(self.parts)
-
 
 class FakeExchange:
     """Exchange that records the response sent to the caller."""
--- a/magnoliarouter/tests/test_guard_load.py
+++ b/magnoliarouter/tests/test_guard_load.py
@@ -48,7 +48,8 @@
         opened = open_attempt(self.session, endpoint, call, now, self.heads.append)
         async with opened as response:
             if isinstance(response, EndpointResponse):
-                await response.body.read()
+                async for _ in response.body:
+                    pass
             return response
 
     async def test_full_guard_refuses_with_proof_and_reports_its_load(self):
--- a/magnoliarouter/web/bodies.py
+++ b/magnoliarouter/web/bodies.py
@@ -23,7 +23,22 @@
     from aiohttp.client_proto import ResponseHandler
     from aiohttp.connector import Connection
 
-__all__ = ["TrackedResponse", "iterate_body", "read_body"]
+__all__ = [
+    "MAX_MESSAGE_BYTES",
+    "BodyTooLarge",
+    "TrackedResponse",
+    "iterate_body",
+    "limit_parts",
+    "read_body",
+]
+
+# Largest message of another daemon, a guard, a rank or an engine, and largest response that is read
+# whole before it is relayed.
+MAX_MESSAGE_BYTES = 4_194_304
+
+
+class BodyTooLarge(aiohttp.ClientPayloadError):
+    """A body is larger than its reader takes."""
 
 
 class TrackedResponse(aiohttp.ClientResponse):
@@ -44,38 +59,46 @@
         return ConnectionEnd.CLOSED_BY_PEER
 
 
-async def iterate_body(
-    response: aiohttp.ClientResponse, limit: int | None = None
-) -> AsyncIterator[bytes]:
+async def iterate_body(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
     """Yield the parts of a body as they arrive.
 
     Parameters
     ----------
     response : aiohttp.ClientResponse
         Response of a session that `open_session` opened.
-    limit : int, optional
-        Largest body in bytes.
 
     Raises
     ------
     aiohttp.ClientPayloadError
-        The body is not whole, or larger than `limit`. The connection has been closed.
+        The body is not whole.
     """
-    size = 0
     async for part in response.content.iter_any():
-        size += len(part)
-        if limit is not None and size > limit:
-            response.close()
-            raise aiohttp.ClientPayloadError(f"body has over {limit} bytes")
         yield part
     reason = _find_truncation(response)
     if reason:
         raise aiohttp.ClientPayloadError(reason)
 
 
-async def read_body(response: aiohttp.ClientResponse, limit: int) -> bytes:
-    """Return a whole body; raises as `iterate_body` does."""
-    return b"".join([part async for part in iterate_body(response, limit)])
+async def read_body(response: aiohttp.ClientResponse, limit: int = MAX_MESSAGE_BYTES) -> bytes:
+    """Return a whole body of at most `limit` bytes; raises `aiohttp.ClientPayloadError` if not.
+
+    The connection of a response that is not read to its end is closed.
+    """
+    try:
+        return b"".join([part async for part in limit_parts(iterate_body(response), limit)])
+    except aiohttp.ClientPayloadError:
+        response.close()
+        raise
+
+
+async def limit_parts(parts: AsyncIterator[bytes], limit: int) -> AsyncIterator[bytes]:
+    """Yield the parts of a body; raises `BodyTooLarge` after `limit` bytes."""
+    size = 0
+    async for part in parts:
+        size += len(part)
+        if size > limit:
+            raise BodyTooLarge(f"body has over {limit} bytes")
+        yield part
 
 
 def _find_truncation(response: aiohttp.ClientResponse) -> str:
