Refuse bodies in a transfer coding other than chunked

What callers saw: a body in gzip, chunked was relayed still encoded, without the field that says so, as complete. Cause: any Transfer-Encoding counted as chunks. It is hop-by-hop, so that the gateway would have to decode the body; it never asks for one. The tests failed before.

--- a/magnoliarouter/core/framing.py
+++ b/magnoliarouter/core/framing.py
@@ -16,6 +16,8 @@
     LENGTH = "length"
     CHUNKED = "chunked"
     CLOSE = "close"
+    # A transfer coding other than `chunked` would have to be decoded before the body is relayed.
+    UNSUPPORTED = "unsupported"
 
 
 class ConnectionEnd(Enum):
@@ -49,10 +51,11 @@
     """
     if bodiless or status in BODILESS_STATUSES:
         return Framing.NONE
-    names = {name.lower() for name, _ in fields}
-    if b"transfer-encoding" in names:
-        return Framing.CHUNKED
-    return Framing.LENGTH if b"content-length" in names else Framing.CLOSE
+    named = {name.lower(): value for name, value in fields}
+    coding = named.get(b"transfer-encoding")
+    if coding is not None:
+        return Framing.CHUNKED if coding.strip().lower() == b"chunked" else Framing.UNSUPPORTED
+    return Framing.LENGTH if b"content-length" in named else Framing.CLOSE
 
 
 def is_whole_at_end(framing: Framing, end: ConnectionEnd) -> bool:
--- a/magnoliarouter/tests/test_upstream.py
+++ b/magnoliarouter/tests/test_upstream.py
@@ -87,6 +87,11 @@
             (b"HTTP/1.1 20", UpstreamErrorKind.TRUNCATED),
             (head + b"half", UpstreamErrorKind.TRUNCATED),
             (chunked + b"4\r\nhalf\r\n", UpstreamErrorKind.TRUNCATED),
+            (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nx", UpstreamErrorKind.MALFORMED),
+            (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+                UpstreamErrorKind.MALFORMED,
+            ),
             (b"what is this\r\n\r\n", UpstreamErrorKind.MALFORMED),
         )
         for data, kind in cases:
--- a/magnoliarouter/web/bodies.py
+++ b/magnoliarouter/web/bodies.py
@@ -105,6 +105,8 @@
     """Return why a body that has ended may not be whole, or an empty string if it is."""
     bodiless = response.method == "HEAD"
     framing = determine_framing(response.status, list(response.raw_headers), bodiless)
+    if framing is Framing.UNSUPPORTED:
+        return "body in an unsupported transfer coding"
     if framing is not Framing.CLOSE:
         return ""
     if not isinstance(response, TrackedResponse):
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -232,6 +232,12 @@
             raise item
         return item
 
+    def _fail(self, reason: str) -> None:
+        """Close the connection because the received bytes are no valid response."""
+        self._close_after_response = True
+        self._add_item(UpstreamError(UpstreamErrorKind.MALFORMED, reason))
+        self.close()
+
     def _add_item(self, item: object) -> None:
         self._received_items.append(item)
         if self._waiter is not None and not self._waiter.done():
@@ -254,9 +260,7 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._close_after_response = True
-            self._add_item(UpstreamError(UpstreamErrorKind.MALFORMED, str(error)))
-            self.close()
+            self._fail(str(error))
             return
         if self._unread_body_bytes > READ_HIGH_WATER_MARK_BYTES and not self._reading_paused:
             self._reading_paused = True
@@ -301,6 +305,9 @@
         if status in INFORMATIONAL_STATUSES:
             return
         self._framing = determine_framing(status, self._fields, self._bodiless)
+        if self._framing is Framing.UNSUPPORTED:
+            self._fail("body in an unsupported transfer coding")
+            return
         if not self._parser.should_keep_alive():
             self._close_after_response = True
         self._add_item(ResponseHead(status, self._fields, self._framing))
