Relay endpoints' responses without a length through the guard

An answer may come with neither a length nor chunks and end with its connection; the guard answered 502 to every such one, except event streams, since it could not tell a close from a reset. The test case of a body without a length that ends in a clean close demanded 502: it is reset there now, which is what truncates it, the clean close passes whole in a test of its own, and the framed cases are played with both ends.

--- a/magnoliarouter/endpoints/guard.py
+++ b/magnoliarouter/endpoints/guard.py
@@ -46,7 +46,7 @@
 )
 from magnoliarouter.endpoints.monitor import EndpointMonitor
 from magnoliarouter.endpoints.proof import was_unsent
-from magnoliarouter.endpoints.relay import is_truncation_detectable, parse_not_after, read_message
+from magnoliarouter.endpoints.relay import parse_not_after, read_message
 from magnoliarouter.endpoints.report import LOAD_HEADER, encode_load_header
 from magnoliarouter.web.bodies import iterate_body
 from magnoliarouter.web.exchange import error_body
@@ -318,10 +318,6 @@
                 exchange, attempt, ResultCode.WRONG_ATTEMPT, WRONG_ATTEMPT_REASON
             )
             return
-        if not is_truncation_detectable(response):
-            reason = "answer without a length"
-            await self._send_failure(exchange, attempt, ResultCode.ENDPOINT_ERROR, reason)
-            return
         relayed = select_relayed_headers(response.headers, GUARD_HEADERS)
         await exchange.start(response.status, {**relayed, **self._build_headers(attempt)})
         streamed = response.content_type == EVENT_STREAM
--- a/magnoliarouter/endpoints/relay.py
+++ b/magnoliarouter/endpoints/relay.py
@@ -10,13 +10,9 @@
 from magnoliarouter.web.exchange import error_body
 
 if TYPE_CHECKING:
-    import aiohttp
-
     from magnoliarouter.web.exchange import Exchange
 
-__all__ = ["parse_not_after", "read_message", "is_truncation_detectable"]
-
-EVENT_STREAM = "text/event-stream"
+__all__ = ["parse_not_after", "read_message"]
 
 Message = TypeVar("Message", bound=msgspec.Struct)
 
@@ -39,12 +35,3 @@
         return float(text)
     except ValueError:
         return float("-inf")
-
-
-def is_truncation_detectable(response: aiohttp.ClientResponse) -> bool:
-    """Return whether truncation of the endpoint's response can be detected."""
-    if response.content_type == EVENT_STREAM:
-        return True
-    framed = "content-length" in response.headers
-    chunked = "chunked" in response.headers.get("transfer-encoding", "").lower()
-    return framed or chunked or response.status in (204, 304) or response.method == "HEAD"
--- a/magnoliarouter/tests/test_guard.py
+++ b/magnoliarouter/tests/test_guard.py
@@ -118,13 +118,28 @@
         )
         for truncated in truncated_responses:
             with self.subTest(truncated):
-                await self.open(truncated, close=True)
+                await self.open(truncated, reset=True)
                 try:
                     status, _, _ = await self.send()
                 except aiohttp.ClientPayloadError:
                     continue
                 self.assertEqual(status, 502)
 
+    async def test_responses_that_end_early_by_a_clean_close_are_visible(self):
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for truncated in (OK + b"\r\no", chunked + b"2\r\nok\r\n", chunked + b"5\r\nok"):
+            with self.subTest(truncated):
+                await self.open(truncated, close=True)
+                with self.assertRaises(aiohttp.ClientPayloadError):
+                    await self.send()
+
+    async def test_response_without_length_passes_whole(self):
+        whole = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok"
+        await self.open(whole, whole, close=True)
+        self.assertEqual((await self.send())[2], b"ok")
+        self.assertEqual((await self.send_once("b"))[2], b"ok")
+        self.assertEqual((await self.fence("b")).state, "finished")
+
     async def test_event_stream_without_length_that_is_reset_is_not_relayed_as_complete(self):
         head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
         await self.open(head + b"data: 1\n\n", reset=True)
