Bound what an endpoint, the store or a caller may send, in bytes and in time

Bytes that are no answer may come without end. The connection is closed, the call gets an unknown outcome or is repeated elsewhere where it may be, and the endpoint is suspected.

The search for the end of an event goes on where it stopped, which had taken time with the square of an event's size.

--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -247,13 +247,12 @@
             and is_event_stream(head.fields)
         ):
             return await self._relay_stream(call, exchange, connection, endpoint, headers, progress)
-        remaining_s = max(0.0, call.deadline - self._clock())
-        try:
-            async with asyncio.timeout(remaining_s):
-                body = await connection.read_body()
-        except TimeoutError:
-            reason = f"the rest of the answer did not come within {remaining_s:.3f} s"
-            return FailedAttempt(ResultCode.DEADLINE_EXCEEDED, reason, None)
+        received = bytearray()
+        body = await self._read_within_limit(
+            call, endpoint, progress, lambda: connection.read_body(body=received)
+        )
+        if isinstance(body, FailedAttempt):
+            return body
         return await self._classify_response(
             call, exchange, BufferedResponse(head.status, headers, body)
         )
@@ -374,14 +373,11 @@
         splitter.restart()
         first = True
         while True:
-            part = await self._read_part(call, connection, endpoint, progress)
-            if isinstance(part, FailedAttempt):
-                return part
-            if part is None:
+            events = await self._read_events(call, connection, endpoint, progress)
+            if isinstance(events, FailedAttempt):
+                return events
+            if events is None:
                 break
-            events = splitter.feed(part)
-            if not events:
-                continue
             now = self._clock()
             gap_s, progress.last_event_at = now - progress.last_event_at, now
             if not first:
@@ -405,15 +401,28 @@
         await exchange.finish()
         return Completed(ResultCode.OK, 200)
 
-    async def _read_part(
+    async def _read_events(
         self,
         call: GatewayCall,
         connection: UpstreamConnection,
         endpoint: Endpoint,
         progress: CallProgress,
     ) -> bytes | None | FailedAttempt:
+        """Return the next whole events, or None at the end of the body.
+
+        An endpoint that sends bytes but no whole event is as silent as one that sends nothing.
+        """
+
+        async def read() -> bytes | None:
+            while (part := await connection.read_part()) is not None:
+                if events := progress.splitter.feed(part):
+                    return events
+            return None
+
         try:
-            return await self._read_within_limit(call, endpoint, progress, connection.read_part)
+            return await self._read_within_limit(call, endpoint, progress, read)
+        except ValueError as error:
+            return FailedAttempt(ResultCode.ENDPOINT_ERROR, str(error), None)
         except UpstreamError as error:
             if progress.moving:
                 progress.moving = False
--- a/magnoliarouter/gateway/frames.py
+++ b/magnoliarouter/gateway/frames.py
@@ -13,6 +13,9 @@
 EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 LINE_ENDS = b"\r\n"
+# The longest end of an event.
+MAX_EVENT_END_BYTES = 4
+MAX_EVENT_BYTES = 1_048_576
 
 
 def is_event_stream(fields: list[tuple[bytes, bytes]]) -> bool:
@@ -58,17 +61,26 @@
     events: int = 0
 
     def feed(self, data: bytes) -> bytes:
-        """Add received bytes and return the events that they complete."""
+        """Add received bytes and return the events that they complete.
+
+        Raises
+        ------
+        ValueError
+            The incomplete event has over `MAX_EVENT_BYTES`.
+        """
+        unsearched = max(0, len(self.partial) - MAX_EVENT_END_BYTES + 1)
         self.partial += data
         complete = bytearray()
         start = 0
-        for end in EVENT_END.finditer(self.partial):
+        for end in EVENT_END.finditer(self.partial, unsearched):
             event = bytes(self.partial[start : end.end()])
             start = end.end()
             if self._is_new(event):
                 complete += event
                 self.events += 1
         del self.partial[:start]
+        if len(self.partial) > MAX_EVENT_BYTES:
+            raise ValueError(f"an event has over {MAX_EVENT_BYTES} bytes")
         return bytes(complete)
 
     @property
--- a/magnoliarouter/platform/ranks.py
+++ b/magnoliarouter/platform/ranks.py
@@ -31,7 +31,7 @@
 READ_TIMEOUT_S = 0.25
 # Short, because a held group waits for the next attempt of an order that got no response.
 ORDER_TIMEOUT_S = 0.05
-MAX_RESPONSE_BYTES = 4_194_304
+MAX_RESPONSE_BYTES = 262_144
 RESULT_BY_STATUS = {
     200: OrderResult.TAKEN,
     202: OrderResult.TAKEN,
--- a/magnoliarouter/web/ingress.py
+++ b/magnoliarouter/web/ingress.py
@@ -232,8 +232,9 @@
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
         self._partial_request: _PartialRequest | None = None
-        # Bytes received since the last complete request.
+        # Bytes received since the last complete request, and since its last body bytes.
         self._received_bytes = 0
+        self._overhead_bytes = 0
         self._pipelined_requests: deque[IngressRequest] = deque()
         self._exchange: IngressExchange | None = None
         self._task: asyncio.Task[None] | None = None
@@ -279,6 +280,7 @@
         if self._rejected:
             return
         self._received_bytes += len(data)
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -332,6 +334,7 @@
         partial = self._partial_request
         assert partial is not None
         partial.head_complete = True
+        self._overhead_bytes = 0
         if self._task is None:
             # A large body over a slow link may take longer to arrive than a head may.
             self._start_timer(self.server.limits.idle_timeout_s, self._reject_slow_request)
@@ -345,12 +348,13 @@
         """Append bytes to the body."""
         assert self._partial_request is not None
         self._partial_request.body += body
+        self._overhead_bytes = 0
 
     def on_message_complete(self) -> None:
         """Queue the complete request, and serve it if no other is in progress."""
         partial, self._partial_request = self._partial_request, None
         assert partial is not None
-        self._received_bytes = 0
+        self._received_bytes = self._overhead_bytes = 0
         if self._parser.should_upgrade():
             # The bytes that follow would not be HTTP; the parser raises HttpParserUpgrade next.
             return
@@ -378,6 +382,8 @@
             return
         if not partial.head_complete and self._received_bytes > limits.max_header_bytes:
             self._reject(431, ResultCode.HEADER_TOO_LARGE, "header section is too large")
+        elif partial.head_complete and self._overhead_bytes > limits.max_header_bytes:
+            self._reject(431, ResultCode.HEADER_TOO_LARGE, "chunk header or trailers are too large")
         elif len(partial.body) > limits.max_body_bytes:
             self._reject(413, ResultCode.BODY_TOO_LARGE, "body is too large")
 
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -55,6 +55,10 @@
 # Reuse ends this long before the endpoint closes an idle connection, so that a request is not sent
 # while the connection is being closed.
 KEEP_ALIVE_MARGIN_S = 0.4
+# Bytes of a head, of a chunk header or of trailers, including informational responses before the head.
+MAX_OVERHEAD_BYTES = 65_536
+# Largest body that is read whole.
+MAX_BODY_BYTES = 4_194_304
 INFORMATIONAL_STATUSES = range(100, 200)
 
 
@@ -117,6 +121,8 @@
         self._fields: HeaderFields = []
         self._in_response = False
         self._framing = Framing.NONE
+        # Bytes since the parser last passed on a head, a part of a body or an end.
+        self._overhead_bytes = 0
         self._bodiless = False
         self._close_after_response = False
         self._busy = False
@@ -164,12 +170,27 @@
             return None
         raise UpstreamError(UpstreamErrorKind.MALFORMED, "a head within a body")
 
-    async def read_body(self) -> bytes:
-        """Return the rest of the body."""
-        parts = []
+    async def read_body(self, limit: int = MAX_BODY_BYTES, body: bytearray | None = None) -> bytes:
+        """Return the rest of the body.
+
+        Parameters
+        ----------
+        limit : int
+            Largest body in bytes.
+        body : bytearray, optional
+            Collects the body, so that a read that was cancelled can be continued.
+
+        Raises
+        ------
+        UpstreamError
+            The body is not whole, or larger than `limit`.
+        """
+        body = bytearray() if body is None else body
         while (part := await self.read_part()) is not None:
-            parts.append(part)
-        return b"".join(parts)
+            body += part
+            if len(body) > limit:
+                raise UpstreamError(UpstreamErrorKind.MALFORMED, f"body has over {limit} bytes")
+        return bytes(body)
 
     def record_keep_alive(self, seconds: float | None) -> None:
         """Limit the reuse of the connection by the endpoint's keep-alive timeout, if announced."""
@@ -239,6 +260,7 @@
         self.close()
 
     def _add_item(self, item: object) -> None:
+        self._overhead_bytes = 0
         self._received_items.append(item)
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
@@ -257,11 +279,15 @@
             # Bytes received on an idle connection belong to no request.
             self.close()
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(str(error))
             return
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self._fail(f"over {MAX_OVERHEAD_BYTES} bytes of head, chunk header or trailers")
+            return
         if self._unread_body_bytes > READ_HIGH_WATER_MARK_BYTES and not self._reading_paused:
             self._reading_paused = True
             assert self._transport is not None
