--- a/magnoliarouter/tests/test_endless.py
+++ b/magnoliarouter/tests/test_endless.py
@@ -8,13 +8,14 @@
 import unittest
 
 from magnoliarouter.core.outcome import Completed, ResultCode, Unknown
+from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.gateway.attempt import SILENCE_TIMEOUT_S
 from magnoliarouter.gateway.frames import MAX_EVENT_BYTES
 from magnoliarouter.gateway.ranks import Go, OrderResult
 from magnoliarouter.gateway.routes import RouteKind
 from magnoliarouter.platform.ranks import PlatformRanks
 from magnoliarouter.store.results import Unavailable
-from magnoliarouter.store.transport import UpstreamTransport
+from magnoliarouter.store.transport import SessionTransport, UpstreamTransport
 from magnoliarouter.store.wire import StoreCall
 from magnoliarouter.tests.raw_server import RawPeer, RawServer, build_response
 from magnoliarouter.tests.test_forward import EVENTS, STREAM, FakeExchange, ForwardCase, build_route
@@ -189,6 +190,16 @@
                 self.assertIsInstance(result, Unavailable)
                 self.assert_memory_is_bounded()
 
+    async def test_responses_read_by_aiohttp_are_bounded(self):
+        session = await self.enterAsyncContext(open_session())
+        for name, (first, piece) in ENDLESS_RESPONSES.items():
+            with self.subTest(name):
+                address = await self.start(first, piece)
+                transport = SessionTransport(f"http://{address}", session)
+                result = await transport.exchange(StoreCall("GET", "/x"), 2.0, 1_000_000)
+                self.assertIsInstance(result, Unavailable)
+                self.assert_memory_is_bounded()
+
 
 class EndlessRequestTest(MemoryCase):
     async def start(self):
