Send nothing to endpoints that say that they leave, or that ask for a pause

Endpoints say in their responses that they leave, or, with a refusal, for how many seconds they want no requests. gateway/notices.py keeps both by name and start of the endpoint, apart from the registry, which may lag. They are asked when a call is placed and again when its connection is open; calls that wait are placed elsewhere or refused at once. Counters, log lines, the state in magnoliactl gateway status and explain tell of both.

--- a/magnoliarouter/cli/explain.py
+++ b/magnoliarouter/cli/explain.py
@@ -28,7 +28,10 @@
     "endpoint_draining",
     "endpoint_gone",
     "endpoint_held",
+    "endpoint_leaving",
     "endpoint_malformed",
+    "endpoint_paused",
+    "pause_malformed",
     "endpoint_suspected",
 }
 DAEMON_STATE_EVENTS = {
--- a/magnoliarouter/core/codes.py
+++ b/magnoliarouter/core/codes.py
@@ -102,6 +102,9 @@
     ResultCode.SERVICE_STALLED: CodeDescription(
         503, "Every endpoint of the service is cut off or stands still.", _RETRY_LATER
     ),
+    ResultCode.ENDPOINTS_PAUSED: CodeDescription(
+        503, "Every endpoint of the service asked for a pause.", _RETRY_LATER
+    ),
     ResultCode.ENDPOINT_REFUSED: CodeDescription(
         503, "The endpoint's guard did not start the request.", _RETRY_LATER
     ),
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -101,7 +101,8 @@
     decode_endpoint : callable
         Converts a name and a value to an `Endpoint`.
     open_ranks : callable
-        Returns a client for calls to ranks over a pool of connections.
+        Returns a client for calls to ranks over a pool of connections, which calls the function given
+        second with the address of an endpoint that says that it is leaving.
     """
 
     headers: HeaderCodec
@@ -112,7 +113,7 @@
     decode_configuration: Callable[[Any], GatewayConfig]
     endpoint_kind: str
     decode_endpoint: Callable[[str, Any], Endpoint]
-    open_ranks: Callable[[UpstreamPool], RankClient]
+    open_ranks: Callable[[UpstreamPool, Callable[[str], None]], RankClient]
 
 
 class GatewayDaemon:
@@ -163,7 +164,7 @@
         )
         await self.peers.open(*split_address(settings.peers))
         self._queue = WaitQueue(self.table, clock, self.peers.count_daemons)
-        self._rank_client = interface.open_ranks(self._pool)
+        self._rank_client = interface.open_ranks(self._pool, self._record_leaving_at)
         self._group_watch = GroupWatch(
             self._rank_client, self._list_members, clock, self._apply_group_change
         )
@@ -175,7 +176,7 @@
             self._is_unavailable,
             self._find_load_limit,
         )
-        forwarder = GatewayForwarder(
+        self._forwarder = forwarder = GatewayForwarder(
             self.table,
             self._queue,
             self._pool,
@@ -333,6 +334,7 @@
             clock,
             self._gap_meter.mean_gap,
             on_paces=self._apply_own_paces,
+            is_leaving=self._is_leaving,
         )
         self.peers.read_slow_ranks = self.maps.list_slow_ranks
         self.peers.apply_slow_ranks = self._paces.apply_report
@@ -389,6 +391,16 @@
         if not self._group_watch.has_stalled_group():
             self.maps.rediscover()
 
+    def _record_leaving_at(self, address: str) -> None:
+        """Record that the endpoint at an address said so in a report or a response to an order."""
+        for endpoint in self.table.list():
+            if endpoint.address == address:
+                self._forwarder.record_leaving(endpoint, "report")
+
+    def _is_leaving(self, identity: str) -> bool:
+        endpoint = self.table.find(identity)
+        return endpoint is not None and self.table.notices.is_leaving(endpoint)
+
     def _apply_own_paces(self, slow: dict[str, float]) -> None:
         """Apply the paces that this daemon read as map leader, and tell the other daemons."""
         self._paces.apply_report(slow)
--- a/magnoliarouter/daemon/gatewayview.py
+++ b/magnoliarouter/daemon/gatewayview.py
@@ -49,6 +49,7 @@
                 "load": daemon.table.load_of(endpoint.identity, now),
                 "slots": endpoint.slots,
                 "state": _name_state(daemon, endpoint, now),
+                "pause_s": _round(max(0.0, daemon.table.notices.paused_until(endpoint) - now)),
             }
             for endpoint in daemon.table.list()
         },
@@ -64,6 +65,10 @@
 def _name_state(daemon: GatewayDaemon, endpoint: Endpoint, now: float) -> str:
     if endpoint.draining:
         return "draining"
+    if daemon.table.notices.is_leaving(endpoint):
+        return "leaving"
+    if daemon.table.notices.paused_until(endpoint) > now:
+        return "paused"
     if daemon.table.is_unavailable(endpoint):
         return "out of reach"
     return "suspected" if daemon.table.outliers.is_ejected(endpoint.identity, now) else "ready"
--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -75,6 +75,10 @@
         Whether the attempt was abandoned because the endpoint sent nothing.
     moved : bool
         Whether this daemon ended the attempt to move the stream to another endpoint.
+    withheld : bool
+        Whether nothing was sent because the endpoint takes no requests any more.
+    paused : bool
+        Whether the endpoint asked for a pause, so that its refusal is no failure.
     """
 
     code: ResultCode
@@ -85,6 +89,8 @@
     stalled: bool = False
     timed_out: bool = False
     moved: bool = False
+    withheld: bool = False
+    paused: bool = False
 
 
 @dataclass(slots=True)
@@ -150,6 +156,8 @@
         Returns the ranks of an endpoint's group.
     on_silence : callable
         Called with an endpoint that sent nothing for `SILENCE_TIMEOUT_S`.
+    on_head : callable
+        Called with an endpoint and the header fields of each of its responses.
     """
 
     def __init__(
@@ -163,6 +171,7 @@
         gap_meter: EventGapMeter,
         list_members: Callable[[str], set[str]],
         on_silence: Callable[[Endpoint], None],
+        on_head: Callable[[Endpoint, ResponseHeaders], None],
     ) -> None:
         self._table = table
         self._pool = pool
@@ -173,6 +182,7 @@
         self._gap_meter = gap_meter
         self._list_members = list_members
         self._on_silence = on_silence
+        self._on_head = on_head
         self._streams: set[_RunningStream] = set()
 
     def move_streams(self, identity: str) -> int:
@@ -209,6 +219,11 @@
         connection: UpstreamConnection | None = None
         try:
             connection = await self._pool.acquire(endpoint.address)
+            # The endpoint may have withdrawn while the connection was being opened.
+            withdrawal = self._table.find_withdrawal(endpoint, self._clock())
+            if withdrawal is not None:
+                code = ResultCode.ENDPOINT_REFUSED
+                return FailedAttempt(code, withdrawal, False, sent=False, withheld=True)
             remaining_s = call.deadline - self._clock()
             fields = self._codec.build_attempt_fields(
                 call, endpoint.identity, remaining_s, progress.splitter.last_id
@@ -235,7 +250,7 @@
         progress: CallProgress,
     ) -> Completed | FailedAttempt:
         found = await self._read_within_limit(
-            call, endpoint, progress, lambda: self._read_matching_head(call, connection)
+            call, endpoint, progress, lambda: self._read_matching_head(call, endpoint, connection)
         )
         if isinstance(found, FailedAttempt):
             return found
@@ -294,13 +309,14 @@
         )
 
     async def _read_matching_head(
-        self, call: GatewayCall, connection: UpstreamConnection
+        self, call: GatewayCall, endpoint: Endpoint, connection: UpstreamConnection
     ) -> tuple[ResponseHead, ResponseHeaders]:
         """Return the head of this request's response; skip late responses to other requests."""
         while True:
             head = await connection.read_head()
             headers = self._codec.parse_response(head.status, head.fields)
             connection.record_keep_alive(headers.keep_alive_s)
+            self._on_head(endpoint, headers)
             if headers.request_id in (None, call.headers.request_id):
                 return head, headers
             self._metrics.dropped_responses.labels("other_request").inc()
@@ -327,7 +343,13 @@
         if headers.not_run:
             code = ResultCode.ENDPOINT_REFUSED if headers.misdirected else ResultCode.QUEUE_FULL
             reason = f"endpoint refused with status {response.status}"
-            return FailedAttempt(code, reason, ran=False, stalled=headers.stalled)
+            return FailedAttempt(
+                code,
+                reason,
+                ran=False,
+                stalled=headers.stalled,
+                paused=headers.pause is not None,
+            )
         if exchange.started:
             reason = f"endpoint answered {response.status} to a resumed stream"
             return FailedAttempt(ResultCode.ENDPOINT_ERROR, reason, None)
@@ -337,7 +359,13 @@
             if may_relay(call, response):
                 return await relay(exchange, response)
         reason = f"endpoint answered {response.status}"
-        return FailedAttempt(ResultCode.ENDPOINT_ERROR, reason, True, response=response)
+        return FailedAttempt(
+            ResultCode.ENDPOINT_ERROR,
+            reason,
+            True,
+            response=response,
+            paused=headers.pause is not None,
+        )
 
     async def _relay_stream(
         self,
--- a/magnoliarouter/gateway/call.py
+++ b/magnoliarouter/gateway/call.py
@@ -64,6 +64,10 @@
         Whether the response carries the endpoint's signature.
     stalled : bool
         Whether the endpoint refused because its group is stalled, not for lack of free capacity.
+    leaving : bool
+        Whether the endpoint says that it is leaving.
+    pause : bytes, optional
+        Seconds for which the endpoint wants no requests from this daemon, as received.
     keep_alive_s : float, optional
         Idle time in seconds after which the endpoint closes the connection.
     forwarded : list of (bytes, bytes)
@@ -75,6 +79,8 @@
     misdirected: bool
     signed: bool
     stalled: bool
+    leaving: bool
+    pause: bytes | None
     keep_alive_s: float | None
     forwarded: HeaderFields
 
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from magnoliarouter.core.outliers import EjectionPolicy, OutlierDetector
+from magnoliarouter.gateway.notices import EndpointNotices
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -34,13 +35,16 @@
     Parameters
     ----------
     identity : str
-        Name of this start of the endpoint; each start has a different one.
+        Name of the endpoint; most starts have a different one.
     service, address, zone : str
         Service name, ``"host:port"``, and availability zone.
     slots : int
         Maximum number of concurrent requests.
     draining : bool
         Whether it accepts no new requests.
+    started_ms : int
+        Time of day of its start in milliseconds, which tells starts with the same name apart; 0 if
+        unknown.
     """
 
     identity: str
@@ -49,6 +53,7 @@
     zone: str
     slots: int
     draining: bool = False
+    started_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -83,6 +88,7 @@
             EjectionPolicy(failures=3, max_ejection_seconds=4.0)
         )
     )
+    notices: EndpointNotices = field(default_factory=EndpointNotices)
     own_requests: dict[str, int] = field(default_factory=dict)
     _endpoints: dict[str, Endpoint] = field(default_factory=dict)
     _services: dict[str, dict[str, Endpoint]] = field(default_factory=dict)
@@ -158,6 +164,8 @@
         candidates = self._list_usable(service, tried, now)
         best, best_score = None, float("inf")
         for endpoint in candidates:
+            if self.notices.paused_until(endpoint) > now:
+                continue
             load = self.load_of(endpoint.identity, now)
             if load >= self.concurrency_limit(endpoint):
                 continue
@@ -171,6 +179,37 @@
                 best, best_score = endpoint, score
         return best
 
+    def find_pause_end(self, service: str, tried: set[str], now: float) -> float | None:
+        """Return when the first pause ends if every endpoint that could serve a call pauses.
+
+        Parameters
+        ----------
+        service : str
+            Requested service.
+        tried : set of str
+            Endpoints excluded from the choice.
+        now : float
+            Loop time in seconds.
+        """
+        first = None
+        for endpoint in self._list_accepting(service):
+            if endpoint.identity in tried or self.is_unavailable(endpoint):
+                continue
+            end = self.notices.paused_until(endpoint)
+            if end <= now:
+                return None
+            first = end if first is None else min(first, end)
+        return first
+
+    def find_withdrawal(self, endpoint: Endpoint, now: float) -> str | None:
+        """Return why an endpoint that was chosen gets no request any more, or None."""
+        current = self._endpoints.get(endpoint.identity)
+        if current is not None and current.draining or self.notices.is_leaving(endpoint):
+            return "the endpoint is leaving"
+        if self.notices.paused_until(endpoint) > now:
+            return "the endpoint asked for a pause"
+        return None
+
     def has_endpoints(self, service: str) -> bool:
         """Return whether any endpoint of a service accepts requests."""
         return any(self._list_accepting(service))
@@ -181,7 +220,7 @@
 
     def _list_accepting(self, service: str) -> Iterator[Endpoint]:
         for endpoint in self._services.get(service, {}).values():
-            if not endpoint.draining:
+            if not endpoint.draining and not self.notices.is_leaving(endpoint):
                 yield endpoint
 
     def _list_usable(self, service: str, tried: set[str], now: float) -> list[Endpoint]:
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -18,13 +18,14 @@
     relay,
 )
 from magnoliarouter.gateway.frames import FrameSplitter
+from magnoliarouter.gateway.notices import parse_pause
 from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from magnoliarouter.core.retries import SharedRetryBudget
-    from magnoliarouter.gateway.call import GatewayCall, HeaderCodec
+    from magnoliarouter.gateway.call import GatewayCall, HeaderCodec, ResponseHeaders
     from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
     from magnoliarouter.gateway.groupwatch import GroupWatch
     from magnoliarouter.gateway.pauses import EventGapMeter
@@ -43,6 +44,10 @@
 # Maximum wait for a concurrency slot, in multiples of the route's target latency. Callers give up
 # after five times the target.
 QUEUE_TIMEOUT_TARGETS = 3.0
+# Callers that are told to return when the pauses of all endpoints have ended are spread over this share
+# of the wait, and over this time at least.
+PAUSE_SPREAD_SHARE = 0.5
+MIN_PAUSE_SPREAD_S = 0.2
 # Callers leave a stream after a gap of this time, or of these multiples of the target latency and of
 # the longest acceptable event gap, whichever is longest.
 STREAM_PATIENCE_S = 2.0
@@ -118,7 +123,9 @@
             gap_meter,
             groups.list_members,
             self._suspect,
+            self._apply_notices,
         )
+        self._malformed_pauses: set[str] = set()
 
     async def forward(
         self, call: GatewayCall, exchange: IngressExchange, recheck: Callable[[], NotRun | None]
@@ -153,10 +160,11 @@
                 STARTED_URGENCY if exchange.started else call.urgency,
                 self._queue_timeout_s(call, exchange, progress),
                 call.admitted_at + ON_TIME_START_SHARE * call.route.target_latency_s,
+                waits_for_pauses=exchange.started,
             )
             if endpoint is None:
                 return await self._finish(
-                    call, exchange, progress, self._refuse_unplaced(call.service)
+                    call, exchange, progress, self._refuse_unplaced(call.service, progress.tried)
                 )
             try:
                 refusal = self._check_send(call, exchange, progress, recheck)
@@ -238,7 +246,12 @@
             - now
         )
 
-    def _refuse_unplaced(self, service: str) -> NotRun:
+    def _refuse_unplaced(self, service: str, tried: set[str]) -> NotRun:
+        now = self._clock()
+        pause_end = self._table.find_pause_end(service, tried, now)
+        if pause_end is not None:
+            reason = "every endpoint asked for a pause"
+            return NotRun(ResultCode.ENDPOINTS_PAUSED, reason, self._spread_return(pause_end - now))
         if self._table.has_endpoints(service) and not self._table.has_available_endpoint(service):
             wait_s = self._table.estimate_recovery_s(service, self._clock())
             reason = "every endpoint is cut off or stands still"
@@ -270,14 +283,67 @@
             return NotRun(
                 last.code, last.reason, self._table.estimate_recovery_s(call.service, self._clock())
             )
-        return refusal or self._refuse_unplaced(call.service)
+        return refusal or self._refuse_unplaced(call.service, progress.tried)
+
+    def _spread_return(self, wait_s: float) -> float:
+        """Return a wait in seconds that differs from caller to caller."""
+        spread_s = max(MIN_PAUSE_SPREAD_S, PAUSE_SPREAD_SHARE * wait_s)
+        return wait_s + spread_s * self._table.random.random()
+
+    def record_leaving(self, endpoint: Endpoint, source: str) -> None:
+        """Send no further request to an endpoint that said that it is leaving.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            The endpoint.
+        source : str
+            Kind of the message that said so, for the log.
+        """
+        if self._table.notices.record_leaving(endpoint):
+            self._metrics.notices.labels("leaving").inc()
+            log_event(
+                "endpoint_leaving",
+                endpoint=endpoint.identity,
+                started_ms=endpoint.started_ms,
+                source=source,
+            )
+            self._waiting.wake()
+
+    def _apply_notices(self, endpoint: Endpoint, headers: ResponseHeaders) -> None:
+        if headers.leaving:
+            self.record_leaving(endpoint, "response")
+        if headers.pause is not None:
+            self._record_pause(endpoint, headers.pause)
+
+    def _record_pause(self, endpoint: Endpoint, value: bytes) -> None:
+        try:
+            seconds = parse_pause(value)
+        except ValueError as error:
+            if endpoint.identity not in self._malformed_pauses:
+                self._malformed_pauses.add(endpoint.identity)
+                log_event("pause_malformed", endpoint=endpoint.identity, reason=str(error))
+            self._metrics.notices.labels("malformed").inc()
+            return
+        if self._table.notices.record_pause(endpoint, seconds, self._clock()):
+            self._metrics.notices.labels("pause").inc()
+            log_event(
+                "endpoint_paused",
+                endpoint=endpoint.identity,
+                started_ms=endpoint.started_ms,
+                seconds=seconds,
+                source="response",
+            )
+            self._waiting.wake()
 
     def _record_failure(
         self, call: GatewayCall, endpoint: Endpoint, progress: CallProgress, result: FailedAttempt
     ) -> None:
         now = self._clock()
         progress.last_failure = result
-        if not result.sent:
+        if result.withheld:
+            self._metrics.withheld_requests.inc()
+        elif not result.sent:
             progress.unreachable += 1
             self._zones.record_unreachable(endpoint)
             self._groups.suspect(endpoint.identity)
@@ -292,7 +358,7 @@
                 self._record_outlier_failure(endpoint, now, immediate=True)
         else:
             progress.outcome_unknown = True
-        if result.sent and result.ran is not False and not result.moved:
+        if result.sent and result.ran is not False and not (result.moved or result.paused):
             if result.timed_out:
                 progress.tried |= self._groups.list_members(endpoint.identity)
                 self._suspect(endpoint)
--- a/magnoliarouter/gateway/mapduty.py
+++ b/magnoliarouter/gateway/mapduty.py
@@ -64,6 +64,8 @@
 FINISH_TIMEOUT_S = 2.0
 # Map versions reserved for one lease, so that each lease uses higher versions than all earlier ones.
 VERSIONS_PER_LEASE = 10_000
+# Pace that a plan assumes of a leaving rank, so that it gives replicas of experts to others.
+LEAVING_PACE = 2.0
 
 
 @dataclass(slots=True)
@@ -86,6 +88,8 @@
         Relative paces of the slow ranks, by group and identity.
     on_paces : callable
         Called with the relative paces of the slow ranks of all groups after they were read.
+    is_leaving : callable
+        Returns whether a rank, by identity, takes no new work since it leaves.
     """
 
     client: RankClient
@@ -96,6 +100,7 @@
     groups: dict[str, GroupMapSwitcher] = field(default_factory=dict)
     slow_ranks: dict[str, dict[str, float]] = field(default_factory=dict)
     on_paces: Callable[[dict[str, float]], None] = lambda slow: None
+    is_leaving: Callable[[str], bool] = lambda identity: False
     _paces_read_at: dict[str, float] = field(default_factory=dict)
     _profiles: dict[str, ExpertProfile] = field(default_factory=dict)
     _tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
@@ -195,8 +200,7 @@
             return None
         profile = self._profiles[group.name]
         copies = max(1, round(COPY_TIME_PER_SWITCH_S / max(profile.copy_s, MIN_COPY_S)))
-        slow = self.slow_ranks.get(group.name, {})
-        paces = [slow.get(rank.identity, 1.0) for rank in group.ranks.values()] if slow else []
+        paces = self._list_paces(group)
         plan = await _run_in_slices(
             iterate_plan(group.rows, choices, len(group.ranks), profile, policy, copies, paces)
         )
@@ -216,6 +220,18 @@
             )
         return plan
 
+    def _list_paces(self, group: GroupMapSwitcher) -> list[float]:
+        """Return the paces that the plan assumes, or none if all ranks take new work alike."""
+        slow = self.slow_ranks.get(group.name, {})
+        paces = [
+            max(
+                slow.get(rank.identity, 1.0),
+                LEAVING_PACE if self.is_leaving(rank.identity) else 0.0,
+            )
+            for rank in group.ranks.values()
+        ]
+        return paces if any(pace != 1.0 for pace in paces) else []
+
     async def _read_paces(self, group: GroupMapSwitcher) -> None:
         """Read which ranks are slow while steps are late or a rank is known to be slow."""
         slow, now = self.slow_ranks.get(group.name, {}), self.clock()
--- a/magnoliarouter/gateway/waiting.py
+++ b/magnoliarouter/gateway/waiting.py
@@ -39,6 +39,7 @@
     number: int
     on_time_until: float
     tried: set[str]
+    waits_for_pauses: bool
     slot: asyncio.Future[Endpoint | None]
 
     def sort_key(self, now: float) -> tuple[int, bool, int]:
@@ -84,10 +85,12 @@
         urgency: int,
         wait_s: float,
         on_time_until: float = float("inf"),
+        waits_for_pauses: bool = False,
     ) -> Endpoint | None:
         """Return an endpoint at which a slot was acquired, or None if none became free in time.
 
-        None is also returned at once if the queue is full or the service has no available endpoint.
+        None is also returned at once if the queue is full, the service has no available endpoint, or
+        every endpoint that could serve the call pauses.
 
         Parameters
         ----------
@@ -101,6 +104,8 @@
             Maximum wait in seconds.
         on_time_until : float
             Loop time until which a slot allows the call to meet its target latency.
+        waits_for_pauses : bool
+            Whether the call waits while every endpoint that could serve it pauses.
         """
         if not self._queues.get(service):
             endpoint = self._choose(service, tried)
@@ -110,8 +115,10 @@
             return None
         if not self._table.has_available_endpoint(service):
             return None
+        if not waits_for_pauses and self._finds_only_pauses(service, tried):
+            return None
         slot = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(urgency, next(self._numbers), on_time_until, tried, slot)
+        waiter = _Waiter(urgency, next(self._numbers), on_time_until, tried, waits_for_pauses, slot)
         self._queues.setdefault(service, []).append(waiter)
         self._start_timer()
         try:
@@ -140,7 +147,13 @@
         found = False
         for service, queue in self._queues.items():
             if queue and not self._table.has_available_endpoint(service):
-                self._reject_all(queue)
+                self._reject(queue, list(queue))
+            paused = [
+                waiter
+                for waiter in queue
+                if not waiter.waits_for_pauses and self._finds_only_pauses(service, waiter.tried)
+            ]
+            self._reject(queue, paused)
             while queue:
                 waiter = min(queue, key=lambda one: one.sort_key(self._clock()))
                 endpoint = self._choose(service, waiter.tried)
@@ -154,12 +167,15 @@
                 self._table.finish_request(endpoint.identity)
         return found
 
+    def _finds_only_pauses(self, service: str, tried: set[str]) -> bool:
+        return self._table.find_pause_end(service, tried, self._clock()) is not None
+
     @staticmethod
-    def _reject_all(queue: list[_Waiter]) -> None:
-        for waiter in queue:
+    def _reject(queue: list[_Waiter], rejected: list[_Waiter]) -> None:
+        for waiter in rejected:
+            queue.remove(waiter)
             if not waiter.slot.done():
                 waiter.slot.set_result(None)
-        queue.clear()
 
     def schedule_wake(self) -> None:
         """Assign slots that other daemons reported as free, after a delay."""
--- a/magnoliarouter/platform/headers.py
+++ b/magnoliarouter/platform/headers.py
@@ -11,7 +11,7 @@
     from magnoliarouter.gateway.call import GatewayCall
     from magnoliarouter.web.upstream import HeaderFields
 
-__all__ = ["PlatformHeaders"]
+__all__ = ["MISDIRECTED_STATUS", "PlatformHeaders", "says_leaving"]
 
 HOP_BY_HOP_FIELDS = frozenset(
     (
@@ -39,6 +39,8 @@
         b"last-event-id",
     )
 )
+LEAVING_FIELD = b"server-leaving"
+LEAVING_VALUE = b"1"
 BEARER = b"bearer "
 KEEP_TIMEOUT = re.compile(rb"timeout=(\d+)")
 # Status of an engine that refuses a request meant for another engine or version. No client request
@@ -46,6 +48,13 @@
 MISDIRECTED_STATUS = 421
 
 
+def says_leaving(fields: HeaderFields) -> bool:
+    """Return whether an engine says in a response that it is leaving."""
+    return any(
+        name.lower() == LEAVING_FIELD and value.strip() == LEAVING_VALUE for name, value in fields
+    )
+
+
 class PlatformHeaders:
     """`HeaderCodec` of the users' platform."""
 
@@ -101,6 +110,8 @@
             b"x-server-stamp" in named,
             # This field names the engine at fault; a refusal by a full engine lacks it.
             b"at-server" in named and not misdirected,
+            named.get(LEAVING_FIELD, b"").strip() == LEAVING_VALUE and not misdirected,
+            named.get(b"retry-after") if status == 503 else None,
             float(keep[1]) if keep else None,
             [(name, value) for name, value in fields if name.lower() not in dropped],
         )
--- a/magnoliarouter/platform/ranks.py
+++ b/magnoliarouter/platform/ranks.py
@@ -17,13 +17,16 @@
     RankExperts,
     RankReport,
 )
+from magnoliarouter.platform.headers import MISDIRECTED_STATUS, says_leaving
 from magnoliarouter.store.results import Unavailable
 from magnoliarouter.store.transport import UpstreamTransport
 from magnoliarouter.store.wire import StoreCall, decode_json
 from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
-    from magnoliarouter.web.upstream import UpstreamPool
+    from collections.abc import Callable
+
+    from magnoliarouter.web.upstream import ResponseHead, UpstreamPool
 
 __all__ = ["PlatformRanks"]
 
@@ -87,10 +90,15 @@
     ----------
     pool : UpstreamPool
         Connections to engines.
+    on_leaving : callable
+        Called with the address of an engine that says that it is leaving.
     """
 
-    def __init__(self, pool: UpstreamPool) -> None:
+    def __init__(
+        self, pool: UpstreamPool, on_leaving: Callable[[str], None] = lambda address: None
+    ) -> None:
         self._pool = pool
+        self._on_leaving = on_leaving
         self._last_encoded: tuple[Order, int, int, tuple[dict[str, Any], bytes]] | None = None
 
     async def read_report(self, address: str) -> RankReport | None:
@@ -138,7 +146,7 @@
         """Send an order."""
         body, encoded = self._encode(order, epoch, fencing_number, size)
         call = StoreCall("POST", "/v1/order", body=encoded)
-        outcome = await UpstreamTransport(address, self._pool).exchange(
+        outcome = await self._open_transport(address).exchange(
             call, timeout_s or ORDER_TIMEOUT_S, MAX_RESPONSE_BYTES
         )
         if isinstance(outcome, Unavailable):
@@ -162,6 +170,13 @@
         )
         return result
 
+    def _open_transport(self, address: str) -> UpstreamTransport:
+        def read_notice(head: ResponseHead) -> None:
+            if head.status != MISDIRECTED_STATUS and says_leaving(head.fields):
+                self._on_leaving(address)
+
+        return UpstreamTransport(address, self._pool, read_notice)
+
     def _encode(
         self, order: Order, epoch: int, fencing_number: int, size: int
     ) -> tuple[dict[str, Any], bytes]:
@@ -175,8 +190,7 @@
         return encoded
 
     async def _get(self, address: str, target: str, model: Any) -> Any:
-        transport = UpstreamTransport(address, self._pool)
-        outcome = await transport.exchange(
+        outcome = await self._open_transport(address).exchange(
             StoreCall("GET", target), READ_TIMEOUT_S, MAX_RESPONSE_BYTES
         )
         if not isinstance(outcome, Unavailable):
--- a/magnoliarouter/platform/registry.py
+++ b/magnoliarouter/platform/registry.py
@@ -20,6 +20,7 @@
     zone: str
     slots: int
     state: Literal["ready", "draining"]
+    born: int = 0
 
 
 def decode_entry(name: str, value: Any) -> Endpoint:
@@ -35,5 +36,11 @@
     if not host or not port.isdigit() or entry.slots < 1:
         raise ValidationFailure(f"address is {entry.address!r}, slots is {entry.slots}")
     return Endpoint(
-        name, entry.service, entry.address, entry.zone, entry.slots, entry.state == "draining"
+        name,
+        entry.service,
+        entry.address,
+        entry.zone,
+        entry.slots,
+        entry.state == "draining",
+        entry.born,
     )
--- a/magnoliarouter/store/transport.py
+++ b/magnoliarouter/store/transport.py
@@ -9,10 +9,12 @@
 from magnoliarouter.web.upstream import UpstreamError, UpstreamErrorKind
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import aiohttp
 
     from magnoliarouter.store.wire import StoreCall
-    from magnoliarouter.web.upstream import UpstreamConnection, UpstreamPool
+    from magnoliarouter.web.upstream import ResponseHead, UpstreamConnection, UpstreamPool
 
 __all__ = ["SessionTransport", "Transport", "UpstreamTransport"]
 
@@ -86,11 +88,19 @@
         ``"host:port"`` of the store.
     pool : UpstreamPool
         Pool of HTTP connections.
+    on_head : callable
+        Called with the head of each response.
     """
 
-    def __init__(self, address: str, pool: UpstreamPool) -> None:
+    def __init__(
+        self,
+        address: str,
+        pool: UpstreamPool,
+        on_head: Callable[[ResponseHead], None] = lambda head: None,
+    ) -> None:
         self._address = address
         self._pool = pool
+        self._on_head = on_head
 
     async def exchange(
         self, call: StoreCall, timeout: float, limit: int
@@ -102,6 +112,7 @@
                 connection = await self._pool.acquire(self._address)
                 connection.send(self._encode(call))
                 head = await connection.read_head()
+                self._on_head(head)
                 parts, size = [], 0
                 while (part := await connection.read_part()) is not None:
                     size += len(part)
--- a/magnoliarouter/telemetry/metrics.py
+++ b/magnoliarouter/telemetry/metrics.py
@@ -28,6 +28,10 @@
         attempt.
     ejections : Counter
         Ejections of endpoints after failures.
+    notices : Counter
+        Notices of endpoints by kind: that they leave, that they want a pause, or a malformed one.
+    withheld_requests : Counter
+        Requests that were placed and not sent, since the endpoint had withdrawn meanwhile.
     placements : Counter
         Placements by whether the prefix index listed the prefix at the endpoint, and by zone.
     index_resets : Counter
@@ -56,6 +60,10 @@
         self.retries = self.add_counter("retries", "Retries by cause", "code")
         self.retries_refused = self.add_counter("retries_refused", "Retries over budget", "code")
         self.ejections = self.add_counter("ejections", "Endpoints ejected after failures")
+        self.notices = self.add_counter("endpoint_notices", "Notices of endpoints", "kind")
+        self.withheld_requests = self.add_counter(
+            "requests_withheld", "Requests not sent to an endpoint that withdrew"
+        )
         self.placements = self.add_counter("placements", "Placements", "prefix", "zone")
         self.index_resets = self.add_counter("index_resets", "Prefix indexes emptied after a gap")
         self.digest_failures = self.add_counter("digest_failures", "Digests not had", "zone")
--- a/magnoliarouter/tests/platform_standin.py
+++ b/magnoliarouter/tests/platform_standin.py
@@ -106,6 +106,7 @@
     def __init__(self, name, delay=0.0):
         self.name = name
         self.delay = delay
+        self.fields = {}
         self.heads = []
 
     async def start(self):
@@ -119,7 +120,9 @@
             await asyncio.sleep(self.delay)
             fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
             await peer.send(
-                build_response(self.name.encode(), request_id=fields.get("X-Request-Id"))
+                build_response(
+                    self.name.encode(), request_id=fields.get("X-Request-Id"), **self.fields
+                )
             )
 
     def build_entry(self, state="ready", **changes):
--- a/magnoliarouter/tests/test_gateway.py
+++ b/magnoliarouter/tests/test_gateway.py
@@ -21,7 +21,7 @@
         return probe.getsockname()[1]
 
 
-class GatewayTest(unittest.IsolatedAsyncioTestCase):
+class GatewayCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.store = await StoreStandin().start()
         self.addCleanup(self.store.server.abort_all)
@@ -87,6 +87,8 @@
             await asyncio.sleep(0.02)
         self.fail(f"not ready within {seconds} s")
 
+
+class GatewayTest(GatewayCase):
     async def test_request_is_authenticated_routed_and_forwarded(self):
         daemon = await self.start()
         await self.wait_ready(daemon)
