Pass on the whole events that arrive together with an oversized one

The bound of an event was checked after whole events of the same read had been taken and before they were returned, so that they counted as relayed and were lost when the stream resumed. Requests are also withheld from endpoints that are gone when their connection is open, and the first malformed pause of an endpoint is remembered with its other notices, which are bounded.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -101,7 +101,7 @@
     decode_endpoint : callable
         Converts a name and a value to an `Endpoint`.
     open_ranks : callable
-        Returns a client for calls to ranks over a pool of connections, which calls the function given
+        Returns a client for calls to ranks over a pool of connections. It calls the function given
         second with the address of an endpoint that says that it is leaving.
     """
 
--- a/magnoliarouter/gateway/call.py
+++ b/magnoliarouter/gateway/call.py
@@ -143,8 +143,8 @@
     framing : Framing, optional
         What marks the end of the body of the last response.
     events, unfinished_bytes : int
-        Events of the stream that were relayed to the caller, and size of the incomplete event with which the
-        last response ended.
+        Events of the stream that were relayed to the caller, and size of the incomplete event with
+        which the last response ended.
     """
 
     headers: RequestHeaders
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -204,7 +204,9 @@
     def find_withdrawal(self, endpoint: Endpoint, now: float) -> str | None:
         """Return why an endpoint that was chosen gets no request any more, or None."""
         current = self._endpoints.get(endpoint.identity)
-        if current is not None and current.draining or self.notices.is_leaving(endpoint):
+        if current is None:
+            return "the endpoint is gone"
+        if current.draining or self.notices.is_leaving(endpoint):
             return "the endpoint is leaving"
         if self.notices.paused_until(endpoint) > now:
             return "the endpoint asked for a pause"
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -44,8 +44,8 @@
 # Maximum wait for a concurrency slot, in multiples of the route's target latency. Callers give up
 # after five times the target.
 QUEUE_TIMEOUT_TARGETS = 3.0
-# Callers that are told to return when the pauses of all endpoints have ended are spread over this share
-# of the wait, and over this time at least.
+# Callers that are told to return when the pauses of all endpoints have ended are spread over this
+# share of the wait, and over this time at least.
 PAUSE_SPREAD_SHARE = 0.5
 MIN_PAUSE_SPREAD_S = 0.2
 # Callers leave a stream after a gap of this time, or of these multiples of the target latency and of
@@ -125,7 +125,6 @@
             self._suspect,
             self._apply_notices,
         )
-        self._malformed_pauses: set[str] = set()
 
     async def forward(
         self, call: GatewayCall, exchange: IngressExchange, recheck: Callable[[], NotRun | None]
@@ -320,8 +319,7 @@
         try:
             seconds = parse_pause(value)
         except ValueError as error:
-            if endpoint.identity not in self._malformed_pauses:
-                self._malformed_pauses.add(endpoint.identity)
+            if self._table.notices.record_malformed(endpoint):
                 log_event("pause_malformed", endpoint=endpoint.identity, reason=str(error))
             self._metrics.notices.labels("malformed").inc()
             return
--- a/magnoliarouter/gateway/frames.py
+++ b/magnoliarouter/gateway/frames.py
@@ -68,6 +68,8 @@
         ValueError
             The incomplete event has over `MAX_EVENT_BYTES`.
         """
+        if len(self.partial) > MAX_EVENT_BYTES:
+            raise ValueError(f"an event has over {MAX_EVENT_BYTES} bytes")
         unsearched = max(0, len(self.partial) - MAX_EVENT_END_BYTES + 1)
         self.partial += data
         complete = bytearray()
@@ -79,8 +81,6 @@
                 complete += event
                 self.events += 1
         del self.partial[:start]
-        if len(self.partial) > MAX_EVENT_BYTES:
-            raise ValueError(f"an event has over {MAX_EVENT_BYTES} bytes")
         return bytes(complete)
 
     @property
--- a/magnoliarouter/gateway/notices.py
+++ b/magnoliarouter/gateway/notices.py
@@ -1,7 +1,7 @@
 """What endpoints said about themselves: that they leave, or that they want no requests for a time.
 
-Both bind this daemon alone, which heard them. They concern one start of an endpoint, and outlast its
-entry in the registry, which may lag behind.
+Both bind this daemon alone, which heard them. They concern one start of an endpoint, and outlast
+its entry in the registry, which may lag behind.
 """
 
 from __future__ import annotations
@@ -60,11 +60,14 @@
         Start of the endpoint that asked for the pause.
     paused_until : float
         Loop time of the end of the pause.
+    malformed : bool
+        Whether it asked for a pause with a malformed value.
     """
 
     left_at_start: int | None = None
     paused_start: int = 0
     paused_until: float = float("-inf")
+    malformed: bool = False
 
 
 @dataclass(slots=True)
@@ -98,6 +101,12 @@
         notice.paused_start, notice.paused_until = endpoint.started_ms, now + seconds
         return True
 
+    def record_malformed(self, endpoint: Endpoint) -> bool:
+        """Record a pause of a malformed value, and return whether it is the endpoint's first."""
+        notice = self._open(endpoint.identity)
+        first, notice.malformed = not notice.malformed, True
+        return first
+
     def is_leaving(self, endpoint: Endpoint) -> bool:
         """Return whether this start of an endpoint, or a later one, said that it leaves."""
         notice = self._notices.get(endpoint.identity)
--- a/magnoliarouter/gateway/waiting.py
+++ b/magnoliarouter/gateway/waiting.py
@@ -89,8 +89,8 @@
     ) -> Endpoint | None:
         """Return an endpoint at which a slot was acquired, or None if none became free in time.
 
-        None is also returned at once if the queue is full, the service has no available endpoint, or
-        every endpoint that could serve the call pauses.
+        None is also returned at once if the queue is full, the service has no available endpoint,
+        or every endpoint that could serve the call pauses.
 
         Parameters
         ----------
--- a/magnoliarouter/tests/test_endless.py
+++ b/magnoliarouter/tests/test_endless.py
@@ -109,6 +109,20 @@
         self.assertEqual(self.exchange.body, EVENTS[0])
         self.assert_memory_is_bounded()
 
+    async def test_whole_events_before_an_endless_one_are_not_lost(self):
+        """The events that arrive together with the start of an endless one reach the caller."""
+        head = OK + b"Content-Type: text/event-stream\r\n\r\n"
+        start = head + b"".join(EVENTS[:3]) + b"id: 4\ndata: "
+        resumed = b"".join(EVENTS[3:])
+
+        async def resume(peer):
+            await peer.send(OK + b"Content-Length: %d\r\n\r\n" % len(resumed) + resumed)
+
+        await self.add_two(send_endlessly(start, b"x" * 200_000), resume)
+        outcome = await self.forward(build_route(RouteKind.STREAM, 2, 6.0, resumable=True))
+        self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+        self.assertEqual(self.exchange.body, b"".join(EVENTS))
+
     async def test_event_below_the_bound_passes_in_small_parts(self):
         event = b"id: 1\ndata: " + b"x" * (MAX_EVENT_BYTES // 2) + b"\n\n"
 
--- a/magnoliarouter/tests/test_gateway_parts.py
+++ b/magnoliarouter/tests/test_gateway_parts.py
@@ -10,7 +10,7 @@
 from magnoliarouter.core.retries import SharedRetryBudget
 from magnoliarouter.gateway.confirmations import LONG_WAIT_S, Confirmations
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
-from magnoliarouter.gateway.frames import FrameSplitter
+from magnoliarouter.gateway.frames import MAX_EVENT_BYTES, FrameSplitter
 from magnoliarouter.gateway.freshness import Freshness
 from magnoliarouter.gateway.peers import CONFIRMATION_INTERVAL_S, PeerLoads, PeerMessage
 from magnoliarouter.gateway.routes import (
@@ -90,6 +90,12 @@
                     self.assertFalse(splitter.inside_event)
                     self.assertEqual(splitter.events, 1)
 
+    def test_events_that_arrive_with_an_oversized_one_are_passed_first(self):
+        splitter = FrameSplitter()
+        oversized = b"id: 2\ndata: " + b"x" * MAX_EVENT_BYTES
+        self.assertEqual(splitter.feed(b"id: 1\n\n" + oversized), b"id: 1\n\n")
+        self.assertRaises(ValueError, splitter.feed, b"x")
+
     def test_partial_event_is_dropped_on_restart(self):
         splitter = FrameSplitter()
         splitter.feed(b"id: 1\n\nid: 2\nda")
--- a/magnoliarouter/tests/test_notices.py
+++ b/magnoliarouter/tests/test_notices.py
@@ -1,9 +1,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import io
 import unittest
+import unittest.mock
 from dataclasses import replace
 
 from magnoliarouter.core.outcome import Completed, NotRun, ResultCode, Unknown
@@ -256,12 +255,13 @@
     async def test_malformed_pause_is_logged_once_and_not_followed(self):
         malformed = build_response(status=503, X_Not_Executed="1", Retry_After="-5")
         await self.add(respond(malformed))
-        with contextlib.redirect_stdout(io.StringIO()):
+        with unittest.mock.patch("magnoliarouter.gateway.forward.log_event") as log:
             for _ in range(3):
                 self.exchange = FakeExchange()
                 await self.forward(build_route(attempts=1))
         self.assertEqual(len(self.heads), 3)
-        self.assertEqual(self.forwarder._malformed_pauses, {"e1"})
+        events = [call.args[0] for call in log.call_args_list]
+        self.assertEqual(events.count("pause_malformed"), 1)
         self.assertEqual(self.metrics.notices.labels("malformed")._value.get(), 3)
 
 
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -55,7 +55,7 @@
 # Reuse ends this long before the endpoint closes an idle connection, so that a request is not sent
 # while the connection is being closed.
 KEEP_ALIVE_MARGIN_S = 0.4
-# Bytes of a head, of a chunk header or of trailers, including informational responses before the head.
+# Bytes of a head with the informational responses before it, of a chunk header, or of trailers.
 MAX_OVERHEAD_BYTES = 65_536
 # Largest body that is read whole.
 MAX_BODY_BYTES = 4_194_304
