Send no chunks to callers of HTTP/1.0, and reset their broken streams

What callers saw: one that asks in HTTP/1.0 got chunk sizes among the events, and a stream that was broken off ended for it like a complete one, since only the end of the connection ends its body. Found by asking where else an end can be taken for the end of an answer. The tests failed before.

--- a/magnoliarouter/tests/test_ingress.py
+++ b/magnoliarouter/tests/test_ingress.py
@@ -68,6 +68,39 @@
         bodies = [(await peer.read_message())[1] for _ in range(3)]
         self.assertEqual(bodies, [b"/slow", b"/b", b"/c"])
 
+    async def test_streamed_response_to_a_caller_that_knows_no_chunks(self):
+        peer = await self.connect_and_send(
+            b"GET /stream HTTP/1.0\r\nHost: x\r\nConnection: keep-alive\r\n\r\n"
+        )
+        head, _, body = (await peer.read_all()).partition(b"\r\n\r\n")
+        self.assertEqual(body, b"onetwo")
+        self.assertNotIn(b"chunked", head)
+        self.assertIn(b"Connection: close", head)
+
+    async def test_stream_that_is_broken_off_never_ends_as_complete(self):
+        async def break_off(exchange):
+            exchange.start(200, [], b"one")
+            await exchange.write(b"two")
+            await asyncio.sleep(0.05)
+            if exchange.request.target == b"/abort":
+                exchange.abort()
+            elif exchange.request.target == b"/fail":
+                raise RuntimeError("deliberate failure of the handler")
+            else:
+                self.server.abort_all()
+
+        self.server.handle = break_off
+        for version in (b"1.0", b"1.1"):
+            for target in (b"/abort", b"/fail", b"/stop"):
+                with self.subTest(version=version, target=target):
+                    request = b"GET %b HTTP/%b\r\nHost: x\r\n\r\n" % (target, version)
+                    peer = await self.connect_and_send(request)
+                    if version == b"1.0":
+                        with self.assertRaises(ConnectionResetError):
+                            await peer.read_all()
+                    else:
+                        self.assertNotIn(b"0\r\n\r\n", await peer.read_all())
+
     async def test_streamed_response(self):
         peer = await self.connect_and_send(
             b"GET /stream HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
--- a/magnoliarouter/web/ingress.py
+++ b/magnoliarouter/web/ingress.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections import deque
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -37,6 +39,8 @@
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CHUNKED_FIELD = (b"Transfer-Encoding", b"chunked")
 LAST_CHUNK = b"0\r\n\r\n"
+# Lingering for no time, as struct linger of socket(7): closing resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 @dataclass(slots=True)
@@ -55,6 +59,8 @@
         Loop time in seconds at which the first byte was received.
     keep_alive : bool
         Whether the caller keeps the connection open for another request.
+    accepts_chunks : bool
+        Whether the caller understands chunked bodies, as from HTTP/1.1 on.
     """
 
     method: bytes
@@ -63,6 +69,7 @@
     body: bytearray
     received_at: float
     keep_alive: bool = True
+    accepts_chunks: bool = True
 
 
 @dataclass(slots=True)
@@ -110,19 +117,24 @@
     def start(self, status: int, fields: HeaderFields, data: bytes) -> None:
         """Send the head of a streamed response with the first bytes of its body."""
         self.started = True
-        head = self._encode_head(status, [*fields, CHUNKED_FIELD])
-        self._connection.write(head + _encode_chunk(data))
+        if self.request.accepts_chunks:
+            fields = [*fields, CHUNKED_FIELD]
+        else:
+            # The end of the connection has to mark the end of the body.
+            self.request.keep_alive = False
+        self._connection.write(self._encode_head(status, fields) + self._encode_part(data))
 
     async def write(self, data: bytes) -> None:
         """Send bytes of a streamed body and wait while the write buffer is full."""
         if data:
-            self._connection.write(_encode_chunk(data))
+            self._connection.write(self._encode_part(data))
         await self._connection.drain()
 
     async def finish(self) -> None:
         """End a streamed body as complete."""
         self.finished = True
-        self._connection.write(LAST_CHUNK)
+        if self.request.accepts_chunks:
+            self._connection.write(LAST_CHUNK)
         await self._connection.drain()
 
     def abort(self) -> None:
@@ -130,6 +142,11 @@
         self.finished = True
         self._connection.abort()
 
+    def _encode_part(self, data: bytes) -> bytes:
+        if not self.request.accepts_chunks or not data:
+            return data
+        return b"%x\r\n%b\r\n" % (len(data), data)
+
     def _encode_head(self, status: int, fields: HeaderFields) -> bytes:
         keep_alive = self.request.keep_alive and not self._connection.server.draining
         if not keep_alive:
@@ -149,10 +166,6 @@
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
-def _encode_chunk(data: bytes) -> bytes:
-    return b"%x\r\n%b\r\n" % (len(data), data) if data else b""
-
-
 class IngressServer:
     """HTTP server bound to one address.
 
@@ -255,6 +268,11 @@
             await self._drain_waiter
 
     def abort(self) -> None:
+        exchange = self._exchange
+        if exchange is not None and exchange.started and not exchange.request.accepts_chunks:
+            # A close would mark the end of the body.
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._transport.abort()
 
     def close_if_idle(self) -> None:
@@ -368,6 +386,7 @@
                 partial.body,
                 partial.received_at,
                 self._parser.should_keep_alive(),
+                self._parser.get_http_version() != "1.0",
             )
         )
         if self._task is None:
