Break off a resumed stream without a frame that ends before any event

What callers saw: a stream that went on elsewhere, where the next endpoint closed its connection right after the head, ended as complete in its middle. Such an end was allowed where the stream resumes, since its caller might have every event already; with a frame that is the endpoint's word, without one nothing says so.

--- a/magnoliarouter/gateway/frames.py
+++ b/magnoliarouter/gateway/frames.py
@@ -48,6 +48,8 @@
         endpoint that resumes the stream may repeat some.
     events : int
         Number of events that were passed.
+    received : int
+        Number of whole events since the last restart, dropped ones included.
 
     Examples
     --------
@@ -59,6 +61,7 @@
     last_id: bytes | None = None
     partial: bytearray = field(default_factory=bytearray)
     events: int = 0
+    received: int = 0
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the events that they complete.
@@ -77,6 +80,7 @@
         for end in EVENT_END.finditer(self.partial, unsearched):
             event = bytes(self.partial[start : end.end()])
             start = end.end()
+            self.received += 1
             if self._is_new(event):
                 complete += event
                 self.events += 1
@@ -98,13 +102,14 @@
         """
         if self.inside_event:
             return "the stream ended inside an event"
-        if framing is Framing.CLOSE and not self.events and self.last_id is None:
+        if framing is Framing.CLOSE and not self.received:
             return "the stream ended with its connection before any event"
         return None
 
     def restart(self) -> None:
         """Drop an incomplete event before the stream resumes at another endpoint."""
         self.partial.clear()
+        self.received = 0
 
     def _is_new(self, event: bytes) -> bool:
         found = EVENT_ID.search(event)
