--- a/magnoliarouter/tests/test_endless.py
+++ b/magnoliarouter/tests/test_endless.py
@@ -4,13 +4,18 @@
 
 import asyncio
 import contextlib
+import socket
 import tracemalloc
 import unittest
 
+import msgspec
+
 from magnoliarouter.core.outcome import Completed, ResultCode, Unknown
 from magnoliarouter.endpoints.client import open_session
+from magnoliarouter.endpoints.monitor import _read as read_health
 from magnoliarouter.gateway.attempt import SILENCE_TIMEOUT_S
 from magnoliarouter.gateway.frames import MAX_EVENT_BYTES
+from magnoliarouter.gateway.peers import PeerMessage
 from magnoliarouter.gateway.ranks import Go, OrderResult
 from magnoliarouter.gateway.routes import RouteKind
 from magnoliarouter.platform.ranks import PlatformRanks
@@ -19,6 +24,7 @@
 from magnoliarouter.store.wire import StoreCall
 from magnoliarouter.tests.raw_server import RawPeer, RawServer, build_response
 from magnoliarouter.tests.test_forward import EVENTS, STREAM, FakeExchange, ForwardCase, build_route
+from magnoliarouter.tests.test_gateway import GatewayCase
 from magnoliarouter.web.ingress import IngressServer
 from magnoliarouter.web.limits import ServerLimits
 from magnoliarouter.web.upstream import UpstreamPool
@@ -214,6 +220,32 @@
                 self.assertIsInstance(result, Unavailable)
                 self.assert_memory_is_bounded()
 
+    async def test_health_responses_of_an_engine_are_bounded(self):
+        session = await self.enterAsyncContext(open_session())
+        for name, (first, piece) in ENDLESS_RESPONSES.items():
+            with self.subTest(name):
+                address = await self.start(first, piece)
+                self.assertEqual(await read_health(session, f"http://{address}/load"), (0, b""))
+                self.assert_memory_is_bounded()
+
+
+class EndlessDatagramTest(MemoryCase, GatewayCase):
+    async def test_datagrams_without_end_take_no_memory(self):
+        daemon = await self.start()
+        await self.wait_ready(daemon)
+        tracemalloc.reset_peak()
+        host, port = daemon.settings.peers.split(":")
+        message = PeerMessage("front-9", 1, 1, {f"e{number}": 1 for number in range(5000)})
+        datagrams = (b"\xc1" * 60_000, msgspec.msgpack.encode(message))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for _ in range(200):
+                for data in datagrams:
+                    sender.sendto(data, (host, int(port)))
+                await asyncio.sleep(0.001)
+        await asyncio.sleep(0.1)
+        self.assert_memory_is_bounded()
+        self.assertEqual((await self.send_request(daemon))[0], 200)
+
 
 class EndlessRequestTest(MemoryCase):
     async def start(self):
