--- a/magnoliarouter/tests/test_explain.py
+++ b/magnoliarouter/tests/test_explain.py
@@ -55,6 +55,13 @@
         )
         self.assertEqual(trace.passed_over, 3)
 
+    def test_trace_holds_what_the_endpoint_said_about_itself(self):
+        events = ("endpoint_leaving", "endpoint_paused", "pause_malformed")
+        notices = [build_log_line(event, 9.5, endpoint="e1") for event in events]
+        trace = collect_trace("r1", [("front-1", [*LOGS["front-1"], *notices])])
+        found = [entry["message_type"] for entry in trace.lines]
+        self.assertEqual([event for event in found if event in events], list(events))
+
 
 class CommandTest(unittest.TestCase):
     def run_command(self, name, arguments):
--- a/magnoliarouter/tests/test_notices.py
+++ b/magnoliarouter/tests/test_notices.py
@@ -5,7 +5,9 @@
 import unittest.mock
 from dataclasses import replace
 
+from magnoliarouter.cli.status import _format_gateway
 from magnoliarouter.core.outcome import Completed, NotRun, ResultCode, Unknown
+from magnoliarouter.daemon.gatewayview import describe_gateway
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
 from magnoliarouter.gateway.notices import (
     MAX_NOTICES,
@@ -17,7 +19,7 @@
 from magnoliarouter.gateway.routes import RouteKind
 from magnoliarouter.gateway.waiting import WaitQueue
 from magnoliarouter.platform.ranks import PlatformRanks
-from magnoliarouter.tests.clock import run_auto_advance
+from magnoliarouter.tests.clock import run_auto_advance, wait_until
 from magnoliarouter.tests.raw_server import RawServer, build_response
 from magnoliarouter.tests.test_forward import EVENTS, FakeExchange, ForwardCase, build_route
 from magnoliarouter.tests.test_gateway import GatewayCase
@@ -330,6 +332,19 @@
             self.assertEqual((status, body), (200, b"e2"))
         self.assertEqual(len(self.engine.heads), sent)
 
+    async def test_status_names_endpoints_that_leave_or_pause(self):
+        await self.add_engine("e2")
+        daemon = await self.start()
+        await self.wait_ready(daemon)
+        await wait_until(lambda: daemon.table.find("e2") is not None)
+        notices = daemon.table.notices
+        notices.record_leaving(daemon.table.find("e1"))
+        notices.record_pause(daemon.table.find("e2"), 5.0, asyncio.get_running_loop().time())
+        status = describe_gateway(daemon, asyncio.get_running_loop().time())
+        self.assertEqual(status["endpoints"]["e1"]["state"], "leaving")
+        self.assertAlmostEqual(status["endpoints"]["e2"]["pause_s"], 5.0, delta=0.1)
+        self.assertRegex(_format_gateway(status), r"e1.* leaving(?s:.*)e2.* paused for [45]\.")
+
 
 if __name__ == "__main__":
     unittest.main()
