Give stand-ins and tests ports that the kernel does not assign

Cause: ports were found by binding to port 0 and closing again, long before their process bound them; until then the kernel may assign the same port to any other socket. Ruled out: the daemon's own start, which got as far as that bind.

find_port returns ports below those that the kernel assigns, none twice in a row, starting elsewhere in each process.

--- a/magnoliarouter/standins/launch.py
+++ b/magnoliarouter/standins/launch.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
 import signal
 import socket
 import sys
 import tempfile
 from dataclasses import dataclass
+from itertools import cycle, islice
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -17,8 +20,16 @@
 from magnoliarouter.pipeline.identify import hash_key
 from magnoliarouter.store.client import PlatformClient
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 __all__ = ["Process", "Site", "contract_value", "find_port"]
 
+# Below the ports that the kernel assigns by itself (`net.ipv4.ip_local_port_range`): one of those may
+# go to another socket before the process that it was found for binds it.
+FIRST_PORT = 16_384
+LAST_PORT = 32_767
+
 PEER_KEY = "peer-key-of-the-demonstration"
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
@@ -68,11 +79,22 @@
         self.child.send_signal(signal.SIGCONT)
 
 
+def _list_ports() -> Iterator[int]:
+    """Return the ports to try without end, from a start that differs between processes."""
+    start = FIRST_PORT + os.getpid() * 64 % (LAST_PORT - FIRST_PORT)
+    return cycle((*range(start, LAST_PORT), *range(FIRST_PORT, start)))
+
+
+_ports = _list_ports()
+
+
 def find_port(host: str) -> int:
-    """Return a port that is currently free on an address."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """Return a port that is free on an address, and that this process has not returned lately."""
+    for port in islice(_ports, LAST_PORT - FIRST_PORT):
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((host, port))
+            return port
+    raise OSError(f"no port of {host} from {FIRST_PORT} to {LAST_PORT} is free")
 
 
 def contract_value(
--- a/magnoliarouter/tests/response_soak.py
+++ b/magnoliarouter/tests/response_soak.py
@@ -15,9 +15,9 @@
 from magnoliarouter.daemon.gateway import GatewayDaemon
 from magnoliarouter.gateway.settings import GatewayBounds, GatewaySettings
 from magnoliarouter.platform.main import INTERFACE
+from magnoliarouter.standins.launch import find_port
 from magnoliarouter.tests.platform_standin import StoreStandin, build_configuration
 from magnoliarouter.tests.raw_server import RawPeer, RawServer
-from magnoliarouter.tests.test_gateway import find_port
 
 EVENT_COUNT = 10
 DEADLINE_S = 1.5
@@ -291,7 +291,7 @@
         await self.store.put("servers", name, engine.build_entry())
 
     async def start_daemon(self, number: int) -> GatewayDaemon:
-        listen, ready, peers = (f"127.0.0.1:{find_port()}" for _ in range(3))
+        listen, ready, peers = (f"127.0.0.1:{find_port('127.0.0.1')}" for _ in range(3))
         settings = GatewaySettings(
             name=f"front-{number}",
             zone="zone-1",
--- a/magnoliarouter/tests/test_gateway.py
+++ b/magnoliarouter/tests/test_gateway.py
@@ -10,17 +10,12 @@
 from magnoliarouter.daemon.gateway import CHANGE_BATCH_SHARE, GatewayDaemon
 from magnoliarouter.gateway.settings import GatewayBounds, GatewaySettings
 from magnoliarouter.platform.main import INTERFACE
+from magnoliarouter.standins.launch import find_port
 from magnoliarouter.tests.clock import wait_until
 from magnoliarouter.tests.platform_standin import EngineStandin, StoreStandin, build_configuration
 from magnoliarouter.tests.raw_server import RawPeer
 
 
-def find_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class GatewayCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.store = await StoreStandin().start()
@@ -36,7 +31,7 @@
         return engine
 
     async def start(self, name="front-1", **bounds):
-        addresses = [f"127.0.0.1:{find_port()}" for _ in range(4)]
+        addresses = [f"127.0.0.1:{find_port('127.0.0.1')}" for _ in range(4)]
         settings = GatewaySettings(
             name=name,
             zone="zone-1",
--- a/magnoliarouter/tests/test_gateway_process.py
+++ b/magnoliarouter/tests/test_gateway_process.py
@@ -10,9 +10,9 @@
 from pathlib import Path
 
 from magnoliarouter.platform.settings import PATH_VARIABLE
+from magnoliarouter.standins.launch import find_port
 from magnoliarouter.tests.platform_standin import EngineStandin, StoreStandin, build_configuration
 from magnoliarouter.tests.raw_server import RawPeer
-from magnoliarouter.tests.test_gateway import find_port
 
 # A separate loopback address avoids conflicts, since the port of the metrics is fixed.
 HOST = "127.0.0.93"
@@ -32,7 +32,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.settings = Path(folder.name) / "local.toml"
-        self.listen_port, self.ready_port, peers = find_port(), find_port(), find_port()
+        self.listen_port, self.ready_port, peers = find_port(HOST), find_port(HOST), find_port(HOST)
         self.settings.write_text(
             f'node_name = "front-1"\nzone = "zone-1"\nip = "{HOST}"\n'
             f"port_range = [{peers}, {peers + 15}]\n"
