Read store responses by the bounded reader, and keep one limit and one rule where two stood

From a second reading of the change; behaviour is unchanged but for one word in logged reasons.

- UpstreamTransport had a bounded loop over a body beside UpstreamConnection.read_body, which is bounded since this change.
A kind of its own for bodies that are too large lets it call that and still report TOO_LARGE; the reason of such an attempt begins with 'too large' instead of 'malformed'.
- The largest body that is read whole was a constant in web/upstream and one in web/bodies.
- Whether a response says that its endpoint leaves was written twice in platform/headers.

Left, since it takes more than this: the parameters that _relay_stream and _relay_events share, and the repeated starts and ends of plays in test_groups.py.

--- a/magnoliarouter/cli/status.py
+++ b/magnoliarouter/cli/status.py
@@ -88,7 +88,13 @@
         state = f"failing: {watch['reason']}" if watch["failures"] else "served"
         lines.append(f"store, {kind}: {state}, last {watch['served_s_ago']} s ago")
     endpoints = [
-        (name, facts["service"], facts["zone"], _name_state(facts), _format_load(facts))
+        (
+            name,
+            facts["service"],
+            facts["zone"],
+            _name_state(facts),
+            f"{facts['load']}/{facts['slots']}",
+        )
         for name, facts in value["endpoints"].items()
     ]
     lines.append(format_table(("endpoint", "service", "zone", "state", "load"), endpoints))
@@ -106,10 +112,6 @@
     return f"{facts['state']} for {pause_s} s" if pause_s else facts["state"]
 
 
-def _format_load(facts: dict[str, Any]) -> str:
-    return f"{facts['load']}/{facts['slots']}"
-
-
 def _format_daemons(replies: dict[str, StatusReply | PeerError]) -> str:
     rows = [_daemon_row(name, reply) for name, reply in replies.items()]
     text = format_table(DAEMON_HEADERS, rows)
--- a/magnoliarouter/core/framing.py
+++ b/magnoliarouter/core/framing.py
@@ -4,8 +4,16 @@
 
 from enum import Enum
 
-__all__ = ["ConnectionEnd", "Framing", "determine_framing", "is_whole_at_end"]
-
+__all__ = [
+    "MAX_BODY_BYTES",
+    "ConnectionEnd",
+    "Framing",
+    "determine_framing",
+    "is_whole_at_end",
+]
+
+# Largest body that is read whole: a message, or a response before it is relayed.
+MAX_BODY_BYTES = 4_194_304
 BODILESS_STATUSES = (204, 304)
 
 
--- a/magnoliarouter/pipeline/deliver.py
+++ b/magnoliarouter/pipeline/deliver.py
@@ -8,8 +8,9 @@
 import aiohttp
 import msgspec
 
+from magnoliarouter.core.framing import MAX_BODY_BYTES
 from magnoliarouter.core.outcome import Completed, Outcome, ResultCode, Unknown
-from magnoliarouter.web.bodies import MAX_MESSAGE_BYTES, limit_parts
+from magnoliarouter.web.bodies import limit_parts
 from magnoliarouter.web.exchange import error_body
 
 if TYPE_CHECKING:
@@ -72,7 +73,7 @@
     Nothing of a truncated response is sent, so that the call can be retried on another endpoint.
     """
     try:
-        body = b"".join([part async for part in limit_parts(response.body, MAX_MESSAGE_BYTES)])
+        body = b"".join([part async for part in limit_parts(response.body, MAX_BODY_BYTES)])
     except (aiohttp.ClientError, OSError) as error:
         meter.is_exact = False
         reason = f"{TRUNCATED.reason}: {error}" if str(error) else TRUNCATED.reason
--- a/magnoliarouter/platform/headers.py
+++ b/magnoliarouter/platform/headers.py
@@ -110,7 +110,7 @@
             b"x-server-stamp" in named,
             # This field names the engine at fault; a refusal by a full engine lacks it.
             b"at-server" in named and not misdirected,
-            named.get(LEAVING_FIELD, b"").strip() == LEAVING_VALUE and not misdirected,
+            says_leaving(fields) and not misdirected,
             named.get(b"retry-after") if status == 503 else None,
             float(keep[1]) if keep else None,
             [(name, value) for name, value in fields if name.lower() not in dropped],
--- a/magnoliarouter/store/transport.py
+++ b/magnoliarouter/store/transport.py
@@ -113,16 +113,12 @@
                 connection.send(self._encode(call))
                 head = await connection.read_head()
                 self._on_head(head)
-                parts, size = [], 0
-                while (part := await connection.read_part()) is not None:
-                    size += len(part)
-                    if size > limit:
-                        return _too_large(limit)
-                    parts.append(part)
-                return head.status, b"".join(parts)
+                return head.status, await connection.read_body(limit)
         except TimeoutError:
             return Unavailable(f"no answer within {timeout:g} s", Failure.TIMEOUT)
         except UpstreamError as error:
+            if error.kind is UpstreamErrorKind.TOO_LARGE:
+                return _too_large(limit)
             unsent = error.kind is UpstreamErrorKind.UNREACHABLE
             return Unavailable(str(error), Failure.CONNECT if unsent else Failure.BROKEN)
         finally:
--- a/magnoliarouter/web/bodies.py
+++ b/magnoliarouter/web/bodies.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from magnoliarouter.core.framing import (
+    MAX_BODY_BYTES,
     ConnectionEnd,
     Framing,
     determine_framing,
@@ -24,7 +25,6 @@
     from aiohttp.connector import Connection
 
 __all__ = [
-    "MAX_MESSAGE_BYTES",
     "BodyTooLarge",
     "TrackedResponse",
     "iterate_body",
@@ -32,10 +32,6 @@
     "read_body",
 ]
 
-# Largest message of another daemon, a guard, a rank or an engine, and largest response that is read
-# whole before it is relayed.
-MAX_MESSAGE_BYTES = 4_194_304
-
 
 class BodyTooLarge(aiohttp.ClientPayloadError):
     """A body is larger than its reader takes."""
@@ -79,7 +75,7 @@
         raise aiohttp.ClientPayloadError(reason)
 
 
-async def read_body(response: aiohttp.ClientResponse, limit: int = MAX_MESSAGE_BYTES) -> bytes:
+async def read_body(response: aiohttp.ClientResponse, limit: int = MAX_BODY_BYTES) -> bytes:
     """Return a whole body of at most `limit` bytes; raises `aiohttp.ClientPayloadError` if not.
 
     The connection of a response that is not read to its end is closed.
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -16,6 +16,7 @@
 import httptools
 
 from magnoliarouter.core.framing import (
+    MAX_BODY_BYTES,
     ConnectionEnd,
     Framing,
     determine_framing,
@@ -57,8 +58,6 @@
 KEEP_ALIVE_MARGIN_S = 0.4
 # Bytes of a head with the informational responses before it, of a chunk header, or of trailers.
 MAX_OVERHEAD_BYTES = 65_536
-# Largest body that is read whole.
-MAX_BODY_BYTES = 4_194_304
 INFORMATIONAL_STATUSES = range(100, 200)
 
 
@@ -69,6 +68,7 @@
     RESET = "reset"
     TRUNCATED = "truncated"
     MALFORMED = "malformed"
+    TOO_LARGE = "too large"
 
 
 class UpstreamError(Exception):
@@ -190,7 +190,7 @@
         while (part := await self.read_part()) is not None:
             body += part
             if len(body) > limit:
-                raise UpstreamError(UpstreamErrorKind.MALFORMED, f"body has over {limit} bytes")
+                raise UpstreamError(UpstreamErrorKind.TOO_LARGE, f"body has over {limit} bytes")
         return bytes(body)
 
     def record_keep_alive(self, seconds: float | None) -> None:
