Show that streams of crashed engines do not end as complete at their callers

The new test starts a whole daemon and reads the caller's bytes.

Ruled out for that code: the same with chunks or a reset.

No logic changes.

--- a/magnoliarouter/tests/test_gateway.py
+++ b/magnoliarouter/tests/test_gateway.py
@@ -13,7 +13,7 @@
 from magnoliarouter.standins.launch import find_port
 from magnoliarouter.tests.clock import wait_until
 from magnoliarouter.tests.platform_standin import EngineStandin, StoreStandin, build_configuration
-from magnoliarouter.tests.raw_server import RawPeer
+from magnoliarouter.tests.raw_server import RawPeer, RawServer
 
 
 class GatewayCase(unittest.IsolatedAsyncioTestCase):
@@ -298,5 +298,67 @@
         await self.wait_ready(daemon)
 
 
+class CrashedEngineTest(GatewayCase):
+    """Streams of engines that crash, as the bytes that reach the caller."""
+
+    EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
+
+    async def start_stream(self, chunked, ends_by):
+        """Start a daemon before one engine whose streams end inside their third event."""
+
+        async def serve(peer):
+            await peer.read_message()
+            frame = b"Transfer-Encoding: chunked\r\n" if chunked else b""
+            await peer.send(
+                b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: r1\r\n"
+                b"X-Server-Stamp: s1\r\n" + frame + b"\r\n"
+            )
+            for data in (*self.EVENTS, b"id: 3\nda"):
+                await peer.send(b"%x\r\n%b\r\n" % (len(data), data) if chunked else data)
+            await asyncio.sleep(0.05)
+            if ends_by == "reset":
+                peer.reset()
+
+        server = await RawServer(serve).start()
+        self.addAsyncCleanup(server.stop)
+        configuration = build_configuration()
+        configuration["routes"][0].update(kind="streaming", resumable=True, gap_aim_ms=120)
+        await self.store.put("config", "main", configuration)
+        entry = self.engine.build_entry(address=server.address)
+        await self.store.put("servers", "e1", entry)
+        daemon = await self.start()
+        await self.wait_ready(daemon)
+        return daemon
+
+    async def read_response(self, daemon):
+        """Return all bytes until the connection ends, and whether it was closed, not reset."""
+        peer = await RawPeer.connect(daemon.settings.listen)
+        self.addCleanup(peer.close)
+        await peer.send(
+            b"GET /a/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\n"
+            b"X-Deadline-Ms: 700\r\nAuthorization: Bearer key-1\r\nConnection: close\r\n\r\n"
+        )
+        received = b""
+        try:
+            while part := await asyncio.wait_for(peer.reader.read(65536), 5.0):
+                received += part
+        except ConnectionError:
+            return received, False
+        return received, True
+
+    async def test_stream_that_a_crash_cuts_inside_an_event_never_looks_complete(self):
+        for chunked in (False, True):
+            for ends_by in ("close", "reset"):
+                with self.subTest(chunked=chunked, ends_by=ends_by):
+                    daemon = await self.start_stream(chunked, ends_by)
+                    received, _ = await self.read_response(daemon)
+                    self.assertIn(b"X-Server-Stamp: s1", received)
+                    for event in self.EVENTS:
+                        self.assertEqual(received.count(event), 1)
+                    self.assertNotIn(b"id: 3", received)
+                    self.assertIn(b"Transfer-Encoding: chunked", received)
+                    self.assertFalse(received.endswith(b"0\r\n\r\n"), received)
+
+
 if __name__ == "__main__":
     unittest.main()
