--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -697,6 +697,21 @@
         self.assertEqual(await task, Completed(ResultCode.OK, 200))
         self.assertEqual(self.exchange.body, b"".join(EVENTS))
 
+    async def test_prompt_whose_engine_crashed_as_its_answer_began_is_not_sent_to_another(self):
+        async def crash(peer):
+            await peer.send(self.head())
+            server._server.close()
+            peer.close()
+
+        server = await self.add(crash, "e1", slots=100)
+        await self.add(self.serve(EVENTS), "e2", "zone-2", slots=1)
+        self.table.random.random = lambda: 0.0
+        fields = {"X-Prompt-Prefix": b"f1:40,a1:200,c1:30"}
+        outcome = await self.forward(build_route(RouteKind.STREAM, 2, resumable=True), **fields)
+        self.assertEqual(outcome.code, ResultCode.STREAM_TRUNCATED)
+        self.assertIsInstance(outcome, Unknown)
+        self.assertEqual(self.tried(), ["e1"])
+
     async def test_caller_that_resumes_is_served_from_its_last_event(self):
         await self.add(self.serve(EVENTS[2:]))
         fields = {"Last-Event-Id": b"2"}
--- /dev/null
+++ b/magnoliarouter/tests/test_prompt_soak.py
@@ -0,0 +1,43 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from magnoliarouter.tests.prompt_soak import Faults, PromptSite
+
+SECONDS = 6.0
+
+
+class PromptSoakTest(unittest.TestCase):
+    def test_prompt_part_that_crashes_engines_is_not_sent_on(self):
+        log = asyncio.run(PromptSite(1, SECONDS).run())
+        self.assertEqual(log.violations, [])
+        self.assertGreater(log.counts["sound 200"], 100)
+        self.assertGreater(log.counts["bad 503"] + log.counts["bad 502"], 50)
+
+    def test_prompt_part_that_crashes_engines_is_known_after_restarts_of_all_daemons(self):
+        async def play():
+            site = PromptSite(2, SECONDS)
+            await site.open()
+            try:
+                await asyncio.sleep(0.8)
+                await site.play(SECONDS / 2)
+                for number in range(site.daemon_count):
+                    site.kill_daemon(site.daemons[number])
+                for number in range(site.daemon_count):
+                    site.daemons[number] = await site.start_daemon(number)
+                await site.play(SECONDS / 2)
+            finally:
+                await site.close()
+            site.check()
+            return site.log
+
+        self.assertEqual(asyncio.run(play()).violations, [])
+
+    def test_prompt_part_that_crashes_engines_is_known_to_daemons_that_share_no_datagram(self):
+        log = asyncio.run(PromptSite(3, SECONDS, Faults(lost_datagrams=1.0)).run())
+        self.assertEqual(log.violations, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
