Find the parts of prompts that crash endpoints, and refuse requests with them

What callers saw: model requests hardly served while requests with one part in their prompts ended one engine after the other.

Cause: nothing related the end of an engine to what was in the prompts that it was beginning to answer. Each such request was new to its daemon, came at any of them, and one daemon saw few of the ends.

Change: a response that breaks off, after which its endpoint refuses connections, is a crash. Its daemon tells the others which parts of the prompt might be the cause: those on which it has seen no answer within a minute; daemons that have seen one say so. A part that alone explains two crashes at different moments is the cause (core/crashes.py). It is recorded in the store, where daemons that start read it before they serve, and where the operator can delete it.

Why this works: the part is in a prompt at every crash and no answer on it is ever written; the other parts of those prompts are either answered elsewhere or change from crash to crash.

Ruled out: a resend of each report until it is confirmed, and a store object for each crash, which would wake every daemon's watch. Where all daemons could answer a report, at most 15 of 1,000 do.

--- a/magnoliarouter/core/codes.py
+++ b/magnoliarouter/core/codes.py
@@ -126,6 +126,11 @@
     ResultCode.FENCED: CodeDescription(
         503, "The attempt was kept from starting.", _RETRY_ELSEWHERE
     ),
+    ResultCode.PROMPT_QUARANTINED: CodeDescription(
+        503,
+        "Endpoints crash on a part of the prompt.",
+        "Send the prompt without the part, or tell the operator.",
+    ),
     ResultCode.PLATFORM_UNAVAILABLE: CodeDescription(
         503, "The platform is needed for this call and does not answer.", _RETRY_LATER
     ),
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -13,12 +13,18 @@
 from magnoliarouter.daemon.gatewayregister import GatewayRegistration
 from magnoliarouter.daemon.gatewayview import describe_gateway
 from magnoliarouter.daemon.mapelection import MapLeaderElection
+from magnoliarouter.daemon.quarantine import (
+    QUARANTINE_KIND,
+    QuarantineRecords,
+    decode_quarantined,
+)
 from magnoliarouter.gateway.confirmations import (
     CONFIGURATION_WAIT_S,
     CONFIRMING_WAIT_S,
     ENDPOINTS_WAIT_S,
     Confirmations,
 )
+from magnoliarouter.gateway.crashwatch import CrashWatch
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
 from magnoliarouter.gateway.forward import GatewayForwarder
 from magnoliarouter.gateway.freshness import Freshness
@@ -28,6 +34,7 @@
 from magnoliarouter.gateway.paces import RankPaces, limit_by_pace
 from magnoliarouter.gateway.pauses import EventGapMeter, limit_requests
 from magnoliarouter.gateway.peers import PeerLoads
+from magnoliarouter.gateway.quarantine import Quarantine
 from magnoliarouter.gateway.waiting import WaitQueue
 from magnoliarouter.gateway.zonewatch import ZoneWatch
 from magnoliarouter.store.backoff import Backoff, CallBudget
@@ -187,6 +194,7 @@
             self._group_watch,
             self._zone_watch,
             self._gap_meter,
+            self._create_crash_watch(),
             self.peers.schedule_send,
         )
         self._paces = RankPaces(clock, forwarder.move_streams)
@@ -252,6 +260,28 @@
             STORE_TIMEOUT_S,
         )
 
+    def _create_crash_watch(self) -> CrashWatch:
+        self.quarantine = Quarantine(
+            lambda: self._quarantine_records.is_loaded(), lambda: self._queue.wake()
+        )
+        watch = CrashWatch(
+            self.quarantine,
+            self._pool.is_refused,
+            self._loop.time,
+            lambda cause: self._quarantine_records.write(cause),
+            lambda cause: self._quarantine_records.delete(cause),
+            self.peers.schedule_send,
+        )
+        self._quarantine_records = QuarantineRecords(
+            self._store,
+            self.quarantine,
+            watch.list_endpoints,
+            watch.release,
+            _create_backoff(),
+        )
+        self.peers.collect_crashes, self.peers.apply_crashes = watch.collect_news, watch.apply_news
+        return watch
+
     def _open_feeds(self) -> None:
         interface, bounds = self.interface, self.settings.bounds
         batch_s = CHANGE_BATCH_SHARE * min(bounds.drain_s, bounds.configuration_s)
@@ -276,8 +306,22 @@
             on_availability=lambda reason: _log_feed(interface.endpoint_kind, reason),
             batch_interval_s=batch_s,
         )
+        records = self._quarantine_records
+        records.feed = ObjectFeed(
+            self._store,
+            QUARANTINE_KIND,
+            decode_quarantined,
+            records.apply,
+            _create_backoff(),
+            ENDPOINTS_WAIT_S,
+            on_availability=lambda reason: _log_feed(QUARANTINE_KIND, reason),
+        )
         self._confirmations = Confirmations(
-            {self.configuration_feed: CONFIRMING_WAIT_S, self.endpoint_feed: ENDPOINTS_WAIT_S},
+            {
+                self.configuration_feed: CONFIRMING_WAIT_S,
+                self.endpoint_feed: ENDPOINTS_WAIT_S,
+                records.feed: ENDPOINTS_WAIT_S,
+            },
             self.peers,
             self._loop.time,
             batch_s,
@@ -295,6 +339,8 @@
         for run in (
             self.configuration_feed.run,
             self.endpoint_feed.run,
+            records.feed.run,
+            records.run,
             self._confirmations.run,
             self._registration.run,
             self._share_budget,
@@ -495,6 +541,7 @@
             not self.leaving
             and self.config is not None
             and self.endpoint_feed.synchronized.is_set()
+            and self._quarantine_records.is_loaded()
             and self.freshness.accepts_keys(now)
         )
 
--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -32,6 +32,7 @@
     "FailedAttempt",
     "CallProgress",
     "BufferedResponse",
+    "SOUND_EVENTS",
     "may_relay",
     "relay",
 ]
@@ -42,6 +43,9 @@
 # Share of the remaining time given to each attempt of a repeatable request except the last.
 ATTEMPT_TIME_SHARE = 0.5
 MIN_ATTEMPT_S = 0.1
+# Events after which an answer counts as written: a part of a prompt that crashes endpoints does so
+# as the answer begins.
+SOUND_EVENTS = 3
 
 T = TypeVar("T")
 
@@ -120,6 +124,8 @@
         Whether the head of the current attempt's response was received.
     received_at : float
         Loop time at which the current attempt was sent, or last received data.
+    answered : bool
+        Whether an endpoint has written an answer of at least `SOUND_EVENTS` events.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -132,6 +138,7 @@
     moving: bool = False
     began: bool = False
     received_at: float = 0.0
+    answered: bool = False
 
     def start_attempt(self, now: float) -> None:
         """Count an attempt that is sent at the loop time `now`."""
@@ -174,6 +181,8 @@
         Called with an endpoint that sent nothing for `SILENCE_TIMEOUT_S`.
     on_head : callable
         Called with an endpoint and the header fields of each of its responses.
+    on_answer : callable
+        Called with a call once an endpoint has written an answer on it.
     """
 
     def __init__(
@@ -188,6 +197,7 @@
         list_members: Callable[[str], set[str]],
         on_silence: Callable[[Endpoint], None],
         on_head: Callable[[Endpoint, ResponseHeaders], None],
+        on_answer: Callable[[GatewayCall], None] = lambda call: None,
     ) -> None:
         self._table = table
         self._pool = pool
@@ -199,6 +209,7 @@
         self._list_members = list_members
         self._on_silence = on_silence
         self._on_head = on_head
+        self._on_answer = on_answer
         self._streams: set[_RunningStream] = set()
 
     def move_streams(self, identity: str) -> int:
@@ -255,6 +266,8 @@
                 self._pool.release(endpoint.address, connection)
         if isinstance(result, Completed):
             self._table.record_success(endpoint, self._clock())
+            if result.status < 300:
+                self._on_answer(call)
         return result
 
     async def _read_response(
@@ -422,6 +435,9 @@
                 return events
             if events is None:
                 break
+            if splitter.received >= SOUND_EVENTS and not progress.answered:
+                progress.answered = True
+                self._on_answer(call)
             now = self._clock()
             gap_s, progress.last_event_at = now - progress.last_event_at, now
             if not first:
--- /dev/null
+++ b/magnoliarouter/gateway/crashwatch.py
@@ -0,0 +1,290 @@
+"""Detects endpoints that crash on a prompt, and shares what was seen with the other daemons.
+
+One daemon sees few of the crashes, and the requests with a part that crashes endpoints come at any
+daemon. Each daemon therefore tells the others which prompts were at an endpoint that crashed, and
+which of the parts that others name it has seen answers on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeAlias
+
+from magnoliarouter.core.crashes import SOUND_S, CrashLedger, CrashReport, RecentParts
+from magnoliarouter.core.outcome import NotRun, ResultCode
+from magnoliarouter.gateway.attempt import SOUND_EVENTS
+from magnoliarouter.gateway.peers import CrashNews
+from magnoliarouter.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterable
+
+    from magnoliarouter.gateway.attempt import CallProgress, FailedAttempt
+    from magnoliarouter.gateway.call import GatewayCall
+    from magnoliarouter.gateway.endpoints import Endpoint
+    from magnoliarouter.gateway.quarantine import Quarantine
+
+__all__ = ["CrashWatch"]
+
+# A connection that ends after a longer silence was cut by an endpoint that runs, whose group was
+# stalled.
+MAX_SILENCE_S = 1.2
+# The sockets of a process that ends are closed one after the other, the one that listens maybe last.
+CONFIRM_DELAY_S = 0.05
+# Time for the other daemons to name the parts that they have seen answers on.
+SETTLE_S = 0.2
+# Daemons wait up to this time before they name such parts, and those that hear another name them
+# need not. Long waits are more probable than short ones, by this exponent, so that however many
+# daemons could answer, few do so before they hear the first answer.
+MAX_ANSWER_DELAY_S = 0.15
+ANSWER_DELAY_EXPONENT = 10.0
+# An answer of another daemon that was heard within this time serves.
+HEARD_S = 1.0
+# A report is sent this often, since datagrams may be lost, at intervals of at least this.
+NEWS_REPEATS = 5
+NEWS_INTERVAL_S = 0.2
+# Limits of one message.
+MAX_NEWS = 8
+MAX_REPORTED_PARTS = 32
+MAX_KNOWN_CRASHES = 256
+# Until then the operator may have replaced the endpoints' software; callers shorten it to what they
+# accept.
+QUARANTINE_RETRY_AFTER_S = 60.0
+
+_Start: TypeAlias = tuple[str, int]
+
+
+@dataclass(slots=True)
+class _News:
+    value: CrashReport | str
+    sends: int = 0
+
+
+class CrashWatch:
+    """Crashes of endpoints, and what they have in common.
+
+    Parameters
+    ----------
+    quarantine : Quarantine
+        Receives the parts that crash endpoints.
+    is_refused : callable
+        Coroutine function that returns whether an address refuses connections.
+    clock : callable
+        Loop time in seconds.
+    on_found : callable
+        Called with the set of parts that was added to the quarantine.
+    on_sound : callable
+        Called with a set of parts in quarantine on which an answer was written.
+    on_news : callable
+        Called when there is something to tell the other daemons.
+    """
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        is_refused: Callable[[str], Awaitable[bool]],
+        clock: Callable[[], float],
+        on_found: Callable[[frozenset[str]], None] = lambda cause: None,
+        on_sound: Callable[[frozenset[str]], None] = lambda cause: None,
+        on_news: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.quarantine = quarantine
+        self._is_refused = is_refused
+        self._clock = clock
+        self._on_found = on_found
+        self._on_sound = on_sound
+        self._on_news = on_news
+        self._ledger = CrashLedger()
+        # Parts on which this daemon itself has seen answers. What others have seen is not passed
+        # on, so that it grows old.
+        self._own_sound = RecentParts()
+        self._heard_sound = RecentParts()
+        self._crashed: OrderedDict[_Start, None] = OrderedDict()
+        self._checks: dict[_Start, asyncio.Task[bool]] = {}
+        self._news: list[_News] = []
+        self._news_sent_at = float("-inf")
+        self._timer: asyncio.TimerHandle | None = None
+
+    def find_refusal(self, call: GatewayCall) -> NotRun | None:
+        """Return why a call may not be sent because of its prompt, or None."""
+        parts = call.headers.prompt_parts
+        if parts and not self.quarantine.is_loaded():
+            reason = "this daemon does not know yet which prompts crash endpoints"
+            return NotRun(ResultCode.CONFIGURATION_MISSING, reason)
+        cause = self.quarantine.find(parts)
+        if cause is None:
+            return None
+        reason = f"prompts with {', '.join(sorted(cause))} crash endpoints"
+        return NotRun(ResultCode.PROMPT_QUARANTINED, reason, QUARANTINE_RETRY_AFTER_S)
+
+    def record_answer(self, call: GatewayCall) -> None:
+        """Record that an endpoint wrote an answer on a call's prompt."""
+        parts, now = call.headers.prompt_parts, self._clock()
+        self._own_sound.record(parts, now)
+        self._ledger.record_sound(parts, now)
+        cause = self.quarantine.find(parts)
+        if cause is not None:
+            log_event("prompt_sound", parts=sorted(cause), request_id=_name(call), important=True)
+            self.release(cause)
+            self._on_sound(cause)
+
+    def list_endpoints(self, cause: frozenset[str]) -> list[str]:
+        """Return the endpoints that crashed on a prompt with all parts of a set."""
+        return self._ledger.list_endpoints(cause)
+
+    def release(self, cause: frozenset[str]) -> None:
+        """Take parts out of the quarantine, and forget the crashes that they were found by."""
+        self._ledger.forget(cause)
+        if self.quarantine.remove(cause):
+            log_event("prompt_released", parts=sorted(cause), important=True)
+
+    async def examine(
+        self, call: GatewayCall, endpoint: Endpoint, progress: CallProgress, failed: FailedAttempt
+    ) -> bool:
+        """Return whether an endpoint crashed as it began to answer a prompt that may be the cause.
+
+        Parameters
+        ----------
+        call : GatewayCall
+            Call whose attempt failed.
+        endpoint : Endpoint
+            Endpoint of the attempt.
+        progress, failed : CallProgress, FailedAttempt
+            How far the attempt came, and how it failed.
+        """
+        now = self._clock()
+        if not failed.broken_off or progress.splitter.received >= SOUND_EVENTS:
+            return False
+        suspects = self._ledger.list_unproven(call.headers.prompt_parts[:-1], now)
+        if not suspects or now - progress.received_at > MAX_SILENCE_S:
+            return False
+        began = progress.began
+        if not await self._has_crashed(endpoint):
+            return False
+        prompts = frozenset([frozenset(sorted(suspects)[:MAX_REPORTED_PARTS])])
+        report = CrashReport(
+            endpoint.identity,
+            endpoint.started_ms,
+            prompts if began else frozenset(),
+            frozenset() if began else prompts,
+        )
+        log_event(
+            "crash_seen",
+            request_id=_name(call),
+            endpoint=endpoint.identity,
+            began=began,
+            parts=sorted(suspects),
+            important=True,
+        )
+        self._apply_report(report)
+        self._add_news([report])
+        return began
+
+    def apply_news(self, peer: str, news: CrashNews) -> None:
+        """Apply what another daemon saw, and answer with the parts that this one saw answers on."""
+        now = self._clock()
+        self._ledger.record_sound(news.sound, now)
+        self._heard_sound.record(news.sound, now)
+        answered: set[str] = set()
+        for report in news.reports:
+            if not self._apply_report(report):
+                continue
+            parts = frozenset().union(*report.began, *report.waiting)
+            answered |= {part for part in parts if self._own_sound.was_seen(part, now - SOUND_S)}
+            log_event(
+                "crash_reported",
+                peer=peer,
+                endpoint=report.endpoint,
+                began=[sorted(prompt) for prompt in report.began],
+                waiting=[sorted(prompt) for prompt in report.waiting],
+                answered=sorted(answered),
+            )
+        if answered:
+            loop = asyncio.get_running_loop()
+            loop.call_later(_draw_answer_delay(), self._answer, sorted(answered))
+
+    def collect_news(self) -> CrashNews | None:
+        """Return what the next message to the other daemons tells, or None."""
+        now = self._clock()
+        if not self._news or now - self._news_sent_at < NEWS_INTERVAL_S:
+            return None
+        self._news_sent_at = now
+        sent = self._news[:MAX_NEWS]
+        for one in sent:
+            one.sends += 1
+        # The others come first the next time.
+        self._news = self._news[MAX_NEWS:] + [one for one in sent if one.sends < NEWS_REPEATS]
+        return CrashNews(
+            [one.value for one in sent if isinstance(one.value, CrashReport)],
+            [one.value for one in sent if isinstance(one.value, str)],
+        )
+
+    def _answer(self, parts: list[str]) -> None:
+        """Name parts that this daemon saw answers on, unless another daemon just has."""
+        since = self._clock() - HEARD_S
+        self._add_news([part for part in parts if not self._heard_sound.was_seen(part, since)])
+
+    async def _has_crashed(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint that broke off a response refuses connections."""
+        start = (endpoint.identity, endpoint.started_ms)
+        if start in self._crashed:
+            return True
+        check = self._checks.get(start)
+        if check is None:
+            check = asyncio.get_running_loop().create_task(self._check(endpoint.address))
+            self._checks[start] = check
+            check.add_done_callback(lambda done: self._checks.pop(start, None))
+        # The check serves all calls that the endpoint broke off, also if one of them is cancelled.
+        crashed = await asyncio.shield(check)
+        if crashed:
+            self._crashed[start] = None
+            if len(self._crashed) > MAX_KNOWN_CRASHES:
+                self._crashed.popitem(last=False)
+        return crashed
+
+    async def _check(self, address: str) -> bool:
+        if await self._is_refused(address):
+            return True
+        await asyncio.sleep(CONFIRM_DELAY_S)
+        return await self._is_refused(address)
+
+    def _apply_report(self, report: CrashReport) -> bool:
+        is_new = self._ledger.record(report, self._clock())
+        if is_new and self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(SETTLE_S, self._decide)
+        return is_new
+
+    def _decide(self) -> None:
+        self._timer = None
+        for cause in self._ledger.find_causes(self._clock()):
+            if self.quarantine.find(cause) is None:
+                self.quarantine.add(cause)
+                log_event(
+                    "prompt_quarantined",
+                    parts=sorted(cause),
+                    endpoints=self.list_endpoints(cause),
+                    important=True,
+                )
+                self._on_found(cause)
+
+    def _add_news(self, values: Iterable[CrashReport | str]) -> None:
+        known = {one.value for one in self._news}
+        added = [_News(value) for value in values if value not in known]
+        if added:
+            self._news += added
+            self._on_news()
+
+
+def _draw_answer_delay() -> float:
+    """Return a random delay in seconds, with a density that grows exponentially."""
+    scale = math.expm1(ANSWER_DELAY_EXPONENT) * random.random()
+    return MAX_ANSWER_DELAY_S / ANSWER_DELAY_EXPONENT * math.log1p(scale)
+
+
+def _name(call: GatewayCall) -> str:
+    return call.headers.request_id.decode("latin-1")
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -26,6 +26,7 @@
 
     from magnoliarouter.core.retries import SharedRetryBudget
     from magnoliarouter.gateway.call import GatewayCall, HeaderCodec, ResponseHeaders
+    from magnoliarouter.gateway.crashwatch import CrashWatch
     from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
     from magnoliarouter.gateway.groupwatch import GroupWatch
     from magnoliarouter.gateway.pauses import EventGapMeter
@@ -87,6 +88,8 @@
         Unreachable zones.
     gap_meter : EventGapMeter
         Receives the gaps between the events of streams.
+    crashes : CrashWatch
+        Crashes of endpoints, and the prompts that cause them.
     on_load_change : callable
         Called when the number of this daemon's requests at an endpoint has changed.
     """
@@ -103,6 +106,7 @@
         groups: GroupWatch,
         zones: ZoneWatch,
         gap_meter: EventGapMeter,
+        crashes: CrashWatch,
         on_load_change: Callable[[], None] = lambda: None,
     ) -> None:
         self._table = table
@@ -112,6 +116,7 @@
         self._metrics = metrics
         self._groups = groups
         self._zones = zones
+        self._crashes = crashes
         self._on_load_change = on_load_change
         self._attempts = AttemptRunner(
             table,
@@ -124,6 +129,7 @@
             groups.list_members,
             self._suspect,
             self._apply_notices,
+            crashes.record_answer,
         )
 
     async def forward(
@@ -160,11 +166,13 @@
                 self._queue_timeout_s(call, exchange, progress),
                 call.admitted_at + ON_TIME_START_SHARE * call.route.target_latency_s,
                 waits_for_pauses=exchange.started,
+                may_wait=lambda: self._crashes.find_refusal(call) is None,
             )
             if endpoint is None:
-                return await self._finish(
-                    call, exchange, progress, self._refuse_unplaced(call.service, progress.tried)
+                refusal = self._crashes.find_refusal(call) or self._refuse_unplaced(
+                    call.service, progress.tried
                 )
+                return await self._finish(call, exchange, progress, refusal)
             try:
                 refusal = self._check_send(call, exchange, progress, recheck)
                 if refusal is None:
@@ -180,6 +188,7 @@
             if isinstance(result, Completed):
                 return result
             self._record_failure(call, endpoint, progress, result)
+            await self._crashes.examine(call, endpoint, progress, result)
             if not self._may_retry(call, progress, result):
                 return await self._finish(call, exchange, progress, None)
             if result.sent:
@@ -194,6 +203,9 @@
     ) -> NotRun | None:
         if exchange.caller_gone:
             return NotRun(ResultCode.CALLER_GONE, "the caller went away")
+        quarantined = self._crashes.find_refusal(call)
+        if quarantined is not None:
+            return quarantined
         if self._clock() >= call.deadline:
             return NotRun(ResultCode.DEADLINE_EXCEEDED, "no endpoint took it in time")
         if progress.unreachable >= MAX_UNREACHABLE_ENDPOINTS:
--- a/magnoliarouter/gateway/peers.py
+++ b/magnoliarouter/gateway/peers.py
@@ -12,12 +12,13 @@
 
 import msgspec
 
+from magnoliarouter.core.crashes import CrashReport
 from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["MapLease", "PeerLoads", "PeerMessage"]
+__all__ = ["CrashNews", "MapLease", "PeerLoads", "PeerMessage"]
 
 # Changes within this time are sent in one datagram. With a longer delay, other daemons would choose
 # a slot that is already in use.
@@ -39,6 +40,21 @@
 MapLease: TypeAlias = tuple[int, str, int, float, str]
 
 
+class CrashNews(msgspec.Struct, array_like=True):
+    """What one daemon tells the others about crashes of endpoints.
+
+    Parameters
+    ----------
+    reports : list of CrashReport
+        Crashes, and the prompts that the endpoints were working on.
+    sound : list of str
+        Parts of such prompts on which the sender has seen answers.
+    """
+
+    reports: list[CrashReport]
+    sound: list[str]
+
+
 class PeerMessage(msgspec.Struct, array_like=True):
     """State of one daemon as sent to its peers.
 
@@ -66,6 +82,8 @@
     map_lease : (int, str, int, float, str), optional
         Version, holder, epoch, duration in seconds and write id of the lease on the expert maps, as
         the sender, which holds it, last wrote it.
+    crashes : CrashNews, optional
+        What the sender tells about crashes of endpoints.
     """
 
     name: str
@@ -78,6 +96,7 @@
     slow_ranks: dict[str, float] = {}
     capacity: float = 0.0
     map_lease: MapLease | None = None
+    crashes: CrashNews | None = None
 
 
 class PeerLoads(asyncio.DatagramProtocol):
@@ -130,6 +149,8 @@
         self.apply_map_lease: Callable[[MapLease], None] = lambda lease: None
         self.read_slow_ranks: Callable[[], dict[str, float]] = dict
         self.apply_slow_ranks: Callable[[dict[str, float]], None] = lambda slow: None
+        self.collect_crashes: Callable[[], CrashNews | None] = lambda: None
+        self.apply_crashes: Callable[[str, CrashNews], None] = lambda name, news: None
 
     async def open(self, host: str, port: int) -> None:
         """Listen for datagrams and start to send.
@@ -148,6 +169,7 @@
             self._timer.cancel()
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     def set_peers(self, addresses: dict[str, tuple[str, int]]) -> None:
         """Set the addresses of the registered daemons, by name."""
@@ -210,6 +232,8 @@
             self._map_leader, self._leader_received_at = "", float("-inf")
         self._take_loads(message.name, message.loads)
         self._apply_confirmations(message)
+        if message.crashes is not None:
+            self.apply_crashes(message.name, message.crashes)
 
     def error_received(self, exc: OSError) -> None:
         """Ignore errors: a stopped daemon refuses datagrams and is detected by its silence."""
@@ -245,9 +269,9 @@
         self._timer = self._loop.call_later(seconds, self._send)
 
     def _send(self) -> None:
-        self._set_timer(RENEW_INTERVAL_S)
         if self._transport is None:
             return
+        self._set_timer(RENEW_INTERVAL_S)
         self._number += 1
         self._sent_at[self._number] = self._loop.time()
         self._sent_at.pop(self._number - MAX_SENT_TIMES, None)
@@ -263,6 +287,7 @@
             self.read_slow_ranks() if leads else {},
             self._capacity,
             self.read_map_lease() if leads else None,
+            self.collect_crashes(),
         )
         data = msgspec.msgpack.encode(message)
         for address in self._addresses.values():
--- a/magnoliarouter/gateway/waiting.py
+++ b/magnoliarouter/gateway/waiting.py
@@ -40,6 +40,7 @@
     on_time_until: float
     tried: set[str]
     waits_for_pauses: bool
+    may_wait: Callable[[], bool]
     slot: asyncio.Future[Endpoint | None]
 
     def sort_key(self, now: float) -> tuple[int, bool, int]:
@@ -86,6 +87,7 @@
         wait_s: float,
         on_time_until: float = float("inf"),
         waits_for_pauses: bool = False,
+        may_wait: Callable[[], bool] = lambda: True,
     ) -> Endpoint | None:
         """Return an endpoint at which a slot was acquired, or None if none became free in time.
 
@@ -106,6 +108,8 @@
             Loop time until which a slot allows the call to meet its target latency.
         waits_for_pauses : bool
             Whether the call waits while every endpoint that could serve it pauses.
+        may_wait : callable
+            Returns whether the call may still be sent.
         """
         if not self._queues.get(service):
             endpoint = self._choose(service, tried)
@@ -118,7 +122,9 @@
         if not waits_for_pauses and self._finds_only_pauses(service, tried):
             return None
         slot = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(urgency, next(self._numbers), on_time_until, tried, waits_for_pauses, slot)
+        waiter = _Waiter(
+            urgency, next(self._numbers), on_time_until, tried, waits_for_pauses, may_wait, slot
+        )
         self._queues.setdefault(service, []).append(waiter)
         self._start_timer()
         try:
@@ -148,12 +154,13 @@
         for service, queue in self._queues.items():
             if queue and not self._table.has_available_endpoint(service):
                 self._reject(queue, list(queue))
-            paused = [
+            hopeless = [
                 waiter
                 for waiter in queue
-                if not waiter.waits_for_pauses and self._finds_only_pauses(service, waiter.tried)
+                if not waiter.may_wait()
+                or (not waiter.waits_for_pauses and self._finds_only_pauses(service, waiter.tried))
             ]
-            self._reject(queue, paused)
+            self._reject(queue, hopeless)
             while queue:
                 waiter = min(queue, key=lambda one: one.sort_key(self._clock()))
                 endpoint = self._choose(service, waiter.tried)
--- a/magnoliarouter/tests/builders.py
+++ b/magnoliarouter/tests/builders.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from magnoliarouter.core.contract import Contract, Limits
+from magnoliarouter.core.crashes import CrashReport
 from magnoliarouter.gateway.ranks import RankReport
 from magnoliarouter.pipeline.call import ApplicationCall, Call, ModelCall
 from magnoliarouter.pipeline.identify import hash_key
 from magnoliarouter.store.objects import EndpointSpec
 from magnoliarouter.web.server import HttpRequest
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 
 def build_limits(**changes: Any) -> Limits:
     values: dict[str, Any] = {"requests_per_second": 10.0, "tokens_per_second": 1000.0}
@@ -85,3 +89,12 @@
         "held_step": None,
     }
     return RankReport(group, **{**values, **changes})
+
+
+def build_crash_report(
+    endpoint: str, began: Iterable[Iterable[str]] = (), waiting: Iterable[Iterable[str]] = ()
+) -> CrashReport:
+    """Return the report of a crash; each letter of a prompt that is text is one of its parts."""
+    return CrashReport(
+        endpoint, 0, frozenset(map(frozenset, began)), frozenset(map(frozenset, waiting))
+    )
--- /dev/null
+++ b/magnoliarouter/tests/test_crashes.py
@@ -0,0 +1,149 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from magnoliarouter.core.crashes import (
+    CRASH_EXPIRY_S,
+    MAX_CRASHES,
+    MAX_RECENT_PARTS,
+    SAME_MOMENT_S,
+    SOUND_S,
+    CrashLedger,
+    CrashReport,
+)
+from magnoliarouter.tests.builders import build_crash_report
+
+
+class CrashLedgerTest(unittest.TestCase):
+    def setUp(self):
+        self.ledger = CrashLedger()
+        self.now = 100.0
+
+    def crash(self, *prompts, waiting=(), endpoint=None, after_s=1.0):
+        self.now += after_s
+        report = build_crash_report(endpoint or f"e{self.now}", prompts, waiting)
+        return self.ledger.record(report, self.now)
+
+    def find_causes(self):
+        return [set(cause) for cause in self.ledger.find_causes(self.now)]
+
+    def test_one_crash_has_no_cause(self):
+        self.crash("fax")
+        self.assertEqual(self.find_causes(), [])
+
+    def test_part_of_all_crashes_is_their_cause(self):
+        self.crash("fax")
+        self.crash("gbx")
+        self.assertEqual(self.find_causes(), [{"x"}])
+
+    def test_parts_that_always_come_together_are_one_cause(self):
+        self.crash("fax")
+        self.crash("fax")
+        self.assertEqual(self.find_causes(), [{"f", "a", "x"}])
+        self.crash("fbx")
+        self.assertEqual(self.find_causes(), [{"f", "x"}])
+        self.crash("gbx")
+        self.assertEqual(self.find_causes(), [{"x"}])
+
+    def test_parts_of_answers_that_were_written_are_no_cause(self):
+        self.ledger.record_sound("f", self.now)
+        self.crash("fx")
+        self.crash("fx")
+        self.assertEqual(self.find_causes(), [{"x"}])
+        self.ledger.record_sound("x", self.now + 1.0)
+        self.assertEqual(self.find_causes(), [])
+
+    def test_answers_long_before_a_crash_prove_nothing(self):
+        self.ledger.record_sound("x", self.now)
+        self.crash("fx", after_s=SOUND_S + 1.0)
+        self.crash("gx")
+        self.assertEqual(self.find_causes(), [{"x"}])
+
+    def test_prompts_whose_answer_had_not_begun_count_only_without_others(self):
+        self.crash("fx", waiting=["ga"])
+        self.crash("hx", waiting=["ia"])
+        self.assertEqual(self.find_causes(), [{"x"}])
+        self.ledger.forget(frozenset("x"))
+        self.crash(waiting=["fy"])
+        self.crash(waiting=["gy"])
+        self.assertEqual(self.find_causes(), [{"y"}])
+
+    def test_crashes_at_one_moment_count_once(self):
+        for _ in range(5):
+            self.crash("fx", after_s=SAME_MOMENT_S / 10)
+        self.assertEqual(self.find_causes(), [])
+        self.crash("gx")
+        self.assertEqual(self.find_causes(), [{"x"}])
+
+    def test_crashes_in_a_steady_series_are_different_moments(self):
+        for letter in "abcdefghij":
+            self.crash(f"{letter}x", after_s=SAME_MOMENT_S / 2)
+        self.assertEqual(self.find_causes(), [{"x"}])
+
+    def test_two_causes_are_found_beside_each_other(self):
+        for prompts in (("ax",), ("by",), ("cx",), ("ax", "cy"), ("dy",)):
+            self.crash(*prompts)
+        self.assertEqual(self.find_causes(), [{"x"}, {"y"}])
+
+    def test_crashes_that_two_parts_explain_alike_have_no_cause(self):
+        self.crash("x")
+        self.crash("x", "m")
+        self.crash("m")
+        self.assertEqual(self.find_causes(), [])
+        self.crash("x")
+        self.assertEqual(self.find_causes(), [{"x"}])
+
+    def test_reports_of_one_crash_by_several_daemons_are_joined(self):
+        self.assertTrue(self.crash("fx", endpoint="e1"))
+        self.assertTrue(self.crash("ga", endpoint="e1"))
+        self.assertFalse(self.crash("fx", endpoint="e1"))
+        self.assertEqual(self.find_causes(), [])
+        self.crash("hx", endpoint="e2")
+        self.assertEqual(self.find_causes(), [{"x"}])
+        self.assertEqual(self.ledger.list_endpoints(frozenset("x")), ["e1", "e2"])
+
+    def test_starts_of_an_endpoint_with_one_name_are_different(self):
+        for started_ms in (1, 2):
+            self.now += 1.0
+            self.ledger.record(CrashReport("e1", started_ms, frozenset([frozenset("x")])), self.now)
+        self.assertEqual(self.find_causes(), [{"x"}])
+
+    def test_state_is_bounded(self):
+        for number in range(3 * MAX_RECENT_PARTS):
+            self.ledger.record_sound([f"p{number}"], self.now)
+        for _ in range(2 * MAX_CRASHES):
+            self.crash("x")
+        self.assertEqual(len(self.ledger._crashes), MAX_CRASHES)
+        self.assertEqual(len(self.ledger._sound._seen), MAX_RECENT_PARTS)
+        self.now += CRASH_EXPIRY_S
+        self.assertEqual(self.find_causes(), [])
+        self.assertEqual(len(self.ledger._crashes), 0)
+
+    def test_cause_is_found_among_random_prompts_and_crashes(self):
+        for seed in range(300):
+            with self.subTest(seed=seed):
+                self.setUp()
+                rng = random.Random(seed)
+                found = self.play_random(rng)
+                self.assertIn({"x"}, found)
+                self.assertEqual([cause for cause in found if cause <= set("abcdef")], [])
+
+    def play_random(self, rng):
+        """Return the causes after five crashes on "x" and one on none.
+
+        Answers on the parts that sound prompts share are written at some time in between.
+        """
+        rounds = range(5)
+        answered_in = {part: rng.choice(rounds) for part in "abcdef"}
+        for number in rounds:
+            parts = [part for part, chosen in answered_in.items() if chosen == number]
+            self.ledger.record_sound(parts, self.now)
+            beside = [rng.choice("abcdef") for _ in range(rng.randrange(3))]
+            self.crash(rng.choice("abcdef") + rng.choice("ghijkl") + "x", *beside, after_s=0.5)
+        self.crash(rng.choice("abcdef"), after_s=0.5)
+        return self.find_causes()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/magnoliarouter/tests/test_crashwatch.py
@@ -0,0 +1,295 @@
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from magnoliarouter.core.outcome import ResultCode
+from magnoliarouter.gateway.attempt import SOUND_EVENTS, CallProgress, FailedAttempt
+from magnoliarouter.gateway.crashwatch import (
+    MAX_ANSWER_DELAY_S,
+    MAX_NEWS,
+    MAX_SILENCE_S,
+    NEWS_INTERVAL_S,
+    NEWS_REPEATS,
+    SETTLE_S,
+    CrashWatch,
+)
+from magnoliarouter.gateway.endpoints import Endpoint
+from magnoliarouter.gateway.peers import CrashNews
+from magnoliarouter.gateway.quarantine import Quarantine
+from magnoliarouter.gateway.routes import RouteKind
+from magnoliarouter.tests.builders import build_crash_report
+from magnoliarouter.tests.clock import run_auto_advance
+from magnoliarouter.tests.test_forward import build_gateway_call, build_route
+
+ENDPOINT = Endpoint("e1", "app", "10.0.0.1:80", "zone-1", 6, started_ms=5)
+BROKEN_OFF = FailedAttempt(ResultCode.STREAM_TRUNCATED, "truncated", None, broken_off=True)
+
+
+def build_prompt_call(parts):
+    prefix = ",".join(f"{part}:10" for part in parts).encode()
+    return build_gateway_call(build_route(RouteKind.STREAM), **{"X-Prompt-Prefix": prefix})
+
+
+class CrashWatchCase(unittest.TestCase):
+    """A watch before endpoints that refuse connections while `refused` is true."""
+
+    def open(self):
+        self.refused, self.checks, self.found, self.sound = True, 0, [], []
+        self.watch = CrashWatch(
+            Quarantine(),
+            self.is_refused,
+            asyncio.get_running_loop().time,
+            self.found.append,
+            self.sound.append,
+        )
+
+    async def is_refused(self, address):
+        self.checks += 1
+        await asyncio.sleep(0.001)
+        return self.refused
+
+    async def examine(self, parts, endpoint=ENDPOINT, began=True, events=0, silent_s=0.0):
+        progress = CallProgress()
+        progress.start_attempt(asyncio.get_running_loop().time() - silent_s)
+        progress.began, progress.splitter.received = began, events
+        return await self.watch.examine(build_prompt_call(parts), endpoint, progress, BROKEN_OFF)
+
+    async def crash(self, parts, number):
+        endpoint = Endpoint(f"e{number}", "app", f"10.0.0.{number}:80", "zone-1", 6)
+        await asyncio.sleep(1.0)
+        return await self.examine(parts, endpoint)
+
+    def play(self, scene):
+        async def run():
+            self.open()
+            await scene()
+
+        run_auto_advance(run())
+
+
+class CrashWatchTest(CrashWatchCase):
+    def test_part_of_two_crashes_is_refused(self):
+        async def scene():
+            for number, parts in enumerate((("a", "b", "c1"), ("a", "d", "c2"))):
+                self.assertTrue(await self.crash(parts, number))
+                self.assertIsNone(self.watch.find_refusal(build_prompt_call(("a", "c3"))))
+            await asyncio.sleep(SETTLE_S + 0.01)
+            refusal = self.watch.find_refusal(build_prompt_call(("a", "c3")))
+            self.assertEqual(refusal.code, ResultCode.PROMPT_QUARANTINED)
+            self.assertIsNone(self.watch.find_refusal(build_prompt_call(("b", "d", "c3"))))
+            self.assertEqual(self.found, [frozenset("a")])
+
+        self.play(scene)
+
+    def test_last_part_belongs_to_its_request(self):
+        async def scene():
+            for number in range(3):
+                self.assertFalse(await self.crash(("c",), number))
+            self.assertEqual(self.checks, 0)
+
+        self.play(scene)
+
+    def test_endpoint_that_accepts_connections_has_not_crashed(self):
+        async def scene():
+            self.refused = False
+            self.assertFalse(await self.examine("ac"))
+            self.assertEqual(self.checks, 2)
+            self.assertIsNone(self.watch.collect_news())
+
+        self.play(scene)
+
+    def test_answers_that_were_written_or_cut_after_a_silence_are_not_examined(self):
+        async def scene():
+            self.assertFalse(await self.examine("ac", events=SOUND_EVENTS))
+            self.assertFalse(await self.examine("ac", silent_s=MAX_SILENCE_S + 0.01))
+            self.watch.record_answer(build_prompt_call("ab"))
+            self.assertFalse(await self.examine("ac"))
+            self.assertEqual(self.checks, 0)
+
+        self.play(scene)
+
+    def test_prompt_whose_answer_had_not_begun_may_be_repeated(self):
+        async def scene():
+            self.assertFalse(await self.examine("ac", began=False))
+            news = self.watch.collect_news()
+            self.assertEqual(news.reports[0].waiting, frozenset([frozenset("a")]))
+
+        self.play(scene)
+
+    def test_calls_that_one_crash_breaks_off_share_one_check(self):
+        async def scene():
+            results = await asyncio.gather(*(self.examine((f"a{n}", "c")) for n in range(5)))
+            self.assertEqual(results, [True] * 5)
+            self.assertEqual(self.checks, 1)
+
+        self.play(scene)
+
+    def test_check_goes_on_for_the_others_if_one_call_is_cancelled(self):
+        async def scene():
+            first = asyncio.create_task(self.examine(("a1", "c")))
+            second = asyncio.create_task(self.examine(("a2", "c")))
+            await asyncio.sleep(0)
+            first.cancel()
+            self.assertTrue(await second)
+
+        self.play(scene)
+
+    def test_answer_on_a_quarantined_prompt_releases_it(self):
+        async def scene():
+            for number in range(2):
+                await self.crash(("a", f"b{number}", "c"), number)
+            await asyncio.sleep(SETTLE_S + 0.01)
+            self.assertEqual(list(self.watch.quarantine), [frozenset("a")])
+            self.watch.record_answer(build_prompt_call("ac"))
+            self.assertEqual(list(self.watch.quarantine), [])
+            self.assertEqual(self.sound, [frozenset("a")])
+
+        self.play(scene)
+
+    def test_parts_that_another_daemon_saw_answers_on_are_no_cause(self):
+        async def scene():
+            self.watch.apply_news("p", CrashNews([build_crash_report("e1", ["ax"])], []))
+            await asyncio.sleep(1.0)
+            self.watch.apply_news("p", CrashNews([build_crash_report("e2", ["ax"])], []))
+            self.watch.apply_news("q", CrashNews([], ["a"]))
+            await asyncio.sleep(SETTLE_S + 0.01)
+            self.assertEqual(self.found, [frozenset("x")])
+
+        self.play(scene)
+
+    def test_daemon_answers_reports_with_the_parts_that_it_saw_answers_on(self):
+        async def scene():
+            self.watch.record_answer(build_prompt_call("ab"))
+            self.watch.apply_news("p", CrashNews([build_crash_report("e1", ["ax"])], ["x"]))
+            await asyncio.sleep(MAX_ANSWER_DELAY_S)
+            self.assertEqual(self.watch.collect_news(), CrashNews([], ["a"]))
+
+        self.play(scene)
+
+    def test_daemon_does_not_answer_once_another_has(self):
+        async def scene():
+            self.watch.record_answer(build_prompt_call("ab"))
+            self.watch.apply_news("p", CrashNews([build_crash_report("e1", ["ax"])], []))
+            self.watch.apply_news("q", CrashNews([], ["a"]))
+            await asyncio.sleep(MAX_ANSWER_DELAY_S)
+            self.assertIsNone(self.watch.collect_news())
+
+        self.play(scene)
+
+    def test_news_are_bounded_and_each_is_sent_the_same_number_of_times(self):
+        async def scene():
+            number = 3 * MAX_NEWS
+            for one in range(number):
+                await self.examine(("a", "c"), Endpoint(f"e{one}", "app", "h:1", "z", 6))
+            sent = []
+            for _ in range(3 * NEWS_REPEATS + 5):
+                news = self.watch.collect_news()
+                self.assertIsNone(self.watch.collect_news())
+                if news is not None:
+                    self.assertLessEqual(len(news.reports), MAX_NEWS)
+                    sent += [report.endpoint for report in news.reports]
+                await asyncio.sleep(NEWS_INTERVAL_S)
+            self.assertEqual({sent.count(name) for name in sent}, {NEWS_REPEATS})
+            self.assertEqual(len(set(sent)), number)
+
+        self.play(scene)
+
+    def test_calls_wait_for_the_records_of_the_store(self):
+        async def scene():
+            self.watch.quarantine.is_loaded = lambda: False
+            refusal = self.watch.find_refusal(build_prompt_call("ab"))
+            self.assertEqual(refusal.code, ResultCode.CONFIGURATION_MISSING)
+            self.assertIsNone(self.watch.find_refusal(build_prompt_call("")))
+
+        self.play(scene)
+
+
+class FleetTest(unittest.TestCase):
+    """Daemons whose messages are delayed and lost, in simulated time and without a network."""
+
+    DELAY_S = 0.01
+    LOST = 0.2
+
+    async def play(self, daemon_count, seed):
+        self.rng = random.Random(seed)
+        self.messages = 0
+        self.watches = [self.open_watch() for _ in range(daemon_count)]
+        senders = [asyncio.create_task(self.send_news(watch)) for watch in self.watches]
+        answers = asyncio.create_task(self.write_answers())
+        await asyncio.sleep(2.0)
+        for number in range(5):
+            # No two requests are alike; each crashes an endpoint, wherever it comes in.
+            call = build_prompt_call((f"a{number % 3}", "bad", f"c{number}"))
+            watch = self.rng.choice(self.watches)
+            endpoint = Endpoint(f"e{number}", "app", f"h:{number}", "zone-1", 6)
+            progress = CallProgress(began=True, received_at=asyncio.get_running_loop().time())
+            await watch.examine(call, endpoint, progress, BROKEN_OFF)
+            await asyncio.sleep(0.3)
+        await asyncio.sleep(1.0)
+        for task in (*senders, answers):
+            task.cancel()
+        return [list(watch.quarantine) for watch in self.watches]
+
+    def open_watch(self):
+        async def is_refused(address):
+            return True
+
+        return CrashWatch(Quarantine(), is_refused, asyncio.get_running_loop().time)
+
+    async def write_answers(self):
+        while True:
+            await asyncio.sleep(0.1)
+            call = build_prompt_call((f"a{self.rng.randrange(3)}", "c"))
+            self.rng.choice(self.watches).record_answer(call)
+
+    async def send_news(self, sender):
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(NEWS_INTERVAL_S / 2)
+            news = sender.collect_news()
+            if news is None:
+                continue
+            self.messages += 1
+            for watch in self.watches:
+                if watch is not sender and self.rng.random() > self.LOST:
+                    loop.call_later(self.DELAY_S, watch.apply_news, "p", news)
+
+    def test_every_daemon_knows_the_part_after_five_crashes_at_any_of_them(self):
+        for daemon_count in (1, 9, 98):
+            for seed in range(5):
+                with self.subTest(daemons=daemon_count, seed=seed):
+                    found = run_auto_advance(self.play(daemon_count, seed))
+                    self.assertEqual(found, [[frozenset(["bad"])]] * daemon_count)
+
+    def test_few_daemons_answer_a_report_however_many_could(self):
+        for daemon_count in (9, 98, 376, 1000):
+            with self.subTest(daemons=daemon_count):
+                answers = run_auto_advance(self.count_answers(daemon_count))
+                self.assertGreater(answers, 0)
+                self.assertLessEqual(answers, 15)
+
+    async def count_answers(self, daemon_count):
+        """Return how many of the daemons, which all saw an answer on a part, name it."""
+        loop, answers = asyncio.get_running_loop(), 0
+        random.seed(1)
+        self.watches = [self.open_watch() for _ in range(daemon_count)]
+
+        def tell(sender):
+            nonlocal answers
+            answers += 1
+            for watch in self.watches:
+                if watch is not sender:
+                    loop.call_later(self.DELAY_S, watch.apply_news, "p", CrashNews([], ["f"]))
+
+        for watch in self.watches:
+            watch._on_news = lambda watch=watch: tell(watch)
+            watch.record_answer(build_prompt_call(("f", "c")))
+            watch.apply_news("q", CrashNews([build_crash_report("e1", ["fx"])], []))
+        await asyncio.sleep(1.0)
+        return answers
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -7,10 +7,12 @@
 from magnoliarouter.core.outcome import Completed, NotRun, ResultCode, Unknown
 from magnoliarouter.core.retries import SharedRetryBudget
 from magnoliarouter.gateway.call import GatewayCall
+from magnoliarouter.gateway.crashwatch import CrashWatch
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
 from magnoliarouter.gateway.forward import GatewayForwarder
 from magnoliarouter.gateway.groupwatch import GroupWatch
 from magnoliarouter.gateway.pauses import EventGapMeter
+from magnoliarouter.gateway.quarantine import Quarantine
 from magnoliarouter.gateway.routes import Route, RouteKind
 from magnoliarouter.gateway.waiting import WaitQueue
 from magnoliarouter.gateway.zonewatch import ZoneWatch
@@ -103,6 +105,7 @@
         self.table.is_unavailable = lambda endpoint: (
             self.zones.is_unreachable(endpoint.zone) or self.groups.is_stalled(endpoint.identity)
         )
+        self.quarantine = Quarantine()
         self.forwarder = GatewayForwarder(
             self.table,
             self.waiting,
@@ -114,6 +117,7 @@
             self.groups,
             self.zones,
             EventGapMeter(self.clock, self.groups.find_group),
+            CrashWatch(self.quarantine, self.pool.is_refused, self.clock),
         )
         self.exchange = FakeExchange()
         self.heads = []
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -433,6 +433,15 @@
         self.release(address, connection)
         return True
 
+    async def is_refused(self, address: str) -> bool:
+        """Return whether the host of an address refuses connections: no process listens there."""
+        try:
+            connection = await self.connect(address)
+        except UpstreamError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        self.release(address, connection)
+        return False
+
     def release(self, address: str, connection: UpstreamConnection) -> None:
         """Return a connection to the pool if it can be reused; close it if not."""
         if connection.release() and connection.keep_alive_s > 0:
