--- a/magnoliarouter/cli/status.py
+++ b/magnoliarouter/cli/status.py
@@ -98,6 +98,9 @@
         for name, facts in value["endpoints"].items()
     ]
     lines.append(format_table(("endpoint", "service", "zone", "state", "load"), endpoints))
+    quarantined = [(name, ", ".join(parts)) for name, parts in value.get("quarantined", {}).items()]
+    if quarantined:
+        lines.append(format_table(("record", "parts of prompts that crash endpoints"), quarantined))
     groups = [
         (name, facts["epoch"], facts["map"], facts["step"])
         for name, facts in value["groups"].items()
--- a/magnoliarouter/core/crashes.py
+++ b/magnoliarouter/core/crashes.py
@@ -96,6 +96,10 @@
     _moment: int = 0
     _moment_began_at: float = float("-inf")
 
+    def __len__(self) -> int:
+        """Return the number of crashes."""
+        return len(self._crashes)
+
     def record(self, report: CrashReport, now: float) -> bool:
         """Record what one daemon saw of a crash, and return whether it adds anything."""
         key = (report.endpoint, report.started_ms)
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -17,6 +17,7 @@
     QUARANTINE_KIND,
     QuarantineRecords,
     decode_quarantined,
+    name_record,
 )
 from magnoliarouter.gateway.confirmations import (
     CONFIGURATION_WAIT_S,
@@ -517,6 +518,10 @@
             self.table.outliers.forget([name])
             log_event("endpoint_gone", endpoint=name)
 
+    def list_quarantined(self) -> dict[str, list[str]]:
+        """Return the parts of prompts that crash endpoints, by the name of their record."""
+        return {name_record(cause): sorted(cause) for cause in self.quarantine}
+
     async def _serve_ready(self, exchange: IngressExchange) -> None:
         target = exchange.request.target.decode("latin-1")
         if target != self.interface.ready_path:
--- a/magnoliarouter/daemon/quarantine.py
+++ b/magnoliarouter/daemon/quarantine.py
@@ -21,7 +21,13 @@
     from magnoliarouter.store.client import PlatformClient
     from magnoliarouter.store.feed import ObjectFeed
 
-__all__ = ["QUARANTINE_KIND", "QuarantinedPrompt", "QuarantineRecords", "decode_quarantined"]
+__all__ = [
+    "QUARANTINE_KIND",
+    "QuarantinedPrompt",
+    "QuarantineRecords",
+    "decode_quarantined",
+    "name_record",
+]
 
 QUARANTINE_KIND = "quarantined-prompts"
 # Daemons that find the same parts at the same time write them one after the other, so that most of
@@ -108,12 +114,12 @@
 
     def write(self, cause: frozenset[str]) -> None:
         """Record parts in the store as soon as it takes them."""
-        self._pending[_name_record(cause)] = cause
+        self._pending[name_record(cause)] = cause
         self._wake.set()
 
     def delete(self, cause: frozenset[str]) -> None:
         """Delete the record of parts as soon as the store takes it."""
-        self._pending[_name_record(cause)] = None
+        self._pending[name_record(cause)] = None
         self._wake.set()
 
     async def run(self) -> None:
@@ -147,5 +153,6 @@
         return isinstance(outcome, (Written, Conflict))
 
 
-def _name_record(cause: frozenset[str]) -> str:
+def name_record(cause: frozenset[str]) -> str:
+    """Return the name of the record of a set of parts."""
     return xxhash.xxh64_hexdigest(",".join(sorted(cause)).encode())
--- a/magnoliarouter/gateway/crashwatch.py
+++ b/magnoliarouter/gateway/crashwatch.py
@@ -261,7 +261,10 @@
 
     def _decide(self) -> None:
         self._timer = None
-        for cause in self._ledger.find_causes(self._clock()):
+        causes = self._ledger.find_causes(self._clock())
+        if not causes:
+            log_event("crash_cause_unknown", crashes=len(self._ledger))
+        for cause in causes:
             if self.quarantine.find(cause) is None:
                 self.quarantine.add(cause)
                 log_event(
--- a/magnoliarouter/tests/test_gateway.py
+++ b/magnoliarouter/tests/test_gateway.py
@@ -273,6 +273,7 @@
         daemon = await self.start()
         await self.wait_ready(daemon)
         await self.send_request(daemon)
+        daemon.quarantine.add(frozenset(["b2", "a1"]))
         bodies = {}
         for path in ("/status", "/metrics", "/none"):
             peer = await RawPeer.connect(daemon.settings.status)
@@ -285,7 +286,9 @@
         self.assertEqual(status["endpoints"]["e1"]["state"], "ready")
         expected_sample = b'magnoliarouter_requests_total{code="ok",outcome="completed"} 1.0'
         self.assertIn(expected_sample, bodies["/metrics"])
+        self.assertEqual(list(status["quarantined"].values()), [["a1", "b2"]])
         self.assertIn("ready", _format_gateway(status))
+        self.assertIn("a1, b2", _format_gateway(status))
 
     async def test_malformed_datagrams_are_ignored(self):
         daemon = await self.start()
