Do not take a prompt for sound because its short answer ended with its connection

Found by reading: a stream without a length or chunks whose endpoint crashes between two events looks complete, and would have released a part in quarantine. Such an answer proves its parts sound from its third event on only. The test failed before (released after two events).

--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, TypeVar
 
+from magnoliarouter.core.framing import Framing
 from magnoliarouter.core.outcome import Completed, ResultCode
 from magnoliarouter.gateway.frames import FrameSplitter, is_event_stream
 from magnoliarouter.gateway.routes import RouteKind
@@ -266,7 +267,8 @@
                 self._pool.release(endpoint.address, connection)
         if isinstance(result, Completed):
             self._table.record_success(endpoint, self._clock())
-            if result.status < 300:
+            # The end of a connection does not prove that an answer was written to its end.
+            if result.status < 300 and call.framing is not Framing.CLOSE:
                 self._on_answer(call)
         return result
 
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -6,6 +6,7 @@
 from magnoliarouter.core.framing import Framing
 from magnoliarouter.core.outcome import Completed, NotRun, ResultCode, Unknown
 from magnoliarouter.core.retries import SharedRetryBudget
+from magnoliarouter.gateway.attempt import SOUND_EVENTS, CallProgress
 from magnoliarouter.gateway.call import GatewayCall
 from magnoliarouter.gateway.crashwatch import CrashWatch
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
@@ -716,6 +717,25 @@
         self.assertIsInstance(outcome, Unknown)
         self.assertEqual(self.tried(), ["e1"])
 
+    async def test_short_answer_that_ends_with_its_connection_proves_no_prompt_sound(self):
+        for framing, number, sound in (
+            (Framing.CLOSE, SOUND_EVENTS - 1, False),
+            (Framing.CLOSE, SOUND_EVENTS, True),
+            (Framing.CHUNKED, 1, True),
+        ):
+            with self.subTest(framing=framing, events=number):
+                self.exchange = FakeExchange()
+                self.quarantine.add(frozenset(["bad"]))
+                await self.add(self.serve_framed(framing, b"".join(EVENTS[:number])))
+                # A request with the part that was sent before the part was known.
+                call = build_gateway_call(
+                    build_route(RouteKind.STREAM), **{"X-Prompt-Prefix": b"bad:1,c:1"}
+                )
+                await self.forwarder._attempts.run(
+                    call, self.exchange, self.table.find("e1"), CallProgress()
+                )
+                self.assertEqual(frozenset(["bad"]) not in self.quarantine, sound)
+
     async def test_caller_that_resumes_is_served_from_its_last_event(self):
         await self.add(self.serve(EVENTS[2:]))
         fields = {"Last-Event-Id": b"2"}
