Check an endpoint that broke off a response anew each time, and not for long

Found by reading: an endpoint that had crashed once counted as crashed at every later response that it broke off, until the registry named its new start; and a host that does not respond would have delayed a call by up to 0.85 s before it was sent elsewhere. A check now serves the calls of 0.2 s and lasts as long at most. The test of an endpoint that runs again failed before; that of a host that does not respond was written with the change.

--- a/magnoliarouter/gateway/crashwatch.py
+++ b/magnoliarouter/gateway/crashwatch.py
@@ -10,7 +10,6 @@
 import asyncio
 import math
 import random
-from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeAlias
 
@@ -35,6 +34,11 @@
 MAX_SILENCE_S = 1.2
 # The sockets of a process that ends are closed one after the other, the one that listens maybe last.
 CONFIRM_DELAY_S = 0.05
+# A host that does not respond is out of reach. The calls wait to be sent elsewhere meanwhile.
+CHECK_TIMEOUT_S = 0.2
+# Calls that were broken off within this time share the result of one check: an endpoint takes
+# longer to start.
+CRASH_SHARED_S = 0.2
 # Time for the other daemons to name the parts that they have seen answers on.
 SETTLE_S = 0.2
 # Daemons wait up to this time before they name such parts, and those that hear another name them
@@ -50,7 +54,6 @@
 # Limits of one message.
 MAX_NEWS = 8
 MAX_REPORTED_PARTS = 32
-MAX_KNOWN_CRASHES = 256
 # Until then the operator may have replaced the endpoints' software; callers shorten it to what they
 # accept.
 QUARANTINE_RETRY_AFTER_S = 60.0
@@ -103,7 +106,6 @@
         # on, so that it grows old.
         self._own_sound = RecentParts()
         self._heard_sound = RecentParts()
-        self._crashed: OrderedDict[_Start, None] = OrderedDict()
         self._checks: dict[_Start, asyncio.Task[bool]] = {}
         self._news: list[_News] = []
         self._news_sent_at = float("-inf")
@@ -231,26 +233,25 @@
     async def _has_crashed(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint that broke off a response refuses connections."""
         start = (endpoint.identity, endpoint.started_ms)
-        if start in self._crashed:
-            return True
         check = self._checks.get(start)
         if check is None:
-            check = asyncio.get_running_loop().create_task(self._check(endpoint.address))
+            loop = asyncio.get_running_loop()
+            check = loop.create_task(self._check(endpoint.address))
             self._checks[start] = check
-            check.add_done_callback(lambda done: self._checks.pop(start, None))
+            loop.call_later(CRASH_SHARED_S, self._checks.pop, start)
         # The check serves all calls that the endpoint broke off, also if one of them is cancelled.
-        crashed = await asyncio.shield(check)
-        if crashed:
-            self._crashed[start] = None
-            if len(self._crashed) > MAX_KNOWN_CRASHES:
-                self._crashed.popitem(last=False)
-        return crashed
+        return await asyncio.shield(check)
 
     async def _check(self, address: str) -> bool:
-        if await self._is_refused(address):
-            return True
-        await asyncio.sleep(CONFIRM_DELAY_S)
-        return await self._is_refused(address)
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
+                if await self._is_refused(address):
+                    return True
+                await asyncio.sleep(CONFIRM_DELAY_S)
+                return await self._is_refused(address)
+        except TimeoutError:
+            log_event("crash_unconfirmed", address=address, seconds=CHECK_TIMEOUT_S)
+            return False
 
     def _apply_report(self, report: CrashReport) -> bool:
         is_new = self._ledger.record(report, self._clock())
--- a/magnoliarouter/tests/test_crashwatch.py
+++ b/magnoliarouter/tests/test_crashwatch.py
@@ -7,6 +7,8 @@
 from magnoliarouter.core.outcome import ResultCode
 from magnoliarouter.gateway.attempt import SOUND_EVENTS, CallProgress, FailedAttempt
 from magnoliarouter.gateway.crashwatch import (
+    CHECK_TIMEOUT_S,
+    CRASH_SHARED_S,
     MAX_ANSWER_DELAY_S,
     MAX_NEWS,
     MAX_SILENCE_S,
@@ -36,7 +38,8 @@
     """A watch before endpoints that refuse connections while `refused` is true."""
 
     def open(self):
-        self.refused, self.checks, self.found, self.sound = True, 0, [], []
+        self.refused, self.checks, self.check_s = True, 0, 0.001
+        self.found, self.sound = [], []
         self.watch = CrashWatch(
             Quarantine(),
             self.is_refused,
@@ -47,7 +50,7 @@
 
     async def is_refused(self, address):
         self.checks += 1
-        await asyncio.sleep(0.001)
+        await asyncio.sleep(self.check_s)
         return self.refused
 
     async def examine(self, parts, endpoint=ENDPOINT, began=True, events=0, silent_s=0.0):
@@ -100,6 +103,16 @@
 
         self.play(scene)
 
+    def test_host_that_does_not_respond_delays_a_call_little(self):
+        async def scene():
+            started_at = asyncio.get_running_loop().time()
+            self.check_s = 5.0
+            self.assertFalse(await self.examine("ac"))
+            waited = asyncio.get_running_loop().time() - started_at
+            self.assertLessEqual(waited, CHECK_TIMEOUT_S + 0.01)
+
+        self.play(scene)
+
     def test_answers_that_were_written_or_cut_after_a_silence_are_not_examined(self):
         async def scene():
             self.assertFalse(await self.examine("ac", events=SOUND_EVENTS))
@@ -126,6 +139,15 @@
 
         self.play(scene)
 
+    def test_endpoint_that_runs_again_is_checked_again(self):
+        async def scene():
+            self.assertTrue(await self.examine("ac"))
+            self.refused = False
+            await asyncio.sleep(CRASH_SHARED_S + 0.01)
+            self.assertFalse(await self.examine("bc"))
+
+        self.play(scene)
+
     def test_check_goes_on_for_the_others_if_one_call_is_cancelled(self):
         async def scene():
             first = asyncio.create_task(self.examine(("a1", "c")))
