--- a/magnoliarouter/gateway/crashwatch.py
+++ b/magnoliarouter/gateway/crashwatch.py
@@ -123,6 +123,11 @@
         reason = f"prompts with {', '.join(sorted(cause))} crash endpoints"
         return NotRun(ResultCode.PROMPT_QUARANTINED, reason, QUARANTINE_RETRY_AFTER_S)
 
+    def record_prompt(self, call: GatewayCall) -> None:
+        """Record the prompt of a call, so that the common parts of prompts are known."""
+        if call.headers.prompt_parts:
+            self._ledger.record_prompt(call.headers.prompt_parts)
+
     def record_answer(self, call: GatewayCall) -> None:
         """Record that an endpoint wrote an answer on a call's prompt."""
         parts, now = call.headers.prompt_parts, self._clock()
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -153,6 +153,7 @@
             the events of a stream that was cut off.
         """
         self._budget.record_request(call.service, self._clock())
+        self._crashes.record_prompt(call)
         progress = CallProgress(splitter=FrameSplitter(call.headers.resume_after))
         while True:
             refusal = self._check(call, exchange, progress, recheck)
--- a/magnoliarouter/tests/prompt_soak.py
+++ b/magnoliarouter/tests/prompt_soak.py
@@ -68,12 +68,15 @@
         Mean time between crashes of engines for other reasons, and between restarts of daemons.
     lost_datagrams : float
         Share of the datagrams between daemons that are lost.
+    burst : int
+        Requests with the bad part that come at each daemon at the same moment, as after an outage.
     """
 
     broken_off: float = 0.0
     crash_interval_s: float = 0.0
     restart_interval_s: float = 0.0
     lost_datagrams: float = 0.0
+    burst: int = 0
 
 
 class CrashingEngine:
@@ -189,6 +192,9 @@
     async def play(self, seconds: float) -> None:
         """Send requests for a time, while the faults come."""
         end = self.now() + seconds
+        for daemon in range(self.daemon_count):
+            for _ in range(self.faults.burst):
+                self.spawn(self.send_request(daemon, True))
         callers = [
             self.send_requests(daemon, bad, interval_s, end)
             for daemon in range(self.daemon_count)
@@ -382,6 +388,7 @@
         rng.choice((0.0, 0.7)),
         rng.choice((0.0, 1.5)),
         rng.choice((0.0, 0.1, 1.0)),
+        rng.choice((0, 0, 3)),
     )
 
 
--- a/magnoliarouter/tests/test_prompt_soak.py
+++ b/magnoliarouter/tests/test_prompt_soak.py
@@ -38,6 +38,10 @@
         log = asyncio.run(PromptSite(3, SECONDS, Faults(lost_datagrams=1.0)).run())
         self.assertEqual(log.violations, [])
 
+    def test_prompt_part_that_crashes_many_engines_at_once_is_not_sent_on(self):
+        log = asyncio.run(PromptSite(4, SECONDS, Faults(burst=3)).run())
+        self.assertEqual(log.violations, [])
+
 
 if __name__ == "__main__":
     unittest.main()
