Give tests ports that are free for datagrams too

A run of the prompt soak beside another ended with "Address already in use": find_port tried whether a port is free for connections, and daemons use one for datagrams as well, which the other run had bound. The test failed before.

--- a/magnoliarouter/standins/launch.py
+++ b/magnoliarouter/standins/launch.py
@@ -89,10 +89,18 @@
 
 
 def find_port(host: str) -> int:
-    """Return a port that is free on an address, and that this process has not returned lately."""
+    """Return a port that is free on an address, and that this process has not returned lately.
+
+    It is free for connections and for datagrams.
+    """
     for port in islice(_ports, LAST_PORT - FIRST_PORT):
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((host, port))
+        with (
+            socket.socket() as stream,
+            socket.socket(type=socket.SOCK_DGRAM) as datagram,
+            contextlib.suppress(OSError),
+        ):
+            stream.bind((host, port))
+            datagram.bind((host, port))
             return port
     raise OSError(f"no port of {host} from {FIRST_PORT} to {LAST_PORT} is free")
 
--- a/magnoliarouter/tests/test_launch.py
+++ b/magnoliarouter/tests/test_launch.py
@@ -18,10 +18,11 @@
         self.assertLess(max(ports), min(first_assigned, LAST_PORT))
 
     def test_ports_in_use_are_passed_over(self):
-        with socket.socket() as listener:
-            port = find_port("127.0.0.1")
-            listener.bind(("127.0.0.1", port + 1))
-            self.assertNotEqual(find_port("127.0.0.1"), port + 1)
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with self.subTest(kind=kind), socket.socket(type=kind) as taken:
+                port = find_port("127.0.0.1")
+                taken.bind(("127.0.0.1", port + 1))
+                self.assertNotEqual(find_port("127.0.0.1"), port + 1)
 
 
 if __name__ == "__main__":
