Record crashes in the store, seek causes by their significance, and go on seeking

Crashes on prompts that may be the cause are now recorded in the store beside the causes, so that the daemons that no datagram reaches, and those that start, have them.

Counting crashes of one moment, and a chance per part, were two rules of thumb that worked against each other: nine requests with the part at once at a time when daemons had seen few others decided nothing. Now one test: is the part at more crashes than chance lets expect of prompts drawn at random, times the number of parts.

--- a/magnoliarouter/core/crashes.py
+++ b/magnoliarouter/core/crashes.py
@@ -15,28 +15,28 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ["SOUND_S", "CrashLedger", "CrashReport", "RecentParts"]
+__all__ = ["CRASH_EXPIRY_S", "SOUND_S", "CrashLedger", "CrashReport", "RecentParts"]
 
-# Crashes, at different moments, that a part has to explain. One proves nothing: any prompt may be
-# at an endpoint that crashes for another reason.
+# Crashes that a part has to explain. One proves nothing: any prompt may be at an endpoint that
+# crashes for another reason.
 MIN_CRASHES = 2
-# Crashes within this time have a cause outside the prompts, such as a rack that lost its power.
-SAME_MOMENT_S = 0.1
-# So many of them count twice for a part that is in the prompts of all.
+# The same for crashes at one moment, which may have a cause outside the prompts, such as a rack that
+# loses its power.
 MIN_CRASHES_AT_ONCE = 3
+SAME_MOMENT_S = 0.1
 # An answer written this long before a crash shows that its parts did not cause it. Parts may begin
 # to crash endpoints that have new software.
 SOUND_S = 60.0
 CRASH_EXPIRY_S = 600.0
-MAX_CRASHES = 256
+MAX_CRASHES = 64
 MAX_RECENT_PARTS = 4096
-# Probability with which prompts drawn at random would hold a part at as many crashes, above which
-# the part is no cause: a part that most prompts hold is at most crashes.
+# Probability with which any part would be at as many crashes if their prompts had been drawn at
+# random. A part that most prompts hold is at most crashes.
 MAX_CHANCE = 0.1
 MAX_SAMPLE_PROMPTS = 512
 
-# Moment, and number of the piece.
-_Evidence: TypeAlias = tuple[int, int]
+# Name and time of the start of an endpoint.
+_Start: TypeAlias = tuple[str, int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +58,10 @@
     began: frozenset[frozenset[str]] = frozenset()
     waiting: frozenset[frozenset[str]] = frozenset()
 
+    def holds(self, cause: frozenset[str]) -> bool:
+        """Return whether a prompt holds all parts of a cause."""
+        return any(cause <= prompt for prompt in self.began | self.waiting)
+
 
 @dataclass(slots=True)
 class RecentParts:
@@ -132,7 +136,7 @@
 
     _sound: RecentParts = field(default_factory=RecentParts)
     _sample: PromptSample = field(default_factory=PromptSample)
-    _crashes: OrderedDict[tuple[str, int], _Crash] = field(default_factory=OrderedDict)
+    _crashes: OrderedDict[_Start, _Crash] = field(default_factory=OrderedDict)
     _moment: int = 0
     _moment_began_at: float = float("-inf")
 
@@ -177,61 +181,54 @@
         same crashes equally well, none of them is returned until a further crash decides.
         """
         self._expire(now)
-        explained = self._collect_explained()
+        explained: dict[str, set[_Start]] = {}
+        for start, crash in self._crashes.items():
+            for part in self.list_unproven(frozenset().union(*crash.list_prompts()), crash.at):
+                explained.setdefault(part, set()).add(start)
         causes = []
         while True:
-            most = max(map(len, explained.values()), default=0)
-            leading: dict[frozenset[_Evidence], set[str]] = {}
-            for part, evidence in explained.items():
-                if len(evidence) == most:
-                    leading.setdefault(frozenset(evidence), set()).add(part)
+            crashes = frozenset().union(*explained.values())
+            leading: dict[frozenset[_Start], set[str]] = {}
+            for part, starts in explained.items():
+                if self._is_significant(part, starts, crashes, len(explained)):
+                    leading.setdefault(frozenset(starts), set()).add(part)
+            most = max(map(len, leading), default=0)
+            rivals = [starts for starts in leading if len(starts) == most]
             found = {
-                evidence: frozenset(parts)
-                for evidence, parts in leading.items()
-                if self.list_endpoints(frozenset(parts))
-                and all(
-                    evidence == other or len(evidence - other) >= MIN_CRASHES for other in leading
-                )
+                starts: frozenset(leading[starts])
+                for starts in rivals
+                if self.list_endpoints(frozenset(leading[starts]))
+                and all(starts == other or len(starts - other) >= MIN_CRASHES for other in rivals)
             }
-            if most < MIN_CRASHES or not found:
+            if not found:
                 return causes
             causes += found.values()
             done = frozenset().union(*found)
             explained = {
-                part: left for part, evidence in explained.items() if (left := evidence - done)
+                part: left for part, starts in explained.items() if (left := starts - done)
             }
 
-    def _collect_explained(self) -> dict[str, set[_Evidence]]:
-        """Return what each part explains beyond chance.
-
-        It explains a moment, or two pieces of one if it is in the prompts of all of many crashes.
+    def _is_significant(
+        self, part: str, starts: set[_Start], crashes: frozenset[_Start], part_count: int
+    ) -> bool:
+        """Return whether a part is in the prompts of more crashes than chance lets expect.
+
+        Parameters
+        ----------
+        part : str
+            The part.
+        starts, crashes : set
+            Crashes of prompts that hold the part, and all that have no cause yet.
+        part_count : int
+            Number of parts that are compared.
         """
-        suspects: dict[int, list[frozenset[str]]] = {}
-        prompt_counts: Counter[int] = Counter()
-        for crash in self._crashes.values():
-            prompts = crash.list_prompts()
-            prompt_counts[crash.moment] += len(prompts)
-            parts = frozenset().union(*prompts)
-            suspects.setdefault(crash.moment, []).append(self.list_unproven(parts, crash.at))
-        explained: dict[str, set[_Evidence]] = {}
-        for moment, crashes in suspects.items():
-            for part in frozenset().union(*crashes):
-                explained.setdefault(part, set()).add((moment, 0))
-            if len(crashes) >= MIN_CRASHES_AT_ONCE:
-                for part in frozenset.intersection(*crashes):
-                    explained[part].add((moment, 1))
-        return {
-            part: evidence
-            for part, evidence in explained.items()
-            if self._estimate_chance(part, evidence, prompt_counts) <= MAX_CHANCE
-        }
-
-    def _estimate_chance(
-        self, part: str, evidence: set[_Evidence], prompt_counts: Counter[int]
-    ) -> float:
-        """Return the probability that as many prompts drawn at random hold a part as often."""
+        moments = {self._crashes[start].moment for start in starts}
+        if len(starts) < (MIN_CRASHES if len(moments) > 1 else MIN_CRASHES_AT_ONCE):
+            return False
         absent = 1.0 - self._sample.estimate_share(part)
-        return math.prod(1.0 - absent ** prompt_counts[moment] for moment, _ in evidence)
+        held = [1.0 - absent ** len(self._crashes[start].list_prompts()) for start in crashes]
+        chance = _compute_tail(len(crashes), len(starts), sum(held) / len(held))
+        return part_count * chance <= MAX_CHANCE
 
     def list_endpoints(self, cause: frozenset[str]) -> list[str]:
         """Return the endpoints that crashed on a prompt with all parts of a cause."""
@@ -253,3 +250,11 @@
             if now - crash.at < CRASH_EXPIRY_S:
                 break
             del self._crashes[key]
+
+
+def _compute_tail(trials: int, successes: int, probability: float) -> float:
+    """Return the probability of at least as many successes in independent trials."""
+    return sum(
+        math.comb(trials, count) * probability**count * (1.0 - probability) ** (trials - count)
+        for count in range(successes, trials + 1)
+    )
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -16,7 +16,7 @@
 from magnoliarouter.daemon.quarantine import (
     QUARANTINE_KIND,
     QuarantineRecords,
-    decode_quarantined,
+    decode_record,
     name_record,
 )
 from magnoliarouter.gateway.confirmations import (
@@ -65,6 +65,8 @@
 # Share of the drain bound during which feeds collect changes. Every batch of changes costs each daemon
 # one billed store call, and many changes come together while endpoints start.
 CHANGE_BATCH_SHARE = 0.2
+# Crashes that many daemons record together, as of a rack, arrive in few batches.
+QUARANTINE_BATCH_S = 0.1
 # The jitter of `Backoff` spreads the calls of daemons that lost the store together, so that they
 # reconnect one after the other.
 MIN_BACKOFF_S = 0.1
@@ -269,17 +271,12 @@
             self.quarantine,
             self._pool.is_refused,
             self._loop.time,
-            lambda cause: self._quarantine_records.write(cause),
-            lambda cause: self._quarantine_records.delete(cause),
+            lambda cause: self._quarantine_records.write_cause(cause),
+            lambda cause: self._quarantine_records.delete_cause(cause),
+            lambda report: self._quarantine_records.write_crash(report),
             self.peers.schedule_send,
         )
-        self._quarantine_records = QuarantineRecords(
-            self._store,
-            self.quarantine,
-            watch.list_endpoints,
-            watch.release,
-            _create_backoff(),
-        )
+        self._quarantine_records = QuarantineRecords(self._store, watch, _create_backoff())
         self.peers.collect_crashes, self.peers.apply_crashes = watch.collect_news, watch.apply_news
         return watch
 
@@ -311,11 +308,12 @@
         records.feed = ObjectFeed(
             self._store,
             QUARANTINE_KIND,
-            decode_quarantined,
+            decode_record,
             records.apply,
             _create_backoff(),
             ENDPOINTS_WAIT_S,
             on_availability=lambda reason: _log_feed(QUARANTINE_KIND, reason),
+            batch_interval_s=QUARANTINE_BATCH_S,
         )
         self._confirmations = Confirmations(
             {
--- a/magnoliarouter/daemon/quarantine.py
+++ b/magnoliarouter/daemon/quarantine.py
@@ -1,31 +1,31 @@
-"""Keeps the parts of prompts that crash endpoints in the store, where daemons that start find them."""
+"""Keeps crashes and the parts of prompts that cause them in the store, where all daemons find them."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-from typing import TYPE_CHECKING, Annotated, Any
+from typing import TYPE_CHECKING, Annotated, Any, TypeAlias
 
 import msgspec
 import xxhash
 from msgspec import Meta
 
+from magnoliarouter.core.crashes import CRASH_EXPIRY_S, CrashReport
 from magnoliarouter.store.results import Conflict, Written
 from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from magnoliarouter.gateway.quarantine import Quarantine
+    from magnoliarouter.gateway.crashwatch import CrashWatch
     from magnoliarouter.store.backoff import Backoff
     from magnoliarouter.store.client import PlatformClient
     from magnoliarouter.store.feed import ObjectFeed
 
 __all__ = [
     "QUARANTINE_KIND",
-    "QuarantinedPrompt",
+    "CauseRecord",
+    "CrashRecord",
     "QuarantineRecords",
-    "decode_quarantined",
+    "decode_record",
     "name_record",
 ]
 
@@ -33,42 +33,65 @@
 # Daemons that find the same parts at the same time write them one after the other, so that most of
 # them learn of the first write instead.
 WRITE_SPREAD_S = 0.3
+# Records of crashes are deleted by the daemon whose time comes first.
+EXPIRY_SPREAD = 1.2
 MAX_RECORDS = 1_000
 
+Prompts: TypeAlias = Annotated[frozenset[frozenset[str]], Meta(max_length=64)]
+
 
-class QuarantinedPrompt(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class CauseRecord(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="record", tag="cause"
+):
     """Parts of prompts that crash endpoints.
 
     Parameters
     ----------
-    parts : tuple of str
+    parts : frozenset of str
         Ids of the parts; a prompt that holds all of them is not sent.
     endpoints : tuple of str
         Names of the endpoints that crashed.
     """
 
-    parts: Annotated[tuple[str, ...], Meta(min_length=1, max_length=256)]
+    parts: Annotated[frozenset[str], Meta(min_length=1, max_length=256)]
     endpoints: tuple[str, ...] = ()
 
 
-def decode_quarantined(value: Any) -> frozenset[str]:
-    """Return the parts of a record; raises `ValueError` if it is malformed."""
-    return frozenset(msgspec.convert(value, QuarantinedPrompt).parts)
+class CrashRecord(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="record", tag="crash"
+):
+    """Crash of an endpoint as one daemon saw it; the fields are those of `CrashReport`."""
+
+    endpoint: str
+    started_ms: int
+    began: Prompts = frozenset()
+    waiting: Prompts = frozenset()
+
+
+def decode_record(value: Any) -> CauseRecord | CrashReport:
+    """Return a cause or a crash; raises `ValueError` if the record is malformed."""
+    record = msgspec.convert(value, CauseRecord | CrashRecord)
+    match record:
+        case CauseRecord():
+            return record
+        case CrashRecord(endpoint, started_ms, began, waiting):
+            return CrashReport(endpoint, started_ms, began, waiting)
+
+
+def name_record(cause: frozenset[str]) -> str:
+    """Return the name of the record of a set of parts."""
+    return xxhash.xxh64_hexdigest(",".join(sorted(cause)).encode())
 
 
 class QuarantineRecords:
-    """Writes the parts that this daemon found to the store, and applies those of all daemons.
+    """Writes the crashes and causes that this daemon found to the store, and applies those of all.
 
     Parameters
     ----------
     store : PlatformClient
         Client of the store.
-    quarantine : Quarantine
-        Parts with which no request is sent.
-    list_endpoints : callable
-        Returns the endpoints that crashed on a set of parts.
-    release : callable
-        Called with a set of parts whose record was deleted.
+    watch : CrashWatch
+        Receives the records of all daemons.
     backoff : Backoff
         Delays after failed writes.
 
@@ -80,47 +103,54 @@
 
     feed: ObjectFeed
 
-    def __init__(
-        self,
-        store: PlatformClient,
-        quarantine: Quarantine,
-        list_endpoints: Callable[[frozenset[str]], list[str]],
-        release: Callable[[frozenset[str]], None],
-        backoff: Backoff,
-    ) -> None:
+    def __init__(self, store: PlatformClient, watch: CrashWatch, backoff: Backoff) -> None:
         self._store = store
-        self._quarantine = quarantine
-        self._list_endpoints = list_endpoints
-        self._release = release
+        self._watch = watch
         self._backoff = backoff
-        self._recorded: dict[str, frozenset[str]] = {}
-        # Parts to be recorded, or None for records to be deleted, by name.
-        self._pending: dict[str, frozenset[str] | None] = {}
+        self._recorded: dict[str, CauseRecord | CrashReport] = {}
+        self._expiry_timers: dict[str, asyncio.TimerHandle] = {}
+        # Values to be written, or None for records to be deleted, by name.
+        self._pending: dict[str, CauseRecord | CrashRecord | None] = {}
         self._wake = asyncio.Event()
 
     def is_loaded(self) -> bool:
         """Return whether all records were read once."""
         return self.feed.synchronized.is_set()
 
-    def apply(self, name: str, value: frozenset[str] | None) -> None:
+    def apply(self, name: str, value: CauseRecord | CrashReport | None) -> None:
         """Apply a record of the store, or its deletion."""
         known = self._recorded.pop(name, None)
-        if known is not None and known != value:
-            self._release(known)
+        if name in self._expiry_timers:
+            self._expiry_timers.pop(name).cancel()
+        if isinstance(known, CauseRecord) and known != value:
+            self._release(known.parts)
         if value is not None:
             self._recorded[name] = value
-            if self._quarantine.add(value):
-                log_event("prompt_quarantine_read", parts=sorted(value))
-
-    def write(self, cause: frozenset[str]) -> None:
+        match value:
+            case CauseRecord(parts):
+                if self._watch.quarantine.add(parts):
+                    log_event("prompt_quarantine_read", parts=sorted(parts))
+            case CrashReport():
+                self._watch.apply_report(value)
+                delay_s = CRASH_EXPIRY_S * random.uniform(1.0, EXPIRY_SPREAD)
+                loop = asyncio.get_running_loop()
+                self._expiry_timers[name] = loop.call_later(delay_s, self._put, name, None)
+
+    def write_cause(self, cause: frozenset[str]) -> None:
         """Record parts in the store as soon as it takes them."""
-        self._pending[name_record(cause)] = cause
-        self._wake.set()
+        endpoints = tuple(self._watch.list_endpoints(cause))
+        self._put(name_record(cause), CauseRecord(cause, endpoints))
+
+    def write_crash(self, report: CrashReport) -> None:
+        """Record a crash in the store as soon as it takes it, unless its cause is known by then."""
+        record = CrashRecord(report.endpoint, report.started_ms, report.began, report.waiting)
+        prompts = sorted(map(sorted, report.began | report.waiting))
+        key = f"{report.endpoint} {report.started_ms} {prompts}"
+        self._put(f"crash-{xxhash.xxh64_hexdigest(key.encode())}", record)
 
-    def delete(self, cause: frozenset[str]) -> None:
+    def delete_cause(self, cause: frozenset[str]) -> None:
         """Delete the record of parts as soon as the store takes it."""
-        self._pending[name_record(cause)] = None
-        self._wake.set()
+        self._put(name_record(cause), None)
 
     async def run(self) -> None:
         """Write and delete records until cancelled."""
@@ -129,30 +159,44 @@
             self._wake.clear()
             await asyncio.sleep(WRITE_SPREAD_S * random.random())
             while self._pending:
-                name, cause = next(iter(self._pending.items()))
-                if await self._settle(name, cause):
+                name, record = next(iter(self._pending.items()))
+                if await self._settle(name, record):
                     self._backoff.reset()
-                    if name in self._pending and self._pending[name] == cause:
+                    if name in self._pending and self._pending[name] is record:
                         del self._pending[name]
                 else:
                     await asyncio.sleep(self._backoff.next_wait())
 
-    async def _settle(self, name: str, cause: frozenset[str] | None) -> bool:
+    def _put(self, name: str, record: CauseRecord | CrashRecord | None) -> None:
+        self._pending[name] = record
+        self._wake.set()
+
+    def _release(self, cause: frozenset[str]) -> None:
+        """Release parts, and delete the crashes by which a daemon that starts would find them."""
+        self._watch.release(cause)
+        for name, known in self._recorded.items():
+            if isinstance(known, CrashReport) and known.holds(cause):
+                self._put(name, None)
+
+    async def _settle(self, name: str, record: CauseRecord | CrashRecord | None) -> bool:
         """Write or delete one record, and return whether nothing remains to be done."""
-        if cause is None:
+        if record is None:
+            if name not in self._recorded:
+                return True
             outcome = await self._store.delete(QUARANTINE_KIND, name)
             # A record that is not there is a conflict.
             return isinstance(outcome, (Written, Conflict))
-        if name in self._recorded:
+        if name in self._recorded or self._is_explained(record):
             return True
         if len(self._recorded) >= MAX_RECORDS:
-            log_event("quarantine_full", records=len(self._recorded), parts=sorted(cause))
+            log_event("quarantine_full", records=len(self._recorded), name=name)
             return True
-        value = {"parts": sorted(cause), "endpoints": self._list_endpoints(cause)}
+        value = msgspec.to_builtins(record)
         outcome = await self._store.write(QUARANTINE_KIND, name, value, expect=0)
         return isinstance(outcome, (Written, Conflict))
 
-
-def name_record(cause: frozenset[str]) -> str:
-    """Return the name of the record of a set of parts."""
-    return xxhash.xxh64_hexdigest(",".join(sorted(cause)).encode())
+    def _is_explained(self, record: CauseRecord | CrashRecord) -> bool:
+        """Return whether the cause of a crash is known, so that its record would tell nothing."""
+        if isinstance(record, CauseRecord):
+            return False
+        return any(map(self._watch.quarantine.find, record.began or record.waiting))
--- a/magnoliarouter/gateway/crashwatch.py
+++ b/magnoliarouter/gateway/crashwatch.py
@@ -41,6 +41,8 @@
 CRASH_SHARED_S = 0.2
 # Time for the other daemons to name the parts that they have seen answers on.
 SETTLE_S = 0.2
+# Time after a report during which causes are looked for.
+RECONSIDER_S = 10.0
 # Daemons wait up to this time before they name such parts, and those that hear another name them
 # need not. Long waits are more probable than short ones, by this exponent, so that however many
 # daemons could answer, few do so before they hear the first answer.
@@ -82,6 +84,8 @@
         Called with the set of parts that was added to the quarantine.
     on_sound : callable
         Called with a set of parts in quarantine on which an answer was written.
+    on_crash : callable
+        Called with each report of this daemon.
     on_news : callable
         Called when there is something to tell the other daemons.
     """
@@ -93,6 +97,7 @@
         clock: Callable[[], float],
         on_found: Callable[[frozenset[str]], None] = lambda cause: None,
         on_sound: Callable[[frozenset[str]], None] = lambda cause: None,
+        on_crash: Callable[[CrashReport], None] = lambda report: None,
         on_news: Callable[[], None] = lambda: None,
     ) -> None:
         self.quarantine = quarantine
@@ -100,6 +105,7 @@
         self._clock = clock
         self._on_found = on_found
         self._on_sound = on_sound
+        self._on_crash = on_crash
         self._on_news = on_news
         self._ledger = CrashLedger()
         # Parts on which this daemon itself has seen answers. What others have seen is not passed
@@ -110,6 +116,8 @@
         self._news: list[_News] = []
         self._news_sent_at = float("-inf")
         self._timer: asyncio.TimerHandle | None = None
+        self._reported_at = float("-inf")
+        self._undecided = 0
 
     def find_refusal(self, call: GatewayCall) -> NotRun | None:
         """Return why a call may not be sent because of its prompt, or None."""
@@ -187,8 +195,9 @@
             parts=sorted(suspects),
             important=True,
         )
-        self._apply_report(report)
+        self.apply_report(report)
         self._add_news([report])
+        self._on_crash(report)
         return began
 
     def apply_news(self, peer: str, news: CrashNews) -> None:
@@ -198,7 +207,7 @@
         self._heard_sound.record(news.sound, now)
         answered: set[str] = set()
         for report in news.reports:
-            if not self._apply_report(report):
+            if not self.apply_report(report):
                 continue
             parts = frozenset().union(*report.began, *report.waiting)
             answered |= {part for part in parts if self._own_sound.was_seen(part, now - SOUND_S)}
@@ -214,6 +223,14 @@
             loop = asyncio.get_running_loop()
             loop.call_later(_draw_answer_delay(), self._answer, sorted(answered))
 
+    def apply_report(self, report: CrashReport) -> bool:
+        """Apply what a daemon saw of a crash, and return whether it adds anything."""
+        is_new = self._ledger.record(report, self._clock())
+        if is_new:
+            self._reported_at = self._clock()
+            self._schedule_decision()
+        return is_new
+
     def collect_news(self) -> CrashNews | None:
         """Return what the next message to the other daemons tells, or None."""
         now = self._clock()
@@ -258,18 +275,20 @@
             log_event("crash_unconfirmed", address=address, seconds=CHECK_TIMEOUT_S)
             return False
 
-    def _apply_report(self, report: CrashReport) -> bool:
-        is_new = self._ledger.record(report, self._clock())
-        if is_new and self._timer is None:
+    def _schedule_decision(self) -> None:
+        if self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(SETTLE_S, self._decide)
-        return is_new
 
     def _decide(self) -> None:
+        """Look for causes, and again for a while: what callers send tells which parts are common."""
         self._timer = None
+        if self._clock() - self._reported_at < RECONSIDER_S:
+            self._schedule_decision()
         causes = self._ledger.find_causes(self._clock())
-        if not causes:
-            log_event("crash_cause_unknown", crashes=len(self._ledger))
+        if not causes and len(self._ledger) != self._undecided:
+            self._undecided = len(self._ledger)
+            log_event("crash_cause_unknown", crashes=self._undecided)
         for cause in causes:
             if self.quarantine.find(cause) is None:
                 self.quarantine.add(cause)
--- a/magnoliarouter/tests/test_crashwatch.py
+++ b/magnoliarouter/tests/test_crashwatch.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 
+from magnoliarouter.core.crashes import CrashLedger
 from magnoliarouter.core.outcome import ResultCode
 from magnoliarouter.gateway.attempt import SOUND_EVENTS, CallProgress, FailedAttempt
 from magnoliarouter.gateway.crashwatch import (
@@ -92,6 +93,21 @@
 
         self.play(scene)
 
+    def test_cause_is_found_without_a_further_crash_once_other_prompts_came(self):
+        async def scene():
+            self.watch._ledger = CrashLedger()
+            for _ in range(5):
+                self.watch.record_prompt(build_prompt_call("ac"))
+            for number in range(3):
+                self.assertTrue(await self.crash(("a", f"b{number}", "c"), number))
+            await asyncio.sleep(SETTLE_S + 0.01)
+            self.assertEqual(self.found, [])
+            record_other_prompts(self.watch)
+            await asyncio.sleep(SETTLE_S + 0.01)
+            self.assertEqual(self.found, [frozenset("a")])
+
+        self.play(scene)
+
     def test_last_part_belongs_to_its_request(self):
         async def scene():
             for number in range(3):
