--- a/magnoliarouter/core/crashes.py
+++ b/magnoliarouter/core/crashes.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ["CRASH_EXPIRY_S", "SOUND_S", "CrashLedger", "CrashReport", "RecentParts"]
+__all__ = ["CRASH_EXPIRY_S", "ANSWERED_S", "CrashLedger", "CrashReport", "RecentParts"]
 
 # Crashes that a part has to explain. One proves nothing: any prompt may be at an endpoint that
 # crashes for another reason.
@@ -26,7 +26,7 @@
 SAME_MOMENT_S = 0.1
 # An answer written this long before a crash shows that its parts did not cause it. Parts may begin
 # to crash endpoints that have new software.
-SOUND_S = 60.0
+ANSWERED_S = 60.0
 CRASH_EXPIRY_S = 600.0
 MAX_CRASHES = 64
 MAX_RECENT_PARTS = 4096
@@ -126,7 +126,7 @@
     >>> ledger = CrashLedger()
     >>> for number in range(20):
     ...     ledger.record_prompt([f"{number}"])
-    >>> ledger.record_sound(["a"], 1.0)
+    >>> ledger.record_answered(["a"], 1.0)
     >>> for number, parts in enumerate((("a", "b", "x"), ("a", "c", "x"))):
     ...     prompts = frozenset([frozenset(parts)])
     ...     _ = ledger.record(CrashReport(f"e{number}", 0, prompts), 2.0 + number)
@@ -134,7 +134,7 @@
     [frozenset({'x'})]
     """
 
-    _sound: RecentParts = field(default_factory=RecentParts)
+    _answered: RecentParts = field(default_factory=RecentParts)
     _sample: PromptSample = field(default_factory=PromptSample)
     _crashes: OrderedDict[_Start, _Crash] = field(default_factory=OrderedDict)
     _moment: int = 0
@@ -165,13 +165,15 @@
         """Record the parts of a prompt that a caller sent."""
         self._sample.record(parts)
 
-    def record_sound(self, parts: Iterable[str], now: float) -> None:
+    def record_answered(self, parts: Iterable[str], now: float) -> None:
         """Record the parts of a prompt on which an answer was written."""
-        self._sound.record(parts, now)
+        self._answered.record(parts, now)
 
     def list_unproven(self, parts: Iterable[str], now: float) -> frozenset[str]:
         """Return the parts that may have caused a crash at the loop time `now`."""
-        return frozenset(part for part in parts if not self._sound.was_seen(part, now - SOUND_S))
+        return frozenset(
+            part for part in parts if not self._answered.was_seen(part, now - ANSWERED_S)
+        )
 
     def find_causes(self, now: float) -> list[frozenset[str]]:
         """Return the parts that explain at least `MIN_CRASHES` crashes, the most crashes first.
@@ -239,7 +241,7 @@
         ]
 
     def forget(self, cause: frozenset[str]) -> None:
-        """Remove the crashes that a cause explains, after it has been found to be sound."""
+        """Remove the crashes that a cause explains, after an answer has been written on it."""
         for key, crash in list(self._crashes.items()):
             if any(cause <= prompt for prompt in crash.list_prompts()):
                 del self._crashes[key]
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -277,7 +277,10 @@
             self.peers.schedule_send,
         )
         self._quarantine_records = QuarantineRecords(self._store, watch, _create_backoff())
-        self.peers.collect_crashes, self.peers.apply_crashes = watch.collect_news, watch.apply_news
+        self.peers.collect_crashes, self.peers.apply_crashes = (
+            watch.collect_update,
+            watch.apply_update,
+        )
         return watch
 
     def _open_feeds(self) -> None:
--- a/magnoliarouter/daemon/quarantine.py
+++ b/magnoliarouter/daemon/quarantine.py
@@ -196,7 +196,7 @@
         return isinstance(outcome, (Written, Conflict))
 
     def _is_explained(self, record: CauseRecord | CrashRecord) -> bool:
-        """Return whether the cause of a crash is known, so that its record would tell nothing."""
+        """Return whether the cause of a crash is known, so that its record is not needed."""
         if isinstance(record, CauseRecord):
             return False
         return any(map(self._watch.quarantine.find, record.began or record.waiting))
--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -33,7 +33,7 @@
     "FailedAttempt",
     "CallProgress",
     "BufferedResponse",
-    "SOUND_EVENTS",
+    "ANSWERED_EVENTS",
     "may_relay",
     "relay",
 ]
@@ -46,7 +46,7 @@
 MIN_ATTEMPT_S = 0.1
 # Events after which an answer counts as written: a part of a prompt that crashes endpoints does so
 # as the answer begins.
-SOUND_EVENTS = 3
+ANSWERED_EVENTS = 3
 
 T = TypeVar("T")
 
@@ -126,7 +126,7 @@
     received_at : float
         Loop time at which the current attempt was sent, or last received data.
     answered : bool
-        Whether an endpoint has written an answer of at least `SOUND_EVENTS` events.
+        Whether an endpoint has written an answer of at least `ANSWERED_EVENTS` events.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -437,7 +437,7 @@
                 return events
             if events is None:
                 break
-            if splitter.received >= SOUND_EVENTS and not progress.answered:
+            if splitter.received >= ANSWERED_EVENTS and not progress.answered:
                 progress.answered = True
                 self._on_answer(call)
             now = self._clock()
--- a/magnoliarouter/gateway/crashwatch.py
+++ b/magnoliarouter/gateway/crashwatch.py
@@ -1,8 +1,8 @@
-"""Detects endpoints that crash on a prompt, and shares what was seen with the other daemons.
+"""Detects endpoints that crash on a prompt, and exchanges crash reports with the other daemons.
 
 One daemon sees few of the crashes, and the requests with a part that crashes endpoints come at any
-daemon. Each daemon therefore tells the others which prompts were at an endpoint that crashed, and
-which of the parts that others name it has seen answers on.
+daemon. Each daemon therefore reports to the others which prompts were at an endpoint that crashed,
+and which of the parts in their reports it has seen answers on.
 """
 
 from __future__ import annotations
@@ -13,10 +13,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeAlias
 
-from magnoliarouter.core.crashes import SOUND_S, CrashLedger, CrashReport, RecentParts
+from magnoliarouter.core.crashes import ANSWERED_S, CrashLedger, CrashReport, RecentParts
 from magnoliarouter.core.outcome import NotRun, ResultCode
-from magnoliarouter.gateway.attempt import SOUND_EVENTS
-from magnoliarouter.gateway.peers import CrashNews
+from magnoliarouter.gateway.attempt import ANSWERED_EVENTS
+from magnoliarouter.gateway.peers import CrashUpdate
 from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -32,29 +32,29 @@
 # A connection that ends after a longer silence was cut by an endpoint that runs, whose group was
 # stalled.
 MAX_SILENCE_S = 1.2
-# The sockets of a process that ends are closed one after the other, the one that listens maybe last.
+# The kernel closes the sockets of a process that ends one after the other.
 CONFIRM_DELAY_S = 0.05
 # A host that does not respond is out of reach. The calls wait to be sent elsewhere meanwhile.
 CHECK_TIMEOUT_S = 0.2
 # Calls that were broken off within this time share the result of one check: an endpoint takes
 # longer to start.
 CRASH_SHARED_S = 0.2
-# Time for the other daemons to name the parts that they have seen answers on.
+# Time for the other daemons to reply with the parts that they have seen answers on.
 SETTLE_S = 0.2
 # Time after a report during which causes are looked for.
 RECONSIDER_S = 10.0
-# Daemons wait up to this time before they name such parts, and those that hear another name them
-# need not. Long waits are more probable than short ones, by this exponent, so that however many
-# daemons could answer, few do so before they hear the first answer.
-MAX_ANSWER_DELAY_S = 0.15
-ANSWER_DELAY_EXPONENT = 10.0
-# An answer of another daemon that was heard within this time serves.
-HEARD_S = 1.0
+# Daemons delay their replies by up to this time, and do not reply once another daemon has. Long
+# delays are more probable than short ones, by this exponent, so that few daemons reply, however many
+# could.
+MAX_REPLY_DELAY_S = 0.15
+REPLY_DELAY_EXPONENT = 10.0
+# A reply of another daemon within this time makes one of this daemon needless.
+PEER_REPLY_S = 1.0
 # A report is sent this often, since datagrams may be lost, at intervals of at least this.
-NEWS_REPEATS = 5
-NEWS_INTERVAL_S = 0.2
+UPDATE_REPEATS = 5
+UPDATE_INTERVAL_S = 0.2
 # Limits of one message.
-MAX_NEWS = 8
+MAX_UPDATE_ITEMS = 8
 MAX_REPORTED_PARTS = 32
 # Until then the operator may have replaced the endpoints' software; callers shorten it to what they
 # accept.
@@ -64,7 +64,7 @@
 
 
 @dataclass(slots=True)
-class _News:
+class _OutgoingItem:
     value: CrashReport | str
     sends: int = 0
 
@@ -82,12 +82,12 @@
         Loop time in seconds.
     on_found : callable
         Called with the set of parts that was added to the quarantine.
-    on_sound : callable
+    on_answered : callable
         Called with a set of parts in quarantine on which an answer was written.
     on_crash : callable
         Called with each report of this daemon.
-    on_news : callable
-        Called when there is something to tell the other daemons.
+    on_update : callable
+        Called when there is an update for the other daemons.
     """
 
     def __init__(
@@ -96,25 +96,25 @@
         is_refused: Callable[[str], Awaitable[bool]],
         clock: Callable[[], float],
         on_found: Callable[[frozenset[str]], None] = lambda cause: None,
-        on_sound: Callable[[frozenset[str]], None] = lambda cause: None,
+        on_answered: Callable[[frozenset[str]], None] = lambda cause: None,
         on_crash: Callable[[CrashReport], None] = lambda report: None,
-        on_news: Callable[[], None] = lambda: None,
+        on_update: Callable[[], None] = lambda: None,
     ) -> None:
         self.quarantine = quarantine
         self._is_refused = is_refused
         self._clock = clock
         self._on_found = on_found
-        self._on_sound = on_sound
+        self._on_answered = on_answered
         self._on_crash = on_crash
-        self._on_news = on_news
+        self._on_update = on_update
         self._ledger = CrashLedger()
         # Parts on which this daemon itself has seen answers. What others have seen is not passed
         # on, so that it grows old.
-        self._own_sound = RecentParts()
-        self._heard_sound = RecentParts()
+        self._own_answered = RecentParts()
+        self._peer_answered = RecentParts()
         self._checks: dict[_Start, asyncio.Task[bool]] = {}
-        self._news: list[_News] = []
-        self._news_sent_at = float("-inf")
+        self._outgoing: list[_OutgoingItem] = []
+        self._update_sent_at = float("-inf")
         self._timer: asyncio.TimerHandle | None = None
         self._reported_at = float("-inf")
         self._undecided = 0
@@ -139,13 +139,15 @@
     def record_answer(self, call: GatewayCall) -> None:
         """Record that an endpoint wrote an answer on a call's prompt."""
         parts, now = call.headers.prompt_parts, self._clock()
-        self._own_sound.record(parts, now)
-        self._ledger.record_sound(parts, now)
+        self._own_answered.record(parts, now)
+        self._ledger.record_answered(parts, now)
         cause = self.quarantine.find(parts)
         if cause is not None:
-            log_event("prompt_sound", parts=sorted(cause), request_id=_name(call), important=True)
+            log_event(
+                "prompt_answered", parts=sorted(cause), request_id=_name(call), important=True
+            )
             self.release(cause)
-            self._on_sound(cause)
+            self._on_answered(cause)
 
     def list_endpoints(self, cause: frozenset[str]) -> list[str]:
         """Return the endpoints that crashed on a prompt with all parts of a set."""
@@ -172,7 +174,7 @@
             How far the attempt came, and how it failed.
         """
         now = self._clock()
-        if not failed.broken_off or progress.splitter.received >= SOUND_EVENTS:
+        if not failed.broken_off or progress.splitter.received >= ANSWERED_EVENTS:
             return False
         suspects = self._ledger.list_unproven(call.headers.prompt_parts[:-1], now)
         if not suspects or now - progress.received_at > MAX_SILENCE_S:
@@ -196,21 +198,23 @@
             important=True,
         )
         self.apply_report(report)
-        self._add_news([report])
+        self._queue_items([report])
         self._on_crash(report)
         return began
 
-    def apply_news(self, peer: str, news: CrashNews) -> None:
-        """Apply what another daemon saw, and answer with the parts that this one saw answers on."""
+    def apply_update(self, peer: str, update: CrashUpdate) -> None:
+        """Apply an update of another daemon, and reply with the parts that this one saw answers on."""
         now = self._clock()
-        self._ledger.record_sound(news.sound, now)
-        self._heard_sound.record(news.sound, now)
+        self._ledger.record_answered(update.answered, now)
+        self._peer_answered.record(update.answered, now)
         answered: set[str] = set()
-        for report in news.reports:
+        for report in update.reports:
             if not self.apply_report(report):
                 continue
             parts = frozenset().union(*report.began, *report.waiting)
-            answered |= {part for part in parts if self._own_sound.was_seen(part, now - SOUND_S)}
+            answered |= {
+                part for part in parts if self._own_answered.was_seen(part, now - ANSWERED_S)
+            }
             log_event(
                 "crash_reported",
                 peer=peer,
@@ -221,7 +225,7 @@
             )
         if answered:
             loop = asyncio.get_running_loop()
-            loop.call_later(_draw_answer_delay(), self._answer, sorted(answered))
+            loop.call_later(_draw_reply_delay(), self._send_answered, sorted(answered))
 
     def apply_report(self, report: CrashReport) -> bool:
         """Apply what a daemon saw of a crash, and return whether it adds anything."""
@@ -231,26 +235,28 @@
             self._schedule_decision()
         return is_new
 
-    def collect_news(self) -> CrashNews | None:
-        """Return what the next message to the other daemons tells, or None."""
+    def collect_update(self) -> CrashUpdate | None:
+        """Return the update for the next message to the other daemons, or None."""
         now = self._clock()
-        if not self._news or now - self._news_sent_at < NEWS_INTERVAL_S:
+        if not self._outgoing or now - self._update_sent_at < UPDATE_INTERVAL_S:
             return None
-        self._news_sent_at = now
-        sent = self._news[:MAX_NEWS]
+        self._update_sent_at = now
+        sent = self._outgoing[:MAX_UPDATE_ITEMS]
         for one in sent:
             one.sends += 1
         # The others come first the next time.
-        self._news = self._news[MAX_NEWS:] + [one for one in sent if one.sends < NEWS_REPEATS]
-        return CrashNews(
+        self._outgoing = self._outgoing[MAX_UPDATE_ITEMS:] + [
+            one for one in sent if one.sends < UPDATE_REPEATS
+        ]
+        return CrashUpdate(
             [one.value for one in sent if isinstance(one.value, CrashReport)],
             [one.value for one in sent if isinstance(one.value, str)],
         )
 
-    def _answer(self, parts: list[str]) -> None:
-        """Name parts that this daemon saw answers on, unless another daemon just has."""
-        since = self._clock() - HEARD_S
-        self._add_news([part for part in parts if not self._heard_sound.was_seen(part, since)])
+    def _send_answered(self, parts: list[str]) -> None:
+        """Reply with parts that this daemon saw answers on, unless another daemon just has."""
+        since = self._clock() - PEER_REPLY_S
+        self._queue_items([part for part in parts if not self._peer_answered.was_seen(part, since)])
 
     async def _has_crashed(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint that broke off a response refuses connections."""
@@ -281,7 +287,7 @@
             self._timer = loop.call_later(SETTLE_S, self._decide)
 
     def _decide(self) -> None:
-        """Look for causes, and again for a while: what callers send tells which parts are common."""
+        """Look for causes, repeatedly, since later prompts show which parts are common."""
         self._timer = None
         if self._clock() - self._reported_at < RECONSIDER_S:
             self._schedule_decision()
@@ -300,18 +306,18 @@
                 )
                 self._on_found(cause)
 
-    def _add_news(self, values: Iterable[CrashReport | str]) -> None:
-        known = {one.value for one in self._news}
-        added = [_News(value) for value in values if value not in known]
+    def _queue_items(self, values: Iterable[CrashReport | str]) -> None:
+        known = {one.value for one in self._outgoing}
+        added = [_OutgoingItem(value) for value in values if value not in known]
         if added:
-            self._news += added
-            self._on_news()
+            self._outgoing += added
+            self._on_update()
 
 
-def _draw_answer_delay() -> float:
+def _draw_reply_delay() -> float:
     """Return a random delay in seconds, with a density that grows exponentially."""
-    scale = math.expm1(ANSWER_DELAY_EXPONENT) * random.random()
-    return MAX_ANSWER_DELAY_S / ANSWER_DELAY_EXPONENT * math.log1p(scale)
+    scale = math.expm1(REPLY_DELAY_EXPONENT) * random.random()
+    return MAX_REPLY_DELAY_S / REPLY_DELAY_EXPONENT * math.log1p(scale)
 
 
 def _name(call: GatewayCall) -> str:
--- a/magnoliarouter/gateway/peers.py
+++ b/magnoliarouter/gateway/peers.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["CrashNews", "MapLease", "PeerLoads", "PeerMessage"]
+__all__ = ["CrashUpdate", "MapLease", "PeerLoads", "PeerMessage"]
 
 # Changes within this time are sent in one datagram. With a longer delay, other daemons would choose
 # a slot that is already in use.
@@ -40,19 +40,19 @@
 MapLease: TypeAlias = tuple[int, str, int, float, str]
 
 
-class CrashNews(msgspec.Struct, array_like=True):
-    """What one daemon tells the others about crashes of endpoints.
+class CrashUpdate(msgspec.Struct, array_like=True):
+    """Crashes of endpoints, as one daemon reports them to the others.
 
     Parameters
     ----------
     reports : list of CrashReport
         Crashes, and the prompts that the endpoints were working on.
-    sound : list of str
+    answered : list of str
         Parts of such prompts on which the sender has seen answers.
     """
 
     reports: list[CrashReport]
-    sound: list[str]
+    answered: list[str]
 
 
 class PeerMessage(msgspec.Struct, array_like=True):
@@ -82,8 +82,8 @@
     map_lease : (int, str, int, float, str), optional
         Version, holder, epoch, duration in seconds and write id of the lease on the expert maps, as
         the sender, which holds it, last wrote it.
-    crashes : CrashNews, optional
-        What the sender tells about crashes of endpoints.
+    crashes : CrashUpdate, optional
+        Crashes of endpoints that the sender reports.
     """
 
     name: str
@@ -96,7 +96,7 @@
     slow_ranks: dict[str, float] = {}
     capacity: float = 0.0
     map_lease: MapLease | None = None
-    crashes: CrashNews | None = None
+    crashes: CrashUpdate | None = None
 
 
 class PeerLoads(asyncio.DatagramProtocol):
@@ -149,8 +149,8 @@
         self.apply_map_lease: Callable[[MapLease], None] = lambda lease: None
         self.read_slow_ranks: Callable[[], dict[str, float]] = dict
         self.apply_slow_ranks: Callable[[dict[str, float]], None] = lambda slow: None
-        self.collect_crashes: Callable[[], CrashNews | None] = lambda: None
-        self.apply_crashes: Callable[[str, CrashNews], None] = lambda name, news: None
+        self.collect_crashes: Callable[[], CrashUpdate | None] = lambda: None
+        self.apply_crashes: Callable[[str, CrashUpdate], None] = lambda name, update: None
 
     async def open(self, host: str, port: int) -> None:
         """Listen for datagrams and start to send.
--- a/magnoliarouter/tests/prompt_soak.py
+++ b/magnoliarouter/tests/prompt_soak.py
@@ -25,10 +25,10 @@
 DEADLINE_S = 2.0
 CONTACT_S = 1.0
 # Stated targets: crashes after which the part is to be known, requests with it that may reach
-# engines later than `CONTACT_S` after the last of them, and the share of sound requests that begin.
+# engines later than `CONTACT_S` after the last of them, and the share of good requests that begin.
 KNOWN_AFTER_CRASHES = 5
 MAX_LATE_ARRIVALS = 3
-MIN_SOUND_SHARE = 0.5
+MIN_GOOD_SHARE = 0.5
 
 
 @dataclass
@@ -43,8 +43,8 @@
         Loop time and id of each request with the bad part that reached an engine.
     in_contact : set of str
         Requests with the bad part that a daemon got which had run for `CONTACT_S`.
-    sound : list of (float, bool)
-        Loop time of each sound request, and whether its response began and was complete.
+    good : list of (float, bool)
+        Loop time of each good request, and whether its response began and was complete.
     violations : list of str
         Broken promises.
     counts : Counter
@@ -54,7 +54,7 @@
     crashes: list[float] = field(default_factory=list)
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     in_contact: set[str] = field(default_factory=set)
-    sound: list[tuple[float, bool]] = field(default_factory=list)
+    good: list[tuple[float, bool]] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
     counts: Counter[str] = field(default_factory=Counter)
 
@@ -66,7 +66,7 @@
     Parameters
     ----------
     broken_off : float
-        Share of sound responses that are broken off by an engine that goes on.
+        Share of good responses that are broken off by an engine that goes on.
     crash_interval_s, restart_interval_s : float
         Mean time between crashes of engines for other reasons, and between restarts of daemons.
     lost_datagrams : float
@@ -151,8 +151,8 @@
         Time during which requests are sent.
     faults : Faults
         Faults beside the bad part.
-    bad_interval_s, sound_interval_s : float
-        Mean time between requests with the bad part, and between sound ones, at each daemon.
+    bad_interval_s, good_interval_s : float
+        Mean time between requests with the bad part, and between good ones, at each daemon.
     """
 
     seed: int
@@ -161,7 +161,7 @@
     daemon_count: int = 3
     engine_count: int = 6
     bad_interval_s: float = 0.15
-    sound_interval_s: float = 0.03
+    good_interval_s: float = 0.03
     down_s: float = 0.4
     log: Log = field(default_factory=Log)
     engines: dict[str, CrashingEngine] = field(default_factory=dict)
@@ -202,7 +202,7 @@
         callers = [
             self.send_requests(daemon, bad, interval_s, end)
             for daemon in range(self.daemon_count)
-            for bad, interval_s in ((True, self.bad_interval_s), (False, self.sound_interval_s))
+            for bad, interval_s in ((True, self.bad_interval_s), (False, self.good_interval_s))
         ]
         await asyncio.gather(*callers, self.crash_engines(end), self.restart_daemons(end))
 
@@ -271,9 +271,9 @@
             await asyncio.sleep(self.rng.expovariate(1 / self.faults.crash_interval_s))
             if self.now() > end:
                 return
-            sound = [engine for engine in self.engines.values() if not engine.down]
-            if sound:
-                self.crash(self.rng.choice(sound))
+            good = [engine for engine in self.engines.values() if not engine.down]
+            if good:
+                self.crash(self.rng.choice(good))
 
     async def restart_daemons(self, end: float) -> None:
         while self.faults.restart_interval_s:
@@ -308,14 +308,14 @@
             self.log.violations.append(f"{request_id}: no end by its deadline")
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
-        kind = "bad" if bad else "sound"
+        kind = "bad" if bad else "good"
         self.log.counts[f"{kind} {status if whole else 'broken off'}"] += 1
         if bad:
             reached = any(name == request_id for _, name in self.log.arrivals)
             if status in (408, 421, 429, 503) and reached:
                 self.log.violations.append(f"{request_id}: status {status}, but it ran")
         else:
-            self.log.sound.append((sent_at, status == 200 and whole))
+            self.log.good.append((sent_at, status == 200 and whole))
 
     async def exchange(self, daemon: int, request_id: str, parts: list[str]) -> tuple[int, bool]:
         """Send a request and return its status, and whether its response was whole."""
@@ -358,11 +358,11 @@
             if at > known_at and request_id in self.log.in_contact
         ]
 
-    def find_sound_share(self) -> float:
-        """Return the share of sound requests that are served once the part has to be known."""
+    def find_good_share(self) -> float:
+        """Return the share of good requests that are served once the part has to be known."""
         known = self.log.crashes[:KNOWN_AFTER_CRASHES]
         since = known[-1] + 2 * CONTACT_S if known else 0.0
-        late = [served for at, served in self.log.sound if at > since]
+        late = [served for at, served in self.log.good if at > since]
         return sum(late) / len(late) if late else 1.0
 
     def check(self) -> None:
@@ -371,9 +371,9 @@
         if len(late) > MAX_LATE_ARRIVALS:
             text = f"{len(late)} requests with the bad part reached engines late"
             self.log.violations.append(f"{text}, {len(self.log.crashes)} crashes")
-        share = self.find_sound_share()
-        if share < MIN_SOUND_SHARE:
-            self.log.violations.append(f"{share:.2f} of the sound requests were served")
+        share = self.find_good_share()
+        if share < MIN_GOOD_SHARE:
+            self.log.violations.append(f"{share:.2f} of the good requests were served")
 
 
 def build_prompt_configuration() -> dict[str, object]:
@@ -417,7 +417,7 @@
         log = asyncio.run(site.run())
         print(
             f"seed {seed}: {sum(log.counts.values())} requests, {len(log.crashes)} crashes, "
-            f"{len(site.list_late_arrivals())} late, {site.find_sound_share():.2f} served, "
+            f"{len(site.list_late_arrivals())} late, {site.find_good_share():.2f} served, "
             f"{len(log.violations)} broken promises; {faults}",
             flush=True,
         )
--- a/magnoliarouter/tests/test_crashes.py
+++ b/magnoliarouter/tests/test_crashes.py
@@ -4,12 +4,12 @@
 import unittest
 
 from magnoliarouter.core.crashes import (
+    ANSWERED_S,
     CRASH_EXPIRY_S,
     MAX_CRASHES,
     MAX_RECENT_PARTS,
     MAX_SAMPLE_PROMPTS,
     SAME_MOMENT_S,
-    SOUND_S,
     CrashLedger,
     CrashReport,
     PromptSample,
@@ -51,16 +51,16 @@
         self.assertEqual(self.find_causes(), [{"x"}])
 
     def test_parts_of_answers_that_were_written_are_no_cause(self):
-        self.ledger.record_sound("f", self.now)
+        self.ledger.record_answered("f", self.now)
         self.crash("fx")
         self.crash("fx")
         self.assertEqual(self.find_causes(), [{"x"}])
-        self.ledger.record_sound("x", self.now + 1.0)
+        self.ledger.record_answered("x", self.now + 1.0)
         self.assertEqual(self.find_causes(), [])
 
     def test_answers_long_before_a_crash_prove_nothing(self):
-        self.ledger.record_sound("x", self.now)
-        self.crash("fx", after_s=SOUND_S + 1.0)
+        self.ledger.record_answered("x", self.now)
+        self.crash("fx", after_s=ANSWERED_S + 1.0)
         self.crash("gx")
         self.assertEqual(self.find_causes(), [{"x"}])
 
@@ -173,11 +173,11 @@
 
     def test_state_is_bounded(self):
         for number in range(3 * MAX_RECENT_PARTS):
-            self.ledger.record_sound([f"p{number}"], self.now)
+            self.ledger.record_answered([f"p{number}"], self.now)
         for _ in range(2 * MAX_CRASHES):
             self.crash("x")
         self.assertEqual(len(self.ledger._crashes), MAX_CRASHES)
-        self.assertEqual(len(self.ledger._sound._seen), MAX_RECENT_PARTS)
+        self.assertEqual(len(self.ledger._answered._seen), MAX_RECENT_PARTS)
         self.now += CRASH_EXPIRY_S
         self.assertEqual(self.find_causes(), [])
         self.assertEqual(len(self.ledger._crashes), 0)
@@ -194,13 +194,13 @@
     def play_random(self, rng):
         """Return the causes after five crashes on "x" and one on none.
 
-        Answers on the parts that sound prompts share are written at some time in between.
+        Answers on the parts that other prompts share are written at some time in between.
         """
         rounds = range(5)
         answered_in = {part: rng.choice(rounds) for part in "abcdef"}
         for number in rounds:
             parts = [part for part, chosen in answered_in.items() if chosen == number]
-            self.ledger.record_sound(parts, self.now)
+            self.ledger.record_answered(parts, self.now)
             beside = [rng.choice("abcdef") for _ in range(rng.randrange(3))]
             self.crash(rng.choice("abcdef") + rng.choice("ghijkl") + "x", *beside, after_s=0.5)
         self.crash(rng.choice("abcdef"), after_s=0.5)
--- a/magnoliarouter/tests/test_crashwatch.py
+++ b/magnoliarouter/tests/test_crashwatch.py
@@ -6,20 +6,20 @@
 
 from magnoliarouter.core.crashes import CrashLedger
 from magnoliarouter.core.outcome import ResultCode
-from magnoliarouter.gateway.attempt import SOUND_EVENTS, CallProgress, FailedAttempt
+from magnoliarouter.gateway.attempt import ANSWERED_EVENTS, CallProgress, FailedAttempt
 from magnoliarouter.gateway.crashwatch import (
     CHECK_TIMEOUT_S,
     CRASH_SHARED_S,
-    MAX_ANSWER_DELAY_S,
-    MAX_NEWS,
+    MAX_REPLY_DELAY_S,
     MAX_SILENCE_S,
-    NEWS_INTERVAL_S,
-    NEWS_REPEATS,
+    MAX_UPDATE_ITEMS,
     SETTLE_S,
+    UPDATE_INTERVAL_S,
+    UPDATE_REPEATS,
     CrashWatch,
 )
 from magnoliarouter.gateway.endpoints import Endpoint
-from magnoliarouter.gateway.peers import CrashNews
+from magnoliarouter.gateway.peers import CrashUpdate
 from magnoliarouter.gateway.quarantine import Quarantine
 from magnoliarouter.gateway.routes import RouteKind
 from magnoliarouter.tests.builders import build_crash_report
@@ -45,13 +45,13 @@
 
     def open(self):
         self.refused, self.checks, self.check_s = True, 0, 0.001
-        self.found, self.sound = [], []
+        self.found, self.answered = [], []
         self.watch = CrashWatch(
             Quarantine(),
             self.is_refused,
             asyncio.get_running_loop().time,
             self.found.append,
-            self.sound.append,
+            self.answered.append,
         )
         record_other_prompts(self.watch)
 
@@ -121,7 +121,7 @@
             self.refused = False
             self.assertFalse(await self.examine("ac"))
             self.assertEqual(self.checks, 2)
-            self.assertIsNone(self.watch.collect_news())
+            self.assertIsNone(self.watch.collect_update())
 
         self.play(scene)
 
@@ -137,7 +137,7 @@
 
     def test_answers_that_were_written_or_cut_after_a_silence_are_not_examined(self):
         async def scene():
-            self.assertFalse(await self.examine("ac", events=SOUND_EVENTS))
+            self.assertFalse(await self.examine("ac", events=ANSWERED_EVENTS))
             self.assertFalse(await self.examine("ac", silent_s=MAX_SILENCE_S + 0.01))
             self.watch.record_answer(build_prompt_call("ab"))
             self.assertFalse(await self.examine("ac"))
@@ -148,8 +148,8 @@
     def test_prompt_whose_answer_had_not_begun_may_be_repeated(self):
         async def scene():
             self.assertFalse(await self.examine("ac", began=False))
-            news = self.watch.collect_news()
-            self.assertEqual(news.reports[0].waiting, frozenset([frozenset("a")]))
+            update = self.watch.collect_update()
+            self.assertEqual(update.reports[0].waiting, frozenset([frozenset("a")]))
 
         self.play(scene)
 
@@ -188,16 +188,16 @@
             self.assertEqual(list(self.watch.quarantine), [frozenset("a")])
             self.watch.record_answer(build_prompt_call("ac"))
             self.assertEqual(list(self.watch.quarantine), [])
-            self.assertEqual(self.sound, [frozenset("a")])
+            self.assertEqual(self.answered, [frozenset("a")])
 
         self.play(scene)
 
     def test_parts_that_another_daemon_saw_answers_on_are_no_cause(self):
         async def scene():
-            self.watch.apply_news("p", CrashNews([build_crash_report("e1", ["ax"])], []))
+            self.watch.apply_update("p", CrashUpdate([build_crash_report("e1", ["ax"])], []))
             await asyncio.sleep(1.0)
-            self.watch.apply_news("p", CrashNews([build_crash_report("e2", ["ax"])], []))
-            self.watch.apply_news("q", CrashNews([], ["a"]))
+            self.watch.apply_update("p", CrashUpdate([build_crash_report("e2", ["ax"])], []))
+            self.watch.apply_update("q", CrashUpdate([], ["a"]))
             await asyncio.sleep(SETTLE_S + 0.01)
             self.assertEqual(self.found, [frozenset("x")])
 
@@ -206,36 +206,36 @@
     def test_daemon_answers_reports_with_the_parts_that_it_saw_answers_on(self):
         async def scene():
             self.watch.record_answer(build_prompt_call("ab"))
-            self.watch.apply_news("p", CrashNews([build_crash_report("e1", ["ax"])], ["x"]))
-            await asyncio.sleep(MAX_ANSWER_DELAY_S)
-            self.assertEqual(self.watch.collect_news(), CrashNews([], ["a"]))
+            self.watch.apply_update("p", CrashUpdate([build_crash_report("e1", ["ax"])], ["x"]))
+            await asyncio.sleep(MAX_REPLY_DELAY_S)
+            self.assertEqual(self.watch.collect_update(), CrashUpdate([], ["a"]))
 
         self.play(scene)
 
     def test_daemon_does_not_answer_once_another_has(self):
         async def scene():
             self.watch.record_answer(build_prompt_call("ab"))
-            self.watch.apply_news("p", CrashNews([build_crash_report("e1", ["ax"])], []))
-            self.watch.apply_news("q", CrashNews([], ["a"]))
-            await asyncio.sleep(MAX_ANSWER_DELAY_S)
-            self.assertIsNone(self.watch.collect_news())
+            self.watch.apply_update("p", CrashUpdate([build_crash_report("e1", ["ax"])], []))
+            self.watch.apply_update("q", CrashUpdate([], ["a"]))
+            await asyncio.sleep(MAX_REPLY_DELAY_S)
+            self.assertIsNone(self.watch.collect_update())
 
         self.play(scene)
 
-    def test_news_are_bounded_and_each_is_sent_the_same_number_of_times(self):
+    def test_updates_are_bounded_and_each_is_sent_the_same_number_of_times(self):
         async def scene():
-            number = 3 * MAX_NEWS
+            number = 3 * MAX_UPDATE_ITEMS
             for one in range(number):
                 await self.examine(("a", "c"), Endpoint(f"e{one}", "app", "h:1", "z", 6))
             sent = []
-            for _ in range(3 * NEWS_REPEATS + 5):
-                news = self.watch.collect_news()
-                self.assertIsNone(self.watch.collect_news())
-                if news is not None:
-                    self.assertLessEqual(len(news.reports), MAX_NEWS)
-                    sent += [report.endpoint for report in news.reports]
-                await asyncio.sleep(NEWS_INTERVAL_S)
-            self.assertEqual({sent.count(name) for name in sent}, {NEWS_REPEATS})
+            for _ in range(3 * UPDATE_REPEATS + 5):
+                update = self.watch.collect_update()
+                self.assertIsNone(self.watch.collect_update())
+                if update is not None:
+                    self.assertLessEqual(len(update.reports), MAX_UPDATE_ITEMS)
+                    sent += [report.endpoint for report in update.reports]
+                await asyncio.sleep(UPDATE_INTERVAL_S)
+            self.assertEqual({sent.count(name) for name in sent}, {UPDATE_REPEATS})
             self.assertEqual(len(set(sent)), number)
 
         self.play(scene)
@@ -260,7 +260,7 @@
         self.rng = random.Random(seed)
         self.messages = 0
         self.watches = [self.open_watch() for _ in range(daemon_count)]
-        senders = [asyncio.create_task(self.send_news(watch)) for watch in self.watches]
+        senders = [asyncio.create_task(self.send_updates(watch)) for watch in self.watches]
         answers = asyncio.create_task(self.write_answers())
         await asyncio.sleep(2.0)
         for number in range(5):
@@ -290,17 +290,17 @@
             call = build_prompt_call((f"a{self.rng.randrange(3)}", "c"))
             self.rng.choice(self.watches).record_answer(call)
 
-    async def send_news(self, sender):
+    async def send_updates(self, sender):
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(NEWS_INTERVAL_S / 2)
-            news = sender.collect_news()
-            if news is None:
+            await asyncio.sleep(UPDATE_INTERVAL_S / 2)
+            update = sender.collect_update()
+            if update is None:
                 continue
             self.messages += 1
             for watch in self.watches:
                 if watch is not sender and self.rng.random() > self.LOST:
-                    loop.call_later(self.DELAY_S, watch.apply_news, "p", news)
+                    loop.call_later(self.DELAY_S, watch.apply_update, "p", update)
 
     def test_every_daemon_knows_the_part_after_five_crashes_at_any_of_them(self):
         for daemon_count in (1, 9, 98):
@@ -322,17 +322,17 @@
         random.seed(1)
         self.watches = [self.open_watch() for _ in range(daemon_count)]
 
-        def tell(sender):
+        def notify(sender):
             nonlocal answers
             answers += 1
             for watch in self.watches:
                 if watch is not sender:
-                    loop.call_later(self.DELAY_S, watch.apply_news, "p", CrashNews([], ["f"]))
+                    loop.call_later(self.DELAY_S, watch.apply_update, "p", CrashUpdate([], ["f"]))
 
         for watch in self.watches:
-            watch._on_news = lambda watch=watch: tell(watch)
+            watch._on_update = lambda watch=watch: notify(watch)
             watch.record_answer(build_prompt_call(("f", "c")))
-            watch.apply_news("q", CrashNews([build_crash_report("e1", ["fx"])], []))
+            watch.apply_update("q", CrashUpdate([build_crash_report("e1", ["fx"])], []))
         await asyncio.sleep(1.0)
         return answers
 
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -6,7 +6,7 @@
 from magnoliarouter.core.framing import Framing
 from magnoliarouter.core.outcome import Completed, NotRun, ResultCode, Unknown
 from magnoliarouter.core.retries import SharedRetryBudget
-from magnoliarouter.gateway.attempt import SOUND_EVENTS, CallProgress
+from magnoliarouter.gateway.attempt import ANSWERED_EVENTS, CallProgress
 from magnoliarouter.gateway.call import GatewayCall
 from magnoliarouter.gateway.crashwatch import CrashWatch
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
@@ -717,10 +717,10 @@
         self.assertIsInstance(outcome, Unknown)
         self.assertEqual(self.tried(), ["e1"])
 
-    async def test_short_answer_that_ends_with_its_connection_proves_no_prompt_sound(self):
-        for framing, number, sound in (
-            (Framing.CLOSE, SOUND_EVENTS - 1, False),
-            (Framing.CLOSE, SOUND_EVENTS, True),
+    async def test_short_answer_that_ends_with_its_connection_proves_no_prompt_answered(self):
+        for framing, number, released in (
+            (Framing.CLOSE, ANSWERED_EVENTS - 1, False),
+            (Framing.CLOSE, ANSWERED_EVENTS, True),
             (Framing.CHUNKED, 1, True),
         ):
             with self.subTest(framing=framing, events=number):
@@ -734,7 +734,7 @@
                 await self.forwarder._attempts.run(
                     call, self.exchange, self.table.find("e1"), CallProgress()
                 )
-                self.assertEqual(frozenset(["bad"]) not in self.quarantine, sound)
+                self.assertEqual(frozenset(["bad"]) not in self.quarantine, released)
 
     async def test_caller_that_resumes_is_served_from_its_last_event(self):
         await self.add(self.serve(EVENTS[2:]))
--- a/magnoliarouter/tests/test_prompt_soak.py
+++ b/magnoliarouter/tests/test_prompt_soak.py
@@ -12,7 +12,7 @@
     def test_prompt_part_that_crashes_engines_is_not_sent_on(self):
         log = asyncio.run(PromptSite(1, SECONDS).run())
         self.assertEqual(log.violations, [])
-        self.assertGreater(log.counts["sound 200"], 100)
+        self.assertGreater(log.counts["good 200"], 100)
         self.assertGreater(log.counts["bad 503"] + log.counts["bad 502"], 50)
 
     def test_prompt_part_that_crashes_engines_is_known_after_restarts_of_all_daemons(self):
--- a/magnoliarouter/tests/test_quarantine.py
+++ b/magnoliarouter/tests/test_quarantine.py
@@ -109,7 +109,7 @@
         await wait_until(lambda: not list(daemon.quarantine), 2.0)
         self.assertEqual((await self.send_prompt(daemon, b"bad:2,c:3"))[0], 200)
 
-    async def test_crashes_in_the_store_tell_daemons_that_share_no_datagram(self):
+    async def test_crashes_in_the_store_reach_daemons_that_share_no_datagram(self):
         daemon = await self.start()
         await self.wait_ready(daemon)
         for number in range(50):
