--- a/magnoliarouter/tests/prompt_soak.py
+++ b/magnoliarouter/tests/prompt_soak.py
@@ -11,14 +11,15 @@
 import sys
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
-from magnoliarouter.daemon.gateway import GatewayDaemon
-from magnoliarouter.gateway.settings import GatewayBounds, GatewaySettings
-from magnoliarouter.platform.main import INTERFACE
-from magnoliarouter.standins.launch import find_port
+from magnoliarouter.tests.daemons import kill_gateway, start_gateway
 from magnoliarouter.tests.platform_standin import StoreStandin, build_configuration
 from magnoliarouter.tests.raw_server import RawPeer, RawServer
 
+if TYPE_CHECKING:
+    from magnoliarouter.daemon.gateway import GatewayDaemon
+
 EVENTS = [f"id: {number}\ndata: {number}\n\n".encode() for number in range(1, 7)]
 FIRST_PART = "f1"
 BAD_PART = "bad0"
@@ -229,18 +230,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def start_daemon(self, number: int) -> GatewayDaemon:
-        listen, ready, peers = (f"127.0.0.1:{find_port('127.0.0.1')}" for _ in range(3))
-        settings = GatewaySettings(
-            name=f"front-{number}",
-            zone="zone-1",
-            listen=listen,
-            ready=ready,
-            peers=peers,
-            store=self.store.address,
-            bounds=GatewayBounds(contact_s=CONTACT_S),
-        )
-        daemon = GatewayDaemon(settings, INTERFACE)
-        await daemon.start()
+        daemon = await start_gateway(self.store.address, f"front-{number}", contact_s=CONTACT_S)
         self.started_at[number] = self.now()
         received = daemon.peers.datagram_received
 
@@ -251,19 +241,8 @@
         daemon.peers.datagram_received = receive
         return daemon
 
-    def kill_daemon(self, daemon: GatewayDaemon) -> None:
-        """End a daemon without notice."""
-        for task in (*daemon._tasks, *daemon.maps.list_tasks()):
-            task.cancel()
-        daemon.peers.close()
-        for server in (daemon._server, daemon._ready_server):
-            server.stop_listening()
-            server.abort_all()
-        daemon._pool.close()
-        daemon._store_pool.close()
-
     async def restart_daemon(self, number: int) -> None:
-        self.kill_daemon(self.daemons[number])
+        kill_gateway(self.daemons[number])
         self.daemons[number] = await self.start_daemon(number)
 
     async def crash_engines(self, end: float) -> None:
@@ -338,7 +317,7 @@
 
     async def close(self) -> None:
         for daemon in self.daemons:
-            self.kill_daemon(daemon)
+            kill_gateway(daemon)
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/magnoliarouter/tests/response_soak.py
+++ b/magnoliarouter/tests/response_soak.py
@@ -12,10 +12,7 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
-from magnoliarouter.daemon.gateway import GatewayDaemon
-from magnoliarouter.gateway.settings import GatewayBounds, GatewaySettings
-from magnoliarouter.platform.main import INTERFACE
-from magnoliarouter.standins.launch import find_port
+from magnoliarouter.tests.daemons import kill_gateway, start_gateway
 from magnoliarouter.tests.platform_standin import StoreStandin, build_configuration
 from magnoliarouter.tests.raw_server import RawPeer, RawServer
 
@@ -268,7 +265,10 @@
         await self.store.put("config", "main", build_soak_configuration())
         for number in range(self.engine_count):
             await self.add_engine(f"e{number}")
-        self.daemons = [await self.start_daemon(number) for number in range(self.daemon_count)]
+        self.daemons = [
+            await start_gateway(self.store.address, f"front-{number}")
+            for number in range(self.daemon_count)
+        ]
         try:
             await asyncio.sleep(0.8)
             end = asyncio.get_running_loop().time() + self.seconds
@@ -290,31 +290,9 @@
         self.engines[name] = engine
         await self.store.put("servers", name, engine.build_entry())
 
-    async def start_daemon(self, number: int) -> GatewayDaemon:
-        listen, ready, peers = (f"127.0.0.1:{find_port('127.0.0.1')}" for _ in range(3))
-        settings = GatewaySettings(
-            name=f"front-{number}",
-            zone="zone-1",
-            listen=listen,
-            ready=ready,
-            peers=peers,
-            store=self.store.address,
-            bounds=GatewayBounds(),
-        )
-        daemon = GatewayDaemon(settings, INTERFACE)
-        await daemon.start()
-        return daemon
-
     async def close(self) -> None:
         for daemon in self.daemons:
-            for task in (*daemon._tasks, *daemon.maps.list_tasks()):
-                task.cancel()
-            daemon.peers.close()
-            for server in (daemon._server, daemon._ready_server):
-                server.stop_listening()
-                server.abort_all()
-            daemon._pool.close()
-            daemon._store_pool.close()
+            kill_gateway(daemon)
         for engine in self.engines.values():
             await engine.server.stop()
         self.store.server.abort_all()
--- a/magnoliarouter/tests/test_gateway.py
+++ b/magnoliarouter/tests/test_gateway.py
@@ -7,11 +7,9 @@
 import msgspec
 
 from magnoliarouter.cli.status import _format_gateway
-from magnoliarouter.daemon.gateway import CHANGE_BATCH_SHARE, GatewayDaemon
-from magnoliarouter.gateway.settings import GatewayBounds, GatewaySettings
-from magnoliarouter.platform.main import INTERFACE
-from magnoliarouter.standins.launch import find_port
+from magnoliarouter.daemon.gateway import CHANGE_BATCH_SHARE
 from magnoliarouter.tests.clock import wait_until
+from magnoliarouter.tests.daemons import kill_gateway, start_gateway
 from magnoliarouter.tests.platform_standin import EngineStandin, StoreStandin, build_configuration
 from magnoliarouter.tests.raw_server import RawPeer, RawServer
 
@@ -31,32 +29,10 @@
         return engine
 
     async def start(self, name="front-1", **bounds):
-        addresses = [f"127.0.0.1:{find_port('127.0.0.1')}" for _ in range(4)]
-        settings = GatewaySettings(
-            name=name,
-            zone="zone-1",
-            listen=addresses[0],
-            ready=addresses[1],
-            peers=addresses[2],
-            status=addresses[3],
-            store=self.store.address,
-            bounds=GatewayBounds(**bounds),
-        )
-        daemon = GatewayDaemon(settings, INTERFACE)
-        await daemon.start()
-        self.addAsyncCleanup(self.close_daemon, daemon)
+        daemon = await start_gateway(self.store.address, name, **bounds)
+        self.addCleanup(kill_gateway, daemon)
         return daemon
 
-    async def close_daemon(self, daemon):
-        for task in (*daemon._tasks, *daemon.maps.list_tasks()):
-            task.cancel()
-        daemon.peers.close()
-        for server in (daemon._server, daemon._ready_server, daemon._status_server):
-            server.stop_listening()
-            server.abort_all()
-        daemon._pool.close()
-        daemon._store_pool.close()
-
     async def send_request(
         self, daemon, path="/a/x", key="key-1", request_id="r1", host="h.example"
     ):
--- a/magnoliarouter/tests/test_prompt_soak.py
+++ b/magnoliarouter/tests/test_prompt_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from magnoliarouter.tests.daemons import kill_gateway
 from magnoliarouter.tests.prompt_soak import Faults, PromptSite
 
 SECONDS = 6.0
@@ -23,7 +24,7 @@
                 await asyncio.sleep(0.8)
                 await site.play(SECONDS / 2)
                 for number in range(site.daemon_count):
-                    site.kill_daemon(site.daemons[number])
+                    kill_gateway(site.daemons[number])
                 for number in range(site.daemon_count):
                     site.daemons[number] = await site.start_daemon(number)
                 await site.play(SECONDS / 2)
