Keep the sum over all daemons within the rate that an endpoint names

Cause: the rate that an endpoint names was forwarded to the caller and read by no daemon, and a limited endpoint, having few requests, looked free. Ruled out: repeats and calls that are no requests (the test has none).

Each daemon now holds a replica of one token bucket for each start of an endpoint, and reports its requests there in the datagrams that tell its load. Choice, queue, refusals and Retry-After ask the bucket. Daemons out of contact keep their part, those that stop free it.

--- a/magnoliarouter/cli/status.py
+++ b/magnoliarouter/cli/status.py
@@ -111,8 +111,9 @@
 
 
 def _name_state(facts: dict[str, Any]) -> str:
-    pause_s = facts.get("pause_s")
-    return f"{facts['state']} for {pause_s} s" if pause_s else facts["state"]
+    pause_s, rate = facts.get("pause_s"), facts.get("rate")
+    state = f"{facts['state']} for {pause_s} s" if pause_s else facts["state"]
+    return state if rate is None else f"{state}, {rate} requests/s"
 
 
 def _format_daemons(replies: dict[str, StatusReply | PeerError]) -> str:
--- a/magnoliarouter/core/codes.py
+++ b/magnoliarouter/core/codes.py
@@ -105,6 +105,9 @@
     ResultCode.ENDPOINTS_PAUSED: CodeDescription(
         503, "Every endpoint of the service asked for a pause.", _RETRY_LATER
     ),
+    ResultCode.ENDPOINTS_LIMITED: CodeDescription(
+        503, "Every endpoint of the service takes no more requests per second.", _RETRY_LATER
+    ),
     ResultCode.ENDPOINT_REFUSED: CodeDescription(
         503, "The endpoint's guard did not start the request.", _RETRY_LATER
     ),
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -53,6 +53,7 @@
 
     from magnoliarouter.gateway.call import HeaderCodec
     from magnoliarouter.gateway.ranks import RankClient
+    from magnoliarouter.gateway.ratelimits import RateUpdate
     from magnoliarouter.gateway.routes import ExpertProfile, GatewayConfig
     from magnoliarouter.gateway.settings import GatewaySettings
     from magnoliarouter.store.wire import ObjectCodec
@@ -173,7 +174,13 @@
             settings.link_mbps,
         )
         await self.peers.open(*split_address(settings.peers))
-        self._queue = WaitQueue(self.table, clock, self.peers.count_daemons)
+        self._queue = WaitQueue(
+            self.table, clock, self.peers.count_daemons, self.peers.count_waiting
+        )
+        self.table.rates.read_share = self.peers.read_share
+        self.peers.collect_rates = lambda: self.table.rates.collect_updates(clock())
+        self.peers.apply_rates = self._apply_peer_rates
+        self.peers.read_waiting = self._queue.list_lengths
         self._rank_client = interface.open_ranks(self._pool, self._record_leaving_at)
         self._group_watch = GroupWatch(
             self._rank_client, self._list_members, clock, self._apply_group_change
@@ -364,6 +371,14 @@
         self.table.apply_peer_load(peer, loads, self._loop.time())
         self._queue.schedule_wake()
 
+    def _apply_peer_rates(self, peer: str, start: int, updates: list[RateUpdate]) -> None:
+        for update in updates:
+            endpoint = self.table.find(update.endpoint)
+            if endpoint is not None and self.table.rates.apply_update(
+                peer, start, endpoint, update, self._loop.time()
+            ):
+                self._forwarder.report_rate(endpoint, peer)
+
     def _start_map_control(self, incarnation: int) -> None:
         clock = self._loop.time
         self.map_election = MapLeaderElection(
--- a/magnoliarouter/daemon/gatewayview.py
+++ b/magnoliarouter/daemon/gatewayview.py
@@ -49,6 +49,7 @@
                 "load": daemon.table.load_of(endpoint.identity, now),
                 "slots": endpoint.slots,
                 "state": _name_state(daemon, endpoint, now),
+                "rate": _round(daemon.table.rates.rate_of(endpoint)),
                 "pause_s": _round(max(0.0, daemon.table.notices.paused_until(endpoint) - now)),
             }
             for endpoint in daemon.table.list()
@@ -75,6 +76,6 @@
     return "suspected" if daemon.table.outliers.is_ejected(endpoint.identity, now) else "ready"
 
 
-def _round(seconds: float) -> float | None:
-    """Return seconds for JSON, which cannot represent infinity."""
-    return round(seconds, 2) if math.isfinite(seconds) else None
+def _round(value: float) -> float | None:
+    """Return a number for JSON, which cannot represent infinity."""
+    return round(value, 2) if math.isfinite(value) else None
--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -123,6 +123,8 @@
         Whether the current attempt was ended to move the stream to another endpoint.
     began : bool
         Whether the head of the current attempt's response was received.
+    sent_at : float
+        Loop time at which the current attempt was sent.
     received_at : float
         Loop time at which the current attempt was sent, or last received data.
     answered : bool
@@ -138,6 +140,7 @@
     last_event_at: float = 0.0
     moving: bool = False
     began: bool = False
+    sent_at: float = 0.0
     received_at: float = 0.0
     answered: bool = False
 
@@ -145,7 +148,7 @@
         """Count an attempt that is sent at the loop time `now`."""
         self.sends += 1
         self.began = False
-        self.received_at = now
+        self.sent_at = self.received_at = now
         self.splitter.restart()
 
 
@@ -181,7 +184,8 @@
     on_silence : callable
         Called with an endpoint that sent nothing for `SILENCE_TIMEOUT_S`.
     on_head : callable
-        Called with an endpoint and the header fields of each of its responses.
+        Called with an endpoint, the header fields of each of its responses, and the loop time at
+        which the request was sent; that is minus infinity for responses to other requests.
     on_answer : callable
         Called with a call once an endpoint has written an answer on it.
     """
@@ -197,7 +201,7 @@
         gap_meter: EventGapMeter,
         list_members: Callable[[str], set[str]],
         on_silence: Callable[[Endpoint], None],
-        on_head: Callable[[Endpoint, ResponseHeaders], None],
+        on_head: Callable[[Endpoint, ResponseHeaders, float], None],
         on_answer: Callable[[GatewayCall], None] = lambda call: None,
     ) -> None:
         self._table = table
@@ -281,7 +285,10 @@
         progress: CallProgress,
     ) -> Completed | FailedAttempt:
         found = await self._read_within_limit(
-            call, endpoint, progress, lambda: self._read_matching_head(call, endpoint, connection)
+            call,
+            endpoint,
+            progress,
+            lambda: self._read_matching_head(call, endpoint, connection, progress.sent_at),
         )
         if isinstance(found, FailedAttempt):
             return found
@@ -341,16 +348,21 @@
         )
 
     async def _read_matching_head(
-        self, call: GatewayCall, endpoint: Endpoint, connection: UpstreamConnection
+        self,
+        call: GatewayCall,
+        endpoint: Endpoint,
+        connection: UpstreamConnection,
+        sent_at: float,
     ) -> tuple[ResponseHead, ResponseHeaders]:
         """Return the head of this request's response; skip late responses to other requests."""
         while True:
             head = await connection.read_head()
             headers = self._codec.parse_response(head.status, head.fields)
             connection.record_keep_alive(headers.keep_alive_s)
-            self._on_head(endpoint, headers)
             if headers.request_id in (None, call.headers.request_id):
+                self._on_head(endpoint, headers, sent_at)
                 return head, headers
+            self._on_head(endpoint, headers, float("-inf"))
             self._metrics.dropped_responses.labels("other_request").inc()
             log_event(
                 "answer_dropped",
@@ -510,6 +522,7 @@
             left=round(call.deadline - now, 4),
             after_event=(progress.splitter.last_id or b"").decode("latin-1"),
             parts=",".join(call.headers.prompt_parts),
+            **self._table.describe_rate(endpoint, now),
         )
 
 
--- a/magnoliarouter/gateway/call.py
+++ b/magnoliarouter/gateway/call.py
@@ -72,6 +72,8 @@
         Whether the endpoint says that it is leaving.
     pause : bytes, optional
         Seconds for which the endpoint wants no requests from this daemon, as received.
+    rate : bytes, optional
+        Requests per second that the endpoint takes from all daemons together, as received.
     keep_alive_s : float, optional
         Idle time in seconds after which the endpoint closes the connection.
     forwarded : list of (bytes, bytes)
@@ -85,6 +87,7 @@
     stalled: bool
     leaving: bool
     pause: bytes | None
+    rate: bytes | None
     keep_alive_s: float | None
     forwarded: HeaderFields
 
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -7,7 +7,9 @@
 from typing import TYPE_CHECKING
 
 from magnoliarouter.core.outliers import EjectionPolicy, OutlierDetector
+from magnoliarouter.core.sharedrate import NO_LIMIT
 from magnoliarouter.gateway.notices import EndpointNotices
+from magnoliarouter.gateway.ratelimits import EndpointRates
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -89,6 +91,7 @@
         )
     )
     notices: EndpointNotices = field(default_factory=EndpointNotices)
+    rates: EndpointRates = field(default_factory=EndpointRates)
     own_requests: dict[str, int] = field(default_factory=dict)
     _endpoints: dict[str, Endpoint] = field(default_factory=dict)
     _services: dict[str, dict[str, Endpoint]] = field(default_factory=dict)
@@ -121,6 +124,11 @@
         """Count a request sent to an endpoint."""
         self.own_requests[identity] = self.own_requests.get(identity, 0) + 1
 
+    def cancel_request(self, endpoint: Endpoint, now: float) -> None:
+        """Stop counting a request that was placed and not sent."""
+        self.finish_request(endpoint.identity)
+        self.rates.record_request(endpoint, now, -1)
+
     def finish_request(self, identity: str) -> None:
         """Stop counting a request that has ended."""
         left = self.own_requests.get(identity, 0) - 1
@@ -167,7 +175,7 @@
             if self.notices.paused_until(endpoint) > now:
                 continue
             load = self.load_of(endpoint.identity, now)
-            if load >= self.concurrency_limit(endpoint):
+            if load >= self.concurrency_limit(endpoint) or not self.rates.allows(endpoint, now):
                 continue
             score = load / endpoint.slots
             score += (
@@ -201,6 +209,23 @@
             first = end if first is None else min(first, end)
         return first
 
+    def estimate_rate_wait_s(
+        self, service: str, tried: set[str], requests: int, now: float
+    ) -> float:
+        """Return the seconds until the rates of a service's endpoints allow a number of requests.
+
+        It is 0 if an endpoint that could serve the call has no limited rate.
+        """
+        usable = self._list_usable(service, tried, now)
+        return self.rates.estimate_wait_s(usable, requests, now)
+
+    def describe_rate(self, endpoint: Endpoint, now: float) -> dict[str, float]:
+        """Return rate and free requests of an endpoint for the log; empty without a limit."""
+        rate = self.rates.rate_of(endpoint)
+        if rate == NO_LIMIT:
+            return {}
+        return {"rate": rate, "tokens": round(self.rates.count_tokens(endpoint, now), 2)}
+
     def find_withdrawal(self, endpoint: Endpoint, now: float) -> str | None:
         """Return why an endpoint that was chosen gets no request any more, or None."""
         current = self._endpoints.get(endpoint.identity)
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
+from magnoliarouter.core.sharedrate import NO_LIMIT
 from magnoliarouter.gateway.attempt import (
     AttemptRunner,
     CallProgress,
@@ -174,6 +175,7 @@
                     call.service, progress.tried
                 )
                 return await self._finish(call, exchange, progress, refusal)
+            sends = progress.sends
             try:
                 refusal = self._check_send(call, exchange, progress, recheck)
                 if refusal is None:
@@ -181,7 +183,10 @@
                     self._on_load_change()
                     result = await self._attempts.run(call, exchange, endpoint, progress)
             finally:
-                self._table.finish_request(endpoint.identity)
+                if progress.sends > sends:
+                    self._table.finish_request(endpoint.identity)
+                else:
+                    self._table.cancel_request(endpoint, self._clock())
                 self._waiting.wake()
                 self._on_load_change()
             if refusal is not None:
@@ -270,6 +275,10 @@
             wait_s = self._table.estimate_recovery_s(service, self._clock())
             reason = "every endpoint is cut off or stands still"
             return NotRun(ResultCode.SERVICE_STALLED, reason, wait_s)
+        rate_wait_s = self._waiting.estimate_rate_wait_s(service, tried)
+        if rate_wait_s > 0:
+            reason = "every endpoint takes no more requests per second"
+            return NotRun(ResultCode.ENDPOINTS_LIMITED, reason, self._spread_return(rate_wait_s))
         if self._table.has_endpoints(service):
             return NotRun(ResultCode.QUEUE_FULL, "every endpoint is full", FULL_RETRY_AFTER_S)
         return NotRun(ResultCode.NO_ENDPOINT, "no endpoint serves this now", FULL_RETRY_AFTER_S)
@@ -324,11 +333,48 @@
             )
             self._waiting.wake()
 
-    def _apply_notices(self, endpoint: Endpoint, headers: ResponseHeaders) -> None:
+    def _apply_notices(self, endpoint: Endpoint, headers: ResponseHeaders, sent_at: float) -> None:
         if headers.leaving:
             self.record_leaving(endpoint, "response")
         if headers.pause is not None:
             self._record_pause(endpoint, headers.pause)
+        # A refusal or an unsigned response may lack the field of an endpoint that names a rate.
+        if headers.rate is not None or (headers.signed and not headers.not_run):
+            self._record_rate(endpoint, headers.rate, sent_at)
+
+    def _record_rate(self, endpoint: Endpoint, value: bytes | None, sent_at: float) -> None:
+        try:
+            changed = self._table.rates.record_response(endpoint, value, sent_at, self._clock())
+        except ValueError as error:
+            if self._table.notices.record_malformed(endpoint):
+                log_event("rate_malformed", endpoint=endpoint.identity, reason=str(error))
+            self._metrics.notices.labels("malformed").inc()
+            return
+        if changed:
+            self.report_rate(endpoint, "response")
+            self._on_load_change()
+
+    def report_rate(self, endpoint: Endpoint, source: str) -> None:
+        """Log that the rate of an endpoint has changed, and place waiting calls anew.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            The endpoint.
+        source : str
+            ``"response"``, or the name of the daemon that reported it.
+        """
+        rate = self._table.rates.rate_of(endpoint)
+        self._metrics.notices.labels("rate").inc()
+        log_event(
+            "endpoint_rate",
+            endpoint=endpoint.identity,
+            started_ms=endpoint.started_ms,
+            rate=rate if rate < NO_LIMIT else None,
+            share=round(self._table.rates.read_share(), 3),
+            source=source,
+        )
+        self._waiting.wake()
 
     def _record_pause(self, endpoint: Endpoint, value: bytes) -> None:
         try:
--- a/magnoliarouter/gateway/peers.py
+++ b/magnoliarouter/gateway/peers.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from magnoliarouter.core.crashes import CrashReport
+from magnoliarouter.gateway.ratelimits import RateUpdate
 from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -35,6 +36,8 @@
 MAX_SENT_TIMES = 1_000
 # A peer counts as present if a message from it was received within this time.
 PRESENCE_EXPIRY_S = 1.5
+# Interval at which this daemon's view of the daemons in contact is taken anew.
+SHARE_INTERVAL_S = 0.1
 
 
 MapLease: TypeAlias = tuple[int, str, int, float, str]
@@ -84,6 +87,12 @@
         the sender, which holds it, last wrote it.
     crashes : CrashUpdate, optional
         Crashes of endpoints that the sender reports.
+    rates : list of RateUpdate
+        Rates of endpoints that the sender has just used, and its requests there.
+    waiting : dict of str to int
+        Calls that wait at the sender for each service.
+    stopped : bool
+        Whether the sender will send no more requests.
     """
 
     name: str
@@ -97,6 +106,9 @@
     capacity: float = 0.0
     map_lease: MapLease | None = None
     crashes: CrashUpdate | None = None
+    rates: list[RateUpdate] = []
+    waiting: dict[str, int] = {}
+    stopped: bool = False
 
 
 class PeerLoads(asyncio.DatagramProtocol):
@@ -142,6 +154,10 @@
         self._sent_at: dict[int, float] = {}
         self._confirmations_sent_at = float("-inf")
         self._sent_digests: dict[str, int] = {}
+        self._waiting: dict[str, dict[str, int]] = {}
+        # Daemons that said that they stopped, and did not start again.
+        self._stopped: set[str] = set()
+        self._share, self._share_at = 1.0, float("-inf")
         self.read_confirmations: Callable[[], dict[str, tuple[int, float]]] = dict
         self.apply_confirmation: Callable[[str, int, float], None] = lambda kind, digest, at: None
         self.holds_map_lease: Callable[[], bool] = lambda: False
@@ -151,6 +167,11 @@
         self.apply_slow_ranks: Callable[[dict[str, float]], None] = lambda slow: None
         self.collect_crashes: Callable[[], CrashUpdate | None] = lambda: None
         self.apply_crashes: Callable[[str, CrashUpdate], None] = lambda name, update: None
+        self.collect_rates: Callable[[], list[RateUpdate]] = list
+        self.apply_rates: Callable[[str, int, list[RateUpdate]], None] = (
+            lambda name, start, updates: None
+        )
+        self.read_waiting: Callable[[], dict[str, int]] = dict
 
     async def open(self, host: str, port: int) -> None:
         """Listen for datagrams and start to send.
@@ -164,10 +185,11 @@
         self._send()
 
     def close(self) -> None:
-        """Stop sending and close the socket."""
+        """Tell the other daemons that this one has stopped, and close the socket."""
         if self._timer is not None:
             self._timer.cancel()
         if self._transport is not None:
+            self._send_message(stopped=True)
             self._transport.close()
             self._transport = None
 
@@ -183,6 +205,32 @@
         peer_count = sum(1 for at in self._received_at.values() if now - at < SHARER_EXPIRY_S)
         return 1 + max(peer_count, len(self._addresses))
 
+    def read_share(self) -> float:
+        """Return the part of a rate for all daemons that this one and those in contact may use.
+
+        A registered daemon that is out of contact may still send requests, and keeps its part.
+        """
+        now = self._loop.time()
+        if now - self._share_at >= SHARE_INTERVAL_S:
+            self._share, self._share_at = self._compute_share(now), now
+        return self._share
+
+    def _compute_share(self, now: float) -> float:
+        present = {
+            name for name, at in self._received_at.items() if now - at < PRESENCE_EXPIRY_S
+        } - self._stopped
+        registered = (self._addresses.keys() | present) - self._stopped
+        return (1 + len(present)) / (1 + len(registered))
+
+    def count_waiting(self, service: str) -> int:
+        """Return how many calls wait for a service at the daemons in contact."""
+        now = self._loop.time()
+        return sum(
+            waiting.get(service, 0)
+            for name, waiting in self._waiting.items()
+            if now - self._received_at[name] < PRESENCE_EXPIRY_S
+        )
+
     def map_lease_silence_s(self) -> float:
         """Return the seconds since another daemon reported that it holds the map lease."""
         return self._loop.time() - self._leader_received_at
@@ -222,6 +270,12 @@
         self._last_received[message.name] = (message.start, message.number)
         self._received_at[message.name] = self._loop.time()
         self._capacities[message.name] = message.capacity
+        self._waiting[message.name] = message.waiting
+        if message.stopped:
+            log_event("peer_stopped", peer=message.name)
+            self._stopped.add(message.name)
+        else:
+            self._stopped.discard(message.name)
         if message.holds_map_lease:
             self._map_leader, self._leader_received_at = message.name, self._loop.time()
             self.apply_slow_ranks(message.slow_ranks)
@@ -232,6 +286,8 @@
             self._map_leader, self._leader_received_at = "", float("-inf")
         self._take_loads(message.name, message.loads)
         self._apply_confirmations(message)
+        if message.rates:
+            self.apply_rates(message.name, message.start, message.rates)
         if message.crashes is not None:
             self.apply_crashes(message.name, message.crashes)
 
@@ -272,6 +328,10 @@
         if self._transport is None:
             return
         self._set_timer(RENEW_INTERVAL_S)
+        self._send_message()
+
+    def _send_message(self, stopped: bool = False) -> None:
+        assert self._transport is not None
         self._number += 1
         self._sent_at[self._number] = self._loop.time()
         self._sent_at.pop(self._number - MAX_SENT_TIMES, None)
@@ -288,6 +348,9 @@
             self._capacity,
             self.read_map_lease() if leads else None,
             self.collect_crashes(),
+            self.collect_rates(),
+            self.read_waiting(),
+            stopped,
         )
         data = msgspec.msgpack.encode(message)
         for address in self._addresses.values():
--- /dev/null
+++ b/magnoliarouter/gateway/ratelimits.py
@@ -0,0 +1,232 @@
+"""Rates that endpoints name, and this daemon's part in keeping to them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Annotated
+
+import msgspec
+from msgspec import Meta
+
+from magnoliarouter.core.sharedrate import NO_LIMIT, RateNotice, SharedRate, parse_rate
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from magnoliarouter.gateway.endpoints import Endpoint
+
+__all__ = ["EndpointRates", "RateUpdate"]
+
+# An endpoint is part of the messages to the other daemons for this time after a request or a change,
+# since datagrams may be lost.
+UPDATE_S = 2.0
+# Limits of one message and of the memory; the endpoints that were idle longest are left out.
+MAX_UPDATES = 16
+MAX_ENDPOINTS = 4096
+# A message is at most this old when it is received. Responses written since are later for certain.
+MAX_TRANSIT_S = 0.25
+
+
+class RateUpdate(msgspec.Struct, array_like=True):
+    """What one daemon knows of the rate of one start of an endpoint.
+
+    Parameters
+    ----------
+    endpoint : str
+        Name of the endpoint.
+    started_ms : int
+        Time of day of its start in milliseconds.
+    rate : float, optional
+        Requests per second; None if the endpoint names no limit.
+    sent_age, received_age : float
+        Seconds since the interval in which the endpoint said so.
+    requests : int
+        Requests that the sender has sent there.
+    """
+
+    endpoint: str
+    started_ms: int
+    rate: Annotated[float, Meta(ge=0)] | None
+    sent_age: Annotated[float, Meta(ge=0)]
+    received_age: Annotated[float, Meta(ge=0)]
+    requests: Annotated[int, Meta(ge=0, le=2**53)]
+
+
+@dataclass(slots=True)
+class _Entry:
+    """Rate of one start of an endpoint.
+
+    Parameters
+    ----------
+    started_ms : int
+        The start.
+    bucket : SharedRate
+        Replica of the bucket that all daemons share.
+    active_at : float
+        Loop time of this daemon's last request or change.
+    requests : int
+        Requests that this daemon sent.
+    peer_requests : dict of str to (int, int)
+        Start and number of requests of each other daemon that sent any.
+    """
+
+    started_ms: int
+    bucket: SharedRate
+    active_at: float
+    requests: int = 0
+    peer_requests: dict[str, tuple[int, int]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class EndpointRates:
+    """Rates by name of the endpoint.
+
+    Parameters
+    ----------
+    read_share : callable
+        Returns the part of each rate that the daemons in contact with this one may use, this one
+        included.
+    """
+
+    read_share: Callable[[], float] = lambda: 1.0
+    _entries: OrderedDict[str, _Entry] = field(default_factory=OrderedDict)
+
+    def record_response(
+        self, endpoint: Endpoint, value: bytes | None, sent_at: float, now: float
+    ) -> bool:
+        """Apply a response of an endpoint, and return whether its rate has changed.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            The endpoint.
+        value : bytes, optional
+            The rate as received; None if the response named none.
+        sent_at, now : float
+            Loop times of the request and of the response.
+
+        Raises
+        ------
+        ValueError
+            The rate is malformed; what was known stands.
+        """
+        rate = NO_LIMIT if value is None else parse_rate(value)
+        return self._record(endpoint, RateNotice(rate, sent_at, now), now)
+
+    def record_request(self, endpoint: Endpoint, now: float, requests: int = 1) -> None:
+        """Count requests that this daemon sends; a negative number takes them back."""
+        entry = self._find(endpoint)
+        if entry is not None and entry.bucket.is_limited:
+            entry.requests += requests
+            entry.active_at = now
+            entry.bucket.charge(requests, now, self.read_share())
+
+    def rate_of(self, endpoint: Endpoint) -> float:
+        """Return the rate of an endpoint in requests per second, `NO_LIMIT` if it names none."""
+        entry = self._find(endpoint)
+        return entry.bucket.notice.rate if entry is not None else NO_LIMIT
+
+    def count_tokens(self, endpoint: Endpoint, now: float) -> float:
+        """Return how many requests an endpoint takes now, `NO_LIMIT` if any number."""
+        entry = self._find(endpoint)
+        if entry is None or not entry.bucket.is_limited:
+            return NO_LIMIT
+        return entry.bucket.count_tokens(now, self.read_share())
+
+    def allows(self, endpoint: Endpoint, now: float) -> bool:
+        """Return whether an endpoint takes a request now."""
+        return self.count_tokens(endpoint, now) >= 1.0
+
+    def estimate_wait_s(self, endpoints: Iterable[Endpoint], requests: int, now: float) -> float:
+        """Return the seconds until endpoints take a number of requests; 0 if one has no limit."""
+        tokens = rate = 0.0
+        for endpoint in endpoints:
+            entry = self._find(endpoint)
+            if entry is None or not entry.bucket.is_limited:
+                return 0.0
+            tokens += entry.bucket.count_tokens(now, self.read_share())
+            rate += entry.bucket.rate * self.read_share()
+        return max(0.0, (requests - tokens) / rate) if rate else 0.0
+
+    def collect_updates(self, now: float) -> list[RateUpdate]:
+        """Return what the next message to the other daemons says of rates."""
+        active = [
+            (name, entry)
+            for name, entry in self._entries.items()
+            if now - entry.active_at < UPDATE_S
+        ]
+        active.sort(key=lambda item: item[1].active_at, reverse=True)
+        return [
+            RateUpdate(
+                name,
+                entry.started_ms,
+                entry.bucket.notice.rate if entry.bucket.is_limited else None,
+                now - entry.bucket.notice.sent_at,
+                now - entry.bucket.notice.received_at,
+                entry.requests,
+            )
+            for name, entry in active[:MAX_UPDATES]
+        ]
+
+    def apply_update(
+        self, peer: str, peer_start: int, endpoint: Endpoint, update: RateUpdate, now: float
+    ) -> bool:
+        """Apply what another daemon knows, and return whether the rate of the endpoint has changed.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the other daemon.
+        peer_start : int
+            Number that identifies its start.
+        endpoint : Endpoint
+            The endpoint of the update, as this daemon knows it.
+        update : RateUpdate
+            The update.
+        now : float
+            Loop time of its receipt.
+        """
+        if update.started_ms != endpoint.started_ms:
+            return False
+        notice = RateNotice(
+            NO_LIMIT if update.rate is None else update.rate,
+            now - update.sent_age - MAX_TRANSIT_S,
+            now - update.received_age,
+        )
+        changed = self._record(endpoint, notice, now, is_own=False)
+        entry = self._find(endpoint)
+        if entry is not None:
+            known_start, known = entry.peer_requests.get(peer, (peer_start, None))
+            if known is None or known_start != peer_start:
+                # Each request is reported at once, so those before the last one are over.
+                known = max(0, update.requests - 1)
+            entry.peer_requests[peer] = peer_start, update.requests
+            entry.bucket.charge(update.requests - known, now, self.read_share())
+        return changed
+
+    def _record(
+        self, endpoint: Endpoint, notice: RateNotice, now: float, is_own: bool = True
+    ) -> bool:
+        known = self._entries.get(endpoint.identity)
+        entry = self._find(endpoint)
+        if entry is None:
+            is_outdated = known is not None and known.started_ms > endpoint.started_ms
+            if notice.rate == NO_LIMIT or is_outdated:
+                return False
+            entry = _Entry(endpoint.started_ms, SharedRate(notice, now), now)
+            self._entries[endpoint.identity] = entry
+            self._entries.move_to_end(endpoint.identity)
+            if len(self._entries) > MAX_ENDPOINTS:
+                self._entries.popitem(last=False)
+            return True
+        changed = entry.bucket.record(notice, now, self.read_share())
+        if changed and is_own:
+            entry.active_at = now
+        return changed
+
+    def _find(self, endpoint: Endpoint) -> _Entry | None:
+        entry = self._entries.get(endpoint.identity)
+        if entry is None or entry.started_ms != endpoint.started_ms:
+            return None
+        return entry
--- a/magnoliarouter/gateway/waiting.py
+++ b/magnoliarouter/gateway/waiting.py
@@ -59,6 +59,8 @@
         Loop time in seconds.
     count_daemons : callable
         Returns how many daemons share the endpoints.
+    count_peer_calls : callable
+        Returns how many calls wait for a service at the other daemons.
     """
 
     def __init__(
@@ -66,10 +68,12 @@
         table: EndpointTable,
         clock: Callable[[], float],
         count_daemons: Callable[[], int] = lambda: 1,
+        count_peer_calls: Callable[[str], int] = lambda service: 0,
     ) -> None:
         self._table = table
         self._clock = clock
         self._count_daemons = count_daemons
+        self._count_peer_calls = count_peer_calls
         self._queues: dict[str, list[_Waiter]] = {}
         self._numbers = count()
         self._timer: asyncio.TimerHandle | None = None
@@ -79,6 +83,18 @@
         """Return how many calls wait for a service."""
         return len(self._queues.get(service, ()))
 
+    def list_lengths(self) -> dict[str, int]:
+        """Return how many calls wait for each service that has any."""
+        return {service: len(queue) for service, queue in self._queues.items() if queue}
+
+    def estimate_rate_wait_s(self, service: str, tried: set[str]) -> float:
+        """Return the seconds until the rates of a service's endpoints allow one more call.
+
+        The calls that wait at all daemons come first. It is 0 if a rate does not decide.
+        """
+        calls = 1 + self.length(service) + self._count_peer_calls(service)
+        return self._table.estimate_rate_wait_s(service, tried, calls, self._clock())
+
     async def acquire(
         self,
         service: str,
@@ -92,7 +108,7 @@
         """Return an endpoint at which a slot was acquired, or None if none became free in time.
 
         None is also returned at once if the queue is full, the service has no available endpoint,
-        or every endpoint that could serve the call pauses.
+        every endpoint that could serve the call pauses, or their rates do not allow it in time.
 
         Parameters
         ----------
@@ -107,7 +123,7 @@
         on_time_until : float
             Loop time until which a slot allows the call to meet its target latency.
         waits_for_pauses : bool
-            Whether the call waits while every endpoint that could serve it pauses.
+            Whether the call waits while every endpoint that could serve it pauses or is at its rate.
         may_wait : callable
             Returns whether the call may still be sent.
         """
@@ -119,7 +135,10 @@
             return None
         if not self._table.has_available_endpoint(service):
             return None
-        if not waits_for_pauses and self._finds_only_pauses(service, tried):
+        if not waits_for_pauses and (
+            self._finds_only_pauses(service, tried)
+            or self.estimate_rate_wait_s(service, tried) > wait_s
+        ):
             return None
         slot = asyncio.get_running_loop().create_future()
         waiter = _Waiter(
@@ -137,7 +156,7 @@
         except asyncio.CancelledError:
             endpoint = None if slot.cancelled() else slot.result()
             if endpoint is not None:
-                self._table.finish_request(endpoint.identity)
+                self._table.cancel_request(endpoint, self._clock())
             raise
         finally:
             if waiter in self._queues[service]:
@@ -171,7 +190,7 @@
                     waiter.slot.set_result(endpoint)
                     found = True
                     break
-                self._table.finish_request(endpoint.identity)
+                self._table.cancel_request(endpoint, self._clock())
         return found
 
     def _finds_only_pauses(self, service: str, tried: set[str]) -> bool:
@@ -197,9 +216,11 @@
             self.schedule_wake()
 
     def _choose(self, service: str, tried: set[str]) -> Endpoint | None:
-        endpoint = self._table.choose(service, tried, self._clock())
+        now = self._clock()
+        endpoint = self._table.choose(service, tried, now)
         if endpoint is not None:
             self._table.start_request(endpoint.identity)
+            self._table.rates.record_request(endpoint, now)
         return endpoint
 
     def _start_timer(self) -> None:
--- a/magnoliarouter/platform/headers.py
+++ b/magnoliarouter/platform/headers.py
@@ -41,6 +41,7 @@
 )
 LEAVING_FIELD = b"server-leaving"
 LEAVING_VALUE = b"1"
+RATE_FIELD = b"server-limit"
 BEARER = b"bearer "
 PROMPT_PART = re.compile(rb"[0-9A-Fa-f]{1,64}")
 MAX_PROMPT_PARTS = 256
@@ -117,11 +118,18 @@
             b"at-server" in named and not misdirected,
             says_leaving(fields) and not misdirected,
             named.get(b"retry-after") if status == 503 else None,
+            None if misdirected else _join_values(fields, RATE_FIELD),
             float(keep[1]) if keep else None,
             [(name, value) for name, value in fields if name.lower() not in dropped],
         )
 
 
+def _join_values(fields: HeaderFields, name: bytes) -> bytes | None:
+    """Return the values of a field that may be repeated, separated by commas, or None."""
+    values = [value for other, value in fields if other.lower() == name]
+    return b",".join(values) if values else None
+
+
 def _list_dropped(named: dict[bytes, bytes]) -> frozenset[bytes]:
     listed = named.get(b"connection")
     if listed is None:
