--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -522,6 +522,7 @@
             left=round(call.deadline - now, 4),
             after_event=(progress.splitter.last_id or b"").decode("latin-1"),
             parts=",".join(call.headers.prompt_parts),
+            request=call.fingerprint,
             **self._table.describe_rate(endpoint, now),
         )
 
--- a/magnoliarouter/gateway/call.py
+++ b/magnoliarouter/gateway/call.py
@@ -5,12 +5,23 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+import xxhash
+
 if TYPE_CHECKING:
     from magnoliarouter.core.framing import Framing
     from magnoliarouter.gateway.routes import Route
     from magnoliarouter.web.upstream import HeaderFields
 
-__all__ = ["ResponseHeaders", "GatewayCall", "HeaderCodec", "RequestHeaders"]
+__all__ = [
+    "ResponseHeaders",
+    "GatewayCall",
+    "HeaderCodec",
+    "RequestHeaders",
+    "fingerprint_request",
+]
+
+# Tells the name of a request from those of the parts of prompts.
+REQUEST_PREFIX = "request:"
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,6 +160,8 @@
         Longest gap in seconds between two events relayed to the caller.
     framing : Framing, optional
         What marks the end of the body of the last response.
+    fingerprint : str
+        Names the request as the same whenever its caller sends it again; empty if unknown.
     events, unfinished_bytes : int
         Events of the stream that were relayed to the caller, and size of the incomplete event with
         which the last response ended.
@@ -165,8 +178,28 @@
     admitted_at: float
     deadline: float
     version: int
+    fingerprint: str = ""
     first_event_s: float | None = None
     longest_event_gap_s: float = 0.0
     framing: Framing | None = None
     events: int = 0
     unfinished_bytes: int = 0
+
+
+def fingerprint_request(method: bytes, target: bytes, key: str, body: bytes) -> str:
+    """Return a name that requests share if they are the same but for their id.
+
+    Parameters
+    ----------
+    method, target : bytes
+        Method and target of the request line.
+    key : str
+        API key of the caller; empty if it names none.
+    body : bytes
+        Complete body.
+    """
+    digest = xxhash.xxh3_128()
+    for field in (method, target, key.encode(), body):
+        digest.update(len(field).to_bytes(8))
+        digest.update(field)
+    return REQUEST_PREFIX + digest.hexdigest()
--- a/magnoliarouter/gateway/handler.py
+++ b/magnoliarouter/gateway/handler.py
@@ -14,7 +14,7 @@
     Unknown,
     name_outcome,
 )
-from magnoliarouter.gateway.call import GatewayCall
+from magnoliarouter.gateway.call import GatewayCall, fingerprint_request
 from magnoliarouter.gateway.routes import RouteKind
 from magnoliarouter.telemetry.logs import log_event
 from magnoliarouter.web.errors import JSON_TYPE, error_body
@@ -129,11 +129,12 @@
         timeout_s = route.timeout_s
         if headers.timeout_s is not None:
             timeout_s = min(timeout_s, headers.timeout_s - NETWORK_MARGIN_S)
+        body = bytes(request.body)
         return GatewayCall(
             headers,
             request.method,
             request.target,
-            bytes(request.body),
+            body,
             route,
             route.pick_service(headers.request_id),
             tenant.name if tenant is not None else None,
@@ -141,6 +142,7 @@
             now,
             request.received_at + timeout_s,
             config.version,
+            fingerprint_request(request.method, request.target, headers.key or "", body),
         )
 
     def _check_key(self, headers: RequestHeaders, known: bool, now: float) -> NotRun | None:
--- a/magnoliarouter/tests/test_gateway_parts.py
+++ b/magnoliarouter/tests/test_gateway_parts.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from magnoliarouter.core.retries import SharedRetryBudget
+from magnoliarouter.gateway.call import fingerprint_request
 from magnoliarouter.gateway.confirmations import LONG_WAIT_S, Confirmations
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
 from magnoliarouter.gateway.frames import MAX_EVENT_BYTES, FrameSplitter
@@ -56,6 +57,19 @@
         self.assertEqual(urgencies, [3, 3, 0, 9])
 
 
+class FingerprintTest(unittest.TestCase):
+    def test_requests_are_the_same_by_method_target_caller_and_body(self):
+        fields = (b"POST", b"/a/b?c", "key", b"body")
+        changes = ((0, b"PUT"), (1, b"/a/b?d"), (2, "other"), (3, b""), (1, b"/a/b?ckey"))
+        others = {fingerprint_request(*fields[:at], new, *fields[at + 1 :]) for at, new in changes}
+        self.assertEqual(len(others | {fingerprint_request(*fields)}), len(changes) + 1)
+        self.assertEqual(fingerprint_request(*fields), fingerprint_request(*fields))
+        self.assertNotEqual(
+            fingerprint_request(b"GET", b"/a", "bc", b""),
+            fingerprint_request(b"GET", b"/ab", "c", b""),
+        )
+
+
 class FreshnessTest(unittest.TestCase):
     def test_confirmation_counts_from_its_request_time(self):
         fresh = Freshness(key_age_s=4.0, absence_age_s=3.0)
