Show that a request that crashes applications is sent on, listed as known red

A daemon also repeats a request at a second endpoint though nothing else was at the one that crashed (hypothesis 2, a fault of its own).

--- a/magnoliarouter/tests/prompt_soak.py
+++ b/magnoliarouter/tests/prompt_soak.py
@@ -18,6 +18,8 @@
 from magnoliarouter.tests.raw_server import RawPeer, RawServer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from magnoliarouter.daemon.gateway import GatewayDaemon
 
 EVENTS = [f"id: {number}\ndata: {number}\n\n".encode() for number in range(1, 7)]
@@ -104,15 +106,15 @@
 
     async def serve(self, peer: RawPeer) -> None:
         while True:
-            head, _ = await peer.read_message()
+            head, body = await peer.read_message()
             lines = head.split("\r\n")
             fields = dict(line.split(": ", 1) for line in lines[1:] if line)
             if "X-Request-Id" not in fields:
                 await peer.send(b"HTTP/1.1 404 None\r\nContent-Length: 0\r\n\r\n")
                 continue
-            await self.respond(peer, fields)
+            await self.respond(peer, fields, body)
 
-    async def respond(self, peer: RawPeer, fields: dict[str, str]) -> None:
+    async def respond(self, peer: RawPeer, fields: dict[str, str], body: bytes) -> None:
         request_id, parts = fields["X-Request-Id"], fields.get("X-Prompt-Prefix", "")
         bad = BAD_PART in [entry.split(":")[0] for entry in parts.split(",")]
         if bad:
@@ -125,10 +127,7 @@
         )
         if bad:
             await asyncio.sleep(0.005)
-            if not self.down:
-                self.site.log.crashes.append(self.site.now())
-                self.site.crash(self)
-            await asyncio.sleep(60)
+            await self.crash()
         broken_off = self.site.rng.random() < self.site.faults.broken_off
         after = int(fields.get("Last-Event-Id", "0"))
         for event in EVENTS[after:]:
@@ -139,6 +138,13 @@
                 raise ConnectionResetError
         await peer.send(b"0\r\n\r\n")
 
+    async def crash(self) -> None:
+        """End the process; nothing is sent any more."""
+        if not self.down:
+            self.site.log.crashes.append(self.site.now())
+            self.site.crash(self)
+        await asyncio.sleep(60)
+
 
 @dataclass
 class PromptSite:
@@ -164,6 +170,7 @@
     bad_interval_s: float = 0.15
     good_interval_s: float = 0.03
     down_s: float = 0.4
+    known_after_crashes: int = KNOWN_AFTER_CRASHES
     log: Log = field(default_factory=Log)
     engines: dict[str, CrashingEngine] = field(default_factory=dict)
     daemons: list[GatewayDaemon] = field(default_factory=list)
@@ -189,7 +196,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._number = 0
         self.store = await StoreStandin().start()
-        await self.store.put("config", "main", build_prompt_configuration())
+        await self.store.put("config", "main", self.build_configuration())
         for _ in range(self.engine_count):
             await self.add_engine()
         self.daemons = [await self.start_daemon(number) for number in range(self.daemon_count)]
@@ -210,7 +217,13 @@
     async def add_engine(self) -> None:
         self._number += 1
         name = f"e{self._number}"
-        self.engines[name] = await CrashingEngine(name, self).start()
+        self.engines[name] = await self.build_engine(name).start()
+
+    def build_engine(self, name: str) -> CrashingEngine:
+        return CrashingEngine(name, self)
+
+    def build_configuration(self) -> dict[str, object]:
+        return build_prompt_configuration()
 
     def crash(self, engine: CrashingEngine) -> None:
         """End an engine's process; it is back under another name after `down_s`."""
@@ -262,8 +275,8 @@
             await self.restart_daemon(self.rng.randrange(self.daemon_count))
 
     async def send_requests(self, daemon: int, bad: bool, interval_s: float, end: float) -> None:
-        while self.now() < end:
-            await asyncio.sleep(self.rng.expovariate(1 / interval_s))
+        while (pause_s := self.rng.expovariate(1 / interval_s)) < end - self.now():
+            await asyncio.sleep(pause_s)
             self.spawn(self.send_request(daemon, bad))
 
     def draw_parts(self, bad: bool) -> list[str]:
@@ -277,12 +290,12 @@
 
     async def send_request(self, daemon: int, bad: bool) -> None:
         request_id = f"{self.rng.getrandbits(48):012x}"
-        parts, sent_at, status, whole = self.draw_parts(bad), self.now(), 0, False
+        sent_at, status, whole = self.now(), 0, False
         if bad and sent_at - self.started_at[daemon] > CONTACT_S:
             self.log.in_contact.add(request_id)
         try:
             async with asyncio.timeout(DEADLINE_S + 1.0):
-                status, whole = await self.exchange(daemon, request_id, parts)
+                status, whole = await self.exchange(daemon, request_id, bad)
         except TimeoutError:
             self.log.violations.append(f"{request_id}: no end by its deadline")
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -296,10 +309,10 @@
         else:
             self.log.good.append((sent_at, status == 200 and whole))
 
-    async def exchange(self, daemon: int, request_id: str, parts: list[str]) -> tuple[int, bool]:
+    async def exchange(self, daemon: int, request_id: str, bad: bool) -> tuple[int, bool]:
         """Send a request and return its status, and whether its response was whole."""
         peer = await RawPeer.connect(self.daemons[daemon].settings.listen)
-        prefix = ",".join(f"{part}:10" for part in parts)
+        prefix = ",".join(f"{part}:10" for part in self.draw_parts(bad))
         try:
             await peer.send(
                 f"GET /s/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {request_id}\r\n"
@@ -328,9 +341,9 @@
 
     def list_late_arrivals(self) -> list[str]:
         """Return the requests with the bad part that reached engines though it had to be known."""
-        if len(self.log.crashes) < KNOWN_AFTER_CRASHES:
+        if len(self.log.crashes) < self.known_after_crashes:
             return []
-        known_at = self.log.crashes[KNOWN_AFTER_CRASHES - 1] + CONTACT_S
+        known_at = self.log.crashes[self.known_after_crashes - 1] + CONTACT_S
         return [
             request_id
             for at, request_id in self.log.arrivals
@@ -339,7 +352,7 @@
 
     def find_good_share(self) -> float:
         """Return the share of good requests that are served once the part has to be known."""
-        known = self.log.crashes[:KNOWN_AFTER_CRASHES]
+        known = self.log.crashes[: self.known_after_crashes]
         since = known[-1] + 2 * CONTACT_S if known else 0.0
         late = [served for at, served in self.log.good if at > since]
         return sum(late) / len(late) if late else 1.0
@@ -348,7 +361,7 @@
         """Check what engines and callers saw."""
         late = self.list_late_arrivals()
         if len(late) > MAX_LATE_ARRIVALS:
-            text = f"{len(late)} requests with the bad part reached engines late"
+            text = f"{len(late)} requests that crash engines reached them late"
             self.log.violations.append(f"{text}, {len(self.log.crashes)} crashes")
         share = self.find_good_share()
         if share < MIN_GOOD_SHARE:
@@ -382,7 +395,7 @@
     )
 
 
-def main() -> int:
+def main(build_site: Callable[[int, float, Faults], PromptSite]) -> int:
     """Play seeds by hand, print what each found, and return 1 if a promise was broken."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=50)
@@ -392,7 +405,7 @@
     broken = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
         faults = draw_faults(seed)
-        site = PromptSite(seed, arguments.seconds, faults)
+        site = build_site(seed, arguments.seconds, faults)
         log = asyncio.run(site.run())
         print(
             f"seed {seed}: {sum(log.counts.values())} requests, {len(log.crashes)} crashes, "
@@ -407,4 +420,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(PromptSite))
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -33,7 +33,7 @@
     )
 
 
-def build_gateway_call(route, request_id=b"r1", **fields):
+def build_gateway_call(route, request_id=b"r1", fingerprint="", **fields):
     headers = [(b"X-Request-Id", request_id), (b"Host", b"h"), (b"X-Deadline-Ms", b"2000")]
     headers += [(name.encode(), value) for name, value in fields.items()]
     now = asyncio.get_running_loop().time()
@@ -49,6 +49,7 @@
         now,
         now + route.timeout_s,
         1,
+        fingerprint,
     )
 
 
@@ -150,6 +151,10 @@
         return [name for name, *_ in self.heads]
 
 
+async def respond_ok(peer):
+    await peer.send(build_response())
+
+
 class ForwardTest(ForwardCase):
     async def test_request_and_response_pass_unchanged(self):
         async def handle(peer):
@@ -369,6 +374,30 @@
         self.assertEqual(outcome.code, ResultCode.QUEUE_FULL)
         self.assertIsNotNone(outcome.retry_after)
 
+    async def crash_first(self):
+        """Add an endpoint that is chosen first and crashes on a request, and a sound one."""
+
+        async def crash(peer):
+            server._server.close()
+            peer.close()
+
+        server = await self.add(crash, "e1", slots=100)
+        await self.add(respond_ok, "e2", "zone-2", slots=1)
+        self.table.random.random = lambda: 0.0
+
+    async def test_request_that_was_alone_at_an_endpoint_that_crashed_is_not_repeated(self):
+        await self.crash_first()
+        outcome = await self.forward(build_route(), fingerprint="request:1")
+        self.assertIsInstance(outcome, Unknown)
+        self.assertEqual(self.tried(), ["e1"])
+
+    async def test_request_that_was_beside_others_at_an_endpoint_that_crashed_is_repeated(self):
+        await self.crash_first()
+        self.table.apply_peer_load("front-2", {"e1": 1}, self.clock())
+        outcome = await self.forward(build_route(), fingerprint="request:1")
+        self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+        self.assertEqual(self.tried(), ["e1", "e2"])
+
 
 class GroupTest(ForwardCase):
     """Endpoints e1 and e2 are ranks of one group, e3 is a rank of another."""
--- /dev/null
+++ b/magnoliarouter/tests/test_request_soak.py
@@ -0,0 +1,27 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from magnoliarouter.tests.prompt_soak import Faults
+from magnoliarouter.tests.request_soak import RequestSite
+
+SECONDS = 6.0
+
+
+class RequestSoakTest(unittest.TestCase):
+    def test_request_that_crashes_applications_is_not_sent_on(self):
+        log = asyncio.run(RequestSite(1, SECONDS).run())
+        self.assertEqual(log.violations, [])
+        self.assertGreater(log.counts["good 200"], 100)
+        self.assertGreater(log.counts["bad 503"] + log.counts["bad 502"], 20)
+
+    def test_polls_are_served_though_engines_crash_for_other_reasons(self):
+        site = RequestSite(2, SECONDS, Faults(crash_interval_s=0.4), bad_interval_s=1e6)
+        log = asyncio.run(site.run())
+        self.assertEqual(log.violations, [])
+        self.assertGreater(log.counts["good 200"], 100)
+
+
+if __name__ == "__main__":
+    unittest.main()
