Find requests that crash endpoints, with or without a prompt, and refuse them

Cause: crashes were related to parts of prompts alone, and a call without them left no evidence, so that the same request was new to each daemon. The class: a fault that travels with the request and is treated as one of the place. Ruled out: engines that end under load as they come back (the test has none of that, and fails).

What names a request as the same is now one more part, with the same reports, records, chance and answers. Its share of the requests to a service is taken over all daemons, and without those that were at crashes. It is refused while endpoints run the software that crashed.

--- a/magnoliarouter/core/codes.py
+++ b/magnoliarouter/core/codes.py
@@ -134,6 +134,9 @@
         "Endpoints crash on a part of the prompt.",
         "Send the prompt without the part, or tell the operator.",
     ),
+    ResultCode.REQUEST_QUARANTINED: CodeDescription(
+        503, "Endpoints crash on this request.", "Change the request, or tell the operator."
+    ),
     ResultCode.PLATFORM_UNAVAILABLE: CodeDescription(
         503, "The platform is needed for this call and does not answer.", _RETRY_LATER
     ),
--- a/magnoliarouter/core/crashes.py
+++ b/magnoliarouter/core/crashes.py
@@ -2,7 +2,8 @@
 
 A part that crashes each endpoint is in a prompt at every crash, and no answer on it is ever
 written. The other parts of those prompts are either written on elsewhere, or change from crash to
-crash.
+crash. What names a request as the same is one more part, and the only one of a request without a
+prompt.
 """
 
 from __future__ import annotations
@@ -13,9 +14,20 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
-__all__ = ["CRASH_EXPIRY_S", "ANSWERED_S", "CrashLedger", "CrashReport", "RecentParts"]
+__all__ = [
+    "CRASH_EXPIRY_S",
+    "ANSWERED_S",
+    "REQUEST_PREFIX",
+    "CrashLedger",
+    "CrashReport",
+    "RecentParts",
+    "names_request",
+]
+
+# Tells what names a request as the same from the parts of prompts.
+REQUEST_PREFIX = "request:"
 
 # Crashes that a part has to explain. One proves nothing: any prompt may be at an endpoint that
 # crashes for another reason.
@@ -39,6 +51,11 @@
 _Start: TypeAlias = tuple[str, int]
 
 
+def names_request(part: str) -> bool:
+    """Return whether a part names a request rather than a part of its prompt."""
+    return part.startswith(REQUEST_PREFIX)
+
+
 @dataclass(frozen=True, slots=True)
 class CrashReport:
     """Crash of one start of an endpoint, as one daemon saw it.
@@ -51,12 +68,16 @@
         Time of day of its start in milliseconds, which tells starts with the same name apart.
     began, waiting : frozenset of frozenset of str
         Parts of the prompts whose response had begun, and of those whose response had not.
+    service, software : str
+        Service of the endpoint, and version of its software.
     """
 
     endpoint: str
     started_ms: int
     began: frozenset[frozenset[str]] = frozenset()
     waiting: frozenset[frozenset[str]] = frozenset()
+    service: str = ""
+    software: str = ""
 
     def holds(self, cause: frozenset[str]) -> bool:
         """Return whether a prompt holds all parts of a cause."""
@@ -65,29 +86,42 @@
 
 @dataclass(slots=True)
 class RecentParts:
-    """Times at which parts were last seen; the oldest are forgotten first."""
+    """Times at which parts were last seen; the oldest are forgotten first.
 
-    _seen: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    Names of requests, of which there may be thousands a second, do not displace parts of prompts.
+    """
+
+    _parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    _requests: OrderedDict[str, float] = field(default_factory=OrderedDict)
 
     def record(self, parts: Iterable[str], now: float) -> None:
         """Record parts that were seen at the loop time `now`."""
         for part in parts:
-            self._seen[part] = now
-            self._seen.move_to_end(part)
-        while len(self._seen) > MAX_RECENT_PARTS:
-            self._seen.popitem(last=False)
+            seen = self._table_of(part)
+            seen[part] = now
+            seen.move_to_end(part)
+            if len(seen) > MAX_RECENT_PARTS:
+                seen.popitem(last=False)
 
     def was_seen(self, part: str, since: float) -> bool:
         """Return whether a part was seen at the loop time `since` or later."""
-        return self._seen.get(part, float("-inf")) >= since
+        return self._table_of(part).get(part, float("-inf")) >= since
+
+    def _table_of(self, part: str) -> OrderedDict[str, float]:
+        return self._requests if names_request(part) else self._parts
 
 
 @dataclass(slots=True)
 class PromptSample:
-    """The last prompts that callers sent, to estimate which share of them holds a part."""
+    """The last prompts that callers sent to a service, to estimate which share holds a part."""
 
     _prompts: deque[tuple[str, ...]] = field(default_factory=deque)
     _counts: Counter[str] = field(default_factory=Counter)
+    _discarded: Counter[str] = field(default_factory=Counter)
+
+    def __len__(self) -> int:
+        """Return the number of prompts."""
+        return len(self._prompts)
 
     def record(self, parts: Iterable[str]) -> None:
         """Record the parts of a prompt."""
@@ -96,19 +130,38 @@
         self._counts.update(prompt)
         if len(self._prompts) > MAX_SAMPLE_PROMPTS:
             for part in self._prompts.popleft():
-                self._counts[part] -= 1
-                if not self._counts[part]:
-                    del self._counts[part]
+                counts = self._discarded if part in self._discarded else self._counts
+                counts[part] -= 1
+                if not counts[part]:
+                    del counts[part]
+
+    def discard(self, part: str) -> None:
+        """Count a part once less: its prompt was at a crash, and shows nothing of the others."""
+        if self._counts[part] > 0:
+            self._counts[part] -= 1
+            self._discarded[part] += 1
+        if not self._counts[part]:
+            del self._counts[part]
+
+    def estimate_share(self, part: str, daemons: int = 1) -> float:
+        """Return the share of prompts that hold a part; a half before any prompt was seen.
 
-    def estimate_share(self, part: str) -> float:
-        """Return the share of prompts that hold a part; a half before any prompt was seen."""
-        return (self._counts[part] + 1) / (len(self._prompts) + 2)
+        Parameters
+        ----------
+        part : str
+            The part.
+        daemons : int
+            Daemons that hold samples of the same size, in which the part is as frequent.
+        """
+        return (self._counts[part] * daemons + 1) / (len(self._prompts) * daemons + 2)
 
 
 @dataclass(slots=True)
 class _Crash:
     at: float
     moment: int
+    service: str
+    software: str
     began: frozenset[frozenset[str]]
     waiting: frozenset[frozenset[str]]
 
@@ -121,6 +174,11 @@
 class CrashLedger:
     """Crashes of endpoints, and the parts of prompts on which answers were written.
 
+    Parameters
+    ----------
+    count_daemons : callable
+        Returns how many daemons callers send their requests to.
+
     Examples
     --------
     >>> ledger = CrashLedger()
@@ -134,8 +192,9 @@
     [frozenset({'x'})]
     """
 
+    count_daemons: Callable[[], int] = lambda: 1
     _answered: RecentParts = field(default_factory=RecentParts)
-    _sample: PromptSample = field(default_factory=PromptSample)
+    _samples: dict[str, PromptSample] = field(default_factory=dict)
     _crashes: OrderedDict[_Start, _Crash] = field(default_factory=OrderedDict)
     _moment: int = 0
     _moment_began_at: float = float("-inf")
@@ -156,14 +215,26 @@
         if now - self._moment_began_at > SAME_MOMENT_S:
             self._moment += 1
             self._moment_began_at = now
-        self._crashes[key] = _Crash(now, self._moment, report.began, report.waiting)
+        self._crashes[key] = _Crash(
+            now,
+            self._moment,
+            report.service,
+            report.software,
+            report.began,
+            report.waiting,
+        )
         while len(self._crashes) > MAX_CRASHES:
             self._crashes.popitem(last=False)
         return True
 
-    def record_prompt(self, parts: Iterable[str]) -> None:
-        """Record the parts of a prompt that a caller sent."""
-        self._sample.record(parts)
+    def record_prompt(self, parts: Iterable[str], service: str = "") -> None:
+        """Record the parts of a prompt that a caller sent to a service."""
+        self._samples.setdefault(service, PromptSample()).record(parts)
+
+    def discard_request(self, fingerprint: str, service: str) -> None:
+        """Take a request at a crash out of those that show how common it is elsewhere."""
+        if service in self._samples:
+            self._samples[service].discard(fingerprint)
 
     def record_answered(self, parts: Iterable[str], now: float) -> None:
         """Record the parts of a prompt on which an answer was written."""
@@ -227,11 +298,33 @@
         moments = {self._crashes[start].moment for start in starts}
         if len(starts) < (MIN_CRASHES if len(moments) > 1 else MIN_CRASHES_AT_ONCE):
             return False
-        absent = 1.0 - self._sample.estimate_share(part)
-        held = [1.0 - absent ** len(self._crashes[start].list_prompts()) for start in crashes]
+        held = [self._estimate_presence(part, self._crashes[start]) for start in crashes]
         chance = _compute_tail(len(crashes), len(starts), sum(held) / len(held))
         return part_count * chance <= MAX_CHANCE
 
+    def _estimate_presence(self, part: str, crash: _Crash) -> float:
+        """Return the probability that a part is in one of the prompts of a crash by chance."""
+        sample = self._samples.get(crash.service) or max(
+            self._samples.values(), key=len, default=PromptSample()
+        )
+        # Requests are rare as a rule, so that the small sample of one daemon would not show it.
+        daemons = self.count_daemons() if names_request(part) else 1
+        absent = 1.0 - sample.estimate_share(part, daemons)
+        return 1.0 - absent ** len(crash.list_prompts())
+
+    def count_crashes(self, part: str) -> int:
+        """Return how many endpoints crashed on a prompt that holds a part."""
+        return len(self.list_endpoints(frozenset([part])))
+
+    def list_software(self, cause: frozenset[str]) -> frozenset[tuple[str, str]]:
+        """Return services and versions of the endpoints that crashed; empty if one is not known."""
+        software = frozenset(
+            (crash.service, crash.software)
+            for crash in self._crashes.values()
+            if any(cause <= prompt for prompt in crash.list_prompts())
+        )
+        return software if all(version for _, version in software) else frozenset()
+
     def list_endpoints(self, cause: frozenset[str]) -> list[str]:
         """Return the endpoints that crashed on a prompt with all parts of a cause."""
         return [
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -272,7 +272,9 @@
 
     def _create_crash_watch(self) -> CrashWatch:
         self.quarantine = Quarantine(
-            lambda: self._quarantine_records.is_loaded(), lambda: self._queue.wake()
+            lambda: self._quarantine_records.is_loaded(),
+            lambda: self._queue.wake(),
+            self.table.runs_software,
         )
         watch = CrashWatch(
             self.quarantine,
@@ -282,6 +284,8 @@
             lambda cause: self._quarantine_records.delete_cause(cause),
             lambda report: self._quarantine_records.write_crash(report),
             self.peers.schedule_send,
+            self.peers.count_daemons,
+            lambda: self.peers.read_share() == 1.0,
         )
         self._quarantine_records = QuarantineRecords(self._store, watch, _create_backoff())
         self.peers.collect_crashes, self.peers.apply_crashes = (
@@ -536,7 +540,10 @@
 
     def list_quarantined(self) -> dict[str, list[str]]:
         """Return the parts of prompts that crash endpoints, by the name of their record."""
-        return {name_record(cause): sorted(cause) for cause in self.quarantine}
+        return {
+            name_record(cause, self.quarantine.list_software(cause)): sorted(cause)
+            for cause in self.quarantine
+        }
 
     async def _serve_ready(self, exchange: IngressExchange) -> None:
         target = exchange.request.target.decode("latin-1")
--- a/magnoliarouter/daemon/quarantine.py
+++ b/magnoliarouter/daemon/quarantine.py
@@ -41,7 +41,11 @@
 
 
 class CauseRecord(
-    msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="record", tag="cause"
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    tag_field="record",
+    tag="cause",
 ):
     """Parts of prompts that crash endpoints.
 
@@ -51,14 +55,21 @@
         Ids of the parts; a prompt that holds all of them is not sent.
     endpoints : tuple of str
         Names of the endpoints that crashed.
+    software : frozenset of (str, str)
+        Their services and versions of their software; empty if not known.
     """
 
     parts: Annotated[frozenset[str], Meta(min_length=1, max_length=256)]
     endpoints: tuple[str, ...] = ()
+    software: frozenset[tuple[str, str]] = frozenset()
 
 
 class CrashRecord(
-    msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="record", tag="crash"
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    tag_field="record",
+    tag="crash",
 ):
     """Crash of an endpoint as one daemon saw it; the fields are those of `CrashReport`."""
 
@@ -66,6 +77,8 @@
     started_ms: int
     began: Prompts = frozenset()
     waiting: Prompts = frozenset()
+    service: str = ""
+    software: str = ""
 
 
 def decode_record(value: Any) -> CauseRecord | CrashReport:
@@ -74,13 +87,22 @@
     match record:
         case CauseRecord():
             return record
-        case CrashRecord(endpoint, started_ms, began, waiting):
-            return CrashReport(endpoint, started_ms, began, waiting)
+        case CrashRecord(endpoint, started_ms, began, waiting, service, software):
+            return CrashReport(endpoint, started_ms, began, waiting, service, software)
 
 
-def name_record(cause: frozenset[str]) -> str:
-    """Return the name of the record of a set of parts."""
-    return xxhash.xxh64_hexdigest(",".join(sorted(cause)).encode())
+def _encode_record(record: CauseRecord | CrashRecord) -> dict[str, Any]:
+    """Return the value of a record; daemons of an earlier version refuse fields unknown to them."""
+    value = msgspec.to_builtins(record)
+    return {
+        name: field for name, field in value.items() if field or name not in ("service", "software")
+    }
+
+
+def name_record(cause: frozenset[str], software: frozenset[tuple[str, str]] = frozenset()) -> str:
+    """Return the name of the record of a set of parts that crashed versions of software."""
+    names = sorted(cause) + [f"{service}={version}" for service, version in sorted(software)]
+    return xxhash.xxh64_hexdigest(",".join(names).encode())
 
 
 class QuarantineRecords:
@@ -127,8 +149,8 @@
         if value is not None:
             self._recorded[name] = value
         match value:
-            case CauseRecord(parts):
-                if self._watch.quarantine.add(parts):
+            case CauseRecord(parts, _, software):
+                if self._watch.quarantine.add(parts, software):
                     log_event("prompt_quarantine_read", parts=sorted(parts))
             case CrashReport():
                 self._watch.apply_report(value)
@@ -139,18 +161,28 @@
     def write_cause(self, cause: frozenset[str]) -> None:
         """Record parts in the store as soon as it takes them."""
         endpoints = tuple(self._watch.list_endpoints(cause))
-        self._put(name_record(cause), CauseRecord(cause, endpoints))
+        software = self._watch.quarantine.list_software(cause)
+        self._put(name_record(cause, software), CauseRecord(cause, endpoints, software))
 
     def write_crash(self, report: CrashReport) -> None:
         """Record a crash in the store as soon as it takes it, unless its cause is known by then."""
-        record = CrashRecord(report.endpoint, report.started_ms, report.began, report.waiting)
+        record = CrashRecord(
+            report.endpoint,
+            report.started_ms,
+            report.began,
+            report.waiting,
+            report.service,
+            report.software,
+        )
         prompts = sorted(map(sorted, report.began | report.waiting))
         key = f"{report.endpoint} {report.started_ms} {prompts}"
         self._put(f"crash-{xxhash.xxh64_hexdigest(key.encode())}", record)
 
     def delete_cause(self, cause: frozenset[str]) -> None:
-        """Delete the record of parts as soon as the store takes it."""
-        self._put(name_record(cause), None)
+        """Delete the records of parts as soon as the store takes it."""
+        for name, known in {**self._recorded, **self._pending}.items():
+            if isinstance(known, CauseRecord) and known.parts == cause:
+                self._put(name, None)
 
     async def run(self) -> None:
         """Write and delete records until cancelled."""
@@ -172,8 +204,9 @@
         self._wake.set()
 
     def _release(self, cause: frozenset[str]) -> None:
-        """Release parts, and delete the crashes by which a daemon that starts would find them."""
+        """Release parts, and delete the records by which a daemon that starts would find them."""
         self._watch.release(cause)
+        self.delete_cause(cause)
         for name, known in self._recorded.items():
             if isinstance(known, CrashReport) and known.holds(cause):
                 self._put(name, None)
@@ -191,7 +224,7 @@
         if len(self._recorded) >= MAX_RECORDS:
             log_event("quarantine_full", records=len(self._recorded), name=name)
             return True
-        value = msgspec.to_builtins(record)
+        value = _encode_record(record)
         outcome = await self._store.write(QUARANTINE_KIND, name, value, expect=0)
         return isinstance(outcome, (Written, Conflict))
 
--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -125,6 +125,8 @@
         Whether the head of the current attempt's response was received.
     sent_at : float
         Loop time at which the current attempt was sent.
+    others : int
+        Other requests at the endpoint when the current attempt was sent.
     received_at : float
         Loop time at which the current attempt was sent, or last received data.
     answered : bool
@@ -141,6 +143,7 @@
     moving: bool = False
     began: bool = False
     sent_at: float = 0.0
+    others: int = 0
     received_at: float = 0.0
     answered: bool = False
 
@@ -261,6 +264,7 @@
                 call, endpoint.identity, remaining_s, progress.splitter.last_id
             )
             progress.start_attempt(self._clock())
+            progress.others = self._table.load_of(endpoint.identity, self._clock()) - 1
             self._log_send(call, endpoint, progress)
             connection.send(_encode_request(call, fields), call.method == b"HEAD")
             result = await self._read_response(call, exchange, connection, endpoint, progress)
--- a/magnoliarouter/gateway/call.py
+++ b/magnoliarouter/gateway/call.py
@@ -7,6 +7,8 @@
 
 import xxhash
 
+from magnoliarouter.core.crashes import REQUEST_PREFIX
+
 if TYPE_CHECKING:
     from magnoliarouter.core.framing import Framing
     from magnoliarouter.gateway.routes import Route
@@ -20,9 +22,6 @@
     "fingerprint_request",
 ]
 
-# Tells the name of a request from those of the parts of prompts.
-REQUEST_PREFIX = "request:"
-
 
 @dataclass(frozen=True, slots=True)
 class RequestHeaders:
@@ -185,6 +184,11 @@
     events: int = 0
     unfinished_bytes: int = 0
 
+    def list_parts(self) -> tuple[str, ...]:
+        """Return the parts of the prompt that other requests may share, and the fingerprint."""
+        parts = self.headers.prompt_parts[:-1]
+        return (*parts, self.fingerprint) if self.fingerprint else parts
+
 
 def fingerprint_request(method: bytes, target: bytes, key: str, body: bytes) -> str:
     """Return a name that requests share if they are the same but for their id.
--- a/magnoliarouter/gateway/crashwatch.py
+++ b/magnoliarouter/gateway/crashwatch.py
@@ -1,8 +1,8 @@
-"""Detects endpoints that crash on a prompt, and exchanges crash reports with the other daemons.
+"""Detects endpoints that crash on a prompt or a request, and exchanges reports of it.
 
-One daemon sees few of the crashes, and the requests with a part that crashes endpoints come at any
-daemon. Each daemon therefore reports to the others which prompts were at an endpoint that crashed,
-and which of the parts in their reports it has seen answers on.
+One daemon sees few of the crashes, and the requests that crash endpoints come at any daemon. Each
+daemon therefore reports to the others which requests were at an endpoint that crashed, and which of
+the parts in their reports it has seen answers on.
 """
 
 from __future__ import annotations
@@ -13,10 +13,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeAlias
 
-from magnoliarouter.core.crashes import ANSWERED_S, CrashLedger, CrashReport, RecentParts
+from magnoliarouter.core.crashes import (
+    ANSWERED_S,
+    CrashLedger,
+    CrashReport,
+    RecentParts,
+    names_request,
+)
 from magnoliarouter.core.outcome import NotRun, ResultCode
 from magnoliarouter.gateway.attempt import ANSWERED_EVENTS
 from magnoliarouter.gateway.peers import CrashUpdate
+from magnoliarouter.gateway.routes import RouteKind
 from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -85,9 +92,14 @@
     on_answered : callable
         Called with a set of parts in quarantine on which an answer was written.
     on_crash : callable
-        Called with each report of this daemon.
+        Called with each report of this daemon that the updates may not bring to all others, or that
+        names parts which many requests share.
     on_update : callable
         Called when there is an update for the other daemons.
+    count_daemons : callable
+        Returns how many daemons callers send their requests to.
+    reaches_all : callable
+        Returns whether updates reach all other daemons.
     """
 
     def __init__(
@@ -99,6 +111,8 @@
         on_answered: Callable[[frozenset[str]], None] = lambda cause: None,
         on_crash: Callable[[CrashReport], None] = lambda report: None,
         on_update: Callable[[], None] = lambda: None,
+        count_daemons: Callable[[], int] = lambda: 1,
+        reaches_all: Callable[[], bool] = lambda: True,
     ) -> None:
         self.quarantine = quarantine
         self._is_refused = is_refused
@@ -107,7 +121,8 @@
         self._on_answered = on_answered
         self._on_crash = on_crash
         self._on_update = on_update
-        self._ledger = CrashLedger()
+        self._reaches_all = reaches_all
+        self._ledger = CrashLedger(count_daemons)
         # Parts on which this daemon itself has seen answers. What others have seen is not passed
         # on, so that it grows old.
         self._own_answered = RecentParts()
@@ -120,25 +135,29 @@
         self._undecided = 0
 
     def find_refusal(self, call: GatewayCall) -> NotRun | None:
-        """Return why a call may not be sent because of its prompt, or None."""
-        parts = call.headers.prompt_parts
+        """Return why a call may not be sent because it may crash its endpoint, or None."""
+        parts = _list_all_parts(call)
         if parts and not self.quarantine.is_loaded():
-            reason = "this daemon does not know yet which prompts crash endpoints"
+            reason = "this daemon does not know yet which requests crash endpoints"
             return NotRun(ResultCode.CONFIGURATION_MISSING, reason)
         cause = self.quarantine.find(parts)
         if cause is None:
             return None
+        if any(map(names_request, cause)):
+            reason = "this request crashes endpoints"
+            return NotRun(ResultCode.REQUEST_QUARANTINED, reason, QUARANTINE_RETRY_AFTER_S)
         reason = f"prompts with {', '.join(sorted(cause))} crash endpoints"
         return NotRun(ResultCode.PROMPT_QUARANTINED, reason, QUARANTINE_RETRY_AFTER_S)
 
     def record_prompt(self, call: GatewayCall) -> None:
-        """Record the prompt of a call, so that the common parts of prompts are known."""
-        if call.headers.prompt_parts:
-            self._ledger.record_prompt(call.headers.prompt_parts)
+        """Record a call, so that common requests and the common parts of prompts are known."""
+        parts = _list_all_parts(call)
+        if parts:
+            self._ledger.record_prompt(parts, call.service)
 
     def record_answer(self, call: GatewayCall) -> None:
-        """Record that an endpoint wrote an answer on a call's prompt."""
-        parts, now = call.headers.prompt_parts, self._clock()
+        """Record that an endpoint wrote an answer on a call."""
+        parts, now = _list_all_parts(call), self._clock()
         self._own_answered.record(parts, now)
         self._ledger.record_answered(parts, now)
         cause = self.quarantine.find(parts)
@@ -160,9 +179,17 @@
             log_event("prompt_released", parts=sorted(cause), important=True)
 
     async def examine(
-        self, call: GatewayCall, endpoint: Endpoint, progress: CallProgress, failed: FailedAttempt
+        self,
+        call: GatewayCall,
+        endpoint: Endpoint,
+        progress: CallProgress,
+        failed: FailedAttempt,
+        others: int = 0,
     ) -> bool:
-        """Return whether an endpoint crashed as it began to answer a prompt that may be the cause.
+        """Return whether an endpoint crashed and the call should not be sent to another.
+
+        That is so if the endpoint was beginning to answer a prompt that may be the cause, if no
+        other request was there, or if the same request was at an endpoint that crashed before.
 
         Parameters
         ----------
@@ -172,12 +199,16 @@
             Endpoint of the attempt.
         progress, failed : CallProgress, FailedAttempt
             How far the attempt came, and how it failed.
+        others : int
+            Other requests at the endpoint.
         """
         now = self._clock()
         if not failed.broken_off or progress.splitter.received >= ANSWERED_EVENTS:
             return False
-        suspects = self._ledger.list_unproven(call.headers.prompt_parts[:-1], now)
-        if not suspects or now - progress.received_at > MAX_SILENCE_S:
+        suspects = self._ledger.list_unproven(call.list_parts(), now)
+        # A response that is no stream comes at once, after any time.
+        is_cut = call.route.kind is RouteKind.STREAM and now - progress.received_at > MAX_SILENCE_S
+        if not suspects or is_cut:
             return False
         began = progress.began
         if not await self._has_crashed(endpoint):
@@ -188,18 +219,24 @@
             endpoint.started_ms,
             prompts if began else frozenset(),
             frozenset() if began else prompts,
+            endpoint.service,
+            endpoint.software,
         )
         log_event(
             "crash_seen",
             request_id=_name(call),
             endpoint=endpoint.identity,
             began=began,
+            others=others,
+            route=call.route.name,
             parts=sorted(suspects),
             important=True,
         )
+        self._ledger.discard_request(call.fingerprint, call.service)
         self.apply_report(report)
         self._queue_items([report])
-        self._on_crash(report)
+        if not all(map(names_request, suspects)) or not self._reaches_all():
+            self._on_crash(report)
         return began
 
     def apply_update(self, peer: str, update: CrashUpdate) -> None:
@@ -297,11 +334,13 @@
             log_event("crash_cause_unknown", crashes=self._undecided)
         for cause in causes:
             if self.quarantine.find(cause) is None:
-                self.quarantine.add(cause)
+                software = self._ledger.list_software(cause)
+                self.quarantine.add(cause, software)
                 log_event(
                     "prompt_quarantined",
                     parts=sorted(cause),
                     endpoints=self.list_endpoints(cause),
+                    software=sorted(software),
                     important=True,
                 )
                 self._on_found(cause)
@@ -320,5 +359,11 @@
     return MAX_REPLY_DELAY_S / REPLY_DELAY_EXPONENT * math.log1p(scale)
 
 
+def _list_all_parts(call: GatewayCall) -> tuple[str, ...]:
+    """Return the parts of a call's prompt, the last one included, and its fingerprint."""
+    parts = call.headers.prompt_parts
+    return (*parts, call.fingerprint) if call.fingerprint else parts
+
+
 def _name(call: GatewayCall) -> str:
     return call.headers.request_id.decode("latin-1")
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -47,6 +47,8 @@
     started_ms : int
         Time of day of its start in milliseconds, which tells starts with the same name apart; 0 if
         unknown.
+    software : str
+        Version of its software; empty if unknown.
     """
 
     identity: str
@@ -56,6 +58,7 @@
     slots: int
     draining: bool = False
     started_ms: int = 0
+    software: str = ""
 
 
 @dataclass(slots=True)
@@ -237,6 +240,12 @@
             return "the endpoint asked for a pause"
         return None
 
+    def runs_software(self, service: str, software: str) -> bool:
+        """Return whether an endpoint of a service runs a version of its software."""
+        return any(
+            endpoint.software == software for endpoint in self._services.get(service, {}).values()
+        )
+
     def has_endpoints(self, service: str) -> bool:
         """Return whether any endpoint of a service accepts requests."""
         return any(self._list_accepting(service))
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -194,7 +194,8 @@
             if isinstance(result, Completed):
                 return result
             self._record_failure(call, endpoint, progress, result)
-            if await self._crashes.examine(call, endpoint, progress, result):
+            others = max(progress.others, self._table.load_of(endpoint.identity, self._clock()))
+            if await self._crashes.examine(call, endpoint, progress, result, others):
                 self._metrics.retries_refused.labels(_code_label(result)).inc()
                 return await self._finish(call, exchange, progress, None)
             if not self._may_retry(call, progress, result):
--- a/magnoliarouter/platform/registry.py
+++ b/magnoliarouter/platform/registry.py
@@ -21,6 +21,7 @@
     slots: int
     state: Literal["ready", "draining"]
     born: int = 0
+    version: str = ""
 
 
 def decode_entry(name: str, value: Any) -> Endpoint:
@@ -43,4 +44,5 @@
         entry.slots,
         entry.state == "draining",
         entry.born,
+        entry.version,
     )
--- a/magnoliarouter/tests/prompt_soak.py
+++ b/magnoliarouter/tests/prompt_soak.py
@@ -368,6 +368,23 @@
             self.log.violations.append(f"{share:.2f} of the good requests were served")
 
 
+async def play_with_restart(site: PromptSite) -> Log:
+    """Play a run in which all daemons are killed at half its time, and return what was seen."""
+    await site.open()
+    try:
+        await asyncio.sleep(0.8)
+        await site.play(site.seconds / 2)
+        for number in range(site.daemon_count):
+            kill_gateway(site.daemons[number])
+        for number in range(site.daemon_count):
+            site.daemons[number] = await site.start_daemon(number)
+        await site.play(site.seconds / 2)
+    finally:
+        await site.close()
+    site.check()
+    return site.log
+
+
 def build_prompt_configuration() -> dict[str, object]:
     configuration = build_configuration()
     configuration["routes"][0].update(
--- a/magnoliarouter/tests/test_crashes.py
+++ b/magnoliarouter/tests/test_crashes.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 
 from magnoliarouter.core.crashes import (
     ANSWERED_S,
@@ -171,13 +172,80 @@
         self.assertLess(sample.estimate_share("a"), 0.01)
         self.assertEqual(set(sample._counts), {"b"})
 
+    def test_request_at_two_crashes_is_their_cause(self):
+        self.crash(waiting=(["request:1"], ["request:2"]))
+        self.crash(waiting=(["request:3"], ["request:2"]))
+        self.assertEqual(self.find_causes(), [{"request:2"}])
+
+    def test_request_that_comes_again_does_not_take_parts_of_its_prompt_out_of_service(self):
+        for _ in range(3):
+            self.crash(["a", "b", "request:1"])
+        self.assertEqual(self.find_causes(), [{"a", "b", "request:1"}])
+
+    def test_part_is_found_among_requests_that_come_again(self):
+        for number in (1, 1, 2, 3):
+            self.crash([f"a{number}", "x", f"request:{number}"])
+        self.assertEqual(self.find_causes(), [{"x"}])
+
+    def test_request_that_is_common_is_at_crashes_by_chance(self):
+        ledger = CrashLedger(lambda: 9)
+        for number in range(200):
+            ledger.record_prompt(["request:poll" if number % 2 else f"request:{number}"], "app")
+        for number in range(5):
+            prompts = frozenset([frozenset(["request:poll"]), frozenset([f"request:a{number}"])])
+            ledger.record(CrashReport(f"e{number}", 0, waiting=prompts, service="app"), number)
+        self.assertEqual(ledger.find_causes(6.0), [])
+
+    def test_requests_to_other_services_do_not_make_a_request_look_rare(self):
+        ledger = CrashLedger()
+        for number in range(300):
+            ledger.record_prompt([f"request:{number}"], "models")
+        for _ in range(12):
+            ledger.record_prompt(["request:poll"], "app")
+        for number in range(3):
+            ledger.discard_request("request:poll", "app")
+            prompts = frozenset([frozenset(["request:poll"])])
+            ledger.record(CrashReport(f"e{number}", 0, waiting=prompts, service="app"), number)
+        self.assertEqual(ledger.find_causes(4.0), [])
+
+    def test_requests_do_not_displace_parts_and_are_bounded(self):
+        self.ledger.record_answered("x", self.now)
+        for number in range(3 * MAX_RECENT_PARTS):
+            self.ledger.record_answered([f"request:{number}"], self.now)
+            self.ledger.record_prompt([f"request:{number}"], "app")
+        self.assertEqual(self.ledger.list_unproven("xy", self.now), {"y"})
+        self.assertEqual(len(self.ledger._answered._requests), MAX_RECENT_PARTS)
+        self.assertEqual(len(self.ledger._samples["app"]), MAX_SAMPLE_PROMPTS)
+
+    def test_sample_counts_requests_at_crashes_as_little_as_they_come_elsewhere(self):
+        sample = PromptSample()
+        for number in range(8):
+            sample.record([f"request:{number % 2}"])
+        for _ in range(6):
+            sample.discard("request:1")
+        self.assertAlmostEqual(sample.estimate_share("request:1"), 1 / 10)
+        for number in range(MAX_SAMPLE_PROMPTS):
+            sample.record([f"other:{number}"])
+        self.assertEqual(len(sample._counts), MAX_SAMPLE_PROMPTS)
+        self.assertFalse(sample._discarded)
+        self.assertEqual(min(sample._counts.values()), 1)
+
+    def test_software_of_the_endpoints_that_crashed(self):
+        for number, version in ((1, "v1"), (2, "v2")):
+            report = build_crash_report(f"e{number}", ["x"])
+            self.ledger.record(replace(report, service="app", software=version), self.now)
+        found = self.ledger.list_software(frozenset("x"))
+        self.assertEqual(found, {("app", "v1"), ("app", "v2")})
+        self.crash("x")
+        self.assertEqual(self.ledger.list_software(frozenset("x")), frozenset())
+
     def test_state_is_bounded(self):
         for number in range(3 * MAX_RECENT_PARTS):
             self.ledger.record_answered([f"p{number}"], self.now)
         for _ in range(2 * MAX_CRASHES):
             self.crash("x")
         self.assertEqual(len(self.ledger._crashes), MAX_CRASHES)
-        self.assertEqual(len(self.ledger._answered._seen), MAX_RECENT_PARTS)
+        self.assertEqual(len(self.ledger._answered._parts), MAX_RECENT_PARTS)
         self.now += CRASH_EXPIRY_S
         self.assertEqual(self.find_causes(), [])
         self.assertEqual(len(self.ledger._crashes), 0)
--- a/magnoliarouter/tests/test_crashwatch.py
+++ b/magnoliarouter/tests/test_crashwatch.py
@@ -153,6 +153,58 @@
 
         self.play(scene)
 
+    async def examine_request(self, fingerprint, number, others=0, silent_s=0.0):
+        endpoint = Endpoint(f"e{number}", "app", f"10.0.0.{number}:80", "zone-1", 6, software="v1")
+        call = build_gateway_call(build_route(), fingerprint=fingerprint)
+        progress = CallProgress()
+        progress.start_attempt(asyncio.get_running_loop().time() - silent_s)
+        return await self.watch.examine(call, endpoint, progress, BROKEN_OFF, others)
+
+    def test_request_of_two_crashes_is_refused_until_the_endpoints_have_other_software(self):
+        async def scene():
+            call = build_gateway_call(build_route(), fingerprint="request:1")
+            other = build_gateway_call(build_route(), fingerprint="request:2")
+            for number in range(2):
+                await self.examine_request("request:1", number, silent_s=2 * MAX_SILENCE_S)
+                await asyncio.sleep(1.0)
+            self.assertEqual(self.watch.find_refusal(call).code, ResultCode.REQUEST_QUARANTINED)
+            self.assertIsNone(self.watch.find_refusal(other))
+            versions = {"v2"}
+            self.watch.quarantine.runs_software = lambda service, version: version in versions
+            self.assertIsNone(self.watch.find_refusal(call))
+            versions.add("v1")
+            self.assertIsNotNone(self.watch.find_refusal(call))
+
+        self.play(scene)
+
+    def test_request_that_crashes_other_software_as_well_is_refused_there_at_once(self):
+        async def scene():
+            call = build_gateway_call(build_route(), fingerprint="request:1")
+            self.watch.quarantine.runs_software = lambda service, version: version == "v2"
+            for number in range(2):
+                await self.examine_request("request:1", number)
+                await asyncio.sleep(1.0)
+            self.assertIsNone(self.watch.find_refusal(call))
+            endpoint = Endpoint("e3", "app", "10.0.0.3:80", "zone-1", 6, software="v2")
+            progress = CallProgress()
+            progress.start_attempt(asyncio.get_running_loop().time())
+            await self.watch.examine(call, endpoint, progress, BROKEN_OFF)
+            await asyncio.sleep(SETTLE_S + 0.01)
+            self.assertIsNotNone(self.watch.find_refusal(call))
+
+        self.play(scene)
+
+    def test_crash_on_a_request_is_recorded_in_the_store_only_if_updates_may_not_arrive(self):
+        async def scene():
+            crashes = []
+            self.watch._on_crash = crashes.append
+            for reaches_all in (True, False):
+                self.watch._reaches_all = lambda reaches_all=reaches_all: reaches_all
+                await self.examine_request("request:1", int(reaches_all))
+                self.assertEqual(len(crashes), int(not reaches_all))
+
+        self.play(scene)
+
     def test_calls_that_one_crash_breaks_off_share_one_check(self):
         async def scene():
             results = await asyncio.gather(*(self.examine((f"a{n}", "c")) for n in range(5)))
@@ -276,11 +328,16 @@
             task.cancel()
         return [list(watch.quarantine) for watch in self.watches]
 
-    def open_watch(self):
+    def open_watch(self, count_daemons=lambda: 1):
         async def is_refused(address):
             return True
 
-        watch = CrashWatch(Quarantine(), is_refused, asyncio.get_running_loop().time)
+        watch = CrashWatch(
+            Quarantine(),
+            is_refused,
+            asyncio.get_running_loop().time,
+            count_daemons=count_daemons,
+        )
         record_other_prompts(watch)
         return watch
 
@@ -309,6 +366,42 @@
                     found = run_auto_advance(self.play(daemon_count, seed))
                     self.assertEqual(found, [[frozenset(["bad"])]] * daemon_count)
 
+    def test_every_daemon_knows_a_request_after_three_crashes_at_any_of_them(self):
+        for daemon_count in (1, 9, 98, 376):
+            with self.subTest(daemons=daemon_count):
+                found = run_auto_advance(self.play_request(daemon_count))
+                self.assertEqual(found, [[frozenset(["request:bad"])]] * daemon_count)
+
+    async def play_request(self, daemon_count):
+        """Return what each daemon refuses; each has seen few other requests to the service."""
+        self.rng = random.Random(daemon_count)
+        self.messages = 0
+        self.watches = [self.open_watch(lambda: daemon_count) for _ in range(daemon_count)]
+        for watch in self.watches:
+            for _ in range(max(5, 60 // daemon_count)):
+                watch.record_prompt(self.build_request(f"request:{self.rng.random()}"))
+        senders = [asyncio.create_task(self.send_updates(watch)) for watch in self.watches]
+        for number in range(3):
+            names = ["request:bad", *(f"request:{number}-{other}" for other in range(2))]
+            for name in names:
+                watch = self.rng.choice(self.watches)
+                endpoint = Endpoint(f"e{number}", "calls", f"h:{number}", "zone-1", 6)
+                progress = CallProgress(received_at=asyncio.get_running_loop().time())
+                call = self.build_request(name)
+                watch.record_prompt(call)
+                await watch.examine(call, endpoint, progress, BROKEN_OFF, 2)
+            await asyncio.sleep(0.3)
+        await asyncio.sleep(1.0)
+        for task in senders:
+            task.cancel()
+        return [list(watch.quarantine) for watch in self.watches]
+
+    @staticmethod
+    def build_request(name):
+        call = build_gateway_call(build_route(), fingerprint=name)
+        call.service = "calls"
+        return call
+
     def test_few_daemons_answer_a_report_however_many_could(self):
         for daemon_count in (9, 98, 376, 1000):
             with self.subTest(daemons=daemon_count):
--- a/magnoliarouter/tests/test_prompt_soak.py
+++ b/magnoliarouter/tests/test_prompt_soak.py
@@ -3,8 +3,7 @@
 import asyncio
 import unittest
 
-from magnoliarouter.tests.daemons import kill_gateway
-from magnoliarouter.tests.prompt_soak import Faults, PromptSite
+from magnoliarouter.tests.prompt_soak import Faults, PromptSite, play_with_restart
 
 SECONDS = 6.0
 
@@ -17,23 +16,8 @@
         self.assertGreater(log.counts["bad 503"] + log.counts["bad 502"], 50)
 
     def test_prompt_part_that_crashes_engines_is_known_after_restarts_of_all_daemons(self):
-        async def play():
-            site = PromptSite(2, SECONDS)
-            await site.open()
-            try:
-                await asyncio.sleep(0.8)
-                await site.play(SECONDS / 2)
-                for number in range(site.daemon_count):
-                    kill_gateway(site.daemons[number])
-                for number in range(site.daemon_count):
-                    site.daemons[number] = await site.start_daemon(number)
-                await site.play(SECONDS / 2)
-            finally:
-                await site.close()
-            site.check()
-            return site.log
-
-        self.assertEqual(asyncio.run(play()).violations, [])
+        log = asyncio.run(play_with_restart(PromptSite(2, SECONDS)))
+        self.assertEqual(log.violations, [])
 
     def test_prompt_part_that_crashes_engines_is_known_to_daemons_that_share_no_datagram(self):
         log = asyncio.run(PromptSite(3, SECONDS, Faults(lost_datagrams=1.0)).run())
--- a/magnoliarouter/tests/test_quarantine.py
+++ b/magnoliarouter/tests/test_quarantine.py
@@ -97,6 +97,19 @@
         self.store.fault = ""
         await wait_until(lambda: self.list_records() == [CAUSE], 3.0)
 
+    async def test_records_for_other_software_are_released_together(self):
+        daemon = await self.start()
+        await self.wait_ready(daemon)
+        cause = frozenset(["request:1"])
+        for version in ("v1", "v2"):
+            daemon.quarantine.add(cause, frozenset([("app", version)]))
+            daemon._quarantine_records.write_cause(cause)
+            await asyncio.sleep(0.5)
+        self.assertEqual(len(self.list_records()), 2)
+        name = next(item.name for item in self.store.store.list(QUARANTINE_KIND))
+        await self.store.put(QUARANTINE_KIND, name, None)
+        await wait_until(lambda: not self.list_records() and not list(daemon.quarantine), 3.0)
+
     def list_records(self):
         return [item.value for item in self.store.store.list(QUARANTINE_KIND)]
 
