Do not repeat a request that was alone at an endpoint that crashed, or has been at two

Cause: a repeat was decided by kind of route and budget alone. A request on which an answer was seen lately, and one that was beside others for the first time, is repeated as before.

--- a/magnoliarouter/gateway/crashwatch.py
+++ b/magnoliarouter/gateway/crashwatch.py
@@ -237,7 +237,9 @@
         self._queue_items([report])
         if not all(map(names_request, suspects)) or not self._reaches_all():
             self._on_crash(report)
-        return began
+        if call.fingerprint not in suspects:
+            return began
+        return began or not others or self._ledger.count_crashes(call.fingerprint) > 1
 
     def apply_update(self, peer: str, update: CrashUpdate) -> None:
         """Apply an update of another daemon, and reply with the parts that this one saw answers on."""
--- a/magnoliarouter/tests/test_crashwatch.py
+++ b/magnoliarouter/tests/test_crashwatch.py
@@ -160,6 +160,16 @@
         progress.start_attempt(asyncio.get_running_loop().time() - silent_s)
         return await self.watch.examine(call, endpoint, progress, BROKEN_OFF, others)
 
+    def test_request_at_a_crash_is_repeated_once_if_others_were_there(self):
+        async def scene():
+            self.assertTrue(await self.examine_request("request:1", 1))
+            self.assertFalse(await self.examine_request("request:2", 2, others=1))
+            self.assertTrue(await self.examine_request("request:2", 3, others=1))
+            self.watch.record_answer(build_gateway_call(build_route(), fingerprint="request:3"))
+            self.assertFalse(await self.examine_request("request:3", 4))
+
+        self.play(scene)
+
     def test_request_of_two_crashes_is_refused_until_the_endpoints_have_other_software(self):
         async def scene():
             call = build_gateway_call(build_route(), fingerprint="request:1")
