Keep the ports of processes that are started one after the other apart

Two of three soaks that ran beside each other ended with 'address already in use': their first ports were 64 apart, and a soak uses more. Ports of one process were found free and taken by another before they were bound.

--- a/magnoliarouter/standins/launch.py
+++ b/magnoliarouter/standins/launch.py
@@ -29,6 +29,9 @@
 # go to another socket before the process that it was found for binds it.
 FIRST_PORT = 16_384
 LAST_PORT = 32_767
+# Distance between the first ports of processes that are started one after the other, which use some
+# hundred each. It divides no power of two, so that neighbours stay apart around the range.
+PORT_STRIDE = 1_009
 
 PEER_KEY = "peer-key-of-the-demonstration"
 START_TIMEOUT_S = 20.0
@@ -81,7 +84,7 @@
 
 def _list_ports() -> Iterator[int]:
     """Return the ports to try without end, from a start that differs between processes."""
-    start = FIRST_PORT + os.getpid() * 64 % (LAST_PORT - FIRST_PORT)
+    start = FIRST_PORT + os.getpid() * PORT_STRIDE % (LAST_PORT - FIRST_PORT)
     return cycle((*range(start, LAST_PORT), *range(FIRST_PORT, start)))
 
 
