Take no request for the cause of crashes before its service has answered others

Cause: its share was estimated from what few requests one daemon had got. It now is a share of the answers that the daemons saw, so that nothing is decided while nothing is answered, and a daemon that reads a cause of which it saw a part answered deletes the record.

--- a/magnoliarouter/core/crashes.py
+++ b/magnoliarouter/core/crashes.py
@@ -117,7 +117,6 @@
 
     _prompts: deque[tuple[str, ...]] = field(default_factory=deque)
     _counts: Counter[str] = field(default_factory=Counter)
-    _discarded: Counter[str] = field(default_factory=Counter)
 
     def __len__(self) -> int:
         """Return the number of prompts."""
@@ -130,30 +129,13 @@
         self._counts.update(prompt)
         if len(self._prompts) > MAX_SAMPLE_PROMPTS:
             for part in self._prompts.popleft():
-                counts = self._discarded if part in self._discarded else self._counts
-                counts[part] -= 1
-                if not counts[part]:
-                    del counts[part]
-
-    def discard(self, part: str) -> None:
-        """Count a part once less: its prompt was at a crash, and shows nothing of the others."""
-        if self._counts[part] > 0:
-            self._counts[part] -= 1
-            self._discarded[part] += 1
-        if not self._counts[part]:
-            del self._counts[part]
-
-    def estimate_share(self, part: str, daemons: int = 1) -> float:
-        """Return the share of prompts that hold a part; a half before any prompt was seen.
+                self._counts[part] -= 1
+                if not self._counts[part]:
+                    del self._counts[part]
 
-        Parameters
-        ----------
-        part : str
-            The part.
-        daemons : int
-            Daemons that hold samples of the same size, in which the part is as frequent.
-        """
-        return (self._counts[part] * daemons + 1) / (len(self._prompts) * daemons + 2)
+    def estimate_share(self, part: str) -> float:
+        """Return the share of prompts that hold a part; a half before any prompt was seen."""
+        return (self._counts[part] + 1) / (len(self._prompts) + 2)
 
 
 @dataclass(slots=True)
@@ -177,7 +159,7 @@
     Parameters
     ----------
     count_daemons : callable
-        Returns how many daemons callers send their requests to.
+        Returns how many daemons, this one included, reply to reports with what they saw answered.
 
     Examples
     --------
@@ -195,6 +177,7 @@
     count_daemons: Callable[[], int] = lambda: 1
     _answered: RecentParts = field(default_factory=RecentParts)
     _samples: dict[str, PromptSample] = field(default_factory=dict)
+    _answer_counts: Counter[str] = field(default_factory=Counter)
     _crashes: OrderedDict[_Start, _Crash] = field(default_factory=OrderedDict)
     _moment: int = 0
     _moment_began_at: float = float("-inf")
@@ -231,10 +214,9 @@
         """Record the parts of a prompt that a caller sent to a service."""
         self._samples.setdefault(service, PromptSample()).record(parts)
 
-    def discard_request(self, fingerprint: str, service: str) -> None:
-        """Take a request at a crash out of those that show how common it is elsewhere."""
-        if service in self._samples:
-            self._samples[service].discard(fingerprint)
+    def count_answer(self, service: str) -> None:
+        """Count an answer of a service."""
+        self._answer_counts[service] = min(self._answer_counts[service] + 1, MAX_SAMPLE_PROMPTS)
 
     def record_answered(self, parts: Iterable[str], now: float) -> None:
         """Record the parts of a prompt on which an answer was written."""
@@ -304,13 +286,16 @@
 
     def _estimate_presence(self, part: str, crash: _Crash) -> float:
         """Return the probability that a part is in one of the prompts of a crash by chance."""
-        sample = self._samples.get(crash.service) or max(
-            self._samples.values(), key=len, default=PromptSample()
-        )
-        # Requests are rare as a rule, so that the small sample of one daemon would not show it.
-        daemons = self.count_daemons() if names_request(part) else 1
-        absent = 1.0 - sample.estimate_share(part, daemons)
-        return 1.0 - absent ** len(crash.list_prompts())
+        if names_request(part):
+            # None of the answers that the daemons saw is on a request without one.
+            answers = self._answer_counts[crash.service] * self.count_daemons()
+            share = 1 / (answers + 2)
+        else:
+            sample = self._samples.get(crash.service) or max(
+                self._samples.values(), key=len, default=PromptSample()
+            )
+            share = sample.estimate_share(part)
+        return 1.0 - (1.0 - share) ** len(crash.list_prompts())
 
     def count_crashes(self, part: str) -> int:
         """Return how many endpoints crashed on a prompt that holds a part."""
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -276,7 +276,7 @@
             lambda: self._queue.wake(),
             self.table.runs_software,
         )
-        watch = CrashWatch(
+        self._crash_watch = watch = CrashWatch(
             self.quarantine,
             self._pool.is_refused,
             self._loop.time,
@@ -284,7 +284,7 @@
             lambda cause: self._quarantine_records.delete_cause(cause),
             lambda report: self._quarantine_records.write_crash(report),
             self.peers.schedule_send,
-            self.peers.count_daemons,
+            self.peers.count_present,
             lambda: self.peers.read_share() == 1.0,
         )
         self._quarantine_records = QuarantineRecords(self._store, watch, _create_backoff())
--- a/magnoliarouter/daemon/quarantine.py
+++ b/magnoliarouter/daemon/quarantine.py
@@ -149,6 +149,10 @@
         if value is not None:
             self._recorded[name] = value
         match value:
+            case CauseRecord(parts) if self._watch.has_answered(parts):
+                # The daemon that found it may not have heard of the answers.
+                log_event("quarantine_disputed", parts=sorted(parts), name=name, important=True)
+                self._put(name, None)
             case CauseRecord(parts, _, software):
                 if self._watch.quarantine.add(parts, software):
                     log_event("prompt_quarantine_read", parts=sorted(parts))
--- a/magnoliarouter/gateway/crashwatch.py
+++ b/magnoliarouter/gateway/crashwatch.py
@@ -97,7 +97,7 @@
     on_update : callable
         Called when there is an update for the other daemons.
     count_daemons : callable
-        Returns how many daemons callers send their requests to.
+        Returns how many daemons are in contact, this one included.
     reaches_all : callable
         Returns whether updates reach all other daemons.
     """
@@ -150,14 +150,14 @@
         return NotRun(ResultCode.PROMPT_QUARANTINED, reason, QUARANTINE_RETRY_AFTER_S)
 
     def record_prompt(self, call: GatewayCall) -> None:
-        """Record a call, so that common requests and the common parts of prompts are known."""
-        parts = _list_all_parts(call)
-        if parts:
-            self._ledger.record_prompt(parts, call.service)
+        """Record the prompt of a call, so that the common parts of prompts are known."""
+        if call.headers.prompt_parts:
+            self._ledger.record_prompt(call.headers.prompt_parts, call.service)
 
     def record_answer(self, call: GatewayCall) -> None:
         """Record that an endpoint wrote an answer on a call."""
         parts, now = _list_all_parts(call), self._clock()
+        self._ledger.count_answer(call.service)
         self._own_answered.record(parts, now)
         self._ledger.record_answered(parts, now)
         cause = self.quarantine.find(parts)
@@ -168,6 +168,11 @@
             self.release(cause)
             self._on_answered(cause)
 
+    def has_answered(self, cause: frozenset[str]) -> bool:
+        """Return whether this daemon lately saw an answer on a part of a set."""
+        since = self._clock() - ANSWERED_S
+        return any(self._own_answered.was_seen(part, since) for part in cause)
+
     def list_endpoints(self, cause: frozenset[str]) -> list[str]:
         """Return the endpoints that crashed on a prompt with all parts of a set."""
         return self._ledger.list_endpoints(cause)
@@ -232,7 +237,6 @@
             parts=sorted(suspects),
             important=True,
         )
-        self._ledger.discard_request(call.fingerprint, call.service)
         self.apply_report(report)
         self._queue_items([report])
         if not all(map(names_request, suspects)) or not self._reaches_all():
--- a/magnoliarouter/gateway/peers.py
+++ b/magnoliarouter/gateway/peers.py
@@ -216,12 +216,19 @@
         return self._share
 
     def _compute_share(self, now: float) -> float:
-        present = {
-            name for name, at in self._received_at.items() if now - at < PRESENCE_EXPIRY_S
-        } - self._stopped
+        present = self._list_present(now)
         registered = (self._addresses.keys() | present) - self._stopped
         return (1 + len(present)) / (1 + len(registered))
 
+    def count_present(self) -> int:
+        """Return how many daemons are in contact, this one included."""
+        return 1 + len(self._list_present(self._loop.time()))
+
+    def _list_present(self, now: float) -> set[str]:
+        return {
+            name for name, at in self._received_at.items() if now - at < PRESENCE_EXPIRY_S
+        } - self._stopped
+
     def count_waiting(self, service: str) -> int:
         """Return how many calls wait for a service at the daemons in contact."""
         now = self._loop.time()
--- a/magnoliarouter/tests/test_quarantine.py
+++ b/magnoliarouter/tests/test_quarantine.py
@@ -97,6 +97,17 @@
         self.store.fault = ""
         await wait_until(lambda: self.list_records() == [CAUSE], 3.0)
 
+    async def test_set_on_which_another_daemon_saw_an_answer_is_released_everywhere(self):
+        finder, witness = await self.start("front-1"), await self.start("front-2")
+        for daemon in (finder, witness):
+            await self.wait_ready(daemon)
+        cause = frozenset(["f", "request:1"])
+        witness._crash_watch._own_answered.record(["request:1"], asyncio.get_running_loop().time())
+        finder.quarantine.add(cause)
+        finder._quarantine_records.write_cause(cause)
+        await wait_until(lambda: not list(finder.quarantine) and not self.list_records(), 3.0)
+        self.assertEqual(list(witness.quarantine), [])
+
     async def test_records_for_other_software_are_released_together(self):
         daemon = await self.start()
         await self.wait_ready(daemon)
