Dispute a cause by answers on its request, and announce a stop only when stopping

From a second reading: an answer on one part of a set refuted the whole set; a set not in force was logged at each decision; a daemon that is killed in tests announced that it stopped; a malformed rate went unlogged after a malformed pause of the same endpoint.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -247,6 +247,7 @@
         await map_release
         for task in (*self._tasks, *self.maps.list_tasks()):
             task.cancel()
+        self.peers.announce_stop()
         self.peers.close()
 
     async def _release_map_lease(self) -> None:
--- a/magnoliarouter/gateway/crashwatch.py
+++ b/magnoliarouter/gateway/crashwatch.py
@@ -169,9 +169,10 @@
             self._on_answered(cause)
 
     def has_answered(self, cause: frozenset[str]) -> bool:
-        """Return whether this daemon lately saw an answer on a part of a set."""
+        """Return whether this daemon lately saw answers on all parts, or on the request, of a set."""
         since = self._clock() - ANSWERED_S
-        return any(self._own_answered.was_seen(part, since) for part in cause)
+        parts = list(filter(names_request, cause)) or cause
+        return all(self._own_answered.was_seen(part, since) for part in parts)
 
     def list_endpoints(self, cause: frozenset[str]) -> list[str]:
         """Return the endpoints that crashed on a prompt with all parts of a set."""
@@ -339,9 +340,8 @@
             self._undecided = len(self._ledger)
             log_event("crash_cause_unknown", crashes=self._undecided)
         for cause in causes:
-            if self.quarantine.find(cause) is None:
-                software = self._ledger.list_software(cause)
-                self.quarantine.add(cause, software)
+            software = self._ledger.list_software(cause)
+            if self.quarantine.find(cause) is None and self.quarantine.add(cause, software):
                 log_event(
                     "prompt_quarantined",
                     parts=sorted(cause),
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -347,7 +347,7 @@
         try:
             changed = self._table.rates.record_response(endpoint, value, sent_at, self._clock())
         except ValueError as error:
-            if self._table.notices.record_malformed(endpoint):
+            if self._table.notices.record_malformed(endpoint, "rate"):
                 log_event("rate_malformed", endpoint=endpoint.identity, reason=str(error))
             self._metrics.notices.labels("malformed").inc()
             return
@@ -381,7 +381,7 @@
         try:
             seconds = parse_pause(value)
         except ValueError as error:
-            if self._table.notices.record_malformed(endpoint):
+            if self._table.notices.record_malformed(endpoint, "pause"):
                 log_event("pause_malformed", endpoint=endpoint.identity, reason=str(error))
             self._metrics.notices.labels("malformed").inc()
             return
--- a/magnoliarouter/gateway/notices.py
+++ b/magnoliarouter/gateway/notices.py
@@ -60,14 +60,14 @@
         Start of the endpoint that asked for the pause.
     paused_until : float
         Loop time of the end of the pause.
-    malformed : bool
-        Whether it asked for a pause with a malformed value.
+    malformed : set of str
+        Kinds of notices that it gave with a malformed value.
     """
 
     left_at_start: int | None = None
     paused_start: int = 0
     paused_until: float = float("-inf")
-    malformed: bool = False
+    malformed: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -101,10 +101,11 @@
         notice.paused_start, notice.paused_until = endpoint.started_ms, now + seconds
         return True
 
-    def record_malformed(self, endpoint: Endpoint) -> bool:
-        """Record a pause of a malformed value, and return whether it is the endpoint's first."""
-        notice = self._open(endpoint.identity)
-        first, notice.malformed = not notice.malformed, True
+    def record_malformed(self, endpoint: Endpoint, kind: str) -> bool:
+        """Record a malformed notice, and return whether it is the endpoint's first of its kind."""
+        malformed = self._open(endpoint.identity).malformed
+        first = kind not in malformed
+        malformed.add(kind)
         return first
 
     def is_leaving(self, endpoint: Endpoint) -> bool:
--- a/magnoliarouter/gateway/peers.py
+++ b/magnoliarouter/gateway/peers.py
@@ -185,14 +185,18 @@
         self._send()
 
     def close(self) -> None:
-        """Tell the other daemons that this one has stopped, and close the socket."""
+        """Stop sending and close the socket."""
         if self._timer is not None:
             self._timer.cancel()
         if self._transport is not None:
-            self._send_message(stopped=True)
             self._transport.close()
             self._transport = None
 
+    def announce_stop(self) -> None:
+        """Tell the other daemons that this one sends no more requests."""
+        if self._transport is not None:
+            self._send_message(stopped=True)
+
     def set_peers(self, addresses: dict[str, tuple[str, int]]) -> None:
         """Set the addresses of the registered daemons, by name."""
         self._addresses = {
--- a/magnoliarouter/tests/test_quarantine.py
+++ b/magnoliarouter/tests/test_quarantine.py
@@ -101,12 +101,16 @@
         finder, witness = await self.start("front-1"), await self.start("front-2")
         for daemon in (finder, witness):
             await self.wait_ready(daemon)
-        cause = frozenset(["f", "request:1"])
+        cause, other = frozenset(["f", "request:1"]), frozenset(["f", "request:2"])
         witness._crash_watch._own_answered.record(["request:1"], asyncio.get_running_loop().time())
         finder.quarantine.add(cause)
         finder._quarantine_records.write_cause(cause)
         await wait_until(lambda: not list(finder.quarantine) and not self.list_records(), 3.0)
         self.assertEqual(list(witness.quarantine), [])
+        witness._crash_watch._own_answered.record(["f"], asyncio.get_running_loop().time())
+        finder.quarantine.add(other)
+        finder._quarantine_records.write_cause(other)
+        await wait_until(lambda: list(witness.quarantine) == [other], 3.0)
 
     async def test_records_for_other_software_are_released_together(self):
         daemon = await self.start()
