--- a/magnoliarouter/core/crashes.py
+++ b/magnoliarouter/core/crashes.py
@@ -36,6 +36,10 @@
 # loses its power.
 MIN_CRASHES_AT_ONCE = 3
 SAME_MOMENT_S = 0.1
+# A request at as many crashes is held back for this time after the last of them, in which answers
+# to others show whether it is the cause.
+MIN_CRASHES_COOLDOWN = 3
+COOLDOWN_S = 2.0
 # An answer written this long before a crash shows that its parts did not cause it. Parts may begin
 # to crash endpoints that have new software.
 ANSWERED_S = 60.0
@@ -178,6 +182,7 @@
     _answered: RecentParts = field(default_factory=RecentParts)
     _samples: dict[str, PromptSample] = field(default_factory=dict)
     _answer_counts: Counter[str] = field(default_factory=Counter)
+    _cooling_until: dict[str, float] = field(default_factory=dict)
     _crashes: OrderedDict[_Start, _Crash] = field(default_factory=OrderedDict)
     _moment: int = 0
     _moment_began_at: float = float("-inf")
@@ -194,6 +199,8 @@
             began, waiting = crash.began | report.began, crash.waiting | report.waiting
             is_new = (began, waiting) != (crash.began, crash.waiting)
             crash.began, crash.waiting = began, waiting
+            if is_new:
+                self._start_cooldown(report, now)
             return is_new
         if now - self._moment_began_at > SAME_MOMENT_S:
             self._moment += 1
@@ -208,8 +215,24 @@
         )
         while len(self._crashes) > MAX_CRASHES:
             self._crashes.popitem(last=False)
+        self._start_cooldown(report, now)
         return True
 
+    def _start_cooldown(self, report: CrashReport, now: float) -> None:
+        self._cooling_until = {
+            part: until for part, until in self._cooling_until.items() if until > now
+        }
+        for part in filter(names_request, frozenset().union(*report.began, *report.waiting)):
+            if self.count_crashes(part) >= MIN_CRASHES_COOLDOWN:
+                self._cooling_until[part] = now + COOLDOWN_S
+
+    def find_cooldown(self, fingerprint: str, now: float) -> float:
+        """Return the seconds for which a request is held back because it was at crashes."""
+        until = self._cooling_until.get(fingerprint, now)
+        if until <= now or self._answered.was_seen(fingerprint, now - ANSWERED_S):
+            return 0.0
+        return until - now
+
     def record_prompt(self, parts: Iterable[str], service: str = "") -> None:
         """Record the parts of a prompt that a caller sent to a service."""
         self._samples.setdefault(service, PromptSample()).record(parts)
--- a/magnoliarouter/gateway/crashwatch.py
+++ b/magnoliarouter/gateway/crashwatch.py
@@ -142,7 +142,11 @@
             return NotRun(ResultCode.CONFIGURATION_MISSING, reason)
         cause = self.quarantine.find(parts)
         if cause is None:
-            return None
+            wait_s = self._ledger.find_cooldown(call.fingerprint, self._clock())
+            if not wait_s:
+                return None
+            reason = "this request was at endpoints that crashed"
+            return NotRun(ResultCode.REQUEST_QUARANTINED, reason, wait_s)
         if any(map(names_request, cause)):
             reason = "this request crashes endpoints"
             return NotRun(ResultCode.REQUEST_QUARANTINED, reason, QUARANTINE_RETRY_AFTER_S)
--- a/magnoliarouter/tests/test_crashwatch.py
+++ b/magnoliarouter/tests/test_crashwatch.py
@@ -4,7 +4,7 @@
 import random
 import unittest
 
-from magnoliarouter.core.crashes import CrashLedger
+from magnoliarouter.core.crashes import COOLDOWN_S, CrashLedger
 from magnoliarouter.core.outcome import ResultCode
 from magnoliarouter.gateway.attempt import ANSWERED_EVENTS, CallProgress, FailedAttempt
 from magnoliarouter.gateway.crashwatch import (
@@ -171,6 +171,37 @@
 
         self.play(scene)
 
+    def test_request_of_three_crashes_is_held_back_until_others_are_answered(self):
+        async def scene():
+            self.watch._ledger = CrashLedger()
+            call = build_gateway_call(build_route(), fingerprint="request:1")
+            for number in range(3):
+                self.assertIsNone(self.watch.find_refusal(call))
+                await self.examine_request("request:1", number, others=1)
+            self.assertEqual(self.watch.find_refusal(call).code, ResultCode.REQUEST_QUARANTINED)
+            await asyncio.sleep(COOLDOWN_S)
+            self.assertIsNone(self.watch.find_refusal(call))
+            await self.examine_request("request:1", 3, others=1)
+            for number in range(20):
+                self.watch.record_answer(
+                    build_gateway_call(build_route(), fingerprint=f"request:a{number}")
+                )
+            await asyncio.sleep(COOLDOWN_S + 0.01)
+            self.assertEqual(self.found, [frozenset(["request:1"])])
+
+        self.play(scene)
+
+    def test_answer_ends_holding_a_request_back(self):
+        async def scene():
+            self.watch._ledger = CrashLedger()
+            call = build_gateway_call(build_route(), fingerprint="request:1")
+            for number in range(3):
+                await self.examine_request("request:1", number, others=1)
+            self.watch.record_answer(call)
+            self.assertIsNone(self.watch.find_refusal(call))
+
+        self.play(scene)
+
     def test_request_of_two_crashes_is_refused_until_the_endpoints_have_other_software(self):
         async def scene():
             call = build_gateway_call(build_route(), fingerprint="request:1")
