Give requests that are held back after crashes a code of their own

The soak took them for requests that were refused as a cause: a poll that was at three crashes, before anything was answered, waits 2 s as well.

--- a/magnoliarouter/core/codes.py
+++ b/magnoliarouter/core/codes.py
@@ -137,6 +137,11 @@
     ResultCode.REQUEST_QUARANTINED: CodeDescription(
         503, "Endpoints crash on this request.", "Change the request, or tell the operator."
     ),
+    ResultCode.REQUEST_HELD_BACK: CodeDescription(
+        503,
+        "The request was at endpoints that crashed; others are sent first.",
+        _RETRY_LATER,
+    ),
     ResultCode.PLATFORM_UNAVAILABLE: CodeDescription(
         503, "The platform is needed for this call and does not answer.", _RETRY_LATER
     ),
--- a/magnoliarouter/gateway/crashwatch.py
+++ b/magnoliarouter/gateway/crashwatch.py
@@ -146,7 +146,7 @@
             if not wait_s:
                 return None
             reason = "this request was at endpoints that crashed"
-            return NotRun(ResultCode.REQUEST_QUARANTINED, reason, wait_s)
+            return NotRun(ResultCode.REQUEST_HELD_BACK, reason, wait_s)
         if any(map(names_request, cause)):
             reason = "this request crashes endpoints"
             return NotRun(ResultCode.REQUEST_QUARANTINED, reason, QUARANTINE_RETRY_AFTER_S)
