Look for a late hold after each abandoned switch

Cause: a first copy of a hold, which had got no response, arrived after go; the held group's ranks stay armed and refuse to prepare, and the map leader plans the next switch from the counts of before, over and over, without reading the report that would show the hold. The new test made no step before, and passes now.

--- a/magnoliarouter/gateway/mapduty.py
+++ b/magnoliarouter/gateway/mapduty.py
@@ -188,6 +188,8 @@
                 )
                 if self.fencing_number() == lease:
                     await asyncio.sleep(READ_INTERVAL_S)
+                    # A group that is held refuses every switch, and the counts stay as they are.
+                    await group.read_step()
             finally:
                 self._switching.discard(switch)
 
--- a/magnoliarouter/tests/test_groups.py
+++ b/magnoliarouter/tests/test_groups.py
@@ -9,7 +9,7 @@
 from magnoliarouter.gateway.groups import GroupMapSwitcher
 from magnoliarouter.gateway.mapduty import MapDuty
 from magnoliarouter.gateway.mapplan import RELAXED_BALANCE, NoChange, iterate_plan
-from magnoliarouter.gateway.ranks import Arm, Hold, OrderResult, Prepare
+from magnoliarouter.gateway.ranks import Arm, Go, Hold, OrderResult, Prepare
 from magnoliarouter.gateway.routes import ExpertProfile
 from magnoliarouter.tests.clock import run_auto_advance
 from magnoliarouter.tests.rank_model import (
@@ -202,6 +202,39 @@
 
         self.assertGreater(run_auto_advance(main()), 10)
 
+    def test_hold_that_is_executed_late_after_its_switch_is_released_while_maps_are_planned(self):
+        """The group stays armed and held, so that every rank refuses to prepare the next map."""
+
+        async def main():
+            model = GroupModel()
+            send, held_again = model.send, asyncio.Event()
+
+            async def send_and_hold_again(address, order, *rest):
+                result = await send(address, order, *rest)
+                if isinstance(order, Go) and len(model.sent) > 20 and not held_again.is_set():
+                    held_again.set()
+                    model.ranks[int(address)].held = order.step
+                    # Another expert is popular, and the counts of before show it.
+                    model.popularity = [[10] * 7 + [1000]] * 2
+                    model.counts = [
+                        count + 5000 * (at % 8 == 7) for at, count in enumerate(model.counts)
+                    ]
+                return result
+
+            model.send = send_and_hold_again
+            step_task = asyncio.get_running_loop().create_task(model.run())
+            _, task = start_map_duty(model, FakeMapLease())
+            await asyncio.sleep(3.0)
+            model.popularity = [[10, 1000] + [10] * 6] * 2
+            await held_again.wait()
+            await asyncio.sleep(3.0)
+            before = model.step
+            await asyncio.sleep(1.0)
+            await cancel_tasks(task, step_task)
+            return model.step - before
+
+        self.assertGreater(run_auto_advance(main()), 10)
+
     def test_next_map_leader_releases_the_holds_of_an_unfinished_switch(self):
         """The map leader fails after each order of a switch in turn; the next leader ends the hold."""
 
