--- a/magnoliarouter/core/crashes.py
+++ b/magnoliarouter/core/crashes.py
@@ -314,6 +314,7 @@
             answers = self._answer_counts[crash.service] * self.count_daemons()
             share = 1 / (answers + 2)
         else:
+            # Daemons of an earlier version do not name the service of a crash.
             sample = self._samples.get(crash.service) or max(
                 self._samples.values(), key=len, default=PromptSample()
             )
--- a/magnoliarouter/gateway/call.py
+++ b/magnoliarouter/gateway/call.py
@@ -185,7 +185,12 @@
     unfinished_bytes: int = 0
 
     def list_parts(self) -> tuple[str, ...]:
-        """Return the parts of the prompt that other requests may share, and the fingerprint."""
+        """Return the parts of the prompt and the fingerprint."""
+        parts = self.headers.prompt_parts
+        return (*parts, self.fingerprint) if self.fingerprint else parts
+
+    def list_suspects(self) -> tuple[str, ...]:
+        """Return the parts that may crash endpoints: all but the prompt's own last one."""
         parts = self.headers.prompt_parts[:-1]
         return (*parts, self.fingerprint) if self.fingerprint else parts
 
--- a/magnoliarouter/gateway/crashwatch.py
+++ b/magnoliarouter/gateway/crashwatch.py
@@ -136,7 +136,7 @@
 
     def find_refusal(self, call: GatewayCall) -> NotRun | None:
         """Return why a call may not be sent because it may crash its endpoint, or None."""
-        parts = _list_all_parts(call)
+        parts = call.list_parts()
         if parts and not self.quarantine.is_loaded():
             reason = "this daemon does not know yet which requests crash endpoints"
             return NotRun(ResultCode.CONFIGURATION_MISSING, reason)
@@ -160,7 +160,7 @@
 
     def record_answer(self, call: GatewayCall) -> None:
         """Record that an endpoint wrote an answer on a call."""
-        parts, now = _list_all_parts(call), self._clock()
+        parts, now = call.list_parts(), self._clock()
         self._ledger.count_answer(call.service)
         self._own_answered.record(parts, now)
         self._ledger.record_answered(parts, now)
@@ -215,7 +215,7 @@
         now = self._clock()
         if not failed.broken_off or progress.splitter.received >= ANSWERED_EVENTS:
             return False
-        suspects = self._ledger.list_unproven(call.list_parts(), now)
+        suspects = self._ledger.list_unproven(call.list_suspects(), now)
         # A response that is no stream comes at once, after any time.
         is_cut = call.route.kind is RouteKind.STREAM and now - progress.received_at > MAX_SILENCE_S
         if not suspects or is_cut:
@@ -369,11 +369,5 @@
     return MAX_REPLY_DELAY_S / REPLY_DELAY_EXPONENT * math.log1p(scale)
 
 
-def _list_all_parts(call: GatewayCall) -> tuple[str, ...]:
-    """Return the parts of a call's prompt, the last one included, and its fingerprint."""
-    parts = call.headers.prompt_parts
-    return (*parts, call.fingerprint) if call.fingerprint else parts
-
-
 def _name(call: GatewayCall) -> str:
     return call.headers.request_id.decode("latin-1")
--- a/magnoliarouter/tests/test_ratelimits.py
+++ b/magnoliarouter/tests/test_ratelimits.py
@@ -206,6 +206,8 @@
         self.named = str(rate).encode()
         self.cut_at, self.is_cut, self.cut_since = count, False, float("inf")
         self.messages = 0
+        # Loop time from which the rule binds, and seconds played since.
+        self.since = self.seconds = 0.0
         self.daemons = []
         self.daemons += [FleetDaemon(self, f"d{number}") for number in range(count)]
 
