Hold no request back for crashes of before a daemon's start

The trace shows a daemon that restarts, reads the records of crashes and takes them for new: a request that is most of the traffic was held back for 2 s at that daemon. The new test fails before the change.

--- a/magnoliarouter/core/crashes.py
+++ b/magnoliarouter/core/crashes.py
@@ -191,15 +191,25 @@
         """Return the number of crashes."""
         return len(self._crashes)
 
-    def record(self, report: CrashReport, now: float) -> bool:
-        """Record what one daemon saw of a crash, and return whether it adds anything."""
+    def record(self, report: CrashReport, now: float, is_recent: bool = True) -> bool:
+        """Record what one daemon saw of a crash, and return whether it adds anything.
+
+        Parameters
+        ----------
+        report : CrashReport
+            What it saw.
+        now : float
+            Loop time in seconds.
+        is_recent : bool
+            Whether the crash has just happened.
+        """
         key = (report.endpoint, report.started_ms)
         crash = self._crashes.get(key)
         if crash is not None:
             began, waiting = crash.began | report.began, crash.waiting | report.waiting
             is_new = (began, waiting) != (crash.began, crash.waiting)
             crash.began, crash.waiting = began, waiting
-            if is_new:
+            if is_new and is_recent:
                 self._start_cooldown(report, now)
             return is_new
         if now - self._moment_began_at > SAME_MOMENT_S:
@@ -215,7 +225,8 @@
         )
         while len(self._crashes) > MAX_CRASHES:
             self._crashes.popitem(last=False)
-        self._start_cooldown(report, now)
+        if is_recent:
+            self._start_cooldown(report, now)
         return True
 
     def _start_cooldown(self, report: CrashReport, now: float) -> None:
--- a/magnoliarouter/daemon/quarantine.py
+++ b/magnoliarouter/daemon/quarantine.py
@@ -157,7 +157,8 @@
                 if self._watch.quarantine.add(parts, software):
                     log_event("prompt_quarantine_read", parts=sorted(parts))
             case CrashReport():
-                self._watch.apply_report(value)
+                # Of a record that a daemon reads as it starts, the time is not known.
+                self._watch.apply_report(value, is_recent=self.is_loaded())
                 delay_s = CRASH_EXPIRY_S * random.uniform(1.0, EXPIRY_SPREAD)
                 loop = asyncio.get_running_loop()
                 self._expiry_timers[name] = loop.call_later(delay_s, self._put, name, None)
--- a/magnoliarouter/gateway/crashwatch.py
+++ b/magnoliarouter/gateway/crashwatch.py
@@ -275,9 +275,17 @@
             loop = asyncio.get_running_loop()
             loop.call_later(_draw_reply_delay(), self._send_answered, sorted(answered))
 
-    def apply_report(self, report: CrashReport) -> bool:
-        """Apply what a daemon saw of a crash, and return whether it adds anything."""
-        is_new = self._ledger.record(report, self._clock())
+    def apply_report(self, report: CrashReport, is_recent: bool = True) -> bool:
+        """Apply what a daemon saw of a crash, and return whether it adds anything.
+
+        Parameters
+        ----------
+        report : CrashReport
+            What it saw.
+        is_recent : bool
+            Whether the crash has just happened.
+        """
+        is_new = self._ledger.record(report, self._clock(), is_recent)
         if is_new:
             self._reported_at = self._clock()
             self._schedule_decision()
--- a/magnoliarouter/tests/test_quarantine.py
+++ b/magnoliarouter/tests/test_quarantine.py
@@ -5,6 +5,7 @@
 
 from magnoliarouter.core.outcome import ResultCode
 from magnoliarouter.daemon.quarantine import QUARANTINE_KIND, decode_record
+from magnoliarouter.gateway.call import fingerprint_request
 from magnoliarouter.gateway.quarantine import Quarantine
 from magnoliarouter.gateway.routes import RouteKind
 from magnoliarouter.tests.builders import build_crash_report
@@ -112,6 +113,15 @@
         finder._quarantine_records.write_cause(other)
         await wait_until(lambda: list(witness.quarantine) == [other], 3.0)
 
+    async def test_crashes_of_before_the_start_hold_no_request_back(self):
+        fingerprint = fingerprint_request(b"GET", b"/a/x", "key-1", b"")
+        for number in range(4):
+            crash = {**CRASH, "endpoint": f"e{number}", "began": [], "waiting": [[fingerprint]]}
+            await self.store.put(QUARANTINE_KIND, f"crash-{number}", crash)
+        daemon = await self.start()
+        await self.wait_ready(daemon)
+        self.assertEqual((await self.send_prompt(daemon, b"a:1"))[0], 200)
+
     async def test_records_for_other_software_are_released_together(self):
         daemon = await self.start()
         await self.wait_ready(daemon)
