--- a/magnoliarouter/core/crashes.py
+++ b/magnoliarouter/core/crashes.py
@@ -262,16 +262,21 @@
             part for part in parts if not self._answered.was_seen(part, now - ANSWERED_S)
         )
 
-    def find_causes(self, now: float) -> list[frozenset[str]]:
+    def find_causes(self, now: float, settle_s: float = 0.0) -> list[frozenset[str]]:
         """Return the parts that explain at least `MIN_CRASHES` crashes, the most crashes first.
 
+        Crashes within the last `settle_s` seconds do not count yet.
+
         Parts that always came together are one cause: it takes all of them to name a prompt. A
         crash that a cause explains does not count for another. Where different parts explain the
         same crashes equally well, none of them is returned until a further crash decides.
         """
         self._expire(now)
         explained: dict[str, set[_Start]] = {}
-        for start, crash in self._crashes.items():
+        settled = {
+            start: crash for start, crash in self._crashes.items() if now - crash.at >= settle_s
+        }
+        for start, crash in settled.items():
             for part in self.list_unproven(frozenset().union(*crash.list_prompts()), crash.at):
                 explained.setdefault(part, set()).add(start)
         causes = []
--- a/magnoliarouter/gateway/crashwatch.py
+++ b/magnoliarouter/gateway/crashwatch.py
@@ -289,6 +289,7 @@
         if is_new:
             self._reported_at = self._clock()
             self._schedule_decision()
+            asyncio.get_running_loop().call_later(SETTLE_S, self._find_causes)
         return is_new
 
     def collect_update(self) -> CrashUpdate | None:
@@ -347,7 +348,11 @@
         self._timer = None
         if self._clock() - self._reported_at < RECONSIDER_S:
             self._schedule_decision()
-        causes = self._ledger.find_causes(self._clock())
+        self._find_causes()
+
+    def _find_causes(self) -> None:
+        # Timers may fire slightly early.
+        causes = self._ledger.find_causes(self._clock(), 0.9 * SETTLE_S)
         if not causes and len(self._ledger) != self._undecided:
             self._undecided = len(self._ledger)
             log_event("crash_cause_unknown", crashes=self._undecided)
--- a/magnoliarouter/tests/test_crashwatch.py
+++ b/magnoliarouter/tests/test_crashwatch.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+from dataclasses import replace
 
 from magnoliarouter.core.crashes import COOLDOWN_S, CrashLedger
 from magnoliarouter.core.outcome import ResultCode
@@ -297,6 +298,22 @@
 
         self.play(scene)
 
+    def test_crash_counts_only_after_the_time_for_replies(self):
+        async def scene():
+            first, second = (
+                replace(build_crash_report(name, (), [["request:1"]]), service="app")
+                for name in ("e1", "e2")
+            )
+            self.watch.apply_update("p", CrashUpdate([first], []))
+            await asyncio.sleep(0.9 * SETTLE_S)
+            self.watch.apply_update("p", CrashUpdate([second], []))
+            await asyncio.sleep(0.5 * SETTLE_S)
+            self.watch.apply_update("q", CrashUpdate([], ["request:1"]))
+            await asyncio.sleep(2 * SETTLE_S)
+            self.assertEqual(self.found, [])
+
+        self.play(scene)
+
     def test_daemon_answers_reports_with_the_parts_that_it_saw_answers_on(self):
         async def scene():
             self.watch.record_answer(build_prompt_call("ab"))
