--- a/magnoliarouter/core/crashes.py
+++ b/magnoliarouter/core/crashes.py
@@ -155,6 +155,10 @@
         """Return the suspected prompts."""
         return self.began or self.waiting
 
+    def holds(self, cause: frozenset[str]) -> bool:
+        """Return whether a suspected prompt holds all parts of a cause."""
+        return any(cause <= prompt for prompt in self.list_prompts())
+
 
 @dataclass(slots=True)
 class CrashLedger:
@@ -346,22 +350,18 @@
         software = frozenset(
             (crash.service, crash.software)
             for crash in self._crashes.values()
-            if any(cause <= prompt for prompt in crash.list_prompts())
+            if crash.holds(cause)
         )
         return software if all(version for _, version in software) else frozenset()
 
     def list_endpoints(self, cause: frozenset[str]) -> list[str]:
         """Return the endpoints that crashed on a prompt with all parts of a cause."""
-        return [
-            endpoint
-            for (endpoint, _), crash in self._crashes.items()
-            if any(cause <= prompt for prompt in crash.list_prompts())
-        ]
+        return [endpoint for (endpoint, _), crash in self._crashes.items() if crash.holds(cause)]
 
     def forget(self, cause: frozenset[str]) -> None:
         """Remove the crashes that a cause explains, after an answer has been written on it."""
         for key, crash in list(self._crashes.items()):
-            if any(cause <= prompt for prompt in crash.list_prompts()):
+            if crash.holds(cause):
                 del self._crashes[key]
 
     def _expire(self, now: float) -> None:
