--- a/magnoliarouter/gateway/call.py
+++ b/magnoliarouter/gateway/call.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from magnoliarouter.core.crashes import REQUEST_PREFIX
+from magnoliarouter.core.work import CallWork
 
 if TYPE_CHECKING:
     from magnoliarouter.core.framing import Framing
@@ -184,6 +185,15 @@
     events: int = 0
     unfinished_bytes: int = 0
 
+    def estimate_work(self) -> CallWork:
+        """Return the work that the call brings to its endpoint.
+
+        The caller's estimate of the generated tokens counts up to the maximum that it asked for.
+        """
+        headers = self.headers
+        output = min(headers.expected_tokens or headers.output_tokens, headers.output_tokens)
+        return CallWork(headers.prompt_tokens, output)
+
     def list_parts(self) -> tuple[str, ...]:
         """Return the parts of the prompt and the fingerprint."""
         parts = self.headers.prompt_parts
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -8,6 +8,7 @@
 
 from magnoliarouter.core.outliers import EjectionPolicy, OutlierDetector
 from magnoliarouter.core.sharedrate import NO_LIMIT
+from magnoliarouter.core.work import NO_WORK, CallWork
 from magnoliarouter.gateway.notices import EndpointNotices
 from magnoliarouter.gateway.ratelimits import EndpointRates
 
@@ -123,16 +124,16 @@
         """Return all endpoints."""
         return self._endpoints.values()
 
-    def start_request(self, identity: str) -> None:
+    def start_request(self, identity: str, work: CallWork = NO_WORK) -> None:
         """Count a request sent to an endpoint."""
         self.own_requests[identity] = self.own_requests.get(identity, 0) + 1
 
-    def cancel_request(self, endpoint: Endpoint, now: float) -> None:
+    def cancel_request(self, endpoint: Endpoint, now: float, work: CallWork = NO_WORK) -> None:
         """Stop counting a request that was placed and not sent."""
-        self.finish_request(endpoint.identity)
+        self.finish_request(endpoint.identity, work)
         self.rates.record_request(endpoint, now, -1)
 
-    def finish_request(self, identity: str) -> None:
+    def finish_request(self, identity: str, work: CallWork = NO_WORK) -> None:
         """Stop counting a request that has ended."""
         left = self.own_requests.get(identity, 0) - 1
         if left > 0:
@@ -170,7 +171,9 @@
         )
         return self.own_requests.get(identity, 0) + others
 
-    def choose(self, service: str, tried: set[str], now: float) -> Endpoint | None:
+    def choose(
+        self, service: str, tried: set[str], now: float, work: CallWork = NO_WORK
+    ) -> Endpoint | None:
         """Return the endpoint for the next request, or None if none has free capacity."""
         candidates = self._list_usable(service, tried, now)
         best, best_score = None, float("inf")
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -156,6 +156,7 @@
         self._budget.record_request(call.service, self._clock())
         self._crashes.record_prompt(call)
         progress = CallProgress(splitter=FrameSplitter(call.headers.resume_after))
+        work = call.estimate_work()
         while True:
             refusal = self._check(call, exchange, progress, recheck)
             if refusal is not None:
@@ -169,6 +170,9 @@
                 call.admitted_at + ON_TIME_START_SHARE * call.route.target_latency_s,
                 waits_for_pauses=exchange.started,
                 may_wait=lambda: self._crashes.find_refusal(call) is None,
+                work=work,
+                customer=call.tenant or "",
+                fingerprint=call.fingerprint,
             )
             if endpoint is None:
                 refusal = self._crashes.find_refusal(call) or self._refuse_unplaced(
@@ -184,9 +188,9 @@
                     result = await self._attempts.run(call, exchange, endpoint, progress)
             finally:
                 if progress.sends > sends:
-                    self._table.finish_request(endpoint.identity)
+                    self._table.finish_request(endpoint.identity, work)
                 else:
-                    self._table.cancel_request(endpoint, self._clock())
+                    self._table.cancel_request(endpoint, self._clock(), work)
                 self._waiting.wake()
                 self._on_load_change()
             if refusal is not None:
--- a/magnoliarouter/gateway/waiting.py
+++ b/magnoliarouter/gateway/waiting.py
@@ -13,6 +13,8 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
+from magnoliarouter.core.work import NO_WORK, CallWork
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -41,6 +43,7 @@
     tried: set[str]
     waits_for_pauses: bool
     may_wait: Callable[[], bool]
+    work: CallWork
     slot: asyncio.Future[Endpoint | None]
 
     def sort_key(self, now: float) -> tuple[int, bool, int]:
@@ -104,6 +107,9 @@
         on_time_until: float = float("inf"),
         waits_for_pauses: bool = False,
         may_wait: Callable[[], bool] = lambda: True,
+        work: CallWork = NO_WORK,
+        customer: str = "",
+        fingerprint: str = "",
     ) -> Endpoint | None:
         """Return an endpoint at which a slot was acquired, or None if none became free in time.
 
@@ -126,9 +132,15 @@
             Whether the call waits while every endpoint that could serve it pauses or is at its rate.
         may_wait : callable
             Returns whether the call may still be sent.
+        work : CallWork
+            Work that the call brings to its endpoint.
+        customer : str
+            Customer that sent the call; empty if unknown.
+        fingerprint : str
+            Names the call as the same when its caller sends it again; empty if unknown.
         """
         if not self._queues.get(service):
-            endpoint = self._choose(service, tried)
+            endpoint = self._choose(service, tried, work)
             if endpoint is not None:
                 return endpoint
         if wait_s <= 0 or self.length(service) >= MAX_QUEUED_CALLS:
@@ -142,7 +154,14 @@
             return None
         slot = asyncio.get_running_loop().create_future()
         waiter = _Waiter(
-            urgency, next(self._numbers), on_time_until, tried, waits_for_pauses, may_wait, slot
+            urgency,
+            next(self._numbers),
+            on_time_until,
+            tried,
+            waits_for_pauses,
+            may_wait,
+            work,
+            slot,
         )
         self._queues.setdefault(service, []).append(waiter)
         self._start_timer()
@@ -156,7 +175,7 @@
         except asyncio.CancelledError:
             endpoint = None if slot.cancelled() else slot.result()
             if endpoint is not None:
-                self._table.cancel_request(endpoint, self._clock())
+                self._table.cancel_request(endpoint, self._clock(), work)
             raise
         finally:
             if waiter in self._queues[service]:
@@ -182,7 +201,7 @@
             self._reject(queue, hopeless)
             while queue:
                 waiter = min(queue, key=lambda one: one.sort_key(self._clock()))
-                endpoint = self._choose(service, waiter.tried)
+                endpoint = self._choose(service, waiter.tried, waiter.work)
                 if endpoint is None:
                     break
                 queue.remove(waiter)
@@ -190,7 +209,7 @@
                     waiter.slot.set_result(endpoint)
                     found = True
                     break
-                self._table.cancel_request(endpoint, self._clock())
+                self._table.cancel_request(endpoint, self._clock(), waiter.work)
         return found
 
     def _finds_only_pauses(self, service: str, tried: set[str]) -> bool:
@@ -215,11 +234,11 @@
         if self._assign_slots():
             self.schedule_wake()
 
-    def _choose(self, service: str, tried: set[str]) -> Endpoint | None:
+    def _choose(self, service: str, tried: set[str], work: CallWork) -> Endpoint | None:
         now = self._clock()
-        endpoint = self._table.choose(service, tried, now)
+        endpoint = self._table.choose(service, tried, now, work)
         if endpoint is not None:
-            self._table.start_request(endpoint.identity)
+            self._table.start_request(endpoint.identity, work)
             self._table.rates.record_request(endpoint, now)
         return endpoint
 
