Let the feeds of a daemon take turns at an unavailable store

The feeds of a daemon share one back-off now: one of them calls at a time, and all go on when a call succeeds.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -41,6 +41,7 @@
 from magnoliarouter.store.backoff import Backoff, CallBudget
 from magnoliarouter.store.client import PlatformClient
 from magnoliarouter.store.feed import ObjectFeed
+from magnoliarouter.store.recovery import SharedRecovery
 from magnoliarouter.store.transport import UpstreamTransport
 from magnoliarouter.telemetry.logs import log_event
 from magnoliarouter.telemetry.metrics import Metrics
@@ -298,6 +299,7 @@
     def _open_feeds(self) -> None:
         interface, bounds = self.interface, self.settings.bounds
         batch_s = CHANGE_BATCH_SHARE * min(bounds.drain_s, bounds.configuration_s)
+        recovery = SharedRecovery(_create_backoff())
         self.configuration_feed = ObjectFeed(
             self._store,
             interface.configuration_kind,
@@ -308,6 +310,7 @@
             self._confirm_configuration,
             lambda reason: _log_feed(interface.configuration_kind, reason),
             batch_interval_s=batch_s,
+            recovery=recovery,
         )
         self.endpoint_feed = ObjectFeed(
             self._store,
@@ -318,6 +321,7 @@
             ENDPOINTS_WAIT_S,
             on_availability=lambda reason: _log_feed(interface.endpoint_kind, reason),
             batch_interval_s=batch_s,
+            recovery=recovery,
         )
         records = self._quarantine_records
         records.feed = ObjectFeed(
@@ -329,6 +333,7 @@
             ENDPOINTS_WAIT_S,
             on_availability=lambda reason: _log_feed(QUARANTINE_KIND, reason),
             batch_interval_s=QUARANTINE_BATCH_S,
+            recovery=recovery,
         )
         self._confirmations = Confirmations(
             {
--- a/magnoliarouter/store/feed.py
+++ b/magnoliarouter/store/feed.py
@@ -13,6 +13,7 @@
     from collections.abc import Callable
 
     from magnoliarouter.store.client import PlatformClient
+    from magnoliarouter.store.recovery import SharedRecovery
 
 __all__ = ["ObjectFeed"]
 
@@ -39,6 +40,9 @@
     batch_interval_s : float
         Seconds between a watch that returned changes and the next watch, so that changes in quick
         succession arrive in one batch.
+    recovery : SharedRecovery, optional
+        Turns that the feeds of one process take while the store is unavailable; by default each
+        waits by its own back-off.
 
     Attributes
     ----------
@@ -66,6 +70,7 @@
         on_served: Callable[[float], None] = lambda sent_at: None,
         on_availability: Callable[[str], None] = lambda reason: None,
         batch_interval_s: float = 0.0,
+        recovery: SharedRecovery | None = None,
         **options: Any,
     ) -> None:
         super().__init__(kind, decode, on_change, **options)
@@ -84,6 +89,7 @@
         self._on_served = on_served
         self._on_availability = on_availability
         self._batch_interval_s = batch_interval_s
+        self._recovery = recovery
         self._changed_at = float("-inf")
 
     async def run(self) -> None:
@@ -104,8 +110,10 @@
                 await asyncio.sleep(
                     max(0.0, self._changed_at + self._batch_interval_s - self._now())
                 )
-            else:
+            elif served or self._recovery is None:
                 await asyncio.sleep(self._backoff.next_wait())
+            else:
+                await self._recovery.wait()
 
     def is_waiting_longer(self, wait: float) -> bool:
         """Return whether the current watch may wait for longer than `wait` seconds."""
@@ -160,6 +168,8 @@
         if served:
             if self.failures:
                 self._on_availability("")
+                if self._recovery is not None:
+                    self._recovery.record_success()
             self.failures = 0
             self.served_at = self._now()
             self.record_contact(self.served_at)
