Send nothing to availability zones that the operator evacuates

The operator's evacuations in the store were not read, so that requests went on to zones that had to be empty.

Each daemon reads them with a feed, confirmed by two daemons for all like the configuration; deployments without the bound open no feed and make no call. An endpoint of an evacuated zone is treated as one that drains, up to the check right before a request is sent. A daemon that starts is ready once it knows the evacuations.

Tests: test_evacuations, 28 tests, in paused time or on the loopback; five changes that break the code each fail one or two of them. The 247 tests of the modules concerned pass.

--- a/magnoliarouter/cli/explain.py
+++ b/magnoliarouter/cli/explain.py
@@ -48,6 +48,8 @@
     "stopping",
     "broken_off_at_stop",
     "log_lines_dropped",
+    "zone_evacuated",
+    "zone_evacuation_ended",
 }
 
 
--- a/magnoliarouter/cli/status.py
+++ b/magnoliarouter/cli/status.py
@@ -87,6 +87,8 @@
     for kind, watch in value["store"].items():
         state = f"failing: {watch['reason']}" if watch["failures"] else "served"
         lines.append(f"store, {kind}: {state}, last {watch['served_s_ago']} s ago")
+    if evacuated := value.get("evacuated"):
+        lines.append(f"evacuated zones: {', '.join(evacuated)}")
     endpoints = [
         (
             name,
--- a/magnoliarouter/core/codes.py
+++ b/magnoliarouter/core/codes.py
@@ -108,6 +108,9 @@
     ResultCode.ENDPOINTS_LIMITED: CodeDescription(
         503, "Every endpoint of the service takes no more requests per second.", _RETRY_LATER
     ),
+    ResultCode.ENDPOINTS_EVACUATED: CodeDescription(
+        503, "Every endpoint of the service is in an evacuated availability zone.", _RETRY_LATER
+    ),
     ResultCode.ENDPOINT_REFUSED: CodeDescription(
         503, "The endpoint's guard did not start the request.", _RETRY_LATER
     ),
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -27,6 +27,7 @@
 )
 from magnoliarouter.gateway.crashwatch import CrashWatch
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
+from magnoliarouter.gateway.evacuations import EvacuationWatch
 from magnoliarouter.gateway.forward import GatewayForwarder
 from magnoliarouter.gateway.freshness import Freshness
 from magnoliarouter.gateway.groupwatch import GroupWatch
@@ -63,7 +64,7 @@
 
 # The store responds in 4 ms, and within 0.3 s on the slowest days observed.
 STORE_TIMEOUT_S = 0.8
-# Share of the drain bound during which feeds collect changes. Every batch of changes costs each daemon
+# Share of the shortest bound during which feeds collect changes. Every batch of changes costs each daemon
 # one billed store call, and many changes come together while endpoints start.
 CHANGE_BATCH_SHARE = 0.2
 # Crashes that many daemons record together, as of a rack, arrive in few batches.
@@ -111,6 +112,10 @@
         Kind of the objects with which endpoints register.
     decode_endpoint : callable
         Converts a name and a value to an `Endpoint`.
+    evacuation_kind : str
+        Kind of the operator's evacuations; the name of an object is that of the zone.
+    decode_evacuation : callable
+        Checks the value of an evacuation; raises `ValueError` if it is malformed.
     open_ranks : callable
         Returns a client for calls to ranks over a pool of connections. It calls the function given
         second with the address of an endpoint that says that it is leaving.
@@ -124,6 +129,8 @@
     decode_configuration: Callable[[Any], GatewayConfig]
     endpoint_kind: str
     decode_endpoint: Callable[[str, Any], Endpoint]
+    evacuation_kind: str
+    decode_evacuation: Callable[[Any], Any]
     open_ranks: Callable[[UpstreamPool, Callable[[str], None]], RankClient]
 
 
@@ -188,6 +195,7 @@
         self._zone_watch = ZoneWatch(
             settings.zone, self._pool.can_connect, self.table.list, self._apply_zone_change
         )
+        self.evacuations = EvacuationWatch(self.table, clock, self.metrics, self._queue.wake)
         self._gap_meter = EventGapMeter(clock, self._group_watch.find_group)
         self.table.is_unavailable, self.table.concurrency_limit = (
             self._is_unavailable,
@@ -209,7 +217,12 @@
         )
         self._paces = RankPaces(clock, forwarder.move_streams)
         self._handler = handler = GatewayHandler(
-            lambda: self.config, self.freshness, interface.headers, forwarder, clock, self.metrics
+            self._find_usable_config,
+            self.freshness,
+            interface.headers,
+            forwarder,
+            clock,
+            self.metrics,
         )
         self._open_feeds()
         self._start_map_control(incarnation)
@@ -222,7 +235,7 @@
         self.port = await self._server.start(*split_address(settings.listen))
 
     def apply_settings(self, settings: GatewaySettings) -> None:
-        """Apply changed bounds; changed addresses take effect at the next start."""
+        """Apply changed bounds; addresses, and whether zones are evacuated, are read at the start."""
         bounds = settings.bounds
         self.settings = msgspec.structs.replace(self.settings, bounds=bounds)
         self._retry_budget.ratio, self._retry_budget.slack = bounds.retry_ratio, bounds.retry_slack
@@ -297,7 +310,10 @@
 
     def _open_feeds(self) -> None:
         interface, bounds = self.interface, self.settings.bounds
-        batch_s = CHANGE_BATCH_SHARE * min(bounds.drain_s, bounds.configuration_s)
+        evacuation_s = bounds.evacuation_s
+        batch_s = CHANGE_BATCH_SHARE * min(
+            bounds.drain_s, bounds.configuration_s, evacuation_s or bounds.drain_s
+        )
         self.configuration_feed = ObjectFeed(
             self._store,
             interface.configuration_kind,
@@ -330,16 +346,15 @@
             on_availability=lambda reason: _log_feed(QUARANTINE_KIND, reason),
             batch_interval_s=QUARANTINE_BATCH_S,
         )
-        self._confirmations = Confirmations(
-            {
-                self.configuration_feed: CONFIRMING_WAIT_S,
-                self.endpoint_feed: ENDPOINTS_WAIT_S,
-                records.feed: ENDPOINTS_WAIT_S,
-            },
-            self.peers,
-            self._loop.time,
-            batch_s,
-        )
+        confirming_waits = {
+            self.configuration_feed: CONFIRMING_WAIT_S,
+            self.endpoint_feed: ENDPOINTS_WAIT_S,
+            records.feed: ENDPOINTS_WAIT_S,
+        }
+        if evacuation_s is not None:
+            self.evacuations.feed = self._open_evacuation_feed(batch_s)
+            confirming_waits[self.evacuations.feed] = ENDPOINTS_WAIT_S
+        self._confirmations = Confirmations(confirming_waits, self.peers, self._loop.time, batch_s)
         self.peers.read_confirmations = self._confirmations.collect
         self.peers.apply_confirmation = self._apply_confirmation
         self._registration = GatewayRegistration(
@@ -351,9 +366,7 @@
             _create_backoff(),
         )
         for run in (
-            self.configuration_feed.run,
-            self.endpoint_feed.run,
-            records.feed.run,
+            *(feed.run for feed in confirming_waits),
             records.run,
             self._confirmations.run,
             self._registration.run,
@@ -361,6 +374,20 @@
         ):
             self._tasks.append(self._loop.create_task(run()))
 
+    def _open_evacuation_feed(self, batch_s: float) -> ObjectFeed:
+        kind = self.interface.evacuation_kind
+        return ObjectFeed(
+            self._store,
+            kind,
+            self.interface.decode_evacuation,
+            self.evacuations.apply,
+            _create_backoff(),
+            ENDPOINTS_WAIT_S,
+            on_availability=lambda reason: _log_feed(kind, reason),
+            batch_interval_s=batch_s,
+            on_item=self.evacuations.record_item,
+        )
+
     async def _share_budget(self) -> None:
         """Divide the retry budget by the number of running daemons, until cancelled."""
         while True:
@@ -451,7 +478,8 @@
     def _find_load_limit(self, endpoint: Endpoint) -> int:
         recent_gap_s = self._gap_meter.mean_gap_at(endpoint.identity)
         limit = limit_requests(endpoint.slots, recent_gap_s, self._find_max_event_gap_s(endpoint))
-        return limit_by_pace(limit, self._paces.pace_of(endpoint.identity))
+        limit = limit_by_pace(limit, self._paces.pace_of(endpoint.identity))
+        return self.table.evacuations.limit_requests(limit, endpoint.zone, self._loop.time())
 
     def _apply_group_change(self) -> None:
         """Serve or refuse the waiting calls, and look for a newly formed group at once."""
@@ -484,6 +512,10 @@
         )
         self._queue.wake()
 
+    def _find_usable_config(self) -> GatewayConfig | None:
+        """Return the configuration, or None before the evacuations are known as well."""
+        return self.config if self.evacuations.is_loaded() else None
+
     def _confirm_configuration(self, sent_at: float) -> None:
         if self.config is not None:
             self.freshness.confirm(sent_at)
@@ -571,6 +603,7 @@
             and self.config is not None
             and self.endpoint_feed.synchronized.is_set()
             and self._quarantine_records.is_loaded()
+            and self.evacuations.is_loaded()
             and self.freshness.accepts_keys(now)
         )
 
--- a/magnoliarouter/daemon/gatewayview.py
+++ b/magnoliarouter/daemon/gatewayview.py
@@ -40,7 +40,8 @@
                 "served_s_ago": (None if feed.served_at is None else _round(now - feed.served_at)),
                 "refused": feed.errors,
             }
-            for feed in (daemon.configuration_feed, daemon.endpoint_feed)
+            for feed in (daemon.configuration_feed, daemon.endpoint_feed, daemon.evacuations.feed)
+            if feed is not None
         },
         "endpoints": {
             endpoint.identity: {
@@ -54,6 +55,7 @@
             }
             for endpoint in daemon.table.list()
         },
+        "evacuated": daemon.table.evacuations.list(),
         "quarantined": daemon.list_quarantined(),
         "daemons": daemon.peers.count_daemons(),
         "in_charge": daemon.map_election.fencing_number() is not None,
@@ -69,6 +71,8 @@
         return "draining"
     if daemon.table.notices.is_leaving(endpoint):
         return "leaving"
+    if daemon.table.evacuations.is_evacuated(endpoint.zone):
+        return "evacuated"
     if daemon.table.notices.paused_until(endpoint) > now:
         return "paused"
     if daemon.table.is_unavailable(endpoint):
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from magnoliarouter.core.evacuations import ZoneEvacuations
 from magnoliarouter.core.outliers import EjectionPolicy, OutlierDetector
 from magnoliarouter.core.sharedrate import NO_LIMIT
 from magnoliarouter.core.work import NO_WORK, CallWork
@@ -96,6 +97,7 @@
     )
     notices: EndpointNotices = field(default_factory=EndpointNotices)
     rates: EndpointRates = field(default_factory=EndpointRates)
+    evacuations: ZoneEvacuations = field(default_factory=ZoneEvacuations)
     own_requests: dict[str, int] = field(default_factory=dict)
     _endpoints: dict[str, Endpoint] = field(default_factory=dict)
     _services: dict[str, dict[str, Endpoint]] = field(default_factory=dict)
@@ -239,6 +241,8 @@
             return "the endpoint is gone"
         if current.draining or self.notices.is_leaving(endpoint):
             return "the endpoint is leaving"
+        if self.evacuations.is_evacuated(endpoint.zone):
+            return "the endpoint's zone is evacuated"
         if self.notices.paused_until(endpoint) > now:
             return "the endpoint asked for a pause"
         return None
@@ -253,11 +257,23 @@
         """Return whether any endpoint of a service accepts requests."""
         return any(self._list_accepting(service))
 
+    def has_only_evacuated(self, service: str) -> bool:
+        """Return whether a service has endpoints that stay, and all of them in evacuated zones."""
+        staying = list(self._list_staying(service))
+        return bool(staying) and all(
+            self.evacuations.is_evacuated(endpoint.zone) for endpoint in staying
+        )
+
     def has_available_endpoint(self, service: str) -> bool:
         """Return whether any endpoint of a service accepts requests and is available."""
         return any(not self.is_unavailable(endpoint) for endpoint in self._list_accepting(service))
 
     def _list_accepting(self, service: str) -> Iterator[Endpoint]:
+        for endpoint in self._list_staying(service):
+            if not self.evacuations.is_evacuated(endpoint.zone):
+                yield endpoint
+
+    def _list_staying(self, service: str) -> Iterator[Endpoint]:
         for endpoint in self._services.get(service, {}).values():
             if not endpoint.draining and not self.notices.is_leaving(endpoint):
                 yield endpoint
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -284,6 +284,10 @@
         if rate_wait_s > 0:
             reason = "every endpoint takes no more requests per second"
             return NotRun(ResultCode.ENDPOINTS_LIMITED, reason, self._spread_return(rate_wait_s))
+        if self._table.has_only_evacuated(service):
+            reason = "every endpoint is in an evacuated availability zone"
+            wait_s = self._table.estimate_recovery_s(service, now)
+            return NotRun(ResultCode.ENDPOINTS_EVACUATED, reason, self._spread_return(wait_s))
         if self._table.has_endpoints(service):
             return NotRun(ResultCode.QUEUE_FULL, "every endpoint is full", FULL_RETRY_AFTER_S)
         return NotRun(ResultCode.NO_ENDPOINT, "no endpoint serves this now", FULL_RETRY_AFTER_S)
--- a/magnoliarouter/gateway/settings.py
+++ b/magnoliarouter/gateway/settings.py
@@ -24,6 +24,9 @@
         Time until a new configuration is in force.
     revocation_s : float
         Time until every daemon rejects a revoked key.
+    evacuation_s : float, optional
+        Time from the evacuation of an availability zone until its endpoints receive no more
+        requests; null if the deployment has no evacuations. Whether it has any is read at the start.
     contact_s : float
         Time after which a disturbed daemon counts as in contact again.
     grace_s : float
@@ -39,6 +42,7 @@
     drain_s: Seconds = 2.0
     configuration_s: Seconds = 2.0
     revocation_s: Seconds = 5.0
+    evacuation_s: Seconds | None = None
     contact_s: Seconds = 3.0
     grace_s: Seconds = 8.0
     retry_ratio: Annotated[float, Meta(ge=0)] = 0.2
--- a/magnoliarouter/platform/main.py
+++ b/magnoliarouter/platform/main.py
@@ -15,6 +15,7 @@
     CONFIGURATION_NAME,
     decode_configuration,
 )
+from magnoliarouter.platform.evacuations import EVACUATION_KIND, decode_evacuation
 from magnoliarouter.platform.headers import PlatformHeaders
 from magnoliarouter.platform.objects import RevisionCodec
 from magnoliarouter.platform.ranks import PlatformRanks
@@ -36,6 +37,8 @@
     decode_configuration=decode_configuration,
     endpoint_kind=REGISTRY_KIND,
     decode_endpoint=decode_entry,
+    evacuation_kind=EVACUATION_KIND,
+    decode_evacuation=decode_evacuation,
     open_ranks=PlatformRanks,
 )
 
--- a/magnoliarouter/platform/settings.py
+++ b/magnoliarouter/platform/settings.py
@@ -34,6 +34,8 @@
     drain_ms: float = 2000
     config_ms: float = 2000
     revoke_ms: float = 5000
+    # Absent where the operator evacuates no zones.
+    evac_ms: float | None = None
     contact_ms: float = 3000
     grace_s: float = 8
     retry_budget_ratio: float = 0.2
@@ -109,6 +111,7 @@
             drain_s=bounds.drain_ms / 1000,
             configuration_s=bounds.config_ms / 1000,
             revocation_s=bounds.revoke_ms / 1000,
+            evacuation_s=None if bounds.evac_ms is None else bounds.evac_ms / 1000,
             contact_s=bounds.contact_ms / 1000,
             grace_s=bounds.grace_s,
             retry_ratio=bounds.retry_budget_ratio,
--- a/magnoliarouter/telemetry/metrics.py
+++ b/magnoliarouter/telemetry/metrics.py
@@ -51,6 +51,8 @@
         Log lines that were not written, by reason.
     in_flight : Gauge
         Requests in progress.
+    evacuated_zones : Gauge
+        Availability zones that the operator evacuates, as this daemon knows.
     """
 
     def __init__(self) -> None:
@@ -85,6 +87,7 @@
             "log_lines_dropped", "Log lines not written", "reason"
         )
         self.in_flight = self.add_gauge("in_flight", "Requests in progress")
+        self.evacuated_zones = self.add_gauge("evacuated_zones", "Zones that are evacuated")
         for code in ResultCode:
             self.refusals.labels(code.name.lower())
 
