Answer the requests that are under way when a daemon stops

Cause: the stop looked at handlers in progress alone. Closing the listening socket resets what the kernel has accepted and the loop has not, and what the loop accepted in the same iteration. A connection without a handler counted as idle, also if its first request was on its way, half read, or received by the kernel and not yet read. A response whose head was sent before the stop ended with a close that its head had not announced, and pipelined requests behind it were dropped.

Callers saw connections reset or closed without an answer, and responses cut off, around a planned stop under load.

Change: after the listening socket leaves the loop, the connections that wait at it are accepted, then it closes. Unused connections have 0.5 s for their first request, connections with unread input are left to be served. A close is announced in the last response only, and a kept connection whose response did not announce it stays until its next response or the end of listening. The wait for the end includes half-read requests and unsent bytes.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -257,7 +257,7 @@
         await self._server.wait_until_idle(idle_deadline - self._loop.time())
         if self._server.active_requests:
             log_event("broken_off_at_stop", requests=self._server.active_requests)
-            self._server.abort_all()
+        self._server.abort_all()
         await map_release
         for task in (*self._tasks, *self.maps.list_tasks()):
             task.cancel()
--- a/magnoliarouter/tests/test_ingress.py
+++ b/magnoliarouter/tests/test_ingress.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import unittest
 
 from magnoliarouter.core.outcome import ResultCode
@@ -13,7 +14,7 @@
 )
 
 
-class IngressTest(unittest.IsolatedAsyncioTestCase):
+class IngressCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.requests = []
         self.rejected = []
@@ -48,6 +49,8 @@
         await peer.send(data)
         return peer
 
+
+class IngressTest(IngressCase):
     async def test_request_arrives_byte_for_byte(self):
         peer = await self.connect_and_send(
             b"POST /a//b/%2e/../c?x=%20&y HTTP/1.1\r\nHost: H\r\nx-Odd:  v 1 \r\nX-Odd: 2\r\n"
@@ -198,5 +201,150 @@
         self.assertEqual((await peer.read_message())[1], b"/a")
 
 
+class StopTest(IngressCase):
+    """Requests that are under way when the server stops."""
+
+    def connect_at_once(self, data):
+        """Open a connection and send `data` without letting the server's loop run."""
+        host, _, port = self.address.rpartition(":")
+        sock = socket.create_connection((host, int(port)))
+        self.addCleanup(sock.close)
+        sock.sendall(data)
+        sock.setblocking(False)
+        return sock
+
+    async def read_response(self, sock):
+        async with asyncio.timeout(2.0):
+            reader, writer = await asyncio.open_connection(sock=sock)
+            self.addCleanup(writer.close)
+            return await reader.read()
+
+    def hold_streams(self):
+        """Have `/s` answered by a stream that goes on until the returned event is set."""
+        release = asyncio.Event()
+
+        async def respond(exchange):
+            if exchange.request.target == b"/s":
+                exchange.start(200, [], b"one")
+                await release.wait()
+                await exchange.finish()
+            else:
+                await exchange.send(200, [], exchange.request.target)
+
+        self.server.handle = respond
+        return release
+
+    async def stop(self):
+        """Stop as a daemon does; the end of its process closes what is still open."""
+        self.server.start_draining()
+        self.server.stop_listening()
+        await self.server.wait_until_idle(2.0)
+        self.server.abort_all()
+
+    async def test_connections_that_were_not_accepted_yet_are_answered(self):
+        request = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+        waiting = [self.connect_at_once(request) for _ in range(20)]
+        stopping = asyncio.create_task(self.stop())
+        responses = await asyncio.gather(*map(self.read_response, waiting))
+        await stopping
+        for response in responses:
+            self.assertTrue(response.endswith(b"\r\n\r\n/a"), response)
+            self.assertIn(b"Connection: close", response)
+
+    async def test_connection_opened_just_before_is_answered(self):
+        peer = await self.connect_and_send(b"")
+        await asyncio.sleep(0.03)
+        stopping = asyncio.create_task(self.stop())
+        await asyncio.sleep(0.03)
+        await peer.send(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertEqual((await peer.read_message())[1], b"/a")
+        await stopping
+
+    async def test_request_on_a_kept_connection_that_was_not_read_yet_is_answered(self):
+        sock = self.connect_at_once(b"")
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(sock, b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertIn(b"/a", await loop.sock_recv(sock, 1000))
+        sock.send(b"GET /b HTTP/1.1\r\nHost: x\r\n\r\n")
+        stopping = asyncio.create_task(self.stop())
+        response = await self.read_response(sock)
+        await stopping
+        self.assertTrue(response.endswith(b"/b"), response)
+
+    async def test_request_half_read_is_answered(self):
+        peer = await self.connect_and_send(b"POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\na")
+        await asyncio.sleep(0.03)
+        stopping = asyncio.create_task(self.stop())
+        await asyncio.sleep(0.1)
+        await peer.send(b"b")
+        head, body = await peer.read_message()
+        await stopping
+        self.assertIn("Connection: close", head)
+        self.assertEqual(self.requests[-1][3], b"ab")
+
+    async def test_pipelined_requests_are_answered(self):
+        release = self.hold_streams()
+        request = b"GET /%b HTTP/1.1\r\nHost: x\r\n\r\n"
+        peer = await self.connect_and_send(request % b"s" + request % b"b" + request % b"c")
+        await asyncio.sleep(0.03)
+        stopping = asyncio.create_task(self.stop())
+        await asyncio.sleep(0.03)
+        release.set()
+        response = await peer.read_all()
+        await stopping
+        self.assertIn(b"\r\n\r\n/b", response)
+        self.assertTrue(response.endswith(b"\r\n\r\n/c"), response)
+        self.assertEqual(response.count(b"Connection: close"), 1)
+
+    async def test_kept_connection_is_told_of_its_end_while_draining(self):
+        """A close without a word crosses the caller's next request."""
+        release = self.hold_streams()
+        peer = await self.connect_and_send(b"GET /s HTTP/1.1\r\nHost: x\r\n\r\n")
+        await peer.reader.readuntil(b"one")
+        self.server.start_draining()
+        release.set()
+        await peer.reader.readuntil(b"0\r\n\r\n")
+        await asyncio.sleep(0.03)
+        await peer.send(b"GET /t HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertIn(b"Connection: close", await peer.read_all())
+
+    async def test_response_that_its_caller_reads_slowly_is_whole(self):
+        """The handler is done as soon as the rest of the response fits into the write buffer."""
+        size = 60_000
+
+        async def respond(exchange):
+            sock = exchange._connection._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            await exchange.send(200, [], b"a" * size)
+
+        self.server.handle = respond
+        host, _, port = self.address.rpartition(":")
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect((host, int(port)))
+        sock.sendall(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        sock.setblocking(False)
+        self.addCleanup(sock.close)
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(self.stop())
+        received, loop = 0, asyncio.get_running_loop()
+        while part := await loop.sock_recv(sock, 4096):
+            received += len(part)
+            await asyncio.sleep(0.01)
+        await stopping
+        self.assertGreater(received, size)
+
+    async def test_caller_that_reads_nothing_ends_the_stop_late_only(self):
+        async def respond(exchange):
+            await exchange.send(200, [], b"a" * 16_000_000)
+
+        self.server.handle = respond
+        await self.connect_and_send(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(0.1)
+        self.server.stop_listening()
+        await asyncio.wait_for(self.server.wait_until_idle(0.3), 0.6)
+        self.assertEqual(len(self.server.connections), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/magnoliarouter/web/ingress.py
+++ b/magnoliarouter/web/ingress.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import select
 import socket
 import struct
 from collections import deque
@@ -39,6 +41,8 @@
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CHUNKED_FIELD = (b"Transfer-Encoding", b"chunked")
 LAST_CHUNK = b"0\r\n\r\n"
+# Time for the first request on a connection that is still unused when the server stops.
+UNUSED_CLOSE_S = 0.5
 # Lingering for no time, as struct linger of socket(7): closing resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -148,7 +152,10 @@
         return b"%x\r\n%b\r\n" % (len(data), data)
 
     def _encode_head(self, status: int, fields: HeaderFields) -> bytes:
-        keep_alive = self.request.keep_alive and not self._connection.server.draining
+        connection = self._connection
+        keep_alive = self.request.keep_alive and (
+            not connection.server.draining or connection.has_next_request()
+        )
         if not keep_alive:
             self._connection.close_after_response = True
             fields = [*fields, (b"Connection", b"close")]
@@ -187,11 +194,14 @@
     ) -> None:
         self.limits = limits or ServerLimits()
         self.draining = False
+        self.stopping = False
         self.handle = handle
         self.on_reject = on_reject
         self.connections: set[_Connection] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
+        self._closing: asyncio.Task[None] | None = None
+        self._idle_waiter: asyncio.Future[None] | None = None
 
     async def start(self, host: str, port: int) -> int:
         """Listen and return the port.
@@ -217,17 +227,54 @@
         self.draining = True
 
     def stop_listening(self) -> None:
-        """Accept no further connections and close idle connections."""
-        if self._server is not None:
+        """Accept no connections other than those that already wait, and close idle connections."""
+        if self.stopping or self._server is None:
+            return
+        self.stopping = True
+        loop = self._server.get_loop()
+        if not loop.is_running():
             self._server.close()
-        for connection in list(self.connections):
-            connection.close_if_idle()
+            return
+        for listener in self._server.sockets:
+            loop.remove_reader(listener.fileno())
+        self._closing = loop.create_task(self._close_listeners(self._server))
 
     async def wait_until_idle(self, timeout_s: float) -> None:
-        """Wait until no request is in progress, for at most `timeout_s` seconds."""
+        """Wait until no request is in progress, for at most `timeout_s` seconds.
+
+        After `stop_listening`, wait until all connections have ended: also those with a request
+        that is still arriving, or with bytes that their callers have not received.
+        """
         deadline = asyncio.get_running_loop().time() + timeout_s
-        while self.tasks and (remaining_s := deadline - asyncio.get_running_loop().time()) > 0:
-            await asyncio.wait(self.tasks, timeout=remaining_s)
+        if self._closing is not None:
+            await asyncio.wait((self._closing,), timeout=timeout_s)
+        while self.tasks or (self.stopping and self.connections):
+            remaining_s = deadline - asyncio.get_running_loop().time()
+            if remaining_s <= 0:
+                return
+            self._idle_waiter = asyncio.get_running_loop().create_future()
+            await asyncio.wait((self._idle_waiter,), timeout=remaining_s)
+
+    def report_end(self) -> None:
+        """Have `wait_until_idle` look again, after the end of a request or connection."""
+        if self._idle_waiter is not None and not self._idle_waiter.done():
+            self._idle_waiter.set_result(None)
+
+    async def _close_listeners(self, server: asyncio.Server) -> None:
+        """Take over the connections that the kernel has accepted, since a close resets them."""
+        try:
+            # The loop hands over the connections that it has accepted itself.
+            await asyncio.sleep(0)
+            waiting = [sock for one in server.sockets for sock in _accept_waiting(one.fileno())]
+        finally:
+            server.close()
+        loop = asyncio.get_running_loop()
+        await asyncio.gather(
+            *(loop.connect_accepted_socket(lambda: _Connection(self), sock) for sock in waiting),
+            return_exceptions=True,
+        )
+        for connection in list(self.connections):
+            connection.close_if_idle()
 
     def abort_all(self) -> None:
         """Close all connections immediately, including those with requests in progress."""
@@ -235,6 +282,23 @@
             connection.abort()
 
 
+def _accept_waiting(descriptor: int) -> list[socket.socket]:
+    """Return the connections that wait at a listening socket."""
+    accepted = []
+    with socket.socket(fileno=os.dup(descriptor)) as listener:
+        listener.setblocking(False)
+        while len(accepted) < LISTEN_BACKLOG:
+            try:
+                sock, _ = listener.accept()
+            except ConnectionAbortedError:
+                continue
+            except OSError:
+                break
+            sock.setblocking(False)
+            accepted.append(sock)
+    return accepted
+
+
 class _Connection(asyncio.Protocol):
     """Connection of one caller."""
 
@@ -255,6 +319,7 @@
         self._drain_waiter: asyncio.Future[None] | None = None
         self._rejected = False
         self._reading_paused = False
+        self._used = False
 
     # --- interface of IngressExchange and IngressServer ----------------------------------------
 
@@ -275,11 +340,25 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._transport.abort()
 
+    def has_next_request(self) -> bool:
+        """Return whether a further request has arrived, in whole or in part."""
+        return self._partial_request is not None or bool(self._pipelined_requests)
+
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress or arriving."""
-        if self._task is None and self._partial_request is None and not self._pipelined_requests:
+        """Close the connection unless a request is in progress, arriving or expected."""
+        if self._task is not None or self._rejected or self.has_next_request():
+            return
+        if not self._used:
+            # Its caller has just opened it to send a request.
+            self._start_timer(UNUSED_CLOSE_S, self._transport.close)
+        elif not self._has_unread_input():
             self._transport.close()
 
+    def _has_unread_input(self) -> bool:
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     # --- asyncio.Protocol ----------------------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -292,7 +371,8 @@
         self.server.connections.add(self)
         set_tcp_options(transport.get_extra_info("socket"))
         transport.set_write_buffer_limits(WRITE_HIGH_WATER_MARK_BYTES)
-        self._start_timer(self.server.limits.idle_timeout_s, transport.close)
+        idle_s = self.server.limits.idle_timeout_s
+        self._start_timer(UNUSED_CLOSE_S if self.server.stopping else idle_s, transport.close)
 
     def data_received(self, data: bytes) -> None:
         if self._rejected:
@@ -314,6 +394,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
         self.server.connections.discard(self)
+        self.server.report_end()
         self._stop_timer()
         self.resume_writing()
         if self._task is not None and self._exchange is not None:
@@ -333,6 +414,7 @@
 
     def on_message_begin(self) -> None:
         """Start a new request."""
+        self._used = True
         self._partial_request = _PartialRequest(received_at=self._loop.time())
         if self._task is None:
             self._start_timer(self.server.limits.request_timeout_s, self._reject_slow_request)
@@ -429,6 +511,7 @@
 
     def _on_handler_done(self, task: asyncio.Task[None]) -> None:
         self.server.tasks.discard(task)
+        self.server.report_end()
         self._task = self._exchange = None
         if not task.cancelled() and task.exception() is not None:
             self._loop.call_exception_handler(
@@ -436,7 +519,7 @@
             )
         if self.lost:
             return
-        if self.close_after_response or task.cancelled() or self.server.draining:
+        if self.close_after_response or task.cancelled():
             self._transport.close()
             return
         if self._reading_paused and len(self._pipelined_requests) <= MAX_PIPELINED_REQUESTS:
@@ -448,6 +531,8 @@
             self._start_timer(self.server.limits.request_timeout_s, self._reject_slow_request)
         else:
             self._start_timer(self.server.limits.idle_timeout_s, self._transport.close)
+            if self.server.stopping:
+                self.close_if_idle()
 
     def _reject_slow_request(self) -> None:
         self._reject(408, ResultCode.SLOW_REQUEST, "request took too long to arrive")
