Drop late copies of responses where a connection carries orders as well

Cause: calls to ranks share the connections of requests, and carry no id. The first head on the connection counted as the response to an order or report, also if it named a caller's request. The other way round, a response without an id counted as the response to the request in progress. A copy that came in parts over more than one time limit ended the attempt as malformed.

A copy of a caller's response with status 200 made a refused hold or arm order count as taken, after which ranks may run two maps. A copy of a 421 to an order counted as proof that a caller's request had not run.

Change: a response that names a request is dropped by calls to ranks. On a connection that carried a call without an id, a response without an id is dropped by requests. A drop that a time limit cuts short is continued.

Responses of services that give no ids can't be told apart by id; for them the connection is closed when bytes arrive while it is idle, as before.

--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -363,7 +363,8 @@
             head = await connection.read_head()
             headers = self._codec.parse_response(head.status, head.fields)
             connection.record_keep_alive(headers.keep_alive_s)
-            if headers.request_id in (None, call.headers.request_id):
+            unnamed = headers.request_id is None and not connection.carried_unnamed_request
+            if unnamed or headers.request_id == call.headers.request_id:
                 self._on_head(endpoint, headers, sent_at)
                 return head, headers
             self._on_head(endpoint, headers, float("-inf"))
@@ -371,9 +372,9 @@
             log_event(
                 "answer_dropped",
                 request_id=call.headers.request_id.decode("latin-1"),
-                answered=headers.request_id.decode("latin-1"),
+                answered=(headers.request_id or b"").decode("latin-1"),
             )
-            await connection.read_body()
+            await connection.skip_body()
 
     def _attempt_timeout_s(self, call: GatewayCall, progress: CallProgress) -> float:
         """Return the seconds an attempt may take until its next data arrives."""
--- a/magnoliarouter/platform/headers.py
+++ b/magnoliarouter/platform/headers.py
@@ -11,7 +11,7 @@
     from magnoliarouter.gateway.call import GatewayCall
     from magnoliarouter.web.upstream import HeaderFields
 
-__all__ = ["MISDIRECTED_STATUS", "PlatformHeaders", "says_leaving"]
+__all__ = ["MISDIRECTED_STATUS", "PlatformHeaders", "names_request", "says_leaving"]
 
 HOP_BY_HOP_FIELDS = frozenset(
     (
@@ -39,6 +39,7 @@
         b"last-event-id",
     )
 )
+REQUEST_ID_FIELD = b"x-request-id"
 LEAVING_FIELD = b"server-leaving"
 LEAVING_VALUE = b"1"
 RATE_FIELD = b"server-limit"
@@ -58,6 +59,11 @@
     )
 
 
+def names_request(fields: HeaderFields) -> bool:
+    """Return whether a response names the client request that it belongs to."""
+    return any(name.lower() == REQUEST_ID_FIELD and value for name, value in fields)
+
+
 class PlatformHeaders:
     """`HeaderCodec` of the users' platform."""
 
@@ -73,7 +79,7 @@
         prompt, output = _read_usage(named.get(b"x-token-usage", b""))
         dropped = _list_dropped(named) | OWN_FIELDS
         return RequestHeaders(
-            named.get(b"x-request-id", b""),
+            named.get(REQUEST_ID_FIELD, b""),
             _read_host(named.get(b"host", b"")),
             _parse_timeout(named.get(b"x-deadline-ms")),
             _read_key(named.get(b"authorization", b"")),
@@ -110,7 +116,7 @@
         keep = KEEP_TIMEOUT.search(named.get(b"keep-alive", b""))
         misdirected = status == MISDIRECTED_STATUS
         return ResponseHeaders(
-            named.get(b"x-request-id"),
+            named.get(REQUEST_ID_FIELD),
             misdirected or b"x-not-executed" in named,
             misdirected,
             b"x-server-stamp" in named,
--- a/magnoliarouter/platform/ranks.py
+++ b/magnoliarouter/platform/ranks.py
@@ -17,7 +17,7 @@
     RankExperts,
     RankReport,
 )
-from magnoliarouter.platform.headers import MISDIRECTED_STATUS, says_leaving
+from magnoliarouter.platform.headers import MISDIRECTED_STATUS, names_request, says_leaving
 from magnoliarouter.store.results import Unavailable
 from magnoliarouter.store.transport import UpstreamTransport
 from magnoliarouter.store.wire import StoreCall, decode_json
@@ -175,7 +175,9 @@
             if head.status != MISDIRECTED_STATUS and says_leaving(head.fields):
                 self._on_leaving(address)
 
-        return UpstreamTransport(address, self._pool, read_notice)
+        return UpstreamTransport(
+            address, self._pool, read_notice, lambda head: names_request(head.fields)
+        )
 
     def _encode(
         self, order: Order, epoch: int, fencing_number: int, size: int
--- a/magnoliarouter/store/transport.py
+++ b/magnoliarouter/store/transport.py
@@ -90,6 +90,9 @@
         Pool of HTTP connections.
     on_head : callable
         Called with the head of each response.
+    is_other : callable
+        Returns whether a head belongs to a request of another user of the pool; these calls have
+        no id. Such a response is dropped.
     """
 
     def __init__(
@@ -97,10 +100,12 @@
         address: str,
         pool: UpstreamPool,
         on_head: Callable[[ResponseHead], None] = lambda head: None,
+        is_other: Callable[[ResponseHead], bool] = lambda head: False,
     ) -> None:
         self._address = address
         self._pool = pool
         self._on_head = on_head
+        self._is_other = is_other
 
     async def exchange(
         self, call: StoreCall, timeout: float, limit: int
@@ -110,8 +115,12 @@
         try:
             async with asyncio.timeout(timeout):
                 connection = await self._pool.acquire(self._address)
+                connection.carried_unnamed_request = True
                 connection.send(self._encode(call))
                 head = await connection.read_head()
+                while self._is_other(head):
+                    await connection.skip_body()
+                    head = await connection.read_head()
                 self._on_head(head)
                 return head.status, await connection.read_body(limit)
         except TimeoutError:
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -14,10 +14,12 @@
 from magnoliarouter.gateway.groupwatch import GroupWatch
 from magnoliarouter.gateway.pauses import EventGapMeter
 from magnoliarouter.gateway.quarantine import Quarantine
+from magnoliarouter.gateway.ranks import Hold
 from magnoliarouter.gateway.routes import Route, RouteKind
 from magnoliarouter.gateway.waiting import WaitQueue
 from magnoliarouter.gateway.zonewatch import ZoneWatch
 from magnoliarouter.platform.headers import PlatformHeaders
+from magnoliarouter.platform.ranks import PlatformRanks
 from magnoliarouter.telemetry.metrics import Metrics
 from magnoliarouter.tests.builders import build_rank_report
 from magnoliarouter.tests.raw_server import RawServer, build_response
@@ -281,6 +283,33 @@
         await self.forward(build_route())
         self.assertEqual(self.exchange.body, b"yours")
 
+    async def test_late_copy_of_a_response_to_an_order_is_dropped(self):
+        """It has no id, and its status would prove that the request did not run."""
+        copy = build_response(status=421, request_id=None, stamp=None)
+
+        async def handle(peer):
+            if "/v1/order" in self.heads[-1][1]:
+                await peer.send(copy)
+            else:
+                await peer.send(copy + build_response(b"yours"))
+
+        server = await self.add(handle)
+        await PlatformRanks(self.pool).send(server.address, Hold(5), 1, 3, 8)
+        outcome = await self.forward(build_route(RouteKind.ONCE))
+        self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+        self.assertEqual((self.exchange.body, server.connections), (b"yours", 1))
+
+    async def test_late_copy_that_comes_slowly_is_dropped(self):
+        async def handle(peer):
+            copy = build_response(b"x" * 100, request_id="r0")
+            await peer.send(copy[:-50])
+            await asyncio.sleep(1.3)
+            await peer.send(copy[-50:] + build_response(b"yours"))
+
+        await self.add(handle)
+        await self.forward(build_route(RouteKind.SAFE, 2, timeout_s=2.0))
+        self.assertEqual(self.exchange.body, b"yours")
+
     async def test_success_without_a_server_stamp_is_rejected(self):
         async def handle(peer):
             await peer.send(build_response(stamp=None))
--- a/magnoliarouter/tests/test_platform.py
+++ b/magnoliarouter/tests/test_platform.py
@@ -26,7 +26,7 @@
 )
 from magnoliarouter.store.validation import ValidationFailure
 from magnoliarouter.tests.platform_standin import build_configuration
-from magnoliarouter.tests.raw_server import RawServer
+from magnoliarouter.tests.raw_server import RawServer, build_response
 from magnoliarouter.web.upstream import UpstreamPool
 
 SEEDS = range(400)
@@ -307,11 +307,15 @@
                 await peer.send(b"HTTP/1.1 %d S\r\nContent-Length: %d\r\n\r\n" % (status, length))
                 await peer.send(body)
 
+        ranks, address, _ = await self.open(handle)
+        return ranks, address
+
+    async def open(self, handle):
         server = await RawServer(handle).start()
         self.addAsyncCleanup(server.stop)
         pool = UpstreamPool(lambda: 0.0)
         self.addCleanup(pool.close)
-        return PlatformRanks(pool), server.address
+        return PlatformRanks(pool), server.address, pool
 
     async def test_report(self):
         body = (
@@ -349,6 +353,25 @@
             ranks, address = await self.start(status)
             self.assertEqual(await ranks.send(address, Hold(5), 1, 3, 8), result)
 
+    async def test_late_copy_of_a_callers_response_is_no_response_to_an_order(self):
+        """An order that counts as taken although it was refused ends in two maps."""
+        copy = build_response(request_id="r1", status=200)
+
+        async def handle(peer):
+            await peer.read_message()
+            await peer.send(copy)
+            await peer.read_message()
+            await peer.send(copy + build_response(status=409, request_id=None, stamp=None))
+
+        ranks, address, pool = await self.open(handle)
+        connection = await pool.acquire(address)
+        connection.send(b"GET /caller HTTP/1.1\r\nX-Request-Id: r1\r\n\r\n")
+        await connection.read_head()
+        await connection.read_body()
+        pool.release(address, connection)
+        self.assertEqual(await ranks.send(address, Hold(5), 1, 3, 8), OrderResult.REFUSED)
+        self.assertEqual(pool.opened_connections, 1)
+
     async def test_orders_on_the_wire(self):
         ranks, address = await self.start()
         rows = (((0,), (0, 1), (1,)),)
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -129,7 +129,10 @@
         self._busy = False
         self._response_pending = False
         self._peer_closed = False
+        self._skipping = False
         self.lost = False
+        # Whether a request without an id was sent here: a response without one may be its copy.
+        self.carried_unnamed_request = False
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self.idle_since = 0.0
 
@@ -157,6 +160,8 @@
         UpstreamError
             The connection was closed, or the received bytes are not a valid response.
         """
+        if self._skipping:
+            await self.skip_body()
         item = await self._read_item()
         if isinstance(item, ResponseHead):
             return item
@@ -193,6 +198,12 @@
                 raise UpstreamError(UpstreamErrorKind.TOO_LARGE, f"body has over {limit} bytes")
         return bytes(body)
 
+    async def skip_body(self) -> None:
+        """Drop the rest of the body; if this is cancelled, `read_head` continues it."""
+        self._skipping = True
+        await self.read_body()
+        self._skipping = False
+
     def record_keep_alive(self, seconds: float | None) -> None:
         """Limit the reuse of the connection by the endpoint's keep-alive timeout, if announced."""
         if seconds is not None:
