Tell silent streams by their route's times, and by events alone

Cause: a repeatable stream was taken from its endpoint after 1.2 s without an event if another had room, whatever its route allows: a route with a target of 2 s to the first event, or with gaps of 1.8 s between events, lost streams that were on time. A comment counted as an event, so that an endpoint that stalled and sent comments was never silent, three comments counted as an answer that clears a prompt after a crash, and comments entered the gaps that set the number of requests at an endpoint.

Callers saw later first events and gaps after a needless move, and stalled streams until their deadline.

Change: the limit is 1.2 s or, if longer, the route's target before the first event and its longest gap after it. Comments pass at once, and are no events. Routes with a target and gaps up to 1.2 s are served as before.

--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -12,7 +12,7 @@
 
 from magnoliarouter.core.framing import Framing
 from magnoliarouter.core.outcome import Completed, ResultCode
-from magnoliarouter.gateway.frames import FrameSplitter, is_event_stream
+from magnoliarouter.gateway.frames import MAX_EVENT_BYTES, FrameSplitter, is_event_stream
 from magnoliarouter.gateway.routes import RouteKind
 from magnoliarouter.telemetry.logs import log_event
 from magnoliarouter.web.upstream import UpstreamError, UpstreamErrorKind
@@ -24,6 +24,7 @@
     from magnoliarouter.gateway.call import GatewayCall, HeaderCodec, ResponseHeaders
     from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
     from magnoliarouter.gateway.pauses import EventGapMeter
+    from magnoliarouter.gateway.routes import Route
     from magnoliarouter.telemetry.metrics import Metrics
     from magnoliarouter.web.ingress import IngressExchange
     from magnoliarouter.web.upstream import ResponseHead, UpstreamConnection, UpstreamPool
@@ -38,8 +39,8 @@
     "relay",
 ]
 
-# A stream's endpoint that sends nothing for this time, before or between events, has failed or is
-# stalled. Callers give up after 2 s.
+# A stream's endpoint that sends no event for this time has failed or is stalled, unless its route
+# takes longer for good. Callers give up after 2 s, and later on such routes.
 SILENCE_TIMEOUT_S = 1.2
 # Share of the remaining time given to each attempt of a repeatable request except the last.
 ATTEMPT_TIME_SHARE = 0.5
@@ -185,7 +186,7 @@
     list_members : callable
         Returns the ranks of an endpoint's group.
     on_silence : callable
-        Called with an endpoint that sent nothing for `SILENCE_TIMEOUT_S`.
+        Called with an endpoint that sent nothing within the time limit of an attempt.
     on_head : callable
         Called with an endpoint, the header fields of each of its responses, and the loop time at
         which the request was sent; that is minus infinity for responses to other requests.
@@ -382,7 +383,7 @@
         if not call.route.repeatable or progress.sends >= call.route.attempts:
             return remaining_s
         if call.route.kind is RouteKind.STREAM:
-            return min(remaining_s, SILENCE_TIMEOUT_S)
+            return min(remaining_s, _find_silence_limit_s(call.route, progress))
         return min(remaining_s, max(MIN_ATTEMPT_S, remaining_s * ATTEMPT_TIME_SHARE))
 
     async def _classify_response(
@@ -447,9 +448,11 @@
         progress: CallProgress,
     ) -> Completed | FailedAttempt:
         splitter = progress.splitter
-        first = True
+        first, comments = True, bytearray()
         while True:
-            events = await self._read_events(call, connection, endpoint, progress)
+            events = await self._read_events(
+                call, exchange, connection, endpoint, progress, comments
+            )
             if isinstance(events, FailedAttempt):
                 return events
             if events is None:
@@ -469,12 +472,12 @@
             else:
                 call.first_event_s = now - call.admitted_at
                 self._metrics.first_token.observe(call.first_event_s)
-                exchange.start(200, headers.forwarded, events)
+                exchange.start(200, headers.forwarded, bytes(comments) + events)
         truncation = splitter.find_truncation(call.framing)
         if truncation is not None:
             return FailedAttempt(ResultCode.STREAM_TRUNCATED, truncation, None, broken_off=True)
         if not exchange.started:
-            exchange.start(200, headers.forwarded, bytes(splitter.partial))
+            exchange.start(200, headers.forwarded, bytes(comments + splitter.partial))
         elif splitter.partial:
             await exchange.write(bytes(splitter.partial))
         await exchange.finish()
@@ -483,20 +486,31 @@
     async def _read_events(
         self,
         call: GatewayCall,
+        exchange: IngressExchange,
         connection: UpstreamConnection,
         endpoint: Endpoint,
         progress: CallProgress,
+        comments: bytearray,
     ) -> bytes | None | FailedAttempt:
         """Return the next whole events, or None at the end of the body.
 
         An endpoint that sends bytes but no whole event is as silent as one that sends nothing.
+        Comments pass at once, or are added to `comments` until the response starts.
         """
+        splitter = progress.splitter
 
         async def read() -> bytes | None:
             while (part := await connection.read_part()) is not None:
                 progress.received_at = self._clock()
-                if events := progress.splitter.feed(part):
-                    return events
+                count, passed = splitter.events, splitter.feed(part)
+                if splitter.events > count:
+                    return passed
+                if passed and exchange.started:
+                    await exchange.write(passed)
+                else:
+                    comments.extend(passed)
+                if len(comments) > MAX_EVENT_BYTES:
+                    raise ValueError(f"over {MAX_EVENT_BYTES} bytes of comments before an event")
             return None
 
         try:
@@ -532,6 +546,17 @@
         )
 
 
+def _find_silence_limit_s(route: Route, progress: CallProgress) -> float:
+    """Return the seconds without an event after which a stream's endpoint counts as silent.
+
+    A stream that is still on time by its route is not silent.
+    """
+    on_time_s = (
+        route.max_event_gap_s or 0.0 if progress.splitter.received else route.target_latency_s
+    )
+    return max(SILENCE_TIMEOUT_S, on_time_s)
+
+
 def may_relay(call: GatewayCall, response: BufferedResponse) -> bool:
     """Return whether a response may be relayed to the caller unchanged.
 
--- a/magnoliarouter/gateway/frames.py
+++ b/magnoliarouter/gateway/frames.py
@@ -7,7 +7,7 @@
 
 from magnoliarouter.core.framing import Framing
 
-__all__ = ["FrameSplitter", "is_event_stream"]
+__all__ = ["MAX_EVENT_BYTES", "FrameSplitter", "is_event_stream"]
 
 EVENT_STREAM = b"text/event-stream"
 EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
@@ -47,7 +47,7 @@
         Id of the last event that was passed. Events with a number up to it are dropped, since an
         endpoint that resumes the stream may repeat some.
     events : int
-        Number of events that were passed.
+        Number of events that were passed. Comments pass with them, and are no events.
     received : int
         Number of whole events since the last restart, dropped ones included.
 
@@ -64,7 +64,7 @@
     received: int = 0
 
     def feed(self, data: bytes) -> bytes:
-        """Add received bytes and return the events that they complete.
+        """Add received bytes and return the events and comments that they complete.
 
         Raises
         ------
@@ -80,6 +80,9 @@
         for end in EVENT_END.finditer(self.partial, unsearched):
             event = bytes(self.partial[start : end.end()])
             start = end.end()
+            if _is_comment(event):
+                complete += event
+                continue
             self.received += 1
             if self._is_new(event):
                 complete += event
@@ -121,3 +124,9 @@
                 return False
         self.last_id = event_id
         return True
+
+
+def _is_comment(event: bytes) -> bool:
+    """Return whether a part of a stream has no field of an event."""
+    lines = event.splitlines() if event[:1] in (b":", b"\r", b"\n") else (event,)
+    return all(not line or line[:1] == b":" for line in lines)
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from magnoliarouter.core.framing import Framing
 from magnoliarouter.core.outcome import Completed, NotRun, ResultCode, Unknown
@@ -588,6 +589,53 @@
         outcome = await self.forward(build_route(RouteKind.STREAM, 2, 4.0, resumable=True))
         self.assertEqual((outcome, self.tried()), (Completed(ResultCode.OK, 200), ["e1", "e2"]))
 
+    async def test_stream_whose_first_event_may_take_long_is_kept(self):
+        """An endpoint reads a long prompt before it writes: the target allows for it."""
+
+        async def slow(peer):
+            await asyncio.sleep(1.5)
+            await self.serve(EVENTS)(peer)
+
+        await self.add_two(slow, self.serve(EVENTS))
+        route = build_route(RouteKind.STREAM, 2, 4.0, resumable=True)
+        outcome = await self.forward(replace(route, target_latency_s=2.0))
+        self.assertEqual((outcome, self.tried()), (Completed(ResultCode.OK, 200), ["e1"]))
+
+    async def test_stream_whose_events_may_be_far_apart_is_kept(self):
+        async def slow(peer):
+            await peer.send(self.head() + self.chunk(EVENTS[0]))
+            await asyncio.sleep(1.5)
+            await peer.send(self.chunk(b"".join(EVENTS[1:])) + b"0\r\n\r\n")
+
+        await self.add_two(slow, self.serve(EVENTS))
+        route = build_route(RouteKind.STREAM, 2, 4.0, resumable=True)
+        outcome = await self.forward(replace(route, max_event_gap_s=1.8))
+        self.assertEqual((outcome, self.tried()), (Completed(ResultCode.OK, 200), ["e1"]))
+        self.assertEqual(self.exchange.body, b"".join(EVENTS))
+
+    async def test_stream_that_sends_only_comments_counts_as_silent(self):
+        comment = b": wait\n\n"
+
+        async def stall(peer):
+            await peer.send(self.head() + self.chunk(EVENTS[0]))
+            for _ in range(20):
+                await asyncio.sleep(0.2)
+                await peer.send(self.chunk(comment))
+
+        await self.add_two(stall, self.serve(EVENTS[1:]))
+        route = build_route(RouteKind.STREAM, 2, 4.0, resumable=True)
+        outcome = await self.forward(route)
+        self.assertEqual((outcome, self.tried()), (Completed(ResultCode.OK, 200), ["e1", "e2"]))
+        self.assertEqual(self.exchange.body.replace(comment, b""), b"".join(EVENTS))
+        self.assertEqual(self.exchange.body.count(comment), 5)
+
+    async def test_comments_pass_with_the_events_around_them(self):
+        parts = [b": a\n\n", EVENTS[0], b": b\n: c\n\n", EVENTS[1], b": d\n\n"]
+        await self.add(self.serve(parts))
+        call = build_gateway_call(build_route(RouteKind.STREAM, 1))
+        await self.forwarder.forward(call, self.exchange, lambda: None)
+        self.assertEqual((self.exchange.body, call.events), (b"".join(parts), 2))
+
     def serve_slowly(self, first, later):
         """Send some events at once and the rest after a second."""
 
