Let peers pause while they read large requests and responses

Cause: TCP_USER_TIMEOUT of 1.5 s also ends a connection whose peer has a full receive buffer, not only one whose network path is broken; a comment in the code said otherwise.

An endpoint that read a large body only when a place was free lost its connection after 1.9 s, and the caller was told that its request may have run. A caller that paused while it read a large response got it cut off.

Change: after a write above 32 KB, which a receive buffer may not take, the limit is that of the system for endpoints, where the caller's deadline ends the wait, and the idle timeout of the configuration for callers. Smaller requests and responses keep the limit.

The two new tests failed before.

--- a/magnoliarouter/tests/test_ingress.py
+++ b/magnoliarouter/tests/test_ingress.py
@@ -192,6 +192,19 @@
         response = await asyncio.wait_for(peer.read_all(), 0.4)
         self.assertTrue(response.endswith(b"0\r\n\r\n"))
 
+    async def test_caller_may_pause_while_it_reads_a_large_response(self):
+        async def respond(exchange):
+            await exchange.send(200, [], b"a" * 16_000_000)
+
+        self.server.limits = ServerLimits(idle_timeout_s=4.0)
+        self.server.handle = respond
+        peer = await self.connect_and_send(
+            b"GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        )
+        await peer.reader.readexactly(100)
+        await asyncio.sleep(2.5)
+        self.assertGreater(len(await peer.read_all()), 15_999_000)
+
     async def test_expected_continue_is_sent(self):
         peer = await self.connect_and_send(
             b"POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
--- a/magnoliarouter/tests/test_upstream.py
+++ b/magnoliarouter/tests/test_upstream.py
@@ -158,6 +158,22 @@
             await self.pool.acquire(server.address)
         self.assertEqual(caught.exception.kind, UpstreamErrorKind.UNREACHABLE)
 
+    async def test_endpoint_may_read_a_large_request_late(self):
+        """An endpoint whose places are taken reads a request when one is free."""
+        body = b"a" * 8_000_000
+
+        async def handle(peer):
+            await peer.reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(2.5)
+            await peer.reader.readexactly(len(body))
+            await peer.send(build_response())
+
+        server = await self.start(handle)
+        connection = await self.pool.acquire(server.address)
+        connection.send(b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        self.assertEqual((await connection.read_head()).status, 200)
+        self.pool.release(server.address, connection)
+
     async def test_announced_idle_timeout_is_respected(self):
         async def handle(peer):
             while True:
--- a/magnoliarouter/web/ingress.py
+++ b/magnoliarouter/web/ingress.py
@@ -22,7 +22,12 @@
 from magnoliarouter.core.outcome import ResultCode
 from magnoliarouter.web.errors import JSON_TYPE, error_body
 from magnoliarouter.web.limits import ServerLimits
-from magnoliarouter.web.upstream import set_tcp_options
+from magnoliarouter.web.upstream import (
+    MIN_RECEIVE_BUFFER_BYTES,
+    TCP_USER_TIMEOUT_MS,
+    set_tcp_options,
+    set_user_timeout,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -320,12 +325,26 @@
         self._rejected = False
         self._reading_paused = False
         self._used = False
+        self._patient = False
 
     # --- interface of IngressExchange and IngressServer ----------------------------------------
 
     def write(self, data: bytes) -> None:
-        if not self.lost:
-            self._transport.write(data)
+        if self.lost:
+            return
+        patient = len(data) > MIN_RECEIVE_BUFFER_BYTES
+        if patient and not self._patient:
+            # The caller may pause while it reads, as long as it may while it sends.
+            self._set_patient(True)
+        self._transport.write(data)
+
+    def _set_patient(self, patient: bool) -> None:
+        self._patient = patient
+        idle_ms = int(self.server.limits.idle_timeout_s * 1000)
+        sock = self._transport.get_extra_info("socket")
+        set_user_timeout(
+            sock, max(idle_ms, TCP_USER_TIMEOUT_MS) if patient else TCP_USER_TIMEOUT_MS
+        )
 
     async def drain(self) -> None:
         """Wait while the write buffer is full."""
@@ -492,6 +511,8 @@
 
     def _serve_next(self) -> None:
         self._stop_timer()
+        if self._patient:
+            self._set_patient(False)
         request = self._pipelined_requests.popleft()
         self._exchange = IngressExchange(self, request)
         self._task = self._loop.create_task(self._run_handler(self._exchange))
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -32,6 +32,7 @@
     "UpstreamError",
     "UpstreamErrorKind",
     "UpstreamPool",
+    "set_user_timeout",
     "split_address",
 ]
 
@@ -39,9 +40,11 @@
 
 # TCP retransmits a lost SYN only after 1 s; trying another endpoint is faster.
 CONNECT_TIMEOUT_S = 0.4
-# Bytes that stay unacknowledged for this long mean a broken network path: a slow peer still
-# acknowledges.
+# Bytes that stay unacknowledged for this long mean a broken network path, unless the receive buffer
+# of the peer is full: that counts in the same way.
 TCP_USER_TIMEOUT_MS = 1_500
+# A peer that reads nothing for a while still has room for this many bytes.
+MIN_RECEIVE_BUFFER_BYTES = 32_768
 # A network path that drops packets silently is detected after idle + probes * interval = 3 s. That is
 # the time (`contact_s`) after which a daemon counts as in contact again after such a disturbance.
 TCP_KEEPALIVE_IDLE_S = 1
@@ -130,6 +133,7 @@
         self._response_pending = False
         self._peer_closed = False
         self._skipping = False
+        self._patient = False
         self.lost = False
         # Whether a request without an id was sent here: a response without one may be its copy.
         self.carried_unnamed_request = False
@@ -150,6 +154,12 @@
         """
         self._busy, self._response_pending, self._bodiless = True, True, bodiless
         assert self._transport is not None
+        patient = len(data) > MIN_RECEIVE_BUFFER_BYTES
+        if patient != self._patient and not self.lost:
+            # The endpoint may read the body when a place is free; the caller's deadline ends the wait.
+            self._patient = patient
+            sock = self._transport.get_extra_info("socket")
+            set_user_timeout(sock, 0 if patient else TCP_USER_TIMEOUT_MS)
         self._transport.write(data)
 
     async def read_head(self) -> ResponseHead:
@@ -376,7 +386,12 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    set_user_timeout(sock, TCP_USER_TIMEOUT_MS)
+
+
+def set_user_timeout(sock: socket.socket, milliseconds: int) -> None:
+    """Set how long sent bytes may stay unacknowledged or unsent; 0 for the system's own limit."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
 
 
 def split_address(address: str) -> tuple[str, int]:
