Take no confirmation from a platform that answers from its past

Cause: each successful call confirmed the configuration as of the time it was sent, also one whose response was older than the replica. The replica itself does not go back, but such a response can't show a later change.

While a daemon was answered by a platform that lags or was restored, keys that had been withdrawn meanwhile stayed in use beyond their bound, at this daemon and at those that it confirms for, and missing routes counted as not existing.

Change: a regressed feed confirms nothing, so that keys expire and requests are refused as stale until the platform has caught up.

The new test failed before.

--- a/magnoliarouter/store/feed.py
+++ b/magnoliarouter/store/feed.py
@@ -34,7 +34,8 @@
     watch_wait_s : float
         Longest wait of a watch in seconds; it may be changed at any time.
     on_served : callable, optional
-        Called after each successful call, with the loop time in seconds at which it was sent.
+        Called with the loop time in seconds at which a call was sent, after each successful call
+        whose response is no older than the replica.
     on_availability : callable, optional
         Called with the reason when calls start to fail, and with "" when they succeed again.
     batch_interval_s : float
@@ -53,8 +54,8 @@
     served_at : float, optional
         Loop time in seconds at which a call last succeeded.
     confirmed_at : float, optional
-        Loop time in seconds at which the last successful call was sent; the replica was up to date
-        at that time.
+        Loop time in seconds at which the last call was sent after which `on_served` was called; the
+        replica was up to date at that time.
     failed_at : float
         Loop time in seconds at which a call last failed.
     """
@@ -173,8 +174,10 @@
             self.failures = 0
             self.served_at = self._now()
             self.record_contact(self.served_at)
-            self.confirmed_at = sent_at
-            self._on_served(sent_at)
+            if not self.regressed:
+                # A platform that answers from its past may not know of a later change.
+                self.confirmed_at = sent_at
+                self._on_served(sent_at)
         else:
             self.failures += 1
             if self.failures == 1:
--- a/magnoliarouter/tests/test_replica.py
+++ b/magnoliarouter/tests/test_replica.py
@@ -230,10 +230,10 @@
 
 
 class ObjectFeedTest(unittest.TestCase):
-    def run_feed(self, lists, watches, seconds=60):
+    def run_feed(self, lists, watches, seconds=60, **options):
         async def main():
             client = ScriptedClient(lists, watches)
-            feed = ObjectFeed(client, "word", decode_word)
+            feed = ObjectFeed(client, "word", decode_word, **options)
             task = asyncio.create_task(feed.run())
             await advance(seconds)
             self.assertFalse(task.done())
@@ -265,3 +265,15 @@
         self.assertEqual(dict(feed.cache.values()), {"a": "x"})
         self.assertEqual(feed.version, 5)
         self.assertIn("version 3, behind 5", feed.regressed)
+
+    def test_platform_that_answers_from_its_past_confirms_nothing(self):
+        """A key that was withdrawn since would stay in use."""
+        served = []
+        _, feed = self.run_feed(
+            [Found(5, (build_item("a", 4, "x"),)), Found(3, ()), Found(3, ())],
+            [Changes(WatchBatch(3, [])), Gone()],
+            on_served=served.append,
+        )
+        self.assertIn("version 3, behind 5", feed.regressed)
+        self.assertEqual(served, [1000.0])
+        self.assertEqual(feed.confirmed_at, 1000.0)
