Show that a restarted daemon does not use what was withdrawn meanwhile

A key, an endpoint's entry and an endpoint's state are withdrawn while the daemon is down and the store refuses calls as it returns. Until it has listed them it is not ready and refuses as not run; then it knows the withdrawals.

--- a/magnoliarouter/tests/test_gateway.py
+++ b/magnoliarouter/tests/test_gateway.py
@@ -277,6 +277,37 @@
         await self.wait_ready(daemon)
 
 
+class RestartTest(GatewayCase):
+    """What a daemon that starts again knows of the time before and in between."""
+
+    async def test_what_was_withdrawn_is_not_in_use_again(self):
+        left, draining = await self.add_engine("e2"), await self.add_engine("e3")
+        before = await self.start()
+        other = await self.start("front-2")
+        await self.wait_ready(before)
+        await self.wait_ready(other)
+        kill_gateway(before)
+        await self.store.put("config", "main", build_configuration(5, ("key-2",)))
+        await self.store.put("servers", "e2", None)
+        await self.store.put("servers", "e3", draining.build_entry(state="draining"))
+        self.store.fault = "busy"
+        self.store.server.abort_all()
+        after = await self.start()
+        await asyncio.sleep(0.3)
+        self.assertFalse(await self.is_ready(after))
+        for key in ("key-1", "key-2"):
+            self.assertEqual((await self.send_request(after, key=key))[0], 503)
+        self.store.fault = ""
+        await self.wait_ready(after)
+        self.assertEqual((await self.send_request(after))[0], 401)
+        for number in range(6):
+            status, _, body = await self.send_request(
+                after, key="key-2", request_id=f"after-{number}"
+            )
+            self.assertEqual((status, body), (200, b"e1"))
+        self.assertEqual((left.heads, draining.heads), ([], []))
+
+
 class CrashedEngineTest(GatewayCase):
     """Streams of engines that crash, as the bytes that reach the caller."""
 
