Send no order whose lease ended while its connection opened

Cause: the lease was checked before a connection to the rank was acquired. A new connection may take 0.4 s, and a prepare order waits for it up to 0.5 s; the margin of the map lease is 0.21 s.

Around a hand-over an order of the former leader could reach a rank that had not yet heard of the new fencing number, while the new leader acted.

Change: an order asks once more when its connection is open, right before it is written, with no wait in between.

The new test failed before.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -428,6 +428,9 @@
             lambda: self.is_ready() and not self.leaving,
             lambda: self.maps.rediscover(),
         )
+        self._rank_client.may_send = (
+            lambda fencing_number: fencing_number == self.map_election.fencing_number()
+        )
         self.maps = MapDuty(
             self._rank_client,
             self._list_ranks,
--- a/magnoliarouter/gateway/ranks.py
+++ b/magnoliarouter/gateway/ranks.py
@@ -8,7 +8,10 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol, TypeAlias
+from typing import TYPE_CHECKING, Protocol, TypeAlias
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 __all__ = [
     "Arm",
@@ -144,7 +147,16 @@
 
 
 class RankClient(Protocol):
-    """Calls to ranks; None means that there was no usable response, which is logged."""
+    """Calls to ranks; None means that there was no usable response, which is logged.
+
+    Attributes
+    ----------
+    may_send : callable
+        Returns whether the lease with a fencing number is still held. An order asks it once its
+        connection is open, which may take longer than the rest of the lease.
+    """
+
+    may_send: Callable[[int], bool]
 
     async def read_report(self, address: str) -> RankReport | None:
         """Return a rank's state."""
--- a/magnoliarouter/platform/ranks.py
+++ b/magnoliarouter/platform/ranks.py
@@ -92,6 +92,11 @@
         Connections to engines.
     on_leaving : callable
         Called with the address of an engine that says that it is leaving.
+
+    Attributes
+    ----------
+    may_send : callable
+        Returns whether the lease with a fencing number is still held.
     """
 
     def __init__(
@@ -99,6 +104,7 @@
     ) -> None:
         self._pool = pool
         self._on_leaving = on_leaving
+        self.may_send: Callable[[int], bool] = lambda fencing_number: True
         self._last_encoded: tuple[Order, int, int, tuple[dict[str, Any], bytes]] | None = None
 
     async def read_report(self, address: str) -> RankReport | None:
@@ -146,9 +152,8 @@
         """Send an order."""
         body, encoded = self._encode(order, epoch, fencing_number, size)
         call = StoreCall("POST", "/v1/order", body=encoded)
-        outcome = await self._open_transport(address).exchange(
-            call, timeout_s or ORDER_TIMEOUT_S, MAX_RESPONSE_BYTES
-        )
+        transport = self._open_transport(address, lambda: self.may_send(fencing_number))
+        outcome = await transport.exchange(call, timeout_s or ORDER_TIMEOUT_S, MAX_RESPONSE_BYTES)
         if isinstance(outcome, Unavailable):
             status, result, reason = 0, OrderResult.UNKNOWN, outcome.reason
         else:
@@ -170,13 +175,15 @@
         )
         return result
 
-    def _open_transport(self, address: str) -> UpstreamTransport:
+    def _open_transport(
+        self, address: str, may_send: Callable[[], bool] = lambda: True
+    ) -> UpstreamTransport:
         def read_notice(head: ResponseHead) -> None:
             if head.status != MISDIRECTED_STATUS and says_leaving(head.fields):
                 self._on_leaving(address)
 
         return UpstreamTransport(
-            address, self._pool, read_notice, lambda head: names_request(head.fields)
+            address, self._pool, read_notice, lambda head: names_request(head.fields), may_send
         )
 
     def _encode(
--- a/magnoliarouter/store/transport.py
+++ b/magnoliarouter/store/transport.py
@@ -93,6 +93,8 @@
     is_other : callable
         Returns whether a head belongs to a request of another user of the pool; these calls have
         no id. Such a response is dropped.
+    may_send : callable
+        Returns whether a call may still be sent, once its connection is open.
     """
 
     def __init__(
@@ -101,11 +103,13 @@
         pool: UpstreamPool,
         on_head: Callable[[ResponseHead], None] = lambda head: None,
         is_other: Callable[[ResponseHead], bool] = lambda head: False,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> None:
         self._address = address
         self._pool = pool
         self._on_head = on_head
         self._is_other = is_other
+        self._may_send = may_send
 
     async def exchange(
         self, call: StoreCall, timeout: float, limit: int
@@ -115,6 +119,8 @@
         try:
             async with asyncio.timeout(timeout):
                 connection = await self._pool.acquire(self._address)
+                if not self._may_send():
+                    return Unavailable("not sent: its permission ended", Failure.NOT_SENT)
                 connection.carried_unnamed_request = True
                 connection.send(self._encode(call))
                 head = await connection.read_head()
--- a/magnoliarouter/tests/test_platform.py
+++ b/magnoliarouter/tests/test_platform.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 import random
 import unittest
 
@@ -294,7 +295,7 @@
 
 
 class RanksTest(unittest.IsolatedAsyncioTestCase):
-    async def start(self, status=200, body=b"{}"):
+    def answer(self, status=200, body=b"{}"):
         self.requests = []
 
         async def handle(peer):
@@ -307,7 +308,10 @@
                 await peer.send(b"HTTP/1.1 %d S\r\nContent-Length: %d\r\n\r\n" % (status, length))
                 await peer.send(body)
 
-        ranks, address, _ = await self.open(handle)
+        return handle
+
+    async def start(self, status=200, body=b"{}"):
+        ranks, address, _ = await self.open(self.answer(status, body))
         return ranks, address
 
     async def open(self, handle):
@@ -372,6 +376,22 @@
         self.assertEqual(await ranks.send(address, Hold(5), 1, 3, 8), OrderResult.REFUSED)
         self.assertEqual(pool.opened_connections, 1)
 
+    async def test_order_whose_lease_ends_while_its_connection_opens_is_not_sent(self):
+        ranks, address, pool = await self.open(self.answer())
+        connect, held = pool.connect, {3}
+
+        async def connect_slowly(address):
+            connection = await connect(address)
+            held.clear()
+            return connection
+
+        pool.connect, ranks.may_send = connect_slowly, held.__contains__
+        result = await ranks.send(address, Hold(5), 1, 3, 8)
+        await asyncio.sleep(0.02)
+        self.assertEqual((result, self.requests), (OrderResult.UNKNOWN, []))
+        held.add(3)
+        self.assertEqual(await ranks.send(address, Hold(5), 1, 3, 8), OrderResult.TAKEN)
+
     async def test_orders_on_the_wire(self):
         ranks, address = await self.start()
         rows = (((0,), (0, 1), (1,)),)
