Close a connection that owes a response after a late copy of another

Cause: the end of any response marked the connection as owing none, also the end of a dropped copy of a response to another request.

When the attempt ended next, by its time limit or because the caller left, the connection was used again while its endpoint still worked: that request was not cancelled, the next one waited behind it, and the response that was due counted as the response to an order, which has no id.

Change: after a copy the response of the request itself is still due, unless it has begun. A copy that is dropped in part is due to the end, too.

--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -311,6 +311,19 @@
         await self.forward(build_route(RouteKind.SAFE, 2, timeout_s=2.0))
         self.assertEqual(self.exchange.body, b"yours")
 
+    async def test_connection_that_owes_a_response_is_not_reused_after_a_late_copy(self):
+        async def handle(peer):
+            if len(self.heads) == 1:
+                await peer.send(build_response(b"not yours", request_id="r0"))
+                await asyncio.sleep(0.3)
+            await peer.send(build_response(b"yours"))
+
+        server = await self.add(handle)
+        outcome = await self.forward(build_route(RouteKind.ONCE, 1, timeout_s=0.1))
+        self.assertIsInstance(outcome, Unknown)
+        await self.forward(build_route(RouteKind.ONCE))
+        self.assertEqual((self.exchange.body, server.connections), (b"yours", 2))
+
     async def test_success_without_a_server_stamp_is_rejected(self):
         async def handle(peer):
             await peer.send(build_response(stamp=None))
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -209,10 +209,15 @@
         return bytes(body)
 
     async def skip_body(self) -> None:
-        """Drop the rest of the body; if this is cancelled, `read_head` continues it."""
+        """Drop the rest of a response to another request; that of this one is still due.
+
+        If this is cancelled, `read_head` continues it.
+        """
         self._skipping = True
         await self.read_body()
         self._skipping = False
+        if not self._received_items:
+            self._response_pending = True
 
     def record_keep_alive(self, seconds: float | None) -> None:
         """Limit the reuse of the connection by the endpoint's keep-alive timeout, if announced."""
@@ -229,6 +234,7 @@
             not self.lost
             and not self._received_items
             and not self._response_pending
+            and not self._skipping
             and not self._in_response
             and not self._close_after_response
             and not self._bodiless
