Show that a request of unknown outcome is neither repeated nor denied

A once-only request whose kept connection is closed, reset, closed for writing or ends inside the head of a refusal runs at one endpoint and is reported as unknown. A refusal that comes before the body was read proves that it did not run, and its connection is not used again. Both tests passed at their first run: they show behaviour that the code had.

--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -209,6 +209,56 @@
         self.assertIsInstance(outcome, Unknown)
         self.assertEqual(self.tried(), ["e1"])
 
+    async def test_once_only_request_is_not_resent_when_its_kept_connection_ends(self):
+        """A kept connection may end as a request arrives, whether or not it was read."""
+
+        async def close(peer):
+            peer.close()
+
+        async def reset(peer):
+            peer.reset()
+
+        async def answer_in_part(peer):
+            await peer.send(b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n")
+            peer.close()
+
+        async def close_for_writing(peer):
+            peer.writer.write_eof()
+            await asyncio.sleep(0.1)
+
+        for end in (close, reset, answer_in_part, close_for_writing):
+            with self.subTest(end=end.__name__):
+                self.heads.clear()
+
+                async def serve_once(peer, end=end):
+                    await (respond_ok if len(self.heads) == 1 else end)(peer)
+
+                await self.add_two(serve_once, respond_ok)
+                for kind in (Completed, Unknown):
+                    self.exchange = FakeExchange()
+                    outcome = await self.forward(build_route(RouteKind.ONCE, attempts=3))
+                    self.assertIsInstance(outcome, kind)
+                self.assertEqual(self.tried(), ["e1", "e1"])
+                self.table.outliers.forget(["e1"])
+
+    async def test_refusal_before_a_body_was_read_proves_that_it_did_not_run(self):
+        """The rest of the body is no part of a later request: its connection is closed."""
+
+        async def refuse_early(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(build_response(status=503, X_Not_Executed="1"))
+
+        early = await asyncio.start_server(refuse_early, "127.0.0.1", 0)
+        self.addCleanup(early.close)
+        await self.add_two(respond_ok, respond_ok)
+        host, port = early.sockets[0].getsockname()
+        self.table.put(Endpoint("e1", "app", f"{host}:{port}", "zone-1", 100))
+        call = replace(build_gateway_call(build_route(RouteKind.ONCE)), body=b"x" * 8_000_000)
+        outcome = await self.forwarder.forward(call, self.exchange, lambda: None)
+        self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+        self.assertEqual([(name, len(body)) for name, _, body in self.heads], [("e2", 8_000_000)])
+        self.assertFalse(self.pool._idle.get(f"{host}:{port}"))
+
     async def test_request_proved_not_run_is_retried_elsewhere_within_attempts(self):
         for marker in ({"status": 503, "X_Not_Executed": "1"}, {"status": 421, "stamp": None}):
             for attempts, outcome in ((2, Completed), (1, NotRun)):
