Send the orders of a switch under the lease of its start only

Cause: each order of a switch asked for the fencing number of that moment. A leader whose lease ended and was acquired again while it waited for copies went on with its switch under the new number, although another leader may have acted in between. Only the loop around switches compared the numbers.

The first leader then held the group and armed a version that the ranks had replaced by the other leader's. They refuse that for good, and the order is repeated: the group stood still as long as the lease lasted, and callers of all its ranks waited.

Change: a group's switcher takes the number that is held when it is made, and sends nothing under another one; the group is then discovered anew, which completes what is unfinished.

--- a/magnoliarouter/gateway/groups.py
+++ b/magnoliarouter/gateway/groups.py
@@ -76,7 +76,9 @@
     client : RankClient
         Calls to ranks.
     fencing_number : callable
-        Returns the fencing number while this daemon holds the map lease, else None.
+        Returns the fencing number while this daemon holds the map lease, else None. Orders are sent
+        under the number of the start only: under a later one the group is discovered anew, since
+        another leader may have acted in between.
     clock : callable
         Loop time in seconds.
     """
@@ -99,6 +101,10 @@
     _last_switch_confirmed: bool = True
     _prepare_timeout_s: float = FIRST_PREPARE_TIMEOUT_S
     _first_responses_s: list[float] = field(default_factory=list)
+    _lease: int | None = None
+
+    def __post_init__(self) -> None:
+        self._lease = self.fencing_number()
 
     async def read_map(self, profile: ExpertProfile) -> bool:
         """Read the current map from the ranks, and return whether all ranks agree on it."""
@@ -310,7 +316,7 @@
         began, first = self.clock(), True
         while True:
             fencing_number = self.fencing_number()
-            if fencing_number is None:
+            if fencing_number is None or fencing_number != self._lease:
                 raise SwitchAbandoned("the map lease was lost")
             result = await self.client.send(
                 rank.address,
--- a/magnoliarouter/tests/test_groups.py
+++ b/magnoliarouter/tests/test_groups.py
@@ -306,6 +306,45 @@
                 self.assertGreater(model.step, 200)
                 self.assertTrue(all(rank.held is None for rank in model.ranks))
 
+    def test_switch_does_not_go_on_under_a_later_lease(self):
+        """Another leader prepares a map of its own while the first one waits for its copies."""
+
+        async def main():
+            model = GroupModel()
+            loop = asyncio.get_running_loop()
+            step_task = loop.create_task(model.run())
+            lease = FakeMapLease()
+            duty, task = start_map_duty(model, lease)
+            send, prepared = model.send, []
+
+            def act_as_other_leader(rows):
+                for rank in model.ranks:
+                    rank.apply_order(Prepare(29_999, rows), 1, 2)
+
+            async def send_and_pass_lease_on(address, order, *rest):
+                result = await send(address, order, *rest)
+                if isinstance(order, Prepare):
+                    prepared.append(order)
+                    if len(prepared) == model.size:
+                        loop.call_later(0.02, act_as_other_leader, order.rows)
+                        loop.call_later(0.02, setattr, lease, "fencing_number", 3)
+                return result
+
+            model.send = send_and_pass_lease_on
+            await asyncio.sleep(15.0)
+            await cancel_tasks(task, step_task, *duty.list_tasks())
+            return model, prepared[0].version
+
+        model, version = run_auto_advance(main())
+        later = [
+            order
+            for _, order, _, fencing_number in model.sent
+            if fencing_number == 3 and getattr(order, "version", 0) == version
+        ]
+        self.assertEqual((later, model.mixed_steps), ([], []))
+        self.assertGreater(model.step, 250)
+        self.assertTrue(any(rank.version // 10_000 == 3 for rank in model.ranks))
+
     def test_hold_found_beside_armed_ranks_is_completed_not_released(self):
         async def main():
             model = GroupModel()
