Answer what is under way when an entry or endpoint daemon stops

The close of the listening socket reset the connections that the kernel had accepted; half-read requests, connections just opened and bytes that a slow caller had not received were dropped as the process ended.

Callers of the product's own entry daemons saw resets and responses cut off around a planned stop; an entry daemon whose attempt was reset by a stopping guard could not prove that it had not run.

Change: waiting connections are accepted before the listening socket closes, unused ones have 0.5 s for a request, and the wait for the end includes requests that arrive and unsent bytes, for as long as a request may take to arrive.

--- a/magnoliarouter/tests/test_server.py
+++ b/magnoliarouter/tests/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 import unittest
 
 import aiohttp
@@ -165,3 +166,98 @@
                 self.assertNotIn(b"HTTP/1.1 5", response, mutant)
         self.assertTrue((await self.send_raw(VALID_REQUEST)).endswith(b"hello"))
         self.assertEqual(self.server.active_requests, 0)
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    """Requests that are under way when the server stops."""
+
+    async def asyncSetUp(self):
+        self.release = asyncio.Event()
+        self.server = WebServer(Runtime(), ("127.0.0.1", 0), self.handle, LIMITS)
+
+    async def handle(self, exchange):
+        if exchange.request.path == "/stream":
+            await exchange.start(200, {})
+            await exchange.write(b"one")
+            await self.release.wait()
+            await exchange.finish()
+            return
+        if exchange.request.path == "/large":
+            exchange._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        body = b"a" * 60_000 if exchange.request.path == "/large" else exchange.request.body
+        await exchange.send(200, body)
+
+    def connect_at_once(self, data, receive_buffer=None):
+        """Open a connection and send `data` without letting the server's loop run."""
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        if receive_buffer is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        sock.connect(("127.0.0.1", self.server.port))
+        sock.sendall(data)
+        sock.setblocking(False)
+        return sock
+
+    async def stop(self):
+        """Stop as a daemon does; the end of its process closes what is still open."""
+        self.server.start_draining()
+        self.server.stop_listening()
+        await asyncio.wait_for(self.server.wait_until_idle(), 5.0)
+        for sock in list(self.server._connections):
+            self.server.close_connection(sock)
+
+    async def read_all(self, sock, pause_s=0.0):
+        loop, received = asyncio.get_running_loop(), b""
+        async with asyncio.timeout(5.0):
+            while part := await loop.sock_recv(sock, 4096):
+                received += part
+                await asyncio.sleep(pause_s)
+        return received
+
+    async def test_connections_that_were_not_accepted_yet_are_answered(self):
+        waiting = [self.connect_at_once(VALID_REQUEST) for _ in range(20)]
+        stopping = asyncio.create_task(self.stop())
+        for response in await asyncio.gather(*map(self.read_all, waiting)):
+            self.assertTrue(response.endswith(b"hello"), response)
+        await stopping
+
+    async def test_request_half_read_is_answered(self):
+        sock = self.connect_at_once(VALID_REQUEST[:-2])
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(self.stop())
+        await asyncio.sleep(0.05)
+        sock.send(VALID_REQUEST[-2:])
+        self.assertTrue((await self.read_all(sock)).endswith(b"hello"))
+        await stopping
+
+    async def test_connection_opened_just_before_is_answered(self):
+        sock = self.connect_at_once(b"")
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(self.stop())
+        await asyncio.sleep(0.05)
+        sock.send(VALID_REQUEST)
+        self.assertTrue((await self.read_all(sock)).endswith(b"hello"))
+        await stopping
+
+    async def test_response_that_its_caller_reads_slowly_is_whole(self):
+        request = b"GET /large HTTP/1.1\r\nHost: a\r\n\r\n"
+        sock = self.connect_at_once(request, receive_buffer=4096)
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(self.stop())
+        self.assertGreater(len(await self.read_all(sock, 0.01)), 60_000)
+        await stopping
+
+    async def test_pipelined_request_is_answered(self):
+        sock = self.connect_at_once(b"GET /stream HTTP/1.1\r\nHost: a\r\n\r\n" + VALID_REQUEST)
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(self.stop())
+        await asyncio.sleep(0.05)
+        self.release.set()
+        self.assertTrue((await self.read_all(sock)).endswith(b"hello"))
+        await stopping
+
+    async def test_idle_connection_does_not_keep_the_server(self):
+        self.connect_at_once(b"")
+        sock = self.connect_at_once(VALID_REQUEST)
+        self.assertIn(b"hello", await asyncio.get_running_loop().sock_recv(sock, 4096))
+        await asyncio.wait_for(self.stop(), 1.0)
--- a/magnoliarouter/web/server.py
+++ b/magnoliarouter/web/server.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import select
+from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl
@@ -42,6 +44,10 @@
 WRITE_HIGH_WATER_MARK_BYTES = 65_536
 # Time between the response to a rejected request and the close of its connection.
 LINGERING_CLOSE_S = 1.0
+# Time for the first request on a connection that is still unused when the server stops.
+UNUSED_CLOSE_S = 0.5
+# Time in which the loop reads what the kernel has received before the server stopped.
+READ_WAITING_S = 0.02
 
 
 @dataclass(slots=True)
@@ -54,6 +60,7 @@
     timer: asyncio.TimerHandle | None = None
     pipelined: list[bytes] = field(default_factory=list)
     pipelined_bytes: int = 0
+    used: bool = False
     drain_waiters: list[asyncio.Future[None]] = field(default_factory=list)
 
     def stop_timer(self) -> None:
@@ -119,6 +126,8 @@
         self._connections: dict[socket, _Connection] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self.draining = False
+        self._stopping = False
+        self._idle_waiter: asyncio.Future[None] | None = None
         self.server = _DirectWriteServer(bind, channel=channel).register(self)
         self.http = HTTP(self, channel=channel).register(self)
         self.register(runtime)
@@ -139,20 +148,61 @@
         return len(self._tasks)
 
     async def wait_until_idle(self) -> None:
-        """Wait until no request is in progress."""
-        while self._tasks:
-            await asyncio.wait(self._tasks)
+        """Wait until no request is in progress.
+
+        Wait also, for at most the time that a request may take to arrive, for requests that are
+        still arriving and for bytes that their callers have not received.
+        """
+        if self._stopping:
+            await asyncio.sleep(READ_WAITING_S)
+        deadline: float | None = None
+        while self._tasks or any(map(self._is_busy, self._connections)):
+            if self._tasks:
+                await asyncio.wait(self._tasks)
+                continue
+            now = self._runtime.loop.time()
+            deadline = deadline or now + self._limits.request_timeout_s
+            if now >= deadline:
+                return
+            self._idle_waiter = self._runtime.loop.create_future()
+            await asyncio.wait((self._idle_waiter,), timeout=deadline - now)
+
+    def _is_busy(self, sock: socket) -> bool:
+        connection = self._connections[sock]
+        return bool(
+            connection.received_bytes
+            or connection.pipelined
+            or (self._stopping and not connection.used)
+            or self._count_unsent_bytes(sock)
+        )
+
+    def _report_end(self) -> None:
+        """Have `wait_until_idle` look again."""
+        if self._idle_waiter is not None and not self._idle_waiter.done():
+            self._idle_waiter.set_result(None)
 
     def start_draining(self) -> None:
         """Close each connection after its next response, so that clients move to other servers."""
         self.draining = True
 
     def stop_listening(self) -> None:
-        """Accept no further connections; open connections remain."""
+        """Accept no connections other than those that already wait; open connections remain."""
         listener = self.server._sock
-        if listener is not None:
-            self.server._poller.discard(listener)
-            listener.close()
+        if listener is None or self._stopping:
+            return
+        self._stopping = True
+        self.server._poller.discard(listener)
+        # Closing the listening socket resets the connections that the kernel has accepted.
+        poll = select.poll()
+        poll.register(listener, select.POLLIN)
+        for _ in range(self._limits.max_connections):
+            if not poll.poll(0):
+                break
+            deque(self.server._accept() or (), maxlen=0)
+        listener.close()
+        for sock, connection in self._connections.items():
+            if not connection.used and not connection.received_bytes:
+                self._start_idle_timer(sock, connection)
 
     def close_connection(self, sock: socket) -> None:
         """Close a connection and discard its unsent bytes."""
@@ -203,6 +253,7 @@
         connection = self._connections.pop(sock, None)
         if connection is None:
             return
+        self._report_end()
         connection.stop_timer()
         _wake_drain_waiters(connection)
         if connection.task is not None:
@@ -251,9 +302,8 @@
 
     def _start_idle_timer(self, sock: socket, connection: _Connection) -> None:
         connection.stop_timer()
-        connection.timer = self._runtime.loop.call_later(
-            self._limits.idle_timeout_s, self.close_connection, sock
-        )
+        waits_s = UNUSED_CLOSE_S if self._stopping else self._limits.idle_timeout_s
+        connection.timer = self._runtime.loop.call_later(waits_s, self.close_connection, sock)
 
     def _reject_slow_request(self, sock: socket) -> None:
         self._reject(sock, 408, ResultCode.SLOW_REQUEST, "request took too long to arrive")
@@ -314,7 +364,7 @@
         if connection is None:
             return True
         connection.stop_timer()
-        connection.received_bytes = 0
+        connection.used, connection.received_bytes = True, 0
         headers = {name.lower(): value for name, value in request.headers.items()}
         error = find_request_error(request.path, headers)
         if error:
@@ -349,6 +399,7 @@
 
     def _on_handler_done(self, sock: socket, response: Response, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
+        self._report_end()
         connection = self._connections.get(sock)
         if not task.cancelled() and task.exception() is not None:
             self._runtime.loop.call_exception_handler(
@@ -369,6 +420,7 @@
 
     @handler("_write", priority=0)
     def _on_written(self, sock: socket) -> None:
+        self._report_end()
         connection = self._connections.get(sock)
         if connection is not None and connection.drain_waiters:
             if self._count_unsent_bytes(sock) <= WRITE_HIGH_WATER_MARK_BYTES:
