--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from magnoliarouter.core.framing import Framing
 from magnoliarouter.core.outcome import Completed, NotRun, ResultCode, Unknown
@@ -14,10 +15,12 @@
 from magnoliarouter.gateway.groupwatch import GroupWatch
 from magnoliarouter.gateway.pauses import EventGapMeter
 from magnoliarouter.gateway.quarantine import Quarantine
+from magnoliarouter.gateway.ranks import Hold
 from magnoliarouter.gateway.routes import Route, RouteKind
 from magnoliarouter.gateway.waiting import WaitQueue
 from magnoliarouter.gateway.zonewatch import ZoneWatch
 from magnoliarouter.platform.headers import PlatformHeaders
+from magnoliarouter.platform.ranks import PlatformRanks
 from magnoliarouter.telemetry.metrics import Metrics
 from magnoliarouter.tests.builders import build_rank_report
 from magnoliarouter.tests.raw_server import RawServer, build_response
@@ -206,6 +209,56 @@
         self.assertIsInstance(outcome, Unknown)
         self.assertEqual(self.tried(), ["e1"])
 
+    async def test_once_only_request_is_not_resent_when_its_kept_connection_ends(self):
+        """A kept connection may end as a request arrives, whether or not it was read."""
+
+        async def close(peer):
+            peer.close()
+
+        async def reset(peer):
+            peer.reset()
+
+        async def answer_in_part(peer):
+            await peer.send(b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n")
+            peer.close()
+
+        async def close_for_writing(peer):
+            peer.writer.write_eof()
+            await asyncio.sleep(0.1)
+
+        for end in (close, reset, answer_in_part, close_for_writing):
+            with self.subTest(end=end.__name__):
+                self.heads.clear()
+
+                async def serve_once(peer, end=end):
+                    await (respond_ok if len(self.heads) == 1 else end)(peer)
+
+                await self.add_two(serve_once, respond_ok)
+                for kind in (Completed, Unknown):
+                    self.exchange = FakeExchange()
+                    outcome = await self.forward(build_route(RouteKind.ONCE, attempts=3))
+                    self.assertIsInstance(outcome, kind)
+                self.assertEqual(self.tried(), ["e1", "e1"])
+                self.table.outliers.forget(["e1"])
+
+    async def test_refusal_before_a_body_was_read_proves_that_it_did_not_run(self):
+        """The rest of the body is no part of a later request: its connection is closed."""
+
+        async def refuse_early(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(build_response(status=503, X_Not_Executed="1"))
+
+        early = await asyncio.start_server(refuse_early, "127.0.0.1", 0)
+        self.addCleanup(early.close)
+        await self.add_two(respond_ok, respond_ok)
+        host, port = early.sockets[0].getsockname()
+        self.table.put(Endpoint("e1", "app", f"{host}:{port}", "zone-1", 100))
+        call = replace(build_gateway_call(build_route(RouteKind.ONCE)), body=b"x" * 8_000_000)
+        outcome = await self.forwarder.forward(call, self.exchange, lambda: None)
+        self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+        self.assertEqual([(name, len(body)) for name, _, body in self.heads], [("e2", 8_000_000)])
+        self.assertFalse(self.pool._idle.get(f"{host}:{port}"))
+
     async def test_request_proved_not_run_is_retried_elsewhere_within_attempts(self):
         for marker in ({"status": 503, "X_Not_Executed": "1"}, {"status": 421, "stamp": None}):
             for attempts, outcome in ((2, Completed), (1, NotRun)):
@@ -281,6 +334,46 @@
         await self.forward(build_route())
         self.assertEqual(self.exchange.body, b"yours")
 
+    async def test_late_copy_of_a_response_to_an_order_is_dropped(self):
+        """It has no id, and its status would prove that the request did not run."""
+        copy = build_response(status=421, request_id=None, stamp=None)
+
+        async def handle(peer):
+            if "/v1/order" in self.heads[-1][1]:
+                await peer.send(copy)
+            else:
+                await peer.send(copy + build_response(b"yours"))
+
+        server = await self.add(handle)
+        await PlatformRanks(self.pool).send(server.address, Hold(5), 1, 3, 8)
+        outcome = await self.forward(build_route(RouteKind.ONCE))
+        self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+        self.assertEqual((self.exchange.body, server.connections), (b"yours", 1))
+
+    async def test_late_copy_that_comes_slowly_is_dropped(self):
+        async def handle(peer):
+            copy = build_response(b"x" * 100, request_id="r0")
+            await peer.send(copy[:-50])
+            await asyncio.sleep(1.3)
+            await peer.send(copy[-50:] + build_response(b"yours"))
+
+        await self.add(handle)
+        await self.forward(build_route(RouteKind.SAFE, 2, timeout_s=2.0))
+        self.assertEqual(self.exchange.body, b"yours")
+
+    async def test_connection_that_owes_a_response_is_not_reused_after_a_late_copy(self):
+        async def handle(peer):
+            if len(self.heads) == 1:
+                await peer.send(build_response(b"not yours", request_id="r0"))
+                await asyncio.sleep(0.3)
+            await peer.send(build_response(b"yours"))
+
+        server = await self.add(handle)
+        outcome = await self.forward(build_route(RouteKind.ONCE, 1, timeout_s=0.1))
+        self.assertIsInstance(outcome, Unknown)
+        await self.forward(build_route(RouteKind.ONCE))
+        self.assertEqual((self.exchange.body, server.connections), (b"yours", 2))
+
     async def test_success_without_a_server_stamp_is_rejected(self):
         async def handle(peer):
             await peer.send(build_response(stamp=None))
@@ -559,6 +652,53 @@
         outcome = await self.forward(build_route(RouteKind.STREAM, 2, 4.0, resumable=True))
         self.assertEqual((outcome, self.tried()), (Completed(ResultCode.OK, 200), ["e1", "e2"]))
 
+    async def test_stream_whose_first_event_may_take_long_is_kept(self):
+        """An endpoint reads a long prompt before it writes: the target allows for it."""
+
+        async def slow(peer):
+            await asyncio.sleep(1.5)
+            await self.serve(EVENTS)(peer)
+
+        await self.add_two(slow, self.serve(EVENTS))
+        route = build_route(RouteKind.STREAM, 2, 4.0, resumable=True)
+        outcome = await self.forward(replace(route, target_latency_s=2.0))
+        self.assertEqual((outcome, self.tried()), (Completed(ResultCode.OK, 200), ["e1"]))
+
+    async def test_stream_whose_events_may_be_far_apart_is_kept(self):
+        async def slow(peer):
+            await peer.send(self.head() + self.chunk(EVENTS[0]))
+            await asyncio.sleep(1.5)
+            await peer.send(self.chunk(b"".join(EVENTS[1:])) + b"0\r\n\r\n")
+
+        await self.add_two(slow, self.serve(EVENTS))
+        route = build_route(RouteKind.STREAM, 2, 4.0, resumable=True)
+        outcome = await self.forward(replace(route, max_event_gap_s=1.8))
+        self.assertEqual((outcome, self.tried()), (Completed(ResultCode.OK, 200), ["e1"]))
+        self.assertEqual(self.exchange.body, b"".join(EVENTS))
+
+    async def test_stream_that_sends_only_comments_counts_as_silent(self):
+        comment = b": wait\n\n"
+
+        async def stall(peer):
+            await peer.send(self.head() + self.chunk(EVENTS[0]))
+            for _ in range(20):
+                await asyncio.sleep(0.2)
+                await peer.send(self.chunk(comment))
+
+        await self.add_two(stall, self.serve(EVENTS[1:]))
+        route = build_route(RouteKind.STREAM, 2, 4.0, resumable=True)
+        outcome = await self.forward(route)
+        self.assertEqual((outcome, self.tried()), (Completed(ResultCode.OK, 200), ["e1", "e2"]))
+        self.assertEqual(self.exchange.body.replace(comment, b""), b"".join(EVENTS))
+        self.assertEqual(self.exchange.body.count(comment), 5)
+
+    async def test_comments_pass_with_the_events_around_them(self):
+        parts = [b": a\n\n", EVENTS[0], b": b\n: c\n\n", EVENTS[1], b": d\n\n"]
+        await self.add(self.serve(parts))
+        call = build_gateway_call(build_route(RouteKind.STREAM, 1))
+        await self.forwarder.forward(call, self.exchange, lambda: None)
+        self.assertEqual((self.exchange.body, call.events), (b"".join(parts), 2))
+
     def serve_slowly(self, first, later):
         """Send some events at once and the rest after a second."""
 
