Keep sums of the other daemons' loads, so that a choice adds none up

Each choice of an endpoint added the loads of all daemons for each endpoint. The sums are now changed by what a message changes, and by expiry. A message with a negative or huge load is malformed.

--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -11,6 +11,7 @@
 from magnoliarouter.core.sharedrate import NO_LIMIT
 from magnoliarouter.core.work import NO_WORK, CallWork
 from magnoliarouter.gateway.notices import EndpointNotices
+from magnoliarouter.gateway.peerloads import PeerLoadSums
 from magnoliarouter.gateway.ratelimits import EndpointRates
 
 if TYPE_CHECKING:
@@ -20,8 +21,6 @@
 
 # An endpoint that refused a request is ranked behind the others for this time.
 REFUSAL_PENALTY_S = 0.15
-# The load reported by another daemon expires if it is not renewed within this time.
-PEER_LOAD_EXPIRY_S = 1.5
 # Bounds of the estimated outage. A group forms again 0.6 s after a lost rank has returned, and a lost
 # rank or zone seldom returns within 2 s. Callers wait 8 s and come back once, within a third of that
 # time, so one that is told too little is refused for good.
@@ -63,12 +62,6 @@
     software: str = ""
 
 
-@dataclass(slots=True)
-class _PeerLoad:
-    at: float
-    loads: dict[str, int]
-
-
 @dataclass(slots=True)
 class EndpointTable:
     """Endpoints by identity, their load and their health.
@@ -102,7 +95,7 @@
     _endpoints: dict[str, Endpoint] = field(default_factory=dict)
     _services: dict[str, dict[str, Endpoint]] = field(default_factory=dict)
     _penalized_until: dict[str, float] = field(default_factory=dict)
-    _peer_loads: dict[str, _PeerLoad] = field(default_factory=dict)
+    _peer_loads: PeerLoadSums = field(default_factory=PeerLoadSums)
     _served_at: dict[str, float] = field(default_factory=dict)
 
     def put(self, endpoint: Endpoint) -> None:
@@ -162,16 +155,11 @@
 
     def apply_peer_load(self, peer: str, loads: dict[str, int], now: float) -> None:
         """Store another daemon's number of requests at each endpoint."""
-        self._peer_loads[peer] = _PeerLoad(now, loads)
+        self._peer_loads.apply(peer, loads, now)
 
     def load_of(self, identity: str, now: float) -> int:
         """Return the number of requests at an endpoint, from this and the reporting daemons."""
-        others = sum(
-            peer.loads.get(identity, 0)
-            for peer in self._peer_loads.values()
-            if now - peer.at < PEER_LOAD_EXPIRY_S
-        )
-        return self.own_requests.get(identity, 0) + others
+        return self.own_requests.get(identity, 0) + self._peer_loads.load_of(identity, now)
 
     def choose(
         self, service: str, tried: set[str], now: float, work: CallWork = NO_WORK
--- a/magnoliarouter/gateway/peers.py
+++ b/magnoliarouter/gateway/peers.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TYPE_CHECKING, Annotated, TypeAlias
 
 import msgspec
+from msgspec import Meta
 
 from magnoliarouter.core.crashes import CrashReport
 from magnoliarouter.gateway.ratelimits import RateUpdate
@@ -98,7 +99,7 @@
     name: str
     start: int
     number: int
-    loads: dict[str, int]
+    loads: dict[str, Annotated[int, Meta(ge=0, le=2**31)]]
     holds_map_lease: bool = False
     confirmed: dict[str, tuple[int, float]] = {}
     last_received: dict[str, tuple[int, int]] = {}
