Let calls leave their availability zone by need, and only as many as help

An endpoint in another zone counted as 0.3 requests more loaded, however full the zones were, so that calls left zones with plenty of room, and all daemons of a full zone took their neighbour's last places. For services with a profile, a share of the calls that grows with the zone's fullness now leaves, if that saves more than the way costs; the others keep a reserve, and more when they fill. The setting keeps_zone = false serves as before. Status, log and a counter show it. Negative or huge loads of another daemon are logged once and not applied, rather than dropping its whole message.

--- a/magnoliarouter/core/work.py
+++ b/magnoliarouter/core/work.py
@@ -22,5 +22,10 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
 
+    @property
+    def tokens(self) -> int:
+        """Tokens that the call's endpoint holds at its end."""
+        return self.prompt_tokens + self.output_tokens
+
 
 NO_WORK = CallWork()
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -56,7 +56,7 @@
     from magnoliarouter.gateway.call import HeaderCodec
     from magnoliarouter.gateway.ranks import RankClient
     from magnoliarouter.gateway.ratelimits import RateUpdate
-    from magnoliarouter.gateway.routes import ExpertProfile, GatewayConfig
+    from magnoliarouter.gateway.routes import ExpertProfile, GatewayConfig, ModelProfile
     from magnoliarouter.gateway.settings import GatewaySettings
     from magnoliarouter.store.wire import ObjectCodec
     from magnoliarouter.web.ingress import IngressExchange
@@ -170,6 +170,9 @@
             CONFIGURATION_WAIT_S * 2 + STORE_TIMEOUT_S / 2,
         )
         self.table = EndpointTable(settings.zone)
+        overflow = self.table.overflow
+        overflow.is_enabled, overflow.find_profile = settings.keeps_zone, self._find_profile
+        overflow.count = lambda reason: self.metrics.zone_choices.labels(reason).inc()
         self._retry_budget = SharedRetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
@@ -465,10 +468,15 @@
             endpoint for endpoint in self.table.list() if self._find_experts(endpoint) is not None
         ]
 
+    def _find_profile(self, service: str) -> ModelProfile | None:
+        """Return the profile of a model service, or None."""
+        found = self.config.services.get(service) if self.config is not None else None
+        return found.profile if found is not None else None
+
     def _find_experts(self, endpoint: Endpoint) -> ExpertProfile | None:
         """Return the expert profile of a service whose endpoints are ranks of groups, or None."""
-        service = self.config.services.get(endpoint.service) if self.config is not None else None
-        return service.profile.experts if service is not None and service.profile else None
+        profile = self._find_profile(endpoint.service)
+        return profile.experts if profile is not None else None
 
     def _find_max_event_gap_s(self, endpoint: Endpoint) -> float | None:
         """Return the shortest event gap that a route to the endpoint's service counts as late."""
--- a/magnoliarouter/daemon/gatewayview.py
+++ b/magnoliarouter/daemon/gatewayview.py
@@ -56,6 +56,7 @@
             for endpoint in daemon.table.list()
         },
         "evacuated": daemon.table.evacuations.list(),
+        "zones": daemon.table.overflow.describe(),
         "quarantined": daemon.list_quarantined(),
         "daemons": daemon.peers.count_daemons(),
         "in_charge": daemon.map_election.fencing_number() is not None,
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -4,13 +4,15 @@
 
 import random
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 from magnoliarouter.core.evacuations import ZoneEvacuations
 from magnoliarouter.core.outliers import EjectionPolicy, OutlierDetector
 from magnoliarouter.core.sharedrate import NO_LIMIT
+from magnoliarouter.core.spillover import ZoneRoom
 from magnoliarouter.core.work import NO_WORK, CallWork
 from magnoliarouter.gateway.notices import EndpointNotices
+from magnoliarouter.gateway.overflow import ZoneOverflow
 from magnoliarouter.gateway.peerloads import PeerLoadSums
 from magnoliarouter.gateway.ratelimits import EndpointRates
 
@@ -26,8 +28,8 @@
 # time, so one that is told too little is refused for good.
 MIN_OUTAGE_S = 3.0
 MAX_OUTAGE_S = 4.0
-# An endpoint in another zone is ranked as if it had this many more requests: a hop between zones
-# costs little compared with a slot in a batch.
+# Where calls do not leave the zone by need, an endpoint in another zone is ranked as if it had this
+# many more requests: a hop between zones costs little compared with a slot in a batch.
 REMOTE_ZONE_PENALTY_REQUESTS = 0.3
 
 
@@ -62,6 +64,10 @@
     software: str = ""
 
 
+# An endpoint, its load, and the largest load with which it gets a request, plus one.
+_Rated: TypeAlias = tuple[Endpoint, int, int]
+
+
 @dataclass(slots=True)
 class EndpointTable:
     """Endpoints by identity, their load and their health.
@@ -91,6 +97,7 @@
     notices: EndpointNotices = field(default_factory=EndpointNotices)
     rates: EndpointRates = field(default_factory=EndpointRates)
     evacuations: ZoneEvacuations = field(default_factory=ZoneEvacuations)
+    overflow: ZoneOverflow = field(init=False)
     own_requests: dict[str, int] = field(default_factory=dict)
     _endpoints: dict[str, Endpoint] = field(default_factory=dict)
     _services: dict[str, dict[str, Endpoint]] = field(default_factory=dict)
@@ -98,6 +105,9 @@
     _peer_loads: PeerLoadSums = field(default_factory=PeerLoadSums)
     _served_at: dict[str, float] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.overflow = ZoneOverflow(self.zone, self.random)
+
     def put(self, endpoint: Endpoint) -> None:
         """Add or replace an endpoint."""
         self.remove(endpoint.identity)
@@ -122,6 +132,7 @@
     def start_request(self, identity: str, work: CallWork = NO_WORK) -> None:
         """Count a request sent to an endpoint."""
         self.own_requests[identity] = self.own_requests.get(identity, 0) + 1
+        self.overflow.record_start(identity, work)
 
     def cancel_request(self, endpoint: Endpoint, now: float, work: CallWork = NO_WORK) -> None:
         """Stop counting a request that was placed and not sent."""
@@ -165,13 +176,54 @@
         self, service: str, tried: set[str], now: float, work: CallWork = NO_WORK
     ) -> Endpoint | None:
         """Return the endpoint for the next request, or None if none has free capacity."""
-        candidates = self._list_usable(service, tried, now)
-        best, best_score = None, float("inf")
-        for endpoint in candidates:
-            if self.notices.paused_until(endpoint) > now:
-                continue
+        usable = self._list_usable(service, tried, now)
+        if not self.overflow.applies(service):
+            return self._pick(self._rate(usable, now), now)
+        zones = self._rate_zones(service, usable, tried, now)
+        rooms = self.overflow.read_rooms(service)
+        if len(rooms) < 2 or self.zone not in rooms:
+            return self._pick(self._rate(usable, now), now)
+        chosen = self._pick(zones(self.zone), now)
+        load = None if chosen is None else self.load_of(chosen.identity, now)
+        daemons = 1 + self._peer_loads.count_reporting(now)
+        senders = daemons * (len(rooms) - 1) / len(rooms)
+        plan = self.overflow.plan(service, load, work, senders)
+        for zone in plan.zones:
+            away = self._pick(zones(zone), now)
+            if away is not None:
+                chosen = away
+                break
+        if chosen is not None:
+            self.overflow.remember(service, chosen.identity, plan)
+        return chosen
+
+    def _rate_zones(
+        self, service: str, usable: list[Endpoint], tried: set[str], now: float
+    ) -> Callable[[str], Iterable[_Rated]]:
+        """Count the rooms of the zones if they are old, and return the endpoints of one zone."""
+        if not self.overflow.needs_rooms(service, now):
+            return lambda zone: self._rate((one for one in usable if one.zone == zone), now)
+        zones: dict[str, list[_Rated]] = {}
+        for one in self._rate(self._list_usable(service, set(), now) if tried else usable, now):
+            zones.setdefault(one[0].zone, []).append(one)
+        rooms = {zone: _count_room(rated) for zone, rated in zones.items()}
+        self.overflow.observe(service, rooms, now)
+        return lambda zone: (one for one in zones.get(zone, ()) if one[0].identity not in tried)
+
+    def _rate(self, endpoints: Iterable[Endpoint], now: float) -> list[_Rated]:
+        rated = []
+        for endpoint in endpoints:
             load = self.load_of(endpoint.identity, now)
-            if load >= self.concurrency_limit(endpoint) or not self.rates.allows(endpoint, now):
+            limit = self.concurrency_limit(endpoint)
+            if self.notices.paused_until(endpoint) > now or not self.rates.allows(endpoint, now):
+                limit = 0
+            rated.append((endpoint, load, limit))
+        return rated
+
+    def _pick(self, rated: Iterable[_Rated], now: float) -> Endpoint | None:
+        best, best_score = None, float("inf")
+        for endpoint, load, limit in rated:
+            if load >= limit:
                 continue
             score = load / endpoint.slots
             score += (
@@ -274,3 +326,13 @@
         }
         usable = self.outliers.select_usable(candidates, now)
         return [endpoint for name, endpoint in candidates.items() if name in usable]
+
+
+def _count_room(rated: list[_Rated]) -> ZoneRoom:
+    """Return the room of a zone; an endpoint that takes no request now has no free place."""
+    requests = places = busiest = 0
+    for _, load, limit in rated:
+        requests += load
+        places += max(load, limit)
+        busiest = max(busiest, load)
+    return ZoneRoom(requests, places, busiest)
--- a/magnoliarouter/gateway/peerloads.py
+++ b/magnoliarouter/gateway/peerloads.py
@@ -4,10 +4,13 @@
 
 from dataclasses import dataclass, field
 
+from magnoliarouter.telemetry.logs import log_event
+
 __all__ = ["PEER_LOAD_EXPIRY_S", "PeerLoadSums"]
 
 # The load reported by another daemon expires if it is not renewed within this time.
 PEER_LOAD_EXPIRY_S = 1.5
+MAX_REQUESTS = 1_000_000
 
 
 @dataclass(slots=True)
@@ -21,12 +24,23 @@
     """Sums of what the other daemons last reported, kept so that reading one costs no loop."""
 
     _reports: dict[str, _Report] = field(default_factory=dict)
+    _malformed: set[str] = field(default_factory=set)
     _sums: dict[str, int] = field(default_factory=dict)
     # No report expires before this time.
     _expiry_at: float = float("inf")
 
     def apply(self, peer: str, loads: dict[str, int], now: float) -> None:
-        """Replace one daemon's number of requests at each endpoint."""
+        """Replace one daemon's number of requests at each endpoint; `loads` is kept.
+
+        Loads with a number that no daemon can have are not applied, and the first such of a daemon
+        is logged.
+        """
+        if loads and not 0 <= min(loads.values()) <= max(loads.values()) <= MAX_REQUESTS:
+            if peer not in self._malformed:
+                self._malformed.add(peer)
+                bad = {name: n for name, n in loads.items() if not 0 <= n <= MAX_REQUESTS}
+                log_event("peer_loads_malformed", peer=peer, field="loads", value=repr(bad)[:200])
+            return
         known = self._reports.get(peer)
         before = known.loads if known is not None else {}
         self._reports[peer] = _Report(now, loads)
--- a/magnoliarouter/gateway/peers.py
+++ b/magnoliarouter/gateway/peers.py
@@ -8,10 +8,9 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Annotated, TypeAlias
+from typing import TYPE_CHECKING, TypeAlias
 
 import msgspec
-from msgspec import Meta
 
 from magnoliarouter.core.crashes import CrashReport
 from magnoliarouter.gateway.ratelimits import RateUpdate
@@ -99,7 +98,7 @@
     name: str
     start: int
     number: int
-    loads: dict[str, Annotated[int, Meta(ge=0, le=2**31)]]
+    loads: dict[str, int]
     holds_map_lease: bool = False
     confirmed: dict[str, tuple[int, float]] = {}
     last_received: dict[str, tuple[int, int]] = {}
--- a/magnoliarouter/gateway/routes.py
+++ b/magnoliarouter/gateway/routes.py
@@ -24,6 +24,8 @@
 ]
 
 URGENCIES = range(10)
+# Between the zones of one region.
+DEFAULT_ZONE_DELAY_S = 0.002
 
 
 class RouteKind(Enum):
@@ -140,6 +142,10 @@
         Steps between two events of a stream.
     experts : ExpertProfile, optional
         Experts, if the endpoints are ranks of groups.
+    memory_tokens : int
+        Tokens of prompts and answers that fit into an endpoint's memory; 0 if unknown.
+    zone_delays_s : dict of str to (dict of str to float)
+        One-way delays between availability zones in seconds, as far as they are known.
     """
 
     slots: int
@@ -149,6 +155,12 @@
     prompt_tokens_per_s: float
     steps_per_event: int
     experts: ExpertProfile | None = None
+    memory_tokens: int = 0
+    zone_delays_s: dict[str, dict[str, float]] = field(default_factory=dict, hash=False)
+
+    def zone_delay_s(self, one: str, other: str) -> float:
+        """Return the one-way delay between two zones in seconds."""
+        return self.zone_delays_s.get(one, {}).get(other, DEFAULT_ZONE_DELAY_S)
 
 
 @dataclass(frozen=True, slots=True)
--- a/magnoliarouter/gateway/settings.py
+++ b/magnoliarouter/gateway/settings.py
@@ -73,6 +73,9 @@
         Guaranteed time limits and retry budget.
     link_mbps : float
         Bandwidth of the VM's link in Mbit/s. Duties for all daemons go to those with the fastest.
+    keeps_zone : bool
+        Whether calls of model services leave the zone only by need. If not, each goes to the
+        endpoint with the least load, and those of other zones count as slightly more loaded.
     """
 
     name: Annotated[str, Meta(min_length=1, max_length=253)]
@@ -84,3 +87,4 @@
     status: HostPort | Literal[""] = ""
     bounds: GatewayBounds = GatewayBounds()
     link_mbps: Annotated[float, Meta(gt=0)] = 1000.0
+    keeps_zone: bool = True
--- a/magnoliarouter/platform/configuration.py
+++ b/magnoliarouter/platform/configuration.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -18,6 +18,7 @@
     Tenant,
 )
 from magnoliarouter.store.validation import check_value
+from magnoliarouter.telemetry.logs import log_event
 
 __all__ = ["CONFIGURATION_KIND", "CONFIGURATION_NAME", "decode_configuration"]
 
@@ -28,6 +29,12 @@
 ROUTE_KINDS = {"safe": RouteKind.SAFE, "streaming": RouteKind.STREAM}
 
 
+# A longer delay is a mistake in the unit. Also excludes nan and infinity.
+_DelaysMs = dict[str, dict[str, Annotated[float, msgspec.Meta(ge=0, le=10_000)]]]
+_Tokens = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+MAX_LOGGED_CHARS = 80
+
+
 class _Share(msgspec.Struct):
     service: str
     weight: float
@@ -63,6 +70,9 @@
     spare: int = 0
     expert_mb: float = 0
     link_mbps: float = 0
+    # Fields that a service is served without are checked apart from the others.
+    kv_tokens: Any = 0
+    delays: Any = None
 
 
 class _Service(msgspec.Struct):
@@ -155,6 +165,8 @@
             engine.read_per_s,
             engine.stride,
             _decode_experts(engine),
+            int(_read_optional(service, "kv_tokens", engine.kv_tokens, _Tokens, 0)),
+            _decode_delays(_read_optional(service, "delays", engine.delays, _DelaysMs, {})),
         )
     return Service(service.name, service.max_connections, profile)
 
@@ -167,6 +179,29 @@
     return ExpertProfile(engine.sets, engine.experts, engine.places, engine.spare, copy_s)
 
 
+def _read_optional(service: _Service, name: str, value: Any, model: Any, default: Any) -> Any:
+    """Return a field of a service's engine; one that is invalid is logged and counts as missing."""
+    if value is None:
+        return default
+    try:
+        return msgspec.convert(value, model)
+    except msgspec.ValidationError as error:
+        log_event(
+            "configuration_field_ignored",
+            field=f"services[{service.name}].engine.{name}",
+            value=repr(value)[:MAX_LOGGED_CHARS],
+            reason=str(error),
+        )
+        return default
+
+
+def _decode_delays(delays: dict[str, dict[str, float]]) -> dict[str, dict[str, float]]:
+    return {
+        zone: {other: delay_ms / 1000 for other, delay_ms in others.items()}
+        for zone, others in delays.items()
+    }
+
+
 def _decode_tenants(tenants: list[_Tenant] | None) -> dict[str, Tenant] | None:
     if tenants is None:
         return None
--- a/magnoliarouter/telemetry/metrics.py
+++ b/magnoliarouter/telemetry/metrics.py
@@ -34,6 +34,8 @@
         Requests that were placed and not sent, since the endpoint had withdrawn meanwhile.
     placements : Counter
         Placements by whether the prefix index listed the prefix at the endpoint, and by zone.
+    zone_choices : Counter
+        Calls that left the availability zone, or stayed while others left, by reason.
     index_resets : Counter
         Prefix indexes of endpoints that were cleared after a gap in cache events.
     digest_failures : Counter
@@ -67,6 +69,9 @@
             "requests_withheld", "Requests not sent to an endpoint that withdrew"
         )
         self.placements = self.add_counter("placements", "Placements", "prefix", "zone")
+        self.zone_choices = self.add_counter(
+            "zone_choices", "Calls that left the zone, or stayed while others left", "reason"
+        )
         self.index_resets = self.add_counter("index_resets", "Prefix indexes emptied after a gap")
         self.digest_failures = self.add_counter("digest_failures", "Digests not had", "zone")
         self.dropped_responses = self.add_counter("dropped_answers", "Answers dropped", "reason")
--- a/magnoliarouter/tests/test_peerloads.py
+++ b/magnoliarouter/tests/test_peerloads.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from unittest.mock import patch
 
 from magnoliarouter.gateway.peerloads import PEER_LOAD_EXPIRY_S, PeerLoadSums
 
@@ -30,6 +31,15 @@
         self.assertEqual(sums.load_of("e1", PEER_LOAD_EXPIRY_S - 0.001), 2)
         self.assertEqual(sums.load_of("e1", PEER_LOAD_EXPIRY_S), 0)
 
+    def test_impossible_loads_are_logged_once_and_the_last_good_ones_stand(self):
+        sums = PeerLoadSums()
+        sums.apply("front-1", {"e1": 2}, 0.0)
+        with patch("magnoliarouter.gateway.peerloads.log_event") as log:
+            for value in (-1, 2**60):
+                sums.apply("front-1", {"e1": value, "e2": 1}, 0.1)
+        log.assert_called_once()
+        self.assertEqual((sums.load_of("e1", 0.2), sums.load_of("e2", 0.2)), (2, 0))
+
 
 if __name__ == "__main__":
     unittest.main()
