Keep the sum over all daemons to what a cold endpoint takes

What a registration, a response and the configuration say of cold endpoints was not read, so that an endpoint that had just started looked empty and got as much as any.

Being cold is one more cause for a rate at the bucket that daemons share. An endpoint is cold by its registration, by a response, by a start seen during traffic, by a failure after which it may be starting, by its zone's return from an evacuation, or by another daemon's word; each cause stands for itself and the latest end counts. The rate is low enough that two parts of the daemons that hear nothing of each other keep within the bound of any second. A malformed time is logged once, and the registration is used otherwise. Services without a cold rate have no such limit.

--- a/magnoliarouter/cli/explain.py
+++ b/magnoliarouter/cli/explain.py
@@ -31,6 +31,9 @@
     "endpoint_leaving",
     "endpoint_malformed",
     "endpoint_paused",
+    "endpoint_cold",
+    "cold_malformed",
+    "endpoint_field_malformed",
     "pause_malformed",
     "endpoint_suspected",
 }
--- a/magnoliarouter/cli/status.py
+++ b/magnoliarouter/cli/status.py
@@ -115,6 +115,7 @@
 def _name_state(facts: dict[str, Any]) -> str:
     pause_s, rate = facts.get("pause_s"), facts.get("rate")
     state = f"{facts['state']} for {pause_s} s" if pause_s else facts["state"]
+    state = f"{state}, cold for {cold_s} s" if (cold_s := facts.get("cold_s")) else state
     return state if rate is None else f"{state}, {rate} requests/s"
 
 
--- a/magnoliarouter/core/sharedrate.py
+++ b/magnoliarouter/core/sharedrate.py
@@ -1,5 +1,7 @@
 """Rate of requests that an endpoint takes from all daemons together.
 
+An endpoint has a rate because it named one, or because it is cold; the lower of the two binds.
+
 Each daemon holds a replica of one token bucket for each endpoint that names a rate. It charges its
 replica for its own requests at once, and for those of the other daemons as soon as it hears of
 them. Daemons that use a token at the same time overdraw the bucket, and the debt is paid before the
@@ -104,26 +106,58 @@
     notice: RateNotice
     updated_at: float
     _tokens: float = field(default=0.0)
+    _cold_rate: float = field(default=NO_LIMIT)
+    _cold_until: float = field(default=-math.inf)
 
     @property
     def rate(self) -> float:
-        """Requests per second that all daemons together may send; `NO_LIMIT` if any number."""
-        return max(self.notice.rate, MIN_RATE)
+        """Requests per second that all daemons together may send; `NO_LIMIT` if any number.
+
+        It is that of the last call that named the time, as are `limit` and `is_limited`.
+        """
+        return max(self.limit, MIN_RATE)
+
+    @property
+    def limit(self) -> float:
+        """Requests per second by what the endpoint said; it may be 0."""
+        is_cold = self.updated_at < self._cold_until
+        return min(self.notice.rate, self._cold_rate) if is_cold else self.notice.rate
 
     @property
     def is_limited(self) -> bool:
-        """Whether the endpoint names a rate."""
-        return self.notice.rate < NO_LIMIT
+        """Whether the endpoint names a rate or is cold."""
+        return self.limit < NO_LIMIT
 
     def record(self, notice: RateNotice, now: float, share: float) -> bool:
         """Apply a response, and return whether the rate has changed."""
         self._refill(now, share)
-        before = self.notice.rate
+        before, was_limited = self.notice.rate, self.is_limited
         self.notice = merge_notices(self.notice, notice)
-        if before == NO_LIMIT:
+        if not was_limited:
             self._tokens = 0.0
         return self.notice.rate != before
 
+    def limit_cold(self, rate: float, until: float, now: float, share: float) -> None:
+        """Set the rate that binds besides while the endpoint is cold.
+
+        Parameters
+        ----------
+        rate : float
+            Requests per second that all daemons together may send; `NO_LIMIT` if any number.
+        until : float
+            Loop time until which the endpoint is cold.
+        now : float
+            Loop time in seconds.
+        share : float
+            Part of the rate that the daemons in contact may use since the last call.
+        """
+        self._refill(now, share)
+        was_limited = self.is_limited
+        self._cold_rate, self._cold_until = rate, until
+        if not was_limited:
+            self._tokens = 0.0
+        self._tokens = min(self._tokens, self._size())
+
     def count_tokens(self, now: float, share: float) -> float:
         """Return how many requests may be sent now; negative while the bucket is overdrawn.
 
@@ -145,10 +179,15 @@
             self._tokens = min(max(self._tokens - requests, -debt), self._size())
 
     def _refill(self, now: float, share: float) -> None:
+        if self.updated_at < self._cold_until < now:
+            self._gain(self._cold_until, share)
+        self._gain(now, share)
+
+    def _gain(self, until: float, share: float) -> None:
         if self.is_limited:
-            gained = (now - self.updated_at) * self.rate * share
+            gained = (until - self.updated_at) * self.rate * share
             self._tokens = min(self._tokens + gained, self._size())
-        self.updated_at = now
+        self.updated_at = until
 
     def _size(self) -> float:
         return 1.0 + BURST_S * self.rate
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from magnoliarouter.core.coldstart import ColdLimit, plan_cold_rate
 from magnoliarouter.core.retries import SharedRetryBudget
 from magnoliarouter.daemon.gatewayregister import GatewayRegistration
 from magnoliarouter.daemon.gatewayview import describe_gateway
@@ -151,6 +152,7 @@
         self.interface = interface
         self.metrics = Metrics()
         self.config: GatewayConfig | None = None
+        self._cold_limits: dict[str, ColdLimit] = {}
         self.leaving = False
         self._tasks: list[asyncio.Task[None]] = []
         self._pending_removals: dict[str, asyncio.TimerHandle] = {}
@@ -189,6 +191,7 @@
             self.table, clock, self.peers.count_daemons, self.peers.count_waiting
         )
         self.table.rates.read_share = self.peers.read_share
+        self.table.rates.find_cold_limit = lambda service: self._cold_limits.get(service)
         self.peers.collect_rates = lambda: self.table.rates.collect_updates(clock())
         self.peers.apply_rates = self._apply_peer_rates
         self.peers.read_waiting = self._queue.list_lengths
@@ -244,6 +247,7 @@
         self.settings = msgspec.structs.replace(self.settings, bounds=bounds)
         self._retry_budget.ratio, self._retry_budget.slack = bounds.retry_ratio, bounds.retry_slack
         self.freshness.key_age_s = bounds.revocation_s - REVOCATION_MARGIN_S
+        self._plan_cold_limits()
         log_event("settings_applied", bounds=msgspec.to_builtins(bounds))
 
     async def stop(self) -> None:
@@ -413,12 +417,16 @@
         self._queue.schedule_wake()
 
     def _apply_peer_rates(self, peer: str, start: int, updates: list[RateUpdate]) -> None:
+        rates, now = self.table.rates, self._loop.time()
         for update in updates:
             endpoint = self.table.find(update.endpoint)
-            if endpoint is not None and self.table.rates.apply_update(
-                peer, start, endpoint, update, self._loop.time()
-            ):
+            if endpoint is None:
+                continue
+            was_cold = rates.is_cold(endpoint, now)
+            if rates.apply_update(peer, start, endpoint, update, now):
                 self._forwarder.report_rate(endpoint, peer)
+            if not was_cold and rates.is_cold(endpoint, now):
+                self._forwarder.report_cold(endpoint, peer)
 
     def _start_map_control(self, incarnation: int) -> None:
         clock = self._loop.time
@@ -481,6 +489,18 @@
         profile = self._find_profile(endpoint.service)
         return profile.experts if profile is not None else None
 
+    def _plan_cold_limits(self) -> None:
+        """Plan the rates of cold endpoints, by service, from the configuration and the bounds."""
+        bounds, services = self.settings.bounds, self.config.services if self.config else {}
+        self._cold_limits = {
+            name: ColdLimit(
+                service.cold_start_s,
+                plan_cold_rate(service.cold_requests_per_s, bounds.cold_over, bounds.cold_slack),
+            )
+            for name, service in services.items()
+            if service.cold_requests_per_s
+        }
+
     def _find_max_event_gap_s(self, endpoint: Endpoint) -> float | None:
         """Return the shortest event gap that a route to the endpoint's service counts as late."""
         return (
@@ -544,6 +564,7 @@
             log_event("configuration_older", version=value.version, in_force=self.config.version)
             return
         self.config = value
+        self._plan_cold_limits()
         limits = value.limits
         self._server.limits = ServerLimits(
             limits.header_bytes, limits.body_bytes, limits.header_timeout_s, limits.idle_timeout_s
@@ -563,8 +584,12 @@
             log_event("endpoint_malformed", endpoint=name, reason=str(error))
             self._remove_endpoint(name)
             return
-        known = self.table.find(name)
+        known, now = self.table.find(name), self._loop.time()
         self.table.put(endpoint)
+        if self.table.rates.record_entry(endpoint, now, self.endpoint_feed.synchronized.is_set()):
+            self._forwarder.report_cold(endpoint, "registry")
+        if endpoint.fault and self.table.notices.record_malformed(endpoint, "registry"):
+            log_event("endpoint_field_malformed", endpoint=name, reason=endpoint.fault)
         if known is None or known.draining != endpoint.draining:
             event = "endpoint_draining" if endpoint.draining else "endpoint_seen"
             log_event(event, endpoint=name, service=endpoint.service, address=endpoint.address)
--- a/magnoliarouter/daemon/gatewayview.py
+++ b/magnoliarouter/daemon/gatewayview.py
@@ -50,7 +50,8 @@
                 "load": daemon.table.load_of(endpoint.identity, now),
                 "slots": endpoint.slots,
                 "state": _name_state(daemon, endpoint, now),
-                "rate": _round(daemon.table.rates.rate_of(endpoint)),
+                "rate": _round(daemon.table.rates.limit_of(endpoint, now)),
+                "cold_s": _round(daemon.table.rates.cold_s(endpoint, now)),
                 "pause_s": _round(max(0.0, daemon.table.notices.paused_until(endpoint) - now)),
             }
             for endpoint in daemon.table.list()
--- a/magnoliarouter/gateway/call.py
+++ b/magnoliarouter/gateway/call.py
@@ -89,6 +89,8 @@
         Idle time in seconds after which the endpoint closes the connection.
     forwarded : list of (bytes, bytes)
         Header fields forwarded to the caller unchanged.
+    cold : bytes, optional
+        Milliseconds for which the endpoint stays cold, as received.
     """
 
     request_id: bytes | None
@@ -101,6 +103,7 @@
     rate: bytes | None
     keep_alive_s: float | None
     forwarded: HeaderFields
+    cold: bytes | None = None
 
 
 class HeaderCodec(Protocol):
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -52,6 +52,10 @@
         unknown.
     software : str
         Version of its software; empty if unknown.
+    cold_s : float, optional
+        Seconds for which it stays cold, as of its registration; None if that says nothing.
+    fault : str
+        What is malformed in its registration and not needed to use it; empty if nothing is.
     """
 
     identity: str
@@ -62,6 +66,8 @@
     draining: bool = False
     started_ms: int = 0
     software: str = ""
+    cold_s: float | None = None
+    fault: str = ""
 
 
 # An endpoint, its load, and the largest load with which it gets a request, plus one.
@@ -269,10 +275,10 @@
 
     def describe_rate(self, endpoint: Endpoint, now: float) -> dict[str, float]:
         """Return rate and free requests of an endpoint for the log; empty without a limit."""
-        rate = self.rates.rate_of(endpoint)
+        rate = self.rates.limit_of(endpoint, now)
         if rate == NO_LIMIT:
             return {}
-        return {"rate": rate, "tokens": round(self.rates.count_tokens(endpoint, now), 2)}
+        return {"rate": round(rate, 3), "tokens": round(self.rates.count_tokens(endpoint, now), 2)}
 
     def find_withdrawal(self, endpoint: Endpoint, now: float) -> str | None:
         """Return why an endpoint that was chosen gets no request any more, or None."""
--- a/magnoliarouter/gateway/evacuations.py
+++ b/magnoliarouter/gateway/evacuations.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from magnoliarouter.gateway.endpoints import EndpointTable
+    from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
     from magnoliarouter.store.feed import ObjectFeed
     from magnoliarouter.store.objects import StoredObject
     from magnoliarouter.telemetry.metrics import Metrics
@@ -64,9 +64,11 @@
             seconds = evacuations.end(zone, now)
             if seconds is None:
                 return
-            log_event("zone_evacuation_ended", zone=zone, seconds=round(seconds, 3))
+            # They may have started shortly before, which their registrations say later.
+            cold = sum(self._table.rates.record_start(one, now) for one in self._list_members(zone))
+            log_event("zone_evacuation_ended", zone=zone, seconds=round(seconds, 3), cold=cold)
         elif evacuations.begin(zone, now):
-            members = [endpoint for endpoint in self._table.list() if endpoint.zone == zone]
+            members = self._list_members(zone)
             log_event(
                 "zone_evacuated",
                 zone=zone,
@@ -78,6 +80,9 @@
         self._metrics.evacuated_zones.set(len(evacuations.list()))
         self._on_change()
 
+    def _list_members(self, zone: str) -> list[Endpoint]:
+        return [endpoint for endpoint in self._table.list() if endpoint.zone == zone]
+
     def record_item(self, item: StoredObject, refused: bool) -> None:
         """Log an object that is malformed; the belief on its zone stays as it was."""
         if refused and self.feed is not None:
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliarouter.core.coldstart import parse_cold
 from magnoliarouter.core.outcome import Completed, NotRun, Outcome, ResultCode, Unknown
 from magnoliarouter.core.sharedrate import NO_LIMIT
 from magnoliarouter.gateway.attempt import (
@@ -347,17 +348,56 @@
             self.record_leaving(endpoint, "response")
         if headers.pause is not None:
             self._record_pause(endpoint, headers.pause)
+        if headers.cold is not None:
+            self._record_cold(endpoint, headers.cold, sent_at)
         # A refusal or an unsigned response may lack the field of an endpoint that names a rate.
         if headers.rate is not None or (headers.signed and not headers.not_run):
             self._record_rate(endpoint, headers.rate, sent_at)
 
+    def _record_malformed(self, endpoint: Endpoint, kind: str, error: ValueError) -> None:
+        if self._table.notices.record_malformed(endpoint, kind):
+            log_event(f"{kind}_malformed", endpoint=endpoint.identity, reason=str(error))
+        self._metrics.notices.labels("malformed").inc()
+
+    def _record_cold(self, endpoint: Endpoint, value: bytes, sent_at: float) -> None:
+        rates, now = self._table.rates, self._clock()
+        try:
+            turned_cold = rates.record_cold_response(endpoint, parse_cold(value), sent_at, now)
+        except ValueError as error:
+            self._record_malformed(endpoint, "cold", error)
+            return
+        if turned_cold:
+            self.report_cold(endpoint, "response")
+            self._on_load_change()
+
+    def report_cold(self, endpoint: Endpoint, source: str) -> None:
+        """Log that an endpoint turned cold.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            The endpoint.
+        source : str
+            ``"response"``, ``"registry"``, ``"failure"``, or the name of the daemon that reported
+            it.
+        """
+        now = self._clock()
+        self._metrics.notices.labels("cold").inc()
+        log_event(
+            "endpoint_cold",
+            endpoint=endpoint.identity,
+            started_ms=endpoint.started_ms,
+            seconds=round(self._table.rates.cold_s(endpoint, now), 3),
+            rate=round(self._table.rates.limit_of(endpoint, now), 3),
+            share=round(self._table.rates.read_share(), 3),
+            source=source,
+        )
+
     def _record_rate(self, endpoint: Endpoint, value: bytes | None, sent_at: float) -> None:
         try:
             changed = self._table.rates.record_response(endpoint, value, sent_at, self._clock())
         except ValueError as error:
-            if self._table.notices.record_malformed(endpoint, "rate"):
-                log_event("rate_malformed", endpoint=endpoint.identity, reason=str(error))
-            self._metrics.notices.labels("malformed").inc()
+            self._record_malformed(endpoint, "rate", error)
             return
         if changed:
             self.report_rate(endpoint, "response")
@@ -389,9 +429,7 @@
         try:
             seconds = parse_pause(value)
         except ValueError as error:
-            if self._table.notices.record_malformed(endpoint, "pause"):
-                log_event("pause_malformed", endpoint=endpoint.identity, reason=str(error))
-            self._metrics.notices.labels("malformed").inc()
+            self._record_malformed(endpoint, "pause", error)
             return
         if self._table.notices.record_pause(endpoint, seconds, self._clock()):
             self._metrics.notices.labels("pause").inc()
@@ -431,6 +469,10 @@
                 progress.tried |= self._groups.list_members(endpoint.identity)
                 self._suspect(endpoint)
             self._record_outlier_failure(endpoint, now, immediate=False)
+        if (not result.sent and not result.withheld) or result.broken_off:
+            # It may be starting anew, which its registration says later than its connections.
+            if self._table.rates.record_start(endpoint, now):
+                self.report_cold(endpoint, "failure")
         log_event(
             "attempt_failed",
             request_id=call.headers.request_id.decode("latin-1"),
--- a/magnoliarouter/gateway/routes.py
+++ b/magnoliarouter/gateway/routes.py
@@ -165,11 +165,27 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """Endpoints that serve the same requests."""
+    """Endpoints that serve the same requests.
+
+    Parameters
+    ----------
+    name : str
+        Name of the service.
+    max_connections : int
+        Maximum number of connections to one endpoint from all daemons.
+    profile : ModelProfile, optional
+        Speed of the endpoints of a model service.
+    cold_start_s : float
+        Seconds for which an endpoint is cold after a start during traffic.
+    cold_requests_per_s : float
+        Requests per second that a cold endpoint tolerates; 0 if any number.
+    """
 
     name: str
     max_connections: int
     profile: ModelProfile | None = None
+    cold_start_s: float = 0.0
+    cold_requests_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/magnoliarouter/gateway/settings.py
+++ b/magnoliarouter/gateway/settings.py
@@ -27,6 +27,9 @@
     evacuation_s : float, optional
         Time from the evacuation of an availability zone until its endpoints receive no more
         requests; null if the deployment has no evacuations. Whether it has any is read at the start.
+    cold_over, cold_slack : float
+        Within any second, a cold endpoint gets at most `cold_over` times the requests per second
+        that it tolerates, and `cold_slack` more.
     contact_s : float
         Time after which a disturbed daemon counts as in contact again.
     grace_s : float
@@ -43,6 +46,8 @@
     configuration_s: Seconds = 2.0
     revocation_s: Seconds = 5.0
     evacuation_s: Seconds | None = None
+    cold_over: Annotated[float, Meta(ge=0)] = 1.5
+    cold_slack: Annotated[float, Meta(ge=0)] = 5.0
     contact_s: Seconds = 3.0
     grace_s: Seconds = 8.0
     retry_ratio: Annotated[float, Meta(ge=0)] = 0.2
--- a/magnoliarouter/manual.py
+++ b/magnoliarouter/manual.py
@@ -26,6 +26,8 @@
     "experts": "experts a layer",
     "retry_ratio": "repeats a request",
     "retry_slack": "repeats a window",
+    "cold_over": "times the tolerated rate",
+    "cold_slack": "requests",
     "extra_load": "requests a slot",
     "layers": "layers",
     "number": "revisions",
--- a/magnoliarouter/platform/configuration.py
+++ b/magnoliarouter/platform/configuration.py
@@ -5,6 +5,7 @@
 from typing import Annotated, Any
 
 import msgspec
+from msgspec import Meta
 
 from magnoliarouter.gateway.routes import (
     ExpertProfile,
@@ -79,6 +80,8 @@
     name: str
     max_connections: int = 0
     engine: _Engine | None = None
+    cold_start_s: Annotated[float, Meta(ge=0)] | None = None
+    cold_per_s: Annotated[float, Meta(ge=0)] | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -168,7 +171,13 @@
             int(_read_optional(service, "kv_tokens", engine.kv_tokens, _Tokens, 0)),
             _decode_delays(_read_optional(service, "delays", engine.delays, _DelaysMs, {})),
         )
-    return Service(service.name, service.max_connections, profile)
+    return Service(
+        service.name,
+        service.max_connections,
+        profile,
+        service.cold_start_s or 0.0,
+        service.cold_per_s or 0.0,
+    )
 
 
 def _decode_experts(engine: _Engine) -> ExpertProfile | None:
--- a/magnoliarouter/platform/headers.py
+++ b/magnoliarouter/platform/headers.py
@@ -43,6 +43,7 @@
 LEAVING_FIELD = b"server-leaving"
 LEAVING_VALUE = b"1"
 RATE_FIELD = b"server-limit"
+COLD_FIELD = b"x-cold-ms"
 BEARER = b"bearer "
 PROMPT_PART = re.compile(rb"[0-9A-Fa-f]{1,64}")
 MAX_PROMPT_PARTS = 256
@@ -127,6 +128,7 @@
             None if misdirected else _join_values(fields, RATE_FIELD),
             float(keep[1]) if keep else None,
             [(name, value) for name, value in fields if name.lower() not in dropped],
+            None if misdirected else _join_values(fields, COLD_FIELD),
         )
 
 
--- a/magnoliarouter/platform/registry.py
+++ b/magnoliarouter/platform/registry.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from magnoliarouter.core.coldstart import check_cold_ms
 from magnoliarouter.gateway.endpoints import Endpoint
 from magnoliarouter.store.validation import ValidationFailure, check_value
 
@@ -22,6 +23,8 @@
     state: Literal["ready", "draining"]
     born: int = 0
     version: str = ""
+    # A malformed value leaves the entry usable.
+    cold_remaining_ms: Any = None
 
 
 def decode_entry(name: str, value: Any) -> Endpoint:
@@ -36,6 +39,7 @@
     host, _, port = entry.address.rpartition(":")
     if not host or not port.isdigit() or entry.slots < 1:
         raise ValidationFailure(f"address is {entry.address!r}, slots is {entry.slots}")
+    cold_s, fault = _read_cold(entry.cold_remaining_ms)
     return Endpoint(
         name,
         entry.service,
@@ -45,4 +49,16 @@
         entry.state == "draining",
         entry.born,
         entry.version,
+        cold_s,
+        fault,
     )
+
+
+def _read_cold(value: Any) -> tuple[float | None, str]:
+    """Return the seconds for which an engine stays cold, and what is malformed in the field."""
+    if value is None:
+        return None, ""
+    try:
+        return check_cold_ms(value), ""
+    except ValueError as error:
+        return None, f"cold_remaining_ms: {error}"
--- a/magnoliarouter/platform/settings.py
+++ b/magnoliarouter/platform/settings.py
@@ -36,6 +36,8 @@
     revoke_ms: float = 5000
     # Absent where the operator evacuates no zones.
     evac_ms: float | None = None
+    cold_over: float = 1.5
+    cold_slack: float = 5
     contact_ms: float = 3000
     grace_s: float = 8
     retry_budget_ratio: float = 0.2
@@ -112,6 +114,8 @@
             configuration_s=bounds.config_ms / 1000,
             revocation_s=bounds.revoke_ms / 1000,
             evacuation_s=None if bounds.evac_ms is None else bounds.evac_ms / 1000,
+            cold_over=bounds.cold_over,
+            cold_slack=bounds.cold_slack,
             contact_s=bounds.contact_ms / 1000,
             grace_s=bounds.grace_s,
             retry_ratio=bounds.retry_budget_ratio,
