Choose endpoints by the work that calls bring, not by their number alone

A prompt of 2,900 tokens counted as one of 100, so that a short call waited for its first event behind a long prompt while another endpoint had none to read. Where the profile gives the figures, an endpoint that reads prompts now counts as more loaded, by the time left, and one whose memory would not hold the call comes last. Daemons tell each other prompts of over twice the usual length. Services without a profile are served as before.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -170,8 +170,9 @@
             CONFIGURATION_WAIT_S * 2 + STORE_TIMEOUT_S / 2,
         )
         self.table = EndpointTable(settings.zone)
+        self.table.find_profile = self._find_profile
         overflow = self.table.overflow
-        overflow.is_enabled, overflow.find_profile = settings.keeps_zone, self._find_profile
+        overflow.is_enabled = settings.keeps_zone
         overflow.count = lambda reason: self.metrics.zone_choices.labels(reason).inc()
         self._retry_budget = SharedRetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
@@ -191,6 +192,10 @@
         self.table.rates.read_share = self.peers.read_share
         self.peers.collect_rates = lambda: self.table.rates.collect_updates(clock())
         self.peers.apply_rates = self._apply_peer_rates
+        self.peers.collect_long_prompts = self.table.work.collect_extra
+        self.peers.apply_long_prompts = lambda peer, prompts: self.table.apply_long_prompts(
+            peer, prompts, clock()
+        )
         self.peers.read_waiting = self._queue.list_lengths
         self._rank_client = interface.open_ranks(self._pool, self._record_leaving_at)
         self._group_watch = GroupWatch(
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -11,6 +11,7 @@
 from magnoliarouter.core.sharedrate import NO_LIMIT
 from magnoliarouter.core.spillover import ZoneRoom
 from magnoliarouter.core.work import NO_WORK, CallWork
+from magnoliarouter.gateway.endpointwork import EndpointWork
 from magnoliarouter.gateway.notices import EndpointNotices
 from magnoliarouter.gateway.overflow import ZoneOverflow
 from magnoliarouter.gateway.peerloads import PeerLoadSums
@@ -19,6 +20,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
+    from magnoliarouter.gateway.routes import ModelProfile
+
 __all__ = ["Endpoint", "EndpointTable"]
 
 # An endpoint that refused a request is ranked behind the others for this time.
@@ -83,6 +86,8 @@
     is_unavailable : callable
         Returns whether an endpoint cannot serve because its group is stalled or its zone is
         unreachable.
+    find_profile : callable
+        Returns the profile of a service, or None.
     """
 
     zone: str
@@ -98,6 +103,10 @@
     rates: EndpointRates = field(default_factory=EndpointRates)
     evacuations: ZoneEvacuations = field(default_factory=ZoneEvacuations)
     overflow: ZoneOverflow = field(init=False)
+    find_profile: Callable[[str], ModelProfile | None] = lambda service: None
+    work: EndpointWork = field(default_factory=EndpointWork)
+    # Loop time of the last choice or message, which start no later than the calls that follow.
+    _seen_at: float = 0.0
     own_requests: dict[str, int] = field(default_factory=dict)
     _endpoints: dict[str, Endpoint] = field(default_factory=dict)
     _services: dict[str, dict[str, Endpoint]] = field(default_factory=dict)
@@ -107,6 +116,7 @@
 
     def __post_init__(self) -> None:
         self.overflow = ZoneOverflow(self.zone, self.random)
+        self.overflow.find_profile = lambda service: self.find_profile(service)
 
     def put(self, endpoint: Endpoint) -> None:
         """Add or replace an endpoint."""
@@ -133,6 +143,9 @@
         """Count a request sent to an endpoint."""
         self.own_requests[identity] = self.own_requests.get(identity, 0) + 1
         self.overflow.record_start(identity, work)
+        endpoint = self._endpoints.get(identity)
+        if endpoint is not None:
+            self.work.start(endpoint, self.find_profile(endpoint.service), work, self._seen_at)
 
     def cancel_request(self, endpoint: Endpoint, now: float, work: CallWork = NO_WORK) -> None:
         """Stop counting a request that was placed and not sent."""
@@ -141,6 +154,7 @@
 
     def finish_request(self, identity: str, work: CallWork = NO_WORK) -> None:
         """Stop counting a request that has ended."""
+        self.work.finish(identity, work)
         left = self.own_requests.get(identity, 0) - 1
         if left > 0:
             self.own_requests[identity] = left
@@ -166,7 +180,19 @@
 
     def apply_peer_load(self, peer: str, loads: dict[str, int], now: float) -> None:
         """Store another daemon's number of requests at each endpoint."""
-        self._peer_loads.apply(peer, loads, now)
+        for identity, calls in self._peer_loads.apply(peer, loads, now).items():
+            endpoint = self._endpoints.get(identity)
+            if endpoint is not None:
+                profile = self.find_profile(endpoint.service)
+                self.work.start_others(endpoint, profile, calls, now)
+
+    def apply_long_prompts(self, peer: str, prompts: dict[str, int], now: float) -> None:
+        """Count the tokens by which another daemon's prompts at endpoints were longer than usual."""
+        for identity, tokens in prompts.items():
+            endpoint = self._endpoints.get(identity)
+            if endpoint is not None:
+                profile = self.find_profile(endpoint.service)
+                self.work.read_extra(peer, endpoint, profile, tokens, now)
 
     def load_of(self, identity: str, now: float) -> int:
         """Return the number of requests at an endpoint, from this and the reporting daemons."""
@@ -176,20 +202,21 @@
         self, service: str, tried: set[str], now: float, work: CallWork = NO_WORK
     ) -> Endpoint | None:
         """Return the endpoint for the next request, or None if none has free capacity."""
+        self._seen_at, profile = now, self.find_profile(service)
         usable = self._list_usable(service, tried, now)
         if not self.overflow.applies(service):
-            return self._pick(self._rate(usable, now), now)
+            return self._pick(self._rate(usable, now), work, profile, now)
         zones = self._rate_zones(service, usable, tried, now)
         rooms = self.overflow.read_rooms(service)
         if len(rooms) < 2 or self.zone not in rooms:
-            return self._pick(self._rate(usable, now), now)
-        chosen = self._pick(zones(self.zone), now)
+            return self._pick(self._rate(usable, now), work, profile, now)
+        chosen = self._pick(zones(self.zone), work, profile, now)
         load = None if chosen is None else self.load_of(chosen.identity, now)
         daemons = 1 + self._peer_loads.count_reporting(now)
         senders = daemons * (len(rooms) - 1) / len(rooms)
         plan = self.overflow.plan(service, load, work, senders)
         for zone in plan.zones:
-            away = self._pick(zones(zone), now)
+            away = self._pick(zones(zone), work, profile, now)
             if away is not None:
                 chosen = away
                 break
@@ -220,7 +247,9 @@
             rated.append((endpoint, load, limit))
         return rated
 
-    def _pick(self, rated: Iterable[_Rated], now: float) -> Endpoint | None:
+    def _pick(
+        self, rated: Iterable[_Rated], work: CallWork, profile: ModelProfile | None, now: float
+    ) -> Endpoint | None:
         best, best_score = None, float("inf")
         for endpoint, load, limit in rated:
             if load >= limit:
@@ -231,6 +260,9 @@
             )
             score += self.random.random() * 0.5 / endpoint.slots
             score += 1.0 if self._penalized_until.get(endpoint.identity, 0.0) > now else 0.0
+            if profile is not None:
+                others = load - self.own_requests.get(endpoint.identity, 0)
+                score += self.work.weigh(endpoint, profile, work, others, now) / endpoint.slots
             if score < best_score:
                 best, best_score = endpoint, score
         return best
--- a/magnoliarouter/gateway/peerloads.py
+++ b/magnoliarouter/gateway/peerloads.py
@@ -29,9 +29,11 @@
     # No report expires before this time.
     _expiry_at: float = float("inf")
 
-    def apply(self, peer: str, loads: dict[str, int], now: float) -> None:
+    def apply(self, peer: str, loads: dict[str, int], now: float) -> dict[str, int]:
         """Replace one daemon's number of requests at each endpoint; `loads` is kept.
 
+        Returns by how many requests the endpoints have more than before.
+
         Loads with a number that no daemon can have are not applied, and the first such of a daemon
         is logged.
         """
@@ -40,17 +42,22 @@
                 self._malformed.add(peer)
                 bad = {name: n for name, n in loads.items() if not 0 <= n <= MAX_REQUESTS}
                 log_event("peer_loads_malformed", peer=peer, field="loads", value=repr(bad)[:200])
-            return
+            return {}
         known = self._reports.get(peer)
         before = known.loads if known is not None else {}
         self._reports[peer] = _Report(now, loads)
         self._expiry_at = min(self._expiry_at, now + PEER_LOAD_EXPIRY_S)
+        started = {}
         for identity, requests in loads.items():
             known_requests = before.get(identity, 0)
             if requests != known_requests:
                 self._add(identity, requests - known_requests)
+                if requests > known_requests:
+                    started[identity] = requests - known_requests
         for identity in before.keys() - loads.keys():
             self._add(identity, -before[identity])
+        # The requests of a daemon that is heard for the first time may have started long ago.
+        return started if known is not None else {}
 
     def load_of(self, identity: str, now: float) -> int:
         """Return the number of requests of the reporting daemons at an endpoint."""
--- a/magnoliarouter/gateway/peers.py
+++ b/magnoliarouter/gateway/peers.py
@@ -93,6 +93,9 @@
         Calls that wait at the sender for each service.
     stopped : bool
         Whether the sender will send no more requests.
+    long_prompts : dict of str to int
+        Tokens by which the prompts that the sender has sent to each endpoint since its last message
+        were longer than usual.
     """
 
     name: str
@@ -109,6 +112,7 @@
     rates: list[RateUpdate] = []
     waiting: dict[str, int] = {}
     stopped: bool = False
+    long_prompts: dict[str, int] = {}
 
 
 class PeerLoads(asyncio.DatagramProtocol):
@@ -172,6 +176,8 @@
             lambda name, start, updates: None
         )
         self.read_waiting: Callable[[], dict[str, int]] = dict
+        self.collect_long_prompts: Callable[[], dict[str, int]] = dict
+        self.apply_long_prompts: Callable[[str, dict[str, int]], None] = lambda name, prompts: None
 
     async def open(self, host: str, port: int) -> None:
         """Listen for datagrams and start to send.
@@ -296,6 +302,8 @@
             # The daemon reports that it lost the lease, so no silence has to be awaited.
             self._map_leader, self._leader_received_at = "", float("-inf")
         self._take_loads(message.name, message.loads)
+        if message.long_prompts:
+            self.apply_long_prompts(message.name, message.long_prompts)
         self._apply_confirmations(message)
         if message.rates:
             self.apply_rates(message.name, message.start, message.rates)
@@ -362,6 +370,7 @@
             self.collect_rates(),
             self.read_waiting(),
             stopped,
+            self.collect_long_prompts(),
         )
         data = msgspec.msgpack.encode(message)
         for address in self._addresses.values():
--- a/magnoliarouter/gateway/routes.py
+++ b/magnoliarouter/gateway/routes.py
@@ -144,6 +144,8 @@
         Experts, if the endpoints are ranks of groups.
     memory_tokens : int
         Tokens of prompts and answers that fit into an endpoint's memory; 0 if unknown.
+    prompt_chunk_tokens : int
+        Prompt tokens that are processed between two steps; 0 if unlimited.
     zone_delays_s : dict of str to (dict of str to float)
         One-way delays between availability zones in seconds, as far as they are known.
     """
@@ -156,6 +158,7 @@
     steps_per_event: int
     experts: ExpertProfile | None = None
     memory_tokens: int = 0
+    prompt_chunk_tokens: int = 0
     zone_delays_s: dict[str, dict[str, float]] = field(default_factory=dict, hash=False)
 
     def zone_delay_s(self, one: str, other: str) -> float:
--- a/magnoliarouter/platform/configuration.py
+++ b/magnoliarouter/platform/configuration.py
@@ -72,6 +72,7 @@
     link_mbps: float = 0
     # Fields that a service is served without are checked apart from the others.
     kv_tokens: Any = 0
+    chunk: Any = 0
     delays: Any = None
 
 
@@ -166,6 +167,7 @@
             engine.stride,
             _decode_experts(engine),
             int(_read_optional(service, "kv_tokens", engine.kv_tokens, _Tokens, 0)),
+            int(_read_optional(service, "chunk", engine.chunk, _Tokens, 0)),
             _decode_delays(_read_optional(service, "delays", engine.delays, _DelaysMs, {})),
         )
     return Service(service.name, service.max_connections, profile)
--- a/magnoliarouter/tests/test_spillover.py
+++ b/magnoliarouter/tests/test_spillover.py
@@ -214,9 +214,7 @@
         tables = []
         for with_profile in (True, False):
             table = EndpointTable("a", random.Random(3))
-            table.overflow.find_profile = lambda service, on=with_profile: (
-                build_profile() if on else None
-            )
+            table.find_profile = lambda service, on=with_profile: (build_profile() if on else None)
             for index, zone in enumerate(zones):
                 table.put(Endpoint(f"e{index}", "app", f"e{index}:1", zone, 2))
             tables.append(table)
--- a/magnoliarouter/tests/zoneplay.py
+++ b/magnoliarouter/tests/zoneplay.py
@@ -60,7 +60,7 @@
         for number in range(daemons):
             table = EndpointTable("abc"[number % 3], random.Random(seed * 100 + number))
             table.overflow.is_enabled = keeps_zone
-            table.overflow.find_profile = lambda service: profile
+            table.find_profile = lambda service: profile
             table.is_unavailable = lambda endpoint: endpoint.zone in self.cut
             for zone in "abc":
                 for index in range(endpoints):
