Show in magnoliactl how full the zones are, and test long prompts between daemons

An operator saw the zones' fullness in the status object alone. Two daemons that run now show that a long prompt told by one weighs at the other.

--- a/magnoliarouter/cli/status.py
+++ b/magnoliarouter/cli/status.py
@@ -89,6 +89,12 @@
         lines.append(f"store, {kind}: {state}, last {watch['served_s_ago']} s ago")
     if evacuated := value.get("evacuated"):
         lines.append(f"evacuated zones: {', '.join(evacuated)}")
+    for service, facts in value.get("zones", {}).get("services", {}).items():
+        fullness = ", ".join(f"{zone} {part}" for zone, part in facts["fullness"].items())
+        leaving = (
+            f"{facts['share']} of the calls leave the zone" if facts["sending"] else "none leave"
+        )
+        lines.append(f"{service}: zones are full to {fullness}; {leaving}")
     endpoints = [
         (
             name,
--- a/magnoliarouter/tests/test_gateway.py
+++ b/magnoliarouter/tests/test_gateway.py
@@ -7,7 +7,9 @@
 import msgspec
 
 from magnoliarouter.cli.status import _format_gateway
+from magnoliarouter.core.work import CallWork
 from magnoliarouter.daemon.gateway import CHANGE_BATCH_SHARE
+from magnoliarouter.daemon.gatewayview import describe_gateway
 from magnoliarouter.tests.clock import wait_until
 from magnoliarouter.tests.daemons import kill_gateway, start_gateway
 from magnoliarouter.tests.platform_standin import EngineStandin, StoreStandin, build_configuration
@@ -236,6 +238,38 @@
         clock = asyncio.get_running_loop().time
         await wait_until(lambda: second.table.load_of("e1", clock()) == 1)
 
+    async def put_profile(self):
+        value = build_configuration(2)
+        value["services"][0]["engine"] = {"slots": 6, "step_ms": 5, "read_per_s": 1000}
+        await self.store.put("config", "main", value)
+
+    async def test_daemons_tell_each_other_long_prompts(self):
+        await self.put_profile()
+        first, second = await self.start("front-1"), await self.start("front-2")
+        for daemon in (first, second):
+            await self.wait_ready(daemon)
+        await wait_until(lambda: first.peers.count_daemons() == second.peers.count_daemons() == 2)
+        for tokens in (100, 100, 9000):
+            first.table.start_request("e1", CallWork(tokens))
+        first.peers.schedule_send()
+        endpoint, clock = second.table.find("e1"), asyncio.get_running_loop().time
+        profile = second.config.services["app"].profile
+        await wait_until(
+            lambda: second.table.work.weigh(endpoint, profile, CallWork(), 0, clock()) > 0
+        )
+
+    async def test_status_shows_the_zones_of_a_model_service(self):
+        await self.put_profile()
+        await self.add_engine("e2", zone="zone-2")
+        daemon = await self.start()
+        await self.wait_ready(daemon)
+        await self.send_request(daemon)
+        status = describe_gateway(daemon, asyncio.get_running_loop().time())
+        self.assertEqual(
+            status["zones"]["services"]["app"]["fullness"], {"zone-1": 0.0, "zone-2": 0.0}
+        )
+        self.assertIn("zone-1 0.0, zone-2 0.0; none leave", _format_gateway(status))
+
     async def test_one_daemon_acquires_the_map_lease(self):
         first, second = await self.start("front-1"), await self.start("front-2")
         await wait_until(
