Check a configuration before it is sent

The decoder accepts what contradicts or can never match, so that one wrong entry does not take the others out of force; nobody told the operator.

Exit code 9 is new: warnings, and no error.

--- a/magnoliarouter/cli/main.py
+++ b/magnoliarouter/cli/main.py
@@ -22,6 +22,7 @@
 # Modules of magnoliarouter.cli; the function `commands()` of each returns its commands.
 COMMAND_MODULES: tuple[str, ...] = (
     "codes",
+    "config",
     "contract",
     "endpoint",
     "explain",
--- a/magnoliarouter/cli/result.py
+++ b/magnoliarouter/cli/result.py
@@ -21,6 +21,7 @@
     UNKNOWN = 6
     NOT_CONFIRMED = 7
     INVALID = 8
+    DOUBTFUL = 9
 
 
 @dataclass(frozen=True, slots=True)
--- a/magnoliarouter/gateway/routes.py
+++ b/magnoliarouter/gateway/routes.py
@@ -206,6 +206,10 @@
             host_routes.sort(key=lambda route: len(route.prefix), reverse=True)
         return table
 
+    def list(self) -> list[Route]:
+        """Return all routes; of two with the same host and prefix, the first one gets requests."""
+        return [route for routes in self._hosts.values() for route in routes]
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, or None.
 
