--- a/magnoliarouter/tests/prompt_soak.py
+++ b/magnoliarouter/tests/prompt_soak.py
@@ -94,15 +94,17 @@
 
     async def start(self) -> CrashingEngine:
         self.server = await RawServer(self.serve).start()
-        entry = {
+        await self.site.store.put("servers", self.name, self.build_entry())
+        return self
+
+    def build_entry(self) -> dict[str, object]:
+        return {
             "service": "app",
             "address": self.server.address,
             "zone": "zone-1",
             "slots": 6,
             "state": "ready",
         }
-        await self.site.store.put("servers", self.name, entry)
-        return self
 
     async def serve(self, peer: RawPeer) -> None:
         while True:
@@ -160,6 +162,8 @@
         Faults beside the bad part.
     bad_interval_s, good_interval_s : float
         Mean time between requests with the bad part, and between good ones, at each daemon.
+    bounds : dict of str to float
+        Changed bounds of the daemons' settings.
     """
 
     seed: int
@@ -171,6 +175,7 @@
     good_interval_s: float = 0.03
     down_s: float = 0.4
     known_after_crashes: int = KNOWN_AFTER_CRASHES
+    bounds: dict[str, float] = field(default_factory=lambda: {"contact_s": CONTACT_S})
     log: Log = field(default_factory=Log)
     engines: dict[str, CrashingEngine] = field(default_factory=dict)
     daemons: list[GatewayDaemon] = field(default_factory=list)
@@ -243,7 +248,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def start_daemon(self, number: int) -> GatewayDaemon:
-        daemon = await start_gateway(self.store.address, f"front-{number}", contact_s=CONTACT_S)
+        daemon = await start_gateway(self.store.address, f"front-{number}", **self.bounds)
         self.started_at[number] = self.now()
         received = daemon.peers.datagram_received
 
