Have the load player go through the handler of requests

Cause: the time that a refused caller is told is cut to a third of its time left by the handler, and what the handler does with a refusal is part of admission. The player copied it.

Change: callers of a play send requests to the real `GatewayHandler`, and come back after the `Retry-After` field of its response.

--- a/magnoliarouter/tests/hardload.py
+++ b/magnoliarouter/tests/hardload.py
@@ -16,22 +16,24 @@
 from typing import TYPE_CHECKING
 from unittest.mock import Mock
 
-from magnoliarouter.core.outcome import Completed, NotRun, ResultCode
+from magnoliarouter.core.outcome import Completed, ResultCode
 from magnoliarouter.core.retries import SharedRetryBudget
 from magnoliarouter.gateway.attempt import FailedAttempt
-from magnoliarouter.gateway.call import GatewayCall, RequestHeaders, fingerprint_request
+from magnoliarouter.gateway.call import RequestHeaders
 from magnoliarouter.gateway.crashwatch import CrashWatch
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
 from magnoliarouter.gateway.forward import GatewayForwarder
-from magnoliarouter.gateway.handler import DEFAULT_RETRY_AFTER_S, MAX_RETRY_AFTER_SHARE
+from magnoliarouter.gateway.handler import GatewayHandler
 from magnoliarouter.gateway.peers import PeerLoads
 from magnoliarouter.gateway.quarantine import Quarantine
-from magnoliarouter.gateway.routes import Route, RouteKind
+from magnoliarouter.gateway.routes import GatewayConfig, Route, RouteKind, RouteTable, Tenant
 from magnoliarouter.gateway.waiting import WaitQueue
 from magnoliarouter.telemetry.metrics import Metrics
 from magnoliarouter.tests.clock import run_auto_advance
 from magnoliarouter.tests.hardloadbuilders import (
+    ACCOUNTS,
     ENDPOINTS_PER_ZONE,
+    KINDS,
     LOADS,
     OUTPUT_TOKENS,
     SLOTS,
@@ -43,6 +45,7 @@
     hold_s,
 )
 from magnoliarouter.tests.hardloadreport import Fate, Report, find_missed
+from magnoliarouter.web.ingress import IngressRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -79,23 +82,28 @@
             self.table, clock, self.peers.count_daemons, self.peers.count_waiting
         )
         self.peers.read_waiting = self.queue.list_lengths
-        groups = Mock()
+        metrics, groups, codec, freshness = Metrics(), Mock(), Mock(), Mock()
         groups.list_members.return_value = set()
-        self.forwarder = GatewayForwarder(
+        codec.parse_request = lambda fields: fields
+        freshness.age.return_value = 0.0
+        forwarder = GatewayForwarder(
             self.table,
             self.queue,
             Mock(),
-            Mock(),
+            codec,
             SharedRetryBudget(0.2, 200.0, 10.0, len(player.names)),
             clock,
-            Metrics(),
+            metrics,
             groups,
             Mock(),
             Mock(),
             CrashWatch(Quarantine(), Mock(), clock),
             self.peers.schedule_send,
         )
-        self.forwarder._attempts = self
+        forwarder._attempts = self
+        self.handler = GatewayHandler(
+            lambda: player.config, freshness, codec, forwarder, clock, metrics
+        )
 
     def connect(self) -> None:
         addresses = {name: (name, 1) for name in self.player.names}
@@ -123,12 +131,16 @@
 
 
 class Exchange:
-    """Caller's side of one request."""
+    """Caller's side of one request; `retry_after_s` is None unless the request was refused."""
 
-    started = caller_gone = False
+    started = caller_gone = cancel_when_caller_gone = False
+    retry_after_s: float | None = None
 
-    def __init__(self, fate: Fate) -> None:
-        self.fate = fate
+    def __init__(self, request: IngressRequest, fate: Fate) -> None:
+        self.request, self.fate = request, fate
+
+    async def send(self, status: int, fields: list[tuple[bytes, bytes]], body: bytes) -> None:
+        self.retry_after_s = float(dict(fields)[b"Retry-After"])
 
 
 class Player:
@@ -147,6 +159,7 @@
     def __init__(self, load: Load, daemons: int, seed: int) -> None:
         self._load, self._seed, self._random = load, seed, random.Random(seed)
         self.names = [f"daemon-{number}" for number in range(daemons)]
+        self.config = _build_config()
         self.daemons: dict[str, Daemon] = {}
         self.places = {
             f"{zone}-engine-{number}": Place(f"{zone}-engine-{number}", zone)
@@ -200,55 +213,38 @@
         deadline = fate.arrived + caller.kind.patience_s
         names = [name for name in self.names if self.daemons[name].zone == caller.zone]
         for name in self._random.sample(names, min(2, len(names))):
-            asked = clock()
-            call = self._build_call(number, caller, deadline)
-            outcome = await self._forward(self.daemons[name], call, fate)
-            if isinstance(outcome, Completed):
+            exchange = Exchange(self._build_request(number, caller, deadline), fate)
+            await self._handle(self.daemons[name], exchange)
+            if exchange.retry_after_s is None:
                 fate.served = True
                 return
-            fate.refusals.append(clock() - asked)
-            if not isinstance(outcome, NotRun):
-                return
-            wait_s = outcome.retry_after or DEFAULT_RETRY_AFTER_S
-            await asyncio.sleep(min(wait_s, (deadline - clock()) * MAX_RETRY_AFTER_SHARE))
+            fate.refusals.append(clock() - exchange.request.received_at)
+            await asyncio.sleep(exchange.retry_after_s)
 
-    async def _forward(self, daemon: Daemon, call: GatewayCall, fate: Fate):
+    async def _handle(self, daemon: Daemon, exchange: Exchange) -> None:
         self._count(waiting=1)
-        fate.placed = None
         try:
-            return await daemon.forwarder.forward(call, Exchange(fate), lambda: None)
+            await daemon.handler.handle(exchange)
         finally:
-            if fate.placed is None:
+            if exchange.fate.placed is None:
                 self._count(waiting=-1)
 
-    def _build_call(self, number: int, caller: Caller, deadline: float) -> GatewayCall:
-        kind, now = caller.kind, asyncio.get_running_loop().time()
-        key, body = caller.account, str(number).encode()
-        return GatewayCall(
-            RequestHeaders(
-                b"%d-%d" % (number, int(now * 1000)),
-                "h",
-                deadline - now,
-                key,
-                None,
-                caller.prompt_tokens,
-                OUTPUT_TOKENS,
-                OUTPUT_TOKENS,
-                (),
-                [],
-            ),
-            b"POST",
-            b"/" + kind.name.encode(),
-            body,
-            _build_route(kind),
-            SERVICE,
+    def _build_request(self, number: int, caller: Caller, deadline: float) -> IngressRequest:
+        now = asyncio.get_running_loop().time()
+        headers = RequestHeaders(
+            b"%d-%d" % (number, int(now * 1000)),
+            "h",
+            deadline - now,
             caller.account,
-            kind.urgency,
-            now,
-            deadline,
-            1,
-            fingerprint_request(b"POST", kind.name.encode(), key, body),
+            None,
+            caller.prompt_tokens,
+            OUTPUT_TOKENS,
+            OUTPUT_TOKENS,
+            (),
+            [],
         )
+        target, body = b"/" + caller.kind.name.encode(), bytearray(str(number).encode())
+        return IngressRequest(b"POST", target, headers, body, now)
 
     async def run_call(self, daemon: Daemon, exchange: Exchange, endpoint: Endpoint):
         """Hold a place of an endpoint for as long as a call needs."""
@@ -278,11 +274,17 @@
         self._waiting += waiting
 
 
+def _build_config() -> GatewayConfig:
+    routes = RouteTable.build(map(_build_route, KINDS))
+    tenants = {account: Tenant(account) for account in ACCOUNTS}
+    return GatewayConfig(1, routes, {}, tenants, None)
+
+
 def _build_route(kind: Kind) -> Route:
     return Route(
         kind.name,
         "h",
-        "/",
+        "/" + kind.name,
         RouteKind.STREAM,
         ((SERVICE, 1.0),),
         kind.patience_s,
--- a/magnoliarouter/tests/hardloadbuilders.py
+++ b/magnoliarouter/tests/hardloadbuilders.py
@@ -32,6 +32,7 @@
 LETTER = Kind("letter", 1, 0.507, 8.1, 1000)
 REVIEW = Kind("review", 2, 1.007, 8.05, 827)
 SCAN = Kind("scan", 1, 0.507, 8.1, 5000)
+KINDS = (COUNTER, LETTER, REVIEW, SCAN)
 
 
 @dataclass(frozen=True)
