--- a/magnoliarouter/tests/hardload.py
+++ b/magnoliarouter/tests/hardload.py
@@ -27,7 +27,15 @@
 from magnoliarouter.gateway.handler import GatewayHandler
 from magnoliarouter.gateway.peers import PeerLoads
 from magnoliarouter.gateway.quarantine import Quarantine
-from magnoliarouter.gateway.routes import GatewayConfig, Route, RouteKind, RouteTable, Tenant
+from magnoliarouter.gateway.routes import (
+    GatewayConfig,
+    ModelProfile,
+    Route,
+    RouteKind,
+    RouteTable,
+    Service,
+    Tenant,
+)
 from magnoliarouter.gateway.waiting import WaitQueue
 from magnoliarouter.telemetry.metrics import Metrics
 from magnoliarouter.tests.clock import run_auto_advance
@@ -37,7 +45,11 @@
     KINDS,
     LOADS,
     OUTPUT_TOKENS,
+    READ_TOKENS_PER_S,
     SLOTS,
+    STEP_PER_REQUEST_S,
+    STEP_S,
+    STEPS_PER_EVENT,
     ZONES,
     Caller,
     Change,
@@ -88,6 +100,7 @@
             self.table, clock, self.peers.count_daemons, self.peers.count_waiting
         )
         self.peers.read_waiting = self.queue.list_lengths
+        self.table.overflow.find_profile = lambda service: player.config.services[service].profile
         self.table.concurrency_limit = lambda endpoint: self.table.evacuations.limit_requests(
             endpoint.slots, endpoint.zone, clock()
         )
@@ -287,7 +300,10 @@
 def _build_config() -> GatewayConfig:
     routes = RouteTable.build(map(_build_route, KINDS))
     tenants = {account: Tenant(account) for account in ACCOUNTS}
-    return GatewayConfig(1, routes, {}, tenants, None)
+    profile = ModelProfile(
+        SLOTS, STEP_S, STEP_PER_REQUEST_S, 0.0, READ_TOKENS_PER_S, STEPS_PER_EVENT
+    )
+    return GatewayConfig(1, routes, {SERVICE: Service(SERVICE, 600, profile)}, tenants, None)
 
 
 def _build_route(kind: Kind) -> Route:
--- a/magnoliarouter/tests/hardloadbuilders.py
+++ b/magnoliarouter/tests/hardloadbuilders.py
@@ -13,7 +13,7 @@
 ZONES = ("zone-1", "zone-2", "zone-3")
 ENDPOINTS_PER_ZONE, SLOTS = 10, 6
 ACCOUNTS = tuple(f"account-{number}" for number in range(24))
-READ_TOKENS_PER_S, STEP_S, STEP_PER_REQUEST_S, TOKENS_PER_STEP = 30_000.0, 0.02, 0.001, 5
+READ_TOKENS_PER_S, STEP_S, STEP_PER_REQUEST_S, STEPS_PER_EVENT = 30_000.0, 0.004, 0.0002, 5
 OUTPUT_TOKENS = 95
 
 
@@ -72,7 +72,7 @@
     """Return the seconds to the first event and to the end at an endpoint with `running` requests."""
     step_s = STEP_S + STEP_PER_REQUEST_S * running
     read_s = prompt_tokens / READ_TOKENS_PER_S
-    return read_s + step_s, read_s + step_s * output_tokens / TOKENS_PER_STEP
+    return read_s + step_s * STEPS_PER_EVENT, read_s + step_s * output_tokens
 
 
 def zone_room(kind: Kind) -> float:
