Count calls that the load player sends to endpoints without a place

Cause: two daemons that choose the same free place cost a hop and a part of the retry budget; the tables did not show it.

Change: one more column.

--- a/magnoliarouter/tests/hardload.py
+++ b/magnoliarouter/tests/hardload.py
@@ -192,6 +192,7 @@
         self.fates: list[Fate] = []
         self._waiting, self._counted_at = 0, 0.0
         self.unused_s = self.total_s = 0.0
+        self.sent_to_full = 0
 
     async def play(self) -> None:
         """Play the load until every caller has its answer."""
@@ -274,6 +275,7 @@
         place, fate = self.places[endpoint.identity], exchange.fate
         now = asyncio.get_running_loop().time()
         if place.running >= place.slots:
+            self.sent_to_full += 1
             return FailedAttempt(ResultCode.QUEUE_FULL, "no place", ran=False)
         self._count(waiting=-1)
         place.running += 1
@@ -336,7 +338,8 @@
         player = run_auto_advance(run())
     finally:
         random.setstate(state)
-    return Report(load.name, daemons, player.fates, player.unused_s / player.total_s)
+    unused = player.unused_s / player.total_s
+    return Report(load.name, daemons, player.fates, unused, player.sent_to_full)
 
 
 def _format(value: object) -> str:
--- a/magnoliarouter/tests/hardloadreport.py
+++ b/magnoliarouter/tests/hardloadreport.py
@@ -52,6 +52,7 @@
     daemons: int
     fates: list[Fate]
     unused: float
+    sent_to_full: int = 0
 
     def share(self, holds: Callable[[Fate], bool] = lambda fate: True) -> float:
         """Return the share served in time of the calls for which `holds` is true."""
@@ -130,6 +131,7 @@
             "refusal p95 s": times[len(times) * 95 // 100] if times else 0.0,
             "unused places": self.unused,
             "inversions": self.count_inversions(),
+            "sent to full": self.sent_to_full,
             "other zone": sum(fate.remote for fate in self.fates),
         }
 
