Read the notices of late copies that calls to ranks drop

Cause: since late copies are dropped by calls to ranks, what their endpoint says in them of its leaving was dropped as well. Any response counts for that.

An endpoint that said so in a copy alone got requests until its next response.

Change: notices are read from each head, before it is told whose it is.

--- a/magnoliarouter/store/transport.py
+++ b/magnoliarouter/store/transport.py
@@ -89,7 +89,7 @@
     pool : UpstreamPool
         Pool of HTTP connections.
     on_head : callable
-        Called with the head of each response.
+        Called with the head of each response, also one that belongs to another request.
     is_other : callable
         Returns whether a head belongs to a request of another user of the pool; these calls have
         no id. Such a response is dropped.
@@ -123,11 +123,10 @@
                     return Unavailable("not sent: its permission ended", Failure.NOT_SENT)
                 connection.carried_unnamed_request = True
                 connection.send(self._encode(call))
-                head = await connection.read_head()
+                head = await self._read_head(connection)
                 while self._is_other(head):
                     await connection.skip_body()
-                    head = await connection.read_head()
-                self._on_head(head)
+                    head = await self._read_head(connection)
                 return head.status, await connection.read_body(limit)
         except TimeoutError:
             return Unavailable(f"no answer within {timeout:g} s", Failure.TIMEOUT)
@@ -140,6 +139,11 @@
             if connection is not None:
                 self._pool.release(self._address, connection)
 
+    async def _read_head(self, connection: UpstreamConnection) -> ResponseHead:
+        head = await connection.read_head()
+        self._on_head(head)
+        return head
+
     def _encode(self, call: StoreCall) -> bytes:
         lines = [f"{call.method} {call.target} HTTP/1.1", f"Host: {self._address}"]
         lines += [f"{name}: {value}" for name, value in call.headers.items()]
