Give the daemons of the load player the work of the service's endpoints

Cause: placement by work was merged and the player's daemons knew no profile.

Change: the player wires the profile and the long prompts as the daemon does.

--- a/magnoliarouter/tests/hardload.py
+++ b/magnoliarouter/tests/hardload.py
@@ -100,7 +100,12 @@
             self.table, clock, self.peers.count_daemons, self.peers.count_waiting
         )
         self.peers.read_waiting = self.queue.list_lengths
-        self.table.overflow.find_profile = lambda service: player.config.services[service].profile
+        self.peers.collect_long_prompts = self.table.work.collect_extra
+        self.peers.apply_long_prompts = lambda peer, prompts: self.table.apply_long_prompts(
+            peer, prompts, clock()
+        )
+        self.table.find_profile = lambda service: player.config.services[service].profile
+        self.table.overflow.find_profile = self.table.find_profile
         self.table.concurrency_limit = lambda endpoint: self.table.evacuations.limit_requests(
             endpoint.slots, endpoint.zone, clock()
         )
