Hold no place for callers that read slowly

Cause: an exchange waited after a whole response until its caller had taken most of it, and the handler with it. A stream's write waited without a bound.

A caller that read slowly kept the place and the connection at an endpoint that had long answered, so that others were refused. One that read a little now and then kept its stream beyond the deadline, for good: the endpoint's connection was not read meanwhile, and no time limit ran.

Change: a whole response is written at once and the handler is done; the connection itself waits before it serves its next request. A stream whose caller has not taken what was written by the call's deadline is broken off.

The two new tests failed before.

--- a/magnoliarouter/gateway/handler.py
+++ b/magnoliarouter/gateway/handler.py
@@ -95,6 +95,7 @@
             await self._respond(exchange, headers, call)
             return
         exchange.cancel_when_caller_gone = call.route.kind is not RouteKind.ONCE
+        exchange.write_until = call.deadline
         try:
             outcome = await self._forwarder.forward(call, exchange, lambda: self._recheck(call))
         except asyncio.CancelledError:
--- a/magnoliarouter/tests/test_ingress.py
+++ b/magnoliarouter/tests/test_ingress.py
@@ -205,6 +205,47 @@
         await asyncio.sleep(2.5)
         self.assertGreater(len(await peer.read_all()), 15_999_000)
 
+    async def test_handler_is_done_before_its_caller_has_read_a_large_response(self):
+        """What it holds for the request, such as a place at an endpoint, is free again."""
+        done = []
+
+        async def respond(exchange):
+            await exchange.send(200, [], b"a" * 16_000_000)
+            done.append(exchange.request.target)
+
+        self.server.handle = respond
+        request = b"GET /%b HTTP/1.1\r\nHost: x\r\n\r\n"
+        peer = await self.connect_and_send(request % b"a" + request % b"b")
+        await asyncio.sleep(0.2)
+        self.assertEqual((done, self.server.active_requests), ([b"/a"], 1))
+        for _ in range(2):
+            await peer.reader.readuntil(b"\r\n\r\n")
+            await peer.reader.readexactly(16_000_000)
+        self.assertEqual(done, [b"/a", b"/b"])
+
+    async def test_stream_ends_at_its_deadline_although_its_caller_reads_a_little(self):
+        loop = asyncio.get_running_loop()
+        ended_at = []
+
+        async def respond(exchange):
+            exchange.write_until = loop.time() + 0.4
+            exchange.start(200, [], b"")
+            try:
+                while True:
+                    await exchange.write(b"a" * 100_000)
+            finally:
+                ended_at.append(loop.time())
+
+        self.server.handle = respond
+        started_at = loop.time()
+        peer = await self.connect_and_send(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        for _ in range(10):
+            await asyncio.sleep(0.1)
+            if not ended_at:
+                await peer.reader.read(1)
+        self.assertTrue(ended_at)
+        self.assertLess(ended_at[0] - started_at, 0.6)
+
     async def test_expected_continue_is_sent(self):
         peer = await self.connect_and_send(
             b"POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
--- a/magnoliarouter/web/ingress.py
+++ b/magnoliarouter/web/ingress.py
@@ -108,6 +108,8 @@
         self.started = False
         self.finished = False
         self.cancel_when_caller_gone = True
+        # Loop time at which a caller that has not taken what was written is given up.
+        self.write_until = float("inf")
         self._connection = connection
 
     @property
@@ -116,12 +118,11 @@
         return self._connection.lost
 
     async def send(self, status: int, fields: HeaderFields, body: bytes) -> None:
-        """Send a response with a complete body."""
+        """Send a response with a complete body; its caller may still have to receive it."""
         self.started = self.finished = True
         length = (b"Content-Length", str(len(body)).encode())
         content = b"" if self.request.method == b"HEAD" else body
         self._connection.write(self._encode_head(status, [*fields, length]) + content)
-        await self._connection.drain()
 
     def start(self, status: int, fields: HeaderFields, data: bytes) -> None:
         """Send the head of a streamed response with the first bytes of its body."""
@@ -137,14 +138,13 @@
         """Send bytes of a streamed body and wait while the write buffer is full."""
         if data:
             self._connection.write(self._encode_part(data))
-        await self._connection.drain()
+        await self._connection.drain(self.write_until)
 
     async def finish(self) -> None:
-        """End a streamed body as complete."""
+        """End a streamed body as complete; its caller may still have to receive it."""
         self.finished = True
         if self.request.accepts_chunks:
             self._connection.write(LAST_CHUNK)
-        await self._connection.drain()
 
     def abort(self) -> None:
         """Close the connection immediately, so that the caller receives a truncated response."""
@@ -346,10 +346,16 @@
             sock, max(idle_ms, TCP_USER_TIMEOUT_MS) if patient else TCP_USER_TIMEOUT_MS
         )
 
-    async def drain(self) -> None:
-        """Wait while the write buffer is full."""
-        if self._drain_waiter is not None:
+    async def drain(self, until: float = float("inf")) -> None:
+        """Wait while the write buffer is full; close the connection if it is at the time `until`."""
+        if self._drain_waiter is None:
+            return
+        timer = self._loop.call_at(until, self.abort) if until < float("inf") else None
+        try:
             await self._drain_waiter
+        finally:
+            if timer is not None:
+                timer.cancel()
 
     def abort(self) -> None:
         exchange = self._exchange
@@ -529,6 +535,8 @@
                 body = error_body(ResultCode.INTERNAL, "unknown", "internal error")
                 await exchange.send(500, [(b"Content-Type", JSON_TYPE.encode())], body)
             raise
+        # The handler is done with the request, but the next response has to wait for this one.
+        await self.drain()
 
     def _on_handler_done(self, task: asyncio.Task[None]) -> None:
         self.server.tasks.discard(task)
