Take no broken-off response for the start of a cold endpoint

Where ranks form a group, all of them break off their streams when one is lost. Each then counted as just started: its bucket was emptied, and the group got few requests a second from the moment at which it stood again. Only an endpoint that cannot be connected to counts as one that may be starting.

--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -454,6 +454,9 @@
             self._zones.record_unreachable(endpoint)
             self._groups.suspect(endpoint.identity)
             self._record_outlier_failure(endpoint, now, immediate=True)
+            # It may be starting anew, which its registration says later than its connections.
+            if self._table.rates.record_start(endpoint, now):
+                self.report_cold(endpoint, "failure")
         elif result.ran is False:
             self._table.record_refusal(endpoint.identity, now)
             if result.stalled:
@@ -469,10 +472,6 @@
                 progress.tried |= self._groups.list_members(endpoint.identity)
                 self._suspect(endpoint)
             self._record_outlier_failure(endpoint, now, immediate=False)
-        if (not result.sent and not result.withheld) or result.broken_off:
-            # It may be starting anew, which its registration says later than its connections.
-            if self._table.rates.record_start(endpoint, now):
-                self.report_cold(endpoint, "failure")
         log_event(
             "attempt_failed",
             request_id=call.headers.request_id.decode("latin-1"),
--- a/magnoliarouter/tests/test_coldstart.py
+++ b/magnoliarouter/tests/test_coldstart.py
@@ -465,6 +465,15 @@
         await self.forward(build_route(RouteKind.ONCE, 1))
         self.assertGreater(self.cold_s(), 2.0)
 
+    async def test_broken_off_streams_of_a_stalled_group_say_nothing(self):
+        async def break_off(peer):
+            await peer.send(build_stream(*EVENTS[:3], b"id: 4\nda"))
+            peer.reset()
+
+        await self.add(break_off)
+        await self.forward(build_route(RouteKind.STREAM, 1))
+        self.assertEqual(self.cold_s(), 0.0)
+
     async def test_service_without_a_cold_rate_is_served_as_before(self):
         self.limit = None
         await self.add(respond(build_response(X_Cold_Ms="60000")))
