Let callers of a zone that lost its places share those of all zones

While a zone was evacuated, or came back cold, its callers had few places of their own and were held to the reserve of the other zones. A daemon whose zone has under three quarters of its usual places now sends by load.

In the load by work: the usual prompt follows calls of any length, where one first short call fixed it; an endpoint whose memory own calls fill gets no more; the prompt of a call that was not sent, and of an endpoint that is gone, is forgotten.

--- a/magnoliarouter/core/spillover.py
+++ b/magnoliarouter/core/spillover.py
@@ -59,6 +59,11 @@
         Time in seconds over which a rise is averaged.
     max_rise : float
         Largest projected rise.
+    reduced_share : float
+        Share of its usual limit below which a zone counts as reduced, for example since it was
+        evacuated and returns.
+    usual_s : float
+        Time in seconds in which the usual limit follows a lower one.
     """
 
     slowing_fullness: float = 0.8
@@ -67,6 +72,8 @@
     horizon_s: float = 0.25
     trend_s: float = 0.5
     max_rise: float = 0.05
+    reduced_share: float = 0.75
+    usual_s: float = 300.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +143,7 @@
 class _Trend:
     at: float
     fullness: float
+    usual_limit: float
     slope: float = 0.0
 
 
@@ -164,18 +172,30 @@
         """Record the zones' rooms; a zone that is missing cannot be reached, or has no endpoints."""
         self.rooms = rooms
         for zone in self._trends.keys() - rooms.keys():
-            del self._trends[zone]
+            self._trends[zone].slope = 0.0
         for zone, room in rooms.items():
             trend = self._trends.get(zone)
             if trend is None:
-                self._trends[zone] = _Trend(now, room.fullness)
+                self._trends[zone] = _Trend(now, room.fullness, room.limit)
             elif now > trend.at:
                 # The mean of the slope over `trend_s`, whatever the interval of the observations.
                 weight = 1.0 - math.exp(-(now - trend.at) / self.policy.trend_s)
                 slope = (room.fullness - trend.fullness) / max(now - trend.at, 1e-3)
                 trend.slope += weight * (slope - trend.slope)
+                decay = math.exp(-(now - trend.at) / self.policy.usual_s)
+                trend.usual_limit = max(room.limit, trend.usual_limit * decay)
                 trend.at, trend.fullness = now, room.fullness
 
+    def is_reduced(self, zone: str) -> bool:
+        """Return whether a zone has far fewer places than it had lately, or none.
+
+        Its callers suffer from more than a burst of their own, and share the places of all zones.
+        """
+        room = self.rooms.get(zone)
+        if room is None:
+            return True
+        return room.limit < self.policy.reduced_share * self._trends[zone].usual_limit
+
     def project(self, zone: str) -> float:
         """Return the fullness of a zone after `horizon_s`, as far as it rises."""
         rise = self._trends[zone].slope * self.policy.horizon_s
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -126,12 +126,16 @@
 
     def put(self, endpoint: Endpoint) -> None:
         """Add or replace an endpoint."""
-        self.remove(endpoint.identity)
+        self._discard(endpoint.identity)
         self._endpoints[endpoint.identity] = endpoint
         self._services.setdefault(endpoint.service, {})[endpoint.identity] = endpoint
 
     def remove(self, identity: str) -> Endpoint | None:
         """Remove an endpoint and return it, or None if it is not in the table."""
+        self.work.forget(identity)
+        return self._discard(identity)
+
+    def _discard(self, identity: str) -> Endpoint | None:
         endpoint = self._endpoints.pop(identity, None)
         if endpoint is not None:
             self._services[endpoint.service].pop(identity, None)
@@ -156,6 +160,7 @@
     def cancel_request(self, endpoint: Endpoint, now: float, work: CallWork = NO_WORK) -> None:
         """Stop counting a request that was placed and not sent."""
         self.finish_request(endpoint.identity, work)
+        self.work.unread(endpoint, self.find_profile(endpoint.service), work)
         self.rates.record_request(endpoint, now, -1)
 
     def finish_request(self, identity: str, work: CallWork = NO_WORK) -> None:
@@ -214,7 +219,7 @@
             return self._pick(self._rate(usable, now), work, profile, now)
         zones = self._rate_zones(service, usable, tried, now)
         rooms = self.overflow.read_rooms(service)
-        if len(rooms) < 2 or self.zone not in rooms:
+        if len(rooms) < 2 or self.overflow.is_reduced(service):
             return self._pick(self._rate(usable, now), work, profile, now)
         chosen = self._pick(zones(self.zone), work, profile, now)
         load = None if chosen is None else self.load_of(chosen.identity, now)
--- a/magnoliarouter/gateway/endpointwork.py
+++ b/magnoliarouter/gateway/endpointwork.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -25,7 +26,7 @@
 
 @dataclass(slots=True)
 class _Usual:
-    """Moving means over this daemon's calls for one service; long prompts count as usual ones."""
+    """Moving means over this daemon's calls for one service; a long prompt counts as one of twice the usual length."""
 
     prompt_tokens: float = 0.0
     tokens: float = 0.0
@@ -34,13 +35,16 @@
     def record(self, work: CallWork) -> int:
         """Count a call, and return by how many tokens its prompt is longer than usual, if it is."""
         self.calls += 1
-        weight = max(MEAN_WEIGHT, 1.0 / self.calls)
-        self.tokens += weight * (work.tokens - self.tokens)
+        self.tokens += max(MEAN_WEIGHT, 1.0 / self.calls) * (work.tokens - self.tokens)
+        if work.prompt_tokens <= 0:
+            return 0
+        if self.prompt_tokens <= 0:
+            self.prompt_tokens = work.prompt_tokens
+        longest = LONG_PROMPT * self.prompt_tokens
         extra = int(work.prompt_tokens - self.prompt_tokens)
-        if self.calls > 1 and work.prompt_tokens > LONG_PROMPT * self.prompt_tokens:
-            return extra
-        self.prompt_tokens += weight * extra
-        return 0
+        weight = max(MEAN_WEIGHT, 1.0 / self.calls)
+        self.prompt_tokens += weight * (min(work.prompt_tokens, longest) - self.prompt_tokens)
+        return extra if work.prompt_tokens > longest else 0
 
 
 @dataclass(slots=True)
@@ -77,6 +81,19 @@
         else:
             self._held.pop(identity, None)
 
+    def unread(self, endpoint: Endpoint, profile: ModelProfile | None, work: CallWork) -> None:
+        """Take back the prompt of a call that was not sent, also if it is still to be told."""
+        until = self._reading_until.get(endpoint.identity)
+        if profile is not None and until is not None:
+            reading_s = _estimate_reading_s(endpoint, profile, work.prompt_tokens)
+            self._reading_until[endpoint.identity] = until - reading_s
+        self._untold.pop(endpoint.identity, None)
+
+    def forget(self, identity: str) -> None:
+        """Remove an endpoint; its calls still end."""
+        self._reading_until.pop(identity, None)
+        self._untold.pop(identity, None)
+
     def start_others(
         self, endpoint: Endpoint, profile: ModelProfile | None, calls: int, now: float
     ) -> None:
@@ -108,10 +125,7 @@
     ) -> None:
         if profile is None or tokens <= 0:
             return
-        step_s = profile.step_s + profile.per_request_s * endpoint.slots
-        reading_s = estimate_reading_s(
-            tokens, profile.prompt_tokens_per_s, profile.prompt_chunk_tokens, step_s
-        )
+        reading_s = _estimate_reading_s(endpoint, profile, tokens)
         if reading_s > 0:
             start = max(now, self._reading_until.get(endpoint.identity, now))
             self._reading_until[endpoint.identity] = start + reading_s
@@ -126,6 +140,8 @@
     ) -> float:
         """Return by how many requests an endpoint counts as more loaded for one call.
 
+        It is infinite if this daemon's own calls leave the call no memory there.
+
         Parameters
         ----------
         endpoint : Endpoint
@@ -145,8 +161,11 @@
             until = None
         if until is None and profile.memory_tokens <= 0:
             return 0.0
+        own = self._held.get(endpoint.identity, 0)
+        if 0 < profile.memory_tokens < own + work.tokens and own > 0:
+            return math.inf
         usual = self._usual.get(endpoint.service)
-        held = self._held.get(endpoint.identity, 0) + other_calls * (usual.tokens if usual else 0.0)
+        held = own + other_calls * (usual.tokens if usual else 0.0)
         return weigh_work(
             0.0 if until is None else until - now,
             profile.per_request_s * work.output_tokens,
@@ -154,3 +173,10 @@
             work.tokens,
             profile.memory_tokens,
         )
+
+
+def _estimate_reading_s(endpoint: Endpoint, profile: ModelProfile, tokens: float) -> float:
+    step_s = profile.step_s + profile.per_request_s * endpoint.slots
+    return estimate_reading_s(
+        tokens, profile.prompt_tokens_per_s, profile.prompt_chunk_tokens, step_s
+    )
--- a/magnoliarouter/gateway/overflow.py
+++ b/magnoliarouter/gateway/overflow.py
@@ -94,6 +94,10 @@
         """Return the rooms that were counted last."""
         return self._services[service].state.rooms
 
+    def is_reduced(self, service: str) -> bool:
+        """Return whether this daemon's zone has far fewer places than usual, or none."""
+        return self._services[service].state.is_reduced(self.zone)
+
     def plan(self, service: str, own_load: int | None, work: CallWork, senders: float) -> ZonePlan:
         """Return whether a call leaves the zone, and for which zones.
 
--- a/magnoliarouter/tests/test_spillover.py
+++ b/magnoliarouter/tests/test_spillover.py
@@ -222,7 +222,7 @@
 
     def fill(self, table):
         chosen = []
-        while (endpoint := table.choose("app", set(), 1.0, WORK)) is not None:
+        while (endpoint := table.choose("app", set(), 2.0, WORK)) is not None:
             table.start_request(endpoint.identity, WORK)
             chosen.append(endpoint.identity)
         return chosen
@@ -245,6 +245,13 @@
         table.is_unavailable = lambda endpoint: True
         self.assertIsNone(table.choose("app", set(), 2.0, WORK))
 
+    def test_callers_of_a_zone_that_lost_its_places_share_those_of_all(self):
+        """Two of three endpoints of a stop taking calls; the last place of b is no reserve then."""
+        with_profile, _ = self.build_tables("aaabbb")
+        self.assertIsNotNone(with_profile.choose("app", set(), 1.0, WORK))
+        with_profile.is_unavailable = lambda endpoint: endpoint.identity in ("e1", "e2")
+        self.assertEqual(len(self.fill(with_profile)), 8)
+
     def test_service_without_a_profile_goes_by_load(self):
         _, table = self.build_tables("ab")
         self.assertEqual(self.fill(table), ["e0", "e1", "e0", "e1"])
--- a/magnoliarouter/tests/test_uneven.py
+++ b/magnoliarouter/tests/test_uneven.py
@@ -160,6 +160,41 @@
         table.finish_request("a", LONG)
         self.assertEqual(self.choose(table, LONG, 9.0), "a")
 
+    def test_endpoint_whose_memory_own_calls_fill_gets_no_more(self):
+        table = build_table(build_profile(memory_tokens=5000), "a")
+        self.choose(table, LONG)
+        table.start_request("a", LONG)
+        self.assertIsNone(table.choose("app", set(), 9.0, LONG))
+        table.finish_request("a", LONG)
+        self.assertEqual(self.choose(table, CallWork(6000, 95), 9.0), "a")
+
+    def test_usual_prompt_follows_what_calls_bring(self):
+        table = build_table(self.profile, "a")
+        for work in (CallWork(0, 95), CallWork(10, 95), *[CallWork(700, 95)] * 1000):
+            table.start_request("a", work)
+        table.work.collect_extra()
+        table.start_request("a", CallWork(1300, 95))
+        self.assertEqual(table.work.collect_extra(), {})
+        table.start_request("a", CallWork(2000, 95))
+        self.assertAlmostEqual(table.work.collect_extra()["a"], 1300, delta=100)
+
+    def test_call_that_was_not_sent_or_endpoint_that_is_gone_leaves_nothing(self):
+        table = build_table(self.profile, "ab")
+        for work in (SHORT, SHORT, LONG):
+            self.choose(table, now=5.0)
+            table.start_request("a", work)
+        table.cancel_request(table.find("a"), 5.0, LONG)
+        self.assertEqual(table.work.collect_extra(), {})
+        self.assertEqual(table.work.weigh(table.find("a"), self.profile, SHORT, 0, 5.1), 0.0)
+        self.choose(table, now=6.0)
+        table.start_request("a", LONG)
+        table.put(table.find("a"))
+        endpoint = table.find("a")
+        self.assertGreater(table.work.weigh(endpoint, self.profile, SHORT, 0, 6.1), 0.0)
+        table.remove("a")
+        self.assertEqual(table.work.weigh(endpoint, self.profile, SHORT, 0, 6.1), 0.0)
+        self.assertEqual(table.work.collect_extra(), {})
+
     def test_service_without_a_profile_is_served_as_before(self):
         chosen = []
         for works in ((SHORT, LONG), (CallWork(), CallWork())):
