Read delays between zones in the form in which the platform lists them

The decoder expected a table by zone; the platform's own example lists pairs, so each configuration logged configuration_field_ignored and every pair of zones counted as 2 ms apart. The test had the wrong form too; it reads the listed pairs now, both directions, and refuses malformed ones as before.

--- a/magnoliarouter/platform/configuration.py
+++ b/magnoliarouter/platform/configuration.py
@@ -31,7 +31,6 @@
 
 
 # A longer delay is a mistake in the unit. Also excludes nan and infinity.
-_DelaysMs = dict[str, dict[str, Annotated[float, msgspec.Meta(ge=0, le=10_000)]]]
 _Tokens = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 MAX_LOGGED_CHARS = 80
 
@@ -57,6 +56,13 @@
     gap_aim_ms: float | None = None
 
 
+class _Delay(msgspec.Struct):
+    delay_ms: Annotated[float, msgspec.Meta(ge=0, le=10_000)]
+    from_zone: str = msgspec.field(name="from")
+    # The platform has one name for the end of a distance and of a change of version.
+    to_zone: str = msgspec.field(name="target_version")
+
+
 class _Engine(msgspec.Struct):
     slots: int
     step_ms: float
@@ -171,7 +177,7 @@
             _decode_experts(engine),
             int(_read_optional(service, "kv_tokens", engine.kv_tokens, _Tokens, 0)),
             int(_read_optional(service, "chunk", engine.chunk, _Tokens, 0)),
-            _decode_delays(_read_optional(service, "delays", engine.delays, _DelaysMs, {})),
+            _decode_delays(_read_optional(service, "delays", engine.delays, list[_Delay], [])),
         )
     return Service(
         service.name,
@@ -206,11 +212,14 @@
         return default
 
 
-def _decode_delays(delays: dict[str, dict[str, float]]) -> dict[str, dict[str, float]]:
-    return {
-        zone: {other: delay_ms / 1000 for other, delay_ms in others.items()}
-        for zone, others in delays.items()
-    }
+def _decode_delays(delays: list[_Delay]) -> dict[str, dict[str, float]]:
+    """Return the delays in seconds; one that is given for one direction holds for both."""
+    decoded: dict[str, dict[str, float]] = {}
+    for delay in delays:
+        decoded.setdefault(delay.from_zone, {})[delay.to_zone] = delay.delay_ms / 1000
+    for delay in delays:
+        decoded.setdefault(delay.to_zone, {}).setdefault(delay.from_zone, delay.delay_ms / 1000)
+    return decoded
 
 
 def _decode_tenants(tenants: list[_Tenant] | None) -> dict[str, Tenant] | None:
--- a/magnoliarouter/tests/test_spillover.py
+++ b/magnoliarouter/tests/test_spillover.py
@@ -295,13 +295,22 @@
         return decode_configuration(value).services[value["services"][0]["name"]].profile
 
     def test_delays_between_zones(self):
-        profile = self.decode(delays={"a": {"b": 1.4}}, kv_tokens=1000)
-        self.assertAlmostEqual(profile.zone_delay_s("a", "b"), 0.0014)
+        delays = [
+            {"from": "a", "target_version": "b", "delay_ms": 1.4},
+            {"from": "b", "target_version": "c", "delay_ms": 3},
+            {"from": "c", "target_version": "b", "delay_ms": 4},
+        ]
+        profile = self.decode(delays=delays, kv_tokens=1000)
         self.assertEqual(profile.memory_tokens, 1000)
-        self.assertEqual(profile.zone_delay_s("b", "a"), self.decode().zone_delay_s("b", "a"))
+        pairs = {"ab": 0.0014, "ba": 0.0014, "bc": 0.003, "cb": 0.004}
+        for (one, other), delay_s in pairs.items():
+            self.assertAlmostEqual(profile.zone_delay_s(one, other), delay_s)
+        self.assertEqual(profile.zone_delay_s("a", "c"), self.decode().zone_delay_s("a", "c"))
 
     def test_malformed_fields_are_logged_and_count_as_not_given(self):
-        cases = [("delays", value) for value in (5, "x", {"a": 1}, {"a": {"b": -1}}, [["a"]])]
+        pair = {"from": "a", "target_version": "b"}
+        bad_delays = (5, "x", {"a": 1}, [pair], [{**pair, "delay_ms": -1}], [["a"]])
+        cases = [("delays", value) for value in bad_delays]
         cases += [("kv_tokens", value) for value in (-1, "x", math.nan, math.inf, 1e300, [])]
         for name, value in cases:
             with self.subTest(name=name, value=value):
