Let calls stay by need while all endpoints get fewer requests

A zone counted as reduced when its places fell under three quarters of the usual number. A zone is compared with all zones now. The new test of equally reduced zones failed before.

--- a/magnoliarouter/core/spillover.py
+++ b/magnoliarouter/core/spillover.py
@@ -60,8 +60,8 @@
     max_rise : float
         Largest projected rise.
     reduced_share : float
-        Share of its usual limit below which a zone counts as reduced, for example since it was
-        evacuated and returns.
+        Share of its usual limit, relative to that of all zones, below which a zone counts as
+        reduced, for example since it was evacuated and returns.
     usual_s : float
         Time in seconds in which the usual limit follows a lower one.
     """
@@ -187,14 +187,17 @@
                 trend.at, trend.fullness = now, room.fullness
 
     def is_reduced(self, zone: str) -> bool:
-        """Return whether a zone has far fewer places than it had lately, or none.
+        """Return whether a zone has lost far more of its usual places than all zones, or has none.
 
         Its callers suffer from more than a burst of their own, and share the places of all zones.
+        Endpoints everywhere get fewer requests while their steps are long; that reduces no zone.
         """
-        room = self.rooms.get(zone)
-        if room is None:
+        if zone not in self.rooms:
             return True
-        return room.limit < self.policy.reduced_share * self._trends[zone].usual_limit
+        left = sum(room.limit for room in self.rooms.values())
+        usual = sum(self._trends[name].usual_limit for name in self.rooms)
+        own, own_usual = self.rooms[zone].limit, self._trends[zone].usual_limit
+        return own * usual < self.policy.reduced_share * left * own_usual
 
     def project(self, zone: str) -> float:
         """Return the fullness of a zone after `horizon_s`, as far as it rises."""
--- a/magnoliarouter/tests/test_spillover.py
+++ b/magnoliarouter/tests/test_spillover.py
@@ -287,6 +287,24 @@
         self.assertEqual(dict(table.overflow.totals), before)
 
 
+class ReducedZoneTest(unittest.TestCase):
+    def observe(self, *limits):
+        state = SpilloverState()
+        for now, places in enumerate(((100, 100, 100), limits)):
+            rooms = {zone: ZoneRoom(10, limit) for zone, limit in zip("abc", places)}
+            state.observe(rooms, float(now))
+        return state
+
+    def test_zone_that_lost_its_places_is_reduced(self):
+        state = self.observe(30, 100, 100)
+        self.assertEqual([state.is_reduced(zone) for zone in "abc"], [True, False, False])
+        self.assertTrue(state.is_reduced("unknown"))
+
+    def test_no_zone_is_reduced_where_all_endpoints_get_fewer_requests(self):
+        state = self.observe(60, 60, 60)
+        self.assertEqual([state.is_reduced(zone) for zone in "abc"], [False] * 3)
+
+
 class ConfigurationTest(unittest.TestCase):
     def decode(self, **fields):
         value = build_configuration(1)
