--- a/magnoliarouter/core/coldstart.py
+++ b/magnoliarouter/core/coldstart.py
@@ -11,13 +11,13 @@
 import math
 from dataclasses import dataclass
 
+from magnoliarouter.core.decimals import is_decimal
 from magnoliarouter.core.sharedrate import BURST_S
 
 __all__ = ["MAX_COLD_S", "ColdBelief", "ColdLimit", "check_cold_ms", "parse_cold", "plan_cold_rate"]
 
 # A longer time is taken for one in a wrong unit.
 MAX_COLD_S = 600.0
-MAX_DIGITS = 20
 MAX_SHOWN_CHARS = 80
 # Parts of the fleet that may each use the whole rate until they notice that they hear nothing of the
 # other.
@@ -60,7 +60,7 @@
     (1.5, 0.0025)
     """
     texts = [text.strip() for text in value.split(b",")]
-    if not all(text.replace(b".", b"", 1).isdigit() and len(text) <= MAX_DIGITS for text in texts):
+    if not all(map(is_decimal, texts)):
         raise ValueError(f"time to stay cold is {value!r}; valid: milliseconds, as in 1500")
     return check_cold_ms(max(map(float, texts)))
 
--- a/magnoliarouter/core/sharedrate.py
+++ b/magnoliarouter/core/sharedrate.py
@@ -13,6 +13,8 @@
 import math
 from dataclasses import dataclass, field
 
+from magnoliarouter.core.decimals import is_decimal
+
 __all__ = ["NO_LIMIT", "RateNotice", "SharedRate", "merge_notices", "parse_rate"]
 
 NO_LIMIT = math.inf
@@ -24,7 +26,6 @@
 # Debt is bounded to this many requests and seconds of the rate, since a peer may report anything.
 MAX_DEBT_REQUESTS = 5.0
 MAX_DEBT_S = 4.0
-MAX_RATE_DIGITS = 20
 
 
 def parse_rate(value: bytes) -> float:
@@ -47,9 +48,7 @@
     (1.25, 2.0)
     """
     texts = [text.strip() for text in value.split(b",")]
-    if not all(
-        text.replace(b".", b"", 1).isdigit() and len(text) <= MAX_RATE_DIGITS for text in texts
-    ):
+    if not all(map(is_decimal, texts)):
         raise ValueError(f"rate is {value!r}; valid: requests per second, as in 2 or 1.25")
     return min(map(float, texts))
 
--- a/magnoliarouter/gateway/notices.py
+++ b/magnoliarouter/gateway/notices.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from magnoliarouter.core.decimals import is_decimal
+
 if TYPE_CHECKING:
     from magnoliarouter.gateway.endpoints import Endpoint
 
@@ -42,7 +44,7 @@
     (1.5, 60.0)
     """
     text = value.strip()
-    if not text.replace(b".", b"", 1).isdigit() or len(text) > 20:
+    if not is_decimal(text):
         raise ValueError(f"pause is {value!r}; valid: seconds, as in 1 or 0.25")
     seconds = float(text)
     return min(seconds, MAX_PAUSE_S) if math.isfinite(seconds) else MAX_PAUSE_S
