--- a/magnoliarouter/tests/prompt_soak.py
+++ b/magnoliarouter/tests/prompt_soak.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import random
 import sys
@@ -16,6 +15,7 @@
 from magnoliarouter.tests.daemons import kill_gateway, start_gateway
 from magnoliarouter.tests.platform_standin import StoreStandin, build_configuration
 from magnoliarouter.tests.raw_server import RawPeer, RawServer
+from magnoliarouter.tests.soakplay import play_seeds
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -418,27 +418,20 @@
 
 
 def main(build_site: Callable[[int, float, Faults], PromptSite]) -> int:
-    """Play seeds by hand, print what each found, and return 1 if a promise was broken."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=int, default=50)
-    parser.add_argument("--first", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=6.0)
-    arguments = parser.parse_args()
-    broken = 0
-    for seed in range(arguments.first, arguments.first + arguments.seeds):
+    """Play seeds by hand, and return 1 if a promise was broken."""
+
+    async def play(seed: int, seconds: float) -> tuple[str, list[str]]:
         faults = draw_faults(seed)
-        site = build_site(seed, arguments.seconds, faults)
-        log = asyncio.run(site.run())
-        print(
-            f"seed {seed}: {sum(log.counts.values())} requests, {len(log.crashes)} crashes, "
+        site = build_site(seed, seconds, faults)
+        log = await site.run()
+        summary = (
+            f"{sum(log.counts.values())} requests, {len(log.crashes)} crashes, "
             f"{len(site.list_late_arrivals())} late, {site.find_good_share():.2f} served, "
-            f"{len(log.violations)} broken promises; {faults}",
-            flush=True,
+            f"{len(log.violations)} broken promises; {faults}"
         )
-        for violation in log.violations[:5]:
-            print(f"  {violation}")
-        broken += bool(log.violations)
-    return 1 if broken else 0
+        return summary, log.violations
+
+    return play_seeds(__doc__, play)
 
 
 if __name__ == "__main__":
--- a/magnoliarouter/tests/response_soak.py
+++ b/magnoliarouter/tests/response_soak.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import random
 import sys
@@ -15,6 +14,7 @@
 from magnoliarouter.tests.daemons import kill_gateway, start_gateway
 from magnoliarouter.tests.platform_standin import StoreStandin, build_configuration
 from magnoliarouter.tests.raw_server import RawPeer, RawServer
+from magnoliarouter.tests.soakplay import play_seeds
 
 EVENT_COUNT = 10
 DEADLINE_S = 1.5
@@ -419,25 +419,12 @@
     return body, True
 
 
-def main() -> int:
-    """Play seeds by hand, print what each found, and return 1 if a promise was broken."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=int, default=50)
-    parser.add_argument("--first", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=6.0)
-    arguments = parser.parse_args()
-    broken = 0
-    for seed in range(arguments.first, arguments.first + arguments.seeds):
-        log = asyncio.run(SoakSite(seed, arguments.seconds).run())
-        requests = sum(count for name, count in log.counts.items() if name.startswith("/"))
-        print(
-            f"seed {seed}: {requests} requests, {len(log.violations)} broken promises", flush=True
-        )
-        for violation in log.violations[:5]:
-            print(f"  {violation}")
-        broken += bool(log.violations)
-    return 1 if broken else 0
+async def play(seed: int, seconds: float) -> tuple[str, list[str]]:
+    """Play a seed, and return a summary and the broken promises."""
+    log = await SoakSite(seed, seconds).run()
+    requests = sum(count for name, count in log.counts.items() if name.startswith("/"))
+    return f"{requests} requests, {len(log.violations)} broken promises", log.violations
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play_seeds(__doc__, play))
