Run tests of the gateway with sockets in a time that a busy machine leaves alone

Cause: `ForwardCase` and `GatewayCase` ran in real time, daemons, engines, store and callers in one loop. On a machine with twice as many busy processes as cores the loop stood still for 0.2 to 4 s, and calls with timeouts of 0.2 to 2 s met them: the rate test saw a 504 in 37 of 82 runs beside busy processes, with the log of each stall and of each request.

Change: `SocketLoop`, whose clock advances to the next timer when no callback is ready and no socket reports anything for a millisecond; both cases run on it. No assertion is changed. `respond` in `test_notices` takes a millisecond for each answer, because a request and the response to another one would otherwise have the same time, whose order is unknown, and calls in a row would take none.

--- a/magnoliarouter/tests/clock.py
+++ b/magnoliarouter/tests/clock.py
@@ -4,19 +4,22 @@
 
 import asyncio
 import selectors
+import unittest
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
 SETTLE_ROUNDS = 50
+# Real time in seconds after which no socket of the process is expected to report anything more.
+SOCKET_WAIT_S = 0.001
 
 
 class PausedLoop(asyncio.SelectorEventLoop):
     """Event loop whose clock `now` changes only when a test advances it; never blocks on sockets."""
 
-    def __init__(self) -> None:
-        super().__init__(_NonBlockingSelector())
+    def __init__(self, selector: selectors.BaseSelector | None = None) -> None:
+        super().__init__(selector or _NonBlockingSelector())
         self.now = 1000.0
 
     def time(self) -> float:
@@ -83,6 +86,44 @@
         return runner.run(main)
 
 
+class SocketLoop(PausedLoop):
+    """Loop for tests with sockets, whose time a busy machine does not change.
+
+    Its clock advances to the next timer when no callback is ready and no socket has anything to
+    report for `SOCKET_WAIT_S` of real time.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(_SocketSelector())
+        self._selector.on_wait = self._advance_time
+
+    def _advance_time(self, seconds: float) -> None:
+        self.now += seconds
+
+
+class _SocketSelector(selectors.DefaultSelector):
+    """Selector that waits for sockets for a short real time, and then calls `on_wait`."""
+
+    on_wait: Callable[[float], None] = staticmethod(lambda seconds: None)
+
+    def select(self, timeout: float | None = None) -> Any:
+        found = super().select(0)
+        if found or timeout == 0:
+            return found
+        found = super().select(SOCKET_WAIT_S)
+        if not found and timeout:
+            self.on_wait(timeout)
+        return found
+
+
+class SocketTimeCase(unittest.IsolatedAsyncioTestCase):
+    """Test case that runs on a `SocketLoop`."""
+
+    def _setupAsyncioRunner(self) -> None:
+        # From Python 3.13 on, this is the attribute `loop_factory`.
+        self._asyncioRunner = asyncio.Runner(debug=True, loop_factory=SocketLoop)
+
+
 async def wait_until(condition: Callable[[], bool], seconds: float = 5.0) -> None:
     """Wait until a condition holds, or fail; the clock of the running loop must advance by itself."""
     step = 0.02
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -23,6 +23,7 @@
 from magnoliarouter.platform.ranks import PlatformRanks
 from magnoliarouter.telemetry.metrics import Metrics
 from magnoliarouter.tests.builders import build_rank_report
+from magnoliarouter.tests.clock import SocketTimeCase
 from magnoliarouter.tests.raw_server import RawServer, build_response
 from magnoliarouter.web.upstream import UpstreamPool
 
@@ -95,7 +96,7 @@
         return self.reports.get(address)
 
 
-class ForwardCase(unittest.IsolatedAsyncioTestCase):
+class ForwardCase(SocketTimeCase):
     async def asyncSetUp(self):
         self.clock = asyncio.get_running_loop().time
         self.table = EndpointTable("zone-1")
--- a/magnoliarouter/tests/test_gateway.py
+++ b/magnoliarouter/tests/test_gateway.py
@@ -10,13 +10,13 @@
 from magnoliarouter.core.work import CallWork
 from magnoliarouter.daemon.gateway import CHANGE_BATCH_SHARE
 from magnoliarouter.daemon.gatewayview import describe_gateway
-from magnoliarouter.tests.clock import wait_until
+from magnoliarouter.tests.clock import SocketTimeCase, wait_until
 from magnoliarouter.tests.daemons import kill_gateway, start_gateway
 from magnoliarouter.tests.platform_standin import EngineStandin, StoreStandin, build_configuration
 from magnoliarouter.tests.raw_server import RawPeer, RawServer
 
 
-class GatewayCase(unittest.IsolatedAsyncioTestCase):
+class GatewayCase(SocketTimeCase):
     async def asyncSetUp(self):
         self.store = await StoreStandin().start()
         self.addCleanup(self.store.server.abort_all)
--- a/magnoliarouter/tests/test_notices.py
+++ b/magnoliarouter/tests/test_notices.py
@@ -29,10 +29,11 @@
 
 
 def respond(*responses):
-    """Send the given responses, and the last one from then on."""
+    """Send the given responses, each after a millisecond, and the last one from then on."""
     rest = list(responses)
 
     async def handle(peer):
+        await asyncio.sleep(0.001)
         await peer.send(rest.pop(0) if len(rest) > 1 else rest[0])
 
     return handle
