Send no request that leaves its endpoint no time to respond

Cause: a call was checked against its deadline before its connection opened and not after, and waited for a place up to the deadline itself. A slow connection, or a stall of the process, then sent it with a few milliseconds left, or after its deadline: the endpoint worked for nobody, and the caller got a 504, which leaves open whether the request ran, where a 503 was due.

Change: a call is sent only while a tenth of its target latency is left before its deadline. Waits for a place end then, and a connection that opens later sends nothing: the call is refused as not run, with Retry-After.

--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -82,7 +82,8 @@
     moved : bool
         Whether this daemon ended the attempt to move the stream to another endpoint.
     withheld : bool
-        Whether nothing was sent because the endpoint takes no requests any more.
+        Whether nothing was sent because the endpoint takes no requests any more, or could not
+        respond in time.
     paused : bool
         Whether the endpoint asked for a pause, so that its refusal is no failure.
     broken_off : bool
@@ -260,6 +261,11 @@
             if withdrawal is not None:
                 code = ResultCode.ENDPOINT_REFUSED
                 return FailedAttempt(code, withdrawal, False, sent=False, withheld=True)
+            if self._clock() >= call.send_until:
+                reason = "the connection opened too late for a response"
+                return FailedAttempt(
+                    ResultCode.DEADLINE_EXCEEDED, reason, False, sent=False, withheld=True
+                )
             remaining_s = call.deadline - self._clock()
             fields = self._codec.build_attempt_fields(
                 call, endpoint.identity, remaining_s, progress.splitter.last_id
--- a/magnoliarouter/gateway/call.py
+++ b/magnoliarouter/gateway/call.py
@@ -23,6 +23,9 @@
     "fingerprint_request",
 ]
 
+# No endpoint is expected to respond within a smaller share of the target latency.
+MIN_RESPONSE_SHARE = 0.1
+
 
 @dataclass(frozen=True, slots=True)
 class RequestHeaders:
@@ -188,6 +191,11 @@
     events: int = 0
     unfinished_bytes: int = 0
 
+    @property
+    def send_until(self) -> float:
+        """Loop time until which a send leaves an endpoint time to respond."""
+        return self.deadline - MIN_RESPONSE_SHARE * self.route.target_latency_s
+
     def estimate_work(self) -> CallWork:
         """Return the work that the call brings to its endpoint.
 
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -220,7 +220,7 @@
         quarantined = self._crashes.find_refusal(call)
         if quarantined is not None:
             return quarantined
-        if self._clock() >= call.deadline:
+        if self._clock() >= call.send_until:
             return NotRun(ResultCode.DEADLINE_EXCEEDED, "no endpoint took it in time")
         if progress.unreachable >= MAX_UNREACHABLE_ENDPOINTS:
             reason = f"{progress.unreachable} endpoints could not be connected to"
@@ -262,11 +262,11 @@
                 STREAM_PATIENCE_TARGETS * call.route.target_latency_s,
                 STREAM_PATIENCE_GAPS * (call.route.max_event_gap_s or 0.0),
             )
-            return min(progress.last_event_at + patience_s - RESUME_S, call.deadline) - now
+            return min(progress.last_event_at + patience_s - RESUME_S, call.send_until) - now
         return (
             min(
                 call.admitted_at + QUEUE_TIMEOUT_TARGETS * call.route.target_latency_s,
-                call.deadline,
+                call.send_until,
             )
             - now
         )
--- a/magnoliarouter/telemetry/metrics.py
+++ b/magnoliarouter/telemetry/metrics.py
@@ -66,7 +66,7 @@
         self.ejections = self.add_counter("ejections", "Endpoints ejected after failures")
         self.notices = self.add_counter("endpoint_notices", "Notices of endpoints", "kind")
         self.withheld_requests = self.add_counter(
-            "requests_withheld", "Requests not sent to an endpoint that withdrew"
+            "requests_withheld", "Requests not sent: the endpoint withdrew, or it was too late"
         )
         self.placements = self.add_counter("placements", "Placements", "prefix", "zone")
         self.zone_choices = self.add_counter(
--- a/magnoliarouter/tests/clock.py
+++ b/magnoliarouter/tests/clock.py
@@ -124,6 +124,13 @@
         self._asyncioRunner = asyncio.Runner(debug=True, loop_factory=SocketLoop)
 
 
+def stall(seconds: float) -> None:
+    """Let time pass in which the running `PausedLoop` does nothing, as a process that is held up."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, PausedLoop)
+    loop.now += seconds
+
+
 async def wait_until(condition: Callable[[], bool], seconds: float = 5.0) -> None:
     """Wait until a condition holds, or fail; the clock of the running loop must advance by itself."""
     step = 0.02
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -23,7 +23,7 @@
 from magnoliarouter.platform.ranks import PlatformRanks
 from magnoliarouter.telemetry.metrics import Metrics
 from magnoliarouter.tests.builders import build_rank_report
-from magnoliarouter.tests.clock import SocketTimeCase
+from magnoliarouter.tests.clock import SocketTimeCase, stall
 from magnoliarouter.tests.raw_server import RawServer, build_response
 from magnoliarouter.web.upstream import UpstreamPool
 
@@ -437,6 +437,37 @@
         self.assertEqual(outcome.code, ResultCode.DEADLINE_EXCEEDED)
         self.assertLess(self.clock() - started_at, 0.4)
 
+    async def test_nothing_is_sent_when_a_connection_opens_too_late_for_a_response(self):
+        connect = self.pool.acquire
+        for left_s in (0.01, -0.05):
+            with self.subTest(left_s=left_s):
+
+                async def acquire(address, left_s=left_s):
+                    connection = await connect(address)
+                    stall(0.3 - left_s)
+                    return connection
+
+                self.pool.acquire = acquire
+                await self.add(respond_ok)
+                outcome = await self.forward(build_route(RouteKind.ONCE, 1, timeout_s=0.3))
+                self.assertIsInstance(outcome, NotRun)
+                self.assertEqual(outcome.code, ResultCode.DEADLINE_EXCEEDED)
+                self.assertEqual((self.heads, self.table.own_requests), ([], {}))
+
+    async def test_wait_for_a_place_leaves_time_for_a_response(self):
+        await self.add(respond_ok, slots=1)
+        self.table.start_request("e1")
+        route = build_route(RouteKind.ONCE, 1, timeout_s=0.3)
+
+        def finish():
+            self.table.finish_request("e1")
+            self.waiting.wake()
+
+        asyncio.get_running_loop().call_later(0.3 - 0.05 * route.target_latency_s, finish)
+        outcome = await self.forward(route)
+        self.assertEqual((outcome.code, self.heads), (ResultCode.QUEUE_FULL, []))
+        self.assertIsNotNone(outcome.retry_after)
+
     async def test_unreachable_zone_is_avoided_at_once(self):
         """Each further endpoint tried in an unreachable zone would cost a full connection timeout."""
 
