Read what came while the process stalled before an endpoint counts as silent

Cause: when the loop goes on after a stall, it takes in what sockets received and runs the timers that are due in the same turn, and a timeout then cancels a read whose data are there. A daemon that was held up for longer than the limit of an attempt dropped responses that had come in time, cut streams that went on, and had sound endpoints, groups and zones suspected.

Change: when the time of a read is over, what has been received is read once more before the endpoint counts as silent.

--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, TypeVar
 
@@ -337,17 +338,18 @@
         """
         while True:
             limit = self._attempt_timeout_s(call, progress)
-            try:
-                async with asyncio.timeout(limit):
-                    return await read()
-            except TimeoutError:
-                now = self._clock()
-                if now < call.deadline:
-                    self._on_silence(endpoint)
-                    if not self._has_alternative(call, endpoint, progress, now):
-                        continue
-                reason = f"nothing came within {limit:.3f} s"
-                return FailedAttempt(ResultCode.DEADLINE_EXCEEDED, reason, None, timed_out=True)
+            # After a stall of this process, what came meanwhile may still have to be read.
+            for seconds in (limit, 0.0):
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(seconds):
+                        return await read()
+            now = self._clock()
+            if now < call.deadline:
+                self._on_silence(endpoint)
+                if not self._has_alternative(call, endpoint, progress, now):
+                    continue
+            reason = f"nothing came within {limit:.3f} s"
+            return FailedAttempt(ResultCode.DEADLINE_EXCEEDED, reason, None, timed_out=True)
 
     def _has_alternative(
         self, call: GatewayCall, endpoint: Endpoint, progress: CallProgress, now: float
--- a/magnoliarouter/tests/clock.py
+++ b/magnoliarouter/tests/clock.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import selectors
+import time
 import unittest
 from typing import TYPE_CHECKING, Any
 
@@ -128,6 +129,8 @@
     """Let time pass in which the running `PausedLoop` does nothing, as a process that is held up."""
     loop = asyncio.get_running_loop()
     assert isinstance(loop, PausedLoop)
+    # What was sent before arrives meanwhile.
+    time.sleep(SOCKET_WAIT_S)
     loop.now += seconds
 
 
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -7,7 +7,7 @@
 from magnoliarouter.core.framing import Framing
 from magnoliarouter.core.outcome import Completed, NotRun, ResultCode, Unknown
 from magnoliarouter.core.retries import SharedRetryBudget
-from magnoliarouter.gateway.attempt import ANSWERED_EVENTS, CallProgress
+from magnoliarouter.gateway.attempt import ANSWERED_EVENTS, SILENCE_TIMEOUT_S, CallProgress
 from magnoliarouter.gateway.call import GatewayCall
 from magnoliarouter.gateway.crashwatch import CrashWatch
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
@@ -468,6 +468,19 @@
         self.assertEqual((outcome.code, self.heads), (ResultCode.QUEUE_FULL, []))
         self.assertIsNotNone(outcome.retry_after)
 
+    async def test_response_that_came_while_the_process_stalled_is_relayed(self):
+        async def handle(peer):
+            await peer.send(build_response())
+            stall(0.3)
+
+        await self.add(handle)
+        for kind in (RouteKind.ONCE, RouteKind.SAFE):
+            with self.subTest(kind=kind):
+                self.exchange = FakeExchange()
+                outcome = await self.forward(build_route(kind, 2, timeout_s=0.2))
+                self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+                self.assertEqual(self.exchange.body, b"ok")
+
     async def test_unreachable_zone_is_avoided_at_once(self):
         """Each further endpoint tried in an unreachable zone would cost a full connection timeout."""
 
@@ -772,6 +785,20 @@
             with self.subTest(attempts=route.attempts, resumable=route.resumable, slack=slack):
                 self.assertEqual((self.exchange.body, self.tried()), (b"".join(EVENTS), ["e1"]))
 
+    async def test_stream_whose_events_came_while_the_process_stalled_goes_on(self):
+        async def handle(peer):
+            await peer.send(self.head())
+            for event in EVENTS:
+                await peer.send(self.chunk(event))
+                stall(SILENCE_TIMEOUT_S + 0.1)
+                await asyncio.sleep(0.02)
+            await peer.send(b"0\r\n\r\n")
+
+        await self.add_two(handle, self.serve(EVENTS))
+        route = build_route(RouteKind.STREAM, 2, 20.0, resumable=True)
+        self.assertEqual(await self.forward(route), Completed(ResultCode.OK, 200))
+        self.assertEqual((self.exchange.body, self.tried()), (b"".join(EVENTS), ["e1"]))
+
     async def test_broken_stream_waits_for_a_slot_as_long_as_its_caller_does(self):
         async def late_break(peer):
             await peer.send(self.head())
