Run the tests of calls to ranks in a time that a busy machine leaves alone

Cause: an order has 50 ms until its response, and `test_results_of_orders` sends six in real time to a server in its own loop. Beside busy processes, at a load of 21 to 22, 2 of 3 runs saw "unknown" instead of "refused" and "fenced", which is what an order without a response in time has to give.

Change: `RanksTest` runs on `SocketLoop`; assertions and the limit of an order are as before.

--- a/magnoliarouter/tests/test_platform.py
+++ b/magnoliarouter/tests/test_platform.py
@@ -26,6 +26,7 @@
     Written,
 )
 from magnoliarouter.store.validation import ValidationFailure
+from magnoliarouter.tests.clock import SocketTimeCase
 from magnoliarouter.tests.platform_standin import build_configuration
 from magnoliarouter.tests.raw_server import RawServer, build_response
 from magnoliarouter.web.upstream import UpstreamPool
@@ -294,7 +295,7 @@
             self.assertIsInstance(results[3], Changes | Unavailable)
 
 
-class RanksTest(unittest.IsolatedAsyncioTestCase):
+class RanksTest(SocketTimeCase):
     def answer(self, status=200, body=b"{}"):
         self.requests = []
 
