Let a late registration of an earlier start take back nothing of a later one

Cause: `record_entry` was the one source of cold times that did not ask whether a later start of the endpoint is known. A registration of an earlier start that arrived late during traffic dropped the rate that the later one had named and the requests charged to it, and had that one counted as cold again when its own registration came back.

Change: such a registration is passed over, as responses and failures of an earlier start are.

Measured: the new test failed before.

--- a/magnoliarouter/gateway/ratelimits.py
+++ b/magnoliarouter/gateway/ratelimits.py
@@ -119,6 +119,8 @@
         during_traffic : bool
             Whether an endpoint that was not known before has just started.
         """
+        if self._is_outdated(endpoint):
+            return False
         is_new = self._starts.get(endpoint.identity) != endpoint.started_ms
         self._starts[endpoint.identity] = endpoint.started_ms
         self._starts.move_to_end(endpoint.identity)
--- a/magnoliarouter/tests/test_coldstart.py
+++ b/magnoliarouter/tests/test_coldstart.py
@@ -221,6 +221,18 @@
         self.assertFalse(self.rates.record_start(ENDPOINT, 10.1))
         self.assertAlmostEqual(self.rates.cold_s(RESTARTED, 10.1), 1.9)
 
+    def test_late_registration_of_an_earlier_start_takes_back_nothing_of_a_later_one(self):
+        self.rates.record_entry(RESTARTED, 10.0, during_traffic=False)
+        self.rates.record_response(RESTARTED, b"1", 10.0, 10.1)
+        self.rates.record_request(RESTARTED, 10.2, 3)
+        tokens = self.rates.count_tokens(RESTARTED, 10.3)
+        for cold_s in (None, 5.0):
+            late = replace(ENDPOINT, cold_s=cold_s)
+            self.assertFalse(self.rates.record_entry(late, 10.3, during_traffic=True))
+        self.assertFalse(self.rates.record_entry(RESTARTED, 10.3, during_traffic=True))
+        self.assertEqual(self.rates.rate_of(RESTARTED), 1.0)
+        self.assertEqual(self.rates.count_tokens(RESTARTED, 10.3), tokens)
+
     def test_peers_learn_and_do_not_prolong_each_other(self):
         other = EndpointRates(find_cold_limit=lambda service: LIMIT)
         self.rates.record_cold_response(ENDPOINT, 2.0, 0.0, 0.0)
