Do not blame an endpoint for a stall of the process that connects to it

Cause: an attempt to connect ends after 0.4 s by the loop's clock. When the process stalled for longer, the timeout was due in the turn in which the open connection was noticed, and came first. The endpoint then counted as unreachable: it was ejected at once, its group suspected, and, where its service has a cold rate, held to that.

Change: a timeout that comes later than it is due shows a stall, and the connection is tried once more.

Measured: the new test failed before: its call was refused and the sound endpoint ejected.

--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -25,7 +25,7 @@
 from magnoliarouter.tests.builders import build_rank_report
 from magnoliarouter.tests.clock import SocketTimeCase, stall
 from magnoliarouter.tests.raw_server import RawServer, build_response
-from magnoliarouter.web.upstream import UpstreamPool
+from magnoliarouter.web.upstream import CONNECT_TIMEOUT_S, UpstreamPool
 
 EVENTS = [b"id: %d\ndata: %d\n\n" % (number, number) for number in range(1, 7)]
 STREAM = "text/event-stream"
@@ -454,6 +454,13 @@
                 self.assertEqual(outcome.code, ResultCode.DEADLINE_EXCEEDED)
                 self.assertEqual((self.heads, self.table.own_requests), ([], {}))
 
+    async def test_endpoint_counts_as_reachable_when_the_process_stalled_while_it_connected(self):
+        await self.add(respond_ok)
+        asyncio.get_running_loop().call_soon(stall, CONNECT_TIMEOUT_S + 0.3)
+        outcome = await self.forward(build_route(RouteKind.ONCE, 1))
+        self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+        self.assertEqual(self.metrics.ejections._value.get(), 0.0)
+
     async def test_wait_for_a_place_leaves_time_for_a_response(self):
         await self.add(respond_ok, slots=1)
         self.table.start_request("e1")
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -40,6 +40,8 @@
 
 # TCP retransmits a lost SYN only after 1 s; trying another endpoint is faster.
 CONNECT_TIMEOUT_S = 0.4
+# A timer that runs later than this shows that the process stalled.
+STALL_S = 0.1
 # Bytes that stay unacknowledged for this long mean a broken network path, unless the receive buffer
 # of the peer is full: that counts in the same way.
 TCP_USER_TIMEOUT_MS = 1_500
@@ -443,12 +445,15 @@
 
     async def connect(self, address: str) -> UpstreamConnection:
         """Return a new connection to an address; raises as `acquire` does."""
-        loop = asyncio.get_running_loop()
+        until = self._clock() + CONNECT_TIMEOUT_S
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(self._clock), *split_address(address)
-                )
+            try:
+                connection = await self._open(address)
+            except TimeoutError:
+                if self._clock() - until < STALL_S:
+                    raise
+                # This process stalled, so that the timeout says nothing of the network.
+                connection = await self._open(address)
         except (OSError, ValueError) as error:
             raise UpstreamError(
                 UpstreamErrorKind.UNREACHABLE, f"{address}: {type(error).__name__}"
@@ -456,6 +461,13 @@
         self.opened_connections += 1
         return connection
 
+    async def _open(self, address: str) -> UpstreamConnection:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, connection = await asyncio.get_running_loop().create_connection(
+                lambda: UpstreamConnection(self._clock), *split_address(address)
+            )
+        return connection
+
     async def can_connect(self, address: str) -> bool:
         """Return whether a new connection to an address can be opened; it is added to the pool."""
         try:
