Use nothing on behalf of daemons whose contact may be lost

Three parts of the daemons that were cut from each other each used the whole rate of a cold endpoint until they noticed, 1.5 s later: 28 requests within a second of 24 allowed (9 daemons), 51 of 44 (9 to 98). The rate accounts for three parts with a full bucket each; it changes only where an endpoint tolerates under 2 requests a second.

Before the first word of cold, slots alone bound what arrives: 20 of 44 at an endpoint whose shortest stream takes half a second, 61 of 44 at one with requests of 22 ms.

--- a/magnoliarouter/core/coldstart.py
+++ b/magnoliarouter/core/coldstart.py
@@ -19,9 +19,12 @@
 # A longer time is taken for one in a wrong unit.
 MAX_COLD_S = 600.0
 MAX_SHOWN_CHARS = 80
-# Parts of the fleet that may each use the whole rate until they notice that they hear nothing of the
-# other.
+# Parts of the fleet that may each use the whole rate, as where one hears of the other and not the
+# other way round.
 UNAWARE_PARTS = 2
+# Parts that hear nothing of each other: each uses its part of the rate, and what its bucket held when
+# the contact was lost. They are as many as a region has availability zones.
+SEPARATE_PARTS = 3
 # Requests that daemons send at the same time, before they hear of each other's.
 OVERDRAFT_REQUESTS = 2.0
 
@@ -69,7 +72,8 @@
     """Return the rate to which all daemons together keep at a cold endpoint.
 
     It is at most the rate that the endpoint tolerates, and low enough that two parts of the fleet
-    that hear nothing of each other keep to the bound as well.
+    that use the whole rate each, and three that hear nothing of each other, keep to the bound as
+    well.
 
     Parameters
     ----------
@@ -80,12 +84,13 @@
 
     Examples
     --------
-    >>> plan_cold_rate(1.0, 1.5, 5.0), plan_cold_rate(13.0, 1.5, 5.0)
+    >>> plan_cold_rate(1.0, 3.0, 5.0), plan_cold_rate(13.0, 1.5, 5.0)
     (1.0, 8.2)
     """
     allowed = requests_per_s * over + slack - OVERDRAFT_REQUESTS
-    planned = (allowed / UNAWARE_PARTS - 1.0) / (1.0 + BURST_S)
-    return max(0.0, min(requests_per_s, planned))
+    unaware = (allowed / UNAWARE_PARTS - 1.0) / (1.0 + BURST_S)
+    separate = (allowed - SEPARATE_PARTS) / (1.0 + SEPARATE_PARTS * BURST_S)
+    return max(0.0, min(requests_per_s, unaware, separate))
 
 
 @dataclass(frozen=True, slots=True)
--- a/magnoliarouter/core/sharedrate.py
+++ b/magnoliarouter/core/sharedrate.py
@@ -15,7 +15,14 @@
 
 from magnoliarouter.core.decimals import is_decimal
 
-__all__ = ["NO_LIMIT", "RateNotice", "SharedRate", "merge_notices", "parse_rate"]
+__all__ = [
+    "NO_LIMIT",
+    "ContactTime",
+    "RateNotice",
+    "SharedRate",
+    "merge_notices",
+    "parse_rate",
+]
 
 NO_LIMIT = math.inf
 # An endpoint to which nothing is sent never says that its limit has ended, so all daemons together
@@ -26,6 +33,8 @@
 # Debt is bounded to this many requests and seconds of the rate, since a peer may report anything.
 MAX_DEBT_REQUESTS = 5.0
 MAX_DEBT_S = 4.0
+# A daemon that was silent for longer may have been out of contact, and its part was not to be used.
+MAX_SILENCE_S = 1.5
 
 
 def parse_rate(value: bytes) -> float:
@@ -53,6 +62,53 @@
     return min(map(float, texts))
 
 
+@dataclass(slots=True)
+class ContactTime:
+    """Seconds of a rate for all daemons that this daemon may use.
+
+    Each daemon has an equal part of the rate. This daemon's own part counts as time passes; that of
+    another one when it is heard, for the time since it was last heard. Nothing is therefore used on
+    behalf of a daemon in the time in which contact to it may have been lost.
+
+    Examples
+    --------
+    >>> contact = ContactTime()
+    >>> contact.hear("daemon-2", 2, now=0.0)
+    >>> contact.read_s(2, now=1.0)
+    0.5
+    >>> contact.hear("daemon-2", 2, now=1.0)
+    >>> contact.read_s(2, now=1.0)
+    1.0
+    """
+
+    _seconds: float = 0.0
+    _own_until: float | None = None
+    _heard_at: dict[str, float] = field(default_factory=dict)
+
+    def hear(self, peer: str, daemons: int, now: float) -> None:
+        """Record a message of another daemon.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the other daemon.
+        daemons : int
+            Number of daemons that share the rate, this one included.
+        now : float
+            Loop time in seconds.
+        """
+        silent_s = now - self._heard_at.get(peer, now)
+        self._seconds += min(silent_s, MAX_SILENCE_S) / daemons
+        self._heard_at[peer] = now
+
+    def read_s(self, daemons: int, now: float) -> float:
+        """Return the seconds until now; only the difference of two calls has a meaning."""
+        if self._own_until is not None:
+            self._seconds += (now - self._own_until) / daemons
+        self._own_until = now
+        return self._seconds
+
+
 @dataclass(frozen=True, slots=True)
 class RateNotice:
     """What a response of an endpoint said about its rate.
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -192,6 +192,7 @@
             self.table, clock, self.peers.count_daemons, self.peers.count_waiting
         )
         self.table.rates.read_share = self.peers.read_share
+        self.table.rates.count_daemons = self.peers.count_registered
         self.table.rates.find_cold_limit = lambda service: self._cold_limits.get(service)
         self.peers.collect_rates = lambda: self.table.rates.collect_updates(clock())
         self.peers.apply_rates = self._apply_peer_rates
@@ -418,7 +419,9 @@
                 self._confirm_configuration(sent_at)
 
     def _apply_peer_loads(self, peer: str, loads: dict[str, int]) -> None:
-        self.table.apply_peer_load(peer, loads, self._loop.time())
+        now = self._loop.time()
+        self.table.rates.record_contact(peer, now)
+        self.table.apply_peer_load(peer, loads, now)
         self._queue.schedule_wake()
 
     def _apply_peer_rates(self, peer: str, start: int, updates: list[RateUpdate]) -> None:
--- a/magnoliarouter/gateway/peers.py
+++ b/magnoliarouter/gateway/peers.py
@@ -162,6 +162,7 @@
         # Daemons that said that they stopped, and did not start again.
         self._stopped: set[str] = set()
         self._share, self._share_at = 1.0, float("-inf")
+        self._registered = 1
         self.read_confirmations: Callable[[], dict[str, tuple[int, float]]] = dict
         self.apply_confirmation: Callable[[str, int, float], None] = lambda kind, digest, at: None
         self.holds_map_lease: Callable[[], bool] = lambda: False
@@ -225,10 +226,16 @@
             self._share, self._share_at = self._compute_share(now), now
         return self._share
 
+    def count_registered(self) -> int:
+        """Return how many daemons share a rate, this one and those out of contact included."""
+        self.read_share()
+        return self._registered
+
     def _compute_share(self, now: float) -> float:
         present = self._list_present(now)
         registered = (self._addresses.keys() | present) - self._stopped
-        return (1 + len(present)) / (1 + len(registered))
+        self._registered = 1 + len(registered)
+        return (1 + len(present)) / self._registered
 
     def count_present(self) -> int:
         """Return how many daemons are in contact, this one included."""
--- a/magnoliarouter/gateway/ratelimits.py
+++ b/magnoliarouter/gateway/ratelimits.py
@@ -10,7 +10,13 @@
 from msgspec import Meta
 
 from magnoliarouter.core.coldstart import MAX_COLD_S, ColdBelief, ColdLimit
-from magnoliarouter.core.sharedrate import NO_LIMIT, RateNotice, SharedRate, parse_rate
+from magnoliarouter.core.sharedrate import (
+    NO_LIMIT,
+    ContactTime,
+    RateNotice,
+    SharedRate,
+    parse_rate,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -84,6 +90,8 @@
     service: str
     bucket: SharedRate
     active_at: float
+    # Seconds of `ContactTime` that the bucket has got.
+    counted_s: float
     requests: int = 0
     peer_requests: dict[str, tuple[int, int]] = field(default_factory=dict)
     cold: ColdBelief = field(default_factory=ColdBelief)
@@ -97,15 +105,23 @@
     ----------
     read_share : callable
         Returns the part of each rate that the daemons in contact with this one may use, this one
-        included.
+        included, by which waits are estimated.
+    count_daemons : callable
+        Returns how many daemons share each rate, this one included.
     find_cold_limit : callable
         Returns the limit of a service's cold endpoints, or None if it has none.
     """
 
     read_share: Callable[[], float] = lambda: 1.0
+    count_daemons: Callable[[], int] = lambda: 1
     find_cold_limit: Callable[[str], ColdLimit | None] = lambda service: None
     _entries: OrderedDict[str, _Entry] = field(default_factory=OrderedDict)
     _starts: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    _contact: ContactTime = field(default_factory=ContactTime)
+
+    def record_contact(self, peer: str, now: float) -> None:
+        """Record a message of another daemon, which adds its part to the rates until now."""
+        self._contact.hear(peer, self.count_daemons(), now)
 
     def record_entry(self, endpoint: Endpoint, now: float, during_traffic: bool) -> bool:
         """Apply a newer registration, and return whether the endpoint turned cold by it.
@@ -207,7 +223,7 @@
         if entry is not None:
             entry.requests += requests
             entry.active_at = now
-            entry.bucket.charge(requests, now, self.read_share())
+            entry.bucket.charge(requests, now, self._read_part(entry, now))
 
     def rate_of(self, endpoint: Endpoint) -> float:
         """Return the rate that an endpoint names in requests per second, `NO_LIMIT` if none."""
@@ -219,7 +235,7 @@
         entry = self._find_limited(endpoint, now)
         if entry is None:
             return NO_LIMIT
-        return entry.bucket.count_tokens(now, self.read_share())
+        return entry.bucket.count_tokens(now, self._read_part(entry, now))
 
     def allows(self, endpoint: Endpoint, now: float) -> bool:
         """Return whether an endpoint takes a request now."""
@@ -232,7 +248,7 @@
             entry = self._find_limited(endpoint, now)
             if entry is None:
                 return 0.0
-            tokens += entry.bucket.count_tokens(now, self.read_share())
+            tokens += entry.bucket.count_tokens(now, self._read_part(entry, now))
             rate += entry.bucket.rate * self.read_share()
         return max(0.0, (requests - tokens) / rate) if rate else 0.0
 
@@ -293,7 +309,8 @@
                 # Each request is reported at once, so those before the last one are over.
                 known = max(0, update.requests - 1)
             entry.peer_requests[peer] = peer_start, update.requests
-            entry.bucket.charge(update.requests - known, now, self.read_share())
+            part = self._read_part(entry, now)
+            entry.bucket.charge(update.requests - known, now, part)
         return changed
 
     def _record(
@@ -305,7 +322,7 @@
                 return False
             self._add(endpoint, notice, now).active_at = now
             return True
-        changed = entry.bucket.record(notice, now, self.read_share())
+        changed = entry.bucket.record(notice, now, self._read_part(entry, now))
         if changed and is_own:
             entry.active_at = now
         return changed
@@ -315,7 +332,11 @@
 
     def _add(self, endpoint: Endpoint, notice: RateNotice, now: float) -> _Entry:
         entry = _Entry(
-            endpoint.started_ms, endpoint.service, SharedRate(notice, now), float("-inf")
+            endpoint.started_ms,
+            endpoint.service,
+            SharedRate(notice, now),
+            float("-inf"),
+            self._contact.read_s(self.count_daemons(), now),
         )
         self._entries[endpoint.identity] = entry
         self._entries.move_to_end(endpoint.identity)
@@ -323,6 +344,16 @@
             self._entries.popitem(last=False)
         return entry
 
+    def _read_part(self, entry: _Entry, now: float) -> float:
+        """Return the part of the rate that this daemon may use since the last call for a bucket."""
+        elapsed_s = now - entry.bucket.updated_at
+        if elapsed_s <= 0.0:
+            return 0.0
+        contact_s = self._contact.read_s(self.count_daemons(), now)
+        part = (contact_s - entry.counted_s) / elapsed_s
+        entry.counted_s = contact_s
+        return part
+
     def _is_outdated(self, endpoint: Endpoint) -> bool:
         """Return whether a later start of an endpoint is known."""
         known = self._entries.get(endpoint.identity)
@@ -343,7 +374,7 @@
         rate = limit.rate if limit is not None and until > now else NO_LIMIT
         if rate == entry.bucket.notice.rate == NO_LIMIT and not entry.bucket.is_limited:
             return None
-        entry.bucket.limit_cold(rate, until, now, self.read_share())
+        entry.bucket.limit_cold(rate, until, now, self._read_part(entry, now))
         return entry if entry.bucket.is_limited else None
 
     def _find(self, endpoint: Endpoint) -> _Entry | None:
--- a/magnoliarouter/tests/test_coldstart.py
+++ b/magnoliarouter/tests/test_coldstart.py
@@ -39,6 +39,10 @@
 ENDPOINT = Endpoint("e1", "app", "127.0.0.1:1", "zone-1", 6, False, 100)
 RESTARTED = replace(ENDPOINT, started_ms=200)
 OVER, SLACK = 1.5, 5.0
+# Time in which all daemons read a changed registration: a batch of changes, and a slow store.
+REGISTRY_LAG_S = 0.9
+# Shortest time in which an endpoint without other requests serves a stream of 95 tokens.
+LEAST_STREAM_S = 0.54
 LIMIT = ColdLimit(3.0, 8.2)
 
 
@@ -255,6 +259,8 @@
     def __init__(self, count, per_s, start_s=6.0, **options):
         # Whether responses tell how long the endpoint stays cold.
         self.tells = False
+        # Parts of the fleet that hear nothing of each other while it is cut; 0 for those of `cut_at`.
+        self.parts = 0
         super().__init__(count, 0, **options)
         self.named = None
         self.limit = ColdLimit(start_s, plan_cold_rate(per_s, OVER, SLACK))
@@ -262,6 +268,11 @@
         for daemon in self.daemons:
             self.prepare(daemon)
 
+    def side(self, daemon):
+        if self.is_cut and self.parts:
+            return self.daemons.index(daemon) * self.parts // len(self.daemons)
+        return super().side(daemon)
+
     def prepare(self, daemon):
         daemon.table.rates.find_cold_limit = lambda service: self.limit
 
@@ -286,6 +297,11 @@
         peer.table.apply_peer_load(name, loads, asyncio.get_running_loop().time())
         peer.queue.schedule_wake()
 
+    @staticmethod
+    def apply_entry(daemon, entry):
+        now = asyncio.get_running_loop().time()
+        daemon.table.rates.record_entry(entry, now, during_traffic=True)
+
     def apply_word(self, daemon, word):
         now = asyncio.get_running_loop().time()
         if daemon.table.rates.record_cold_response(*word, now):
@@ -366,11 +382,16 @@
             fleet.cut_at = len(fleet.daemons) // 2
             await cut(fleet)
 
+        async def cut_in_three(fleet):
+            fleet.parts = 3
+            await cut(fleet)
+
         for count in (9, 34, 98):
-            for per_s in (1, 13):
-                with self.subTest(daemons=count, per_s=per_s):
-                    fleet = self.play(count, per_s, cut_in_half, start_s=10.0)
-                    self.check(fleet, per_s)
+            for per_s in (1, 13, 26):
+                for steps in (cut_in_half, cut_in_three):
+                    with self.subTest(daemons=count, per_s=per_s, cut=steps.__name__):
+                        fleet = self.play(count, per_s, steps, start_s=10.0)
+                        self.check(fleet, per_s)
 
     def test_endpoint_that_turns_cold_is_spared_as_soon_as_its_responses_say_so(self):
         async def turn(fleet):
@@ -387,6 +408,32 @@
                 after = [at for at, _ in fleet.arrivals if at > fleet.cold_to + 0.4]
                 self.assertGreater(len(after), 2 * fleet.limit.rate * 0.6)
 
+    @staticmethod
+    async def turn_by_registry(fleet):
+        """Let the endpoint turn cold while only its registration says so, which is read late."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(5.0)
+        fleet.cold_from, fleet.cold_to = loop.time(), loop.time() + 3.0
+        for daemon in fleet.daemons:
+            word = (daemon, replace(ENDPOINT, cold_s=3.0))
+            loop.call_later(random.uniform(0.0, REGISTRY_LAG_S), fleet.apply_entry, *word)
+        await asyncio.sleep(3.5)
+
+    def test_slots_bound_what_long_requests_send_before_the_first_word(self):
+        for count in (9, 34, 98):
+            with self.subTest(daemons=count):
+                fleet = self.play(
+                    count, 26, self.turn_by_registry, callers=2, hold_s=LEAST_STREAM_S
+                )
+                self.check(fleet, 26)
+                self.assertGreater(len(fleet.cold_times()), 6)
+
+    def test_what_short_requests_send_before_the_first_word_is_bounded(self):
+        for count in (9, 34):
+            with self.subTest(daemons=count):
+                fleet = self.play(count, 26, self.turn_by_registry, callers=2, hold_s=0.022)
+                self.check(fleet, 26)
+
     def test_daemons_that_restart_in_turn_do_not_add_to_it(self):
         async def restart(fleet):
             fleet.tells = True
--- a/magnoliarouter/tests/test_ratelimits.py
+++ b/magnoliarouter/tests/test_ratelimits.py
@@ -18,7 +18,12 @@
 )
 from magnoliarouter.daemon.gatewayview import describe_gateway
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
-from magnoliarouter.gateway.peers import PRESENCE_EXPIRY_S, SHARE_INTERVAL_S, PeerLoads
+from magnoliarouter.gateway.peers import (
+    PRESENCE_EXPIRY_S,
+    RENEW_INTERVAL_S,
+    SHARE_INTERVAL_S,
+    PeerLoads,
+)
 from magnoliarouter.gateway.ratelimits import MAX_ENDPOINTS, MAX_UPDATES, EndpointRates
 from magnoliarouter.gateway.routes import RouteKind
 from magnoliarouter.gateway.waiting import WaitQueue
@@ -164,6 +169,7 @@
         self.start_again()
         for _ in range(fleet.callers):
             fleet.tasks.append(asyncio.ensure_future(self.call_forever()))
+        fleet.tasks.append(asyncio.ensure_future(self.renew_forever()))
 
     def start_again(self):
         loop = asyncio.get_running_loop()
@@ -171,8 +177,20 @@
         self.table = EndpointTable("zone-1")
         self.table.put(ENDPOINT)
         self.table.rates.read_share = lambda: self.fleet.read_share(self)
+        self.table.rates.count_daemons = lambda: len(self.fleet.daemons)
         self.queue = WaitQueue(self.table, loop.time, lambda: len(self.fleet.daemons))
 
+    async def renew_forever(self):
+        """Send messages without news, as daemons do to show that they are in contact."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(RENEW_INTERVAL_S * random.random())
+        while True:
+            now = loop.time()
+            for peer in self.fleet.list_receivers(self):
+                if random.random() >= self.fleet.loss:
+                    peer.table.rates.record_contact(self.name, now)
+            await asyncio.sleep(RENEW_INTERVAL_S)
+
     async def call_forever(self):
         loop = asyncio.get_running_loop()
         await asyncio.sleep(random.random())
@@ -186,7 +204,7 @@
             sent_at = loop.time()
             await asyncio.sleep(self.fleet.draw_delay())
             named = self.fleet.receive(self)
-            await asyncio.sleep(0.02 + self.fleet.draw_delay())
+            await asyncio.sleep(self.fleet.hold_s + self.fleet.draw_delay())
             table.finish_request("e1")
             table.rates.record_response(ENDPOINT, named, sent_at, loop.time())
             self.fleet.announce(self)
@@ -200,8 +218,8 @@
     `PRESENCE_EXPIRY_S`.
     """
 
-    def __init__(self, count, rate, callers=1, loss=0.03):
-        self.rate, self.callers, self.loss = rate, callers, loss
+    def __init__(self, count, rate, callers=1, loss=0.03, hold_s=0.02):
+        self.rate, self.callers, self.loss, self.hold_s = rate, callers, loss, hold_s
         self.tasks, self.arrivals, self.periods = [], [], []
         self.named = str(rate).encode()
         self.cut_at, self.is_cut, self.cut_since = count, False, float("inf")
@@ -229,12 +247,14 @@
         self.arrivals.append((asyncio.get_running_loop().time(), daemon.name))
         return self.named
 
+    def list_receivers(self, daemon):
+        side = self.side(daemon)
+        return [peer for peer in self.daemons if peer is not daemon and self.side(peer) == side]
+
     def announce(self, daemon):
         loop = asyncio.get_running_loop()
         updates = daemon.table.rates.collect_updates(loop.time())
-        for peer in self.daemons:
-            if peer is daemon or self.side(peer) != self.side(daemon):
-                continue
+        for peer in self.list_receivers(daemon):
             self.messages += 1
             if random.random() >= self.loss:
                 loop.call_later(0.001 + self.draw_delay(), self.apply, daemon, peer, updates)
@@ -242,6 +262,7 @@
     @staticmethod
     def apply(daemon, peer, updates):
         now = asyncio.get_running_loop().time()
+        peer.table.rates.record_contact(daemon.name, now)
         for update in updates:
             peer.table.rates.apply_update(daemon.name, daemon.start, ENDPOINT, update, now)
         peer.queue.schedule_wake()
