Follow evacuations by the settings in force

Whether a daemon reads evacuations was decided at its start, so that a bound that a changed file added did nothing. The feed is now opened and closed, and the time in which feeds collect changes is planned anew, when settings are applied. A daemon that serves goes on while it reads the evacuations for the first time.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -248,12 +248,16 @@
         self.port = await self._server.start(*split_address(settings.listen))
 
     def apply_settings(self, settings: GatewaySettings) -> None:
-        """Apply changed bounds; addresses, and whether zones are evacuated, are read at the start."""
+        """Apply changed bounds; addresses are read at the start."""
         bounds = settings.bounds
         self.settings = msgspec.structs.replace(self.settings, bounds=bounds)
         self._retry_budget.ratio, self._retry_budget.slack = bounds.retry_ratio, bounds.retry_slack
         self.freshness.key_age_s = bounds.revocation_s - REVOCATION_MARGIN_S
         self._plan_cold_limits()
+        self._confirmations.batch_s = batch_s = self._plan_batch_s()
+        self.configuration_feed.batch_interval_s = batch_s
+        self.endpoint_feed.batch_interval_s = batch_s
+        self._follow_evacuations(at_start=False)
         log_event("settings_applied", bounds=msgspec.to_builtins(bounds))
 
     async def stop(self) -> None:
@@ -323,12 +327,8 @@
         return watch
 
     def _open_feeds(self) -> None:
-        interface, bounds = self.interface, self.settings.bounds
-        evacuation_s = bounds.evacuation_s
-        batch_s = CHANGE_BATCH_SHARE * min(
-            bounds.drain_s, bounds.configuration_s, evacuation_s or bounds.drain_s
-        )
-        recovery = SharedRecovery(_create_backoff())
+        interface, batch_s = self.interface, self._plan_batch_s()
+        self._recovery = recovery = SharedRecovery(_create_backoff())
         self.configuration_feed = ObjectFeed(
             self._store,
             interface.configuration_kind,
@@ -369,9 +369,6 @@
             self.endpoint_feed: ENDPOINTS_WAIT_S,
             records.feed: ENDPOINTS_WAIT_S,
         }
-        if evacuation_s is not None:
-            self.evacuations.feed = self._open_evacuation_feed(batch_s, recovery)
-            confirming_waits[self.evacuations.feed] = ENDPOINTS_WAIT_S
         self._confirmations = Confirmations(confirming_waits, self.peers, self._loop.time, batch_s)
         self.peers.read_confirmations = self._confirmations.collect
         self.peers.apply_confirmation = self._apply_confirmation
@@ -391,21 +388,43 @@
             self._share_budget,
         ):
             self._tasks.append(self._loop.create_task(run()))
+        self._follow_evacuations(at_start=True)
 
-    def _open_evacuation_feed(self, batch_s: float, recovery: SharedRecovery) -> ObjectFeed:
-        kind = self.interface.evacuation_kind
-        return ObjectFeed(
-            self._store,
-            kind,
-            self.interface.decode_evacuation,
-            self.evacuations.apply,
-            _create_backoff(),
-            ENDPOINTS_WAIT_S,
-            on_availability=lambda reason: _log_feed(kind, reason),
-            batch_interval_s=batch_s,
-            recovery=recovery,
-            on_item=self.evacuations.record_item,
+    def _plan_batch_s(self) -> float:
+        """Return the seconds during which feeds collect changes."""
+        bounds = self.settings.bounds
+        shortest_s = min(
+            bounds.drain_s, bounds.configuration_s, bounds.evacuation_s or bounds.drain_s
         )
+        return CHANGE_BATCH_SHARE * shortest_s
+
+    def _follow_evacuations(self, at_start: bool) -> None:
+        """Read the evacuations if the settings have a bound for them, and else do not."""
+        watch, kind = self.evacuations, self.interface.evacuation_kind
+        if self.settings.bounds.evacuation_s is None:
+            if watch.feed is not None:
+                self._evacuation_task.cancel()
+                self._confirmations.remove(kind)
+                watch.close()
+        elif watch.feed is not None:
+            watch.feed.batch_interval_s = self._plan_batch_s()
+        else:
+            watch.is_required = at_start
+            watch.feed = ObjectFeed(
+                self._store,
+                kind,
+                self.interface.decode_evacuation,
+                watch.apply,
+                _create_backoff(),
+                ENDPOINTS_WAIT_S,
+                on_availability=lambda reason: _log_feed(kind, reason),
+                batch_interval_s=self._plan_batch_s(),
+                recovery=self._recovery,
+                on_item=watch.record_item,
+            )
+            self._confirmations.add(watch.feed, ENDPOINTS_WAIT_S)
+            self._evacuation_task = self._loop.create_task(watch.feed.run())
+            self._tasks.append(self._evacuation_task)
 
     async def _share_budget(self) -> None:
         """Divide the retry budget by the number of running daemons, until cancelled."""
--- a/magnoliarouter/gateway/confirmations.py
+++ b/magnoliarouter/gateway/confirmations.py
@@ -61,7 +61,7 @@
     clock : callable
         Loop time in seconds.
     batch_s : float
-        Time in seconds during which the feeds collect changes.
+        Time in seconds during which the feeds collect changes; it may be changed at any time.
     """
 
     def __init__(
@@ -71,16 +71,30 @@
         clock: Callable[[], float],
         batch_s: float = 0.4,
     ) -> None:
-        self._mismatch_s = batch_s + DIGEST_MISMATCH_MARGIN_S
-        self._feeds = {feed.kind: feed for feed in feeds}
-        self._default_wait = {kind: feed.watch_wait_s for kind, feed in self._feeds.items()}
-        self._confirming_wait = {feed.kind: wait for feed, wait in feeds.items()}
+        self.batch_s = batch_s
+        self._feeds: dict[str, ObjectFeed] = {}
+        self._default_wait: dict[str, float] = {}
+        self._confirming_wait: dict[str, float] = {}
+        for feed, wait in feeds.items():
+            self.add(feed, wait)
         self._peers = peers
         self._clock = clock
         self._relayed: dict[str, float] = {}
         self._differs_since: dict[str, float] = {}
         self._refreshed_at: dict[str, float] = {}
 
+    def add(self, feed: ObjectFeed, wait: float) -> None:
+        """Confirm a further feed, with the wait in seconds of its watches while this daemon does."""
+        self._feeds[feed.kind] = feed
+        self._default_wait[feed.kind] = feed.watch_wait_s
+        self._confirming_wait[feed.kind] = wait
+
+    def remove(self, kind: str) -> None:
+        """Confirm the feed of a kind no more."""
+        self._feeds.pop(kind, None)
+        self._relayed.pop(kind, None)
+        self._differs_since.pop(kind, None)
+
     def collect(self) -> dict[str, tuple[int, float]]:
         """Return digest and age in seconds of each kind, if this daemon confirms for the others."""
         if not self._is_confirming():
@@ -113,7 +127,7 @@
             return True
         now = self._clock()
         since = self._differs_since.setdefault(kind, now)
-        if now - since > self._mismatch_s:
+        if now - since > self.batch_s + DIGEST_MISMATCH_MARGIN_S:
             self._refresh(kind, feed, now)
         return False
 
--- a/magnoliarouter/gateway/evacuations.py
+++ b/magnoliarouter/gateway/evacuations.py
@@ -38,6 +38,9 @@
     ----------
     feed : ObjectFeed, optional
         The operator's evacuations by zone; None if the deployment has none.
+    is_required : bool
+        Whether the daemon serves only once the evacuations are known. One that starts might send to
+        a zone that has long been evacuated; one that serves already goes on.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         on_change: Callable[[], None],
     ) -> None:
         self.feed: ObjectFeed | None = None
+        self.is_required = True
         self._table = table
         self._clock = clock
         self._metrics = metrics
@@ -55,7 +59,13 @@
 
     def is_loaded(self) -> bool:
         """Return whether the evacuations are known, or the deployment has none."""
-        return self.feed is None or self.feed.synchronized.is_set()
+        return self.feed is None or not self.is_required or self.feed.synchronized.is_set()
+
+    def close(self) -> None:
+        """Follow no evacuations any more: the deployment has none."""
+        self.feed = None
+        for zone in self._table.evacuations.list():
+            self.apply(zone, None)
 
     def apply(self, zone: str, value: Any) -> None:
         """Apply the object of a zone, or its deletion if the value is None."""
--- a/magnoliarouter/gateway/settings.py
+++ b/magnoliarouter/gateway/settings.py
@@ -26,7 +26,7 @@
         Time until every daemon rejects a revoked key.
     evacuation_s : float, optional
         Time from the evacuation of an availability zone until its endpoints receive no more
-        requests; null if the deployment has no evacuations. Whether it has any is read at the start.
+        requests; null if the deployment has no evacuations.
     cold_over, cold_slack : float
         Within any second, a cold endpoint gets at most `cold_over` times the requests per second
         that it tolerates, and `cold_slack` more.
--- a/magnoliarouter/store/feed.py
+++ b/magnoliarouter/store/feed.py
@@ -40,7 +40,7 @@
         Called with the reason when calls start to fail, and with "" when they succeed again.
     batch_interval_s : float
         Seconds between a watch that returned changes and the next watch, so that changes in quick
-        succession arrive in one batch.
+        succession arrive in one batch; it may be changed at any time.
     recovery : SharedRecovery, optional
         Turns that the feeds of one process take while the store is unavailable; by default each
         waits by its own back-off.
@@ -89,7 +89,7 @@
         self._refresh_requested = False
         self._on_served = on_served
         self._on_availability = on_availability
-        self._batch_interval_s = batch_interval_s
+        self.batch_interval_s = batch_interval_s
         self._recovery = recovery
         self._changed_at = float("-inf")
 
@@ -109,7 +109,7 @@
             if served and not self.regressed and not self._history_gap:
                 self._backoff.reset()
                 await asyncio.sleep(
-                    max(0.0, self._changed_at + self._batch_interval_s - self._now())
+                    max(0.0, self._changed_at + self.batch_interval_s - self._now())
                 )
             elif served or self._recovery is None:
                 await asyncio.sleep(self._backoff.next_wait())
--- a/magnoliarouter/tests/test_evacuations.py
+++ b/magnoliarouter/tests/test_evacuations.py
@@ -4,6 +4,8 @@
 import unittest
 import unittest.mock
 
+import msgspec
+
 from magnoliarouter.cli.status import _format_gateway
 from magnoliarouter.core.evacuations import RETURN_S, ZoneEvacuations
 from magnoliarouter.core.outcome import Completed, NotRun, ResultCode
@@ -478,6 +480,62 @@
         self.assertEqual(self.count_calls(), 0)
         self.assertIsNone(daemon.evacuations.feed)
 
+    def set_bounds(self, daemon, **bounds):
+        bounds = msgspec.structs.replace(daemon.settings.bounds, **bounds)
+        daemon.apply_settings(msgspec.structs.replace(daemon.settings, bounds=bounds))
+
+    async def test_settings_in_force_decide_whether_there_are_evacuations(self):
+        daemon = await self.start(evacuation_s=None)
+        await self.wait_ready(daemon)
+        await self.put_evacuation("zone-1", {})
+        for bound_s, status in ((BOUND_S, 503), (None, 200), (2 * BOUND_S, 503), (1.0, 503)):
+            with self.subTest(bound_s=bound_s):
+                self.set_bounds(daemon, evacuation_s=bound_s)
+                evacuated = [] if bound_s is None else ["zone-1"]
+                await wait_until(
+                    lambda zones=evacuated: daemon.table.evacuations.list() == zones, 1.0
+                )
+                self.assertEqual((await self.send_request(daemon))[0], status)
+                self.assertTrue(await self.is_ready(daemon))
+        self.assertEqual(daemon.evacuations.feed.batch_interval_s, 0.2)
+        await self.put_evacuation("zone-1", None)
+        await wait_until(lambda: not daemon.table.evacuations.list(), 1.0)
+        self.set_bounds(daemon, evacuation_s=None)
+        await asyncio.sleep(0.1)
+        calls = self.count_calls()
+        await asyncio.sleep(2.5)
+        self.assertEqual(self.count_calls(), calls)
+        self.assertIsNone(daemon.evacuations.feed)
+
+    async def test_daemon_that_serves_goes_on_while_it_reads_the_evacuations(self):
+        daemon = await self.start(evacuation_s=None)
+        await self.wait_ready(daemon)
+        respond_to, held = self.store.respond, asyncio.Event()
+
+        async def respond_late(request, parts, options):
+            if parts[0] == EVACUATION_KIND:
+                await held.wait()
+            return await respond_to(request, parts, options)
+
+        self.store.respond = respond_late
+        self.set_bounds(daemon, evacuation_s=BOUND_S)
+        await asyncio.sleep(0.2)
+        self.assertTrue(await self.is_ready(daemon))
+        self.assertEqual((await self.send_request(daemon))[0], 200)
+        held.set()
+
+    async def test_daemons_confirm_the_evacuations_that_settings_add(self):
+        daemons = [await self.start(name) for name in ("front-1", "front-2", "front-3")]
+        for daemon in daemons:
+            await self.wait_ready(daemon)
+        for daemon in daemons:
+            self.set_bounds(daemon, evacuation_s=BOUND_S)
+        await self.put_evacuation("zone-1", {})
+        await wait_until(lambda: all(one.table.evacuations.list() for one in daemons), BOUND_S)
+        await wait_until(
+            lambda: any(EVACUATION_KIND in one._confirmations.collect() for one in daemons), 2.0
+        )
+
     async def test_few_calls_are_made_for_evacuations(self):
         daemon = await self.start(evacuation_s=BOUND_S)
         await self.wait_ready(daemon)
