Count other daemons' long prompts against an endpoint's memory

Their length was told and used for reading alone, so that two long calls of different daemons overfilled an endpoint, which preempts or fails. Told prompts now take memory until their calls are expected to end; a call waits for memory that comes within 1.5 s and is placed last for later one.

--- a/magnoliarouter/core/codes.py
+++ b/magnoliarouter/core/codes.py
@@ -67,6 +67,9 @@
     ResultCode.CALLER_GONE: CodeDescription(
         0, "The caller closed its connection.", _RETRY_WITH_KEY
     ),
+    ResultCode.CALL_TOO_LARGE: CodeDescription(
+        413, "Prompt and output exceed the memory of every endpoint.", _CORRECT_REQUEST
+    ),
     ResultCode.SUSPENDED: CodeDescription(
         403, "The contract's standing grants no service.", "Settle the account."
     ),
--- a/magnoliarouter/gateway/endpointwork.py
+++ b/magnoliarouter/gateway/endpointwork.py
@@ -22,6 +22,11 @@
 LONG_PROMPT = 2.0
 # A larger number in a message is a mistake.
 MAX_TOLD_TOKENS = 10_000_000
+# Other daemons' long prompts that are remembered for one endpoint; the oldest end first.
+MAX_TOLD_PROMPTS = 64
+# A call waits for memory that other daemons' prompts are expected to leave within this time, three
+# target latencies of half a second. For later memory it does not, as it would be refused meanwhile.
+MEMORY_WAIT_S = 1.5
 
 
 @dataclass(slots=True)
@@ -30,19 +35,21 @@
 
     prompt_tokens: float = 0.0
     tokens: float = 0.0
+    output_tokens: float = 0.0
     calls: int = 0
 
     def record(self, work: CallWork) -> int:
         """Count a call, and return by how many tokens its prompt is longer than usual, if it is."""
         self.calls += 1
-        self.tokens += max(MEAN_WEIGHT, 1.0 / self.calls) * (work.tokens - self.tokens)
+        weight = max(MEAN_WEIGHT, 1.0 / self.calls)
+        self.tokens += weight * (work.tokens - self.tokens)
+        self.output_tokens += weight * (work.output_tokens - self.output_tokens)
         if work.prompt_tokens <= 0:
             return 0
         if self.prompt_tokens <= 0:
             self.prompt_tokens = work.prompt_tokens
         longest = LONG_PROMPT * self.prompt_tokens
         extra = int(work.prompt_tokens - self.prompt_tokens)
-        weight = max(MEAN_WEIGHT, 1.0 / self.calls)
         self.prompt_tokens += weight * (min(work.prompt_tokens, longest) - self.prompt_tokens)
         return extra if work.prompt_tokens > longest else 0
 
@@ -60,6 +67,9 @@
     _usual: dict[str, _Usual] = field(default_factory=dict)
     _malformed: set[str] = field(default_factory=set)
     _untold: dict[str, int] = field(default_factory=dict)
+    # Tokens of other daemons' long prompts at each endpoint beyond the usual ones, and the loop times
+    # at which these calls are expected to end.
+    _told: dict[str, list[tuple[int, float]]] = field(default_factory=dict)
 
     def start(
         self, endpoint: Endpoint, profile: ModelProfile | None, work: CallWork, now: float
@@ -93,6 +103,7 @@
         """Remove an endpoint; its calls still end."""
         self._reading_until.pop(identity, None)
         self._untold.pop(identity, None)
+        self._told.pop(identity, None)
 
     def start_others(
         self, endpoint: Endpoint, profile: ModelProfile | None, calls: int, now: float
@@ -116,10 +127,36 @@
         """
         if 0 <= tokens <= MAX_TOLD_TOKENS:
             self._read(endpoint, profile, tokens, now)
+            self._hold_extra(endpoint, profile, tokens, now)
         elif peer not in self._malformed:
             self._malformed.add(peer)
             log_event("peer_prompts_malformed", peer=peer, field="long_prompts", value=tokens)
 
+    def _hold_extra(
+        self, endpoint: Endpoint, profile: ModelProfile | None, tokens: int, now: float
+    ) -> None:
+        if profile is None or profile.memory_tokens <= 0 or tokens <= 0:
+            return
+        usual = self._usual.get(endpoint.service)
+        output_tokens = usual.output_tokens if usual is not None else 0.0
+        step_s = profile.step_s + profile.per_request_s * endpoint.slots
+        read_at = max(now, self._reading_until.get(endpoint.identity, now))
+        told = self._told.setdefault(endpoint.identity, [])
+        told.append((tokens, read_at + step_s * output_tokens))
+        del told[:-MAX_TOLD_PROMPTS]
+
+    def _list_told(self, identity: str, other_calls: int, now: float) -> list[tuple[int, float]]:
+        """Return other daemons' long prompts that an endpoint may still hold."""
+        told = self._told.get(identity)
+        if told is None:
+            return []
+        told = [one for one in told if one[1] > now][-other_calls:] if other_calls > 0 else []
+        if told:
+            self._told[identity] = told
+        else:
+            del self._told[identity]
+        return told
+
     def _read(
         self, endpoint: Endpoint, profile: ModelProfile | None, tokens: float, now: float
     ) -> None:
@@ -140,7 +177,8 @@
     ) -> float:
         """Return by how many requests an endpoint counts as more loaded for one call.
 
-        It is infinite if this daemon's own calls leave the call no memory there.
+        It is infinite if this daemon's own calls leave the call no memory there, or if they and
+        prompts that other daemons told do, and these end soon.
 
         Parameters
         ----------
@@ -164,8 +202,13 @@
         own = self._held.get(endpoint.identity, 0)
         if 0 < profile.memory_tokens < own + work.tokens and own > 0:
             return math.inf
+        told = self._list_told(endpoint.identity, other_calls, now)
+        long_tokens = own + sum(tokens for tokens, _ in told)
+        if told and 0 < profile.memory_tokens < long_tokens + work.tokens:
+            if min(end for _, end in told) <= now + MEMORY_WAIT_S:
+                return math.inf
         usual = self._usual.get(endpoint.service)
-        held = own + other_calls * (usual.tokens if usual else 0.0)
+        held = long_tokens + other_calls * (usual.tokens if usual else 0.0)
         return weigh_work(
             0.0 if until is None else until - now,
             profile.per_request_s * work.output_tokens,
--- a/magnoliarouter/gateway/handler.py
+++ b/magnoliarouter/gateway/handler.py
@@ -131,7 +131,7 @@
         if headers.timeout_s is not None:
             timeout_s = min(timeout_s, headers.timeout_s - NETWORK_MARGIN_S)
         body = bytes(request.body)
-        return GatewayCall(
+        call = GatewayCall(
             headers,
             request.method,
             request.target,
@@ -145,6 +145,7 @@
             config.version,
             fingerprint_request(request.method, request.target, headers.key or "", body),
         )
+        return _refuse_too_large(call, config) or call
 
     def _check_key(self, headers: RequestHeaders, known: bool, now: float) -> NotRun | None:
         if not headers.key:
@@ -227,6 +228,17 @@
         self._record(None, NotRun(code, "rejected by the HTTP server"), None)
 
 
+def _refuse_too_large(call: GatewayCall, config: GatewayConfig) -> NotRun | None:
+    """Return the refusal of a call that fits into no endpoint of its service, also an empty one."""
+    service, tokens = config.services.get(call.service), call.estimate_work().tokens
+    profile = service.profile if service is not None else None
+    memory_tokens = profile.memory_tokens if profile is not None else 0
+    if not 0 < memory_tokens < tokens:
+        return None
+    reason = f"prompt and output have {tokens} tokens; valid: up to {memory_tokens}"
+    return NotRun(ResultCode.CALL_TOO_LARGE, reason)
+
+
 def _describe_body(call: GatewayCall | None) -> dict[str, float | str]:
     if call is None or call.framing is None:
         return {}
--- a/magnoliarouter/tests/test_uneven.py
+++ b/magnoliarouter/tests/test_uneven.py
@@ -4,12 +4,19 @@
 import random
 import unittest
 from collections import Counter
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
+from magnoliarouter.core.codes import status_of
+from magnoliarouter.core.outcome import NotRun, ResultCode
 from magnoliarouter.core.uneven import estimate_reading_s, weigh_work
 from magnoliarouter.core.work import CallWork
+from magnoliarouter.gateway.call import RequestHeaders
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
+from magnoliarouter.gateway.handler import GatewayHandler
+from magnoliarouter.gateway.routes import GatewayConfig, RouteTable, Service
+from magnoliarouter.tests.test_gateway_parts import build_route
 from magnoliarouter.tests.zoneplay import build_profile
+from magnoliarouter.web.ingress import IngressRequest
 
 # The first token within 1 s for 95 in 100 calls.
 TARGET_S = 1.0
@@ -67,6 +74,58 @@
     return sum(wait <= TARGET_S for wait in waits) / len(waits), max(waits)
 
 
+def play_memory(daemons, seed, calls_per_s=26.0, endpoints=12, seconds=40.0):
+    """Return the shares of calls that overfill an endpoint's memory, and that find no place in time.
+
+    One call in eight needs over half of an endpoint's memory. A call without a place asks again each
+    20 ms until it is late.
+    """
+    profile = build_profile(memory_tokens=10_000, prompt_tokens_per_s=20_000.0)
+    large, names = CallWork(6000, 95), [f"e{number}" for number in range(endpoints)]
+    rng, held, now = random.Random(seed), Counter(), 0.0
+    tables = [build_table(profile, names, seed + number) for number in range(daemons)]
+    events, calls, overfull, refused = [], 0, 0, 0
+
+    def tell(sender, at):
+        message = dict(tables[sender].own_requests), tables[sender].work.collect_extra()
+        heapq.heappush(events, (at + LAG_S, rng.random(), "tell", sender, message))
+
+    while now < seconds:
+        now += rng.expovariate(calls_per_s)
+        calls += 1
+        work = large if rng.random() < 0.125 else SHORT
+        heapq.heappush(events, (now, rng.random(), "ask", rng.randrange(daemons), (work, now)))
+        while events and events[0][0] <= now:
+            at, _, kind, sender, value = heapq.heappop(events)
+            table = tables[sender]
+            match kind:
+                case "end":
+                    table.finish_request(*value)
+                    held[value[0]] -= value[1].tokens
+                    tell(sender, at)
+                case "tell":
+                    for other in tables:
+                        if other is not table:
+                            other.apply_peer_load(str(sender), value[0], at)
+                            other.apply_long_prompts(str(sender), value[1], at)
+                case "ask":
+                    work, since = value
+                    chosen = table.choose("app", set(), at, work)
+                    if chosen is not None:
+                        name = chosen.identity
+                        table.start_request(name, work)
+                        held[name] += work.tokens
+                        overfull += held[name] > profile.memory_tokens
+                        tell(sender, at)
+                        event = at + 1.0 + work.prompt_tokens / 20_000, rng.random(), "end"
+                        heapq.heappush(events, (*event, sender, (name, work)))
+                    elif at - since < 1.5:
+                        heapq.heappush(events, (at + 0.02, rng.random(), "ask", sender, value))
+                    else:
+                        refused += 1
+    return overfull / calls, refused / calls
+
+
 class WeightTest(unittest.TestCase):
     def test_endpoint_that_reads_counts_as_more_loaded_than_any_tie_break(self):
         self.assertEqual(weigh_work(0.0, 0.1, 0, 100, 0), 0.0)
@@ -168,6 +227,43 @@
         table.finish_request("a", LONG)
         self.assertEqual(self.choose(table, CallWork(6000, 95), 9.0), "a")
 
+    def tell_long(self, table, calls=1, now=9.0):
+        """Let another daemon tell of calls at endpoint a, of which the last has a long prompt."""
+        table.apply_peer_load("peer", {"a": calls}, now)
+        table.apply_long_prompts("peer", {"a": LONG.prompt_tokens - SHORT.prompt_tokens}, now)
+
+    def test_long_prompts_of_other_daemons_take_memory_until_they_end(self):
+        profile = build_profile(memory_tokens=5000, prompt_tokens_per_s=50_000.0)
+        table = build_table(profile, "a")
+        table.start_request("a", SHORT)
+        table.finish_request("a", SHORT)
+        self.tell_long(table, 3)
+        self.assertIsNone(table.choose("app", set(), 9.0, LONG))
+        self.assertEqual(self.choose(table, SHORT, 9.0), "a")
+        table.put(Endpoint("b", "app", "b:1", "z", 5))
+        for _ in range(4):
+            table.start_request("b", CallWork())
+        self.assertEqual(self.choose(table, LONG, 9.0), "b")
+        for _ in range(4):
+            table.finish_request("b")
+        table.remove("b")
+        table.apply_peer_load("peer", {"a": 3}, 10.4)
+        self.assertEqual(self.choose(table, LONG, 10.4), "a")
+
+    def test_long_prompt_of_another_daemon_that_is_gone_holds_nothing(self):
+        profile = build_profile(memory_tokens=5000, prompt_tokens_per_s=50_000.0)
+        table = build_table(profile, "a")
+        self.tell_long(table)
+        self.tell_long(table, 2)
+        self.assertIsNone(table.choose("app", set(), 9.0, LONG))
+        table.apply_peer_load("peer", {}, 9.1)
+        self.assertEqual(self.choose(table, LONG, 9.1), "a")
+
+    def test_call_does_not_wait_for_memory_that_comes_late(self):
+        table = build_table(build_profile(memory_tokens=5000, prompt_tokens_per_s=1000.0), "a")
+        self.tell_long(table)
+        self.assertEqual(self.choose(table, LONG, 9.0), "a")
+
     def test_usual_prompt_follows_what_calls_bring(self):
         table = build_table(self.profile, "a")
         for work in (CallWork(0, 95), CallWork(10, 95), *[CallWork(700, 95)] * 1000):
@@ -220,5 +316,40 @@
                     self.assertGreaterEqual(after, before)
 
 
+class LargePromptsTest(unittest.TestCase):
+    """Calls that need over half of an endpoint's memory, and two such in no endpoint at once."""
+
+    def test_memory_is_not_overfilled_and_nobody_is_refused(self):
+        for daemons in (1, 9, 34):
+            for seed in range(2):
+                with self.subTest(daemons=daemons, seed=seed):
+                    overfull, refused = play_memory(daemons, seed)
+                    self.assertLessEqual(overfull, 0.01)
+                    self.assertEqual(refused, 0.0)
+
+
+class TooLargeTest(unittest.TestCase):
+    def admit(self, prompt_tokens, memory_tokens):
+        profile = build_profile(memory_tokens=memory_tokens) if memory_tokens is not None else None
+        route = build_route("draft", "/")
+        config = GatewayConfig(
+            1, RouteTable.build([route]), {"app": Service("app", 9, profile)}, None, None
+        )
+        handler = GatewayHandler(lambda: config, Mock(), Mock(), Mock(), lambda: 0.0, Mock())
+        headers = RequestHeaders(b"r", "h", 9.0, None, None, prompt_tokens, 95, 95, (), [])
+        return handler.admit(IngressRequest(b"POST", b"/", headers, bytearray(), 0.0), headers)
+
+    def test_call_that_no_endpoint_can_hold_is_refused_with_its_size(self):
+        refusal = self.admit(5000, 5000)
+        self.assertIsInstance(refusal, NotRun)
+        self.assertEqual(refusal.code, ResultCode.CALL_TOO_LARGE)
+        self.assertIn("5095 tokens; valid: up to 5000", refusal.reason)
+        self.assertEqual(status_of(refusal.code), 413)
+
+    def test_call_that_fits_or_whose_memory_is_unknown_is_admitted(self):
+        for tokens, memory in ((4905, 5000), (0, 5000), (10**6, 0), (10**6, None)):
+            self.assertNotIsInstance(self.admit(tokens, memory), NotRun)
+
+
 if __name__ == "__main__":
     unittest.main()
