Let no call wait for memory that its daemon's own calls hold for long

A call waited behind this daemon's own long calls however long they would last, and was refused for that alone after three target latencies. It waits for memory that comes within 1.5 s now, own or told, and is placed last for later one.

--- a/magnoliarouter/gateway/endpointwork.py
+++ b/magnoliarouter/gateway/endpointwork.py
@@ -67,6 +67,9 @@
     _usual: dict[str, _Usual] = field(default_factory=dict)
     _malformed: set[str] = field(default_factory=set)
     _untold: dict[str, int] = field(default_factory=dict)
+    # Tokens of this daemon's calls at each endpoint, and the loop times at which they are expected to
+    # end.
+    _ends: dict[str, list[tuple[int, float]]] = field(default_factory=dict)
     # Tokens of other daemons' long prompts at each endpoint beyond the usual ones, and the loop times
     # at which these calls are expected to end.
     _told: dict[str, list[tuple[int, float]]] = field(default_factory=dict)
@@ -82,6 +85,9 @@
         if extra > 0:
             self._untold[endpoint.identity] = self._untold.get(endpoint.identity, 0) + extra
         self._read(endpoint, profile, work.prompt_tokens, now)
+        if profile is not None and profile.memory_tokens > 0:
+            end = self._estimate_end(endpoint, profile, work.output_tokens, now)
+            self._ends.setdefault(endpoint.identity, []).append((work.tokens, end))
 
     def finish(self, identity: str, work: CallWork) -> None:
         """Stop counting the work of a call that has ended."""
@@ -90,6 +96,13 @@
             self._held[identity] = left
         else:
             self._held.pop(identity, None)
+        ends = self._ends.get(identity)
+        if ends is not None:
+            index = next((n for n, one in enumerate(ends) if one[0] == work.tokens), None)
+            if index is not None:
+                del ends[index]
+            if not ends:
+                del self._ends[identity]
 
     def unread(self, endpoint: Endpoint, profile: ModelProfile | None, work: CallWork) -> None:
         """Take back the prompt of a call that was not sent, also if it is still to be told."""
@@ -139,12 +152,18 @@
             return
         usual = self._usual.get(endpoint.service)
         output_tokens = usual.output_tokens if usual is not None else 0.0
-        step_s = profile.step_s + profile.per_request_s * endpoint.slots
-        read_at = max(now, self._reading_until.get(endpoint.identity, now))
+        end = self._estimate_end(endpoint, profile, output_tokens, now)
         told = self._told.setdefault(endpoint.identity, [])
-        told.append((tokens, read_at + step_s * output_tokens))
+        told.append((tokens, end))
         del told[:-MAX_TOLD_PROMPTS]
 
+    def _estimate_end(
+        self, endpoint: Endpoint, profile: ModelProfile, output_tokens: float, now: float
+    ) -> float:
+        """Return when a call that was just counted is expected to end."""
+        read_at = max(now, self._reading_until.get(endpoint.identity, now))
+        return read_at + _estimate_step_s(endpoint, profile) * output_tokens
+
     def _list_told(self, identity: str, other_calls: int, now: float) -> list[tuple[int, float]]:
         """Return other daemons' long prompts that an endpoint may still hold."""
         told = self._told.get(identity)
@@ -178,7 +197,7 @@
         """Return by how many requests an endpoint counts as more loaded for one call.
 
         It is infinite if this daemon's own calls leave the call no memory there, or if they and
-        prompts that other daemons told do, and these end soon.
+        prompts that other daemons told do, and one of them ends soon.
 
         Parameters
         ----------
@@ -200,12 +219,11 @@
         if until is None and profile.memory_tokens <= 0:
             return 0.0
         own = self._held.get(endpoint.identity, 0)
-        if 0 < profile.memory_tokens < own + work.tokens and own > 0:
-            return math.inf
         told = self._list_told(endpoint.identity, other_calls, now)
         long_tokens = own + sum(tokens for tokens, _ in told)
-        if told and 0 < profile.memory_tokens < long_tokens + work.tokens:
-            if min(end for _, end in told) <= now + MEMORY_WAIT_S:
+        if long_tokens and 0 < profile.memory_tokens < long_tokens + work.tokens:
+            ends = [end for _, end in (*told, *self._ends.get(endpoint.identity, ()))]
+            if min(ends, default=now) <= now + MEMORY_WAIT_S:
                 return math.inf
         usual = self._usual.get(endpoint.service)
         held = long_tokens + other_calls * (usual.tokens if usual else 0.0)
@@ -218,8 +236,12 @@
         )
 
 
+def _estimate_step_s(endpoint: Endpoint, profile: ModelProfile) -> float:
+    return profile.step_s + profile.per_request_s * endpoint.slots
+
+
 def _estimate_reading_s(endpoint: Endpoint, profile: ModelProfile, tokens: float) -> float:
-    step_s = profile.step_s + profile.per_request_s * endpoint.slots
+    step_s = _estimate_step_s(endpoint, profile)
     return estimate_reading_s(
         tokens, profile.prompt_tokens_per_s, profile.prompt_chunk_tokens, step_s
     )
--- a/magnoliarouter/tests/test_uneven.py
+++ b/magnoliarouter/tests/test_uneven.py
@@ -264,6 +264,15 @@
         self.tell_long(table)
         self.assertEqual(self.choose(table, LONG, 9.0), "a")
 
+    def test_call_does_not_wait_for_own_calls_that_end_late(self):
+        table = build_table(build_profile(memory_tokens=5000, prompt_tokens_per_s=1000.0), "a")
+        self.choose(table, LONG)
+        table.start_request("a", LONG)
+        self.assertEqual(self.choose(table, LONG, 0.1), "a")
+        self.assertIsNone(table.choose("app", set(), 2.5, LONG))
+        table.finish_request("a", LONG)
+        self.assertEqual(self.choose(table, LONG, 2.6), "a")
+
     def test_usual_prompt_follows_what_calls_bring(self):
         table = build_table(self.profile, "a")
         for work in (CallWork(0, 95), CallWork(10, 95), *[CallWork(700, 95)] * 1000):
