--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -35,6 +35,7 @@
 from magnoliarouter.gateway.handler import GatewayHandler
 from magnoliarouter.gateway.mapduty import MapDuty
 from magnoliarouter.gateway.paces import RankPaces, limit_by_pace
+from magnoliarouter.gateway.grouppace import GroupPace, read_costs
 from magnoliarouter.gateway.pauses import EventGapMeter, limit_requests
 from magnoliarouter.gateway.peers import PeerLoads
 from magnoliarouter.gateway.quarantine import Quarantine
@@ -208,7 +209,8 @@
             settings.zone, self._pool.can_connect, self.table.list, self._apply_zone_change
         )
         self.evacuations = EvacuationWatch(self.table, clock, self.metrics, self._queue.wake)
-        self._gap_meter = EventGapMeter(clock, self._group_watch.find_group)
+        self._gap_meter = EventGapMeter(clock, self._group_watch.find_group, self._record_gap)
+        self._group_pace = GroupPace(self._count_group_requests)
         self.table.is_unavailable, self.table.concurrency_limit = (
             self._is_unavailable,
             self._find_load_limit,
@@ -517,9 +519,30 @@
             endpoint.identity
         )
 
+    def _record_gap(self, identity: str, group: str, mean_s: float) -> None:
+        endpoint = self.table.find(identity)
+        if endpoint is not None:
+            costs = read_costs(self._find_profile(endpoint.service))
+            max_gap_s = self._find_max_event_gap_s(endpoint)
+            if costs is not None and max_gap_s is not None:
+                self._group_pace.record(group, mean_s, costs, max_gap_s, self._loop.time())
+
+    def _count_group_requests(self, group: str) -> float:
+        """Return the mean number of requests at the ranks of a group, from all daemons."""
+        ranks, now = self._group_watch.list_ranks(group), self._loop.time()
+        return sum(self.table.load_of(rank, now) for rank in ranks) / max(1, len(ranks))
+
     def _find_load_limit(self, endpoint: Endpoint) -> int:
-        recent_gap_s = self._gap_meter.mean_gap_at(endpoint.identity)
-        limit = limit_requests(endpoint.slots, recent_gap_s, self._find_max_event_gap_s(endpoint))
+        max_gap_s = self._find_max_event_gap_s(endpoint)
+        costs = read_costs(self._find_profile(endpoint.service))
+        group = self._group_watch.find_group(endpoint.identity)
+        if costs is not None and max_gap_s is not None and group:
+            limit = self._group_pace.limit_requests(
+                group, endpoint.identity, endpoint.slots, costs, max_gap_s, self._loop.time()
+            )
+        else:
+            recent_gap_s = self._gap_meter.mean_gap_at(endpoint.identity)
+            limit = limit_requests(endpoint.slots, recent_gap_s, max_gap_s)
         limit = limit_by_pace(limit, self._paces.pace_of(endpoint.identity))
         return self.table.evacuations.limit_requests(limit, endpoint.zone, self._loop.time())
 
