--- a/magnoliarouter/core/pace.py
+++ b/magnoliarouter/core/pace.py
@@ -18,8 +18,9 @@
 
 # Time for which the worst step counts. The popularity of experts changes every two to four seconds.
 REMEMBERED_S = 5.0
-# Share of the longest acceptable gap that steps may take; the rest is for the way to the caller.
-STEPS_SHARE = 0.95
+# Share of the longest acceptable gap that the worst step may take; the rest is for a step that is worse
+# than those before, and for the way to the caller.
+STEPS_SHARE = 0.85
 # Gaps of more than this multiple of the longest acceptable one are those of a group that stood still.
 STANDSTILL_FACTOR = 2.0
 
@@ -83,7 +84,7 @@
     Examples
     --------
     >>> round(limit_mean_requests(StepCosts(0.004, 0.002, 5), 2.0, 0.1), 6)
-    3.75
+    3.25
     """
     room_s = STEPS_SHARE * max_gap_s / costs.steps_per_event - costs.step_s
     requests = room_s / (costs.per_request_s * stretch)
@@ -96,7 +97,7 @@
     All daemons get the same number for the same endpoint.
     """
     whole = math.floor(requests)
-    point = xxhash.xxh32_intdigest(endpoint) / 2**32
+    point = xxhash.xxh32_intdigest(endpoint.encode()) / 2**32
     return whole + (point < requests - whole)
 
 
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -31,11 +31,11 @@
 from magnoliarouter.gateway.evacuations import EvacuationWatch
 from magnoliarouter.gateway.forward import GatewayForwarder
 from magnoliarouter.gateway.freshness import Freshness
+from magnoliarouter.gateway.grouppace import GroupPace, read_costs
 from magnoliarouter.gateway.groupwatch import GroupWatch
 from magnoliarouter.gateway.handler import GatewayHandler
 from magnoliarouter.gateway.mapduty import MapDuty
 from magnoliarouter.gateway.paces import RankPaces, limit_by_pace
-from magnoliarouter.gateway.grouppace import GroupPace, read_costs
 from magnoliarouter.gateway.pauses import EventGapMeter, limit_requests
 from magnoliarouter.gateway.peers import PeerLoads
 from magnoliarouter.gateway.quarantine import Quarantine
@@ -519,13 +519,13 @@
             endpoint.identity
         )
 
-    def _record_gap(self, identity: str, group: str, mean_s: float) -> None:
+    def _record_gap(self, identity: str, group: str, gap_s: float) -> None:
         endpoint = self.table.find(identity)
         if endpoint is not None:
             costs = read_costs(self._find_profile(endpoint.service))
             max_gap_s = self._find_max_event_gap_s(endpoint)
             if costs is not None and max_gap_s is not None:
-                self._group_pace.record(group, mean_s, costs, max_gap_s, self._loop.time())
+                self._group_pace.record(group, gap_s, costs, max_gap_s, self._loop.time())
 
     def _count_group_requests(self, group: str) -> float:
         """Return the mean number of requests at the ranks of a group, from all daemons."""
--- a/magnoliarouter/gateway/grouppace.py
+++ b/magnoliarouter/gateway/grouppace.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from statistics import median_low
 from typing import TYPE_CHECKING
 
 from magnoliarouter.core.pace import (
@@ -22,8 +23,11 @@
 
 __all__ = ["GroupPace", "read_costs"]
 
-# Interval between samples of a group's steps, each of which adds up the requests at all its ranks.
-SAMPLE_INTERVAL_S = 0.05
+# Time after the first event of a step in which events belong to the same step. For each of them, the
+# requests at all ranks are added up once.
+SAMPLE_INTERVAL_S = 0.03
+# Gaps kept of one step.
+MAX_GAPS = 64
 # Interval between log lines about late steps of a group.
 LOG_INTERVAL_S = 1.0
 
@@ -38,8 +42,12 @@
 
 @dataclass(slots=True)
 class _Group:
+    """Gaps of one step of a group, which all its streams end at nearly the same moment."""
+
     memory: StretchMemory = field(default_factory=StretchMemory)
-    sampled_at: float = float("-inf")
+    began_at: float = float("-inf")
+    requests: float = 0.0
+    gaps: list[float] = field(default_factory=list)
     logged_at: float = float("-inf")
 
 
@@ -59,22 +67,30 @@
     def record(
         self, name: str, gap_s: float, costs: StepCosts, max_gap_s: float, now: float
     ) -> None:
-        """Record a recent mean gap between the events of a group's streams, in seconds."""
+        """Record a gap between the events of one of a group's streams, in seconds."""
         group = self._groups.setdefault(name, _Group())
-        if now - group.sampled_at < SAMPLE_INTERVAL_S or gap_s > STANDSTILL_FACTOR * max_gap_s:
+        if now - group.began_at >= SAMPLE_INTERVAL_S:
+            if group.gaps:
+                self._end_step(name, group, costs, max_gap_s)
+            group.began_at, group.requests, group.gaps = now, self.count_requests(name), []
+        if len(group.gaps) < MAX_GAPS:
+            group.gaps.append(gap_s)
+
+    def _end_step(self, name: str, group: _Group, costs: StepCosts, max_gap_s: float) -> None:
+        """Remember the length of the last step, as most streams saw it."""
+        gap_s = median_low(group.gaps)
+        if gap_s > STANDSTILL_FACTOR * max_gap_s:
             return
-        group.sampled_at = now
-        requests = self.count_requests(name)
-        stretch = measure_stretch(costs, gap_s, requests)
-        group.memory.record(stretch, now)
-        if gap_s > max_gap_s and now - group.logged_at >= LOG_INTERVAL_S:
-            group.logged_at = now
+        stretch = measure_stretch(costs, gap_s, group.requests)
+        group.memory.record(stretch, group.began_at)
+        if gap_s > max_gap_s and group.began_at - group.logged_at >= LOG_INTERVAL_S:
+            group.logged_at = group.began_at
             log_event(
                 "steps_late",
                 group=name,
                 gap_s=round(gap_s, 4),
-                even_s=round(costs.expect_gap_s(requests), 4),
-                requests=round(requests, 2),
+                even_s=round(costs.expect_gap_s(group.requests), 4),
+                requests=round(group.requests, 2),
                 stretch=round(stretch, 2),
                 limit=round(limit_mean_requests(costs, stretch, max_gap_s), 2),
             )
