--- a/magnoliarouter/gateway/grouppace.py
+++ b/magnoliarouter/gateway/grouppace.py
@@ -49,6 +49,9 @@
     requests: float = 0.0
     gaps: list[float] = field(default_factory=list)
     logged_at: float = float("-inf")
+    # The limit, and the worst stretch that it follows from.
+    limited_for: tuple[float, StepCosts, float] | None = None
+    limit: float = 0.0
 
 
 @dataclass(slots=True)
@@ -109,4 +112,8 @@
         stretch = None if group is None else group.memory.read_worst(now)
         if stretch is None:
             return slots
-        return min(slots, round_for(limit_mean_requests(costs, stretch, max_gap_s), endpoint))
+        limited_for = (stretch, costs, max_gap_s)
+        if group.limited_for != limited_for:
+            group.limited_for = limited_for
+            group.limit = limit_mean_requests(costs, stretch, max_gap_s)
+        return slots if group.limit >= slots else round_for(group.limit, endpoint)
--- a/magnoliarouter/tests/test_grouppace.py
+++ b/magnoliarouter/tests/test_grouppace.py
@@ -1,16 +1,25 @@
 from __future__ import annotations
 
+import asyncio
+import dataclasses
 import unittest
-from dataclasses import replace
 from unittest.mock import patch
 
 from magnoliarouter.core.pace import REMEMBERED_S, StepCosts
-from magnoliarouter.gateway.grouppace import LOG_INTERVAL_S, GroupPace, read_costs
-from magnoliarouter.gateway.routes import ExpertProfile, ModelProfile
+from magnoliarouter.gateway.endpoints import Endpoint
+from magnoliarouter.gateway.grouppace import (
+    LOG_INTERVAL_S,
+    SAMPLE_INTERVAL_S,
+    GroupPace,
+    read_costs,
+)
+from magnoliarouter.gateway.pauses import limit_requests
+from magnoliarouter.gateway.routes import ExpertProfile, ModelProfile, Service
 from magnoliarouter.tests.pacemodel import TROUBLES, PaceModel, Rule, Shares
+from magnoliarouter.tests.test_gateway import GatewayCase
 
 COSTS = StepCosts(0.004, 0.002, 5)
-PROFILE = ModelProfile(5, 0.004, 0.002, 0.0, 50_000.0, 5, ExpertProfile(8, 64, 8, 2, 0.01))
+GROUP_PROFILE = ModelProfile(5, 0.004, 0.002, 0.0, 50_000.0, 5, ExpertProfile(8, 64, 8, 2, 0.01))
 
 
 class GroupPaceTest(unittest.TestCase):
@@ -78,12 +87,12 @@
         self.assertAlmostEqual(fields["even_s"], 0.06)
 
     def test_costs_are_those_of_groups_whose_profile_tells_them(self):
-        self.assertEqual(read_costs(PROFILE), COSTS)
+        self.assertEqual(read_costs(GROUP_PROFILE), COSTS)
         self.assertIsNone(read_costs(None))
         for other in (
-            replace(PROFILE, experts=None),
-            replace(PROFILE, per_request_s=0.0),
-            replace(PROFILE, step_s=0.0),
+            dataclasses.replace(GROUP_PROFILE, experts=None),
+            dataclasses.replace(GROUP_PROFILE, per_request_s=0.0),
+            dataclasses.replace(GROUP_PROFILE, step_s=0.0),
         ):
             self.assertIsNone(read_costs(other))
 
@@ -129,3 +138,50 @@
             model = PaceModel(1.5, Rule.WORST_STEP, TROUBLES["shifts"], daemons, seconds=20.0)
             settled = [requests for now, _, requests in model.play().gaps if 8.0 < now < 20.0]
             self.assertGreater(min(settled), 0.7 * max(settled))
+
+
+class LoadLimitTest(GatewayCase):
+    async def _start_with(self, profile, max_gaps_s):
+        daemon = await self.start()
+        await self.wait_ready(daemon)
+        service = Service("s", 100, profile)
+        daemon.config = dataclasses.replace(
+            daemon.config, services={"s": service}, max_event_gaps_s=max_gaps_s
+        )
+        daemon._plan_step_bounds()
+        self.ranks = [Endpoint(f"r{number}", "s", "127.0.0.1:9", "z", 5) for number in range(8)]
+        for rank in self.ranks:
+            daemon.table.put(rank)
+            daemon.table.own_requests[rank.identity] = 4
+        daemon._group_watch._groups = {rank.identity: "g" for rank in self.ranks}
+        return daemon
+
+    async def _record_steps(self, daemon, *gaps_s):
+        for gap_s in gaps_s:
+            for rank in self.ranks:
+                daemon._gap_meter.record(rank.identity, gap_s)
+            await asyncio.sleep(2 * SAMPLE_INTERVAL_S)
+
+    def _read_limits(self, daemon):
+        return [daemon.table.concurrency_limit(rank) for rank in self.ranks]
+
+    async def test_worst_step_limits_the_ranks_of_a_group_after_it_is_over(self):
+        daemon = await self._start_with(GROUP_PROFILE, {"s": 0.15})
+        await self._record_steps(daemon, 0.06, 0.06)
+        self.assertEqual(set(self._read_limits(daemon)), {5})
+        await self._record_steps(daemon, 0.17, *[0.06] * 6)
+        limits = self._read_limits(daemon)
+        self.assertLess(sum(limits), 4 * len(limits))
+        self.assertGreaterEqual(min(limits), 2)
+
+    async def test_services_that_ask_for_none_of_it_are_limited_as_before(self):
+        plain = dataclasses.replace(GROUP_PROFILE, experts=None)
+        for profile, max_gaps_s in ((GROUP_PROFILE, {}), (plain, {"s": 0.15}), (None, {"s": 0.15})):
+            with self.subTest(profile=profile, max_gaps_s=max_gaps_s):
+                daemon = await self._start_with(profile, max_gaps_s)
+                for gap_s in (0.17, 0.06, 0.11, 0.2):
+                    await self._record_steps(daemon, *[gap_s] * 3)
+                    mean_s = daemon._gap_meter.mean_gap("g")
+                    before = limit_requests(5, mean_s, max_gaps_s.get("s"))
+                    self.assertEqual(set(self._read_limits(daemon)), {before})
+                self.assertEqual(daemon._group_pace._groups, {})
