--- a/magnoliarouter/core/pace.py
+++ b/magnoliarouter/core/pace.py
@@ -20,7 +20,7 @@
 REMEMBERED_S = 5.0
 # Share of the longest acceptable gap that the worst step may take; the rest is for a step that is worse
 # than those before, and for the way to the caller.
-STEPS_SHARE = 0.92
+STEPS_SHARE = 0.88
 # Gaps of more than this multiple of the longest acceptable one are those of a group that stood still.
 STANDSTILL_FACTOR = 2.0
 
@@ -78,13 +78,13 @@
 def limit_mean_requests(costs: StepCosts, stretch: float, max_gap_s: float) -> float:
     """Return the mean number of requests at each rank with which gaps stay acceptable.
 
-        It is not less than the number with which evenly spread requests make a step twice as long: with
-        fewer, the fixed part of the step decides, and refusing more callers helps the others little.
+    It is not less than the number with which evenly spread requests make a step twice as long: with
+    fewer, the fixed part of the step decides, and refusing more callers helps the others little.
 
-        Examples
-        --------
-        >>> round(limit_mean_requests(StepCosts(0.004, 0.002, 5), 2.0, 0.1), 6)
-    XX
+    Examples
+    --------
+    >>> round(limit_mean_requests(StepCosts(0.004, 0.002, 5), 2.0, 0.1), 6)
+    3.4
     """
     room_s = STEPS_SHARE * max_gap_s / costs.steps_per_event - costs.step_s
     requests = room_s / (costs.per_request_s * stretch)
