--- a/magnoliarouter/core/pace.py
+++ b/magnoliarouter/core/pace.py
@@ -20,7 +20,7 @@
 REMEMBERED_S = 5.0
 # Share of the longest acceptable gap that the worst step may take; the rest is for a step that is worse
 # than those before, and for the way to the caller.
-STEPS_SHARE = 0.88
+STEPS_SHARE = 0.9
 # Gaps of more than this multiple of the longest acceptable one are those of a group that stood still.
 STANDSTILL_FACTOR = 2.0
 
@@ -84,7 +84,7 @@
     Examples
     --------
     >>> round(limit_mean_requests(StepCosts(0.004, 0.002, 5), 2.0, 0.1), 6)
-    3.4
+    3.5
     """
     room_s = STEPS_SHARE * max_gap_s / costs.steps_per_event - costs.step_s
     requests = room_s / (costs.per_request_s * stretch)
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -457,7 +457,6 @@
             self.map_election.fencing_number,
             clock,
             self._gap_meter.mean_gap,
-            is_full=lambda group: self._group_pace.is_full(group, clock()),
             on_paces=self._apply_own_paces,
             is_leaving=self._is_leaving,
         )
--- a/magnoliarouter/gateway/grouppace.py
+++ b/magnoliarouter/gateway/grouppace.py
@@ -26,8 +26,6 @@
 # Time after the first event of a step in which events belong to the same step. For each of them, the
 # requests at all ranks are added up once.
 SAMPLE_INTERVAL_S = 0.03
-# Share of the limit from which a group counts as full, as places are free for some time between calls.
-FULL_SHARE = 0.9
 # Gaps kept of one step.
 MAX_GAPS = 64
 # Interval between log lines about late steps of a group.
@@ -100,13 +98,6 @@
                 limit=round(limit_mean_requests(costs, stretch, max_gap_s), 2),
             )
 
-    def is_full(self, name: str, now: float) -> bool:
-        """Return whether a group runs about as many requests as its limit allows."""
-        group = self._groups.get(name)
-        if group is None or group.limited_for is None or group.memory.read_worst(now) is None:
-            return False
-        return group.requests >= FULL_SHARE * group.limit
-
     def limit_requests(
         self,
         name: str,
--- a/magnoliarouter/gateway/mapduty.py
+++ b/magnoliarouter/gateway/mapduty.py
@@ -90,8 +90,6 @@
         Called with the relative paces of the slow ranks of all groups after they were read.
     is_leaving : callable
         Returns whether a rank, by identity, takes no new work since it leaves.
-    is_full : callable
-        Returns whether a group runs about as many requests as its steps allow, by its name.
     """
 
     client: RankClient
@@ -103,7 +101,6 @@
     slow_ranks: dict[str, dict[str, float]] = field(default_factory=dict)
     on_paces: Callable[[dict[str, float]], None] = lambda slow: None
     is_leaving: Callable[[str], bool] = lambda identity: False
-    is_full: Callable[[str], bool] = lambda group: False
     _paces_read_at: dict[str, float] = field(default_factory=dict)
     _profiles: dict[str, ExpertProfile] = field(default_factory=dict)
     _tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
@@ -312,9 +309,6 @@
         fresh = group.version == 0 and self.recent_gap(group.name) is not None
         if max_gap_s is None or step_s > STRICT_FROM_SHARE * max_gap_s:
             return STRICT_BALANCE
-        if self.is_full(group.name):
-            # Callers wait or are refused: shorter steps make room for more of them.
-            return STRICT_BALANCE
         slow = step_s > RELAXED_FROM_SHARE * max_gap_s
         return RELAXED_BALANCE if slow or fresh else None
 
