--- a/magnoliarouter/tests/test_grouppace.py
+++ b/magnoliarouter/tests/test_grouppace.py
@@ -114,16 +114,22 @@
             for rule in Rule
         }
 
+    def _check_shifts(self, load: float) -> None:
+        for daemons in (17, 34, 98):
+            with self.subTest(load=load, daemons=daemons):
+                shares = self._play(load, "shifts", daemons)
+                limited, free = shares[Rule.WORST_STEP], shares[Rule.NONE]
+                served = 1.0 - limited.refused
+                self.assertLessEqual(limited.late_by_pause / served, MAX_LATE)
+                if free.late_by_pause > MAX_LATE:
+                    self.assertGreater(limited.on_time, free.on_time)
+
     def test_popularity_that_shifts_again_and_again_makes_few_streams_late(self):
-        for load in (0.8, 1.0, 1.3, 2.0):
-            for daemons in (17, 34, 98):
-                with self.subTest(load=load, daemons=daemons):
-                    shares = self._play(load, "shifts", daemons)
-                    limited, free = shares[Rule.WORST_STEP], shares[Rule.NONE]
-                    served = 1.0 - limited.refused
-                    self.assertLessEqual(limited.late_by_pause / served, MAX_LATE)
-                    if free.late_by_pause > MAX_LATE:
-                        self.assertGreater(limited.on_time, free.on_time)
+        for load in (0.8, 1.0, 1.3):
+            self._check_shifts(load)
+
+    def test_shifts_at_twice_the_room_make_few_streams_late(self):
+        self._check_shifts(2.0)
 
     def test_even_load_and_one_slow_rank_are_served_as_without_a_limit(self):
         for trouble in ("none", "slow rank"):
