Say what makes pauses late, and leave limits by the worst step out

Ruled out: reading, slow ranks, reads of counts, holds, and maps from earlier demand, which does not return.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -31,7 +31,6 @@
 from magnoliarouter.gateway.evacuations import EvacuationWatch
 from magnoliarouter.gateway.forward import GatewayForwarder
 from magnoliarouter.gateway.freshness import Freshness
-from magnoliarouter.gateway.grouppace import GroupPace, read_costs
 from magnoliarouter.gateway.groupwatch import GroupWatch
 from magnoliarouter.gateway.handler import GatewayHandler
 from magnoliarouter.gateway.mapduty import MapDuty
@@ -55,7 +54,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from magnoliarouter.core.pace import StepCosts
     from magnoliarouter.gateway.call import HeaderCodec
     from magnoliarouter.gateway.ranks import RankClient
     from magnoliarouter.gateway.ratelimits import RateUpdate
@@ -155,7 +153,6 @@
         self.metrics = Metrics()
         self.config: GatewayConfig | None = None
         self._cold_limits: dict[str, ColdLimit] = {}
-        self._step_bounds: dict[str, tuple[StepCosts, float]] = {}
         self.leaving = False
         self._tasks: list[asyncio.Task[None]] = []
         self._pending_removals: dict[str, asyncio.TimerHandle] = {}
@@ -211,8 +208,7 @@
             settings.zone, self._pool.can_connect, self.table.list, self._apply_zone_change
         )
         self.evacuations = EvacuationWatch(self.table, clock, self.metrics, self._queue.wake)
-        self._gap_meter = EventGapMeter(clock, self._group_watch.find_group, self._record_gap)
-        self._group_pace = GroupPace(self._count_group_requests)
+        self._gap_meter = EventGapMeter(clock, self._group_watch.find_group)
         self.table.is_unavailable, self.table.concurrency_limit = (
             self._is_unavailable,
             self._find_load_limit,
@@ -510,14 +506,6 @@
             if service.cold_requests_per_s
         }
 
-    def _plan_step_bounds(self) -> None:
-        """Find how long steps take and may take, by service whose profile and routes tell it."""
-        self._step_bounds = {}
-        for name, max_gap_s in self.config.max_event_gaps_s.items():
-            costs = read_costs(self._find_profile(name))
-            if costs is not None:
-                self._step_bounds[name] = (costs, max_gap_s)
-
     def _find_max_event_gap_s(self, endpoint: Endpoint) -> float | None:
         """Return the shortest event gap that a route to the endpoint's service counts as late."""
         return (
@@ -529,28 +517,9 @@
             endpoint.identity
         )
 
-    def _record_gap(self, identity: str, group: str, gap_s: float) -> None:
-        endpoint = self.table.find(identity)
-        bounds = None if endpoint is None else self._step_bounds.get(endpoint.service)
-        if bounds is not None:
-            self._group_pace.record(group, gap_s, *bounds, self._loop.time())
-
-    def _count_group_requests(self, group: str) -> float:
-        """Return the mean number of requests at the ranks of a group, from all daemons."""
-        ranks, now = self._group_watch.list_ranks(group), self._loop.time()
-        return sum(self.table.load_of(rank, now) for rank in ranks) / max(1, len(ranks))
-
     def _find_load_limit(self, endpoint: Endpoint) -> int:
-        bounds = self._step_bounds.get(endpoint.service)
-        group = self._group_watch.find_group(endpoint.identity)
-        if bounds is not None and group:
-            limit = self._group_pace.limit_requests(
-                group, endpoint.identity, endpoint.slots, *bounds, self._loop.time()
-            )
-        else:
-            recent_gap_s = self._gap_meter.mean_gap_at(endpoint.identity)
-            max_gap_s = self._find_max_event_gap_s(endpoint)
-            limit = limit_requests(endpoint.slots, recent_gap_s, max_gap_s)
+        recent_gap_s = self._gap_meter.mean_gap_at(endpoint.identity)
+        limit = limit_requests(endpoint.slots, recent_gap_s, self._find_max_event_gap_s(endpoint))
         limit = limit_by_pace(limit, self._paces.pace_of(endpoint.identity))
         return self.table.evacuations.limit_requests(limit, endpoint.zone, self._loop.time())
 
@@ -601,7 +570,6 @@
             return
         self.config = value
         self._plan_cold_limits()
-        self._plan_step_bounds()
         limits = value.limits
         self._server.limits = ServerLimits(
             limits.header_bytes, limits.body_bytes, limits.header_timeout_s, limits.idle_timeout_s
--- a/magnoliarouter/gateway/groupwatch.py
+++ b/magnoliarouter/gateway/groupwatch.py
@@ -83,10 +83,6 @@
             return {identity}
         return {name for name, other in self._groups.items() if other == group}
 
-    def list_ranks(self, group: str) -> list[str]:
-        """Return the known ranks of a group."""
-        return [name for name, other in self._groups.items() if other == group]
-
     def record_stall(self, identity: str) -> None:
         """Mark the group of a rank as stalled, after the rank refused for this reason."""
         group = self._groups.get(identity)
--- a/magnoliarouter/gateway/pauses.py
+++ b/magnoliarouter/gateway/pauses.py
@@ -34,19 +34,11 @@
         Loop time in seconds.
     find_group : callable
         Returns the group of an endpoint, or "" if it has none.
-    on_gap : callable
-        Called with an endpoint, its group and each gap in seconds.
     """
 
-    def __init__(
-        self,
-        clock: Callable[[], float],
-        find_group: Callable[[str], str],
-        on_gap: Callable[[str, str, float], None] = lambda identity, group, gap_s: None,
-    ) -> None:
+    def __init__(self, clock: Callable[[], float], find_group: Callable[[str], str]) -> None:
         self._clock = clock
         self._find_group = find_group
-        self._on_gap = on_gap
         self._means: dict[str, tuple[float, float]] = {}
 
     def record(self, identity: str, gap_s: float) -> None:
@@ -56,7 +48,6 @@
             mean = self.mean_gap(group)
             mean = gap_s if mean is None else mean + MEAN_WEIGHT * (gap_s - mean)
             self._means[group] = (self._clock(), mean)
-            self._on_gap(identity, group, gap_s)
 
     def mean_gap(self, group: str) -> float | None:
         """Return the moving mean of a group's event gaps in seconds, or None without recent gaps."""
