Serve calls by need where they differ in urgency

A full queue refused urgent calls while routine ones waited, told no client account from another, let calls wait for three targets whatever was ahead, and sent every refused caller back after 0.8 s.

Setting `admission` (auto, arrival, need): auto serves by need the services whose calls can differ in urgency by the configuration in force; a service that turns keeps its waiting calls. The status names waiting calls, places per second, expected waits and refusals by code.

--- a/magnoliarouter/cli/status.py
+++ b/magnoliarouter/cli/status.py
@@ -106,6 +106,21 @@
         for name, facts in value["endpoints"].items()
     ]
     lines.append(format_table(("endpoint", "service", "zone", "state", "load"), endpoints))
+    waiting = [
+        (service, urgency, calls, facts["expected_wait_s"][urgency], facts["places_per_s"])
+        for service, facts in value.get("queues", {}).items()
+        for urgency, calls in facts["waiting"].items()
+    ]
+    if waiting:
+        header = ("service", "urgency", "waiting", "expected wait, s", "places per s")
+        lines.append(format_table(header, waiting))
+    refused = [
+        (service, code, calls)
+        for service, facts in value.get("queues", {}).items()
+        for code, calls in facts["refused"].items()
+    ]
+    if refused:
+        lines.append(format_table(("service", "refused as", "calls"), refused))
     quarantined = [(name, ", ".join(parts)) for name, parts in value.get("quarantined", {}).items()]
     if quarantined:
         lines.append(format_table(("record", "parts of prompts that crash endpoints"), quarantined))
--- a/magnoliarouter/core/fairness.py
+++ b/magnoliarouter/core/fairness.py
@@ -9,7 +9,10 @@
 
 import bisect
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
 
 __all__ = ["DeadlineUnreachable", "Displaced", "FairQueue", "QueueEntry", "QueueFull", "Queued"]
 
@@ -113,6 +116,14 @@
     def __len__(self) -> int:
         return len(self._scheduled)
 
+    def __iter__(self) -> Iterator[QueueEntry]:
+        """Iterate over the waiting calls in the order of service."""
+        return (scheduled.entry for scheduled in self._scheduled)
+
+    def find_position(self, entry: QueueEntry) -> int:
+        """Return how many of the waiting calls would be served before a call."""
+        return bisect.bisect(self._scheduled, self._schedule(entry))
+
     def push(
         self, entry: QueueEntry, now: float
     ) -> Queued | Displaced | QueueFull | DeadlineUnreachable:
@@ -136,15 +147,15 @@
         """Return the next call to serve, or None if the queue is empty."""
         return self._scheduled[0].entry if self._scheduled else None
 
-    def pop(self, now: float) -> QueueEntry:
-        """Remove and return the next call to serve.
+    def pop(self, now: float, position: int = 0) -> QueueEntry:
+        """Remove and return the next call to serve, or the one at a later position.
 
         Raises
         ------
         IndexError
-            The queue is empty.
+            The queue holds no such position.
         """
-        scheduled = self._scheduled.pop(0)
+        scheduled = self._scheduled.pop(position)
         self._virtual_times[scheduled.rank] = max(
             self._virtual_times.get(scheduled.rank, 0.0), scheduled.start
         )
@@ -158,13 +169,34 @@
         return scheduled.entry
 
     def remove(self, item: Any) -> bool:
-        """Remove the call with an item, and return whether it was in the queue."""
+        """Remove the call with an item, and return whether it was in the queue.
+
+        Its customer's next call takes one turn less.
+        """
         for scheduled in self._scheduled:
             if scheduled.entry.item is item:
                 self._scheduled.remove(scheduled)
+                if not scheduled.entry.requeued:
+                    key = (scheduled.rank, scheduled.entry.customer)
+                    self._finish_times[key] -= 1.0 / scheduled.entry.weight
+                if not self._scheduled:
+                    self._reset()
                 return True
         return False
 
+    def replace(self, entries: dict[int, QueueEntry]) -> None:
+        """Replace calls, by the identity of their item, by others that may have another rank.
+
+        Their customers get back the turns of their old ranks, and take turns of the new ones in the
+        order in which the calls wait.
+        """
+        replaced = [one for one in self._scheduled if id(one.entry.item) in entries]
+        for scheduled in reversed(replaced):
+            self._scheduled.remove(scheduled)
+            self._release_turn(scheduled)
+        for scheduled in replaced:
+            self._insert(self._schedule(entries[id(scheduled.entry.item)]))
+
     def expire(self, now: float) -> list[QueueEntry]:
         """Remove and return the calls that can no longer be served before their deadline."""
         late = []
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -153,6 +153,7 @@
         self.metrics = Metrics()
         self.config: GatewayConfig | None = None
         self._cold_limits: dict[str, ColdLimit] = {}
+        self._mixed_services: frozenset[str] = frozenset()
         self.leaving = False
         self._tasks: list[asyncio.Task[None]] = []
         self._pending_removals: dict[str, asyncio.TimerHandle] = {}
@@ -191,6 +192,10 @@
         self._queue = WaitQueue(
             self.table, clock, self.peers.count_daemons, self.peers.count_waiting
         )
+        self._queue.serves_by_need = self._serves_by_need
+        self._queue.list_peer_queues = self.peers.list_queues
+        self._queue.announce = self.peers.schedule_send
+        self.peers.read_queues = self._queue.report_queues
         self.table.rates.read_share = self.peers.read_share
         self.table.rates.find_cold_limit = lambda service: self._cold_limits.get(service)
         self.peers.collect_rates = lambda: self.table.rates.collect_updates(clock())
@@ -554,6 +559,14 @@
         )
         self._queue.wake()
 
+    def _serves_by_need(self, service: str) -> bool:
+        admission = self.settings.admission
+        return admission == "need" or (admission == "auto" and service in self._mixed_services)
+
+    def describe_queues(self) -> dict[str, dict[str, Any]]:
+        """Return, for each service that has had calls, those that wait and what is expected."""
+        return self._queue.describe()
+
     def _find_usable_config(self) -> GatewayConfig | None:
         """Return the configuration, or None before the evacuations are known as well."""
         return self.config if self.evacuations.is_loaded() else None
@@ -569,6 +582,7 @@
             log_event("configuration_older", version=value.version, in_force=self.config.version)
             return
         self.config = value
+        self._mixed_services = value.list_mixed_services()
         self._plan_cold_limits()
         limits = value.limits
         self._server.limits = ServerLimits(
--- a/magnoliarouter/daemon/gatewayview.py
+++ b/magnoliarouter/daemon/gatewayview.py
@@ -58,6 +58,7 @@
         },
         "evacuated": daemon.table.evacuations.list(),
         "zones": daemon.table.overflow.describe(),
+        "queues": daemon.describe_queues(),
         "quarantined": daemon.list_quarantined(),
         "daemons": daemon.peers.count_daemons(),
         "in_charge": daemon.map_election.fencing_number() is not None,
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -310,6 +310,24 @@
         usable = self._list_usable(service, tried, now)
         return self.rates.estimate_wait_s(usable, requests, now)
 
+    def estimate_rate(self, service: str, hold_s: float, now: float) -> float:
+        """Return how many places of a service become free per second while all are taken.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        hold_s : float
+            Mean time in seconds for which a request holds a place.
+        now : float
+            Loop time in seconds.
+        """
+        return sum(
+            min(self.concurrency_limit(endpoint) / hold_s, self.rates.limit_of(endpoint, now))
+            for endpoint in self._list_usable(service, set(), now)
+            if self.notices.paused_until(endpoint) <= now
+        )
+
     def describe_rate(self, endpoint: Endpoint, now: float) -> dict[str, float]:
         """Return rate and free requests of an endpoint for the log; empty without a limit."""
         rate = self.rates.limit_of(endpoint, now)
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -175,12 +175,12 @@
                 customer=call.tenant or "",
                 fingerprint=call.fingerprint,
             )
-            if endpoint is None:
+            if endpoint is None or isinstance(endpoint, NotRun):
                 refusal = self._crashes.find_refusal(call) or self._refuse_unplaced(
-                    call.service, progress.tried
+                    call.service, progress.tried, endpoint
                 )
                 return await self._finish(call, exchange, progress, refusal)
-            sends = progress.sends
+            sends, placed_at = progress.sends, self._clock()
             try:
                 refusal = self._check_send(call, exchange, progress, recheck)
                 if refusal is None:
@@ -197,6 +197,7 @@
             if refusal is not None:
                 return await self._finish(call, exchange, progress, refusal)
             if isinstance(result, Completed):
+                self._waiting.record_hold(call.service, self._clock() - placed_at)
                 return result
             self._record_failure(call, endpoint, progress, result)
             others = max(progress.others, self._table.load_of(endpoint.identity, self._clock()))
@@ -271,8 +272,10 @@
             - now
         )
 
-    def _refuse_unplaced(self, service: str, tried: set[str]) -> NotRun:
+    def _refuse_unplaced(self, service: str, tried: set[str], full: NotRun | None = None) -> NotRun:
         now = self._clock()
+        if full is not None and full.code is not ResultCode.QUEUE_FULL:
+            return full
         pause_end = self._table.find_pause_end(service, tried, now)
         if pause_end is not None:
             reason = "every endpoint asked for a pause"
@@ -289,6 +292,8 @@
             reason = "every endpoint is in an evacuated availability zone"
             wait_s = self._table.estimate_recovery_s(service, now)
             return NotRun(ResultCode.ENDPOINTS_EVACUATED, reason, self._spread_return(wait_s))
+        if full is not None:
+            return full
         if self._table.has_endpoints(service):
             return NotRun(ResultCode.QUEUE_FULL, "every endpoint is full", FULL_RETRY_AFTER_S)
         return NotRun(ResultCode.NO_ENDPOINT, "no endpoint serves this now", FULL_RETRY_AFTER_S)
--- a/magnoliarouter/gateway/peers.py
+++ b/magnoliarouter/gateway/peers.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from magnoliarouter.core.crashes import CrashReport
+from magnoliarouter.gateway.peerqueues import PeerQueues
 from magnoliarouter.gateway.ratelimits import RateUpdate
 from magnoliarouter.telemetry.logs import log_event
 
@@ -96,6 +97,9 @@
     long_prompts : dict of str to int
         Tokens by which the prompts that the sender has sent to each endpoint since its last message
         were longer than usual.
+    queues : dict of str to (list of int)
+        Calls that wait at the sender for each service that it serves by need, by urgency from that
+        of a started stream on.
     """
 
     name: str
@@ -113,6 +117,7 @@
     waiting: dict[str, int] = {}
     stopped: bool = False
     long_prompts: dict[str, int] = {}
+    queues: dict[str, list[int]] = {}
 
 
 class PeerLoads(asyncio.DatagramProtocol):
@@ -159,6 +164,7 @@
         self._confirmations_sent_at = float("-inf")
         self._sent_digests: dict[str, int] = {}
         self._waiting: dict[str, dict[str, int]] = {}
+        self._queues = PeerQueues(PRESENCE_EXPIRY_S)
         # Daemons that said that they stopped, and did not start again.
         self._stopped: set[str] = set()
         self._share, self._share_at = 1.0, float("-inf")
@@ -176,6 +182,7 @@
             lambda name, start, updates: None
         )
         self.read_waiting: Callable[[], dict[str, int]] = dict
+        self.read_queues: Callable[[], dict[str, list[int]]] = dict
         self.collect_long_prompts: Callable[[], dict[str, int]] = dict
         self.apply_long_prompts: Callable[[str, dict[str, int]], None] = lambda name, prompts: None
 
@@ -208,6 +215,7 @@
         self._addresses = {
             name: address for name, address in addresses.items() if name != self._name
         }
+        self._queues.registered = frozenset(self._addresses)
 
     def count_daemons(self) -> int:
         """Return how many daemons share the limits that apply to all, including this one."""
@@ -248,6 +256,10 @@
             if now - self._received_at[name] < PRESENCE_EXPIRY_S
         )
 
+    def list_queues(self, service: str) -> list[list[int]]:
+        """Return the calls that wait for a service by urgency, for each daemon that holds any."""
+        return self._queues.list(service, self._loop.time())
+
     def map_lease_silence_s(self) -> float:
         """Return the seconds since another daemon reported that it holds the map lease."""
         return self._loop.time() - self._leader_received_at
@@ -288,6 +300,7 @@
         self._received_at[message.name] = self._loop.time()
         self._capacities[message.name] = message.capacity
         self._waiting[message.name] = message.waiting
+        self._queues.apply(message.name, message.queues, self._loop.time())
         if message.stopped:
             log_event("peer_stopped", peer=message.name)
             self._stopped.add(message.name)
@@ -371,6 +384,7 @@
             self.read_waiting(),
             stopped,
             self.collect_long_prompts(),
+            self.read_queues(),
         )
         data = msgspec.msgpack.encode(message)
         for address in self._addresses.values():
--- a/magnoliarouter/gateway/routes.py
+++ b/magnoliarouter/gateway/routes.py
@@ -272,6 +272,18 @@
     limits: RequestLimits
     max_event_gaps_s: dict[str, float] = field(default_factory=dict)
 
+    def list_mixed_services(self) -> frozenset[str]:
+        """Return the services whose requests can differ in urgency."""
+        tenants = list((self.tenants or {}).values())
+        urgencies: dict[str, set[int]] = {}
+        for route in self.routes.list():
+            senders = [None, *tenants] if route.public or not tenants else tenants
+            known = {self.urgency_of(route, sender) for sender in senders}
+            for service, weight in route.service_weights:
+                if weight > 0:
+                    urgencies.setdefault(service, set()).update(known)
+        return frozenset(service for service, known in urgencies.items() if len(known) > 1)
+
     def urgency_of(self, route: Route, tenant: Tenant | None) -> int:
         """Return the urgency of a request; the customer's overrides the route's."""
         own = tenant.urgency if tenant is not None else None
--- a/magnoliarouter/gateway/settings.py
+++ b/magnoliarouter/gateway/settings.py
@@ -81,6 +81,10 @@
     keeps_zone : bool
         Whether calls of model services leave the zone only by need. If not, each goes to the
         endpoint with the least load, and those of other zones count as slightly more loaded.
+    admission : str
+        In which order the waiting calls of a service get free places, and which are refused:
+        ``"arrival"``, ``"need"``, or ``"auto"``, which is by need for services whose calls can
+        differ in urgency.
     """
 
     name: Annotated[str, Meta(min_length=1, max_length=253)]
@@ -93,3 +97,4 @@
     bounds: GatewayBounds = GatewayBounds()
     link_mbps: Annotated[float, Meta(gt=0)] = 1000.0
     keeps_zone: bool = True
+    admission: Literal["auto", "arrival", "need"] = "auto"
--- a/magnoliarouter/tests/hardload.py
+++ b/magnoliarouter/tests/hardload.py
@@ -99,6 +99,13 @@
         self.queue = WaitQueue(
             self.table, clock, self.peers.count_daemons, self.peers.count_waiting
         )
+        self.queue.serves_by_need = lambda service: (
+            player.admission == "need"
+            or (player.admission == "auto" and service in player.mixed_services)
+        )
+        self.queue.list_peer_queues = self.peers.list_queues
+        self.queue.announce = self.peers.schedule_send
+        self.peers.read_queues = self.queue.report_queues
         self.peers.read_waiting = self.queue.list_lengths
         self.peers.collect_long_prompts = self.table.work.collect_extra
         self.peers.apply_long_prompts = lambda peer, prompts: self.table.apply_long_prompts(
@@ -182,12 +189,15 @@
         Number of daemons, spread over the zones.
     seed : int
         Seed of all random choices.
+    admission : str
+        Setting of the daemons.
     """
 
-    def __init__(self, load: Load, daemons: int, seed: int) -> None:
+    def __init__(self, load: Load, daemons: int, seed: int, admission: str) -> None:
         self._load, self._seed, self._random = load, seed, random.Random(seed)
         self.names = [f"daemon-{number}" for number in range(daemons)]
         self.config = _build_config()
+        self.admission, self.mixed_services = admission, self.config.list_mixed_services()
         self.daemons: dict[str, Daemon] = {}
         self.places = {
             f"{zone}-engine-{number}": Place(f"{zone}-engine-{number}", zone)
@@ -329,13 +339,15 @@
     )
 
 
-def play(build: Callable[[int], Load], daemons: int, seed: int = 1) -> Report:
+def play(
+    build: Callable[[int], Load], daemons: int, seed: int = 1, admission: str = "auto"
+) -> Report:
     """Play a load, and return what its callers got."""
     load, state = build(seed), random.getstate()
     random.seed(seed)
 
     async def run() -> Player:
-        player = Player(load, daemons, seed)
+        player = Player(load, daemons, seed, admission)
         await player.play()
         return player
 
@@ -361,6 +373,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--daemons", default="9")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--admission", default="auto", choices=("auto", "arrival", "need"))
     parser.add_argument("--loads", default="", help="names of builders, with commas; all if empty")
     arguments = parser.parse_args()
     rows = []
@@ -368,7 +381,7 @@
         if arguments.loads and build.__name__ not in arguments.loads.split(","):
             continue
         for daemons in map(int, arguments.daemons.split(",")):
-            report = play(build, daemons, arguments.seed)
+            report = play(build, daemons, arguments.seed, arguments.admission)
             rows.append({**report.describe(), "missed": ", ".join(find_missed(report))})
             if len(rows) == 1:
                 print("| " + " | ".join(rows[0]) + " |\n" + "|---" * len(rows[0]) + "|")
