--- a/magnoliarouter/core/codes.py
+++ b/magnoliarouter/core/codes.py
@@ -68,7 +68,7 @@
         0, "The caller closed its connection.", _RETRY_WITH_KEY
     ),
     ResultCode.CALL_TOO_LARGE: CodeDescription(
-        413, "Prompt and output exceed the memory of every endpoint.", _CORRECT_REQUEST
+        413, "The prompt exceeds the memory of every endpoint.", _CORRECT_REQUEST
     ),
     ResultCode.SUSPENDED: CodeDescription(
         403, "The contract's standing grants no service.", "Settle the account."
--- a/magnoliarouter/gateway/handler.py
+++ b/magnoliarouter/gateway/handler.py
@@ -229,13 +229,16 @@
 
 
 def _refuse_too_large(call: GatewayCall, config: GatewayConfig) -> NotRun | None:
-    """Return the refusal of a call that fits into no endpoint of its service, also an empty one."""
-    service, tokens = config.services.get(call.service), call.estimate_work().tokens
+    """Return the refusal of a call whose prompt fits into no endpoint of its service.
+
+    The expected output is an estimate, which refuses no call.
+    """
+    service, tokens = config.services.get(call.service), call.estimate_work().prompt_tokens
     profile = service.profile if service is not None else None
     memory_tokens = profile.memory_tokens if profile is not None else 0
     if not 0 < memory_tokens < tokens:
         return None
-    reason = f"prompt and output have {tokens} tokens; valid: up to {memory_tokens}"
+    reason = f"the prompt has {tokens} tokens; valid: up to {memory_tokens}"
     return NotRun(ResultCode.CALL_TOO_LARGE, reason)
 
 
