--- a/magnoliarouter/core/codes.py
+++ b/magnoliarouter/core/codes.py
@@ -100,7 +100,7 @@
         503, "The attempt failed and the retry budget is used up.", _RETRY_LATER
     ),
     ResultCode.DISPLACED: CodeDescription(
-        503, "Work of a better standing took the place in the queue.", _RETRY_LATER
+        503, "Work that is served first took the place in the queue.", _RETRY_LATER
     ),
     ResultCode.SERVICE_STALLED: CodeDescription(
         503, "Every endpoint of the service is cut off or stands still.", _RETRY_LATER
--- a/magnoliarouter/tests/test_admission.py
+++ b/magnoliarouter/tests/test_admission.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from magnoliarouter.cli.status import _format_gateway
 from magnoliarouter.core.admission import (
     FIRST_URGENCY,
     MAX_QUEUED_CALLS,
@@ -21,6 +22,7 @@
 )
 from magnoliarouter.core.holds import HoldMeter
 from magnoliarouter.core.outcome import NotRun, ResultCode
+from magnoliarouter.daemon.gatewayview import describe_gateway
 from magnoliarouter.gateway.endpoints import Endpoint, EndpointTable
 from magnoliarouter.gateway.peerqueues import MAX_REPORTED_CALLS, MAX_URGENCIES
 from magnoliarouter.gateway.peers import PeerLoads, PeerMessage
@@ -435,12 +437,24 @@
         await self.store.put("config", "main", configuration)
         await wait_until(lambda: served("app"))
         self.assertFalse(served("other"))
+        await self.check_status(daemon)
         for admission, expected in (("arrival", False), ("need", True), ("auto", True)):
             daemon.settings = msgspec.structs.replace(daemon.settings, admission=admission)
             self.assertIs(served("app"), expected)
         await self.store.put("config", "main", build_configuration(3))
         await wait_until(lambda: not served("app"))
 
+    async def check_status(self, daemon):
+        for _ in range(self.engine.build_entry()["slots"]):
+            daemon.table.start_request("e1")
+        waits = asyncio.create_task(daemon._queue.acquire("app", set(), 3, 0.2))
+        await asyncio.sleep(0.1)
+        now = asyncio.get_running_loop().time()
+        self.assertRegex(_format_gateway(describe_gateway(daemon, now)), r"app +3 +1 ")
+        self.assertIsInstance(await waits, NotRun)
+        refused = _format_gateway(describe_gateway(daemon, now))
+        self.assertRegex(refused, r"app +queue_full +1")
+
 
 if __name__ == "__main__":
     unittest.main()
