--- a/magnoliarouter/gateway/settings.py
+++ b/magnoliarouter/gateway/settings.py
@@ -97,4 +97,4 @@
     bounds: GatewayBounds = GatewayBounds()
     link_mbps: Annotated[float, Meta(gt=0)] = 1000.0
     keeps_zone: bool = True
-    admission: Literal["auto", "arrival", "need"] = "auto"
+    admission: Literal["auto", "arrival", "need"] = "arrival"
--- a/magnoliarouter/tests/test_admission.py
+++ b/magnoliarouter/tests/test_admission.py
@@ -431,6 +431,8 @@
         daemon = await self.start()
         await self.wait_ready(daemon)
         served = daemon._queue.serves_by_need
+        self.assertEqual(daemon.settings.admission, "arrival")
+        daemon.settings = msgspec.structs.replace(daemon.settings, admission="auto")
         self.assertFalse(served("app"))
         configuration = build_configuration(2, routes=("/a/", "/public/"))
         configuration["routes"][1]["priority"] = 3
