Drop a parameter of the wait queue that nothing reads

acquire took the fingerprint of a call for a memory of refused calls that was not taken over; it takes returned instead.

--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -173,7 +173,6 @@
                 may_wait=lambda: self._crashes.find_refusal(call) is None,
                 work=work,
                 customer=call.tenant or "",
-                fingerprint=call.fingerprint,
             )
             if endpoint is None or isinstance(endpoint, NotRun):
                 refusal = self._crashes.find_refusal(call) or self._refuse_unplaced(
--- a/magnoliarouter/gateway/waiting.py
+++ b/magnoliarouter/gateway/waiting.py
@@ -161,7 +161,6 @@
         may_wait: Callable[[], bool] = lambda: True,
         work: CallWork = NO_WORK,
         customer: str = "",
-        fingerprint: str = "",
         returned: bool = False,
     ) -> Endpoint | NotRun | None:
         """Return an endpoint at which a slot was acquired, or why the call is refused.
@@ -192,8 +191,6 @@
             Work that the call brings to its endpoint.
         customer : str
             Customer that sent the call; empty if unknown.
-        fingerprint : str
-            Names the call as the same when its caller sends it again; empty if unknown.
         returned : bool
             Whether the call was refused before and came back when it was told to.
         """
