--- a/review/2/case.py
+++ b/review/2/case.py
@@ -79,7 +79,7 @@
             if len(seen) == RANKS and all(seen.values()) and not group.streams:
                 holder = store.objects["lease", "expert-maps"]["spec"]["holder"]
                 leaders[:] = [daemon for daemon in daemons if holder.startswith(f"{daemon.host}:")]
-                leaders[0].process.kill()
+                leaders[0].kill()
                 record.write(f"{leaders[0].name}, which gave the last order, is killed")
                 armed_late.set()
 
