Take a group over only once all its ranks refuse the former map leader's orders

Callers saw nothing, but streams were computed with experts of two maps (MAP): a map leader that ended while no rank had answered its orders to arm left them to be executed seconds later. The next one found the hold and no armed rank, and let the step go by an order to one rank, which alone saw the new fencing number. The others took the late orders before the next step.

A new leader now has each rank confirm its fencing number before it relies on anything, waits as long as reports are old, reads, and then completes or disarms what it finds. On related paths: a step is not held twice under one lease, since a late go of the first hold released the second; ranks armed for several versions are disarmed rather than held for good; a leader whose order a rank does not confirm within 2 s, or that a rank tells of a higher number, gives the lease up; maps are not switched where ranks do not check fencing numbers.

Ruled out: the product's own rank agent, whose controller hears from each rank under its epoch first.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -482,6 +482,7 @@
             self._gap_meter.mean_gap,
             on_paces=self._apply_own_paces,
             is_leaving=self._is_leaving,
+            resign=lambda reason: self.map_election.resign(),
         )
         self.peers.read_slow_ranks = self.maps.list_slow_ranks
         self.peers.apply_slow_ranks = self._paces.apply_report
@@ -495,7 +496,8 @@
 
     def _list_ranks(self) -> list[tuple[Endpoint, ExpertProfile]]:
         ranks = []
-        for endpoint in self.table.list():
+        # A rank that obeys a former map leader could be armed alone, seconds later.
+        for endpoint in self.table.list() if self.settings.bounds.ranks_check_fencing else ():
             experts = self._find_experts(endpoint)
             if experts is not None:
                 ranks.append(
--- a/magnoliarouter/daemon/mapelection.py
+++ b/magnoliarouter/daemon/mapelection.py
@@ -28,6 +28,8 @@
 CLAIM_STAGGER_S = 0.3
 # Time after the start in which a daemon hears of the others, so that the first claims go in order too.
 FIRST_CLAIM_DELAY_S = 0.3
+# A daemon that resigned does not compete for this long, so that another one wins.
+RESIGN_PAUSE_S = 4.0
 
 
 class MapLeaderElection:
@@ -78,6 +80,8 @@
         self._clock = clock
         self._on_won = on_won
         self._lease_task: asyncio.Task[None] | None = None
+        self._release_task: asyncio.Task[None] | None = None
+        self._paused_until = float("-inf")
         peers.holds_map_lease = lambda: self.fencing_number() is not None
         peers.read_map_lease = self._describe_lease
         peers.apply_map_lease = self._observe_lease
@@ -95,7 +99,8 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             now, silence = self._clock(), self._peers.map_lease_silence_s()
-            eligible_since = (eligible_since or now) if self._is_eligible() else None
+            eligible = self._is_eligible() and now >= self._paused_until
+            eligible_since = (eligible_since or now) if eligible else None
             stagger_s = CLAIM_STAGGER_S * self._peers.position()
             if (
                 self._lease_task is not None
@@ -110,6 +115,15 @@
                     self._lease.resume()
                     self._lease_task = asyncio.get_running_loop().create_task(self._lease.run())
 
+    def resign(self) -> None:
+        """Give the lease up, and leave it to the other daemons for some seconds."""
+        if self._lease_task is not None:
+            self._lease_task.cancel()
+            self._lease_task = None
+            self._paused_until = self._clock() + RESIGN_PAUSE_S
+            self._lease.stop_acting()
+            self._release_task = asyncio.get_running_loop().create_task(self._lease.release())
+
     async def release(self) -> None:
         """Release the lease, after `run` was cancelled."""
         if self._lease_task is not None:
--- a/magnoliarouter/gateway/groups.py
+++ b/magnoliarouter/gateway/groups.py
@@ -3,9 +3,10 @@
 The expert map assigns each expert of a model to ranks of the group. A switch has four orders:
 prepare (every rank fetches its new experts), hold (the group stops before a later step), arm (every
 rank is set to switch at that step) and go (the group continues, once every rank has confirmed).
-Orders are never revoked: an order whose response was lost is sent again until it is confirmed, or
-until the group forms again with a new epoch and drops it. The next map leader, the daemon that
-holds the map lease, completes an unfinished switch.
+An order whose response was lost is sent again until it is confirmed, or until the group forms again
+with a new epoch and drops it; a copy of it may be executed seconds later. The next map leader, the
+daemon that holds the map lease, ends an unfinished switch. Before that, each rank has confirmed its
+fencing number, so that it refuses what is left of the former leader's orders (`take_over`).
 
 These ranks are engines of the users' platform (`platform.ranks`). Ranks that run the product's own
 agent (`endpoints.group`) switch by another protocol, whose controller is `core.mapcontrol`.
@@ -18,11 +19,11 @@
 from typing import TYPE_CHECKING
 
 from magnoliarouter.gateway.choices import ChoiceWindow
-from magnoliarouter.gateway.ranks import Arm, Go, Hold, Order, OrderResult, Prepare
+from magnoliarouter.gateway.ranks import Arm, Disarm, Fence, Go, Hold, Order, OrderResult, Prepare
 from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from magnoliarouter.gateway.endpoints import Endpoint
     from magnoliarouter.gateway.mapplan import MapPlan
@@ -54,6 +55,11 @@
 MIN_PREPARE_TIMEOUT_S = 0.1
 # Multiple of the time in which three of four responses came after which an order counts as lost.
 LOST_AFTER_TIMES = 2.0
+# A rank that does not confirm an order for this long may hold the group, and callers give their
+# streams up after a gap of two seconds. Another map leader may be able to reach it.
+CONFIRM_TIMEOUT_S = 2.0
+# A report read this much later than the state that it shows has to be at least as new.
+REPORT_MARGIN_S = 0.05
 # Copies are slower than calculated while the link is shared. The switch is abandoned if the ranks
 # have not responded to the prepare order this long after the calculated copy time.
 PREPARE_SLACK_S = 2.5
@@ -81,6 +87,14 @@
         another leader may have acted in between.
     clock : callable
         Loop time in seconds.
+    resign : callable
+        Called with the reason when this daemon cannot act as the group's map leader: a rank does not
+        confirm its orders, or has seen a higher fencing number.
+    report_lag_s : float
+        Age in seconds of the state that a rank reports.
+    highest_step : int
+        Highest step that was held or released under this lease. No later switch holds a step up to
+        it, so that a late copy of an order to release it releases no other switch.
     """
 
     name: str
@@ -88,6 +102,9 @@
     client: RankClient
     fencing_number: Callable[[], int | None]
     clock: Callable[[], float]
+    resign: Callable[[str], None] = lambda reason: None
+    report_lag_s: float = 0.0
+    highest_step: int = 0
     rows: tuple[Row, ...] | None = None
     epoch: int = 0
     version: int = 0
@@ -179,11 +196,8 @@
         self._record_step("report", report.step)
         if report.held_step is not None:
             log_event("late_hold_found", group=self.name, held=report.held_step)
-            reports = await self.read_reports()
             try:
-                if None in reports:
-                    raise SwitchAbandoned("a rank's report could not be read")
-                await self.recover(reports)
+                await self.recover(await self.read_current_reports())
                 self.rows = None
             except SwitchAbandoned as error:
                 log_event("late_hold_left", group=self.name, reason=str(error))
@@ -194,32 +208,92 @@
             *(self.client.read_report(rank.address) for rank in self.ranks.values())
         )
 
-    async def recover(self, reports: Iterable[RankReport]) -> bool:
-        """Complete another daemon's unfinished switch; return False if ranks stay armed."""
-        reports = list(reports)
-        held_steps = {report.held_step for report in reports if report.held_step is not None}
-        armed_versions = {
-            report.armed_version for report in reports if report.armed_version is not None
+    async def take_over(self) -> list[RankReport]:
+        """Make ranks refuse orders of former map leaders, and return reports of the time after.
+
+        Raises
+        ------
+        SwitchAbandoned
+            A rank did not confirm the order, or could not be read.
+        """
+        await self._order_all(Fence())
+        return await self.read_current_reports()
+
+    async def read_current_reports(self) -> list[RankReport]:
+        """Return reports that show all orders confirmed before the call.
+
+        Raises
+        ------
+        SwitchAbandoned
+            A rank could not be read, or the group does not work in the known epoch.
+        """
+        await asyncio.sleep(self.report_lag_s + REPORT_MARGIN_S)
+        return self._check_reports(await self.read_reports())
+
+    def _check_reports(self, reports: list[RankReport | None]) -> list[RankReport]:
+        """Return the reports if each rank gave one and works in the known epoch."""
+        read = [report for report in reports if report is not None]
+        if len(read) < len(reports):
+            raise SwitchAbandoned("a rank's report could not be read")
+        if any(report.epoch != self.epoch or not report.open for report in read):
+            raise SwitchAbandoned("the group formed again with a new epoch")
+        return read
+
+    async def recover(self, reports: list[RankReport]) -> bool:
+        """End an unfinished switch; return False if ranks stay armed.
+
+        Call it after `take_over`, with reports that show what this daemon ordered. It released no
+        step before all ranks had confirmed that they are armed for it.
+        """
+        held = {
+            rank: report.held_step
+            for rank, report in zip(self.ranks.values(), reports)
+            if report.held_step is not None
         }
-        if not held_steps and not armed_versions:
+        armed = {
+            (report.armed_version, report.armed_step)
+            for report in reports
+            if report.armed_version is not None
+        }
+        if not held and not armed:
             return True
-        self.epoch = reports[0].epoch
         log_event(
             "map_switch_found",
             group=self.name,
-            held=sorted(held_steps),
-            armed=sorted(armed_versions),
+            held=sorted(held.values()),
+            armed=sorted({version for version, _ in armed}),
         )
-        if not held_steps or len(armed_versions) > 1:
-            # Armed ranks without a hold switch on their own when the step starts. With several armed
-            # versions it is unknown which one to complete. In both cases no order is sent.
-            return not armed_versions
-        step = max(held_steps)
-        for version in armed_versions:
-            await self._order_all(Arm(version, step))
-        await self._release(step)
+        if not held:
+            # Ranks that were all armed switch on their own when the step starts.
+            return False
+        self.highest_step = max(self.highest_step, *held.values())
+        await self._complete_or_disarm(max(held.values()), armed, reports)
+        for rank, step in held.items():
+            await self._order(rank, Go(step))
         return True
 
+    async def _complete_or_disarm(
+        self, step: int, armed: set[tuple[int, int | None]], reports: list[RankReport]
+    ) -> None:
+        """Arm all ranks for the version that some are armed for, or none if that is impossible."""
+        unarmed = [report for report in reports if report.armed_version is None]
+        if len(armed) < 2 and not unarmed:
+            return
+        if len(armed) == 1:
+            version, armed_step = next(iter(armed))
+            if armed_step in (None, step) and all(
+                report.prepared_version == version for report in unarmed
+            ):
+                await self._order_all(Arm(version, step))
+                return
+        if any(armed_step is not None and armed_step < step for _, armed_step in armed):
+            raise SwitchAbandoned("ranks are armed for a step that may have started")
+        for rank, report in zip(self.ranks.values(), reports):
+            if report.armed_version is not None and not await self._order(
+                rank, Disarm(report.armed_version)
+            ):
+                raise SwitchAbandoned(f"rank {rank.identity} refused to be disarmed")
+
     async def switch(self, plan: MapPlan, version: int, profile: ExpertProfile) -> None:
         """Switch the group to a planned map.
 
@@ -270,9 +344,11 @@
         ahead_s : float
             Time in seconds for the orders that follow before the group has to wait for them.
         """
-        step, ahead = self.step, MIN_HOLD_AHEAD_STEPS + round(ahead_s / self.step_s)
+        ahead = MIN_HOLD_AHEAD_STEPS + round(ahead_s / self.step_s)
+        step = max(self.step, self.highest_step - ahead + 1)
         for _ in range(MAX_HOLD_ATTEMPTS):
             step += ahead
+            self.highest_step = step
             if await self._order(self._control_rank, Hold(step)):
                 return step
             report = await self.client.read_report(self._control_rank.address)
@@ -292,7 +368,7 @@
         ranks = [self.ranks[number] for number in sorted(self.ranks)]
         return ranks[::RANKS_PER_SAMPLE]
 
-    async def _order_all(self, order: Prepare | Arm, until: float | None = None) -> bool:
+    async def _order_all(self, order: Prepare | Arm | Fence, until: float | None = None) -> bool:
         """Send an order to all ranks, and return whether each responded at the first attempt."""
         lost_before = self._lost_responses
         self._first_responses_s.clear()
@@ -303,7 +379,7 @@
             # Ranks whose order was lost do not count, or the time would grow with each loss.
             usual = sorted(self._first_responses_s)[len(self._first_responses_s) * 3 // 4]
             self._prepare_timeout_s = max(MIN_PREPARE_TIMEOUT_S, LOST_AFTER_TIMES * usual)
-        if not all(accepted):
+        if not all(accepted) and not isinstance(order, Fence):
             raise SwitchAbandoned(f"a rank refused {order.__class__.__name__.lower()}")
         return self._lost_responses == lost_before
 
@@ -311,7 +387,8 @@
         """Send an order until it gets a response, and return whether it was accepted.
 
         A rank is armed only after the hold is confirmed, so a rank that refuses to arm is still
-        copying and the order is repeated.
+        copying and the order is repeated. Without `until`, the group may stand still until the rank
+        confirms, so this daemon resigns after `CONFIRM_TIMEOUT_S`.
         """
         began, first = self.clock(), True
         while True:
@@ -335,21 +412,28 @@
                 case OrderResult.REFUSED if not isinstance(order, Arm):
                     return False
                 case OrderResult.FENCED:
+                    self.resign(f"rank {rank.identity} has seen a higher fencing number")
                     raise SwitchAbandoned("another daemon holds the map lease")
                 case OrderResult.REFUSED:
                     await asyncio.sleep(ARM_RETRY_S)
                 case OrderResult.UNKNOWN:
                     self._lost_responses += 1
-            if until is not None and self.clock() > until:
-                raise SwitchAbandoned(f"rank {rank.identity} does not respond")
             await self._check_epoch(rank)
+            if self.clock() > (began + CONFIRM_TIMEOUT_S if until is None else until):
+                reason = f"rank {rank.identity} does not confirm {type(order).__name__.lower()}"
+                if until is None:
+                    self.resign(reason)
+                raise SwitchAbandoned(reason)
 
     async def _check_epoch(self, rank: Endpoint) -> None:
         """Abandon the switch if the group has formed again since the order was sent."""
         report = await self.client.read_report(rank.address)
         if report is None:
             await asyncio.sleep(REPORT_POLL_S)
-        elif report.epoch != self.epoch or not report.open:
+            # The others know whether the group lost this rank.
+            other = next((one for one in self.ranks.values() if one is not rank), rank)
+            report = await self.client.read_report(other.address)
+        if report is not None and (report.epoch != self.epoch or not report.open):
             self.rows = None
             raise SwitchAbandoned("the group formed again with a new epoch")
 
--- a/magnoliarouter/gateway/mapduty.py
+++ b/magnoliarouter/gateway/mapduty.py
@@ -90,6 +90,8 @@
         Called with the relative paces of the slow ranks of all groups after they were read.
     is_leaving : callable
         Returns whether a rank, by identity, takes no new work since it leaves.
+    resign : callable
+        Called with the reason when this daemon should give the map lease up.
     """
 
     client: RankClient
@@ -101,6 +103,7 @@
     slow_ranks: dict[str, dict[str, float]] = field(default_factory=dict)
     on_paces: Callable[[dict[str, float]], None] = lambda slow: None
     is_leaving: Callable[[str], bool] = lambda identity: False
+    resign: Callable[[str], None] = lambda reason: None
     _paces_read_at: dict[str, float] = field(default_factory=dict)
     _profiles: dict[str, ExpertProfile] = field(default_factory=dict)
     _tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
@@ -110,6 +113,12 @@
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
     _lease: int | None = None
     _versions: int = 0
+    # Groups whose ranks refuse orders of former map leaders. An epoch that begins later needs no
+    # new order, since no former leader knows it.
+    _taken_over: set[str] = field(default_factory=set)
+    # Epoch and highest step held or released under this lease, by group.
+    _highest_steps: dict[str, tuple[int, int]] = field(default_factory=dict)
+    _resigned: int | None = None
     _finishing: bool = False
     _switching: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -117,12 +126,13 @@
         """Discover and balance groups whenever the lease is held, until cancelled."""
         while True:
             self._changed.clear()
-            fencing_number = self.fencing_number()
+            fencing_number = self._held_number()
             if fencing_number is not None and not self._finishing:
                 if fencing_number != self._lease:
                     self._lease, self._versions = fencing_number, 0
                     self.groups, self._known_ranks = {}, frozenset()
                     self.slow_ranks, self._paces_read_at = {}, {}
+                    self._taken_over, self._highest_steps = set(), {}
                 await self._refresh_groups()
             try:
                 async with asyncio.timeout(GROUP_CHECK_INTERVAL_S):
@@ -166,7 +176,7 @@
         lease = self._lease
         while (
             group.rows is not None
-            and self.fencing_number() == lease == self._lease
+            and self._held_number() == lease == self._lease
             and not self._finishing
         ):
             await self._read_paces(group)
@@ -175,7 +185,7 @@
             if not isinstance(plan, MapPlan):
                 await self._wait_and_read(group, policy)
                 continue
-            if self.fencing_number() != lease:
+            if self._held_number() != lease:
                 break
             version = self._next_version()
             switch = asyncio.ensure_future(group.switch(plan, version, self._profiles[group.name]))
@@ -186,7 +196,7 @@
                 log_event(
                     "map_switch_abandoned", group=group.name, version=version, reason=str(error)
                 )
-                if self.fencing_number() == lease:
+                if self._held_number() == lease:
                     await asyncio.sleep(READ_INTERVAL_S)
                     # A group that is held refuses every switch, and the counts stay as they are.
                     await group.read_step()
@@ -292,7 +302,7 @@
         end = self.clock() + READ_INTERVAL_S
         while self.recent_gap(group.name) is not None or self.clock() < end:
             await asyncio.sleep(GAP_CHECK_INTERVAL_S)
-            if self._choose_policy(group) is not None or self.fencing_number() != self._lease:
+            if self._choose_policy(group) is not None or self._held_number() != self._lease:
                 return
             if self.slow_ranks.get(group.name):
                 await self._read_paces(group)
@@ -345,6 +355,7 @@
                 self._profiles[report.group] = profile
                 members.setdefault(report.group, {})[report.rank] = (endpoint, report)
         self._known_ranks = frozenset(endpoint.identity for endpoint, _ in listed)
+        found = []
         for name, ranks in members.items():
             task, known = self._tasks.get(name), self.groups.get(name)
             epochs = {report.epoch for _, report in ranks.values()}
@@ -353,28 +364,78 @@
                 task.cancel()
                 task = None
             if task is None or task.done():
-                await self._discover_group(name, ranks)
+                found.append(self._discover_group(name, ranks))
+        await asyncio.gather(*found)
 
     async def _discover_group(
         self, name: str, ranks: dict[int, tuple[Endpoint, RankReport]]
     ) -> None:
         reports = [report for _, report in ranks.values()]
-        self.groups.pop(name, None)
+        self._forget_group(name)
         if len(ranks) != reports[0].size or not all(report.open for report in reports):
             return
         endpoints = {rank: endpoint for rank, (endpoint, _) in sorted(ranks.items())}
-        group = GroupMapSwitcher(name, endpoints, self.client, self.fencing_number, self.clock)
+        epoch, highest_step = self._highest_steps.get(name, (0, 0))
+        group = GroupMapSwitcher(
+            name,
+            endpoints,
+            self.client,
+            self._held_number,
+            self.clock,
+            self._resign,
+            self._profiles[name].report_lag_s,
+            highest_step if epoch == reports[0].epoch else 0,
+            epoch=reports[0].epoch,
+        )
         try:
-            recovered = await group.recover(reports) and await group.read_map(self._profiles[name])
+            recovered = await self._recover_group(group, reports)
+            recovered = recovered and await group.read_map(self._profiles[name])
         except SwitchAbandoned as error:
             log_event("map_recovery_abandoned", group=name, reason=str(error))
-            return
+            recovered = False
+        finally:
+            self._highest_steps[name] = group.epoch, group.highest_step
         if recovered:
             await group.read_recent_counts()
             self.groups[name] = group
             log_event("group_found", group=name, ranks=len(endpoints), epoch=group.epoch)
             self._tasks[name] = asyncio.get_running_loop().create_task(self._balance_group(group))
 
+    def _forget_group(self, name: str) -> None:
+        group = self.groups.pop(name, None)
+        if group is not None:
+            self._highest_steps[name] = group.epoch, group.highest_step
+
+    async def _recover_group(self, group: GroupMapSwitcher, reports: list[RankReport]) -> bool:
+        """End what a former map leader, or this one, left unfinished in a group.
+
+        The reports found may be older than the last orders, so they decide only whether there is
+        anything to end in a group whose former map leader cannot act any more.
+        """
+        if group.name not in self._taken_over:
+            reports = await group.take_over()
+            self._taken_over.add(group.name)
+        elif any(
+            report.held_step is not None or report.armed_version is not None for report in reports
+        ):
+            reports = await group.read_current_reports()
+        else:
+            return True
+        return await group.recover(reports)
+
+    def _held_number(self) -> int | None:
+        """Return the fencing number while this daemon holds the lease and has not resigned."""
+        number = self.fencing_number()
+        return None if number == self._resigned else number
+
+    def _resign(self, reason: str) -> None:
+        """Stop to act under the lease, so that another daemon takes the groups over."""
+        number = self._held_number()
+        if number is not None:
+            self._resigned = number
+            log_event("map_leader_resigned", fence=number, reason=reason)
+            self.resign(reason)
+
 
 async def _run_in_slices(steps: Generator[None, None, MapPlan | NoChange]) -> MapPlan | NoChange:
     """Run a plan to its end, and let the loop serve calls between its steps."""
--- a/magnoliarouter/gateway/ranks.py
+++ b/magnoliarouter/gateway/ranks.py
@@ -15,6 +15,8 @@
 
 __all__ = [
     "Arm",
+    "Disarm",
+    "Fence",
     "Go",
     "Hold",
     "RankExperts",
@@ -55,6 +57,8 @@
         Step before which the group is held.
     pace : float
         How many times as long as usual the rank takes for its part of a step.
+    armed_step : int, optional
+        Step at whose start the rank switches to the armed version.
     """
 
     group: str
@@ -68,6 +72,7 @@
     armed_version: int | None
     held_step: int | None
     pace: float = 1.0
+    armed_step: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,7 +139,19 @@
     step: int
 
 
-Order: TypeAlias = Prepare | Arm | Hold | Go
+@dataclass(frozen=True, slots=True)
+class Disarm:
+    """Do not switch to a version that the rank is armed for."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Fence:
+    """Change nothing but the fencing number below which orders are refused."""
+
+
+Order: TypeAlias = Prepare | Arm | Hold | Go | Disarm | Fence
 
 
 class OrderResult(Enum):
--- a/magnoliarouter/gateway/routes.py
+++ b/magnoliarouter/gateway/routes.py
@@ -12,6 +12,7 @@
     from collections.abc import Iterable
 
 __all__ = [
+    "DEFAULT_REPORT_LAG_S",
     "ExpertProfile",
     "GatewayConfig",
     "ModelProfile",
@@ -24,6 +25,8 @@
 ]
 
 URGENCIES = range(10)
+# Age of the state in reports of ranks that do not name one.
+DEFAULT_REPORT_LAG_S = 0.5
 # Between the zones of one region.
 DEFAULT_ZONE_DELAY_S = 0.002
 
@@ -115,6 +118,8 @@
         Time in seconds in which a rank fetches one expert.
     max_event_gap_s : float, optional
         Smallest of the longest acceptable event gaps, in seconds, of the routes to the service.
+    report_lag_s : float
+        Age in seconds of the state that a rank reports.
     """
 
     sets: int
@@ -123,6 +128,7 @@
     max_new_experts: int
     copy_s: float
     max_event_gap_s: float | None = None
+    report_lag_s: float = DEFAULT_REPORT_LAG_S
 
 
 @dataclass(frozen=True, slots=True)
--- a/magnoliarouter/gateway/settings.py
+++ b/magnoliarouter/gateway/settings.py
@@ -40,6 +40,9 @@
         Further retries granted per window, independent of the number of requests.
     retry_window_s : float
         Length of the window.
+    ranks_check_fencing : bool
+        Whether ranks refuse orders with a lower fencing number than one they have seen. Expert maps
+        are switched only if they do.
     """
 
     drain_s: Seconds = 2.0
@@ -53,6 +56,7 @@
     retry_ratio: Annotated[float, Meta(ge=0)] = 0.2
     retry_slack: Annotated[float, Meta(ge=0)] = 90.0
     retry_window_s: Seconds = 10.0
+    ranks_check_fencing: bool = True
 
 
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/magnoliarouter/platform/configuration.py
+++ b/magnoliarouter/platform/configuration.py
@@ -8,6 +8,7 @@
 from msgspec import Meta
 
 from magnoliarouter.gateway.routes import (
+    DEFAULT_REPORT_LAG_S,
     ExpertProfile,
     GatewayConfig,
     ModelProfile,
@@ -32,6 +33,7 @@
 
 # A longer delay is a mistake in the unit. Also excludes nan and infinity.
 _Tokens = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=60_000)]
 MAX_LOGGED_CHARS = 80
 
 
@@ -81,6 +83,7 @@
     kv_tokens: Any = 0
     chunk: Any = 0
     delays: Any = None
+    report_lag_ms: Any = None
 
 
 class _Service(msgspec.Struct):
@@ -174,7 +177,7 @@
             engine.context_per_k / 1e6,
             engine.read_per_s,
             engine.stride,
-            _decode_experts(engine),
+            _decode_experts(service, engine),
             int(_read_optional(service, "kv_tokens", engine.kv_tokens, _Tokens, 0)),
             int(_read_optional(service, "chunk", engine.chunk, _Tokens, 0)),
             _decode_delays(_read_optional(service, "delays", engine.delays, list[_Delay], [])),
@@ -188,12 +191,22 @@
     )
 
 
-def _decode_experts(engine: _Engine) -> ExpertProfile | None:
+def _decode_experts(service: _Service, engine: _Engine) -> ExpertProfile | None:
     if not engine.sets or not engine.link_mbps:
         return None
     # Megabytes divided by megabits per second.
     copy_s = engine.expert_mb * 8 / engine.link_mbps
-    return ExpertProfile(engine.sets, engine.experts, engine.places, engine.spare, copy_s)
+    lag_ms = _read_optional(
+        service, "report_lag_ms", engine.report_lag_ms, _Milliseconds, DEFAULT_REPORT_LAG_S * 1000
+    )
+    return ExpertProfile(
+        engine.sets,
+        engine.experts,
+        engine.places,
+        engine.spare,
+        copy_s,
+        report_lag_s=lag_ms / 1000,
+    )
 
 
 def _read_optional(service: _Service, name: str, value: Any, model: Any, default: Any) -> Any:
--- a/magnoliarouter/platform/ranks.py
+++ b/magnoliarouter/platform/ranks.py
@@ -8,6 +8,8 @@
 
 from magnoliarouter.gateway.ranks import (
     Arm,
+    Disarm,
+    Fence,
     Go,
     Hold,
     Order,
@@ -35,6 +37,8 @@
 # Short, because a held group waits for the next attempt of an order that got no response.
 ORDER_TIMEOUT_S = 0.05
 MAX_RESPONSE_BYTES = 262_144
+# Steps count from 1. To let a step go that is not held changes nothing at a rank.
+NEVER_HELD_STEP = 0
 RESULT_BY_STATUS = {
     200: OrderResult.TAKEN,
     202: OrderResult.TAKEN,
@@ -125,6 +129,7 @@
             _extract_number(report.armed),
             _extract_number(report.held),
             report.pace,
+            _extract_number(report.armed, "step"),
         )
 
     async def read_counts(self, address: str) -> RankCounts | None:
@@ -227,6 +232,10 @@
             return {"operation": "hold", "step": step}
         case Go(step):
             return {"operation": "go", "step": step}
+        case Disarm(version):
+            return {"operation": "disarm", "version": version}
+        case Fence():
+            return {"operation": "go", "step": NEVER_HELD_STEP}
 
 
 def _list_experts_by_rank(rows: Any, size: int) -> list[list[list[int]]]:
@@ -241,8 +250,10 @@
     return sets
 
 
-def _extract_number(value: Any) -> int | None:
+def _extract_number(value: Any, field: str = "version") -> int | None:
     """Return a version or step, given as a number or as the field of an object."""
     if isinstance(value, dict):
-        value = value.get("version", value.get("step"))
+        value = value.get(field, value.get("step"))
+    elif field != "version":
+        return None
     return value if isinstance(value, int) else None
--- a/magnoliarouter/platform/settings.py
+++ b/magnoliarouter/platform/settings.py
@@ -43,6 +43,7 @@
     retry_budget_ratio: float = 0.2
     budget_slack: float = 0
     budget_window_s: float = 10
+    enforce_fencing: bool = True
 
 
 class _Limits(msgspec.Struct):
@@ -121,6 +122,7 @@
             retry_ratio=bounds.retry_budget_ratio,
             retry_slack=bounds.budget_slack,
             retry_window_s=bounds.budget_window_s,
+            ranks_check_fencing=bounds.enforce_fencing,
         ),
         link_mbps=file.limits.link_mbps,
     )
--- a/magnoliarouter/store/leases.py
+++ b/magnoliarouter/store/leases.py
@@ -123,9 +123,13 @@
         self._releasing = False
         self.lease.mark_unverified()
 
+    def stop_acting(self) -> None:
+        """Return no epoch from now on, until `resume`; the lease is not released yet."""
+        self._releasing = True
+
     async def release(self) -> None:
         """Release the lease; call it after `run` is cancelled and all actions under the lease ended."""
-        self._releasing = True
+        self.stop_acting()
         step = self.lease.release(self._clock())
         self._report_epoch()
         if step is None:
--- a/magnoliarouter/tests/rank_model.py
+++ b/magnoliarouter/tests/rank_model.py
@@ -10,6 +10,8 @@
 from magnoliarouter.gateway.mapplan import STRICT_BALANCE, iterate_plan
 from magnoliarouter.gateway.ranks import (
     Arm,
+    Disarm,
+    Fence,
     Go,
     Hold,
     OrderResult,
@@ -68,6 +70,13 @@
             case Go(step):
                 if self.held == step:
                     self.held = None
+            case Disarm(version):
+                if self.version == version:
+                    return OrderResult.REFUSED
+                if self.armed is not None and self.armed[0] == version:
+                    self.armed = None
+            case Fence():
+                pass
         return OrderResult.TAKEN
 
     def start_step(self, step):
@@ -86,9 +95,12 @@
 
     With probability `loss_rate` the response to an order is lost; the order then takes effect at
     once or seconds later. `mixed_steps` has the steps in which ranks used different map versions.
+    An idle group makes no steps. Reports show the state of `report_lag_s` ago.
     """
 
-    def __init__(self, size=4, sets=2, experts=8, step_s=0.05, loss_rate=0.0, seed=1):
+    def __init__(
+        self, size=4, sets=2, experts=8, step_s=0.05, loss_rate=0.0, seed=1, report_lag_s=0.0
+    ):
         self.size, self.sets, self.experts = size, sets, experts
         self.step_s, self.loss_rate = step_s, loss_rate
         self.random = random.Random(seed)
@@ -96,6 +108,9 @@
         self.mixed_steps = []
         self.response_timeout_s = 0.05
         self.held_time_s = 0.0
+        self.idle = False
+        self.report_lag_s = report_lag_s
+        self.past_reports = {}
         self.sent = []
         self.ranks = [RankModel(self, number) for number in range(size)]
         self.popularity = [
@@ -110,6 +125,9 @@
     async def run(self):
         while True:
             await asyncio.sleep(self.step_s)
+            self.remember_reports()
+            if self.idle:
+                continue
             if any(rank.held is not None and rank.held <= self.step + 1 for rank in self.ranks):
                 self.held_time_s += self.step_s
                 continue
@@ -130,15 +148,27 @@
     # --- RankClient ---
 
     async def read_report(self, address):
-        rank = self.ranks[int(address)]
         await asyncio.sleep(0.002)
-        armed = rank.armed[0] if rank.armed else None
+        if not self.report_lag_s:
+            return self.report(self.ranks[int(address)])
+        self.remember_reports()
+        until = asyncio.get_running_loop().time() - self.report_lag_s
+        past = self.past_reports[int(address)]
+        return next((report for at, report in reversed(past) if at <= until), past[0][1])
+
+    def report(self, rank):
+        armed, armed_step = rank.armed or (None, None)
         prepared = max(rank.prepared, default=None)
         return RankReport(
             "g", self.epoch, rank.number, self.size, True, self.step, rank.version, prepared,
-            armed, rank.held, rank.pace,
+            armed, rank.held, rank.pace, armed_step,
         )  # fmt: skip
 
+    def remember_reports(self):
+        now = asyncio.get_running_loop().time()
+        for rank in self.ranks if self.report_lag_s else ():
+            self.past_reports.setdefault(rank.number, []).append((now, self.report(rank)))
+
     async def read_counts(self, address):
         await asyncio.sleep(0.002)
         return RankCounts(self.step, self.epoch, tuple(self.counts))
--- a/magnoliarouter/tests/test_groups.py
+++ b/magnoliarouter/tests/test_groups.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 import unittest
 from dataclasses import replace
@@ -11,7 +12,7 @@
 from magnoliarouter.gateway.mapplan import RELAXED_BALANCE, NoChange, iterate_plan
 from magnoliarouter.gateway.ranks import Arm, Go, Hold, OrderResult, Prepare
 from magnoliarouter.gateway.routes import ExpertProfile
-from magnoliarouter.tests.clock import run_auto_advance
+from magnoliarouter.tests.clock import run_auto_advance, wait_until
 from magnoliarouter.tests.rank_model import (
     PROFILE,
     FakeMapLease,
@@ -345,6 +346,193 @@
         self.assertGreater(model.step, 250)
         self.assertTrue(any(rank.version // 10_000 == 3 for rank in model.ranks))
 
+    def test_late_orders_to_arm_of_a_former_leader_are_refused_at_an_idle_group(self):
+        """Guards against a leader that lets a step go while orders to arm may still be executed."""
+
+        async def main(executed_late):
+            model = GroupModel(report_lag_s=0.2)
+            loop = asyncio.get_running_loop()
+            step_task = loop.create_task(model.run())
+            lease = FakeMapLease()
+            duty, task = start_map_duty(model, lease)
+            send, late = model.send, []
+
+            async def lose_orders_to_arm(address, order, epoch, number, *rest):
+                if not isinstance(order, Arm) or number != 1:
+                    return await send(address, order, epoch, number, *rest)
+                model.idle = True
+                late.append((model.ranks[int(address)], order, epoch, number))
+                if len({rank.number for rank, *_ in late}) == model.size:
+                    lease.fencing_number = None
+                await asyncio.sleep(0.05)
+                return OrderResult.UNKNOWN
+
+            model.send = lose_orders_to_arm
+            await wait_until(lambda: lease.fencing_number is None)
+            successor, successor_task = start_map_duty(model, FakeMapLease(2))
+            await asyncio.sleep(3.0)
+            held = model.ranks[0].held
+            results = [
+                rank.apply_order(*rest) for rank, *rest in late if rank.number in executed_late
+            ]
+            model.idle = False
+            await asyncio.sleep(3.0)
+            await cancel_tasks(
+                task, successor_task, step_task, *duty.list_tasks(), *successor.list_tasks()
+            )
+            return model, held, results
+
+        for executed_late in ({1}, {0, 2}, {3}):
+            with self.subTest(executed_late=executed_late):
+                model, held, results = run_auto_advance(main(executed_late))
+                self.assertEqual(model.mixed_steps, [])
+                self.assertIsNone(held)
+                self.assertEqual(set(results), {OrderResult.FENCED})
+
+    def test_no_step_with_two_maps_when_leaders_change_while_orders_are_late(self):
+        """Leaders end at any moment, orders are executed seconds later, and the group idles at times."""
+
+        async def main(seed):
+            model = GroupModel(size=3, loss_rate=0.6, seed=seed, report_lag_s=0.2)
+            dice, loop = random.Random(seed), asyncio.get_running_loop()
+            step_task, duties, leases = loop.create_task(model.run()), [], []
+            send = model.send
+
+            async def send_and_end_leader(address, order, *rest):
+                if isinstance(order, Arm) and leases and dice.random() < 0.15:
+                    leases[-1].fencing_number = None
+                    model.idle = True
+                return await send(address, order, *rest)
+
+            model.send = send_and_end_leader
+            for number in range(1, 13):
+                leases.append(FakeMapLease(number))
+                duties.append(start_map_duty(model, leases[-1]))
+                hot = dice.randrange(8)
+                model.popularity = [
+                    [1000 if expert == hot else 10 for expert in range(8)] for _ in range(2)
+                ]
+                await asyncio.sleep(dice.uniform(0.3, 3.0))
+                leases[-1].fencing_number = None
+                await asyncio.sleep(dice.uniform(0.0, 1.0))
+                model.idle = False
+            leases.clear()
+            duties.append(start_map_duty(model, FakeMapLease(13)))
+            await asyncio.sleep(20.0)
+            before = model.step
+            await asyncio.sleep(4.0)
+            for duty, task in duties:
+                await cancel_tasks(task, *duty.list_tasks())
+            await cancel_tasks(step_task)
+            return model, model.step - before
+
+        switched = 0
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                model, steps = run_auto_advance(main(seed))
+                self.assertEqual(model.mixed_steps, [])
+                self.assertGreater(steps, 20)
+                switched += model.ranks[0].version > 0
+        self.assertGreater(switched, len(SEEDS) * 0.8)
+
+    def test_late_order_to_go_releases_no_later_switch(self):
+        """Guards against a step that is held twice: the go of the first hold may come late."""
+
+        async def main():
+            model = GroupModel(report_lag_s=0.2)
+            loop = asyncio.get_running_loop()
+            step_task = loop.create_task(model.run())
+            await asyncio.sleep(1.0)
+            model.idle = True
+            model.ranks[0].apply_order(Hold(model.step + 2), 1, 1)
+            released = model.step + 2
+            duty, task = start_map_duty(model, FakeMapLease(2))
+            await wait_until(lambda: "g" in duty.groups)
+            group = duty.groups["g"]
+            await cancel_tasks(task, *duty.list_tasks())
+            plan = plan_map(group.rows, ([100_000] + [1000] * 7) * 2, 4, PROFILE)
+            send, late = model.send, []
+
+            async def send_and_execute_late_go(address, order, *rest):
+                result = await send(address, order, *rest)
+                if isinstance(order, Arm) and not late:
+                    late.append(model.ranks[0].apply_order(Go(released), 1, 2))
+                    late.append(model.ranks[0].held)
+                return result
+
+            model.send = send_and_execute_late_go
+            await group.switch(plan, 29_999, PROFILE)
+            await cancel_tasks(step_task)
+            return late
+
+        late, held = run_auto_advance(main())
+        self.assertEqual(late, OrderResult.TAKEN)
+        self.assertIsNotNone(held)
+
+    def test_leader_that_a_rank_does_not_answer_resigns(self):
+        """Guards against a group that is held for as long as one rank is out of its leader's reach."""
+
+        async def main():
+            model = GroupModel(report_lag_s=0.2)
+            loop = asyncio.get_running_loop()
+            step_task = loop.create_task(model.run())
+            lease, reasons = FakeMapLease(), []
+            duty, task = start_map_duty(model, lease)
+
+            def resign(reason):
+                reasons.append((loop.time(), reason))
+                lease.fencing_number = None
+
+            duty.resign = resign
+            send, cut_at = model.send, []
+
+            async def send_to_reachable_ranks(address, order, epoch, number, *rest):
+                if number == 1 and address == "2" and isinstance(order, Arm):
+                    cut_at.append(loop.time())
+                    await asyncio.sleep(0.05)
+                    return OrderResult.UNKNOWN
+                return await send(address, order, epoch, number, *rest)
+
+            model.send = send_to_reachable_ranks
+            await wait_until(lambda: reasons)
+            resigned_at, reason = reasons[0]
+            successor, successor_task = start_map_duty(model, FakeMapLease(2))
+            await asyncio.sleep(2.0)
+            before = model.step
+            await asyncio.sleep(1.0)
+            await cancel_tasks(
+                task, successor_task, step_task, *duty.list_tasks(), *successor.list_tasks()
+            )
+            return model, resigned_at - cut_at[0], reason, model.step - before
+
+        model, seconds, reason, steps = run_auto_advance(main())
+        self.assertLess(seconds, 2.5)
+        self.assertIn("i2", reason)
+        self.assertGreater(steps, 10)
+        self.assertEqual(model.mixed_steps, [])
+
+    def test_ranks_armed_for_different_maps_are_disarmed_before_they_go_on(self):
+        """Guards against a hold that no map leader ends."""
+
+        async def main():
+            model = GroupModel(report_lag_s=0.2)
+            loop = asyncio.get_running_loop()
+            step_task = loop.create_task(model.run())
+            rows = tuple(tuple((expert % 4,) for expert in range(8)) for _ in range(2))
+            for rank, version in zip(model.ranks, (7, 7, 8, 7)):
+                rank.apply_order(Prepare(version, rows), 1, 1)
+            model.ranks[0].apply_order(Hold(20), 1, 1)
+            model.ranks[1].apply_order(Arm(7, 20), 1, 1)
+            model.ranks[2].apply_order(Arm(8, 20), 1, 1)
+            duty, task = start_map_duty(model, FakeMapLease(2))
+            await asyncio.sleep(4.0)
+            await cancel_tasks(task, step_task, *duty.list_tasks())
+            return model
+
+        model = run_auto_advance(main())
+        self.assertEqual(model.mixed_steps, [])
+        self.assertGreater(model.step, 40)
+
     def test_hold_found_beside_armed_ranks_is_completed_not_released(self):
         async def main():
             model = GroupModel()
--- a/magnoliarouter/tests/test_mapelection.py
+++ b/magnoliarouter/tests/test_mapelection.py
@@ -111,6 +111,38 @@
                 self.assertGreater(margin_s, 0.0)
                 self.assertGreater(without, with_reports + 0.4)
 
+    def test_leader_that_resigns_leaves_the_lease_to_another_daemon(self):
+        async def main():
+            store = FakePlatform()
+            first, first_task = start_election(store, "a:1")
+            await wait_for_lease(first)
+            second, second_task = start_election(store, "b:1", start=2)
+            first.resign()
+            at_once = first.fencing_number()
+            seconds = await wait_for_lease(second)
+            first_task.cancel()
+            second_task.cancel()
+            return at_once, seconds, first.fencing_number(), second.fencing_number()
+
+        at_once, seconds, former, number = run_auto_advance(main())
+        self.assertIsNone(former)
+        self.assertEqual((at_once, number), (None, 2))
+        self.assertLess(seconds, MAPS_LEASE_S)
+
+    def test_leader_that_resigns_competes_again_if_nobody_else_does(self):
+        async def main():
+            election, task = start_election(FakePlatform(), "a:1")
+            await wait_for_lease(election)
+            election.resign()
+            await asyncio.sleep(0.1)
+            seconds = await wait_for_lease(election)
+            task.cancel()
+            return seconds, election.fencing_number()
+
+        seconds, number = run_auto_advance(main())
+        self.assertGreater(seconds, 3.0)
+        self.assertEqual(number, 2)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/magnoliarouter/tests/test_platform.py
+++ b/magnoliarouter/tests/test_platform.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from magnoliarouter.daemon.settings import SettingsError
-from magnoliarouter.gateway.ranks import Arm, Hold, OrderResult, Prepare
+from magnoliarouter.gateway.ranks import Arm, Disarm, Fence, Hold, OrderResult, Prepare
 from magnoliarouter.gateway.routes import RouteKind, Tenant
 from magnoliarouter.platform.configuration import decode_configuration
 from magnoliarouter.platform.headers import PlatformHeaders
@@ -333,7 +333,7 @@
         self.assertEqual(
             (report.map_version, report.prepared_version, report.armed_version), (7, 9, 9)
         )
-        self.assertEqual((report.held_step, report.open), (50, True))
+        self.assertEqual((report.held_step, report.armed_step, report.open), (50, 50, True))
 
     async def test_engine_of_no_group(self):
         ranks, address = await self.start(body=b'{"stage":"both","busy":false}')
@@ -407,6 +407,17 @@
                 {"operation": "arm", "step": 90, **fields},
             ],
         )
+        await ranks.send(address, Disarm(4), 1, 3, 2)
+        await ranks.send(address, Fence(), 1, 3, 2)
+        bodies = [msgspec.json.decode(body) for _, body in self.requests[2:]]
+        del fields["version"]
+        self.assertEqual(
+            bodies,
+            [
+                {"operation": "disarm", "version": 4, **fields},
+                {"operation": "go", "step": 0, **fields},
+            ],
+        )
 
 
 if __name__ == "__main__":
