Order the registrations of an engine by its start and their number

Daemons now remember start and number of each engine's last registration, also of removed ones, in bounded memory, and ignore older ones: those of an earlier start, and those after a removal too. An entry whose order is missing or beyond what an engine of that age can have reached is another writer's and names no engine. Addresses are checked for IPv4 and a port, slots for a bound.

Ruled out: asking neighbours for what a starting daemon cannot know; it is not in contact before the next registration.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -38,6 +38,7 @@
 from magnoliarouter.gateway.pauses import EventGapMeter, limit_requests
 from magnoliarouter.gateway.peers import PeerLoads
 from magnoliarouter.gateway.quarantine import Quarantine
+from magnoliarouter.gateway.registrations import RegistrationOrder, RegistrationStatus
 from magnoliarouter.gateway.waiting import WaitQueue
 from magnoliarouter.gateway.zonewatch import ZoneWatch
 from magnoliarouter.store.backoff import Backoff, CallBudget
@@ -157,6 +158,7 @@
         self.leaving = False
         self._tasks: list[asyncio.Task[None]] = []
         self._pending_removals: dict[str, asyncio.TimerHandle] = {}
+        self._registrations = RegistrationOrder()
 
     async def start(self) -> None:
         """Start to read the configuration and the endpoints, and to serve callers."""
@@ -615,18 +617,30 @@
         log_event("configuration_applied", version=value.version)
 
     def _apply_endpoint(self, name: str, value: Any) -> None:
-        timer = self._pending_removals.pop(name, None)
-        if timer is not None:
-            timer.cancel()
         if value is None:
+            self._registrations.record_removal(name)
+            self._cancel_removal(name)
             self._remove_or_hold_endpoint(name)
             return
         try:
             endpoint = self.interface.decode_endpoint(name, value)
         except ValueError as error:
-            log_event("endpoint_malformed", endpoint=name, reason=str(error))
-            self._remove_endpoint(name)
+            self._remove_malformed(name, str(error))
             return
+        match self._registrations.record(endpoint):
+            case RegistrationStatus.UNORDERED:
+                self._remove_malformed(name, "the fields that order registrations are missing")
+                return
+            case RegistrationStatus.OUTDATED:
+                log_event(
+                    "endpoint_outdated",
+                    endpoint=name,
+                    started_ms=endpoint.started_ms,
+                    sequence=endpoint.sequence,
+                    draining=endpoint.draining,
+                )
+                return
+        self._cancel_removal(name)
         known, now = self.table.find(name), self._loop.time()
         self.table.put(endpoint)
         if self.table.rates.record_entry(endpoint, now, self.endpoint_feed.synchronized.is_set()):
@@ -634,8 +648,24 @@
         if endpoint.fault and self.table.notices.record_malformed(endpoint, "registry"):
             log_event("endpoint_field_malformed", endpoint=name, reason=endpoint.fault)
         if known is None or known.draining != endpoint.draining:
-            event = "endpoint_draining" if endpoint.draining else "endpoint_seen"
-            log_event(event, endpoint=name, service=endpoint.service, address=endpoint.address)
+            log_event(
+                "endpoint_draining" if endpoint.draining else "endpoint_seen",
+                endpoint=name,
+                service=endpoint.service,
+                address=endpoint.address,
+                started_ms=endpoint.started_ms,
+                sequence=endpoint.sequence,
+            )
+
+    def _cancel_removal(self, name: str) -> None:
+        timer = self._pending_removals.pop(name, None)
+        if timer is not None:
+            timer.cancel()
+
+    def _remove_malformed(self, name: str, reason: str) -> None:
+        log_event("endpoint_malformed", endpoint=name, reason=reason)
+        self._cancel_removal(name)
+        self._remove_endpoint(name)
 
     def _remove_or_hold_endpoint(self, name: str) -> None:
         """Remove an endpoint, with a delay if its entry may have expired during a store outage."""
--- a/magnoliarouter/gateway/endpoints.py
+++ b/magnoliarouter/gateway/endpoints.py
@@ -59,6 +59,8 @@
         Seconds for which it stays cold, as of its registration; None if that says nothing.
     fault : str
         What is malformed in its registration and not needed to use it; empty if nothing is.
+    sequence : int, optional
+        Number of this registration since the start of the endpoint; None if unknown.
     """
 
     identity: str
@@ -71,6 +73,7 @@
     software: str = ""
     cold_s: float | None = None
     fault: str = ""
+    sequence: int | None = None
 
 
 # An endpoint, its load, and the largest load with which it gets a request, plus one.
--- a/magnoliarouter/platform/registry.py
+++ b/magnoliarouter/platform/registry.py
@@ -2,43 +2,68 @@
 
 from __future__ import annotations
 
-from typing import Any, Literal
+import time
+from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import msgspec
+from msgspec import Meta
 
 from magnoliarouter.core.coldstart import check_cold_ms
 from magnoliarouter.gateway.endpoints import Endpoint
 from magnoliarouter.store.validation import ValidationFailure, check_value
+from magnoliarouter.web.addresses import parse_address
 
 __all__ = ["REGISTRY_KIND", "decode_entry"]
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 REGISTRY_KIND = "servers"
+MAX_SLOTS = 100_000
+# Clocks of different machines differ by seconds. An engine registers about once a second, and once
+# more for each change; an entry that claims far more is another writer's.
+MAX_CLOCK_SKEW_S = 60.0
+MAX_REGISTRATIONS_PER_S = 20.0
 
 
 class _Entry(msgspec.Struct):
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
-    born: int = 0
+    born: Annotated[int, Meta(ge=0)] = 0
     version: str = ""
+    sequence: Annotated[int, Meta(ge=0)] | None = None
     # A malformed value leaves the entry usable.
     cold_remaining_ms: Any = None
 
 
-def decode_entry(name: str, value: Any) -> Endpoint:
+def decode_entry(name: str, value: Any, time_of_day: Callable[[], float] = time.time) -> Endpoint:
     """Convert a registry entry into an endpoint.
 
+    Parameters
+    ----------
+    name : str
+        Name of the entry, which is the id of the engine.
+    value : object
+        Value of the entry.
+    time_of_day : callable
+        Unix time in seconds, to which the start of an engine is compared.
+
     Raises
     ------
     ValidationFailure
         A field is missing or invalid, so the entry names no usable endpoint.
     """
     entry = check_value(value, _Entry)
-    host, _, port = entry.address.rpartition(":")
-    if not host or not port.isdigit() or entry.slots < 1:
-        raise ValidationFailure(f"address is {entry.address!r}, slots is {entry.slots}")
+    if not name.isascii() or not name.isprintable():
+        raise ValidationFailure(f"name is {ascii(name)}; valid: printable ASCII")
+    try:
+        parse_address(entry.address)
+    except ValueError as error:
+        raise ValidationFailure(str(error)) from error
+    _check_order(entry, time_of_day())
     cold_s, fault = _read_cold(entry.cold_remaining_ms)
     return Endpoint(
         name,
@@ -51,9 +76,22 @@
         entry.version,
         cold_s,
         fault,
+        entry.sequence,
     )
 
 
+def _check_order(entry: _Entry, now_s: float) -> None:
+    """Refuse what would make all later entries of the engine seem older than this one."""
+    if not entry.born:
+        return
+    age_s = now_s - entry.born / 1000 + MAX_CLOCK_SKEW_S
+    if age_s < 0:
+        raise ValidationFailure(f"born is {entry.born}, {-age_s:.0f} s and more in the future")
+    limit = age_s * MAX_REGISTRATIONS_PER_S
+    if entry.sequence is not None and entry.sequence > limit:
+        raise ValidationFailure(f"sequence is {entry.sequence}; an engine that old: {limit:.0f}")
+
+
 def _read_cold(value: Any) -> tuple[float | None, str]:
     """Return the seconds for which an engine stays cold, and what is malformed in the field."""
     if value is None:
