Finish or refuse calls before the grace period of a stop ends

In a planned stop, calls that were admitted late were passed on and cut with a bare close when all connections were closed (LOST), also those that may not be repeated; calls that waited for a place went on being placed until then.

A stop now moves the deadline of every call to 0.2 s before that moment, so that an endpoint that is not done yields a 504. A call whose own deadline is later is sent only while 2 s are left, and refused as not run with a time to come back as soon as they are not. Short grace periods shorten the times for which connections and requests are accepted.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -90,7 +90,11 @@
 # Two failed readiness probes take at most this long. A request that arrives later could not be
 # finished within the grace period.
 ACCEPT_AFTER_TERM_S = 2.8
+# Both end earlier if the grace period is short.
+MAX_LISTEN_SHARE, MAX_ACCEPT_SHARE = 0.45, 0.35
 GRACE_MARGIN_S = 0.6
+# Time for the responses to calls that are not finished when connections are closed.
+LAST_RESPONSE_S = 0.2
 # Interval at which the retry budget is divided by the number of daemons, which can change within
 # seconds.
 BUDGET_SHARE_INTERVAL_S = 0.25
@@ -274,15 +278,16 @@
 
     async def stop(self) -> None:
         """Fail the readiness probe, finish requests in progress, then shut down."""
-        term_at = self._loop.time()
+        term_at, grace_s = self._loop.time(), self.settings.bounds.grace_s
+        idle_deadline = term_at + grace_s - GRACE_MARGIN_S
         self.leaving = True
         self._server.start_draining()
-        self._handler.refuse_from = term_at + ACCEPT_AFTER_TERM_S
+        self._handler.refuse_from = term_at + min(ACCEPT_AFTER_TERM_S, MAX_ACCEPT_SHARE * grace_s)
+        self._forwarder.finish_by(idle_deadline - LAST_RESPONSE_S)
         self._tasks.append(self._loop.create_task(self._registration.withdraw()))
         map_release = self._loop.create_task(self._release_map_lease())
-        await asyncio.sleep(LISTEN_AFTER_TERM_S)
+        await asyncio.sleep(min(LISTEN_AFTER_TERM_S, MAX_LISTEN_SHARE * grace_s))
         self._server.stop_listening()
-        idle_deadline = term_at + self.settings.bounds.grace_s - GRACE_MARGIN_S
         await self._server.wait_until_idle(idle_deadline - self._loop.time())
         if self._server.active_requests:
             log_event("broken_off_at_stop", requests=self._server.active_requests)
--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -228,6 +228,7 @@
         self._on_answer = on_answer
         self._memory = memory or ByteBudget(DEFAULT_RESPONSE_MEMORY_BYTES)
         self._streams: set[_RunningStream] = set()
+        self._timeouts: set[asyncio.Timeout] = set()
 
     def move_streams(self, identity: str) -> int:
         """End the streams at an endpoint that may resume elsewhere, and return their number.
@@ -246,6 +247,13 @@
                 stream.connection.close()
         return moved
 
+    def finish_by(self, at: float) -> None:
+        """End the current wait for data of each attempt at a loop time at the latest."""
+        for timeout in self._timeouts:
+            when = timeout.when()
+            if when is not None and when > at:
+                timeout.reschedule(at)
+
     async def run(
         self,
         call: GatewayCall,
@@ -366,8 +374,12 @@
             # After a stall of this process, what came meanwhile may still have to be read.
             for seconds in (limit, 0.0):
                 with suppress(TimeoutError):
-                    async with asyncio.timeout(seconds):
-                        return await read()
+                    async with asyncio.timeout(seconds) as timeout:
+                        self._timeouts.add(timeout)
+                        try:
+                            return await read()
+                        finally:
+                            self._timeouts.discard(timeout)
             now = self._clock()
             if now < call.deadline:
                 self._on_silence(endpoint)
--- a/magnoliarouter/gateway/call.py
+++ b/magnoliarouter/gateway/call.py
@@ -134,7 +134,7 @@
         """Parse the header fields of an endpoint's response."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class GatewayCall:
     """Admitted request.
 
@@ -158,6 +158,8 @@
         Loop time of admission.
     deadline : float
         Loop time by which the response must be complete.
+    cut_short : bool
+        Whether the deadline is earlier than the caller's and the route's, because this daemon stops.
     version : int
         Version of the configuration at the time of admission.
     first_event_s : float, optional
@@ -190,6 +192,12 @@
     framing: Framing | None = None
     events: int = 0
     unfinished_bytes: int = 0
+    cut_short: bool = False
+
+    def finish_by(self, at: float) -> None:
+        """Move the deadline to a loop time, if that is earlier."""
+        if at < self.deadline:
+            self.deadline, self.cut_short = at, True
 
     @property
     def send_until(self) -> float:
--- a/magnoliarouter/gateway/forward.py
+++ b/magnoliarouter/gateway/forward.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from magnoliarouter.core.coldstart import parse_cold
@@ -64,6 +65,10 @@
 # Share of the target latency within which a call must get its slot to meet the target: the first
 # event of a stream takes about 0.2 s of a target of 0.4 s.
 ON_TIME_START_SHARE = 0.5
+# Time that an endpoint needs for a call whose own deadline is later than the end of this daemon.
+MIN_CALL_S = 2.0
+# Time in which a caller that connects again reaches another daemon.
+STOP_RETRY_AFTER_S = 0.3
 
 
 class GatewayForwarder:
@@ -124,6 +129,8 @@
         self._zones = zones
         self._crashes = crashes
         self._on_load_change = on_load_change
+        self._finish_by = float("inf")
+        self._calls: set[GatewayCall] = set()
         self._attempts = AttemptRunner(
             table,
             pool,
@@ -159,6 +166,37 @@
             For `Completed`, the caller already has its response. Otherwise it has none, except for
             the events of a stream that was cut off.
         """
+        call.finish_by(self._finish_by)
+        self._calls.add(call)
+        try:
+            return await self._forward(call, exchange, recheck)
+        finally:
+            self._calls.discard(call)
+
+    def finish_by(self, at: float) -> None:
+        """Finish all calls by a loop time, because this daemon stops.
+
+        Calls that are not sent by then are refused as soon as too little time is left for them.
+        """
+        self._finish_by = at
+        for call in self._calls:
+            call.finish_by(at)
+        self._attempts.finish_by(at)
+        loop = asyncio.get_running_loop()
+        loop.call_later(max(0.0, at - MIN_CALL_S - self._clock()), self._waiting.wake)
+
+    def _find_stop_refusal(self, call: GatewayCall, exchange: IngressExchange) -> NotRun | None:
+        """Return the refusal of a call for which too little time is left before this daemon stops.
+
+        The next events of a stream whose caller is reading are of use also if its end is not reached.
+        """
+        if not call.cut_short or exchange.started or call.deadline - self._clock() >= MIN_CALL_S:
+            return None
+        return NotRun(ResultCode.DRAINING, "this daemon is stopping", STOP_RETRY_AFTER_S)
+
+    async def _forward(
+        self, call: GatewayCall, exchange: IngressExchange, recheck: Callable[[], NotRun | None]
+    ) -> Outcome:
         self._budget.record_request(call.service, self._clock())
         self._crashes.record_prompt(call)
         progress = CallProgress(splitter=FrameSplitter(call.headers.resume_after))
@@ -175,13 +213,18 @@
                 self._queue_timeout_s(call, exchange, progress),
                 call.admitted_at + ON_TIME_START_SHARE * call.route.target_latency_s,
                 waits_for_pauses=exchange.started,
-                may_wait=lambda: self._crashes.find_refusal(call) is None,
+                may_wait=lambda: (
+                    self._crashes.find_refusal(call) is None
+                    and self._find_stop_refusal(call, exchange) is None
+                ),
                 work=work,
                 customer=call.tenant or "",
             )
             if endpoint is None or isinstance(endpoint, NotRun):
-                refusal = self._crashes.find_refusal(call) or self._refuse_unplaced(
-                    call.service, progress.tried, endpoint
+                refusal = (
+                    self._crashes.find_refusal(call)
+                    or self._find_stop_refusal(call, exchange)
+                    or self._refuse_unplaced(call.service, progress.tried, endpoint)
                 )
                 return await self._finish(call, exchange, progress, refusal)
             sends, placed_at = progress.sends, self._clock()
@@ -225,6 +268,9 @@
         quarantined = self._crashes.find_refusal(call)
         if quarantined is not None:
             return quarantined
+        stopping = self._find_stop_refusal(call, exchange)
+        if stopping is not None:
+            return stopping
         if self._clock() >= call.send_until:
             return NotRun(ResultCode.DEADLINE_EXCEEDED, "no endpoint took it in time")
         if progress.unreachable >= MAX_UNREACHABLE_ENDPOINTS:
