Take an entry that cannot be read out of a list by itself

One entry of another writer, with half a surrogate pair, a byte that is no text, a number out of range or deep nesting, failed each list and watch of its kind as a whole. Daemons took that for an outage of the store: engines that leave went on getting requests (DRAIN), new ones got none, and a daemon that started was never ready. An engine with a port out of range got most calls, all answered 500, and ended the tasks that read reports (LOST).

An answer that cannot be decoded is now split into its entries, each decoded by itself; a value that is no JSON is an invalid object. An object whose application fails is logged and leaves the others, and a background task that an exception ends is logged, counted and started again.

--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -20,6 +20,7 @@
     decode_record,
     name_record,
 )
+from magnoliarouter.daemon.supervision import keep_running
 from magnoliarouter.gateway.confirmations import (
     CONFIGURATION_WAIT_S,
     CONFIRMING_WAIT_S,
@@ -54,7 +55,7 @@
 from magnoliarouter.web.upstream import UpstreamPool, split_address
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from magnoliarouter.gateway.call import HeaderCodec
     from magnoliarouter.gateway.ranks import RankClient
@@ -165,6 +166,9 @@
         self._mixed_services: frozenset[str] = frozenset()
         self.leaving = False
         self._tasks: list[asyncio.Task[None]] = []
+        self._task_failures = self.metrics.add_counter(
+            "task_failures", "Background tasks that ended by an exception", "task"
+        )
         self._pending_removals: dict[str, asyncio.TimerHandle] = {}
         self._registrations = RegistrationOrder()
 
@@ -397,14 +401,12 @@
             self.peers,
             _create_backoff(),
         )
-        for run in (
-            *(feed.run for feed in confirming_waits),
-            records.run,
-            self._confirmations.run,
-            self._registration.run,
-            self._share_budget,
-        ):
-            self._tasks.append(self._loop.create_task(run()))
+        for feed in confirming_waits:
+            self._start_task(f"feed of {feed.kind}", feed.run)
+        self._start_task("quarantine", records.run)
+        self._start_task("confirmations", self._confirmations.run)
+        self._start_task("registration", self._registration.run)
+        self._start_task("retry budget", self._share_budget)
         self._follow_evacuations(at_start=True)
 
     def _plan_batch_s(self) -> float:
@@ -440,8 +442,7 @@
                 on_item=watch.record_item,
             )
             self._confirmations.add(watch.feed, ENDPOINTS_WAIT_S)
-            self._evacuation_task = self._loop.create_task(watch.feed.run())
-            self._tasks.append(self._evacuation_task)
+            self._evacuation_task = self._start_task(f"feed of {kind}", watch.feed.run)
 
     async def _share_budget(self) -> None:
         """Divide the retry budget by the number of running daemons, until cancelled."""
@@ -498,13 +499,19 @@
         )
         self.peers.read_slow_ranks = self.maps.list_slow_ranks
         self.peers.apply_slow_ranks = self._paces.apply_report
-        for run in (
-            self.maps.run,
-            self._group_watch.run,
-            self._zone_watch.run,
-            self.map_election.run,
-        ):
-            self._tasks.append(self._loop.create_task(run()))
+        self._start_task("maps", self.maps.run)
+        self._start_task("groups", self._group_watch.run)
+        self._start_task("zones", self._zone_watch.run)
+        self._start_task("map election", self.map_election.run)
+
+    def _start_task(self, name: str, run: Callable[[], Awaitable[None]]) -> asyncio.Task[None]:
+        """Run a background task until the daemon stops."""
+        task = self._loop.create_task(keep_running(name, run, self._count_failure))
+        self._tasks.append(task)
+        return task
+
+    def _count_failure(self, task: str) -> None:
+        self._task_failures.labels(task).inc()
 
     def _list_ranks(self) -> list[tuple[Endpoint, ExpertProfile]]:
         ranks = []
--- a/magnoliarouter/gateway/mapduty.py
+++ b/magnoliarouter/gateway/mapduty.py
@@ -167,6 +167,19 @@
         known = [group for group in self.groups.values() if group.rows is not None]
         return sum(len(group.ranks) for group in known) >= len(self._known_ranks)
 
+    async def _run_balance(self, group: GroupMapSwitcher) -> None:
+        try:
+            await self._balance_group(group)
+        except Exception as error:
+            log_event(
+                "map_task_failed",
+                group=group.name,
+                reason=f"{type(error).__name__}: {error}",
+                important=True,
+            )
+            # The group is discovered anew.
+            group.rows = None
+
     async def _balance_group(self, group: GroupMapSwitcher) -> None:
         """Balance one group until it forms again or the lease is lost.
 
@@ -399,7 +412,7 @@
             await group.read_recent_counts()
             self.groups[name] = group
             log_event("group_found", group=name, ranks=len(endpoints), epoch=group.epoch)
-            self._tasks[name] = asyncio.get_running_loop().create_task(self._balance_group(group))
+            self._tasks[name] = asyncio.get_running_loop().create_task(self._run_balance(group))
 
     def _forget_group(self, name: str) -> None:
         group = self.groups.pop(name, None)
--- a/magnoliarouter/manual.py
+++ b/magnoliarouter/manual.py
@@ -47,6 +47,7 @@
 }
 # Units of numeric fields whose names end with the unit.
 UNIT_SUFFIXES = {
+    "_mb": "MB",
     "_bytes": "bytes",
     "_mbps": "Mbit/s",
     "_ms": "ms",
--- a/magnoliarouter/platform/objects.py
+++ b/magnoliarouter/platform/objects.py
@@ -20,13 +20,21 @@
     WatchOutcome,
     WriteOutcome,
 )
+from magnoliarouter.store.salvage import (
+    DECODE_ERRORS,
+    decode_members,
+    decode_object,
+    split_members,
+)
 from magnoliarouter.store.wire import (
+    MAX_VERSION,
     Page,
     StoreCall,
     decode_json,
     decode_write_response,
     unexpected_status,
 )
+from magnoliarouter.telemetry.logs import log_event
 
 __all__ = ["RevisionCodec"]
 
@@ -108,10 +116,15 @@
         if status != 200:
             return unexpected_status(status)
         page = decode_json(body, _List)
+        if isinstance(page, Unavailable):
+            page = _salvage_list(body) or page
         if isinstance(page, Unavailable):
             return page
-        items = tuple(_convert(kind, item) for item in page.items)
+        items = tuple(_convert(kind, item) for item in page.items if _has_revision(item))
+        # The names follow one another, so that an entry without one is listed again and left out.
         after = items[-1].name if page.has_more and items else None
+        if page.has_more and after is None:
+            return Unavailable("no entry of a part of the list has a name", Failure.MALFORMED)
         return Page(page.at, items, after)
 
     def decode_write(self, status: int, body: bytes, kind: str, name: str) -> WriteOutcome:
@@ -127,6 +140,8 @@
         if status != 200:
             return unexpected_status(status)
         batch = decode_json(body, _Events)
+        if isinstance(batch, Unavailable):
+            batch = _salvage_events(body) or batch
         if isinstance(batch, Unavailable):
             return batch
         return Changes(WatchBatch(batch.at, _convert_events(kind, batch)))
@@ -140,13 +155,64 @@
     return StoredObject(kind, item.metadata.name, item.metadata.revision, item.spec)
 
 
+def _has_revision(item: _Object) -> bool:
+    valid = 0 < item.metadata.revision <= MAX_VERSION
+    if not valid:
+        log_event(
+            "store_entry_unreadable",
+            entry=item.metadata.name,
+            reason=f"revision is {item.metadata.revision}",
+            important=True,
+        )
+    return valid
+
+
+def _read_object(text: bytes) -> _Object:
+    return decode_object(text, _Object, "spec")
+
+
+def _read_event(text: bytes) -> _Event:
+    members = dict(split_members(text))
+    deleted = msgspec.json.decode(members.get(b'"deleted"', b"false"), type=bool)
+    return _Event(_read_object(members.get(b'"object"', b"")), deleted)
+
+
+def _salvage_list(body: bytes) -> _List | None:
+    """Return a list without the entries that cannot be decoded, or None if it is no list."""
+    try:
+        members = dict(split_members(body))
+        return _List(
+            decode_members(members[b'"items"'], _read_object),
+            msgspec.json.decode(members[b'"at"'], type=int),
+            msgspec.json.decode(members.get(b'"has_more"', b"false"), type=bool),
+        )
+    except (*DECODE_ERRORS, KeyError):
+        return None
+
+
+def _salvage_events(body: bytes) -> _Events | None:
+    """Return a batch of events without those that cannot be decoded, or None if it is no batch."""
+    try:
+        members = dict(split_members(body))
+        return _Events(
+            decode_members(members[b'"events"'], _read_event),
+            msgspec.json.decode(members[b'"at"'], type=int),
+        )
+    except (*DECODE_ERRORS, KeyError):
+        return None
+
+
 def _convert_events(kind: str, batch: _Events) -> list[StoredObject]:
     """Return the last change of each object.
 
     The event of a deletion holds the revision of the object's last write, so a deletion gets the
     revision of the batch instead.
     """
-    last = {event.object.metadata.name: event for event in batch.events}
+    last = {
+        event.object.metadata.name: event
+        for event in batch.events
+        if event.deleted or _has_revision(event.object)
+    }
     items = []
     for name, event in last.items():
         revision = batch.at if event.deleted else event.object.metadata.revision
@@ -157,9 +223,10 @@
 
 
 def _decode_object(body: bytes, kind: str) -> StoredObject | Unavailable:
-    item = decode_json(body, _Object)
-    if isinstance(item, Unavailable):
-        return item
+    try:
+        item = _read_object(body)
+    except DECODE_ERRORS as error:
+        return Unavailable(f"malformed answer: {error}", Failure.MALFORMED)
     if item.metadata.revision <= 0:
         return Unavailable(f"revision is {item.metadata.revision}", Failure.MALFORMED)
     return _convert(kind, item)
--- a/magnoliarouter/store/objects.py
+++ b/magnoliarouter/store/objects.py
@@ -29,6 +29,7 @@
     "RevisionSpec",
     "ServiceSpec",
     "StoredObject",
+    "UnreadableValue",
     "VmSpec",
     "WatchBatch",
     "build_contract",
@@ -47,6 +48,18 @@
     """An object from the platform or an operator is not valid."""
 
 
+class UnreadableValue(msgspec.Struct, frozen=True):
+    """Stands for a value that is no JSON; no model accepts it.
+
+    Parameters
+    ----------
+    unreadable : str
+        Why it cannot be decoded.
+    """
+
+    unreadable: str
+
+
 class StoredObject(msgspec.Struct, frozen=True):
     """Object as the platform stores it.
 
--- a/magnoliarouter/store/replica.py
+++ b/magnoliarouter/store/replica.py
@@ -15,6 +15,7 @@
 
 from magnoliarouter.core.cache import VersionedCache
 from magnoliarouter.store.objects import StoredObject
+from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
@@ -229,7 +230,18 @@
         if known is not None and known.item.version <= item.version:
             del self.refused[item.name]
         self.cache.apply(item.name, item.version, value)
-        self._on_change(item.name, value)
+        try:
+            self._on_change(item.name, value)
+        except Exception as error:
+            # One object must not keep the others from being applied.
+            log_event(
+                "object_not_applied",
+                kind=self.kind,
+                name=ascii(item.name),
+                version=item.version,
+                reason=f"{type(error).__name__}: {error}",
+                important=True,
+            )
         self.on_item(item, False)
 
     def _check(self, item: StoredObject) -> Any:
--- a/magnoliarouter/store/wire.py
+++ b/magnoliarouter/store/wire.py
@@ -27,6 +27,12 @@
     WriteOutcome,
     Written,
 )
+from magnoliarouter.store.salvage import (
+    DECODE_ERRORS,
+    decode_members,
+    decode_object,
+    split_members,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,12 +42,12 @@
     "Page",
     "StoreCall",
     "EntityTagCodec",
+    "MAX_VERSION",
     "decode_json",
     "decode_write_response",
 ]
 
 MAX_VERSION = 2**63 - 1
-DECODE_ERRORS = (msgspec.MsgspecError, RecursionError, ValueError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,7 +203,7 @@
     try:
         return msgspec.json.decode(body, type=model)
     except DECODE_ERRORS as error:
-        return Unavailable(f"malformed answer: {error}", Failure.MALFORMED)
+        return _refuse_malformed(error)
 
 
 def _object_path(kind: str, name: str) -> str:
@@ -205,9 +211,10 @@
 
 
 def _decode_item(body: bytes, kind: str, name: str) -> StoredObject | Unavailable:
-    item = decode_json(body, StoredObject)
-    if isinstance(item, Unavailable):
-        return item
+    try:
+        item = decode_object(body, StoredObject, "value")
+    except DECODE_ERRORS as error:
+        return _refuse_malformed(error)
     if (item.kind, item.name) != (kind, name) or not 0 < item.version <= MAX_VERSION:
         return Unavailable(
             f"answer is about {item.kind}/{item.name} version {item.version}", Failure.MALFORMED
@@ -216,7 +223,10 @@
 
 
 def _decode_batch(body: bytes, kind: str) -> WatchBatch | Unavailable:
-    batch = decode_json(body, WatchBatch)
+    try:
+        batch = msgspec.json.decode(body, type=WatchBatch)
+    except DECODE_ERRORS:
+        batch = _salvage_batch(body)
     if isinstance(batch, Unavailable):
         return batch
     if not 0 <= batch.version <= MAX_VERSION:
@@ -228,6 +238,21 @@
     return batch
 
 
+def _salvage_batch(body: bytes) -> WatchBatch | Unavailable:
+    try:
+        members = dict(split_members(body))
+        items = decode_members(
+            members[b'"items"'], lambda text: decode_object(text, StoredObject, "value")
+        )
+        return WatchBatch(msgspec.json.decode(members[b'"version"'], type=int), items)
+    except (*DECODE_ERRORS, KeyError) as error:
+        return _refuse_malformed(error)
+
+
+def _refuse_malformed(error: Exception) -> Unavailable:
+    return Unavailable(f"malformed answer: {error}", Failure.MALFORMED)
+
+
 def _condition_headers(expect: int | None) -> dict[str, str]:
     if expect is None:
         return {}
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -490,7 +490,7 @@
                     raise
                 # This process stalled, so that the timeout says nothing of the network.
                 connection = await self._open(address)
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             raise UpstreamError(
                 UpstreamErrorKind.UNREACHABLE, f"{address}: {type(error).__name__}"
             ) from error
