--- a/magnoliarouter/gateway/handler.py
+++ b/magnoliarouter/gateway/handler.py
@@ -167,12 +167,30 @@
         return NotRun(ResultCode.CONFIGURATION_STALE, reason, DEFAULT_RETRY_AFTER_S)
 
     def _recheck(self, call: GatewayCall) -> NotRun | None:
-        """Return why an admitted call may no longer be sent, or None."""
+        """Return why an admitted call may no longer be sent, or None.
+
+        A call whose key went to another customer is sent as that customer's.
+        """
         now, config = self._clock(), self._config()
         assert config is not None
-        if config.tenants is None or call.route.public:
-            return None
-        return self._check_key(call.headers, call.headers.key in config.tenants, now)
+        key, tenant = call.headers.key, None
+        if config.tenants is not None:
+            tenant = config.tenants.get(key) if key else None
+            if not call.route.public:
+                refusal = self._check_key(call.headers, tenant is not None, now)
+                if refusal is not None:
+                    return refusal
+        name = tenant.name if tenant is not None else None
+        if name != call.tenant:
+            log_event(
+                "customer_changed",
+                request_id=call.headers.request_id.decode("latin-1"),
+                customer=name or "",
+                before=call.tenant or "",
+                version=config.version,
+            )
+            call.tenant, call.urgency = name, config.urgency_of(call.route, tenant)
+        return None
 
     async def _respond(
         self,
--- a/magnoliarouter/tests/test_gateway.py
+++ b/magnoliarouter/tests/test_gateway.py
@@ -95,6 +95,23 @@
         statuses = [(await self.send_request(daemon, path, key))[0] for path, key in cases]
         self.assertEqual(statuses, [200, 401, 404])
 
+    async def test_call_whose_key_went_to_another_tenant_is_sent_as_that_tenants(self):
+        """Guards against work that runs, or goes on elsewhere, as the key's former tenant."""
+        await self.store.put("servers", "e1", self.engine.build_entry(slots=1))
+        daemon = await self.start()
+        await self.wait_ready(daemon)
+        self.engine.delay = 0.4
+        calls = [asyncio.create_task(self.send_request(daemon, request_id="r1"))]
+        await wait_until(lambda: self.engine.heads)
+        calls.append(asyncio.create_task(self.send_request(daemon, request_id="r2")))
+        await wait_until(lambda: daemon._queue.list_lengths())
+        configuration = build_configuration(2)
+        configuration["tenants"] = [{"name": "tenant-2", "api_keys": ["key-1"], "priority": 1}]
+        await self.store.put("config", "main", configuration)
+        self.assertEqual([(await call)[0] for call in calls], [200, 200])
+        self.assertIn("X-Tenant: tenant-1", self.engine.heads[0])
+        self.assertIn("X-Tenant: tenant-2", self.engine.heads[1])
+
     async def test_older_or_malformed_configuration_changes_nothing(self):
         daemon = await self.start()
         await self.store.put("config", "main", build_configuration(7))
