Take no refusal without an id where an endpoint named its responses

Orders ran twice (TWICE): additional bytes of a faulty engine, in the form of a refusal without an id, passed for the response to the order in progress, which was sent to a second engine.

Once a response on a connection named its request, one that names none ends the attempt with an unknown outcome. As the first response on a connection it still counts.

--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -409,10 +409,18 @@
             head = await connection.read_head()
             headers = self._codec.parse_response(head.status, head.fields)
             connection.record_keep_alive(headers.keep_alive_s)
-            unnamed = headers.request_id is None and not connection.carried_unnamed_request
-            if unnamed or headers.request_id == call.headers.request_id:
+            if headers.request_id == call.headers.request_id:
+                connection.names_responses = True
                 self._on_head(endpoint, headers, sent_at)
                 return head, headers
+            if headers.request_id is None and not connection.carried_unnamed_request:
+                if not connection.names_responses:
+                    self._on_head(endpoint, headers, sent_at)
+                    return head, headers
+                # The endpoint named all responses here so far, so these may be additional bytes
+                # after the last one. The response that is due may also be such a refusal.
+                reason = f"response with status {head.status} names no request"
+                raise UpstreamError(UpstreamErrorKind.MALFORMED, reason)
             self._on_head(endpoint, headers, float("-inf"))
             self._metrics.dropped_responses.labels("other_request").inc()
             log_event(
--- a/magnoliarouter/tests/test_forward.py
+++ b/magnoliarouter/tests/test_forward.py
@@ -161,6 +161,50 @@
     await peer.send(build_response())
 
 
+class UnnamedResponseTest(ForwardCase):
+    """Guards against an order that runs twice since additional bytes passed for its refusal."""
+
+    async def add_with_additional_bytes(self, additional):
+        served = []
+
+        async def handle(peer):
+            if served:
+                await peer.send(additional)
+            served.append(1)
+            await peer.send(build_response(b"done"))
+
+        await self.add_two(handle, respond_ok)
+
+    async def test_refusal_without_an_id_proves_nothing_where_responses_have_one(self):
+        refusal = build_response(b"", 503, request_id=None, stamp=None, X_Not_Executed="1")
+        await self.add_with_additional_bytes(refusal)
+        route = build_route(RouteKind.ONCE, 2)
+        self.assertIsInstance(await self.forward(route), Completed)
+        self.exchange = FakeExchange()
+        self.assertIsInstance(await self.forward(route), Unknown)
+        self.assertEqual(self.tried(), ["e1", "e1"])
+        self.assertEqual(self.pool.opened_connections, 1)
+
+    async def test_response_without_an_id_is_no_response_where_others_have_one(self):
+        await self.add_with_additional_bytes(build_response(b"other", request_id=None))
+        route = build_route(RouteKind.SAFE, 2)
+        self.assertIsInstance(await self.forward(route), Completed)
+        self.exchange = FakeExchange()
+        self.assertIsInstance(await self.forward(route), Completed)
+        self.assertNotEqual(self.exchange.body, b"other")
+
+    async def test_refusal_without_an_id_on_a_new_connection_is_one(self):
+        async def refuse(peer):
+            await peer.send(
+                build_response(b"", 503, request_id=None, stamp=None, X_Not_Executed="1")
+            )
+
+        await self.add_two(refuse, respond_ok)
+        outcome = await self.forward(build_route(RouteKind.ONCE, 2))
+        self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+        self.assertEqual(self.tried(), ["e1", "e2"])
+
+
 class ForwardTest(ForwardCase):
     async def test_request_and_response_pass_unchanged(self):
         async def handle(peer):
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -160,6 +160,8 @@
         self.lost = False
         # Whether a request without an id was sent here: a response without one may be its copy.
         self.carried_unnamed_request = False
+        # Whether a response here named its request, as the endpoint's other responses then do.
+        self.names_responses = False
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self.idle_since = 0.0
 
