Count requests at crashes when estimating how often a request comes

A poll that was at the first two crashes of a service before any answer on it was known was taken for their cause and refused for good: the estimate of its share came from answers to others alone. What endpoints had when they crashed now counts in the sample.

--- a/magnoliarouter/core/crashes.py
+++ b/magnoliarouter/core/crashes.py
@@ -323,23 +323,35 @@
         moments = {self._crashes[start].moment for start in starts}
         if len(starts) < (MIN_CRASHES if len(moments) > 1 else MIN_CRASHES_AT_ONCE):
             return False
-        held = [self._estimate_presence(part, self._crashes[start]) for start in crashes]
+        services = {self._crashes[start].service for start in crashes}
+        shares = {service: self._estimate_share(part, service) for service in services}
+        # The probability that the part is in one of the prompts of a crash by chance.
+        held = [
+            1.0 - (1.0 - shares[crash.service]) ** len(crash.list_prompts())
+            for crash in map(self._crashes.__getitem__, crashes)
+        ]
         chance = _compute_tail(len(crashes), len(starts), sum(held) / len(held))
         return part_count * chance <= MAX_CHANCE
 
-    def _estimate_presence(self, part: str, crash: _Crash) -> float:
-        """Return the probability that a part is in one of the prompts of a crash by chance."""
-        if names_request(part):
-            # None of the answers that the daemons saw is on a request without one.
-            answers = self._answer_counts[crash.service] * self.count_daemons()
-            share = 1 / (answers + 2)
-        else:
+    def _estimate_share(self, part: str, service: str) -> float:
+        """Return the share of a service's prompts or requests that holds a part."""
+        if not names_request(part):
             # Daemons of an earlier version do not name the service of a crash.
-            sample = self._samples.get(crash.service) or max(
+            sample = self._samples.get(service) or max(
                 self._samples.values(), key=len, default=PromptSample()
             )
-            share = sample.estimate_share(part)
-        return 1.0 - (1.0 - share) ** len(crash.list_prompts())
+            return sample.estimate_share(part)
+        # None of the answers that the daemons saw is on a request without one. What endpoints had
+        # when they crashed is a part of the sample as well: a request that is sent again and again,
+        # such as a poll, has no answer yet if all of it was there.
+        answers = self._answer_counts[service] * self.count_daemons()
+        prompts = [
+            prompt
+            for crash in self._crashes.values()
+            if crash.service == service
+            for prompt in crash.list_prompts()
+        ]
+        return (1 + sum(part in prompt for prompt in prompts)) / (answers + len(prompts) + 2)
 
     def count_crashes(self, part: str) -> int:
         """Return how many endpoints crashed on a prompt that holds a part."""
--- a/magnoliarouter/tests/test_crashes.py
+++ b/magnoliarouter/tests/test_crashes.py
@@ -204,6 +204,20 @@
                     ledger.record(crash, number)
                 self.assertEqual(len(ledger.find_causes(4.0)), causes)
 
+    def test_poll_at_the_first_crashes_of_a_service_is_no_cause_while_few_others_are_answered(self):
+        """Guards against a sound request that is refused for good: a third of all are this poll."""
+        for answers, causes in ((8, 0), (12, 0), (100, 1)):
+            with self.subTest(answers=answers):
+                ledger = CrashLedger()
+                for _ in range(answers):
+                    ledger.count_answer("app")
+                for number, name in enumerate(("poll", "other", "poll")):
+                    prompts = frozenset([frozenset([f"request:{name}"])])
+                    ledger.record(
+                        CrashReport(f"e{number}", 0, waiting=prompts, service="app"), number
+                    )
+                self.assertEqual(len(ledger.find_causes(4.0)), causes)
+
     def test_requests_do_not_displace_parts_and_are_bounded(self):
         self.ledger.record_answered("x", self.now)
         for number in range(3 * MAX_RECENT_PARTS):
