Keep the turns of a byte budget when a wait is cancelled as it is served

A wait that was cancelled and passed over before its task went on raised ValueError in place of the cancellation. Found by reading; test_memory cancels 400 waits at random.

--- a/magnoliarouter/web/memory.py
+++ b/magnoliarouter/web/memory.py
@@ -44,7 +44,6 @@
             if turn.done() and not turn.cancelled():
                 self.release(amount)
             else:
-                self._waiting.remove((amount, turn))
                 self._serve()
             raise
         return amount
@@ -55,11 +54,14 @@
         self._serve()
 
     def _serve(self) -> None:
-        while self._waiting and self._waiting[0][0] <= self._free:
-            amount, turn = self._waiting.popleft()
-            if not turn.done():
+        while self._waiting:
+            amount, turn = self._waiting[0]
+            if not turn.cancelled():
+                if amount > self._free:
+                    return
                 self._free -= amount
                 turn.set_result(None)
+            self._waiting.popleft()
 
 
 class Reservation:
