--- a/magnoliarouter/store/replica.py
+++ b/magnoliarouter/store/replica.py
@@ -15,7 +15,6 @@
 
 from magnoliarouter.core.cache import VersionedCache
 from magnoliarouter.store.objects import StoredObject
-from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
@@ -233,7 +232,10 @@
         try:
             self._on_change(item.name, value)
         except Exception as error:
-            # One object must not keep the others from being applied.
+            # One object must not keep the others from being applied. The log is loaded only if
+            # needed, for those who embed the store.
+            from magnoliarouter.telemetry.logs import log_event
+
             log_event(
                 "object_not_applied",
                 kind=self.kind,
--- a/magnoliarouter/store/salvage.py
+++ b/magnoliarouter/store/salvage.py
@@ -12,7 +12,6 @@
 import msgspec
 
 from magnoliarouter.store.objects import UnreadableValue
-from magnoliarouter.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -97,6 +96,9 @@
         try:
             decoded.append(decode(member))
         except DECODE_ERRORS as error:
+            # Loaded only if needed, for those who embed the store.
+            from magnoliarouter.telemetry.logs import log_event
+
             shown = member[:MAX_LOGGED_CHARS].decode("ascii", "backslashreplace")
             log_event("store_entry_unreadable", entry=shown, reason=str(error), important=True)
     return decoded
@@ -124,6 +126,8 @@
         return msgspec.json.decode(text, type=model)
     except DECODE_ERRORS as error:
         reason = str(error)
+    from magnoliarouter.telemetry.logs import log_event
+
     members = dict(split_members(text))
     members.pop(f'"{value_field}"'.encode(), None)
     rest = b"{" + b",".join(key + b":" + value for key, value in members.items()) + b"}"
