Identify a call's customer in one place, and drop what the change left over

Admission and the check before each send each looked up the customer and checked the key. Whether a registration is of a removed engine is told by where it is kept. read_body collected into a caller's buffer for the one caller that now collects by itself.

--- a/magnoliarouter/gateway/handler.py
+++ b/magnoliarouter/gateway/handler.py
@@ -25,7 +25,7 @@
     from magnoliarouter.gateway.call import HeaderCodec, RequestHeaders
     from magnoliarouter.gateway.forward import GatewayForwarder
     from magnoliarouter.gateway.freshness import Freshness
-    from magnoliarouter.gateway.routes import GatewayConfig
+    from magnoliarouter.gateway.routes import GatewayConfig, Route, Tenant
     from magnoliarouter.telemetry.metrics import Metrics
     from magnoliarouter.web.ingress import IngressExchange, IngressRequest
 
@@ -120,13 +120,9 @@
         if route is None:
             reason = f"no route for {headers.host!r} and this path"
             return self._refuse_absent(ResultCode.NOT_FOUND, reason, now)
-        tenant = None
-        if config.tenants is not None:
-            tenant = config.tenants.get(headers.key) if headers.key else None
-            if not route.public:
-                refusal = self._check_key(headers, tenant is not None, now)
-                if refusal is not None:
-                    return refusal
+        tenant = self._identify(config, route, headers, now)
+        if isinstance(tenant, NotRun):
+            return tenant
         timeout_s = route.timeout_s
         if headers.timeout_s is not None:
             timeout_s = min(timeout_s, headers.timeout_s - NETWORK_MARGIN_S)
@@ -147,6 +143,16 @@
         )
         return _refuse_too_large(call, config) or call
 
+    def _identify(
+        self, config: GatewayConfig, route: Route, headers: RequestHeaders, now: float
+    ) -> Tenant | NotRun | None:
+        """Return the customer that holds the key, None if there need be none, or the refusal."""
+        if config.tenants is None:
+            return None
+        tenant = config.tenants.get(headers.key) if headers.key else None
+        refusal = None if route.public else self._check_key(headers, tenant is not None, now)
+        return refusal or tenant
+
     def _check_key(self, headers: RequestHeaders, known: bool, now: float) -> NotRun | None:
         if not headers.key:
             return NotRun(ResultCode.KEY_MISSING, "the request names no key")
@@ -173,13 +179,9 @@
         """
         now, config = self._clock(), self._config()
         assert config is not None
-        key, tenant = call.headers.key, None
-        if config.tenants is not None:
-            tenant = config.tenants.get(key) if key else None
-            if not call.route.public:
-                refusal = self._check_key(call.headers, tenant is not None, now)
-                if refusal is not None:
-                    return refusal
+        tenant = self._identify(config, call.route, call.headers, now)
+        if isinstance(tenant, NotRun):
+            return tenant
         name = tenant.name if tenant is not None else None
         if name != call.tenant:
             log_event(
--- a/magnoliarouter/gateway/registrations.py
+++ b/magnoliarouter/gateway/registrations.py
@@ -33,7 +33,6 @@
 class _Last:
     started_ms: int
     sequence: int
-    present: bool = True
 
 
 @dataclass(slots=True)
@@ -60,12 +59,14 @@
             it lacks what orders it although an earlier one had that: it is not the endpoint's.
         """
         name, sequence = endpoint.identity, endpoint.sequence
-        last = self._present.get(name) or self._removed.get(name)
+        removed = self._removed.get(name)
+        last = removed or self._present.get(name)
         if not endpoint.started_ms or sequence is None:
             return RegistrationStatus.CURRENT if last is None else RegistrationStatus.UNORDERED
         if last is not None:
-            known = last.started_ms, last.sequence + (not last.present)
-            if (endpoint.started_ms, sequence) < known:
+            # The last registration itself may be executed again after the removal.
+            least = last.sequence + 1 if removed else last.sequence
+            if (endpoint.started_ms, sequence) < (last.started_ms, least):
                 return RegistrationStatus.OUTDATED
         self._removed.pop(name, None)
         self._present[name] = _Last(endpoint.started_ms, sequence)
@@ -79,7 +80,6 @@
         last = self._present.pop(name, None)
         if last is None:
             return
-        last.present = False
         self._removed[name] = last
         while len(self._removed) > self.max_remembered:
             self._removed.popitem(last=False)
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -212,22 +212,20 @@
             return None
         raise UpstreamError(UpstreamErrorKind.MALFORMED, "a head within a body")
 
-    async def read_body(self, limit: int = MAX_BODY_BYTES, body: bytearray | None = None) -> bytes:
+    async def read_body(self, limit: int = MAX_BODY_BYTES) -> bytes:
         """Return the rest of the body.
 
         Parameters
         ----------
         limit : int
             Largest body in bytes.
-        body : bytearray, optional
-            Collects the body, so that a read that was cancelled can be continued.
 
         Raises
         ------
         UpstreamError
             The body is not whole, or larger than `limit`.
         """
-        body = bytearray() if body is None else body
+        body = bytearray()
         while (part := await self.read_part()) is not None:
             body += part
             if len(body) > limit:
