Take a head without a valid status for no response

Seen: an engine answered with status 000 (or 001, 099, 600, 999); callers of the gateway got that as their answer, with the engine's fields and body. Beside `X-Not-Executed`, callers of calls that may run once were told 503, not run, or the call was sent to a second engine, although the first had run it. Cause: `httptools` takes any three digits for a status, and nothing checked them before the fields of the head were read: `not_run`, the signature, the notices. Ruled out: the classification of responses; it sees a head only after its proofs and notices have taken effect, and a status of 600 only as "not under 500". Another head ends the attempt as malformed: the outcome is unknown, the connection is closed, nothing of the head is read. Calls that may be repeated go to another endpoint, others get 502.

--- /dev/null
+++ b/magnoliarouter/tests/broken_answers.py
@@ -0,0 +1,36 @@
+"""Answers that are no valid HTTP responses, for stand-ins of endpoints."""
+
+from __future__ import annotations
+
+from magnoliarouter.tests.raw_server import build_response
+
+# Three digits that are no status of a final response: RFC 9110, section 15, allows 200 to 599. No
+# request asks for the upgrade that 101 grants.
+INVALID_STATUSES = ("000", "001", "099", "101", "600", "999")
+
+
+def replace_status(response, status):
+    """Return the bytes of a response with other digits in place of its status."""
+    version, _, rest = response.split(b" ", 2)
+    return b" ".join((version, status.encode(), rest))
+
+
+def build_stream(events, complete=True):
+    """Return a stream of events in chunks; without its last chunk if it is not complete."""
+    head = build_response(b"", Content_Type="text/event-stream")
+    head = head.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    chunks = [b"%x\r\n%b\r\n" % (len(event), event) for event in events]
+    return head + b"".join(chunks) + (b"0\r\n\r\n" if complete else b"")
+
+
+def build_invalid_statuses(**fields):
+    """Return responses with invalid statuses whose bodies have a length, chunks, or neither."""
+    framed = build_response(b"wrong", **fields)
+    chunked = framed.replace(b"Content-Length: 5", b"Transfer-Encoding: chunked")
+    chunked = chunked.replace(b"wrong", b"5\r\nwrong\r\n0\r\n\r\n")
+    unframed = framed.replace(b"Content-Length: 5\r\n", b"")
+    return [
+        replace_status(response, status)
+        for status in INVALID_STATUSES
+        for response in (framed, chunked, unframed)
+    ]
--- /dev/null
+++ b/magnoliarouter/tests/test_broken_answers.py
@@ -0,0 +1,116 @@
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from magnoliarouter.core.outcome import Completed, ResultCode, Unknown
+from magnoliarouter.gateway.routes import RouteKind
+from magnoliarouter.tests.broken_answers import build_invalid_statuses, build_stream
+from magnoliarouter.tests.platform_standin import build_configuration
+from magnoliarouter.tests.raw_server import RawServer, build_response
+from magnoliarouter.tests.test_forward import (
+    EVENTS,
+    STREAM,
+    FakeExchange,
+    ForwardCase,
+    build_gateway_call,
+    build_route,
+)
+from magnoliarouter.tests.test_gateway import GatewayCase
+
+
+class BrokenAnswerCase(ForwardCase):
+    async def play(self, route, *answers, method=b"POST"):
+        """Forward a call; the first endpoint that gets it sends the first answer, and closes."""
+
+        def build_handler(answer):
+            async def handle(peer):
+                await peer.send(answer)
+                peer.close()
+
+            return handle
+
+        self.heads.clear()
+        self.exchange = FakeExchange()
+        await self.add_two(*(build_handler(answer) for answer in answers))
+        self.table.outliers.forget(["e1", "e2"])
+        call = replace(build_gateway_call(route), method=method)
+        return await self.forwarder.forward(call, self.exchange, lambda: None)
+
+
+class InvalidStatusTest(BrokenAnswerCase):
+    """A head whose status is none says nothing of the request and of its endpoint."""
+
+    async def test_call_that_may_run_once_ends_with_an_unknown_outcome(self):
+        refusal = {"X_Not_Executed": "1", "Server_Leaving": "1", "Retry_After": "1"}
+        for fields in ({}, {"stamp": None}, {"request_id": None}, refusal):
+            for answer in build_invalid_statuses(**fields):
+                for kind in (RouteKind.ONCE, RouteKind.STREAM):
+                    with self.subTest(answer=answer, kind=kind):
+                        outcome = await self.play(build_route(kind, 3), answer, build_response())
+                        self.assertIsInstance(outcome, Unknown)
+                        self.assertEqual(outcome.code, ResultCode.ENDPOINT_ERROR)
+                        self.assertFalse(self.exchange.started)
+                        self.assertEqual(self.tried(), ["e1"])
+                        self.assertFalse(self.table.notices.is_leaving(self.table.find("e1")))
+
+    async def test_call_that_may_be_repeated_is_answered_by_another_endpoint(self):
+        for answer in build_invalid_statuses():
+            for method in (b"POST", b"HEAD"):
+                with self.subTest(answer=answer, method=method):
+                    outcome = await self.play(
+                        build_route(), answer, build_response(), method=method
+                    )
+                    self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+                    self.assertEqual(self.tried(), ["e1", "e2"])
+
+    async def test_stream_goes_on_at_another_endpoint(self):
+        route = build_route(RouteKind.STREAM, 2, resumable=True)
+        for answer in build_invalid_statuses(Content_Type=STREAM):
+            with self.subTest(answer=answer):
+                outcome = await self.play(route, answer, build_stream(EVENTS))
+                self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+                self.assertEqual(self.exchange.body, b"".join(EVENTS))
+
+    async def test_stream_that_has_begun_does_not_look_complete(self):
+        route = build_route(RouteKind.STREAM, 2, resumable=True)
+        for answer in build_invalid_statuses(Content_Type=STREAM):
+            with self.subTest(answer=answer):
+                begun = build_stream(EVENTS[:3], complete=False)
+                outcome = await self.play(route, begun, answer)
+                self.assertIsInstance(outcome, Unknown)
+                self.assertEqual(self.tried(), ["e1", "e2"])
+                self.assertTrue(self.exchange.aborted)
+                self.assertEqual(self.exchange.body, b"".join(EVENTS[:3]))
+
+
+class CallerTest(GatewayCase):
+    """What callers of a daemon receive when an engine sends an answer that is none."""
+
+    async def test_status_that_is_none_reaches_no_caller(self):
+        answers = build_invalid_statuses()
+
+        async def answer(peer):
+            await peer.read_message()
+            await peer.send(answers[-1])
+
+        server = await RawServer(answer).start()
+        self.addAsyncCleanup(server.stop)
+        configuration = build_configuration(2, routes=("/a/", "/o/"))
+        configuration["routes"][1]["kind"] = "unsafe"
+        await self.store.put("config", "main", configuration)
+        await self.store.put("servers", "e1", self.engine.build_entry(address=server.address))
+        daemon = await self.start()
+        await self.wait_ready(daemon)
+        while answers:
+            with self.subTest(answer=answers[-1]):
+                statuses = [
+                    (await self.send_request(daemon, path, request_id="r1"))[0]
+                    for path in ("/a/x", "/o/x")
+                ]
+                self.assertEqual(statuses, [502, 502])
+            answers.pop()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -22,6 +22,7 @@
     determine_framing,
     is_whole_at_end,
 )
+from magnoliarouter.core.status import INFORMATIONAL_STATUSES, find_status_error
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -69,7 +70,6 @@
 MAX_FIELDS = 256
 # Responses to other requests that are dropped while one is awaited.
 MAX_SKIPPED_RESPONSES = 16
-INFORMATIONAL_STATUSES = range(100, 200)
 
 
 class UpstreamErrorKind(Enum):
@@ -400,6 +400,10 @@
         status = self._parser.get_status_code()
         if status in INFORMATIONAL_STATUSES:
             return
+        reason = find_status_error(status)
+        if reason:
+            self._fail(reason)
+            return
         self._framing = determine_framing(status, self._fields, self._bodiless)
         if self._framing is Framing.UNSUPPORTED:
             self._fail("body in an unsupported transfer coding")
