Refuse heads without a valid status in every session of aiohttp

Seen: before engines behind a guard, callers got statuses 000, 001, 099, 101, 600 and 999 as answers; for calls that may run once the guard stored them as the answer, so that repeats got them too. Cause: as in the gateway: aiohttp takes any three digits, compiled or not, and a 101 that no request asked for as well. Change: the response class that all sessions of the product have asks `core/status.py` as it makes a head, and closes the connection, which aiohttp may have released for reuse by then. The error is one of the client's errors, which every reader takes for a lost answer already: a guard answers 502, outcome unknown, and keeps no answer; the store's transport says that the call broke.

--- a/magnoliarouter/tests/test_bodies.py
+++ b/magnoliarouter/tests/test_bodies.py
@@ -6,7 +6,8 @@
 import aiohttp
 
 from magnoliarouter.endpoints.client import open_session
-from magnoliarouter.tests.raw_server import RawServer
+from magnoliarouter.tests.broken_answers import build_invalid_statuses, replace_status
+from magnoliarouter.tests.raw_server import RawServer, build_response
 from magnoliarouter.web.bodies import BodyTooLarge, iterate_body, read_body
 
 UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\n"
@@ -56,5 +57,25 @@
                 self.assertTrue(response.closed)
 
 
+class HeadTest(unittest.IsolatedAsyncioTestCase):
+    async def test_head_without_a_valid_status_is_no_response_and_ends_its_connection(self):
+        empty = replace_status(build_response(b""), "000")
+        for answer in (*build_invalid_statuses(), empty):
+            with self.subTest(answer=answer):
+
+                async def handle(peer, answer=answer):
+                    while True:
+                        await peer.read_message()
+                        await peer.send(answer)
+
+                server = await RawServer(handle).start()
+                self.addAsyncCleanup(server.stop)
+                async with open_session() as session:
+                    for _ in range(2):
+                        with self.assertRaises(aiohttp.ClientError):
+                            await session.get(f"http://{server.address}/")
+                self.assertEqual(server.connections, 2)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/magnoliarouter/tests/test_guard.py
+++ b/magnoliarouter/tests/test_guard.py
@@ -11,6 +11,7 @@
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.guard import Guard
 from magnoliarouter.endpoints.messages import FenceReply, FenceRequest
+from magnoliarouter.tests.broken_answers import build_invalid_statuses
 from magnoliarouter.tests.raw_server import RawPeer
 from magnoliarouter.web.loop import Runtime
 from magnoliarouter.web.server import WebServer
@@ -177,6 +178,17 @@
         self.assertEqual((status, "x-not-started" in headers), (502, False))
         self.assertEqual((await self.fence("a")).state, "broken")
 
+    async def test_head_without_a_valid_status_is_no_answer(self):
+        for answer in build_invalid_statuses(x_attempt_id="a", x_not_started="a"):
+            with self.subTest(answer):
+                await self.open(answer, answer, close=True)
+                for send, state in ((self.send, "finished"), (self.send_once, "broken")):
+                    status, headers, _ = await send(attempt=state)
+                    self.assertEqual((status, headers["x-guard-failure"]), (502, "502"))
+                    self.assertNotIn("x-not-started", headers)
+                    reply = await self.fence(state)
+                    self.assertEqual((reply.state, reply.answer), (state, None))
+
     async def test_fence_before_start_and_of_another_incarnation(self):
         await self.open(OK + b"\r\nok")
         self.assertEqual((await self.fence("a")).state, "fenced")
--- a/magnoliarouter/tests/test_transport.py
+++ b/magnoliarouter/tests/test_transport.py
@@ -7,6 +7,7 @@
 from magnoliarouter.store.results import Failure
 from magnoliarouter.store.transport import SessionTransport, UpstreamTransport
 from magnoliarouter.store.wire import StoreCall
+from magnoliarouter.tests.broken_answers import build_invalid_statuses
 from magnoliarouter.tests.raw_server import RawServer
 from magnoliarouter.web.upstream import UpstreamPool
 
@@ -52,6 +53,12 @@
         for result in await self.exchange(UNFRAMED + b"null", reset=True):
             self.assertIs(result.failure, Failure.BROKEN)
 
+    async def test_head_without_a_valid_status_is_no_response(self):
+        for data in build_invalid_statuses():
+            with self.subTest(data=data):
+                for result in await self.exchange(data):
+                    self.assertIs(result.failure, Failure.BROKEN)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/magnoliarouter/web/bodies.py
+++ b/magnoliarouter/web/bodies.py
@@ -1,4 +1,4 @@
-"""Reads the bodies of aiohttp responses, and decides whether they are whole.
+"""Refuses heads of aiohttp responses that are none, reads bodies, and decides whether they are whole.
 
 aiohttp itself detects that a body with a length or in chunks ends early. A body without either ends
 with its connection, and aiohttp ends it in the same way whether the connection was closed or reset.
@@ -17,6 +17,7 @@
     determine_framing,
     is_whole_at_end,
 )
+from magnoliarouter.core.status import find_status_error
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -26,6 +27,7 @@
 
 __all__ = [
     "BodyTooLarge",
+    "MalformedHead",
     "TrackedResponse",
     "iterate_body",
     "limit_parts",
@@ -37,15 +39,30 @@
     """A body is larger than its reader takes."""
 
 
+class MalformedHead(aiohttp.ClientError):
+    """A head is not that of a final response, so that nothing in it may be read."""
+
+
 class TrackedResponse(aiohttp.ClientResponse):
-    """Response that remembers its connection, which aiohttp releases when the body ends."""
+    """Response that checks its head, and remembers its connection.
+
+    aiohttp itself accepts any three digits for a status, and releases the connection when the body
+    ends.
+    """
 
     _body_protocol: ResponseHandler | None = None
 
     async def start(self, connection: Connection) -> aiohttp.ClientResponse:
-        """Read the head of the response."""
-        self._body_protocol = connection.protocol
-        return await super().start(connection)
+        """Read the head of the response; raises `MalformedHead` if it is none."""
+        self._body_protocol = protocol = connection.protocol
+        await super().start(connection)
+        reason = find_status_error(self.status)
+        if reason:
+            # After an empty body, the connection has been released for reuse already.
+            if protocol is not None:
+                protocol.close()
+            raise MalformedHead(reason)
+        return self
 
     def find_connection_end(self) -> ConnectionEnd:
         """Return how the connection ended, after the body has ended with it."""
