Test that answers with field names that are none reach no caller

Cause: operators of other systems saw answers passed on whose field names held a blank or a control byte. It does not happen here: both parsers refuse such heads. Done: the gateway with every byte from 0 to 32, delimiters and bytes over 0x7e in a name, no name, no colon and folded lines, in heads of 200, 404 and 500, in an informational response and in trailers; a guard with the same lines. The gateway passes none on and tells callers 502, outcome unknown; a guard does the same, but joins folded lines by a blank, as RFC 9112 (section 5.2) allows.

--- a/magnoliarouter/tests/broken_answers.py
+++ b/magnoliarouter/tests/broken_answers.py
@@ -8,6 +8,9 @@
 # request asks for the upgrade that 101 grants.
 INVALID_STATUSES = ("000", "001", "099", "101", "600", "999")
 
+# Bytes that no field name may hold (RFC 9110, section 5.6.2), the colon aside.
+NO_NAME_BYTES = (*range(33), *b'"(),/;<=>?@[\\]{}', 0x7F, 0x80, 0xA0, 0xE9, 0xFF)
+
 
 def replace_status(response, status):
     """Return the bytes of a response with other digits in place of its status."""
@@ -34,3 +37,22 @@
         for status in INVALID_STATUSES
         for response in (framed, chunked, unframed)
     ]
+
+
+def build_invalid_names():
+    """Return lines of a head whose field names are none, and a line that continues another."""
+    names = [b"X-O%cdd" % byte for byte in NO_NAME_BYTES]
+    names += [byte + b"X-Odd" for byte in (b"\x00", b"\x0b", b"\x7f", b"\xe9")]
+    names += [b"X-Odd" + byte for byte in (b" ", b"\t", b"\x00", b"\r", b"\xe9")]
+    return [b"%b: odd\r\n" % name for name in (*names, b"")] + [
+        b"Odd\r\n",
+        b" odd\r\n",
+        b"\todd\r\n",
+    ]
+
+
+def insert_line(response, line):
+    """Return the bytes of a response with a line before the last one of its head."""
+    head, end, body = response.partition(b"\r\n\r\n")
+    lines = head.split(b"\r\n")
+    return b"\r\n".join(lines[:-1]) + b"\r\n" + line + lines[-1] + end + body
--- a/magnoliarouter/tests/test_broken_answers.py
+++ b/magnoliarouter/tests/test_broken_answers.py
@@ -5,7 +5,12 @@
 
 from magnoliarouter.core.outcome import Completed, ResultCode, Unknown
 from magnoliarouter.gateway.routes import RouteKind
-from magnoliarouter.tests.broken_answers import build_invalid_statuses, build_stream
+from magnoliarouter.tests.broken_answers import (
+    build_invalid_names,
+    build_invalid_statuses,
+    build_stream,
+    insert_line,
+)
 from magnoliarouter.tests.platform_standin import build_configuration
 from magnoliarouter.tests.raw_server import RawServer, build_response
 from magnoliarouter.tests.test_forward import (
@@ -84,6 +89,29 @@
                 self.assertEqual(self.exchange.body, b"".join(EVENTS[:3]))
 
 
+class InvalidNameTest(BrokenAnswerCase):
+    """A head or trailer with a line that is no field makes the whole answer none."""
+
+    async def check(self, answer):
+        with self.subTest(answer=answer):
+            outcome = await self.play(build_route(RouteKind.ONCE), answer, b"")
+            self.assertIsInstance(outcome, Unknown)
+            self.assertFalse(self.exchange.started)
+
+    async def test_answer_with_a_line_that_is_no_field_does_not_pass(self):
+        early_hints = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\nX-Server-Stamp: s0\r\n\r\n"
+        for line in build_invalid_names():
+            for status in (200, 404, 500):
+                response = build_response(b"whole", status)
+                await self.check(insert_line(response, line))
+                await self.check(insert_line(early_hints, line) + response)
+
+    async def test_answer_with_a_trailer_that_is_no_field_does_not_pass(self):
+        head = build_response(b"").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+        for line in build_invalid_names():
+            await self.check(head + b"5\r\nwhole\r\n0\r\n" + line + b"X-Last: l\r\n\r\n")
+
+
 class CallerTest(GatewayCase):
     """What callers of a daemon receive when an engine sends an answer that is none."""
 
--- a/magnoliarouter/tests/test_guard.py
+++ b/magnoliarouter/tests/test_guard.py
@@ -11,7 +11,7 @@
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.guard import Guard
 from magnoliarouter.endpoints.messages import FenceReply, FenceRequest
-from magnoliarouter.tests.broken_answers import build_invalid_statuses
+from magnoliarouter.tests.broken_answers import build_invalid_names, build_invalid_statuses
 from magnoliarouter.tests.raw_server import RawPeer
 from magnoliarouter.web.loop import Runtime
 from magnoliarouter.web.server import WebServer
@@ -189,6 +189,17 @@
                     reply = await self.fence(state)
                     self.assertEqual((reply.state, reply.answer), (state, None))
 
+    async def test_line_that_is_no_field_does_not_pass(self):
+        for line in build_invalid_names():
+            with self.subTest(line):
+                await self.open(OK + line + b"X-Last: l\r\n\r\nok", close=True)
+                status, headers, body = await self.send()
+                if status == 200:
+                    self.assertEqual((headers["x-last"], body), ("l", b"ok"))
+                    self.assertIn(line[:1], (b" ", b"\t"))
+                else:
+                    self.assertEqual((status, headers["x-guard-failure"]), (502, "502"))
+
     async def test_fence_before_start_and_of_another_incarnation(self):
         await self.open(OK + b"\r\nok")
         self.assertEqual((await self.fence("a")).state, "fenced")
