Keep end-to-end fields that Connection names

Seen: an engine answered 200 with its stamp, its id and `Connection: X-Server-Stamp`; the caller got a success without the stamp. A client's request with `Connection: X-Model` reached the engine without its model. Behind a guard, `Connection: Content-Type` turned the type of an answer into JSON. Cause: every field that `Connection` names was dropped. The signature had been found before that, so the answer passed as a signed one. Ruled out: taking such an answer for an unsigned one; the engine did sign it, and a call that may run once would lose an answer that is whole. Change: the fields that the platform defines for the other end, and those that describe the content, can't be made fields of one connection (RFC 9110, section 7.6.1). Others that `Connection` names are dropped as before.

--- a/magnoliarouter/endpoints/messages.py
+++ b/magnoliarouter/endpoints/messages.py
@@ -86,6 +86,9 @@
     )
 )
 
+# Fields of the content, which ``Connection`` cannot make fields of one connection.
+CONTENT_HEADERS = frozenset(("content-encoding", "content-type"))
+
 
 def may_belong_to(headers: Mapping[str, str], attempt: str) -> bool:
     """Return whether an endpoint's response may belong to an attempt.
@@ -213,5 +216,5 @@
         Value of the message's ``Connection`` field, which names further hop-by-hop fields.
     """
     lowered = name.lower()
-    listed = {part.strip().lower() for part in connection.split(",")}
+    listed = {part.strip().lower() for part in connection.split(",")} - CONTENT_HEADERS
     return lowered not in HOP_BY_HOP_HEADERS and lowered not in listed
--- a/magnoliarouter/platform/headers.py
+++ b/magnoliarouter/platform/headers.py
@@ -28,6 +28,23 @@
         b"expect",
     )
 )
+# Fields for the other end, or of the content, which `Connection` cannot make fields of one connection
+# (RFC 9110, section 7.6.1): without them a success has no signature, and a request asks for less.
+END_TO_END_FIELDS = frozenset(
+    (
+        b"host",
+        b"x-request-id",
+        b"x-server-stamp",
+        b"x-weight-versions",
+        b"x-expect-version",
+        b"x-model",
+        b"x-token-usage",
+        b"x-prompt-prefix",
+        b"x-length-hint",
+        b"content-type",
+        b"content-encoding",
+    )
+)
 # Fields that the gateway sets itself or does not forward.
 OWN_FIELDS = frozenset(
     (
@@ -142,7 +159,8 @@
     listed = named.get(b"connection")
     if listed is None:
         return HOP_BY_HOP_FIELDS
-    return HOP_BY_HOP_FIELDS | {token.strip().lower() for token in listed.split(b",")}
+    tokens = {token.strip().lower() for token in listed.split(b",")}
+    return HOP_BY_HOP_FIELDS | (tokens - END_TO_END_FIELDS)
 
 
 def _read_host(value: bytes) -> str:
--- a/magnoliarouter/tests/test_broken_answers.py
+++ b/magnoliarouter/tests/test_broken_answers.py
@@ -20,6 +20,7 @@
     ForwardCase,
     build_gateway_call,
     build_route,
+    respond_ok,
 )
 from magnoliarouter.tests.test_gateway import GatewayCase
 
@@ -112,6 +113,55 @@
             await self.check(head + b"5\r\nwhole\r\n0\r\n" + line + b"X-Last: l\r\n\r\n")
 
 
+class ListedFieldTest(BrokenAnswerCase):
+    """`Connection` names fields of one connection; end-to-end fields pass whether named or not."""
+
+    async def test_answer_keeps_its_end_to_end_fields(self):
+        listed = "close, x-server-stamp , X-Request-Id,X-Weight-Versions, Content-Type, X-Hop"
+        fields = {"X_Weight_Versions": "4", "Content_Type": STREAM, "X_Hop": "h"}
+        answers = (
+            (build_route(RouteKind.ONCE), build_response(b"done", Connection=listed, **fields)),
+            (build_route(), build_response(b"done", Connection=listed, **fields)),
+            (
+                build_route(RouteKind.STREAM),
+                insert_line(
+                    build_stream(EVENTS),
+                    f"Connection: {listed}\r\nX-Weight-Versions: 4\r\n".encode(),
+                ),
+            ),
+        )
+        for route, answer in answers:
+            with self.subTest(kind=route.kind):
+                outcome = await self.play(route, answer, b"")
+                self.assertEqual(outcome, Completed(ResultCode.OK, 200))
+                self.assertEqual(
+                    dict(self.exchange.fields),
+                    {
+                        b"X-Request-Id": b"r1",
+                        b"X-Server-Stamp": b"s1",
+                        b"X-Weight-Versions": b"4",
+                        b"Content-Type": STREAM.encode(),
+                    },
+                )
+
+    async def test_request_keeps_its_end_to_end_fields(self):
+        fields = {
+            "X-Model": b"m",
+            "X-Token-Usage": b"3,4",
+            "X-Prompt-Prefix": b"ab:3",
+            "X-Length-Hint": b"4",
+            "X-Expect-Version": b"2",
+            "Content-Type": b"text/plain",
+        }
+        listed = b", ".join(name.encode() for name in ("X-Request-Id", "Host", *fields, "X-Hop"))
+        await self.add(respond_ok)
+        await self.forward(build_route(), **fields, **{"X-Hop": b"h", "Connection": listed})
+        _, head, _ = self.heads[0]
+        for name, value in {"X-Request-Id": b"r1", "Host": b"h", **fields}.items():
+            self.assertIn(f"{name}: {value.decode()}\r\n", head)
+        self.assertNotIn("X-Hop", head)
+
+
 class CallerTest(GatewayCase):
     """What callers of a daemon receive when an engine sends an answer that is none."""
 
--- a/magnoliarouter/tests/test_guard.py
+++ b/magnoliarouter/tests/test_guard.py
@@ -98,6 +98,13 @@
         self.assertEqual((headers["x-own"], "x-hop" in headers, body), ("v", False, b"ok"))
         self.assertEqual(headers["content-type"], "text/plain; charset=x")
 
+    async def test_fields_of_the_content_pass_whether_connection_names_them_or_not(self):
+        fields = b"Content-Encoding: br\r\nConnection: Content-Type, content-encoding\r\n"
+        await self.open(OK + fields + b"\r\nok")
+        _, headers, _ = await self.send()
+        self.assertEqual(headers["content-type"], "text/plain; charset=x")
+        self.assertEqual(headers["content-encoding"], "br")
+
     async def test_redirect_is_not_followed(self):
         await self.open(b"HTTP/1.1 302 Found\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n", OK)
         status, headers, _ = await self.send()
