Send no further request after a response that names none

Seen: an engine refused the first request on a connection without an id, and wrote that refusal once more when the next request was there, which it ran. The gateway took the copy for the answer: the request ran at a second engine too, or its caller would have been told that it had not run. Cause: a response without an id counts as an answer as long as no response on the connection has named its request, and the connection went back to the pool, so that the same held for the response after it. Ruled out: refusals with an id, whole and in two parts; their copies are dropped. Change: a connection whose response named no request is closed after it. On a new connection such a refusal still counts: nothing came before it.

--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -415,6 +415,8 @@
                 return head, headers
             if headers.request_id is None and not connection.carried_unnamed_request:
                 if not connection.names_responses:
+                    # Nothing would tell a copy of this response from the next one.
+                    connection.end_after_response()
                     self._on_head(endpoint, headers, sent_at)
                     return head, headers
                 # The endpoint named all responses here so far, so these may be additional bytes
--- a/magnoliarouter/tests/test_broken_answers.py
+++ b/magnoliarouter/tests/test_broken_answers.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
+import asyncio
+import re
 import unittest
 from dataclasses import replace
 
-from magnoliarouter.core.outcome import Completed, ResultCode, Unknown
+from magnoliarouter.core.outcome import Completed, NotRun, ResultCode, Unknown
 from magnoliarouter.gateway.routes import RouteKind
 from magnoliarouter.tests.broken_answers import (
     build_invalid_names,
@@ -162,6 +164,51 @@
         self.assertNotIn("X-Hop", head)
 
 
+class RepeatedRefusalTest(ForwardCase):
+    """An endpoint writes a refusal once more when the connection's next request is there, and runs it."""
+
+    async def play(self, refusal, part_size):
+        """Forward three calls that may run once; return their outcomes and the ids that ran."""
+        runs, refused = [], set()
+
+        async def run(peer):
+            request_id = re.search(r"X-Request-Id: (\S+)", self.heads[-1][1])[1]
+            runs.append(request_id)
+            await asyncio.sleep(0.05)
+            await peer.send(build_response(b"done", request_id=request_id))
+
+        async def refuse_first(peer):
+            for start in range(0, len(refusal), part_size):
+                await peer.send(refusal[start : start + part_size])
+                await asyncio.sleep(0.01)
+            if peer in refused:
+                await run(peer)
+            refused.add(peer)
+
+        self.heads.clear()
+        await self.add_two(refuse_first, run)
+        outcomes = {}
+        for request_id in ("r0", "r1", "r2"):
+            self.exchange = FakeExchange()
+            route = build_route(RouteKind.ONCE, 2)
+            outcomes[request_id] = await self.forward(route, request_id=request_id.encode())
+            self.table.outliers.forget(["e1"])
+            self.table._penalized_until.clear()
+        return outcomes, runs
+
+    async def test_copy_of_a_refusal_proves_nothing(self):
+        for status in (408, 421, 429, 503):
+            for request_id in ("r0", None):
+                refusal = build_response(b"full", status, request_id, None, X_Not_Executed="1")
+                for part_size in (len(refusal), len(refusal) // 2 + 1):
+                    with self.subTest(refusal=refusal, part_size=part_size):
+                        outcomes, runs = await self.play(refusal, part_size)
+                        self.assertEqual(sorted(runs), sorted(set(runs)))
+                        told = {name for name, one in outcomes.items() if isinstance(one, NotRun)}
+                        self.assertFalse(told & set(runs))
+                        self.assertIn("e1", self.tried()[2:])
+
+
 class CallerTest(GatewayCase):
     """What callers of a daemon receive when an engine sends an answer that is none."""
 
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -261,6 +261,10 @@
         if seconds is not None:
             self.keep_alive_s = max(0.0, seconds - KEEP_ALIVE_MARGIN_S)
 
+    def end_after_response(self) -> None:
+        """Have the connection closed when it is released, so that it carries no further request."""
+        self._close_after_response = True
+
     def release(self) -> bool:
         """Mark the connection as idle and return whether it can be reused; close it if not."""
         self._busy = False
