Test that streams that broke off, and heads that end early, do not look complete

Cause: operators of other systems saw the error of a second engine in the middle of a stream, and a 200 with an empty or short body after an engine had closed within the head. It does not happen here. Result: the tests passed as they were written, also with AIOHTTP_NO_EXTENSIONS=1.

--- a/magnoliarouter/tests/broken_answers.py
+++ b/magnoliarouter/tests/broken_answers.py
@@ -56,3 +56,34 @@
     head, end, body = response.partition(b"\r\n\r\n")
     lines = head.split(b"\r\n")
     return b"\r\n".join(lines[:-1]) + b"\r\n" + line + lines[-1] + end + body
+
+
+def build_failures():
+    """Return answers by which no stream goes on: errors, other successes, broken heads, nothing."""
+    errors = [
+        build_response(b"error\n\n", status, stamp=stamp, Content_Type=content_type)
+        for status in (400, 404, 408, 421, 429, 500, 503)
+        for stamp in ("s1", None)
+        for content_type in ("text/plain", "text/event-stream")
+    ]
+    refusals = [build_response(b"full", status, X_Not_Executed="1") for status in (421, 429, 503)]
+    successes = [
+        build_response(b"done", Content_Type="application/json"),
+        build_response(b"id: 9\n\n", stamp=None, Content_Type="text/event-stream"),
+        build_response(b"id: 9\n\n", 206, Content_Type="text/event-stream"),
+        build_response(b"error", Content_Type="text/event-stream"),
+        build_response(b"", 204),
+        build_response(b"", 304),
+    ]
+    head = build_stream(())
+    broken = [
+        insert_line(head, line) for line in (b"X Odd: odd\r\n", b"X\x01: odd\r\n", b"Odd\r\n")
+    ]
+    broken += [head[: len(head) // 2], b"error\n\n", b"id: 9\ndata: 9\n\n", b"0\r\n\r\n", b""]
+    return [
+        *errors,
+        *refusals,
+        *successes,
+        *broken,
+        *build_invalid_statuses(Content_Type="text/event-stream"),
+    ]
--- a/magnoliarouter/tests/test_broken_answers.py
+++ b/magnoliarouter/tests/test_broken_answers.py
@@ -8,6 +8,7 @@
 from magnoliarouter.core.outcome import Completed, NotRun, ResultCode, Unknown
 from magnoliarouter.gateway.routes import RouteKind
 from magnoliarouter.tests.broken_answers import (
+    build_failures,
     build_invalid_names,
     build_invalid_statuses,
     build_stream,
@@ -80,11 +81,15 @@
                 self.assertEqual(outcome, Completed(ResultCode.OK, 200))
                 self.assertEqual(self.exchange.body, b"".join(EVENTS))
 
-    async def test_stream_that_has_begun_does_not_look_complete(self):
-        route = build_route(RouteKind.STREAM, 2, resumable=True)
-        for answer in build_invalid_statuses(Content_Type=STREAM):
+
+class BegunStreamTest(BrokenAnswerCase):
+    """A stream broke off and cannot go on: its caller sees no other bytes, and no end."""
+
+    async def test_answer_that_does_not_go_on_is_not_written_into_the_stream(self):
+        begun = build_stream(EVENTS[:3], complete=False)
+        for answer in build_failures():
             with self.subTest(answer=answer):
-                begun = build_stream(EVENTS[:3], complete=False)
+                route = build_route(RouteKind.STREAM, 2, resumable=True)
                 outcome = await self.play(route, begun, answer)
                 self.assertIsInstance(outcome, Unknown)
                 self.assertEqual(self.tried(), ["e1", "e2"])
@@ -92,6 +97,42 @@
                 self.assertEqual(self.exchange.body, b"".join(EVENTS[:3]))
 
 
+class CutHeadTest(BrokenAnswerCase):
+    """An endpoint that closes within a head has sent no answer, whatever the head said so far."""
+
+    async def test_head_that_ends_early_is_no_answer(self):
+        for status in (200, 204, 404, 500):
+            whole = build_response(b"", status)
+            for size in range(0, len(whole), 3):
+                for kind in (RouteKind.ONCE, RouteKind.STREAM):
+                    with self.subTest(answer=whole[:size], kind=kind):
+                        outcome = await self.play(build_route(kind), whole[:size], b"")
+                        self.assertIsInstance(outcome, Unknown)
+                        self.assertFalse(self.exchange.started)
+
+    async def test_head_that_ends_early_on_a_kept_connection_is_no_answer(self):
+        whole = build_response(b"", 200)
+        for size in range(0, len(whole), 3):
+            with self.subTest(answer=whole[:size]):
+                self.heads.clear()
+
+                async def serve(peer, answer=whole[:size]):
+                    if len(self.heads) == 1:
+                        await respond_ok(peer)
+                        return
+                    await peer.send(answer)
+                    peer.close()
+
+                server = await self.add(serve)
+                for expected in (Completed, Unknown):
+                    self.exchange = FakeExchange()
+                    outcome = await self.forward(build_route(RouteKind.ONCE))
+                    self.assertIsInstance(outcome, expected)
+                self.assertFalse(self.exchange.started)
+                self.assertEqual(server.connections, 1)
+                self.table.outliers.forget(["e1"])
+
+
 class InvalidNameTest(BrokenAnswerCase):
     """A head or trailer with a line that is no field makes the whole answer none."""
 
--- a/magnoliarouter/tests/test_guard.py
+++ b/magnoliarouter/tests/test_guard.py
@@ -207,6 +207,16 @@
                 else:
                     self.assertEqual((status, headers["x-guard-failure"]), (502, "502"))
 
+    async def test_head_that_ends_early_is_no_answer(self):
+        whole = OK + b"\r\n"
+        for size in range(0, len(whole), 3):
+            with self.subTest(whole[:size]):
+                await self.open(whole[:size], whole[:size], close=True)
+                for send, state in ((self.send, "finished"), (self.send_once, "broken")):
+                    status, headers, _ = await send(attempt=state)
+                    self.assertEqual((status, headers["x-guard-failure"]), (502, "502"))
+                    self.assertEqual((await self.fence(state)).state, state)
+
     async def test_fence_before_start_and_of_another_incarnation(self):
         await self.open(OK + b"\r\nok")
         self.assertEqual((await self.fence("a")).state, "fenced")
