Pass bytes over 0x7f in header fields of answers behind a guard

Seen: an engine behind a guard answered 200 with a field whose value held bytes over 0x7f, in UTF-8 or not. The guard's caller got 400, "not_run", for a request that had run, also one that may run once; a streamed answer's chunks followed the error on the same connection. Cause: aiohttp decodes fields as UTF-8 and keeps other bytes as surrogates, which circuits.web can't encode as Latin-1; what fails there counts as a malformed request. Change: responses decode their fields as Latin-1, so that each byte is written as it was read. Result: without the change the two new tests of test_guard fail (400 instead of 200); with it they pass, also with AIOHTTP_NO_EXTENSIONS=1. The gateway handles fields as bytes and did not do this.

--- a/magnoliarouter/tests/test_guard.py
+++ b/magnoliarouter/tests/test_guard.py
@@ -207,6 +207,18 @@
                 else:
                     self.assertEqual((status, headers["x-guard-failure"]), (502, "502"))
 
+    async def test_bytes_over_0x7f_in_a_field_pass_unchanged(self):
+        await self.open(OK + b"X-Own: caf\xc3\xa9 \xe9\r\n\r\nok")
+        status, headers, body = await self.send()
+        self.assertEqual((status, body), (200, b"ok"))
+        self.assertEqual(headers["x-own"].encode("latin-1"), b"caf\xc3\xa9 \xe9")
+
+    async def test_type_with_bytes_over_0x7f_of_a_call_that_may_run_once_is_kept(self):
+        await self.open(b"HTTP/1.1 200 OK\r\nContent-Type: a/\xe9\r\nContent-Length: 2\r\n\r\nok")
+        status, headers, _ = await self.send_once()
+        self.assertEqual((status, headers["content-type"]), (200, "a/\xe9"))
+        self.assertEqual((await self.fence("a")).answer.content_type, "a/\xe9")
+
     async def test_head_that_ends_early_is_no_answer(self):
         whole = OK + b"\r\n"
         for size in range(0, len(whole), 3):
--- a/magnoliarouter/web/bodies.py
+++ b/magnoliarouter/web/bodies.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
+from multidict import CIMultiDict, CIMultiDictProxy
 
 from magnoliarouter.core.framing import (
     MAX_BODY_BYTES,
@@ -46,11 +47,12 @@
 class TrackedResponse(aiohttp.ClientResponse):
     """Response that checks its head, and remembers its connection.
 
-    aiohttp itself accepts any three digits for a status, and releases the connection when the body
-    ends.
+    aiohttp itself accepts any three digits for a status, decodes fields as UTF-8, and releases the
+    connection when the body ends.
     """
 
     _body_protocol: ResponseHandler | None = None
+    _decoded_headers: CIMultiDictProxy[str] | None = None
 
     async def start(self, connection: Connection) -> aiohttp.ClientResponse:
         """Read the head of the response; raises `MalformedHead` if it is none."""
@@ -64,6 +66,17 @@
             raise MalformedHead(reason)
         return self
 
+    @property
+    def headers(self) -> CIMultiDictProxy[str]:
+        """Header fields decoded as Latin-1, as servers here encode them: their bytes pass unchanged."""
+        if self._decoded_headers is None:
+            fields = (
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in self.raw_headers
+            )
+            self._decoded_headers = CIMultiDictProxy(CIMultiDict(fields))
+        return self._decoded_headers
+
     def find_connection_end(self) -> ConnectionEnd:
         """Return how the connection ended, after the body has ended with it."""
         protocol = self._body_protocol
