Refuse control bytes in header fields of answers behind a guard

Seen: 29 of the 30 control bytes other than tab, CR and LF passed from an engine's field to a guard's caller as part of the head. Cause: aiohttp parses responses leniently and refuses only NUL, CR and LF in values. The gateway's parser refuses all of them. Change: the response class that all sessions have refuses such a head as it does one without a valid status: the answer is lost, its outcome unknown. The check is the one that requests to our own servers pass already.

--- a/magnoliarouter/tests/broken_answers.py
+++ b/magnoliarouter/tests/broken_answers.py
@@ -51,6 +51,12 @@
     ]
 
 
+def build_invalid_values():
+    """Return lines of a head whose field values hold control bytes (RFC 9110, section 5.5)."""
+    values = (b"a%cb" % byte for byte in (*range(9), *range(11, 32), 0x7F))
+    return [b"X-Odd: %b\r\n" % value for value in values]
+
+
 def insert_line(response, line):
     """Return the bytes of a response with a line before the last one of its head."""
     head, end, body = response.partition(b"\r\n\r\n")
--- a/magnoliarouter/tests/test_broken_answers.py
+++ b/magnoliarouter/tests/test_broken_answers.py
@@ -11,6 +11,7 @@
     build_failures,
     build_invalid_names,
     build_invalid_statuses,
+    build_invalid_values,
     build_stream,
     insert_line,
 )
@@ -133,7 +134,7 @@
                 self.table.outliers.forget(["e1"])
 
 
-class InvalidNameTest(BrokenAnswerCase):
+class InvalidFieldTest(BrokenAnswerCase):
     """A head or trailer with a line that is no field makes the whole answer none."""
 
     async def check(self, answer):
@@ -144,7 +145,7 @@
 
     async def test_answer_with_a_line_that_is_no_field_does_not_pass(self):
         early_hints = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\nX-Server-Stamp: s0\r\n\r\n"
-        for line in build_invalid_names():
+        for line in (*build_invalid_names(), *build_invalid_values()):
             for status in (200, 404, 500):
                 response = build_response(b"whole", status)
                 await self.check(insert_line(response, line))
--- a/magnoliarouter/tests/test_guard.py
+++ b/magnoliarouter/tests/test_guard.py
@@ -11,7 +11,11 @@
 from magnoliarouter.endpoints.client import open_session
 from magnoliarouter.endpoints.guard import Guard
 from magnoliarouter.endpoints.messages import FenceReply, FenceRequest
-from magnoliarouter.tests.broken_answers import build_invalid_names, build_invalid_statuses
+from magnoliarouter.tests.broken_answers import (
+    build_invalid_names,
+    build_invalid_statuses,
+    build_invalid_values,
+)
 from magnoliarouter.tests.raw_server import RawPeer
 from magnoliarouter.web.loop import Runtime
 from magnoliarouter.web.server import WebServer
@@ -207,6 +211,16 @@
                 else:
                     self.assertEqual((status, headers["x-guard-failure"]), (502, "502"))
 
+    async def test_control_bytes_in_a_field_do_not_pass(self):
+        for line in build_invalid_values():
+            with self.subTest(line):
+                answer = OK + line + b"\r\nok"
+                await self.open(answer, answer, close=True)
+                for send, state in ((self.send, "finished"), (self.send_once, "broken")):
+                    status, headers, _ = await send(attempt=state)
+                    self.assertEqual((status, headers["x-guard-failure"]), (502, "502"))
+                    self.assertEqual((await self.fence(state)).state, state)
+
     async def test_bytes_over_0x7f_in_a_field_pass_unchanged(self):
         await self.open(OK + b"X-Own: caf\xc3\xa9 \xe9\r\n\r\nok")
         status, headers, body = await self.send()
--- a/magnoliarouter/web/bodies.py
+++ b/magnoliarouter/web/bodies.py
@@ -19,6 +19,7 @@
     is_whole_at_end,
 )
 from magnoliarouter.core.status import find_status_error
+from magnoliarouter.web.wellformed import find_field_error
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -47,8 +48,8 @@
 class TrackedResponse(aiohttp.ClientResponse):
     """Response that checks its head, and remembers its connection.
 
-    aiohttp itself accepts any three digits for a status, decodes fields as UTF-8, and releases the
-    connection when the body ends.
+    aiohttp itself accepts any three digits for a status and control characters in fields, decodes
+    fields as UTF-8, and releases the connection when the body ends.
     """
 
     _body_protocol: ResponseHandler | None = None
@@ -58,7 +59,7 @@
         """Read the head of the response; raises `MalformedHead` if it is none."""
         self._body_protocol = protocol = connection.protocol
         await super().start(connection)
-        reason = find_status_error(self.status)
+        reason = find_status_error(self.status) or find_field_error(self.headers)
         if reason:
             # After an empty body, the connection has been released for reuse already.
             if protocol is not None:
--- a/magnoliarouter/web/wellformed.py
+++ b/magnoliarouter/web/wellformed.py
@@ -1,6 +1,6 @@
-"""Checks on a parsed request that circuits.web's parser omits.
+"""Checks on parsed messages that the parsers of circuits.web and aiohttp omit.
 
-The parser accepts several framings of one body, unescapes header values and treats bytes after a
+The parser of circuits.web accepts several framings of one body, unescapes header values and treats bytes after a
 body as part of it. Each of these could make two processes parse the same bytes as different
 requests (request smuggling).
 """
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-__all__ = ["find_request_error", "split_body"]
+__all__ = ["find_field_error", "find_request_error", "split_body"]
 
 CONTROL_CHARACTER_PATTERN = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 CONTENT_LENGTH_PATTERN = re.compile(r"^[0-9]{1,15}$")
@@ -38,10 +38,15 @@
         return f"path is {path!r}; valid: starts with '/'"
     if CONTROL_CHARACTER_PATTERN.search(path):
         return "path has a control character"
+    return find_field_error(headers) or _find_framing_error(headers)
+
+
+def find_field_error(headers: Mapping[str, str]) -> str:
+    """Return an error message if a header field has a control character, else an empty string."""
     for name, value in headers.items():
         if CONTROL_CHARACTER_PATTERN.search(value):
             return f"header {name!r} has a control character"
-    return _find_framing_error(headers)
+    return ""
 
 
 def _find_framing_error(headers: Mapping[str, str]) -> str:
