Soak the gateway before engines whose answers have no valid status

Cause: the soak knew no answer without a valid status, and took any for one. Done: engines of the soak send such heads for bodies, streams and, with a word that the request did not run, after they ran it; callers must get no such status. Reports of ranks and responses to orders are tested with such heads too.

--- a/magnoliarouter/tests/response_soak.py
+++ b/magnoliarouter/tests/response_soak.py
@@ -11,6 +11,8 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
+from magnoliarouter.core.status import find_status_error
+from magnoliarouter.tests.broken_answers import INVALID_STATUSES
 from magnoliarouter.tests.daemons import kill_gateway, start_gateway
 from magnoliarouter.tests.platform_standin import StoreStandin, build_configuration
 from magnoliarouter.tests.raw_server import RawPeer, RawServer
@@ -35,9 +37,19 @@
     "trickle",
     "other type",
     "unsigned",
+    "status",
 )
-BODY_FAULTS = ("reset", "cut", "endless", "endless head", "trickle", "unsigned", "surplus")
-REFUSALS = ("full", "pause", "error", "lost")
+BODY_FAULTS = (
+    "reset",
+    "cut",
+    "endless",
+    "endless head",
+    "trickle",
+    "unsigned",
+    "surplus",
+    "status",
+)
+REFUSALS = ("full", "pause", "error", "lost", "status")
 
 
 def build_event(request_id: str, number: int) -> bytes:
@@ -114,7 +126,7 @@
     def now(self) -> float:
         return asyncio.get_running_loop().time()
 
-    def build_head(self, request_id: str, status: int = 200, **fields: str) -> bytes:
+    def build_head(self, request_id: str, status: int | str = 200, **fields: str) -> bytes:
         named = {"X-Request-Id": request_id, "X-Server-Stamp": self.name, **fields}
         if self.leaving:
             named["Server-Leaving"] = "1"
@@ -139,19 +151,24 @@
         await asyncio.sleep(self.rng.random() * 0.02)
         if refusal:
             self.log.counts[refusal] += 1
-            if refusal == "error":
-                await peer.send(self.build_head(request_id, 500) + b"Content-Length: 0\r\n\r\n")
-            return refusal == "error"
+            proof = {"X_Not_Executed": "1"} if refusal == "status" else {}
+            if refusal != "lost":
+                head = self.build_head(request_id, self.draw_status(refusal, 500), **proof)
+                await peer.send(head + b"Content-Length: 0\r\n\r\n")
+            return refusal != "lost"
         if KINDS[path[:3]] == "streaming":
             return await self.stream(peer, request_id, int(fields.get("Last-Event-Id", "0")))
         return await self.send_body(peer, request_id)
 
+    def draw_status(self, fault: str, status: int) -> int | str:
+        return self.rng.choice(INVALID_STATUSES) if fault == "status" else status
+
     async def send_body(self, peer: RawPeer, request_id: str) -> bool:
         body = f"body of {request_id} at {self.name}".encode()
         fault = self.rng.choice(BODY_FAULTS) if self.rng.random() < FAULT_SHARE else ""
         self.log.counts[f"body {fault}"] += 1
         stamp = {"X_Server_Stamp": ""} if fault == "unsigned" else {}
-        head = self.build_head(request_id, **stamp)
+        head = self.build_head(request_id, self.draw_status(fault, 200), **stamp)
         length = b"Content-Length: %d\r\n\r\n" % len(body)
         match fault:
             case "reset":
@@ -191,7 +208,7 @@
             fields["Content_Type"] = "text/plain"
         if fault == "unsigned":
             fields["X_Server_Stamp"] = ""
-        head = self.build_head(request_id, **fields)
+        head = self.build_head(request_id, self.draw_status(fault, 200), **fields)
         await peer.send(head + (b"Transfer-Encoding: chunked\r\n\r\n" if chunked else b"\r\n"))
 
         async def send(data: bytes) -> None:
@@ -343,6 +360,8 @@
     ) -> None:
         status = int(head.split()[1])
         self.log.counts[f"{prefix} {status if whole else 'broken off'}"] += 1
+        if reason := find_status_error(status):
+            self.log.violations.append(f"{request_id} {prefix}: {reason}")
         if not whole:
             return
         runs = self.log.runs[request_id]
--- a/magnoliarouter/tests/test_broken_answers.py
+++ b/magnoliarouter/tests/test_broken_answers.py
@@ -6,7 +6,9 @@
 from dataclasses import replace
 
 from magnoliarouter.core.outcome import Completed, NotRun, ResultCode, Unknown
+from magnoliarouter.gateway.ranks import Hold, OrderResult
 from magnoliarouter.gateway.routes import RouteKind
+from magnoliarouter.platform.ranks import PlatformRanks
 from magnoliarouter.tests.broken_answers import (
     build_failures,
     build_invalid_names,
@@ -82,6 +84,20 @@
                 self.assertEqual(outcome, Completed(ResultCode.OK, 200))
                 self.assertEqual(self.exchange.body, b"".join(EVENTS))
 
+    async def test_ranks_say_nothing_by_it(self):
+        for answer in build_invalid_statuses(Server_Leaving="1", request_id=None):
+            with self.subTest(answer=answer):
+
+                async def handle(peer, answer=answer):
+                    await peer.send(answer)
+                    peer.close()
+
+                server, leaving = await self.add(handle), []
+                ranks = PlatformRanks(self.pool, leaving.append)
+                self.assertIsNone(await ranks.read_report(server.address))
+                result = await ranks.send(server.address, Hold(5), 1, 3, 8)
+                self.assertEqual((result, leaving), (OrderResult.UNKNOWN, []))
+
 
 class BegunStreamTest(BrokenAnswerCase):
     """A stream broke off and cannot go on: its caller sees no other bytes, and no end."""
