Take no body with two different lengths for whole

Seen: where aiohttp has no compiled part, an engine's answer with two lengths, 2 and 5, passed a guard as whole with two bytes. The compiled parsers refuse it. Cause: aiohttp's own parser goes by the first length and drops the connection's other bytes; the check of the body's framing saw only that there is one. Change: two lengths that differ are a framing by which no body is whole. Result: without the change one case of test_framing fails, and with AIOHTTP_NO_EXTENSIONS=1 the new test of test_guard; with it both pass either way.

--- a/magnoliarouter/core/framing.py
+++ b/magnoliarouter/core/framing.py
@@ -24,7 +24,8 @@
     LENGTH = "length"
     CHUNKED = "chunked"
     CLOSE = "close"
-    # A transfer coding other than `chunked` would have to be decoded before the body is relayed.
+    # A transfer coding other than `chunked`, which would have to be decoded before the body is
+    # relayed, or two lengths that differ.
     UNSUPPORTED = "unsupported"
 
 
@@ -63,7 +64,10 @@
     coding = named.get(b"transfer-encoding")
     if coding is not None:
         return Framing.CHUNKED if coding.strip().lower() == b"chunked" else Framing.UNSUPPORTED
-    return Framing.LENGTH if b"content-length" in named else Framing.CLOSE
+    lengths = {value.strip() for name, value in fields if name.lower() == b"content-length"}
+    if len(lengths) > 1:
+        return Framing.UNSUPPORTED
+    return Framing.LENGTH if lengths else Framing.CLOSE
 
 
 def is_whole_at_end(framing: Framing, end: ConnectionEnd) -> bool:
--- a/magnoliarouter/tests/test_framing.py
+++ b/magnoliarouter/tests/test_framing.py
@@ -12,6 +12,8 @@
             (200, [length], False, Framing.LENGTH),
             (200, [chunked], False, Framing.CHUNKED),
             (200, [length, chunked], False, Framing.CHUNKED),
+            (200, [length, length], False, Framing.LENGTH),
+            (200, [length, (b"Content-Length", b"5")], False, Framing.UNSUPPORTED),
             (200, [(b"Transfer-Encoding", b"gzip")], False, Framing.UNSUPPORTED),
             (200, [(b"Transfer-Encoding", b"gzip, chunked")], False, Framing.UNSUPPORTED),
             (200, [(b"Connection", b"keep-alive")], False, Framing.CLOSE),
--- a/magnoliarouter/tests/test_guard.py
+++ b/magnoliarouter/tests/test_guard.py
@@ -137,6 +137,15 @@
                     continue
                 self.assertEqual(status, 502)
 
+    async def test_body_with_two_lengths_does_not_pass_as_whole(self):
+        await self.open(*[OK + b"Content-Length: 5\r\n\r\nok"] * 2, close=True)
+        self.assertEqual((await self.send_once("b"))[0], 502)
+        try:
+            status, _, _ = await self.send()
+        except aiohttp.ClientPayloadError:
+            return
+        self.assertEqual(status, 502)
+
     async def test_responses_that_end_early_by_a_clean_close_are_visible(self):
         chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
         for truncated in (OK + b"\r\no", chunked + b"2\r\nok\r\n", chunked + b"5\r\nok"):
--- a/magnoliarouter/web/bodies.py
+++ b/magnoliarouter/web/bodies.py
@@ -133,7 +133,7 @@
     bodiless = response.method == "HEAD"
     framing = determine_framing(response.status, list(response.raw_headers), bodiless)
     if framing is Framing.UNSUPPORTED:
-        return "body in an unsupported transfer coding"
+        return "body in an unsupported transfer coding, or with two lengths"
     if framing is not Framing.CLOSE:
         return ""
     if not isinstance(response, TrackedResponse):
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -410,7 +410,7 @@
             return
         self._framing = determine_framing(status, self._fields, self._bodiless)
         if self._framing is Framing.UNSUPPORTED:
-            self._fail("body in an unsupported transfer coding")
+            self._fail("body in an unsupported transfer coding, or with two lengths")
             return
         if not self._parser.should_keep_alive():
             self._close_after_response = True
