Test that a guard's head without a valid status proves nothing

Cause: the entry daemon's own way to a guard had no test with such a head. Done: a head with status 000 that names the attempt and says that it did not start.

--- a/magnoliarouter/tests/test_guard_load.py
+++ b/magnoliarouter/tests/test_guard_load.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import unittest
 
 import msgspec
@@ -13,7 +14,9 @@
 from magnoliarouter.endpoints.monitor import EndpointMonitor
 from magnoliarouter.endpoints.report import LOAD_HEADER, decode_load_header
 from magnoliarouter.pipeline.dispatch import EndpointResponse, open_attempt
+from magnoliarouter.tests.broken_answers import replace_status
 from magnoliarouter.tests.builders import build_call, build_endpoint
+from magnoliarouter.tests.raw_server import RawServer, build_response
 from magnoliarouter.web.loop import Runtime
 from magnoliarouter.web.server import WebServer
 
@@ -72,6 +75,20 @@
         self.release.set()
         await first
 
+    async def test_head_without_a_valid_status_proves_nothing(self):
+        async def handle(peer):
+            head, _ = await peer.read_message()
+            attempt = re.search(r"x-attempt-id: (\S+)", head)[1]
+            named = build_response(x_attempt_id=attempt, x_not_started=attempt)
+            await peer.send(replace_status(named, "000"))
+
+        server = await RawServer(handle).start()
+        self.addAsyncCleanup(server.stop)
+        self.url = f"http://{server.address}"
+        outcome = await self.attempt()
+        self.assertEqual(outcome, Unknown(ResultCode.ENDPOINT_ERROR, "MalformedHead"))
+        self.assertEqual(self.heads, [])
+
     async def test_no_answer_before_the_deadline_is_unknown(self):
         outcome = await self.attempt(deadline=self.loop.time() + 0.05)
         self.assertIsInstance(outcome, Unknown)
