Word the checks of heads more plainly

Cause: a docstring named only one of two parsers, another was too long a line. Done: docstrings and comments; a list of test lines is built in one place.

--- a/magnoliarouter/tests/broken_answers.py
+++ b/magnoliarouter/tests/broken_answers.py
@@ -4,8 +4,8 @@
 
 from magnoliarouter.tests.raw_server import build_response
 
-# Three digits that are no status of a final response: RFC 9110, section 15, allows 200 to 599. No
-# request asks for the upgrade that 101 grants.
+# Three digits that are no status of a final response (RFC 9110, section 15). No request asks for the
+# upgrade that 101 grants.
 INVALID_STATUSES = ("000", "001", "099", "101", "600", "999")
 
 # Bytes that no field name may hold (RFC 9110, section 5.6.2), the colon aside.
@@ -40,15 +40,12 @@
 
 
 def build_invalid_names():
-    """Return lines of a head whose field names are none, and a line that continues another."""
+    """Return lines of a head whose field names are none, or that continue the line before."""
     names = [b"X-O%cdd" % byte for byte in NO_NAME_BYTES]
     names += [byte + b"X-Odd" for byte in (b"\x00", b"\x0b", b"\x7f", b"\xe9")]
     names += [b"X-Odd" + byte for byte in (b" ", b"\t", b"\x00", b"\r", b"\xe9")]
-    return [b"%b: odd\r\n" % name for name in (*names, b"")] + [
-        b"Odd\r\n",
-        b" odd\r\n",
-        b"\todd\r\n",
-    ]
+    lines = [b"%b: odd\r\n" % name for name in (*names, b"")]
+    return [*lines, b"Odd\r\n", b" odd\r\n", b"\todd\r\n"]
 
 
 def build_invalid_values():
--- a/magnoliarouter/web/bodies.py
+++ b/magnoliarouter/web/bodies.py
@@ -1,4 +1,4 @@
-"""Refuses heads of aiohttp responses that are none, reads bodies, and decides whether they are whole.
+"""Checks the heads of aiohttp responses, reads their bodies, and decides whether they are whole.
 
 aiohttp itself detects that a body with a length or in chunks ends early. A body without either ends
 with its connection, and aiohttp ends it in the same way whether the connection was closed or reset.
--- a/magnoliarouter/web/wellformed.py
+++ b/magnoliarouter/web/wellformed.py
@@ -1,8 +1,8 @@
 """Checks on parsed messages that the parsers of circuits.web and aiohttp omit.
 
-The parser of circuits.web accepts several framings of one body, unescapes header values and treats bytes after a
-body as part of it. Each of these could make two processes parse the same bytes as different
-requests (request smuggling).
+The parser of circuits.web accepts several framings of one body, unescapes header values and treats
+bytes after a body as part of it. Each of these could make two processes parse the same bytes as
+different requests (request smuggling). That of aiohttp takes control characters for parts of values.
 """
 
 from __future__ import annotations
