Read the fields that frame a body in one pass

Cause: the check of two lengths went through all fields of a response again. Done: one loop finds the transfer coding and the lengths.

--- a/magnoliarouter/core/framing.py
+++ b/magnoliarouter/core/framing.py
@@ -60,11 +60,16 @@
     """
     if bodiless or status in BODILESS_STATUSES:
         return Framing.NONE
-    named = {name.lower(): value for name, value in fields}
-    coding = named.get(b"transfer-encoding")
+    coding: bytes | None = None
+    lengths: set[bytes] = set()
+    for name, value in fields:
+        match name.lower():
+            case b"transfer-encoding":
+                coding = value
+            case b"content-length":
+                lengths.add(value.strip())
     if coding is not None:
         return Framing.CHUNKED if coding.strip().lower() == b"chunked" else Framing.UNSUPPORTED
-    lengths = {value.strip() for name, value in fields if name.lower() == b"content-length"}
     if len(lengths) > 1:
         return Framing.UNSUPPORTED
     return Framing.LENGTH if lengths else Framing.CLOSE
