Check lost answers of a guard's endpoint in one place

Cause: three tests repeated the same loop. Done: check_lost, with the strictest of the three sets of assertions.

--- a/magnoliarouter/tests/test_guard.py
+++ b/magnoliarouter/tests/test_guard.py
@@ -90,6 +90,16 @@
         async with self.session.post(f"{self.url}/guard/fence", data=body) as response:
             return msgspec.json.decode(await response.read(), type=FenceReply)
 
+    async def check_lost(self, answer):
+        """Check that an answer of the endpoint counts for nothing, and is not kept."""
+        await self.open(answer, answer, close=True)
+        for send, state in ((self.send, "finished"), (self.send_once, "broken")):
+            status, headers, _ = await send(attempt=state)
+            self.assertEqual((status, headers["x-guard-failure"]), (502, "502"))
+            self.assertNotIn("x-not-started", headers)
+            reply = await self.fence(state)
+            self.assertEqual((reply.state, reply.answer), (state, None))
+
     async def test_query_and_end_to_end_fields_pass(self):
         await self.open(OK + b"X-Own: v\r\nConnection: X-Hop\r\nX-Hop: h\r\n\r\nok")
         _, headers, body = await self.send(
@@ -201,13 +211,7 @@
     async def test_head_without_a_valid_status_is_no_answer(self):
         for answer in build_invalid_statuses(x_attempt_id="a", x_not_started="a"):
             with self.subTest(answer):
-                await self.open(answer, answer, close=True)
-                for send, state in ((self.send, "finished"), (self.send_once, "broken")):
-                    status, headers, _ = await send(attempt=state)
-                    self.assertEqual((status, headers["x-guard-failure"]), (502, "502"))
-                    self.assertNotIn("x-not-started", headers)
-                    reply = await self.fence(state)
-                    self.assertEqual((reply.state, reply.answer), (state, None))
+                await self.check_lost(answer)
 
     async def test_line_that_is_no_field_does_not_pass(self):
         for line in build_invalid_names():
@@ -223,12 +227,7 @@
     async def test_control_bytes_in_a_field_do_not_pass(self):
         for line in build_invalid_values():
             with self.subTest(line):
-                answer = OK + line + b"\r\nok"
-                await self.open(answer, answer, close=True)
-                for send, state in ((self.send, "finished"), (self.send_once, "broken")):
-                    status, headers, _ = await send(attempt=state)
-                    self.assertEqual((status, headers["x-guard-failure"]), (502, "502"))
-                    self.assertEqual((await self.fence(state)).state, state)
+                await self.check_lost(OK + line + b"\r\nok")
 
     async def test_bytes_over_0x7f_in_a_field_pass_unchanged(self):
         await self.open(OK + b"X-Own: caf\xc3\xa9 \xe9\r\n\r\nok")
@@ -246,11 +245,7 @@
         whole = OK + b"\r\n"
         for size in range(0, len(whole), 3):
             with self.subTest(whole[:size]):
-                await self.open(whole[:size], whole[:size], close=True)
-                for send, state in ((self.send, "finished"), (self.send_once, "broken")):
-                    status, headers, _ = await send(attempt=state)
-                    self.assertEqual((status, headers["x-guard-failure"]), (502, "502"))
-                    self.assertEqual((await self.fence(state)).state, state)
+                await self.check_lost(whole[:size])
 
     async def test_fence_before_start_and_of_another_incarnation(self):
         await self.open(OK + b"\r\nok")
