Bound the memory of all requests of callers together

Callers saw a daemon end: each of its connections kept a request of up to 16 KiB of head and 4 MiB of body within its own limits, and nothing bounded them together. A line of a head costs over 100 bytes however short it is, so a head of 16,000 bytes took up to 400 kB.

Requests now share a fifth of the VM's memory, counted with what they really take, from their first byte to the end of their response, on all addresses of the daemon. Nothing waits: a crowd that stops short of its end would hold what others wait for. When the memory is used up, the request without progress for longest is refused with 503, Retry-After and code 410, which stays true, since only requests that were never started are refused. Large requests may take three quarters, so that ordinary ones go on beside them; one alone always fits. A body that is announced larger than what fits, or than the limit, is refused before it arrives. A request that is rejected beside one in progress releases what it holds, and the requests before it are answered. A body is no longer copied for the call, nor together with its head.

--- a/magnoliarouter/core/codes.py
+++ b/magnoliarouter/core/codes.py
@@ -114,6 +114,9 @@
     ResultCode.ENDPOINTS_EVACUATED: CodeDescription(
         503, "Every endpoint of the service is in an evacuated availability zone.", _RETRY_LATER
     ),
+    ResultCode.MEMORY_FULL: CodeDescription(
+        503, "Requests of all callers take the memory that they may.", _RETRY_LATER
+    ),
     ResultCode.ENDPOINT_REFUSED: CodeDescription(
         503, "The endpoint's guard did not start the request.", _RETRY_LATER
     ),
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -52,6 +52,7 @@
 from magnoliarouter.web.ingress import IngressServer
 from magnoliarouter.web.limits import ServerLimits
 from magnoliarouter.web.memory import ByteBudget
+from magnoliarouter.web.requestmemory import RequestMemory
 from magnoliarouter.web.upstream import UpstreamPool, split_address
 
 if TYPE_CHECKING:
@@ -102,6 +103,8 @@
 # Share of the VM's memory for large responses that are read whole. While one is handed to its caller
 # it is held twice, and most of the memory is the process itself.
 RESPONSE_MEMORY_SHARE = 1 / 16
+# Share of the VM's memory for requests, from their first bytes to the end of their responses.
+REQUEST_MEMORY_SHARE = 1 / 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -259,9 +262,10 @@
         )
         self._open_feeds()
         self._start_map_control(incarnation)
-        self._server = IngressServer(handler.handle, handler.count_rejected)
-        self._ready_server = IngressServer(self._serve_ready)
-        self._status_server = IngressServer(self._serve_status)
+        memory = RequestMemory(int(settings.memory_mb * 1e6 * REQUEST_MEMORY_SHARE))
+        self._server = IngressServer(handler.handle, handler.count_rejected, memory=memory)
+        self._ready_server = IngressServer(self._serve_ready, memory=memory)
+        self._status_server = IngressServer(self._serve_status, memory=memory)
         if settings.status:
             await self._status_server.start(*split_address(settings.status))
         await self._ready_server.start(*split_address(settings.ready))
--- a/magnoliarouter/gateway/attempt.py
+++ b/magnoliarouter/gateway/attempt.py
@@ -288,7 +288,7 @@
             progress.start_attempt(self._clock())
             progress.others = self._table.load_of(endpoint.identity, self._clock()) - 1
             self._log_send(call, endpoint, progress)
-            connection.send(_encode_request(call, fields), call.method == b"HEAD")
+            connection.send(_encode_head(call, fields), call.body, call.method == b"HEAD")
             result = await self._read_response(call, exchange, connection, endpoint, progress)
         except UpstreamError as error:
             result = _describe_failure(error)
@@ -656,9 +656,9 @@
     return FailedAttempt(code, str(error), ran=None, broken_off=broken_off)
 
 
-def _encode_request(call: GatewayCall, fields: list[tuple[bytes, bytes]]) -> bytes:
+def _encode_head(call: GatewayCall, fields: list[tuple[bytes, bytes]]) -> bytes:
     lines = [call.method + b" " + call.target + b" HTTP/1.1"]
     lines += [name + b": " + value for name, value in fields]
     if call.body or call.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
         lines.append(b"Content-Length: %d" % len(call.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + call.body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/magnoliarouter/gateway/call.py
+++ b/magnoliarouter/gateway/call.py
@@ -144,7 +144,7 @@
         Parsed header fields.
     method, target : bytes
         Method and target of the request line.
-    body : bytes
+    body : bytes or bytearray
         Complete body.
     route : Route
         Route at the time of admission.
@@ -178,7 +178,7 @@
     headers: RequestHeaders
     method: bytes
     target: bytes
-    body: bytes
+    body: bytes | bytearray
     route: Route
     service: str
     tenant: str | None
@@ -224,7 +224,7 @@
         return (*parts, self.fingerprint) if self.fingerprint else parts
 
 
-def fingerprint_request(method: bytes, target: bytes, key: str, body: bytes) -> str:
+def fingerprint_request(method: bytes, target: bytes, key: str, body: bytes | bytearray) -> str:
     """Return a name that requests share if they are the same but for their id.
 
     Parameters
@@ -233,7 +233,7 @@
         Method and target of the request line.
     key : str
         API key of the caller; empty if it names none.
-    body : bytes
+    body : bytes or bytearray
         Complete body.
     """
     digest = xxhash.xxh3_128()
--- a/magnoliarouter/gateway/handler.py
+++ b/magnoliarouter/gateway/handler.py
@@ -126,12 +126,11 @@
         timeout_s = route.timeout_s
         if headers.timeout_s is not None:
             timeout_s = min(timeout_s, headers.timeout_s - NETWORK_MARGIN_S)
-        body = bytes(request.body)
         call = GatewayCall(
             headers,
             request.method,
             request.target,
-            body,
+            request.body,
             route,
             route.pick_service(headers.request_id),
             tenant.name if tenant is not None else None,
@@ -139,7 +138,7 @@
             now,
             request.received_at + timeout_s,
             config.version,
-            fingerprint_request(request.method, request.target, headers.key or "", body),
+            fingerprint_request(request.method, request.target, headers.key or "", request.body),
         )
         return _refuse_too_large(call, config) or call
 
--- a/magnoliarouter/tests/test_ingress.py
+++ b/magnoliarouter/tests/test_ingress.py
@@ -43,6 +43,13 @@
             return
         await exchange.send(200, [(b"X-A", b"1")], request.target)
 
+    async def wait_for(self, condition):
+        for _ in range(5000):
+            if condition():
+                return
+            await asyncio.sleep(0.001)
+        self.fail("not so within 5 s")
+
     async def connect_and_send(self, data):
         peer = await RawPeer.connect(self.address)
         self.addCleanup(peer.close)
--- a/magnoliarouter/web/ingress.py
+++ b/magnoliarouter/web/ingress.py
@@ -23,6 +23,13 @@
 from magnoliarouter.web.errors import JSON_TYPE, error_body
 from magnoliarouter.web.limits import ServerLimits
 from magnoliarouter.web.memory import UNRESERVED_BYTES, Reservation
+from magnoliarouter.web.requestmemory import (
+    RequestHold,
+    RequestMemory,
+    weigh_body,
+    weigh_field,
+    weigh_request,
+)
 from magnoliarouter.web.upstream import (
     MIN_RECEIVE_BUFFER_BYTES,
     TCP_USER_TIMEOUT_MS,
@@ -49,6 +56,10 @@
 LAST_CHUNK = b"0\r\n\r\n"
 # Time for the first request on a connection that is still unused when the server stops.
 UNUSED_CLOSE_S = 0.5
+# Memory of the requests of a server that shares none with others.
+DEFAULT_REQUEST_MEMORY_BYTES = 67_108_864
+# Retry-After of a request for which there is no memory; another daemon may have some.
+MEMORY_RETRY_AFTER_S = 0.2
 # Lingering for no time, as struct linger of socket(7): closing resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -71,6 +82,8 @@
         Whether the caller keeps the connection open for another request.
     accepts_chunks : bool
         Whether the caller understands chunked bodies, as from HTTP/1.1 on.
+    hold : RequestHold, optional
+        Memory that the request takes.
     """
 
     method: bytes
@@ -80,17 +93,24 @@
     received_at: float
     keep_alive: bool = True
     accepts_chunks: bool = True
+    hold: RequestHold | None = None
 
 
 @dataclass(slots=True)
 class _PartialRequest:
-    """Request that is not yet completely received."""
+    """Request that is not yet completely received; `weight` is the memory that its head takes."""
 
+    hold: RequestHold
     target: bytearray = field(default_factory=bytearray)
     fields: HeaderFields = field(default_factory=list)
     body: bytearray = field(default_factory=bytearray)
     head_complete: bool = False
     received_at: float = 0.0
+    weight: int = 0
+
+    def weigh(self) -> int:
+        """Return the memory that the request takes."""
+        return weigh_request(self.target) + self.weight + weigh_body(len(self.body))
 
 
 class IngressExchange:
@@ -197,6 +217,8 @@
         Called with the `ResultCode` of each request rejected before it reached `handle`.
     limits : ServerLimits
         Limits on connections and requests; may be replaced while the server runs.
+    memory : RequestMemory, optional
+        Memory that the requests of all servers of the process may take together.
     """
 
     def __init__(
@@ -204,8 +226,10 @@
         handle: Callable[[IngressExchange], Coroutine[None, None, None]],
         on_reject: Callable[[ResultCode], None] = lambda code: None,
         limits: ServerLimits | None = None,
+        memory: RequestMemory | None = None,
     ) -> None:
         self.limits = limits or ServerLimits()
+        self.memory = memory or RequestMemory(DEFAULT_REQUEST_MEMORY_BYTES)
         self.draining = False
         self.stopping = False
         self.handle = handle
@@ -330,7 +354,9 @@
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._drain_waiter: asyncio.Future[None] | None = None
+        # Whether further input is dropped, and the response that says so while another is sent.
         self._rejected = False
+        self._rejection: bytes | None = None
         self._reading_paused = False
         self._used = False
         self._patient = False
@@ -375,7 +401,11 @@
 
     def has_next_request(self) -> bool:
         """Return whether a further request has arrived, in whole or in part."""
-        return self._partial_request is not None or bool(self._pipelined_requests)
+        return (
+            self._partial_request is not None
+            or bool(self._pipelined_requests)
+            or self._rejection is not None
+        )
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress, arriving or expected."""
@@ -417,7 +447,9 @@
         except httptools.HttpParserUpgrade:
             self._reject(400, ResultCode.MALFORMED_HTTP, "protocol upgrades are not served")
         except httptools.HttpParserError as error:
-            self._reject(400, ResultCode.MALFORMED_HTTP, str(error))
+            # A rejected request makes the parser fail as well.
+            if not self._rejected:
+                self._reject(400, ResultCode.MALFORMED_HTTP, str(error))
         else:
             self._check_sizes()
 
@@ -430,6 +462,7 @@
         self.server.report_end()
         self._stop_timer()
         self.resume_writing()
+        self._drop_requests()
         if self._task is not None and self._exchange is not None:
             if self._exchange.cancel_when_caller_gone:
                 self._task.cancel()
@@ -447,8 +480,11 @@
 
     def on_message_begin(self) -> None:
         """Start a new request."""
+        if self._rejected:
+            raise ValueError("a request before this one was rejected")
         self._used = True
-        self._partial_request = _PartialRequest(received_at=self._loop.time())
+        hold = RequestHold(self.server.memory, self._give_up)
+        self._partial_request = _PartialRequest(hold, received_at=self._loop.time())
         if self._task is None:
             self._start_timer(self.server.limits.request_timeout_s, self._reject_slow_request)
 
@@ -459,10 +495,12 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header field; trailer fields are dropped (RFC 9110, section 6.5.1)."""
-        assert self._partial_request is not None
-        if self._partial_request.head_complete:
+        partial = self._partial_request
+        assert partial is not None
+        if partial.head_complete:
             return
-        self._partial_request.fields.append((name, value.rstrip(b" \t")))
+        partial.fields.append((name, value.rstrip(b" \t")))
+        partial.weight += weigh_field(name, value)
 
     def on_headers_complete(self) -> None:
         """Mark the head as complete and send ``100 Continue`` if the caller expects it."""
@@ -473,11 +511,21 @@
         if self._task is None:
             # A large body over a slow link may take longer to arrive than a head may.
             self._start_timer(self.server.limits.idle_timeout_s, self._reject_slow_request)
-        if any(
-            name.lower() == b"expect" and value.lower() == b"100-continue"
-            for name, value in partial.fields
-        ):
+        size, expects_continue = 0, False
+        for name, value in partial.fields:
+            match name.lower():
+                case b"content-length" if value.isdigit():
+                    size = int(value[:20])
+                case b"expect":
+                    expects_continue = value.lower() == b"100-continue"
+        if size > self.server.limits.max_body_bytes:
+            self._reject(413, ResultCode.BODY_TOO_LARGE, "body is too large")
+        elif not self.server.memory.has_room(partial.weigh() + weigh_body(size)):
+            self._give_up()
+        elif expects_continue:
             self._transport.write(CONTINUE_RESPONSE)
+        if self._rejected:
+            raise ValueError("the body of this request is not read")
 
     def on_body(self, body: bytes) -> None:
         """Append bytes to the body."""
@@ -502,8 +550,12 @@
                 partial.received_at,
                 self._parser.should_keep_alive(),
                 self._parser.get_http_version() != "1.0",
+                partial.hold,
             )
         )
+        partial.hold.resize(partial.weigh())
+        if self._rejected:
+            return
         if self._task is None:
             self._serve_next()
         elif len(self._pipelined_requests) > MAX_PIPELINED_REQUESTS and not self._reading_paused:
@@ -522,12 +574,32 @@
             self._reject(431, ResultCode.HEADER_TOO_LARGE, "chunk header or trailers are too large")
         elif len(partial.body) > limits.max_body_bytes:
             self._reject(413, ResultCode.BODY_TOO_LARGE, "body is too large")
+        else:
+            partial.hold.resize(partial.weigh())
+
+    def _give_up(self) -> None:
+        """Refuse the requests that have not been started, since there is no memory for them."""
+        self._drop_requests()
+        reason = "the requests of all callers take the memory that they may"
+        self._reject(503, ResultCode.MEMORY_FULL, reason, MEMORY_RETRY_AFTER_S)
+
+    def _drop_requests(self) -> None:
+        """Release the requests that have not been started."""
+        partial, self._partial_request = self._partial_request, None
+        if partial is not None:
+            partial.hold.release()
+        for request in self._pipelined_requests:
+            if request.hold is not None:
+                request.hold.release()
+        self._pipelined_requests.clear()
 
     def _serve_next(self) -> None:
         self._stop_timer()
         if self._patient:
             self._set_patient(False)
         request = self._pipelined_requests.popleft()
+        if request.hold is not None:
+            request.hold.settle()
         self._exchange = IngressExchange(self, request)
         self._task = self._loop.create_task(self._run_handler(self._exchange))
         self.server.tasks.add(self._task)
@@ -551,6 +623,8 @@
         self.server.report_end()
         if self._exchange is not None:
             self._exchange.reservation.release()
+            if self._exchange.request.hold is not None:
+                self._exchange.request.hold.release()
         self._task = self._exchange = None
         if not task.cancelled() and task.exception() is not None:
             self._loop.call_exception_handler(
@@ -566,6 +640,8 @@
             self._transport.resume_reading()
         if self._pipelined_requests:
             self._serve_next()
+        elif self._rejection is not None:
+            self._write_last(self._rejection)
         elif self._partial_request is not None:
             self._start_timer(self.server.limits.request_timeout_s, self._reject_slow_request)
         else:
@@ -576,20 +652,34 @@
     def _reject_slow_request(self) -> None:
         self._reject(408, ResultCode.SLOW_REQUEST, "request took too long to arrive")
 
-    def _reject(self, status: int, code: ResultCode, reason: str) -> None:
+    def _reject(
+        self, status: int, code: ResultCode, reason: str, retry_after_s: float | None = None
+    ) -> None:
+        """Reject the request that is arriving, after the responses to those before it."""
         self._rejected = True
         self.server.on_reject(code)
-        if self._task is not None:
-            # A response is being sent, and an error response must not be inserted into its bytes.
-            self.close_after_response = True
-            return
+        partial, self._partial_request = self._partial_request, None
+        if partial is not None:
+            partial.hold.release()
         body = error_body(code, "not_run", reason)
         fields = [
             (b"Content-Type", JSON_TYPE.encode()),
             (b"Content-Length", str(len(body)).encode()),
             (b"Connection", b"close"),
         ]
-        self._transport.write(encode_head(status, fields) + body)
+        if retry_after_s is not None:
+            fields.append((b"Retry-After", b"%.3f" % retry_after_s))
+        response = encode_head(status, fields) + body
+        if self._task is not None:
+            # An error response must not be inserted into the bytes of the one that is being sent.
+            self._rejection = response
+            return
+        self._write_last(response)
+
+    def _write_last(self, response: bytes) -> None:
+        """Write the last response on the connection, and close it once the caller could read it."""
+        self._rejection = None
+        self._transport.write(response)
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._start_timer(LINGERING_CLOSE_S, self._transport.abort)
--- a/magnoliarouter/web/upstream.py
+++ b/magnoliarouter/web/upstream.py
@@ -167,26 +167,33 @@
 
     # --- public interface ----------------------------------------------------------------------
 
-    def send(self, data: bytes, bodiless: bool = False) -> None:
+    def send(self, head: bytes, body: bytes | bytearray = b"", bodiless: bool = False) -> None:
         """Send a complete request.
 
         Parameters
         ----------
-        data : bytes
-            Encoded head and body.
+        head : bytes
+            Encoded head.
+        body : bytes or bytearray
+            Body, which must not change until it is sent.
         bodiless : bool
             Whether the response has no body regardless of its header fields, as after HEAD.
         """
         self._busy, self._response_pending, self._bodiless = True, True, bodiless
         self._skipped = 0
         assert self._transport is not None
-        patient = len(data) > MIN_RECEIVE_BUFFER_BYTES
+        patient = len(head) + len(body) > MIN_RECEIVE_BUFFER_BYTES
         if patient != self._patient and not self.lost:
             # The endpoint may read the body when a place is free; the caller's deadline ends the wait.
             self._patient = patient
             sock = self._transport.get_extra_info("socket")
             set_user_timeout(sock, 0 if patient else TCP_USER_TIMEOUT_MS)
-        self._transport.write(data)
+        if not patient:
+            self._transport.write(head + body)
+            return
+        # A large body is not copied together with its head.
+        self._transport.write(head)
+        self._transport.write(memoryview(body))
 
     async def read_head(self) -> ResponseHead:
         """Return the head of the next response, which may respond to another request.
