Bound what the kernel keeps unread for callers

A burst of large bodies took memory that the process did not show: the kernel let the window of each connection grow to over a megabyte, and what is received and not read counts towards the memory of the VM.

Connections of callers now start with a receive buffer of 16 KiB, which they inherit from the listening socket, so that none grows before it is accepted. While a large body arrives the buffer is 64 KiB, and counts as memory of its request, so that a body over a long path does not take too many round trips.

--- a/magnoliarouter/web/ingress.py
+++ b/magnoliarouter/web/ingress.py
@@ -51,6 +51,10 @@
 LINGERING_CLOSE_S = 1.0
 WRITE_HIGH_WATER_MARK_BYTES = 65_536
 LISTEN_BACKLOG = 1_024
+# Size that the kernel is asked for to hold unread bytes of a connection, and while a large body
+# arrives; it keeps up to twice as much.
+RECEIVE_BUFFER_BYTES = 16_384
+LARGE_RECEIVE_BUFFER_BYTES = 65_536
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CHUNKED_FIELD = (b"Transfer-Encoding", b"chunked")
 LAST_CHUNK = b"0\r\n\r\n"
@@ -249,8 +253,11 @@
             The address cannot be bound.
         """
         loop = asyncio.get_running_loop()
+        listener = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
+        # Connections inherit it, so that none grows its window before it is accepted.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._server = await loop.create_server(
-            lambda: _Connection(self), host, port, backlog=LISTEN_BACKLOG, reuse_address=True
+            lambda: _Connection(self), sock=listener, backlog=LISTEN_BACKLOG
         )
         return int(self._server.sockets[0].getsockname()[1])
 
@@ -360,6 +367,7 @@
         self._reading_paused = False
         self._used = False
         self._patient = False
+        self._wide = False
 
     # --- interface of IngressExchange and IngressServer ----------------------------------------
 
@@ -537,6 +545,7 @@
         """Queue the complete request, and serve it if no other is in progress."""
         partial, self._partial_request = self._partial_request, None
         assert partial is not None
+        self._set_wide(False)
         self._received_bytes = self._overhead_bytes = 0
         if self._parser.should_upgrade():
             # The bytes that follow would not be HTTP; the parser raises HttpParserUpgrade next.
@@ -575,7 +584,19 @@
         elif len(partial.body) > limits.max_body_bytes:
             self._reject(413, ResultCode.BODY_TOO_LARGE, "body is too large")
         else:
-            partial.hold.resize(partial.weigh())
+            self._set_wide(len(partial.body) > LARGE_RECEIVE_BUFFER_BYTES)
+            unread = 2 * LARGE_RECEIVE_BUFFER_BYTES if self._wide else 0
+            partial.hold.resize(partial.weigh() + unread)
+
+    def _set_wide(self, wide: bool) -> None:
+        """Have the kernel keep more unread bytes while a large body arrives, over a long path."""
+        if wide == self._wide:
+            return
+        self._wide = wide
+        size = LARGE_RECEIVE_BUFFER_BYTES if wide else RECEIVE_BUFFER_BYTES
+        sock = self._transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_WINDOW_CLAMP, size)
 
     def _give_up(self) -> None:
         """Refuse the requests that have not been started, since there is no memory for them."""
