Keep descriptors for endpoints and the platform when callers open many connections

Callers that open connections and send nothing, or a part of a head, took every descriptor of a daemon: the limit on connections was 4,096 at each of three addresses, while a VM has 3,900 for sockets. The daemon could then open no connection to endpoints or the platform. A crowd below the limit kept ordinary callers out for as long as the idle time, as the newest connection was the one to be closed.

Callers' connections now use three quarters of the new setting max_descriptors, by default 2,925 of 3,900; the readiness probe and the metrics have 32 each. Connections are accepted 16 at a time, so that a burst cannot exceed the limit by more.

--- a/magnoliarouter/core/codes.py
+++ b/magnoliarouter/core/codes.py
@@ -117,6 +117,9 @@
     ResultCode.MEMORY_FULL: CodeDescription(
         503, "Requests of all callers take the memory that they may.", _RETRY_LATER
     ),
+    ResultCode.CONNECTIONS_FULL: CodeDescription(
+        503, "The daemon has as many connections as it may.", _RETRY_ELSEWHERE
+    ),
     ResultCode.ENDPOINT_REFUSED: CodeDescription(
         503, "The endpoint's guard did not start the request.", _RETRY_LATER
     ),
--- a/magnoliarouter/daemon/gateway.py
+++ b/magnoliarouter/daemon/gateway.py
@@ -105,6 +105,11 @@
 RESPONSE_MEMORY_SHARE = 1 / 16
 # Share of the VM's memory for requests, from their first bytes to the end of their responses.
 REQUEST_MEMORY_SHARE = 1 / 5
+# Share of the descriptors for callers' connections; the rest is for endpoints, the platform and the
+# next two.
+CALLER_CONNECTIONS_SHARE = 3 / 4
+# Connections to the address of the readiness probe, and to that of the metrics.
+MAX_PROBE_CONNECTIONS = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -263,9 +268,12 @@
         self._open_feeds()
         self._start_map_control(incarnation)
         memory = RequestMemory(int(settings.memory_mb * 1e6 * REQUEST_MEMORY_SHARE))
-        self._server = IngressServer(handler.handle, handler.count_rejected, memory=memory)
-        self._ready_server = IngressServer(self._serve_ready, memory=memory)
-        self._status_server = IngressServer(self._serve_status, memory=memory)
+        self._max_connections = int(settings.max_descriptors * CALLER_CONNECTIONS_SHARE)
+        limits = ServerLimits(max_connections=self._max_connections)
+        self._server = IngressServer(handler.handle, handler.count_rejected, limits, memory)
+        limits = ServerLimits(max_connections=MAX_PROBE_CONNECTIONS)
+        self._ready_server = IngressServer(self._serve_ready, limits=limits, memory=memory)
+        self._status_server = IngressServer(self._serve_status, limits=limits, memory=memory)
         if settings.status:
             await self._status_server.start(*split_address(settings.status))
         await self._ready_server.start(*split_address(settings.ready))
@@ -633,7 +641,11 @@
         self._plan_cold_limits()
         limits = value.limits
         self._server.limits = ServerLimits(
-            limits.header_bytes, limits.body_bytes, limits.header_timeout_s, limits.idle_timeout_s
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+            self._max_connections,
         )
         log_event("configuration_applied", version=value.version)
 
--- a/magnoliarouter/gateway/settings.py
+++ b/magnoliarouter/gateway/settings.py
@@ -84,6 +84,9 @@
         Bandwidth of the VM's link in Mbit/s. Duties for all daemons go to those with the fastest.
     memory_mb : float
         Memory in MB that the daemon may take.
+    max_descriptors : int
+        Descriptors of sockets and pipes that the daemon may have open. Callers' connections may use
+        three quarters of them.
     keeps_zone : bool
         Whether calls of model services leave the zone only by need. If not, each goes to the
         endpoint with the least load, and those of other zones count as slightly more loaded.
@@ -103,5 +106,6 @@
     bounds: GatewayBounds = GatewayBounds()
     link_mbps: Annotated[float, Meta(gt=0)] = 1000.0
     memory_mb: Annotated[float, Meta(gt=0)] = 256.0
+    max_descriptors: Annotated[int, Meta(ge=256)] = 3900
     keeps_zone: bool = True
     admission: Literal["auto", "arrival", "need"] = "arrival"
--- a/magnoliarouter/manual.py
+++ b/magnoliarouter/manual.py
@@ -28,6 +28,7 @@
     "retry_slack": "repeats a window",
     "cold_over": "times the tolerated rate",
     "cold_slack": "requests",
+    "max_descriptors": "descriptors",
     "extra_load": "requests a slot",
     "layers": "layers",
     "number": "revisions",
--- a/magnoliarouter/platform/settings.py
+++ b/magnoliarouter/platform/settings.py
@@ -19,6 +19,8 @@
 PEER_PORT_INDEX = 0
 # Also named in deploy/system.toml.
 STATUS_PORT = 9464
+# Descriptors that the platform keeps for files.
+FILE_DESCRIPTORS = 200
 
 
 class _Listen(msgspec.Struct):
@@ -49,6 +51,7 @@
 class _Limits(msgspec.Struct):
     link_mbps: float = 1000.0
     memory_mb: float = 256.0
+    max_fds: int = 4100
 
 
 class _File(msgspec.Struct):
@@ -127,5 +130,6 @@
         ),
         link_mbps=file.limits.link_mbps,
         memory_mb=file.limits.memory_mb,
+        max_descriptors=file.limits.max_fds - FILE_DESCRIPTORS,
     )
     return check_value(msgspec.to_builtins(settings), GatewaySettings)
--- a/magnoliarouter/tests/test_ingress.py
+++ b/magnoliarouter/tests/test_ingress.py
@@ -262,6 +262,51 @@
         self.assertEqual((await peer.read_message())[1], b"/a")
 
 
+class ConnectionLimitTest(IngressCase):
+    """The server may have two connections."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.server.limits = ServerLimits(max_connections=2, idle_timeout_s=5.0)
+
+    async def read_to_the_end(self, peer):
+        """Return what a closed connection still delivers; closing it with unread input resets it."""
+        try:
+            return await asyncio.wait_for(peer.read_all(), 2.0)
+        except ConnectionResetError:
+            return b""
+
+    async def test_connection_silent_for_longest_gives_way(self):
+        request = b"GET /%b HTTP/1.1\r\nHost: x\r\n\r\n"
+        silent = await self.connect_and_send(b"")
+        used = await self.connect_and_send(request % b"a")
+        self.assertEqual((await used.read_message())[1], b"/a")
+        peer = await self.connect_and_send(request % b"b")
+        self.assertEqual((await peer.read_message())[1], b"/b")
+        self.assertEqual(await self.read_to_the_end(silent), b"")
+        await used.send(request % b"c")
+        self.assertEqual((await used.read_message())[1], b"/c")
+        self.assertEqual(self.rejected, [ResultCode.CONNECTIONS_FULL])
+
+    async def test_request_that_is_arriving_is_refused_as_not_run(self):
+        arriving = await self.connect_and_send(b"GET /a HTTP/1.1\r\nHost")
+        await self.wait_for(lambda: any(one.has_next_request() for one in self.server.connections))
+        peers = [await self.connect_and_send(b"GET /slow HTTP/1.1\r\n\r\n") for _ in range(2)]
+        response = await self.read_to_the_end(arriving)
+        self.assertTrue(response.startswith(b"HTTP/1.1 503 "), response)
+        self.assertIn(b"Retry-After: 0.200\r\n", response)
+        for peer in peers:
+            self.assertEqual((await peer.read_message())[1], b"/slow")
+
+    async def test_requests_in_progress_keep_their_connections(self):
+        busy = [await self.connect_and_send(b"GET /slow HTTP/1.1\r\n\r\n") for _ in range(2)]
+        await self.wait_for(lambda: self.server.active_requests == 2)
+        late = await self.connect_and_send(b"GET /late HTTP/1.1\r\n\r\n")
+        self.assertEqual(await self.read_to_the_end(late), b"")
+        for peer in busy:
+            self.assertEqual((await peer.read_message())[1], b"/slow")
+
+
 class StopTest(IngressCase):
     """Requests that are under way when the server stops."""
 
--- a/magnoliarouter/web/ingress.py
+++ b/magnoliarouter/web/ingress.py
@@ -12,7 +12,7 @@
 import select
 import socket
 import struct
-from collections import deque
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -51,6 +51,8 @@
 LINGERING_CLOSE_S = 1.0
 WRITE_HIGH_WATER_MARK_BYTES = 65_536
 LISTEN_BACKLOG = 1_024
+# Connections accepted in one turn of the loop, which may exceed the limit on them until the next.
+ACCEPT_BATCH = 16
 # Size that the kernel is asked for to hold unread bytes of a connection, and while a large body
 # arrives; it keeps up to twice as much.
 RECEIVE_BUFFER_BYTES = 16_384
@@ -62,8 +64,8 @@
 UNUSED_CLOSE_S = 0.5
 # Memory of the requests of a server that shares none with others.
 DEFAULT_REQUEST_MEMORY_BYTES = 67_108_864
-# Retry-After of a request for which there is no memory; another daemon may have some.
-MEMORY_RETRY_AFTER_S = 0.2
+# Retry-After of a request for which there is no memory or connection; another daemon may have some.
+REJECTED_RETRY_AFTER_S = 0.2
 # Lingering for no time, as struct linger of socket(7): closing resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -210,6 +212,20 @@
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
+def _encode_rejection(
+    status: int, code: ResultCode, reason: str, retry_after_s: float | None
+) -> bytes:
+    body = error_body(code, "not_run", reason)
+    fields = [
+        (b"Content-Type", JSON_TYPE.encode()),
+        (b"Content-Length", str(len(body)).encode()),
+        (b"Connection", b"close"),
+    ]
+    if retry_after_s is not None:
+        fields.append((b"Retry-After", b"%.3f" % retry_after_s))
+    return encode_head(status, fields) + body
+
+
 class IngressServer:
     """HTTP server bound to one address.
 
@@ -238,7 +254,8 @@
         self.stopping = False
         self.handle = handle
         self.on_reject = on_reject
-        self.connections: set[_Connection] = set()
+        # The connection that has been silent for longest comes first.
+        self.connections: OrderedDict[_Connection, None] = OrderedDict()
         self.tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self._closing: asyncio.Task[None] | None = None
@@ -257,8 +274,9 @@
         # Connections inherit it, so that none grows its window before it is accepted.
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._server = await loop.create_server(
-            lambda: _Connection(self), sock=listener, backlog=LISTEN_BACKLOG
+            lambda: _Connection(self), sock=listener, backlog=ACCEPT_BATCH
         )
+        listener.listen(LISTEN_BACKLOG)
         return int(self._server.sockets[0].getsockname()[1])
 
     @property
@@ -299,6 +317,13 @@
             self._idle_waiter = asyncio.get_running_loop().create_future()
             await asyncio.wait((self._idle_waiter,), timeout=remaining_s)
 
+    def close_silent(self) -> bool:
+        """Close the connection that has been silent for longest, if any has no request in progress.
+
+        Callers hold idle connections for as long as they like, so the newest is not the one to go.
+        """
+        return any(connection.close_for_another() for connection in self.connections)
+
     def report_end(self) -> None:
         """Have `wait_until_idle` look again, after the end of a request or connection."""
         if self._idle_waiter is not None and not self._idle_waiter.done():
@@ -425,6 +450,27 @@
         elif not self._has_unread_input():
             self._transport.close()
 
+    def close_for_another(self) -> bool:
+        """Close the connection unless a request is in progress, and return whether it is closed."""
+        if self._task is not None:
+            return False
+        if self._partial_request is not None:
+            self._rejected = True
+            self._transport.write(
+                _encode_rejection(
+                    503,
+                    ResultCode.CONNECTIONS_FULL,
+                    "this daemon has as many connections as it may",
+                    REJECTED_RETRY_AFTER_S,
+                )
+            )
+        self.server.on_reject(ResultCode.CONNECTIONS_FULL)
+        # The loop closes it in its next turn; until then it must not be chosen again.
+        self.server.connections.pop(self)
+        self._transport.abort()
+        self.lost = True
+        return True
+
     def _has_unread_input(self) -> bool:
         poll = select.poll()
         poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
@@ -435,11 +481,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        if len(self.server.connections) >= self.server.limits.max_connections:
-            self.server.on_reject(ResultCode.QUEUE_FULL)
+        full = len(self.server.connections) >= self.server.limits.max_connections
+        if full and not self.server.close_silent():
+            self.server.on_reject(ResultCode.CONNECTIONS_FULL)
             transport.abort()
             return
-        self.server.connections.add(self)
+        self.server.connections[self] = None
         set_tcp_options(transport.get_extra_info("socket"))
         transport.set_write_buffer_limits(WRITE_HIGH_WATER_MARK_BYTES)
         idle_s = self.server.limits.idle_timeout_s
@@ -448,6 +495,7 @@
     def data_received(self, data: bytes) -> None:
         if self._rejected:
             return
+        self.server.connections.move_to_end(self)
         self._received_bytes += len(data)
         self._overhead_bytes += len(data)
         try:
@@ -466,7 +514,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
-        self.server.connections.discard(self)
+        self.server.connections.pop(self, None)
         self.server.report_end()
         self._stop_timer()
         self.resume_writing()
@@ -602,7 +650,7 @@
         """Refuse the requests that have not been started, since there is no memory for them."""
         self._drop_requests()
         reason = "the requests of all callers take the memory that they may"
-        self._reject(503, ResultCode.MEMORY_FULL, reason, MEMORY_RETRY_AFTER_S)
+        self._reject(503, ResultCode.MEMORY_FULL, reason, REJECTED_RETRY_AFTER_S)
 
     def _drop_requests(self) -> None:
         """Release the requests that have not been started."""
@@ -653,6 +701,7 @@
             )
         if self.lost:
             return
+        self.server.connections.move_to_end(self)
         if self.close_after_response or task.cancelled():
             self._transport.close()
             return
@@ -682,15 +731,7 @@
         partial, self._partial_request = self._partial_request, None
         if partial is not None:
             partial.hold.release()
-        body = error_body(code, "not_run", reason)
-        fields = [
-            (b"Content-Type", JSON_TYPE.encode()),
-            (b"Content-Length", str(len(body)).encode()),
-            (b"Connection", b"close"),
-        ]
-        if retry_after_s is not None:
-            fields.append((b"Retry-After", b"%.3f" % retry_after_s))
-        response = encode_head(status, fields) + body
+        response = _encode_rejection(status, code, reason, retry_after_s)
         if self._task is not None:
             # An error response must not be inserted into the bytes of the one that is being sent.
             self._rejection = response
--- a/magnoliarouter/web/limits.py
+++ b/magnoliarouter/web/limits.py
@@ -24,7 +24,8 @@
         Maximum time in seconds that a connection may stay open between requests, and in
         `IngressServer` also from the end of a request's head to the end of its body.
     max_connections : int
-        Maximum number of concurrent connections; further connections are closed.
+        Maximum number of concurrent connections. For further ones `IngressServer` closes those
+        without a request in progress that have been silent for longest; others are closed at once.
     """
 
     max_header_bytes: int = 16_384
