Send no 100 Continue within another response

A caller that sent a request with Expect: 100-continue behind one whose response was in progress found "HTTP/1.1 100 Continue" between the bytes of that response, for instance within a stream of events: it was written as soon as the head had arrived.

It is now sent once the response in progress has ended, unless the body has begun to arrive by then. The new test of the server fails without the change: it reads "HTTP/1.1 100" where a chunk of the stream is due.

--- a/magnoliarouter/tests/test_ingress.py
+++ b/magnoliarouter/tests/test_ingress.py
@@ -261,6 +261,23 @@
         await peer.send(b"ab")
         self.assertEqual((await peer.read_message())[1], b"/a")
 
+    async def test_continue_waits_for_the_end_of_the_response_in_progress(self):
+        async def stream(exchange):
+            exchange.start(200, [], b"one")
+            await asyncio.sleep(0.05)
+            await exchange.write(b"two" + bytes(exchange.request.body))
+            await exchange.finish()
+
+        self.server.handle = stream
+        expecting = b"POST /b HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+        peer = await self.connect_and_send(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        await peer.reader.readuntil(b"\r\n\r\n3\r\none\r\n")
+        await peer.send(expecting)
+        self.assertEqual(await peer.reader.readexactly(13), b"3\r\ntwo\r\n0\r\n\r\n")
+        self.assertIn("100 Continue", (await peer.read_message())[0])
+        await peer.send(b"xy")
+        self.assertTrue((await peer.reader.readuntil(b"0\r\n\r\n")).endswith(b"twoxy\r\n0\r\n\r\n"))
+
 
 class ConnectionLimitTest(IngressCase):
     """The server may have two connections."""
--- a/magnoliarouter/web/ingress.py
+++ b/magnoliarouter/web/ingress.py
@@ -111,6 +111,7 @@
     fields: HeaderFields = field(default_factory=list)
     body: bytearray = field(default_factory=bytearray)
     head_complete: bool = False
+    expects_continue: bool = False
     received_at: float = 0.0
     weight: int = 0
 
@@ -567,19 +568,19 @@
         if self._task is None:
             # A large body over a slow link may take longer to arrive than a head may.
             self._start_timer(self.server.limits.idle_timeout_s, self._reject_slow_request)
-        size, expects_continue = 0, False
+        size = 0
         for name, value in partial.fields:
             match name.lower():
                 case b"content-length" if value.isdigit():
                     size = int(value[:20])
                 case b"expect":
-                    expects_continue = value.lower() == b"100-continue"
+                    partial.expects_continue = value.lower() == b"100-continue"
         if size > self.server.limits.max_body_bytes:
             self._reject(413, ResultCode.BODY_TOO_LARGE, "body is too large")
         elif not self.server.memory.has_room(partial.weigh() + weigh_body(size)):
             self._give_up()
-        elif expects_continue:
-            self._transport.write(CONTINUE_RESPONSE)
+        elif self._task is None:
+            self._send_continue(partial)
         if self._rejected:
             raise ValueError("the body of this request is not read")
 
@@ -662,6 +663,12 @@
                 request.hold.release()
         self._pipelined_requests.clear()
 
+    def _send_continue(self, partial: _PartialRequest) -> None:
+        """Ask for the body if the caller waits for that; must not come within another response."""
+        if partial.expects_continue and not partial.body:
+            self._transport.write(CONTINUE_RESPONSE)
+        partial.expects_continue = False
+
     def _serve_next(self) -> None:
         self._stop_timer()
         if self._patient:
@@ -713,6 +720,7 @@
         elif self._rejection is not None:
             self._write_last(self._rejection)
         elif self._partial_request is not None:
+            self._send_continue(self._partial_request)
             self._start_timer(self.server.limits.request_timeout_s, self._reject_slow_request)
         else:
             self._start_timer(self.server.limits.idle_timeout_s, self._transport.close)
