Bound the parts of prompts in the sample of a service

Callers choose how many parts their prompts name, and their ids: up to 256 in a head of legal size.

A sample keeps 8,192 parts in all, 16 in each of 512 prompts; longer ones displace older prompts.

--- a/magnoliarouter/core/crashes.py
+++ b/magnoliarouter/core/crashes.py
@@ -50,6 +50,8 @@
 # random. A part that most prompts hold is at most crashes.
 MAX_CHANCE = 0.1
 MAX_SAMPLE_PROMPTS = 512
+# Parts of all prompts of a sample: callers may name hundreds in one.
+MAX_SAMPLE_PARTS = 8_192
 
 # Name and time of the start of an endpoint.
 _Start: TypeAlias = tuple[str, int]
@@ -121,6 +123,7 @@
 
     _prompts: deque[tuple[str, ...]] = field(default_factory=deque)
     _counts: Counter[str] = field(default_factory=Counter)
+    _held_parts: int = 0
 
     def __len__(self) -> int:
         """Return the number of prompts."""
@@ -131,8 +134,11 @@
         prompt = tuple(set(parts))
         self._prompts.append(prompt)
         self._counts.update(prompt)
-        if len(self._prompts) > MAX_SAMPLE_PROMPTS:
-            for part in self._prompts.popleft():
+        self._held_parts += len(prompt)
+        while len(self._prompts) > MAX_SAMPLE_PROMPTS or self._held_parts > MAX_SAMPLE_PARTS:
+            oldest = self._prompts.popleft()
+            self._held_parts -= len(oldest)
+            for part in oldest:
                 self._counts[part] -= 1
                 if not self._counts[part]:
                     del self._counts[part]
--- a/magnoliarouter/tests/test_crashes.py
+++ b/magnoliarouter/tests/test_crashes.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import random
+import tracemalloc
 import unittest
 from dataclasses import replace
 
@@ -162,6 +163,19 @@
         self.crash("fx")
         self.assertEqual(self.find_causes(), [{"x"}])
 
+    def test_prompts_of_hundreds_of_parts_take_little_memory(self):
+        """Every service has a sample, and callers choose the ids and the number of parts."""
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        sample = PromptSample()
+        for number in range(MAX_SAMPLE_PROMPTS):
+            sample.record([f"{number:060x}{part:04x}" for part in range(256)])
+        self.assertLess(tracemalloc.get_traced_memory()[0], 4_000_000)
+        for number in range(2 * MAX_SAMPLE_PROMPTS):
+            sample.record(["shared", f"{number}"])
+        self.assertEqual(len(sample), MAX_SAMPLE_PROMPTS)
+        self.assertGreater(sample.estimate_share("shared"), 0.99)
+
     def test_sample_of_prompts_forgets_the_oldest(self):
         sample = PromptSample()
         self.assertEqual(sample.estimate_share("a"), 0.5)
