Bound the memory of all requests to entry and endpoint daemons

The HTTP server of the entry and endpoint daemons had the fault of the gateway's: limits on each connection and none on all of them. 20 bodies of 4 MiB in chunks that stop short of their end took 74 MB.

Its requests share the new setting request_memory_mb, 64 MB by default, with three times what was received of each. Receive buffers are those of the gateway.

Of the two new tests, the crowds find 74.0 MB of 32 for chunks before (heads and bodies with a length stayed below), and the stalled bodies got no answer. After: both pass.

--- a/magnoliarouter/daemon/endpoint.py
+++ b/magnoliarouter/daemon/endpoint.py
@@ -15,6 +15,7 @@
 from magnoliarouter.store.client import PlatformClient
 from magnoliarouter.telemetry.metrics import Metrics
 from magnoliarouter.web.loop import Runtime
+from magnoliarouter.web.requestmemory import RequestMemory
 from magnoliarouter.web.server import WebServer
 
 if TYPE_CHECKING:
@@ -77,7 +78,12 @@
         guard.add_control_handler("/guard/orders", self._orders.handle)
         self._guard = guard
         listen = self.settings.listen
-        self._server = WebServer(Runtime(loop), (listen.host, listen.port), guard.handle)
+        self._server = WebServer(
+            Runtime(loop),
+            (listen.host, listen.port),
+            guard.handle,
+            memory=RequestMemory(int(self.settings.request_memory_mb * 1e6)),
+        )
         self.port = self._server.port
         self._registration.address = f"{listen.host}:{self.port}"
         self._tasks.append(loop.create_task(self._registration.register()))
--- a/magnoliarouter/daemon/entry.py
+++ b/magnoliarouter/daemon/entry.py
@@ -31,6 +31,7 @@
 from magnoliarouter.telemetry.logs import log_event
 from magnoliarouter.telemetry.metrics import Metrics
 from magnoliarouter.web.loop import Runtime
+from magnoliarouter.web.requestmemory import RequestMemory
 from magnoliarouter.web.server import WebServer
 
 if TYPE_CHECKING:
@@ -85,6 +86,7 @@
             (listen.host, listen.port),
             self.handle,
             on_reject=self._call_handler.count_rejected,
+            memory=RequestMemory(int(self.settings.request_memory_mb * 1e6)),
         )
         self.port = self._server.port
         peers = self.settings.peers
--- a/magnoliarouter/daemon/settings.py
+++ b/magnoliarouter/daemon/settings.py
@@ -45,6 +45,7 @@
     platform: Url
     log_file: str = "-"
     peer_key: Annotated[str, Meta(min_length=16)]
+    request_memory_mb: Annotated[float, Meta(gt=0)] = 64.0
 
 
 class EntrySettings(
@@ -81,6 +82,8 @@
         worth of calls at once.
     log_file : str
         Path of the JSON-lines log; ``"-"`` is standard output.
+    request_memory_mb : float
+        Memory in MB that the requests of all callers may take together.
     request_seconds : float
         Longest duration of a request whose caller names no deadline, in seconds.
     queue_length : int
--- a/magnoliarouter/tests/test_server.py
+++ b/magnoliarouter/tests/test_server.py
@@ -3,12 +3,22 @@
 import asyncio
 import random
 import socket
+import tracemalloc
 import unittest
 
 import aiohttp
 
 from magnoliarouter.core.outcome import ResultCode
+from magnoliarouter.tests.crowds import (
+    Crowd,
+    build_body,
+    build_chunks,
+    build_short_lines,
+    split,
+)
+from magnoliarouter.tests.raw_server import RawPeer
 from magnoliarouter.web.loop import Runtime
+from magnoliarouter.web.requestmemory import RequestMemory
 from magnoliarouter.web.server import ServerLimits, WebServer
 
 LIMITS = ServerLimits(
@@ -168,6 +178,76 @@
         self.assertEqual(self.server.active_requests, 0)
 
 
+class MemoryTest(unittest.IsolatedAsyncioTestCase):
+    """Crowds of callers that stop just short of the end of their requests."""
+
+    MEMORY_BYTES = 16_000_000
+    # Twice the memory for requests: the allocator and the responses need some.
+    MAX_PEAK_BYTES = 2 * MEMORY_BYTES
+
+    async def asyncSetUp(self):
+        memory = RequestMemory(self.MEMORY_BYTES)
+        self.rejected = []
+        self.server = WebServer(
+            Runtime(), ("127.0.0.1", 0), self.handle, ServerLimits(), self.rejected.append, memory
+        )
+        self.memory = memory
+        self.crowd = Crowd(("127.0.0.1", self.server.port))
+        self.addCleanup(self.server.stop_listening)
+        self.addCleanup(self.crowd.close)
+
+    async def handle(self, exchange):
+        await exchange.send(200, b"%d" % len(exchange.request.body))
+
+    async def request(self, data):
+        peer = await RawPeer.connect(f"127.0.0.1:{self.server.port}")
+        self.addCleanup(peer.close)
+        await peer.send(data)
+        head, body = await peer.read_message()
+        return head, body
+
+    async def test_crowds_take_a_bounded_memory(self):
+        crowds = {
+            "heads": (200, [build_short_lines()]),
+            "bodies": (20, split(build_body(), 30_000)),
+            "chunks": (20, split(build_chunks(65_536), 30_000)),
+        }
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for name, (count, pieces) in crowds.items():
+            with self.subTest(name):
+                crowd = Crowd(("127.0.0.1", self.server.port))
+                self.addCleanup(crowd.close)
+                tracemalloc.reset_peak()
+                before = tracemalloc.get_traced_memory()[0]
+                await crowd.connect(count)
+                await crowd.send(pieces)
+                head, body = await self.request(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+                self.assertIn(" 200 ", head)
+                peak = tracemalloc.get_traced_memory()[1] - before
+                self.assertLess(peak, self.MAX_PEAK_BYTES)
+                self.assertLessEqual(self.memory.used, self.MEMORY_BYTES)
+                crowd.close()
+
+    async def test_refused_request_may_return_and_is_served_in_calm(self):
+        size = self.MEMORY_BYTES // 8
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % size
+        stalled = [await RawPeer.connect(f"127.0.0.1:{self.server.port}") for _ in range(3)]
+        for peer in stalled:
+            self.addCleanup(peer.close)
+            await peer.send(head + b"x" * (size - 1))
+        response = await asyncio.wait_for(stalled[0].read_all(), 5.0)
+        self.assertIn(b"HTTP/1.1 503 ", response)
+        self.assertIn(b"Retry-After: 0.200\r\n", response)
+        self.assertIn(b'"not_run"', response)
+        self.assertIn(ResultCode.MEMORY_FULL, self.rejected)
+        for peer in stalled:
+            peer.close()
+        head, body = await self.request(head + b"x" * size)
+        self.assertEqual((head.split()[1], body), ("200", b"%d" % size))
+        self.assertLess(self.memory.used, size)
+
+
 class StopTest(unittest.IsolatedAsyncioTestCase):
     """Requests that are under way when the server stops."""
 
--- a/magnoliarouter/web/ingress.py
+++ b/magnoliarouter/web/ingress.py
@@ -24,6 +24,10 @@
 from magnoliarouter.web.limits import ServerLimits
 from magnoliarouter.web.memory import UNRESERVED_BYTES, Reservation
 from magnoliarouter.web.requestmemory import (
+    DEFAULT_REQUEST_MEMORY_BYTES,
+    MEMORY_REASON,
+    RECEIVE_BUFFER_BYTES,
+    REJECTED_RETRY_AFTER_S,
     RequestHold,
     RequestMemory,
     weigh_body,
@@ -54,19 +58,13 @@
 LISTEN_BACKLOG = 1_024
 # Connections accepted in one turn of the loop, which may exceed the limit on them until the next.
 ACCEPT_BATCH = 16
-# Size that the kernel is asked for to hold unread bytes of a connection, and while a large body
-# arrives; it keeps up to twice as much.
-RECEIVE_BUFFER_BYTES = 16_384
+# Receive buffer of a connection while a large body arrives.
 LARGE_RECEIVE_BUFFER_BYTES = 65_536
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CHUNKED_FIELD = (b"Transfer-Encoding", b"chunked")
 LAST_CHUNK = b"0\r\n\r\n"
 # Time for the first request on a connection that is still unused when the server stops.
 UNUSED_CLOSE_S = 0.5
-# Memory of the requests of a server that shares none with others.
-DEFAULT_REQUEST_MEMORY_BYTES = 67_108_864
-# Retry-After of a request for which there is no memory or connection; another daemon may have some.
-REJECTED_RETRY_AFTER_S = 0.2
 # Lingering for no time, as struct linger of socket(7): closing resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -656,8 +654,7 @@
     def _give_up(self) -> None:
         """Refuse the requests that have not been started, since there is no memory for them."""
         self._drop_requests()
-        reason = "the requests of all callers take the memory that they may"
-        self._reject(503, ResultCode.MEMORY_FULL, reason, REJECTED_RETRY_AFTER_S)
+        self._reject(503, ResultCode.MEMORY_FULL, MEMORY_REASON, REJECTED_RETRY_AFTER_S)
 
     def _drop_requests(self) -> None:
         """Release the requests that have not been started."""
--- a/magnoliarouter/web/requestmemory.py
+++ b/magnoliarouter/web/requestmemory.py
@@ -9,6 +9,11 @@
     from collections.abc import Callable
 
 __all__ = [
+    "DEFAULT_REQUEST_MEMORY_BYTES",
+    "MEMORY_REASON",
+    "RECEIVE_BUFFER_BYTES",
+    "REJECTED_RETRY_AFTER_S",
+    "REQUEST_OVERHEAD_BYTES",
     "SMALL_REQUEST_BYTES",
     "RequestHold",
     "RequestMemory",
@@ -17,6 +22,14 @@
     "weigh_request",
 ]
 
+# Memory of the requests of a server that shares none with others.
+DEFAULT_REQUEST_MEMORY_BYTES = 67_108_864
+# Size that the kernel is asked for to hold the unread bytes of a connection; it keeps up to half as
+# much again.
+RECEIVE_BUFFER_BYTES = 16_384
+# Why a request is refused, and after which time its caller may return: another daemon may have room.
+MEMORY_REASON = "the requests of all callers take the memory that they may"
+REJECTED_RETRY_AFTER_S = 0.2
 # Objects of a request beside its bytes, and of each of its header fields.
 REQUEST_OVERHEAD_BYTES = 4_096
 FIELD_OVERHEAD_BYTES = 256
@@ -117,13 +130,14 @@
         return self._used_by_settled_large + size <= self.large_limit
 
     def resize(self, hold: RequestHold, size: int) -> None:
-        """Set the bytes that an arriving request takes, and give up what does not fit."""
+        """Set the bytes that a request takes, and give up what does not fit."""
         self._take(hold, size)
-        self._arriving[hold] = None
-        self._arriving.move_to_end(hold)
-        if hold.is_large:
-            self._arriving_large[hold] = None
-            self._arriving_large.move_to_end(hold)
+        if not hold.settled:
+            self._arriving[hold] = None
+            self._arriving.move_to_end(hold)
+            if hold.is_large:
+                self._arriving_large[hold] = None
+                self._arriving_large.move_to_end(hold)
         while self._arriving_large and self.used_by_large > self.large_limit:
             if not self._give_up_first(self._arriving_large, self.used_by_large):
                 break
--- a/magnoliarouter/web/server.py
+++ b/magnoliarouter/web/server.py
@@ -11,6 +11,7 @@
 import select
 from collections import deque
 from dataclasses import dataclass, field
+from socket import SO_RCVBUF, SOL_SOCKET
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl
 
@@ -28,6 +29,15 @@
     error_body,
 )
 from magnoliarouter.web.limits import ServerLimits
+from magnoliarouter.web.requestmemory import (
+    DEFAULT_REQUEST_MEMORY_BYTES,
+    MEMORY_REASON,
+    RECEIVE_BUFFER_BYTES,
+    REJECTED_RETRY_AFTER_S,
+    REQUEST_OVERHEAD_BYTES,
+    RequestHold,
+    RequestMemory,
+)
 from magnoliarouter.web.wellformed import find_request_error, split_body
 
 if TYPE_CHECKING:
@@ -46,6 +56,8 @@
 LINGERING_CLOSE_S = 1.0
 # Time for the first request on a connection that is still unused when the server stops.
 UNUSED_CLOSE_S = 0.5
+# Copies of the input of a request: as received, joined, and parsed.
+INPUT_COPIES = 3
 # Time in which the loop reads what the kernel has received before the server stopped.
 READ_WAITING_S = 0.02
 
@@ -60,9 +72,16 @@
     timer: asyncio.TimerHandle | None = None
     pipelined: list[bytes] = field(default_factory=list)
     pipelined_bytes: int = 0
+    hold: RequestHold | None = None
     used: bool = False
     drain_waiters: list[asyncio.Future[None]] = field(default_factory=list)
 
+    def release_hold(self) -> None:
+        """Return the memory of the request."""
+        if self.hold is not None:
+            self.hold.release()
+            self.hold = None
+
     def stop_timer(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
@@ -97,6 +116,8 @@
         Limits on connections and requests.
     on_reject : callable, optional
         Called with the `ResultCode` of each request rejected before it reached `handle`.
+    memory : RequestMemory, optional
+        Memory that the requests of all callers may take together.
 
     Raises
     ------
@@ -115,6 +136,7 @@
         handle: Callable[[Exchange], Coroutine[Any, Any, None]],
         limits: ServerLimits | None = None,
         on_reject: Callable[[ResultCode], None] = lambda code: None,
+        memory: RequestMemory | None = None,
     ) -> None:
         # Each server has its own channel, so that one process can run several servers.
         channel = f"web-{id(self)}"
@@ -123,12 +145,14 @@
         self._handle = handle
         self._limits = limits or ServerLimits()
         self._on_reject = on_reject
+        self._memory = memory or RequestMemory(DEFAULT_REQUEST_MEMORY_BYTES)
         self._connections: dict[socket, _Connection] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self.draining = False
         self._stopping = False
         self._idle_waiter: asyncio.Future[None] | None = None
         self.server = _DirectWriteServer(bind, channel=channel).register(self)
+        self.server._sock.setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self.http = HTTP(self, channel=channel).register(self)
         self.register(runtime)
 
@@ -255,6 +279,7 @@
             return
         self._report_end()
         connection.stop_timer()
+        connection.release_hold()
         _wake_drain_waiters(connection)
         if connection.task is not None:
             connection.task.cancel()
@@ -277,6 +302,8 @@
         connection.pipelined_bytes += len(data)
         if connection.pipelined_bytes > self._limits.max_header_bytes:
             self.close_connection(sock)
+        elif connection.hold is not None:
+            connection.hold.resize(connection.hold.size + INPUT_COPIES * len(data))
 
     def _check_request_size(
         self, event: read, sock: socket, connection: _Connection, size: int
@@ -299,6 +326,18 @@
         ):
             event.stop()
             self._reject(sock, 413, ResultCode.BODY_TOO_LARGE, "body is too large")
+        else:
+            if connection.hold is None:
+                connection.hold = RequestHold(self._memory, lambda: self._give_up(sock))
+            connection.hold.resize(
+                REQUEST_OVERHEAD_BYTES + INPUT_COPIES * connection.received_bytes
+            )
+            if connection.rejected:
+                event.stop()
+
+    def _give_up(self, sock: socket) -> None:
+        """Refuse a request that is arriving, since there is no memory for it."""
+        self._reject(sock, 503, ResultCode.MEMORY_FULL, MEMORY_REASON, REJECTED_RETRY_AFTER_S)
 
     def _start_idle_timer(self, sock: socket, connection: _Connection) -> None:
         connection.stop_timer()
@@ -308,14 +347,23 @@
     def _reject_slow_request(self, sock: socket) -> None:
         self._reject(sock, 408, ResultCode.SLOW_REQUEST, "request took too long to arrive")
 
-    def _reject(self, sock: socket, status: int, code: ResultCode, reason: str) -> None:
+    def _reject(
+        self,
+        sock: socket,
+        status: int,
+        code: ResultCode,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
         connection = self._connections.get(sock)
         if connection is None or connection.rejected:
             return
+        connection.release_hold()
         self._on_reject(code)
         body = error_body(code, "not_run", reason)
+        retry_after = "" if retry_after_s is None else f"Retry-After: {retry_after_s:.3f}\r\n"
         head = (
-            f"HTTP/1.1 {status} Rejected\r\nContent-Type: {JSON_TYPE}\r\n"
+            f"HTTP/1.1 {status} Rejected\r\nContent-Type: {JSON_TYPE}\r\n{retry_after}"
             f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
         )
         connection.rejected = True
@@ -364,6 +412,8 @@
         if connection is None:
             return True
         connection.stop_timer()
+        if connection.hold is not None:
+            connection.hold.settle()
         connection.used, connection.received_bytes = True, 0
         headers = {name.lower(): value for name, value in request.headers.items()}
         error = find_request_error(request.path, headers)
@@ -408,6 +458,7 @@
         if connection is None or connection.task is not task:
             return
         connection.task = None
+        connection.release_hold()
         # circuits.web retains a HEAD request and would reuse it for the next request.
         self.http._clients.pop(sock, None)
         if task.cancelled():
