--- a/magnoliarouter/tests/crowds.py
+++ b/magnoliarouter/tests/crowds.py
@@ -132,10 +132,22 @@
 
     async def __aenter__(self):
         stack = await self._stack.__aenter__()
-        store = await StoreStandin().start()
+        self._store = store = await StoreStandin().start()
         stack.callback(store.server.abort_all)
         stack.callback(store.server.stop_listening)
-        configuration = build_configuration(routes=("/a/", "/b/"))
+        await self.configure(1)
+        self.busy = await self._add_engine("e1", "app", self._work_s)
+        self.idle = await self._add_engine("e2", "idle", 0.0)
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        await self._start(folder, store.address)
+        stack.push_async_callback(self._stop)
+        self._sampling = asyncio.create_task(self._sample())
+        stack.callback(self._sampling.cancel)
+        return self
+
+    async def configure(self, version):
+        """Write a version of the configuration to the store."""
+        configuration = build_configuration(version, routes=("/a/", "/b/"))
         for route in configuration["routes"]:
             route |= {"timeout_ms": PATIENCE_MS, "target_latency_ms": PATIENCE_MS // 6}
         configuration["routes"][1]["service"] = "idle"
@@ -146,17 +158,13 @@
             "header_timeout_ms": PATIENCE_MS,
             "idle_timeout_ms": PATIENCE_MS,
         }
-        await store.put("config", "main", configuration)
-        for name, service, delay in (("e1", "app", self._work_s), ("e2", "idle", 0.0)):
-            engine = await EngineStandin(name, delay).start()
-            stack.push_async_callback(engine.server.stop)
-            await store.put("servers", name, engine.build_entry(service=service, born=1))
-        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-        await self._start(folder, store.address)
-        stack.push_async_callback(self._stop)
-        self._sampling = asyncio.create_task(self._sample())
-        stack.callback(self._sampling.cancel)
-        return self
+        await self._store.put("config", "main", configuration)
+
+    async def _add_engine(self, name, service, delay):
+        engine = await EngineStandin(name, delay).start()
+        self._stack.push_async_callback(engine.server.stop)
+        await self._store.put("servers", name, engine.build_entry(service=service, born=1))
+        return engine
 
     async def __aexit__(self, *error):
         return await self._stack.__aexit__(*error)
