Refuse a request whose caller has just closed without harm to another

An innocent caller got 400 for a request that was sound: when the memory is used up, its bytes cause another caller's request to be given up, and writing that refusal to a connection that the caller had closed raised an error (the end of the output of a connection that was reset). The parser took it for a malformed request, and the refused one stayed on the list to be given up.

Such a connection is closed. Soak and tests of crowds now check that the daemon writes no error.

--- a/magnoliarouter/tests/crowd_soak.py
+++ b/magnoliarouter/tests/crowd_soak.py
@@ -77,6 +77,7 @@
         usage = daemon.usage
         self._check(usage.memory < MEMORY_MB * 1e6, f"memory: {usage}")
         self._check(usage.descriptors <= MAX_FDS - FILE_FDS, f"descriptors: {usage}")
+        self._check(not daemon.errors, f"no error: {daemon.errors[:2000]}")
         ran = {head.split("X-Request-Id: ")[1].split("\r\n")[0] for head in daemon.idle.heads}
         self._check(not ran & self._refused, "what is refused does not run")
         return f"{usage} {dict(self.counts)}", self.violations
--- a/magnoliarouter/tests/crowds.py
+++ b/magnoliarouter/tests/crowds.py
@@ -128,6 +128,7 @@
         self.memory_mb, self.max_fds = memory_mb, max_fds
         self.usage = Usage()
         self._work_s = work_s
+        self.errors = ""
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self):
@@ -176,6 +177,7 @@
             "ready": (HOST, ready),
             "status": (HOST, STATUS_PORT),
         }
+        self._error_file = folder / "errors"
         settings = folder / "local.toml"
         settings.write_text(
             f'node_name = "front-1"\nzone = "zone-1"\nip = "{HOST}"\n'
@@ -186,13 +188,15 @@
             "[bounds]\ndrain_ms = 2000\nrevoke_ms = 5000\ngrace_s = 8\n",
             encoding="utf-8",
         )
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "magnoliarouter.platform.main",
-            env={**os.environ, PATH_VARIABLE: str(settings)},
-            stdout=asyncio.subprocess.DEVNULL,
-        )
+        with self._error_file.open("wb") as errors:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "magnoliarouter.platform.main",
+                env={**os.environ, PATH_VARIABLE: str(settings)},
+                stdout=asyncio.subprocess.DEVNULL,
+                stderr=errors,
+            )
         async with asyncio.timeout(START_S):
             while True:
                 with contextlib.suppress(OSError, asyncio.IncompleteReadError):
@@ -204,6 +208,7 @@
         if self.process.returncode is None:
             self.process.kill()
         await self.process.wait()
+        self.errors = self._error_file.read_text(encoding="utf-8")
 
     async def request(self, data=None):
         """Send a request, by default an ordinary one, and return the status of its response."""
--- a/magnoliarouter/tests/test_crowds.py
+++ b/magnoliarouter/tests/test_crowds.py
@@ -45,6 +45,7 @@
             self.assertIsNone(daemon.process.returncode)
         self.assertLess(daemon.usage.memory, memory_mb * 1e6, daemon.usage)
         self.assertLessEqual(daemon.usage.descriptors, max_fds - FILE_FDS, daemon.usage)
+        self.assertEqual(daemon.errors, "")
 
 
 class HeadTest(CrowdCase):
--- a/magnoliarouter/tests/test_requestmemory.py
+++ b/magnoliarouter/tests/test_requestmemory.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import random
+import socket
 import unittest
 
 from magnoliarouter.tests.test_ingress import IngressCase
@@ -149,6 +150,19 @@
         self.assertEqual((await peer.read_message())[1], b"/b")
         self.assertIn(" 400 ", (await peer.read_message())[0])
 
+    async def test_caller_that_has_just_closed_its_connection_harms_no_other(self):
+        host, _, port = self.address.rpartition(":")
+        sock = socket.create_connection((host, int(port)))
+        self.addCleanup(sock.close)
+        sock.sendall(self.build_request(missing=1))
+        await self.wait_for(lambda: self.server.memory.used > weigh_body(BODY_BYTES - 1))
+        sock.close()
+        # The loop does not run in between, so that the server has not read the close.
+        other = RequestHold(self.server.memory, lambda: None)
+        other.resize(weigh_body(BODY_BYTES))
+        self.assertEqual(self.server.memory.used, other.size)
+        await self.wait_for(lambda: not self.server.connections)
+
     async def test_memory_is_returned_when_callers_leave(self):
         peers = [
             await self.connect_and_send(data)
--- a/magnoliarouter/web/ingress.py
+++ b/magnoliarouter/web/ingress.py
@@ -753,8 +753,12 @@
         """Write the last response on the connection, and close it once the caller could read it."""
         self._rejection = None
         self._transport.write(response)
-        if self._transport.can_write_eof():
+        try:
             self._transport.write_eof()
+        except OSError:
+            # The caller has closed the connection, and its host answered the response with a reset.
+            self._transport.abort()
+            return
         self._start_timer(LINGERING_CLOSE_S, self._transport.abort)
 
     def _start_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
