Return the memory of requests for another protocol

A request with Upgrade is rejected after its end, when it is no longer the arriving one, so that what it took stayed reserved for good. It is returned now.

--- a/magnoliarouter/tests/test_requestmemory.py
+++ b/magnoliarouter/tests/test_requestmemory.py
@@ -163,6 +163,13 @@
         self.assertEqual(self.server.memory.used, other.size)
         await self.wait_for(lambda: not self.server.connections)
 
+    async def test_memory_is_returned_after_a_request_for_another_protocol(self):
+        peer = await self.connect_and_send(b"GET / HTTP/1.1\r\nUpgrade: a\r\n")
+        await self.wait_for(lambda: self.server.memory.used)
+        await peer.send(b"Connection: upgrade\r\n\r\n")
+        self.assertIn(b"HTTP/1.1 400 ", await peer.read_all())
+        self.assertEqual(self.server.memory.used, 0)
+
     async def test_memory_is_returned_when_callers_leave(self):
         peers = [
             await self.connect_and_send(data)
--- a/magnoliarouter/web/ingress.py
+++ b/magnoliarouter/web/ingress.py
@@ -602,6 +602,7 @@
         self._received_bytes = self._overhead_bytes = 0
         if self._parser.should_upgrade():
             # The bytes that follow would not be HTTP; the parser raises HttpParserUpgrade next.
+            partial.hold.release()
             return
         self._pipelined_requests.append(
             IngressRequest(
