Read on after a refusal while the caller still sends

Of 40 callers that sent large bodies at once, some 13 were reset and 20 read their 503: the connection was closed one second after the refusal, while the caller still sent its body, and unread input resets it. A closed connection promises nothing, so that such a caller could not repeat a request that may run once.

Input is dropped until the caller has sent nothing for a second, for five seconds at most. The new test of the server (413 to a body that arrives for two seconds) is reset before and reads its refusal after.

--- a/magnoliarouter/tests/test_ingress.py
+++ b/magnoliarouter/tests/test_ingress.py
@@ -147,6 +147,16 @@
                 self.assertEqual(self.rejected, [code or ResultCode.MALFORMED_HTTP])
         self.assertEqual(self.requests, [])
 
+    async def test_caller_that_sends_its_body_to_the_end_reads_the_refusal(self):
+        head = b"POST / HTTP/1.1\r\nContent-Length: 20000\r\n\r\n"
+        peer = await self.connect_and_send(head)
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+            await peer.send(b"a" * 1000)
+        response = await peer.read_all()
+        self.assertIn(b"HTTP/1.1 413 ", response)
+        self.assertIn(b'"not_run"', response)
+
     async def test_caller_that_disconnects_cancels_its_request(self):
         peer = await self.connect_and_send(b"GET /slow5 HTTP/1.1\r\nHost: x\r\n\r\n")
         await asyncio.sleep(0.05)
--- a/magnoliarouter/web/ingress.py
+++ b/magnoliarouter/web/ingress.py
@@ -51,9 +51,10 @@
 
 # Complete pipelined requests of one connection above which reading from it pauses.
 MAX_PIPELINED_REQUESTS = 8
-# Time between the response to a rejected request and the close of its connection. Closing at once
-# with unread input would reset the connection before the caller reads the response.
+# Time without input between the response to a rejected request and the close of its connection, and
+# the longest. Closing while the caller still sends resets the connection, before it reads the response.
 LINGERING_CLOSE_S = 1.0
+MAX_LINGERING_S = 5.0
 WRITE_HIGH_WATER_MARK_BYTES = 65_536
 LISTEN_BACKLOG = 1_024
 # Connections accepted in one turn of the loop, which may exceed the limit on them until the next.
@@ -390,6 +391,7 @@
         # Whether further input is dropped, and the response that says so while another is sent.
         self._rejected = False
         self._rejection: bytes | None = None
+        self._input_dropped = False
         self._reading_paused = False
         self._used = False
         self._patient = False
@@ -499,6 +501,7 @@
     def buffer_updated(self, nbytes: int) -> None:
         data = self.server.input.take(nbytes)
         if self._rejected:
+            self._input_dropped = True
             return
         self.server.connections.move_to_end(self)
         self._received_bytes += nbytes
@@ -760,7 +763,19 @@
             # The caller has closed the connection, and its host answered the response with a reset.
             self._transport.abort()
             return
-        self._start_timer(LINGERING_CLOSE_S, self._transport.abort)
+        self._linger(self._loop.time() + MAX_LINGERING_S)
+
+    def _linger(self, until: float) -> None:
+        """Close once the caller has stopped sending, and at the loop time `until` at the latest."""
+        self._input_dropped = False
+        wait_s = min(LINGERING_CLOSE_S, until - self._loop.time())
+        self._start_timer(wait_s, lambda: self._end_linger(until))
+
+    def _end_linger(self, until: float) -> None:
+        if self._input_dropped and self._loop.time() < until:
+            self._linger(until)
+        else:
+            self._transport.abort()
 
     def _start_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
         self._stop_timer()
