Answer the requests before one that does not fit

A pipelined request whose announced body does not fit beside the requests in progress took those before it on its connection with it, although they fitted: they were refused. Only the request itself is refused now, after the responses to the others.

The new test of the server reads a 503 where the second response is due before and both responses after.

--- a/magnoliarouter/tests/crowds.py
+++ b/magnoliarouter/tests/crowds.py
@@ -215,7 +215,8 @@
         peer = await RawPeer.connect(f"{HOST}:{self.listen}")
         try:
             await peer.send(data or build_start(b"/b/x", b"r0", b"GET") + b"\r\n")
-            head, _ = await asyncio.wait_for(peer.read_message(), SEND_TIMEOUT_S)
+            async with asyncio.timeout(SEND_TIMEOUT_S):
+                head, _ = await peer.read_message()
         finally:
             peer.close()
         return int(head.split()[1])
--- a/magnoliarouter/tests/test_requestmemory.py
+++ b/magnoliarouter/tests/test_requestmemory.py
@@ -128,6 +128,17 @@
         self.assertEqual((await small.read_message())[1], b"/c")
         self.assertEqual((await busy.read_message())[1], b"/slow")
 
+    async def test_requests_before_one_that_does_not_fit_are_answered(self):
+        busy = await self.connect_and_send(self.build_request(b"/slow"))
+        await self.wait_for(lambda: self.server.active_requests == 1)
+        request = b"GET /%b HTTP/1.1\r\nHost: x\r\n\r\n"
+        head = self.build_request()[:100]
+        peer = await self.connect_and_send(request % b"slow" + request % b"b" + head)
+        bodies = [(await peer.read_message())[1] for _ in range(2)]
+        self.assertEqual(bodies, [b"/slow", b"/b"])
+        self.assertIn(" 503 ", (await peer.read_message())[0])
+        self.assertEqual((await busy.read_message())[1], b"/slow")
+
     async def test_body_announced_as_too_large_is_refused_before_it_arrives(self):
         peer = await self.connect_and_send(b"POST /a HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n")
         self.assertIn(" 413 ", (await peer.read_message())[0])
--- a/magnoliarouter/web/ingress.py
+++ b/magnoliarouter/web/ingress.py
@@ -479,7 +479,7 @@
         poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
-    # --- asyncio.BufferedProtocol ----------------------------------------------------------------------
+    # --- asyncio.BufferedProtocol --------------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -585,7 +585,7 @@
         if size > self.server.limits.max_body_bytes:
             self._reject(413, ResultCode.BODY_TOO_LARGE, "body is too large")
         elif not self.server.memory.has_room(partial.weigh() + weigh_body(size)):
-            self._give_up()
+            self._reject(503, ResultCode.MEMORY_FULL, MEMORY_REASON, REJECTED_RETRY_AFTER_S)
         elif self._task is None:
             self._send_continue(partial)
         if self._rejected:
