--- a/magnoliarouter/tests/crowds.py
+++ b/magnoliarouter/tests/crowds.py
@@ -18,8 +18,8 @@
 from magnoliarouter.tests.platform_standin import EngineStandin, StoreStandin, build_configuration
 from magnoliarouter.tests.raw_server import RawPeer
 
-# Each daemon has its own loopback address, since the port of the metrics is fixed.
-HOST = "127.0.0.94"
+# The port of the metrics is fixed, so that each test process needs a loopback address of its own.
+HOST = f"127.{64 + os.getpid() % 64}.{os.getpid() // 64 % 256}.94"
 # Limits of the operator's configuration.
 MAX_HEADER_BYTES, MAX_BODY_BYTES = 16_384, 4_194_304
 # Callers may take longer than any test, so that a crowd stays for as long as it is let.
