Close silent connections to entry and endpoint daemons for new ones

Callers that open connections and send nothing kept ordinary callers out of entry and endpoint daemons: at the limit the newest connection was closed.

The limit is at most three quarters of what the process may open.

--- a/magnoliarouter/tests/test_server.py
+++ b/magnoliarouter/tests/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import resource
 import socket
 import tracemalloc
 import unittest
@@ -17,6 +18,7 @@
     split,
 )
 from magnoliarouter.tests.raw_server import RawPeer
+from magnoliarouter.web.limits import fit_connections
 from magnoliarouter.web.loop import Runtime
 from magnoliarouter.web.requestmemory import RequestMemory
 from magnoliarouter.web.server import ServerLimits, WebServer
@@ -178,6 +180,63 @@
         self.assertEqual(self.server.active_requests, 0)
 
 
+class ConnectionLimitTest(unittest.IsolatedAsyncioTestCase):
+    """The server may have two connections."""
+
+    async def asyncSetUp(self):
+        self.rejected, self.release, self.started = [], asyncio.Event(), asyncio.Semaphore(0)
+        self.server = WebServer(
+            Runtime(),
+            ("127.0.0.1", 0),
+            self.handle,
+            ServerLimits(max_connections=2),
+            self.rejected.append,
+        )
+        self.addCleanup(self.server.stop_listening)
+
+    async def handle(self, exchange):
+        if exchange.request.path == "/slow":
+            self.started.release()
+            await self.release.wait()
+        await exchange.send(200, exchange.request.path.encode())
+
+    async def connect_and_send(self, data):
+        peer = await RawPeer.connect(f"127.0.0.1:{self.server.port}")
+        self.addCleanup(peer.close)
+        await peer.send(data)
+        return peer
+
+    async def test_connection_silent_for_longest_gives_way(self):
+        request = b"GET /%b HTTP/1.1\r\nHost: x\r\n\r\n"
+        silent = await self.connect_and_send(b"GET /a HTTP/1.1\r\nHost")
+        used = await self.connect_and_send(request % b"a")
+        self.assertEqual((await used.read_message())[1], b"/a")
+        peer = await self.connect_and_send(request % b"b")
+        self.assertEqual((await peer.read_message())[1], b"/b")
+        response = await asyncio.wait_for(silent.read_all(), 5.0)
+        self.assertIn(b"HTTP/1.1 503 ", response)
+        self.assertIn(b"Retry-After: 0.200\r\n", response)
+        await used.send(request % b"c")
+        self.assertEqual((await used.read_message())[1], b"/c")
+        self.assertEqual(self.rejected, [ResultCode.CONNECTIONS_FULL])
+
+    async def test_requests_in_progress_keep_their_connections(self):
+        busy = [await self.connect_and_send(b"GET /slow HTTP/1.1\r\nHost: x\r\n\r\n") for _ in "ab"]
+        for _ in busy:
+            await self.started.acquire()
+        late = await RawPeer.connect(f"127.0.0.1:{self.server.port}")
+        self.assertEqual(await asyncio.wait_for(late.read_all(), 5.0), b"")
+        self.release.set()
+        for peer in busy:
+            self.assertEqual((await peer.read_message())[1], b"/slow")
+
+    def test_connections_leave_descriptors_of_the_process_free(self):
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        fitted = fit_connections(ServerLimits(max_connections=10_000_000))
+        self.assertEqual(fitted.max_connections, descriptors * 3 // 4)
+        self.assertEqual(fit_connections(LIMITS), LIMITS)
+
+
 class MemoryTest(unittest.IsolatedAsyncioTestCase):
     """Crowds of callers that stop just short of the end of their requests."""
 
--- a/magnoliarouter/web/server.py
+++ b/magnoliarouter/web/server.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import select
-from collections import deque
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from socket import SO_RCVBUF, SOL_SOCKET
 from typing import TYPE_CHECKING, Any
@@ -28,7 +28,7 @@
     HttpRequest,
     error_body,
 )
-from magnoliarouter.web.limits import ServerLimits
+from magnoliarouter.web.limits import ServerLimits, fit_connections
 from magnoliarouter.web.requestmemory import (
     DEFAULT_REQUEST_MEMORY_BYTES,
     MEMORY_REASON,
@@ -143,10 +143,11 @@
         super().__init__(channel=channel)
         self._runtime = runtime
         self._handle = handle
-        self._limits = limits or ServerLimits()
+        self._limits = fit_connections(limits or ServerLimits())
         self._on_reject = on_reject
         self._memory = memory or RequestMemory(DEFAULT_REQUEST_MEMORY_BYTES)
-        self._connections: dict[socket, _Connection] = {}
+        # The connection that has been silent for longest comes first.
+        self._connections: OrderedDict[socket, _Connection] = OrderedDict()
         self._tasks: set[asyncio.Task[None]] = set()
         self.draining = False
         self._stopping = False
@@ -264,12 +265,35 @@
     @handler("connect")
     def _on_connect(self, sock: socket, *peer: Any) -> None:
         if len(self._connections) >= self._limits.max_connections:
-            self._on_reject(ResultCode.QUEUE_FULL)
-            self.close_connection(sock)
-            return
+            self._on_reject(ResultCode.CONNECTIONS_FULL)
+            silent = self._find_silent()
+            if silent is None:
+                self.close_connection(sock)
+                return
+            self._close_silent(silent)
         connection = self._connections[sock] = _Connection()
         self._start_idle_timer(sock, connection)
 
+    def _find_silent(self) -> socket | None:
+        """Return the connection without a request in progress that has been silent for longest."""
+        return next(
+            (sock for sock, connection in self._connections.items() if connection.task is None),
+            None,
+        )
+
+    def _close_silent(self, sock: socket) -> None:
+        """Close a connection for another one; a request that is arriving on it is refused."""
+        connection = self._connections[sock]
+        if connection.received_bytes and not connection.rejected:
+            reason = "this daemon has as many connections as it may"
+            self.server.write(
+                sock,
+                _encode_rejection(503, ResultCode.CONNECTIONS_FULL, reason, REJECTED_RETRY_AFTER_S),
+            )
+        self.close_connection(sock)
+        # The event of its end is handled later.
+        self._on_disconnect(sock)
+
     @handler("disconnect")
     def _on_disconnect(self, sock: socket) -> None:
         # circuits.web never discards the parser of a partially received request.
@@ -289,7 +313,9 @@
         connection = self._connections.get(sock)
         if connection is None or connection.rejected:
             event.stop()
-        elif connection.task is not None:
+            return
+        self._connections.move_to_end(sock)
+        if connection.task is not None:
             event.stop()
             self._defer_pipelined(sock, connection, data)
         else:
@@ -360,17 +386,11 @@
             return
         connection.release_hold()
         self._on_reject(code)
-        body = error_body(code, "not_run", reason)
-        retry_after = "" if retry_after_s is None else f"Retry-After: {retry_after_s:.3f}\r\n"
-        head = (
-            f"HTTP/1.1 {status} Rejected\r\nContent-Type: {JSON_TYPE}\r\n{retry_after}"
-            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-        )
         connection.rejected = True
         connection.stop_timer()
         self.http._buffers.pop(sock, None)
         self.http._clients.pop(sock, None)
-        self.fire(write(sock, head.encode() + body))
+        self.fire(write(sock, _encode_rejection(status, code, reason, retry_after_s)))
         # Closing with unread input would reset the connection before the caller reads the response.
         connection.timer = self._runtime.loop.call_later(
             LINGERING_CLOSE_S, self.close_connection, sock
@@ -459,6 +479,7 @@
             return
         connection.task = None
         connection.release_hold()
+        self._connections.move_to_end(sock)
         # circuits.web retains a HEAD request and would reuse it for the next request.
         self.http._clients.pop(sock, None)
         if task.cancelled():
@@ -478,6 +499,18 @@
                 _wake_drain_waiters(connection)
 
 
+def _encode_rejection(
+    status: int, code: ResultCode, reason: str, retry_after_s: float | None
+) -> bytes:
+    body = error_body(code, "not_run", reason)
+    retry_after = "" if retry_after_s is None else f"Retry-After: {retry_after_s:.3f}\r\n"
+    head = (
+        f"HTTP/1.1 {status} Rejected\r\nContent-Type: {JSON_TYPE}\r\n{retry_after}"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
+    return head.encode() + body
+
+
 def _wake_drain_waiters(connection: _Connection) -> None:
     for waiter in connection.drain_waiters:
         if not waiter.done():
