--- a/review/standins-3/ranks.py
+++ b/review/standins-3/ranks.py
@@ -91,14 +91,15 @@
                     return 200
                 if version <= self.highest or self.armed is not None:
                     return 409
-                new = [set(experts[self.number]) - set(own) for experts, own in zip(body["map"], self.experts)]
+                new = [
+                    set(experts[self.number]) - set(own)
+                    for experts, own in zip(body["map"], self.experts)
+                ]
                 if any(len(one) > SPARE for one in new):
                     return 409
                 self.highest, self.prepared = version, None
                 self.copying, self.copy_left = (version, body["map"]), COPY_S * sum(map(len, new))
-                self.sources = {
-                    expert % self.group.size for one in new for expert in one
-                }
+                self.sources = {expert % self.group.size for one in new for expert in one}
             case "arm":
                 if self.armed == (version, step):
                     return 200
@@ -136,7 +137,9 @@
                 fields = {name.lower(): value for name, value in fields.items()}
                 body = await reader.readexactly(int(fields.get("content-length", 0)))
                 if owed:
-                    self.group.record.say(f"rank {self.number} sends another answer on a connection, before that to {lines[0]}")
+                    self.group.record.say(
+                        f"rank {self.number} sends another answer on a connection, before that to {lines[0]}"
+                    )
                     writer.write(owed)
                 answer = await self._answer(lines[0], fields, body, writer)
                 self.answers += 1
@@ -151,32 +154,41 @@
             writer.close()
 
     async def _answer(self, line: str, fields: dict, body: bytes, writer) -> bytes:
-        method, target, _ = line.split(" ", 2)
+        _, target, _ = line.split(" ", 2)
+        # An answer names its request if that has an id; those of the daemon's own calls have none.
+        echoed = {"X-Request-Id": fields["x-request-id"]} if "x-request-id" in fields else {}
         if target == "/v1/report":
-            return self._send(writer, 200, self.past[0][1] if self.past else self.state())
+            state = self.past[0][1] if self.past else self.state()
+            return self._send(writer, 200, state, echoed)
         if target.startswith("/v1/picked"):
             if "lists" in target:
                 return self._send(writer, 200, {
                     "step": self.group.step, "epoch": 1,
                     "map": {"version": self.map_version, "experts": self.experts},
                     "prepared": None,
-                })  # fmt: skip
-            return self._send(writer, 200, {"step": self.group.step, "epoch": 1, "counts": self.counts})
+                }, echoed)  # fmt: skip
+            counts = {"step": self.group.step, "epoch": 1, "counts": self.counts}
+            return self._send(writer, 200, counts, echoed)
         if target == "/v1/order":
             order = json.loads(body)
             status = self.order(order)
             shown = {key: value for key, value in order.items() if key != "map"}
-            self.group.record.say(f"rank {self.number} answers {status} to {shown} at pass {self.group.step}")
-            return self._send(writer, status, {})
+            self.group.record.say(
+                f"rank {self.number} answers {status} to {shown} at pass {self.group.step}"
+            )
+            return self._send(writer, status, {}, echoed)
         if fields.get("x-expect-instance", self.identity) != self.identity:
-            return self._send(writer, 421, {}, {"X-Instance-Id": self.identity})
+            return self._send(writer, 421, {}, {**echoed, "X-Instance-Id": self.identity})
         return await self._stream(fields, writer)
 
     def _send(self, writer, status: int, body: dict, fields: dict | None = None) -> bytes:
         content = json.dumps(body).encode()
         head = f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: application/json\r\n"
         head += "".join(f"{name}: {value}\r\n" for name, value in (fields or {}).items())
-        data = f"{head}Keep-Alive: timeout=15\r\nContent-Length: {len(content)}\r\n\r\n".encode() + content
+        data = (
+            f"{head}Keep-Alive: timeout=15\r\nContent-Length: {len(content)}\r\n\r\n".encode()
+            + content
+        )
         writer.write(data)
         return data
 
